Judge scripted scenarios and each mechanism of leases

A host that goes on across a change of term keeps its old token until the hosts of earlier terms have renounced theirs, because the new token made an upstream refuse the successor of a host that had not read the term.

--- a/crates/lease/src/succession.rs
+++ b/crates/lease/src/succession.rs
@@ -35,9 +35,11 @@
 //! itself. Ranked hosts ask for it as soon as they read the new term, so that the answer is there
 //! before it is needed.
 //!
-//! A host that acts at the change and has rank 0 in the new term goes on without asking. All hosts
-//! of the old term that could act are below it in rank, and need the proof of its own loss. This
-//! covers the record that every takeover leads to.
+//! A host that may act at the change and has rank 0 in the new term goes on under its old token
+//! while it asks. All hosts of the old term that could act are below it in rank, and need the proof
+//! of its own loss. It takes the new token only when condition 3 holds. If it took the new one at
+//! once and were lost, a host that has not read the new term would act with a token of the old
+//! term, which an upstream that has seen the new one refuses.
 //!
 //! A host that acts at the change and has another rank must stop. It renounces its old term only
 //! when the caller reports through [`Succession::drained`] that nothing is in flight.
@@ -81,6 +83,8 @@
     /// Hosts of earlier terms that cannot act there any more.
     settled: BTreeSet<HostId>,
     acting: Option<Token>,
+    /// Token of an earlier term under which this host goes on until condition 3 holds.
+    carried: Option<Token>,
     /// Requests of an earlier term are in flight.
     draining: bool,
 }
@@ -149,20 +153,15 @@
         }
         let rank = assignment.rank(self.host);
         let first = rank.is_some_and(|r| r.0 == 0);
-        let claims = old.is_some_and(|r| self.claims(r));
+        let held = old.filter(|_| first).and_then(|r| self.token(r));
         let acting = old.and_then(|r| r.acting);
-        let draining = old.is_some_and(|r| r.draining) || (acting.is_some() && !(claims && first));
-        let settled = if claims && first {
-            assignment.prior.iter().copied().collect()
-        } else {
-            BTreeSet::new()
-        };
-        let drain = draining && acting.is_some();
+        let drain = acting.is_some() && held.is_none();
         let role = Role {
             assignment: assignment.clone(),
-            settled,
-            acting: acting.filter(|_| !draining),
-            draining,
+            settled: BTreeSet::new(),
+            acting: acting.filter(|_| !drain),
+            carried: held,
+            draining: drain || old.is_some_and(|r| r.draining),
         };
         self.ask = now;
         self.roles.insert(upstream.clone(), role);
@@ -229,7 +228,7 @@
         let mut prior = assignment.prior.iter();
         let settled = self.switches.skip_renounce
             || prior.all(|&h| h == self.host || role.settled.contains(&h) || self.is_lost(h));
-        above && settled && !role.draining
+        above && settled
     }
 
     /// The token with which this host acts for `upstream` at `now`, or nothing if it may not.
@@ -243,8 +242,19 @@
 
     fn right(&self, role: &Role, holder: &Holder, now: Tick) -> Option<Token> {
         let valid = holder.is_valid(now) || self.switches.ignore_own_lease;
-        let token = role.assignment.token(self.host)?;
-        (valid && self.claims(role)).then_some(token)
+        self.token(role).filter(|_| valid)
+    }
+
+    /// The token with which this host may act while its lease is valid.
+    fn token(&self, role: &Role) -> Option<Token> {
+        let newest = role.assignment.token(self.host);
+        let token = newest.filter(|_| self.claims(role)).or(role.carried);
+        token.filter(|_| !role.draining)
+    }
+
+    /// Whether this host can act, or has requests in flight, under an earlier term.
+    fn lingers(&self, role: &Role) -> bool {
+        role.draining || (role.carried.is_some() && !self.claims(role))
     }
 
     /// Notes that no request of an earlier term is in flight at the upstream.
@@ -315,7 +325,7 @@
         match message {
             Message::Attest(attestation) => self.attest(from, attestation),
             Message::Renounce { upstream, term } => match self.roles.get(upstream) {
-                Some(role) if role.assignment.term >= *term && role.draining => Vec::new(),
+                Some(role) if role.assignment.term >= *term && self.lingers(role) => Vec::new(),
                 Some(role) if role.assignment.term >= *term => {
                     let upstream = upstream.clone();
                     let term = *term;
--- a/tests/all/lease/checker.rs
+++ b/tests/all/lease/checker.rs
@@ -35,10 +35,25 @@
 }
 
 impl Checker {
-    /// Notes that a host stops or loses its peers at `now`.
-    pub fn lost(&mut self, host: &str, now: Duration) {
+    /// Notes that a host stops or loses peers at `now`. `acts` tells whether it acted until then;
+    /// if it did not, an earlier loss is the one that counts.
+    pub fn lost(&mut self, host: &str, now: Duration, acts: bool) {
         for acting in self.acting.values_mut().filter(|a| a.host == host) {
-            acting.lost.get_or_insert(now);
+            acting.lost = acting.lost.filter(|_| !acts).or(Some(now));
+        }
+    }
+
+    /// Notes that a host is back and still acts.
+    pub fn recovered(&mut self, host: &str) {
+        for acting in self.acting.values_mut().filter(|a| a.host == host) {
+            acting.lost = None;
+        }
+    }
+
+    /// Counts the time until the next host acts from `now`.
+    pub fn count_from(&mut self, upstream: &str, now: Duration) {
+        if let Some(acting) = self.acting.get_mut(upstream) {
+            acting.lost = Some(now);
         }
     }
 
@@ -90,7 +105,8 @@
         }
     }
 
-    fn violate(&mut self, text: String) {
+    /// Notes a violation; the first one is also an event.
+    pub fn violate(&mut self, text: String) {
         if self.violations.is_empty() {
             self.events.push(format!("VIOLATION {text}"));
         }
--- a/tests/all/lease/script.rs
+++ b/tests/all/lease/script.rs
@@ -11,7 +11,10 @@
 //! | `delay 5 20`, `loss 10` | milliseconds from and to; percent |
 //! | `clock a -10`, `lag a 500` | clock rate in parts per thousand; delay of log reads in ms |
 //! | `log down`, `log up` | the log |
+//! | `leases` | records the next generation of every running host, as after `hosts` |
+//! | `count u` | counts a takeover of `u` from now, where the design lets it wait for the log |
 //! | `run 2000` | milliseconds |
+//! | `acts u a` | a violation unless exactly `a` acts for `u`; without a host: unless none does |
 
 use std::fmt::Write as _;
 use std::time::Duration;
@@ -45,6 +48,7 @@
         "fresh-wait" => &mut off.skip_wait,
         "no-renewal-in-place" => &mut off.renew_in_place,
         "outdated-unsettled" => &mut off.attest_outdated,
+        "address-rule" => &mut off.no_address_rule,
         "majority" => &mut off.any_attestation,
         "rank-order" => &mut off.skip_rank,
         "renounce" => &mut off.skip_renounce,
@@ -100,6 +104,16 @@
             ("clock", [a, rate]) => world.clock(a, rate.parse().expect("parts per thousand")),
             ("lag", [a, span]) => world.lag(a, millis(span)),
             ("log", [state]) => world.log_up = state == "up",
+            ("count", [upstream]) => world.checker.count_from(upstream, world.now),
+            ("leases", []) => self.leases(),
+            ("acts", [upstream, hosts @ ..]) => {
+                let found = world.acting(upstream);
+                if found != hosts {
+                    let now = world.now.as_millis();
+                    let text = format!("{now} ms {upstream}: {found:?} act, expected {hosts:?}");
+                    world.checker.violate(text);
+                }
+            }
             ("run", [span]) => world.run(millis(span)),
             _ => panic!("no command {verb} {args:?}"),
         }
@@ -109,10 +123,17 @@
         for name in names {
             self.world.start(name);
         }
+        self.leases();
+    }
+
+    fn leases(&mut self) {
+        let names = self.world.names();
         for (i, name) in names.iter().enumerate() {
             let others = names.iter().cycle().skip(i + 1).take(names.len() - 1);
             let witnesses: Vec<_> = others.take(5).cloned().collect();
-            self.world.lease(name, &witnesses);
+            if self.world.is_running(name) && self.world.may_change(name) {
+                self.world.lease(name, &witnesses);
+            }
         }
     }
 
@@ -132,9 +153,12 @@
         }
     }
 
-    /// Violations found so far.
-    pub fn violations(&self) -> &[String] {
-        &self.world.checker.violations
+    /// Violations and late takeovers so far.
+    pub fn faults(&self) -> Vec<String> {
+        let checker = &self.world.checker;
+        let late = checker.takeovers.iter().filter(|t| t.took > TARGET);
+        let late = late.map(|t| format!("{}: {} is late", t.upstream, t.to));
+        checker.violations.iter().cloned().chain(late).collect()
     }
 
     /// The takeovers so far against the target, and the number of violations.
--- a/tests/all/lease/world.rs
+++ b/tests/all/lease/world.rs
@@ -187,14 +187,14 @@
 
     pub fn crash(&mut self, name: &str) {
         let index = self.index(name);
-        self.checker.lost(name, self.now);
+        self.lost(index);
         self.nodes[index].running = false;
         self.nodes[index].inbox.clear();
     }
 
     pub fn pause(&mut self, name: &str) {
         let index = self.index(name);
-        self.checker.lost(name, self.now);
+        self.lost(index);
         self.nodes[index].paused = true;
     }
 
@@ -203,17 +203,42 @@
         let index = self.index(name);
         self.nodes[index].paused = false;
         self.judge();
+        self.recover();
+    }
+
+    /// Whether a host acts for any upstream now.
+    fn acts(&self, index: usize) -> bool {
+        let node = &self.nodes[index];
+        let tick = node.tick(self.now);
+        let mut upstreams = node.records.assignments().map(|a| &a.upstream);
+        let acts = |u| node.succession.authority(u, &node.holder, tick).is_some();
+        node.up() && upstreams.any(acts)
+    }
+
+    fn lost(&mut self, index: usize) {
+        let acts = self.acts(index);
+        let name = &self.nodes[index].name;
+        self.checker.lost(name, self.now, acts);
+    }
+
+    fn recover(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.acts(index) {
+                self.checker.recovered(&self.nodes[index].name);
+            }
+        }
     }
 
     /// Drops all messages from one host to another.
     pub fn cut(&mut self, from: &str, to: &str) {
         let link = (self.index(from), self.index(to));
-        self.checker.lost(from, self.now);
+        self.lost(link.0);
         self.cuts.insert(link);
     }
 
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.recover();
     }
 
     pub fn clock(&mut self, name: &str, rate: i32) {
@@ -270,7 +295,7 @@
     /// Records the death of a host's stopped or previous incarnation.
     pub fn bury(&mut self, name: &str) {
         let node = &self.nodes[self.index(name)];
-        let id = if node.running {
+        let id = if node.up() {
             node.former
         } else {
             Some(node.id)
