End a lease for good and shorten the lease scenarios

A holder that hears no answers but is heard kept its witnesses promising for ever, so nobody acted for its upstreams until the link was repaired. The record of a lease is refused if one process would serve two of its seats, and a refusal does not end a lease whose promises still run. Random schedules find nine of eleven missing mechanisms within 40 draws.

--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -5,6 +5,17 @@
 //! shortened by the largest difference between two clocks' rates, so it also ends earlier by real
 //! time when the holder's clock is the slowest allowed and the witness's the fastest.
 //!
+//! # End of the lease
+//!
+//! A lease that has ended is not resumed by the same incarnation: the holder sends no heartbeats
+//! any more, and the process restarts under a new host id. A holder that went on would never be
+//! replaced if only the answers to it are lost. Its witnesses would renew promises that it does not
+//! learn of, it would not act, and nobody could act in its place. With this rule the witnesses
+//! attest the expiry at most one lease after the holder has stopped, which is 3 s after the fault.
+//!
+//! A refusal does not end a lease early. The promises that were given still hold, and the holder
+//! acts until they run out.
+//!
 //! # Change of generation
 //!
 //! The holder relies on the current generation alone until it has asked a witness to close it.
@@ -126,7 +137,11 @@
     state: HolderState,
     current: Option<Set>,
     next: Option<Set>,
+    /// When the first record was read.
+    since: Tick,
+    /// When the next heartbeats are due.
     beat: Tick,
+    /// The end of the lease that was last reported.
     told: Option<Tick>,
 }
 
@@ -160,6 +175,7 @@
             chart,
             current: None,
             next: None,
+            since: Tick::default(),
             beat: Tick::default(),
             told: None,
         })
@@ -200,6 +216,7 @@
             None => {
                 let first = tenure.previous.as_ref().unwrap_or(newest);
                 self.current = Some(Set::new(first.clone()));
+                self.since = now;
                 self.beat = now;
                 if tenure.previous.is_some() {
                     self.prepare(newest, now);
@@ -236,20 +253,14 @@
     /// Takes the steps that promises and answers allow, and reports the new end of the lease.
     fn advance(&mut self, now: Tick) -> Vec<Effect> {
         let mut effects = Vec::new();
-        if self.current.as_ref().is_some_and(Set::is_refused) && self.step(Event::Lapsed) {
-            effects.push(Effect::Ended);
-        }
         let next = self.next.as_ref();
         let until = next.map(|s| (s.until(self.span()), s.is_refused(), s.lease.generation));
         match (self.state, until) {
             (HolderState::Preparing, Some((_, true, generation))) => {
                 self.step(Event::Failed);
+                self.next = None;
                 effects.push(Effect::ChangeFailed { generation });
             }
-            (HolderState::Closing, Some((_, true, _))) => {
-                self.step(Event::Failed);
-                effects.push(Effect::Ended);
-            }
             (HolderState::Preparing, Some((end, false, _))) if end.is_none_or(|e| now < e) => {
                 self.step(Event::Ready);
             }
@@ -263,7 +274,8 @@
         let until = self.valid_until();
         if until != self.told {
             self.told = until;
-            effects.extend(until.map(|until| Effect::Extended { until }));
+            let ahead = until.filter(|&end| now < end);
+            effects.extend(ahead.map(|until| Effect::Extended { until }));
         }
         effects
     }
@@ -301,14 +313,30 @@
     /// The tick at which [`poll`](Self::poll) has something to do.
     pub fn next_wake(&self) -> Option<Tick> {
         let active = self.current.is_some() && self.state != HolderState::Ended;
-        active.then_some(self.beat)
+        let end = self.lapse();
+        active.then(|| end.map_or(self.beat, |end| end.min(self.beat)))
+    }
+
+    /// When the holder gives up; `None` if its lease does not end.
+    fn lapse(&self) -> Option<Tick> {
+        let first = self.since.after(self.timing.grace);
+        self.valid_until().map(|end| end.max(first))
     }
 
     /// Sends the heartbeats that are due, and asks the old witnesses to close.
+    ///
+    /// A holder whose lease has ended sends nothing more.
     pub fn poll(&mut self, now: Tick) -> Vec<Effect> {
         if self.next_wake().is_none_or(|at| now < at) {
             return Vec::new();
         }
+        let lapsed = self.lapse().is_some_and(|end| end <= now);
+        if lapsed && !self.switches.beat_after_end && self.step(Event::Lapsed) {
+            return vec![Effect::Ended];
+        }
+        if now < self.beat {
+            return Vec::new();
+        }
         self.beat = now.after(self.timing.heartbeat);
         let mut effects = Vec::new();
         let closing = self.state == HolderState::Closing;
--- a/crates/lease/src/message.rs
+++ b/crates/lease/src/message.rs
@@ -126,12 +126,13 @@
         /// The message.
         message: Message,
     },
-    /// The end of the lease has moved. The kernel timer is to be armed for it.
+    /// The end of the lease has moved, and the kernel timer is to be armed for it. At a change of
+    /// generation it can move to an earlier tick.
     Extended {
         /// Last tick, exclusive, at which the host may act.
         until: Tick,
     },
-    /// A majority refuses this incarnation. The process must restart under a new [`HostId`].
+    /// The lease has run out. The process must restart under a new [`HostId`].
     Ended,
     /// The next generation expired before it could be used. The incarnation keeps its witnesses
     /// and cannot replace them; the process should drain and restart.
--- a/crates/lease/src/records.rs
+++ b/crates/lease/src/records.rs
@@ -73,6 +73,9 @@
     pub address: SocketAddr,
 }
 
+/// Most witnesses of a lease.
+pub const SEATS_MAX: usize = 5;
+
 /// Smallest majority of `count` seats.
 ///
 /// For no seats this is 1, which no set of votes reaches: the lease of a host without witnesses
@@ -88,11 +91,19 @@
     pub holder: HostId,
     /// Counter of the witness set.
     pub generation: Generation,
-    /// Witnesses, at most five.
+    /// Witnesses, at most [`SEATS_MAX`].
     pub seats: SmallVec<[Seat; 5]>,
 }
 
 impl Lease {
+    fn is_sound(&self) -> bool {
+        let hosts: BTreeSet<_> = self.seats.iter().map(|s| s.host).collect();
+        let addresses: BTreeSet<_> = self.seats.iter().map(|s| s.address).collect();
+        let count = self.seats.len();
+        let distinct = hosts.len() == count && addresses.len() == count;
+        distinct && count <= SEATS_MAX && !hosts.contains(&self.holder)
+    }
+
     /// The seats with their indices.
     pub fn indexed(&self) -> impl Iterator<Item = (SeatIndex, &Seat)> {
         (0..=u8::MAX).map(SeatIndex).zip(&self.seats)
@@ -175,14 +186,16 @@
 impl Records {
     /// Applies a `Lease` record. Returns whether it was accepted.
     ///
-    /// A record is accepted if its generation follows the newest one of a host that is not dead.
+    /// A record is accepted if its generation follows the newest one of a host that is not dead,
+    /// and its seats are distinct hosts at distinct addresses other than the holder. A process that
+    /// serves two seats would otherwise count twice towards a majority.
     pub fn lease(&mut self, lease: Lease) -> bool {
         let holder = lease.holder;
         let expected = self
             .tenures
             .get(&holder)
             .map_or(Generation::FIRST, |t| t.current.generation.next());
-        if lease.generation != expected || self.dead.contains(&holder) {
+        if lease.generation != expected || !lease.is_sound() || self.dead.contains(&holder) {
             return false;
         }
         let previous = self.tenures.remove(&holder).map(|t| t.current);
--- a/tests/all/lease.rs
+++ b/tests/all/lease.rs
@@ -9,6 +9,8 @@
 mod unit;
 mod world;
 
+use std::fmt::Write as _;
+
 use script::Script;
 
 /// Guards against two hosts acting for one upstream, and against late takeovers, in the situations
@@ -23,16 +25,22 @@
         let mut script = Script::default();
         let name = file.filename.clone();
         file.run(|case| {
-            if case.take_flag("fresh").expect("no value") {
-                script = Script::default();
-            }
-            let text = match case.directive.as_str() {
-                "script" => script.run(&case.input),
-                "verdict" => script.verdict(),
-                other => panic!("no directive {other}"),
-            };
-            if let Some(first) = script.faults().first() {
-                wrong.push(format!("{name}: {first} after\n{}", case.input));
+            assert_eq!(case.directive, "script");
+            let hosts = case.try_take_arg::<u8>("hosts").expect("a number");
+            let times = case.try_take_args::<String>("t").expect("a list");
+            let mut text = String::new();
+            for t in times.unwrap_or_else(|| vec![String::new()]) {
+                if let Some(count) = hosts {
+                    script = Script::default();
+                    script.set_up(count);
+                }
+                if !t.is_empty() {
+                    let _ = writeln!(text, "t={t}:");
+                }
+                text += &script.run(&case.input.replace("$t", &t));
+                if let Some(first) = script.faults().first() {
+                    wrong.push(format!("{name}: {first} after t={t}\n{}", case.input));
+                }
             }
             text
         });
@@ -48,19 +56,23 @@
     datadriven::walk("tests/all/lease/switches", |file| {
         file.run(|case| {
             let name = case.take_arg::<String>("off").expect("argument off");
+            let hosts = case.take_arg::<u8>("hosts").expect("argument hosts");
             let mut on = Script::default();
+            on.set_up(hosts);
             on.run(&case.input);
             if let Some(first) = on.faults().first() {
                 wrong.push(format!("{name} is on: {first}"));
             }
             let mut off = Script::without(&name);
+            off.set_up(hosts);
             off.run(&case.input);
             if off.faults().is_empty() {
                 wrong.push(format!("{name} is off, and nothing is found"));
             }
-            off.faults()
-                .first()
-                .map_or(String::new(), |f| f.clone() + "\n")
+            let faults = off.faults();
+            let double = faults.iter().find(|f| f.contains("at once"));
+            let first = double.or(faults.first());
+            first.map_or(String::new(), |f| f.clone() + "\n")
         });
     });
     assert!(wrong.is_empty(), "{}", wrong.join("\n"));
--- a/tests/all/lease/checker.rs
+++ b/tests/all/lease/checker.rs
@@ -13,7 +13,6 @@
 #[derive(Debug, Clone)]
 pub struct Takeover {
     pub upstream: String,
-    pub from: String,
     pub to: String,
     pub took: Duration,
 }
@@ -29,6 +28,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Checker {
     acting: BTreeMap<String, Acting>,
+    /// The hosts found at the previous step.
+    found: BTreeMap<String, String>,
     pub violations: Vec<String>,
     pub takeovers: Vec<Takeover>,
     pub events: Vec<String>,
@@ -61,12 +62,16 @@
     /// one without a token still has requests in flight.
     pub fn judge(&mut self, now: Duration, upstream: &str, found: &[(String, Option<Token>)]) {
         let millis = now.as_millis();
-        if found.len() > 1 {
-            let hosts: Vec<_> = found.iter().map(|(h, _)| h.as_str()).collect();
-            self.violate(format!(
-                "{millis} ms {upstream}: {} act at once",
-                hosts.join(" and ")
-            ));
+        let hosts: Vec<_> = found.iter().map(|(h, _)| h.as_str()).collect();
+        let hosts = hosts.join(" and ");
+        let double = found.len() > 1;
+        // Each pair of hosts is one violation, however long it lasts.
+        let before = self.found.insert(upstream.to_owned(), hosts.clone());
+        if double && before.as_ref() != Some(&hosts) {
+            self.violate(format!("{millis} ms {upstream}: {hosts} act at once"));
+        }
+        if double {
+            return;
         }
         for (host, token) in found.iter().filter_map(|(h, t)| t.map(|t| (h, t))) {
             let before = self.acting.get(upstream).cloned();
@@ -90,7 +95,6 @@
                 );
                 self.takeovers.push(Takeover {
                     upstream: upstream.to_owned(),
-                    from: b.host.clone(),
                     to: host.clone(),
                     took,
                 });
--- a/tests/all/lease/property.rs
+++ b/tests/all/lease/property.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
+use proptest::strategy::ValueTree;
 use proptest::test_runner::{Config, FileFailurePersistence, RngAlgorithm, TestRng, TestRunner};
 use trefoil_lease::Switches;
 
 use super::checker::TARGET;
+use super::script::switches;
 use super::world::World;
 
 const NAMES: [&str; 7] = ["a", "b", "c", "d", "e", "f", "g"];
@@ -189,6 +191,35 @@
     }
 }
 
+/// Guards against schedules that are too tame: without a mechanism, one of the first forty gives two
+/// hosts authority.
+///
+/// Two mechanisms are missing here. Four hundred schedules did not hit the 15 ms that the clock
+/// drift makes up, nor the restart of a witness whose closing did not reach the successors. The
+/// scripts in `switches` show what they prevent.
+#[test]
+fn schedules_need_each_mechanism() {
+    let names = [
+        "count-from-send",
+        "closing",
+        "refuse-after-attesting",
+        "fresh-wait",
+        "no-renewal-in-place",
+        "majority",
+        "rank-order",
+        "renounce",
+        "own-lease",
+    ];
+    for name in names {
+        let mut runner = runner(1);
+        let found = (0..40).any(|_| {
+            let plan = plan().new_tree(&mut runner).expect("a plan").current();
+            !play(&plan, switches(name)).is_empty()
+        });
+        assert!(found, "{name} is off, and no schedule shows it");
+    }
+}
+
 /// Guards against a takeover that misses the target under ordinary delay and loss.
 #[test]
 fn one_loss_is_repaired_within_the_target() {
--- a/tests/all/lease/script.rs
+++ b/tests/all/lease/script.rs
@@ -1,22 +1,25 @@
 //! The test language: one command on a line, its arguments separated by blanks.
 //!
+//! `script` goes on with the hosts of the script before it. `script hosts=7` starts anew with hosts
+//! `a` to `g`, of which `a` acts for `u` and `b` and `c` are its successors. With `t=(0,5)` the
+//! commands run anew for each value, which stands in place of `$t`. The output is what happened.
+//!
 //! | command | effect |
 //! |---|---|
 //! | `hosts a b c` | starts hosts; each gets the five after it as witnesses |
-//! | `start a`, `crash a`, `pause a`, `resume a` | a process; `start` makes a new incarnation |
+//! | `start a b`, `crash a`, `pause a`, `resume a` | processes; `start` makes new incarnations |
 //! | `lease a b c d` | records the next generation of `a` with witnesses `b`, `c`, `d` |
 //! | `assign u a b c` | records the next term of upstream `u` |
 //! | `bury a` | records the death of the stopped or previous incarnation of `a` |
 //! | `cut a > b c`, `cut a <> b c`, `heal` | drops messages one way or both ways; `*` is all others |
 //! | `delay 5 20`, `loss 10` | milliseconds from and to; percent |
-//! | `clock a -10`, `lag a 500` | clock rate in parts per thousand; delay of log reads in ms |
+//! | `clock -10 a b`, `lag 500 a b` | clock rate in parts per thousand; delay of log reads in ms |
 //! | `log down`, `log up` | the log |
 //! | `leases` | records the next generation of every running host, as after `hosts` |
 //! | `count u` | counts a takeover of `u` from now, where the design lets it wait for the log |
 //! | `run 2000` | milliseconds |
 //! | `acts u a` | a violation unless exactly `a` acts for `u`; without a host: unless none does |
 
-use std::fmt::Write as _;
 use std::time::Duration;
 
 use trefoil_lease::Switches;
@@ -38,11 +41,12 @@
     }
 }
 
-fn switches(name: &str) -> Switches {
+pub fn switches(name: &str) -> Switches {
     let mut off = Switches::default();
     let field = match name {
         "count-from-send" => &mut off.count_from_arrival,
         "drift" => &mut off.ignore_drift,
+        "silence-after-end" => &mut off.beat_after_end,
         "closing" => &mut off.skip_closing,
         "refuse-after-attesting" => &mut off.renew_after_attesting,
         "fresh-wait" => &mut off.skip_wait,
@@ -71,6 +75,15 @@
         }
     }
 
+    /// Starts `count` hosts named from `a`, of which `a` acts for the upstream `u`.
+    pub fn set_up(&mut self, count: u8) {
+        let names: Vec<_> = (b'a'..b'a' + count).map(char::from).collect();
+        let names: Vec<_> = names.iter().map(char::to_string).collect();
+        self.command("hosts", &names);
+        let ranked = names[..names.len().min(3)].join(" ");
+        self.run(&format!("assign u {ranked}\nrun 2000\nacts u a"));
+    }
+
     /// Runs commands and returns the events that they caused.
     pub fn run(&mut self, text: &str) -> String {
         let before = self.world.checker.events.len();
@@ -88,10 +101,10 @@
         let world = &mut self.world;
         match (verb, args) {
             ("hosts", names) => self.hosts(names),
-            ("start", [a]) => world.start(a),
+            ("start", names) => names.iter().for_each(|a| world.start(a)),
             ("crash", names) => names.iter().for_each(|a| world.crash(a)),
-            ("pause", [a]) => world.pause(a),
-            ("resume", [a]) => world.resume(a),
+            ("pause", names) => names.iter().for_each(|a| world.pause(a)),
+            ("resume", names) => names.iter().for_each(|a| world.resume(a)),
             ("lease", [a, witnesses @ ..]) => world.lease(a, witnesses),
             ("assign", [upstream, hosts @ ..]) => world.assign(upstream, hosts),
             ("bury", [a]) => world.bury(a),
@@ -101,8 +114,13 @@
                 world.delay = (from.parse().expect("ms"), to.parse().expect("ms"));
             }
             ("loss", [percent]) => world.loss = percent.parse().expect("percent"),
-            ("clock", [a, rate]) => world.clock(a, rate.parse().expect("parts per thousand")),
-            ("lag", [a, span]) => world.lag(a, millis(span)),
+            ("clock", [rate, names @ ..]) => {
+                let rate = rate.parse().expect("parts per thousand");
+                for name in names {
+                    world.clock(name, rate);
+                }
+            }
+            ("lag", [span, names @ ..]) => names.iter().for_each(|a| world.lag(a, millis(span))),
             ("log", [state]) => world.log_up = state == "up",
             ("count", [upstream]) => world.checker.count_from(upstream, world.now),
             ("leases", []) => self.leases(),
@@ -160,25 +178,4 @@
         let late = late.map(|t| format!("{}: {} is late", t.upstream, t.to));
         checker.violations.iter().cloned().chain(late).collect()
     }
-
-    /// The takeovers so far against the target, and the number of violations.
-    pub fn verdict(&self) -> String {
-        let checker = &self.world.checker;
-        let mut text = String::new();
-        for t in &checker.takeovers {
-            let rating = if t.took <= TARGET {
-                "within"
-            } else {
-                "LATE, over"
-            };
-            let (took, target) = (t.took.as_millis(), TARGET.as_millis());
-            let _ = writeln!(
-                text,
-                "{}: {} to {} in {took} ms, {rating} {target} ms",
-                t.upstream, t.from, t.to
-            );
-        }
-        let _ = writeln!(text, "violations: {}", checker.violations.len());
-        text
-    }
 }
--- a/tests/all/lease/world.rs
+++ b/tests/all/lease/world.rs
@@ -233,6 +233,7 @@
     pub fn cut(&mut self, from: &str, to: &str) {
         let link = (self.index(from), self.index(to));
         self.lost(link.0);
+        self.lost(link.1);
         self.cuts.insert(link);
     }
 
