Add admission, outcome memory and ownership of the dispatcher

The daemon needs the decisions of one upstream's dispatcher without I/O, so that they can be tested on manual time. This adds admission by slots and deadlines, the adaptive limit, the outcome memory, the classification of attempts and the ownership of shards with proof before release.

--- /dev/null
+++ b/crates/dispatch/src/admission.rs
@@ -0,0 +1,500 @@
+//! Admission of requests to one upstream.
+//!
+//! The dispatcher is the only process that sends to its upstream, so this is the one place where the
+//! slots of the upstream can be counted. [`Admission`] combines the parts that decide about a
+//! request: the outcome memory, the ownership of its shard, the queue, the adaptive limit and the
+//! retry budget. It performs no I/O. Its driver offers requests, sends the started ones, reports
+//! what happened, and calls [`Admission::poll`] at [`Admission::next_wake`].
+//!
+//! # Slots
+//!
+//! An attempt that was written and not answered may still occupy the upstream, so its slot is not
+//! free when the connection is closed. It *lingers* until the request's deadline plus the declared
+//! margin. Running and lingering attempts together never exceed the slots; running attempts alone
+//! also keep to the adaptive [`Limit`]. Counting lingering attempts against the limit as well would
+//! stop a cold upstream, whose limit is 1, for a whole deadline after a single broken connection.
+//!
+//! # Shedding
+//!
+//! A request is shed at once if it cannot meet its deadline, or if it would make a request that is
+//! already queued miss its own. The wait is the mean service time for each request ahead, divided
+//! by the limit; the request itself is given [`ServiceTime::tail`]. Being cautious is cheap under
+//! overload, where the queue only needs to be long enough to keep the slots occupied, and it
+//! leaves started requests enough time to finish. A request whose time has become too short while
+//! it was queued is shed instead of started.
+//!
+//! The estimate is ignored for a request that finds the upstream idle. Otherwise one slow period
+//! could raise the estimate above every deadline, and no request would ever lower it again.
+//!
+//! # Truth of "not run"
+//!
+//! A queued request was not started, so dropping it is "not run". From the moment of its start a
+//! request is judged by its [`Cause`] alone. [`Admission::check_write`] must succeed immediately
+//! before the first byte is handed to a connection: between start and write the deadline may pass,
+//! the shard may be released or the upstream may be lost.
+//!
+//! # Leaving and lost upstreams
+//!
+//! A draining upstream gets no new requests. What is already queued may start within
+//! [`DRAIN_QUEUE`], less than the 3 s after which a leaving upstream must receive nothing new. A
+//! lost upstream starts nothing, its queue is handed back, and its connections are closed.
+
+mod builder;
+mod shards;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use snafu::OptionExt;
+use trefoil_core::{Outcome, Slots, Tick};
+
+pub use self::builder::AdmissionBuilder;
+use crate::limit::Sample;
+use crate::mechanism::{Disabled, Mechanism};
+use crate::memory::Lookup;
+use crate::queue::{Queue, Queued};
+use crate::ticket::NotFoundSnafu;
+use crate::{
+    Actions, Cancelled, Cause, ConnectionBudget, Decision, Dropped, Finished, Hold, Limit,
+    OutcomeMemory, Ownership, Record, Refusal, Report, Request, RetryBudget, ServiceTime, Shed,
+    Sign, Stop, Ticket, TicketError, TicketId, Verdict, Wall,
+};
+
+/// Time after the start of a drain within which queued requests may still be started.
+pub const DRAIN_QUEUE: Duration = Duration::from_secs(2);
+
+/// Whether the upstream may receive requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access {
+    /// Requests are admitted.
+    Open,
+    /// Nothing new is admitted; queued requests may start until the given tick.
+    Draining(Tick),
+    /// Nothing is sent.
+    Closed,
+}
+
+#[derive(Debug)]
+struct Running {
+    request: Request,
+    started: Tick,
+    doubt: bool,
+    /// Whether the driver was told to close the connection.
+    closing: bool,
+}
+
+/// Admission of requests to one upstream.
+#[derive(Debug)]
+pub struct Admission {
+    slots: Slots,
+    queue_max: usize,
+    margin: Duration,
+    wall: Wall,
+    access: Access,
+    limit: Limit,
+    service: ServiceTime,
+    retries: RetryBudget,
+    connections: ConnectionBudget,
+    queue: Queue,
+    running: BTreeMap<TicketId, Running>,
+    /// Ends of the attempts that the upstream may still work on.
+    lingering: BinaryHeap<Reverse<Tick>>,
+    next: u64,
+    memory: OutcomeMemory,
+    ownership: Ownership,
+    disabled: Disabled,
+}
+
+impl Admission {
+    /// Settings of an admission of a tenure that begins at `wall`.
+    pub fn builder(wall: Wall) -> AdmissionBuilder {
+        AdmissionBuilder::new(wall)
+    }
+
+    /// Number of running requests.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Number of slots that the upstream may be using: running and lingering attempts.
+    pub fn occupied(&self, now: Tick) -> usize {
+        let lingering = self.lingering.iter().filter(|&&Reverse(end)| end > now);
+        self.running.len() + lingering.count()
+    }
+
+    /// Number of queued requests.
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// The present concurrency limit.
+    pub fn limit(&self) -> Slots {
+        self.limit.current()
+    }
+
+    /// The observed service time.
+    pub fn service_time(&self) -> ServiceTime {
+        self.service
+    }
+
+    /// The outcome memory.
+    pub fn memory(&self) -> &OutcomeMemory {
+        &self.memory
+    }
+
+    /// The connection budget.
+    pub fn connections(&mut self) -> &mut ConnectionBudget {
+        &mut self.connections
+    }
+
+    /// A running request.
+    pub fn request(&self, ticket: &Ticket) -> Option<&Request> {
+        self.running.get(&ticket.id).map(|r| &r.request)
+    }
+
+    /// Decides about a request.
+    pub fn offer(&mut self, now: Tick, request: Request) -> Decision {
+        let hold = self.ownership.state(request.shard);
+        let since = self.ownership.serving_since(request.shard);
+        let owned = matches!(hold, Hold::Serving | Hold::Awaiting);
+        match self.memory.look_up(now, &request, since) {
+            // Repeats are answered whoever owns the shard by now.
+            Lookup::Finished(record) => Decision::Repeat(record),
+            Lookup::InFlight => Decision::InFlight,
+            Lookup::Conflict => Decision::Conflict,
+            _ if self.access != Access::Open => Decision::Shed(Shed::Unavailable),
+            _ if !owned => Decision::Shed(Shed::Moved),
+            Lookup::Forgotten => Decision::Shed(Shed::Forgotten),
+            Lookup::Full => self.shed(now, &request, Shed::MemoryFull),
+            Lookup::New => self.admit(now, request, hold == Hold::Awaiting),
+        }
+    }
+
+    /// Records a request that is shed at once, so that a delayed copy of it does not run either.
+    fn shed(&mut self, now: Tick, request: &Request, why: Shed) -> Decision {
+        self.memory.begin(request);
+        self.memory.finish(now, request, Record::of(why.outcome()));
+        Decision::Shed(why)
+    }
+
+    fn admit(&mut self, now: Tick, request: Request, held: bool) -> Decision {
+        self.free_lingering(now);
+        let idle = !held && !self.queue.has_ready() && self.has_capacity(now);
+        match () {
+            () if request.deadline <= now => self.shed(now, &request, Shed::Expired),
+            () if !idle && self.queue.len() >= self.queue_max => {
+                self.shed(now, &request, Shed::QueueFull)
+            }
+            () if !self.can_meet(now, request.deadline) => self.shed(now, &request, Shed::TooLate),
+            () => {
+                self.memory.begin(&request);
+                self.retries.deposit();
+                let id = TicketId(self.next);
+                self.next += 1;
+                let queued = Queued {
+                    request,
+                    doubt: false,
+                };
+                if idle {
+                    return Decision::Start(self.start(now, id, queued));
+                }
+                self.queue.push(id, queued, held);
+                Decision::Queued(id)
+            }
+        }
+    }
+
+    /// Whether a request with `deadline` can be added to the queue so that it and all queued
+    /// requests that could meet their deadline still can.
+    fn can_meet(&self, now: Tick, deadline: Tick) -> bool {
+        let untouched = self.running.is_empty() && !self.queue.has_ready();
+        if untouched || self.disabled.has(Mechanism::Shedding) {
+            return true;
+        }
+        let lanes = self.limit.current().0.max(1);
+        let (mean, tail) = (self.service.mean(), self.service.tail());
+        let busy = u32::from(!self.has_capacity(now));
+        let meets = |ahead: u32, deadline| {
+            let wait = mean * (ahead + busy) / lanes;
+            now.after(wait + tail) <= deadline
+        };
+        let mut ahead = 0;
+        for (position, queued) in (0..).zip(self.queue.deadlines()) {
+            match queued {
+                queued if queued <= deadline => ahead = position + 1,
+                queued if meets(position, queued) && !meets(position + 1, queued) => return false,
+                _ => {}
+            }
+        }
+        meets(ahead, deadline)
+    }
+
+    fn has_capacity(&self, now: Tick) -> bool {
+        let slots = usize::try_from(self.slots.0).unwrap_or(usize::MAX);
+        let limit = usize::try_from(self.limit.current().0).unwrap_or(usize::MAX);
+        let open = match self.access {
+            Access::Open => true,
+            Access::Draining(end) => now < end,
+            Access::Closed => false,
+        };
+        open && self.running.len() < limit && self.running.len() + self.lingering.len() < slots
+    }
+
+    fn start(&mut self, now: Tick, id: TicketId, queued: Queued) -> Ticket {
+        let request = queued.request;
+        let until = request.deadline.after(self.margin);
+        self.ownership.begin(request.shard, until);
+        let running = Running {
+            request,
+            started: now,
+            doubt: queued.doubt,
+            closing: false,
+        };
+        self.running.insert(id, running);
+        Ticket { id }
+    }
+
+    fn start_ready(&mut self, now: Tick, actions: &mut Actions) {
+        while let Some((id, queued)) = self.queue.pop_expired(now) {
+            actions
+                .dropped
+                .push(self.settle(now, id, &queued, Shed::Expired));
+        }
+        while self.has_capacity(now) {
+            let Some((id, queued)) = self.queue.pop() else {
+                break;
+            };
+            let short = now.after(self.service.mean()) > queued.request.deadline;
+            let shedding = !self.running.is_empty() && !self.disabled.has(Mechanism::Shedding);
+            if short && shedding {
+                actions
+                    .dropped
+                    .push(self.settle(now, id, &queued, Shed::TooLate));
+            } else {
+                actions.started.push(self.start(now, id, queued));
+            }
+        }
+    }
+
+    /// Decides the outcome of a request that has left the queue without being started.
+    fn settle(&mut self, now: Tick, id: TicketId, queued: &Queued, why: Shed) -> Dropped {
+        let outcome = match why.outcome() {
+            Outcome::NotRun if queued.doubt => Outcome::Unknown,
+            outcome => outcome,
+        };
+        if why.is_final() || queued.doubt {
+            self.memory
+                .finish(now, &queued.request, Record::of(outcome));
+        } else {
+            self.memory.forget(&queued.request);
+        }
+        Dropped { id, why, outcome }
+    }
+
+    fn drop_queued(&mut self, now: Tick, id: TicketId, why: Shed) -> Option<Dropped> {
+        let queued = self.queue.remove(id)?;
+        Some(self.settle(now, id, &queued, why))
+    }
+
+    /// Checks that a started request may be handed to a connection. It must be called immediately
+    /// before the first byte is written.
+    ///
+    /// # Errors
+    ///
+    /// Says why the request must not be written. The driver then finishes the ticket with
+    /// [`Cause::NothingWritten`].
+    pub fn check_write(&self, now: Tick, ticket: &Ticket) -> Result<(), Stop> {
+        let running = self.running.get(&ticket.id);
+        let shard = running.map(|r| r.request.shard);
+        match self.access {
+            Access::Closed => Err(Stop::Unavailable),
+            Access::Draining(end) if now >= end => Err(Stop::Unavailable),
+            _ if running.is_none_or(|r| r.request.deadline <= now) => Err(Stop::Deadline),
+            _ if shard.is_some_and(|s| !self.ownership.check_write(s)) => Err(Stop::Released),
+            _ => Ok(()),
+        }
+    }
+
+    /// Takes in the end of an attempt, and starts queued requests on the slots that became free.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the ticket comes from another admission.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "consuming the ticket makes a second finish impossible"
+    )]
+    pub fn finish(
+        &mut self,
+        now: Tick,
+        ticket: Ticket,
+        cause: Cause,
+    ) -> Result<Finished, TicketError> {
+        let Ticket { id } = ticket;
+        let run = self.running.remove(&id).context(NotFoundSnafu { id })?;
+        let attempt = cause.verdict();
+        let verdict = attempt.after(run.doubt && !self.disabled.has(Mechanism::Doubt));
+        let until = run.request.deadline.after(self.margin).max(now);
+        if attempt.may_linger {
+            if !self.disabled.has(Mechanism::Linger) {
+                self.lingering.push(Reverse(until));
+            }
+            self.ownership.end_unanswered(run.request.shard, until);
+        } else {
+            self.ownership.end(run.request.shard);
+        }
+        self.observe(now, &run, cause);
+        let report = self.conclude(now, id, run, &verdict);
+        let mut actions = Actions::default();
+        self.free_lingering(now);
+        self.start_ready(now, &mut actions);
+        Ok(Finished {
+            report,
+            verdict,
+            actions,
+        })
+    }
+
+    fn conclude(&mut self, now: Tick, id: TicketId, run: Running, verdict: &Verdict) -> Report {
+        let request = run.request;
+        let useful = verdict.retry
+            && request.idempotent
+            && !run.closing
+            && self.access == Access::Open
+            && self.ownership.state(request.shard) == Hold::Serving
+            && self.can_meet(now, request.deadline);
+        if useful && self.retries.withdraw() {
+            let doubt = verdict.outcome == Outcome::Unknown;
+            self.queue.push(id, Queued { request, doubt }, false);
+            return Report::Retry(id);
+        }
+        let record = Record {
+            outcome: verdict.outcome,
+            status: verdict.status,
+        };
+        self.memory.finish(now, &request, record);
+        Report::Answer(record)
+    }
+
+    fn observe(&mut self, now: Tick, run: &Running, cause: Cause) {
+        let verdict = cause.verdict();
+        let time = now.since(run.started);
+        if verdict.sign == Sign::Answer || cause == Cause::TimedOut {
+            self.service.observe(time);
+        }
+        let late = now > run.request.deadline;
+        let sample = match (verdict.sign, verdict.status) {
+            // A missing grant says nothing about load.
+            _ if cause == Cause::Refused(Refusal::Fence) => return,
+            (Sign::None, _) => return,
+            (Sign::Answer, _) if late => Sample::Overload,
+            (Sign::Answer, Some(status)) if status.is_success() => Sample::Success(time),
+            (Sign::Answer, _) => Sample::Error,
+            (Sign::Refusal | Sign::Failure, _) => Sample::Overload,
+        };
+        self.limit.observe(now, run.started, sample);
+    }
+
+    /// Cancels a request on behalf of its caller. Only idempotent requests are cancelled once they
+    /// run: to cancel another one would turn its outcome into unknown.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no such request is queued or running.
+    pub fn cancel(&mut self, now: Tick, id: TicketId) -> Result<Cancelled, TicketError> {
+        if let Some(dropped) = self.drop_queued(now, id, Shed::Cancelled) {
+            return Ok(Cancelled::Removed(dropped));
+        }
+        let run = self.running.get_mut(&id).context(NotFoundSnafu { id })?;
+        if !run.request.idempotent {
+            return Ok(Cancelled::Continues);
+        }
+        run.closing = true;
+        Ok(Cancelled::Close)
+    }
+
+    /// Expires and starts queued requests, names running requests whose deadline has passed, and
+    /// completes releases.
+    pub fn poll(&mut self, now: Tick) -> Actions {
+        let mut actions = Actions::default();
+        self.free_lingering(now);
+        if matches!(self.access, Access::Draining(end) if now >= end) {
+            actions.dropped.extend(self.drop_all(now));
+        }
+        self.start_ready(now, &mut actions);
+        for (&id, run) in &mut self.running {
+            if !run.closing && run.request.deadline <= now {
+                run.closing = true;
+                actions.close.push(id);
+            }
+        }
+        actions.releases = self.ownership.poll(now);
+        actions
+    }
+
+    /// The tick at which [`Admission::poll`] is to be called next, which may have passed already.
+    pub fn next_wake(&self, now: Tick) -> Option<Tick> {
+        let at_once = (self.queue.has_ready() && self.has_capacity(now)).then_some(now);
+        let linger = self.lingering.peek().map(|&Reverse(end)| end);
+        let queued = self.queue.has_ready();
+        let drain = match self.access {
+            Access::Draining(end) if self.queue.len() > 0 => Some(end),
+            _ => None,
+        };
+        let open = self.running.values().filter(|r| !r.closing);
+        let wakes = [
+            at_once,
+            linger.filter(|_| queued),
+            self.queue.first_deadline(),
+            open.map(|r| r.request.deadline).min(),
+            drain,
+            self.ownership.next_wake(),
+        ];
+        wakes.into_iter().flatten().min()
+    }
+
+    /// Changes whether the upstream may receive requests, see [`Health::access`].
+    ///
+    /// An upstream that returns from [`Access::Closed`] is cold: its limit starts again at 1.
+    ///
+    /// [`Health::access`]: crate::Health::access
+    pub fn set_access(&mut self, now: Tick, access: Access) -> Actions {
+        let before = std::mem::replace(&mut self.access, access);
+        let mut actions = Actions::default();
+        match access {
+            Access::Closed if before != Access::Closed => {
+                self.ownership.stop_grants();
+                actions.dropped = self.drop_all(now);
+                for (&id, run) in self.running.iter_mut().filter(|(_, r)| !r.closing) {
+                    run.closing = true;
+                    actions.close.push(id);
+                }
+            }
+            Access::Open if before == Access::Closed => {
+                self.ownership.resume_grants();
+                self.limit.reset();
+                self.service = ServiceTime::default();
+            }
+            Access::Open | Access::Draining(_) | Access::Closed => {}
+        }
+        actions
+    }
+
+    fn drop_all(&mut self, now: Tick) -> SmallVec<[Dropped; 4]> {
+        let ids = self.queue.ids(None);
+        let dropped = |id| self.drop_queued(now, id, Shed::Unavailable);
+        ids.into_iter().filter_map(dropped).collect()
+    }
+
+    fn free_lingering(&mut self, now: Tick) {
+        while self
+            .lingering
+            .peek()
+            .is_some_and(|&Reverse(end)| end <= now)
+        {
+            self.lingering.pop();
+        }
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,1 +1,37 @@
-//! Placeholder.
+//! Decisions of the dispatcher of one upstream.
+//!
+//! A dispatcher is the only process that sends to its upstream. This crate holds what it decides:
+//! which request runs on which slot and when, which is shed, what a caller may be told, whether the
+//! upstream is alive, and when a shard has verifiably left it. Nothing here performs I/O or reads a
+//! clock. Every function takes the current tick and the driver performs what is returned, so every
+//! decision can be tested on manual time.
+//!
+//! - [`Admission`] combines the parts below and is what a driver talks to.
+//! - [`Cause`] maps what happened on a connection to a truthful [`Outcome`](trefoil_core::Outcome).
+//! - [`OutcomeMemory`] recognises repeats of a request id.
+//! - [`Limit`] and [`ServiceTime`] follow what the upstream shows under load.
+//! - [`Ownership`] releases a shard only with proof that nothing is in flight.
+//! - [`RetryBudget`] and [`ConnectionBudget`] bound what the upstream is exposed to.
+
+pub mod admission;
+pub mod budget;
+pub mod limit;
+#[doc(hidden)]
+pub mod mechanism;
+pub mod memory;
+pub mod ownership;
+mod queue;
+pub mod request;
+pub mod ticket;
+pub mod verdict;
+
+pub use admission::{Access, Admission, AdmissionBuilder};
+pub use budget::{Connection, ConnectionBudget, RetryBudget};
+pub use limit::{Limit, ServiceTime};
+pub use memory::{OutcomeMemory, Wall};
+pub use ownership::{Hold, Origin, Ownership, OwnershipError, Proof, Release};
+pub use request::{Digest, Record, Request, Shed};
+pub use ticket::{
+    Actions, Cancelled, Decision, Dropped, Finished, Report, Stop, Ticket, TicketError, TicketId,
+};
+pub use verdict::{Cause, Refusal, Sign, Status, Verdict};
--- /dev/null
+++ b/crates/dispatch/src/limit.rs
@@ -0,0 +1,151 @@
+//! Adaptive concurrency limit and observed service time.
+//!
+//! The declared slots are an upper bound that an upstream may not reach when it is cold, shares its
+//! host with another load or recovers from a fault. The [`Limit`] moves between 1 and the slots and
+//! follows only what is observed on requests: health and load endpoints lag, and a limit that
+//! follows them grows into an overload that they do not show yet.
+//!
+//! - Growth: one slot for every [`GROWTH`] successful answers in time. The same rule serves the
+//!   cold start, which begins at 1.
+//! - Decrease: one slot on a refusal or a failure, and one when the recent latency exceeds twice
+//!   the usual one. After a decrease, answers of requests that were started before it are ignored:
+//!   they report the load that the decrease already answered.
+//!
+//! With 2 to 4 slots a multiplicative decrease would be the same as a reset, so the limit moves by
+//! one. The usual latency follows a rise slowly (1/256 for each answer) and a fall quickly (1/8), so
+//! a permanent change of the work becomes the new usual and does not hold the limit down for good.
+
+use std::time::Duration;
+
+use trefoil_core::{Slots, Tick};
+
+/// Successful answers that raise the limit by one slot.
+pub const GROWTH: u32 = 8;
+
+/// Ratio of recent to usual latency above which the limit is lowered.
+const SLOWDOWN: f64 = 2.0;
+
+/// Answers that are seen before latency can lower the limit; a mean of fewer is too uncertain.
+const LATENCY_MIN: u32 = 32;
+
+/// Largest number of answers that the mean service time covers.
+const WINDOW: u32 = 32;
+
+/// Mean and mean deviation of the service time, over roughly the last 32 observations.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceTime {
+    mean: f64,
+    deviation: f64,
+    count: u32,
+}
+
+impl ServiceTime {
+    /// Adds an observation. The time until a timeout counts as well: it is a lower bound of the
+    /// service time, and leaving it out would make a slow upstream look fast.
+    pub fn observe(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        self.count = (self.count + 1).min(WINDOW);
+        let weight = 1.0 / f64::from(self.count);
+        let error = time - self.mean;
+        self.mean += weight * error;
+        self.deviation += weight * (error.abs() - self.deviation);
+    }
+
+    /// The mean; zero before the first observation.
+    pub fn mean(&self) -> Duration {
+        Duration::from_secs_f64(self.mean.max(0.0))
+    }
+
+    /// A service time that few requests exceed: the mean plus three mean deviations.
+    pub fn tail(&self) -> Duration {
+        // The first observation has the whole time as its deviation, which would shed too much.
+        let spread = if self.count < 2 { 0.0 } else { self.deviation };
+        Duration::from_secs_f64((self.mean + 3.0 * spread).max(0.0))
+    }
+}
+
+/// What one attempt showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sample {
+    /// A successful answer in time, and how long it took.
+    Success(Duration),
+    /// An answer with an error of the upstream; it neither raises nor lowers the limit.
+    Error,
+    /// A refusal, a failure or a late answer.
+    Overload,
+}
+
+/// Concurrency limit of one upstream.
+#[derive(Debug, Clone)]
+pub struct Limit {
+    slots: u32,
+    current: u32,
+    successes: u32,
+    answers: u32,
+    recent: f64,
+    usual: f64,
+    lowered: Option<Tick>,
+}
+
+impl Limit {
+    /// The limit of a cold upstream with `slots` slots (at least 1).
+    pub fn new(slots: Slots) -> Self {
+        Self {
+            slots: slots.0.max(1),
+            current: 1,
+            successes: 0,
+            answers: 0,
+            recent: 0.0,
+            usual: 0.0,
+            lowered: None,
+        }
+    }
+
+    /// The number of requests that may run at once.
+    pub fn current(&self) -> Slots {
+        Slots(self.current)
+    }
+
+    /// Returns to the state of a cold upstream.
+    pub fn reset(&mut self) {
+        *self = Self::new(Slots(self.slots));
+    }
+
+    /// Takes into account an attempt that was started at `started`.
+    pub fn observe(&mut self, now: Tick, started: Tick, sample: Sample) {
+        match sample {
+            _ if self.lowered.is_some_and(|at| started < at) => {}
+            Sample::Error => {}
+            Sample::Overload => self.lower(now),
+            Sample::Success(time) => {
+                self.track(time);
+                self.successes += 1;
+                if self.answers >= LATENCY_MIN && self.recent > SLOWDOWN * self.usual {
+                    self.lower(now);
+                } else if self.successes >= GROWTH {
+                    self.successes = 0;
+                    self.current = (self.current + 1).min(self.slots);
+                }
+            }
+        }
+    }
+
+    fn track(&mut self, time: Duration) {
+        let time = time.as_secs_f64();
+        self.answers = self.answers.saturating_add(1);
+        let weight = f64::from(self.answers).recip().max(1.0 / 16.0);
+        self.recent += weight * (time - self.recent);
+        let rise = match self.answers {
+            n if n <= LATENCY_MIN => weight,
+            _ if self.recent < self.usual => 1.0 / 8.0,
+            _ => 1.0 / 256.0,
+        };
+        self.usual += rise * (self.recent - self.usual);
+    }
+
+    fn lower(&mut self, now: Tick) {
+        self.current = self.current.saturating_sub(1).max(1);
+        self.successes = 0;
+        self.lowered = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/mechanism.rs
@@ -0,0 +1,38 @@
+//! Switches that let tests turn one mechanism off.
+//!
+//! A checker that never fails proves nothing. The tests turn one mechanism off at a time and show
+//! that the checker then finds the violation that the mechanism prevents.
+
+use smallvec::SmallVec;
+
+/// A mechanism that tests can turn off. It has no use outside tests.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Recorded outcomes and ids in flight.
+    Memory,
+    /// The rule for `UUIDv7` ids from before the tenure or the memory.
+    MintRule,
+    /// The wait until nothing is in flight before a shard is released.
+    ReleaseWait,
+    /// Slots that stay occupied while the upstream may still work on an unanswered request.
+    Linger,
+    /// Shedding of requests that cannot meet their deadline.
+    Shedding,
+    /// The memory of earlier attempts that ended unknown.
+    Doubt,
+}
+
+/// The mechanisms that are turned off.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Disabled(SmallVec<[Mechanism; 1]>);
+
+impl Disabled {
+    pub(crate) fn add(&mut self, mechanism: Mechanism) {
+        self.0.push(mechanism);
+    }
+
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        self.0.contains(&mechanism)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/memory.rs
@@ -0,0 +1,255 @@
+//! Request ids in flight and recent outcomes.
+//!
+//! A non-idempotent request runs at most once, so the dispatcher must recognise a repeat. It
+//! remembers each id from its admission until [`SPAN`] after its outcome, and at most [`CAPACITY`]
+//! ids. Ids in flight are never forgotten: they are at most half of the capacity, and a request
+//! above that is shed. The other half always has room for the outcome of a request that is shed.
+//!
+//! # Not-run outcomes are recorded too
+//!
+//! It looks attractive to forget an id whose request did not run, so that the caller can repeat it
+//! under the same id. But two copies of a request can be on their way at once. If the second copy
+//! is shed, the caller is told "not run"; if the first copy then arrives late and runs, that
+//! statement was untrue. So the record stays, and a caller that was told "not run" repeats the
+//! request under a new id. Requests that are passed to another owner got no final answer and are
+//! forgotten with [`OutcomeMemory::forget`].
+//!
+//! # Ids the memory cannot know
+//!
+//! A `UUIDv7` id says when it was minted. An id that is not in the memory is new only if the memory
+//! would still hold it had it been seen. It is answered unknown and not run if it was minted
+//! - before the tenure began plus [`CLOCK_ERROR`]: a predecessor may have run it;
+//! - at or before the latest mint time among the ids that were evicted; or
+//! - more than [`SPAN`] ago.
+//!
+//! The tenure is that of this dispatcher *over the shard at this upstream*. A shard that moves from
+//! another upstream brings ids that only the previous dispatcher knows, so the tenure of the shard
+//! begins when its release arrives, not when this dispatcher started.
+//!
+//! An id minted more than [`CLOCK_ERROR`] in the future is answered unknown too. Once evicted, it
+//! would raise the bound above the present and cause every request of every caller to be answered
+//! unknown.
+//!
+//! The rule protects non-idempotent requests. An idempotent request that is not in the memory runs,
+//! since a second execution does no harm and an unknown answer after each takeover would.
+//!
+//! # Repeats
+//!
+//! A repeat of an id in flight is answered at once as in flight. Waiting for the first copy would
+//! need an unbounded list of waiters and a copy of the answer for each of them. A repeat of a
+//! finished id gets its [`Record`], which has the status but not the body of the answer: bodies of
+//! up to 8 MiB for 65,536 ids do not fit a host. An id that comes with another digest is a conflict
+//! and is refused. Ids are compared as text, so two spellings of one UUID are two ids.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use trefoil_core::{RequestId, Tick, UnixMillis};
+
+use crate::mechanism::{Disabled, Mechanism};
+use crate::{Digest, Record, Request};
+
+/// Most ids that are remembered for one upstream.
+pub const CAPACITY: usize = 65_536;
+
+/// Longest time for which an outcome is remembered.
+pub const SPAN: Duration = Duration::from_mins(10);
+
+/// Largest difference between the wall clocks of a caller and a dispatcher that the rule for
+/// `UUIDv7` ids covers.
+pub const CLOCK_ERROR: Duration = Duration::from_secs(1);
+
+/// A wall clock time at a tick, from which the wall clock time of other ticks follows. A jump of
+/// the wall clock during the tenure does not change what the memory covers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Wall {
+    /// The tick.
+    pub tick: Tick,
+    /// The wall clock time at that tick.
+    pub unix: UnixMillis,
+}
+
+impl Wall {
+    /// The wall clock time at `tick`; that of the origin for an earlier tick.
+    pub fn at(self, tick: Tick) -> UnixMillis {
+        self.unix + millis(tick.since(self.tick))
+    }
+}
+
+fn millis(span: Duration) -> UnixMillis {
+    UnixMillis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// What the memory knows of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lookup {
+    /// The request has no id, or its id was certainly not seen before.
+    New,
+    /// A request with this id is queued or running.
+    InFlight,
+    /// A request with this id has finished.
+    Finished(Record),
+    /// Another request was seen under this id.
+    Conflict,
+    /// A request with this id may have run, or the id was minted in the future: the memory does not
+    /// cover it.
+    Forgotten,
+    /// The id is new, but as many ids are in flight as the memory may hold.
+    Full,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    digest: Digest,
+    record: Option<Record>,
+}
+
+/// Ids in flight and recent outcomes at one upstream.
+#[derive(Debug)]
+pub struct OutcomeMemory {
+    entries: HashMap<RequestId, Entry>,
+    finished: VecDeque<(Tick, RequestId)>,
+    capacity: usize,
+    wall: Wall,
+    /// Latest mint time of an id that was evicted.
+    evicted: Option<UnixMillis>,
+    disabled: Disabled,
+}
+
+impl OutcomeMemory {
+    /// An empty memory of a tenure that began at `wall`.
+    pub fn new(wall: Wall) -> Self {
+        Self::with_capacity(wall, CAPACITY)
+    }
+
+    /// A memory for fewer ids than [`CAPACITY`]; at least 2.
+    pub fn with_capacity(wall: Wall, capacity: usize) -> Self {
+        Self {
+            entries: HashMap::new(),
+            finished: VecDeque::new(),
+            capacity: capacity.clamp(2, CAPACITY),
+            wall,
+            evicted: None,
+            disabled: Disabled::default(),
+        }
+    }
+
+    pub(crate) fn disable(&mut self, disabled: Disabled) {
+        self.disabled = disabled;
+    }
+
+    /// Number of remembered ids.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no id is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Number of ids in flight.
+    pub fn in_flight(&self) -> usize {
+        self.entries.len() - self.finished.len()
+    }
+
+    /// Sets the wall clock anew after it was corrected. Records are not affected.
+    pub fn set_wall(&mut self, wall: Wall) {
+        self.wall = wall;
+    }
+
+    /// What is known of `request`, whose shard this dispatcher has served here since `tenure`. While
+    /// the shard waits for its release, there is no tenure yet, and the driver asks
+    /// [`OutcomeMemory::covers`] when the release arrives.
+    pub fn look_up(&mut self, now: Tick, request: &Request, tenure: Option<UnixMillis>) -> Lookup {
+        self.expire(now);
+        if self.disabled.has(Mechanism::Memory) {
+            return Lookup::New;
+        }
+        let Some(id) = &request.id else {
+            return Lookup::New;
+        };
+        let known = self.entries.get(id);
+        match known.map(|e| (e.digest == request.digest, e.record)) {
+            Some((false, _)) => Lookup::Conflict,
+            Some((true, Some(record))) => Lookup::Finished(record),
+            Some((true, None)) => Lookup::InFlight,
+            None if !self.covers(now, request, tenure) => Lookup::Forgotten,
+            None if self.in_flight() >= self.capacity / 2 => Lookup::Full,
+            None => Lookup::New,
+        }
+    }
+
+    /// Whether the memory would know the id of `request` if it had been seen before.
+    pub fn covers(&self, now: Tick, request: &Request, tenure: Option<UnixMillis>) -> bool {
+        let minted = request.id.as_ref().and_then(RequestId::minted_at);
+        let error = millis(CLOCK_ERROR);
+        match minted {
+            Some(minted) if minted > self.wall.at(now) + error => false,
+            _ if request.idempotent || self.disabled.has(Mechanism::MintRule) => true,
+            Some(minted) => {
+                tenure.is_none_or(|began| minted >= began + error)
+                    && self.evicted.is_none_or(|latest| minted > latest)
+                    && minted + millis(SPAN) >= self.wall.at(now)
+            }
+            None => true,
+        }
+    }
+
+    /// Remembers the id of a request that is admitted.
+    pub fn begin(&mut self, request: &Request) {
+        if let Some(id) = &request.id {
+            self.make_room();
+            let entry = Entry {
+                digest: request.digest,
+                record: None,
+            };
+            self.entries.insert(id.clone(), entry);
+        }
+    }
+
+    /// Records the outcome of a request in flight. Requests without an id have no record.
+    pub fn finish(&mut self, now: Tick, request: &Request, record: Record) {
+        let entry = request.id.as_ref().and_then(|id| self.entries.get_mut(id));
+        match (entry, &request.id) {
+            (Some(entry), Some(id)) if entry.record.is_none() => {
+                entry.record = Some(record);
+                self.finished.push_back((now, id.clone()));
+            }
+            _ => {}
+        }
+    }
+
+    /// Forgets the id of a request in flight that did not run here and got no final answer.
+    pub fn forget(&mut self, request: &Request) {
+        if let Some(id) = &request.id
+            && self.entries.get(id).is_some_and(|e| e.record.is_none())
+        {
+            self.entries.remove(id);
+        }
+    }
+
+    fn make_room(&mut self) {
+        while self.entries.len() >= self.capacity && self.evict() {}
+    }
+
+    fn expire(&mut self, now: Tick) {
+        while self
+            .finished
+            .front()
+            .is_some_and(|&(at, _)| now.since(at) >= SPAN)
+        {
+            self.evict();
+        }
+    }
+
+    /// Forgets the oldest outcome, and says whether there was one.
+    fn evict(&mut self) -> bool {
+        let Some((_, id)) = self.finished.pop_front() else {
+            return false;
+        };
+        self.entries.remove(&id);
+        self.evicted = self.evicted.max(id.minted_at());
+        true
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/verdict.rs
@@ -0,0 +1,196 @@
+//! From what happened on the upstream connection to what the caller may be told.
+//!
+//! "Not run" is a statement of proof. There are two proofs only: no byte of the request was handed
+//! to the connection, or the upstream itself refused the request before it executed it and said so
+//! with the marker header. Everything that lies between the first written byte and a whole answer
+//! is [`Outcome::Unknown`]: an upstream may act on a request whose body it has not read to the end,
+//! and an answer that was cut off says that the upstream worked on the request, not that it
+//! finished.
+//!
+//! A whole answer is [`Outcome::Done`] whatever its status is. A 503 without the marker header is
+//! the upstream's answer and no proof that nothing happened, so it is passed on and not retried.
+//! An answer that is whole but late is also [`Outcome::Done`]: the upstream ran the request, and a
+//! caller that is still connected receives the complete answer to its own request.
+//!
+//! A request that was tried more than once is judged over all its attempts. If the first attempt
+//! ended unknown and the second was refused, the request may have run in the first one, so
+//! [`Verdict::after`] keeps the unknown.
+
+use derive_more::Display;
+use trefoil_core::Outcome;
+
+/// What happened on the upstream connection during one attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum Cause {
+    /// No connection to the upstream was established.
+    #[display("not connected")]
+    NotConnected,
+    /// A connection existed, but no byte of the request was handed to it.
+    #[display("nothing written")]
+    NothingWritten,
+    /// A part of the request was handed to the connection before it failed or was closed.
+    #[display("partially written")]
+    PartiallyWritten,
+    /// The whole request was written and the connection ended without any byte of an answer.
+    #[display("no answer")]
+    NoAnswer,
+    /// The request was at least partially written and its deadline passed without a whole answer.
+    #[display("timed out")]
+    TimedOut,
+    /// The request was at least partially written and this process closed the connection, because
+    /// the caller cancelled it or the lease was about to end.
+    #[display("abandoned")]
+    Abandoned,
+    /// A whole refusal with the marker header: the upstream did not execute the request.
+    #[display("refused ({_0})")]
+    Refused(Refusal),
+    /// A whole answer within the deadline.
+    #[display("answered {_0}")]
+    Answered(Status),
+    /// A whole answer after the deadline.
+    #[display("answered late {_0}")]
+    AnsweredLate(Status),
+    /// The answer began and ended before it was whole, or it was not valid HTTP.
+    #[display("answer cut off")]
+    CutOff,
+}
+
+/// Why an upstream refused a request before it executed it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+pub enum Refusal {
+    /// The upstream sheds load (503 with `Trefoil-Refused: 1`).
+    #[display("overload")]
+    Overload,
+    /// The fencing token or the grant is not valid (409 with `Trefoil-Refused: 1`).
+    #[display("fence")]
+    Fence,
+}
+
+/// HTTP status code of a whole answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, derive_more::From)]
+pub struct Status(pub u16);
+
+impl Status {
+    /// Whether the upstream answered without an error of its own.
+    pub fn is_success(self) -> bool {
+        self.0 < 500
+    }
+}
+
+/// What an attempt says about the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Sign {
+    /// The upstream answered, so it is alive.
+    #[display("answer")]
+    Answer,
+    /// The upstream refused the request. It is alive and has too much work or no valid grant.
+    #[display("refusal")]
+    Refusal,
+    /// The upstream failed to answer.
+    #[display("failure")]
+    Failure,
+    /// The attempt says nothing about the upstream.
+    #[display("none")]
+    None,
+}
+
+/// The judgement of one attempt, or of all attempts of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// What the caller may be told.
+    pub outcome: Outcome,
+    /// Status of the whole answer, if there was one.
+    pub status: Option<Status>,
+    /// Whether the upstream may still work on the attempt. Its slot stays occupied until the
+    /// request's deadline plus the declared margin.
+    pub may_linger: bool,
+    /// Whether another attempt may be useful. Only idempotent requests are tried again.
+    pub retry: bool,
+    /// Whether the connection can carry another request.
+    pub reuse: bool,
+    /// What the attempt says about the upstream.
+    pub sign: Sign,
+}
+
+impl Cause {
+    /// Judges an attempt.
+    pub fn verdict(self) -> Verdict {
+        let not_run = Verdict {
+            outcome: Outcome::NotRun,
+            status: None,
+            may_linger: false,
+            retry: true,
+            reuse: false,
+            sign: Sign::Failure,
+        };
+        let unknown = Verdict {
+            outcome: Outcome::Unknown,
+            may_linger: true,
+            ..not_run
+        };
+        // Exhaustive on purpose: a new cause must be judged here before it compiles.
+        match self {
+            Self::NotConnected => not_run,
+            // The local process did not write: the upstream is not to blame.
+            Self::NothingWritten => Verdict {
+                sign: Sign::None,
+                ..not_run
+            },
+            Self::Refused(Refusal::Overload) => Verdict {
+                reuse: true,
+                sign: Sign::Refusal,
+                ..not_run
+            },
+            // A second attempt with the same token or grant would be refused again.
+            Self::Refused(Refusal::Fence) => Verdict {
+                retry: false,
+                reuse: true,
+                sign: Sign::Refusal,
+                ..not_run
+            },
+            Self::PartiallyWritten | Self::NoAnswer | Self::CutOff => unknown,
+            // The deadline has passed, so another attempt cannot meet it.
+            Self::TimedOut => Verdict {
+                retry: false,
+                ..unknown
+            },
+            // This process ended the attempt, which says nothing about the upstream.
+            Self::Abandoned => Verdict {
+                retry: false,
+                sign: Sign::None,
+                ..unknown
+            },
+            Self::Answered(status) => Verdict {
+                outcome: Outcome::Done,
+                status: Some(status),
+                may_linger: false,
+                retry: false,
+                reuse: true,
+                sign: Sign::Answer,
+            },
+            // The timeout may already have closed the connection, so it is not used again.
+            Self::AnsweredLate(status) => Verdict {
+                outcome: Outcome::Done,
+                status: Some(status),
+                may_linger: false,
+                retry: false,
+                reuse: false,
+                sign: Sign::Answer,
+            },
+        }
+    }
+}
+
+impl Verdict {
+    /// The judgement of the request after an earlier attempt that ended unknown (`doubt`).
+    ///
+    /// A refusal of the last attempt does not prove that an earlier one did not run.
+    #[must_use]
+    pub fn after(self, doubt: bool) -> Self {
+        let outcome = match self.outcome {
+            Outcome::NotRun if doubt => Outcome::Unknown,
+            other => other,
+        };
+        Self { outcome, ..self }
+    }
+}
