Add health, a load model and late answers to the dispatcher

A load model at three times capacity showed three faults: requests started with too little time left, late answers that lowered the limit, and slots that stayed occupied for the margin after each timeout. The tail is now the 99th percentile of 256 observations, late answers do not lower the limit, and a connection stays open for the margin after the deadline so that a late answer frees its slot. Repeats whose id the memory does not cover are told unknown instead of not-run when they are shed; the model found them after a takeover and during a move. Health follows probes and requests through a state chart.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -8,8 +8,12 @@
 //!
 //! # Slots
 //!
+//! At its deadline a running request is named in [`Actions::expired`], and its caller is told
+//! "unknown". Its connection stays open for the declared margin, because a late answer frees the
+//! slot and settles the outcome; to close the connection at once would leave both open.
+//!
 //! An attempt that was written and not answered may still occupy the upstream, so its slot is not
-//! free when the connection is closed. It *lingers* until the request's deadline plus the declared
+//! free when the connection breaks or is closed. It *lingers* until the request's deadline plus the
 //! margin. Running and lingering attempts together never exceed the slots; running attempts alone
 //! also keep to the adaptive [`Limit`]. Counting lingering attempts against the limit as well would
 //! stop a cold upstream, whose limit is 1, for a whole deadline after a single broken connection.
@@ -21,10 +25,13 @@
 //! by the limit; the request itself is given [`ServiceTime::tail`]. Being cautious is cheap under
 //! overload, where the queue only needs to be long enough to keep the slots occupied, and it
 //! leaves started requests enough time to finish. A request whose time has become too short while
-//! it was queued is shed instead of started.
+//! it was queued is shed instead of started. Where no other request waits for the slot, the mean
+//! service time is enough: a request that will probably be answered is better than an idle slot.
 //!
-//! The estimate is ignored for a request that finds the upstream idle. Otherwise one slow period
-//! could raise the estimate above every deadline, and no request would ever lower it again.
+//! The estimate is ignored for a request that finds the upstream idle after [`STALE`] without an
+//! observation. Otherwise one slow period could raise the estimate above every deadline, and no
+//! request would ever lower it again. Ignoring it for every request that finds the upstream idle
+//! would let callers with hopeless deadlines occupy slots for the margin.
 //!
 //! # Truth of "not run"
 //!
@@ -39,6 +46,7 @@
 //! [`DRAIN_QUEUE`], less than the 3 s after which a leaving upstream must receive nothing new. A
 //! lost upstream starts nothing, its queue is handed back, and its connections are closed.
 
+mod access;
 mod builder;
 mod shards;
 
@@ -46,10 +54,10 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-use smallvec::SmallVec;
 use snafu::OptionExt;
 use trefoil_core::{Outcome, Slots, Tick};
 
+pub use self::access::{Access, DRAIN_QUEUE};
 pub use self::builder::AdmissionBuilder;
 use crate::limit::Sample;
 use crate::mechanism::{Disabled, Mechanism};
@@ -57,30 +65,25 @@
 use crate::queue::{Queue, Queued};
 use crate::ticket::NotFoundSnafu;
 use crate::{
-    Actions, Cancelled, Cause, ConnectionBudget, Decision, Dropped, Finished, Hold, Limit,
-    OutcomeMemory, Ownership, Record, Refusal, Report, Request, RetryBudget, ServiceTime, Shed,
-    Sign, Stop, Ticket, TicketError, TicketId, Verdict, Wall,
+    Actions, Cause, ConnectionBudget, Decision, Dropped, Finished, Hold, Limit, OutcomeMemory,
+    Ownership, Record, Refusal, Report, Request, RetryBudget, ServiceTime, Shed, Sign, Stop,
+    Ticket, TicketError, TicketId, Verdict, Wall,
 };
 
-/// Time after the start of a drain within which queued requests may still be started.
-pub const DRAIN_QUEUE: Duration = Duration::from_secs(2);
-
-/// Whether the upstream may receive requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Access {
-    /// Requests are admitted.
-    Open,
-    /// Nothing new is admitted; queued requests may start until the given tick.
-    Draining(Tick),
-    /// Nothing is sent.
-    Closed,
-}
+/// Time without an observation after which the estimated service time is tried out again.
+pub const STALE: Duration = Duration::from_secs(1);
+
+/// Shortest time after which a timeout counts against the upstream, however fast it usually is. It
+/// is well above a probe (6 ms) and a new connection (1 ms).
+const PATIENCE_MIN: Duration = Duration::from_millis(50);
 
 #[derive(Debug)]
 struct Running {
     request: Request,
     started: Tick,
     doubt: bool,
+    /// Whether the driver was told that the deadline has passed.
+    expired: bool,
     /// Whether the driver was told to close the connection.
     closing: bool,
 }
@@ -135,8 +138,8 @@
     }
 
     /// The observed service time.
-    pub fn service_time(&self) -> ServiceTime {
-        self.service
+    pub fn service_time(&self) -> &ServiceTime {
+        &self.service
     }
 
     /// The outcome memory.
@@ -164,60 +167,66 @@
             Lookup::Finished(record) => Decision::Repeat(record),
             Lookup::InFlight => Decision::InFlight,
             Lookup::Conflict => Decision::Conflict,
-            _ if self.access != Access::Open => Decision::Shed(Shed::Unavailable),
-            _ if !owned => Decision::Shed(Shed::Moved),
-            Lookup::Forgotten => Decision::Shed(Shed::Forgotten),
-            Lookup::Full => self.shed(now, &request, Shed::MemoryFull),
-            Lookup::New => self.admit(now, request, hold == Hold::Awaiting),
+            _ if self.access != Access::Open => {
+                Decision::Shed(Shed::Unavailable, Shed::Unavailable.outcome())
+            }
+            _ if !owned => Decision::Shed(Shed::Moved, Shed::Moved.outcome()),
+            Lookup::Future => Decision::Shed(Shed::Forgotten, Shed::Forgotten.outcome()),
+            Lookup::Forgotten if !request.idempotent => {
+                Decision::Shed(Shed::Forgotten, Shed::Forgotten.outcome())
+            }
+            known => {
+                // Until the release arrives, only the previous owner knows whether a copy has run.
+                let awaiting = hold == Hold::Awaiting && request.id.is_some();
+                let doubt = awaiting || known == Lookup::Forgotten;
+                let queued = Queued { request, doubt };
+                let full = known == Lookup::Full;
+                self.admit(now, queued, hold == Hold::Awaiting, full)
+            }
         }
     }
 
-    /// Records a request that is shed at once, so that a delayed copy of it does not run either.
-    fn shed(&mut self, now: Tick, request: &Request, why: Shed) -> Decision {
-        self.memory.begin(request);
-        self.memory.finish(now, request, Record::of(why.outcome()));
-        Decision::Shed(why)
-    }
-
-    fn admit(&mut self, now: Tick, request: Request, held: bool) -> Decision {
+    fn admit(&mut self, now: Tick, queued: Queued, held: bool, full: bool) -> Decision {
         self.free_lingering(now);
         let idle = !held && !self.queue.has_ready() && self.has_capacity(now);
-        match () {
-            () if request.deadline <= now => self.shed(now, &request, Shed::Expired),
-            () if !idle && self.queue.len() >= self.queue_max => {
-                self.shed(now, &request, Shed::QueueFull)
-            }
-            () if !self.can_meet(now, request.deadline) => self.shed(now, &request, Shed::TooLate),
-            () => {
-                self.memory.begin(&request);
-                self.retries.deposit();
-                let id = TicketId(self.next);
-                self.next += 1;
-                let queued = Queued {
-                    request,
-                    doubt: false,
-                };
-                if idle {
-                    return Decision::Start(self.start(now, id, queued));
-                }
-                self.queue.push(id, queued, held);
-                Decision::Queued(id)
-            }
+        let deadline = queued.request.deadline;
+        let shed = match () {
+            () if deadline <= now => Some(Shed::Expired),
+            () if full => Some(Shed::MemoryFull),
+            () if !idle && self.queue.len() >= self.queue_max => Some(Shed::QueueFull),
+            () if !self.can_meet(now, deadline) => Some(Shed::TooLate),
+            () => None,
+        };
+        let id = TicketId(self.next);
+        self.next += 1;
+        // Also for a request that is shed, so that a delayed copy of it does not run either.
+        self.memory.begin(&queued.request);
+        if let Some(why) = shed {
+            let dropped = self.settle(now, id, &queued, why);
+            return Decision::Shed(why, dropped.outcome);
+        }
+        self.retries.deposit();
+        if idle {
+            return Decision::Start(self.start(now, id, queued));
         }
+        self.queue.push(id, queued, held);
+        Decision::Queued(id)
     }
 
     /// Whether a request with `deadline` can be added to the queue so that it and all queued
     /// requests that could meet their deadline still can.
     fn can_meet(&self, now: Tick, deadline: Tick) -> bool {
-        let untouched = self.running.is_empty() && !self.queue.has_ready();
-        if untouched || self.disabled.has(Mechanism::Shedding) {
+        let idle = self.running.is_empty() && !self.queue.has_ready();
+        if idle && self.service.is_stale(now) || self.disabled.has(Mechanism::Shedding) {
             return true;
         }
         let lanes = self.limit.current().0.max(1);
         let (mean, tail) = (self.service.mean(), self.service.tail());
-        let busy = u32::from(!self.has_capacity(now));
+        if self.has_capacity(now) && !self.queue.has_ready() {
+            return now.after(mean) <= deadline;
+        }
         let meets = |ahead: u32, deadline| {
-            let wait = mean * (ahead + busy) / lanes;
+            let wait = mean * (ahead + 1) / lanes;
             now.after(wait + tail) <= deadline
         };
         let mut ahead = 0;
@@ -250,6 +259,7 @@
             request,
             started: now,
             doubt: queued.doubt,
+            expired: false,
             closing: false,
         };
         self.running.insert(id, running);
@@ -266,9 +276,14 @@
             let Some((id, queued)) = self.queue.pop() else {
                 break;
             };
-            let short = now.after(self.service.mean()) > queued.request.deadline;
-            let shedding = !self.running.is_empty() && !self.disabled.has(Mechanism::Shedding);
-            if short && shedding {
+            let need = if self.queue.has_ready() {
+                self.service.tail()
+            } else {
+                self.service.mean()
+            };
+            let short = now.after(need) > queued.request.deadline;
+            let trial = self.running.is_empty() && self.service.is_stale(now);
+            if short && !trial && !self.disabled.has(Mechanism::Shedding) {
                 actions
                     .dropped
                     .push(self.settle(now, id, &queued, Shed::TooLate));
@@ -335,7 +350,7 @@
         let Ticket { id } = ticket;
         let run = self.running.remove(&id).context(NotFoundSnafu { id })?;
         let attempt = cause.verdict();
-        let verdict = attempt.after(run.doubt && !self.disabled.has(Mechanism::Doubt));
+        let verdict = attempt.after(run.doubt);
         let until = run.request.deadline.after(self.margin).max(now);
         if attempt.may_linger {
             if !self.disabled.has(Mechanism::Linger) {
@@ -345,14 +360,14 @@
         } else {
             self.ownership.end(run.request.shard);
         }
-        self.observe(now, &run, cause);
+        let sign = self.observe(now, &run, cause);
         let report = self.conclude(now, id, run, &verdict);
         let mut actions = Actions::default();
         self.free_lingering(now);
         self.start_ready(now, &mut actions);
         Ok(Finished {
             report,
-            verdict,
+            verdict: Verdict { sign, ..verdict },
             actions,
         })
     }
@@ -366,7 +381,7 @@
             && self.ownership.state(request.shard) == Hold::Serving
             && self.can_meet(now, request.deadline);
         if useful && self.retries.withdraw() {
-            let doubt = verdict.outcome == Outcome::Unknown;
+            let doubt = verdict.outcome == Outcome::Unknown && !self.disabled.has(Mechanism::Doubt);
             self.queue.push(id, Queued { request, doubt }, false);
             return Report::Retry(id);
         }
@@ -378,41 +393,27 @@
         Report::Answer(record)
     }
 
-    fn observe(&mut self, now: Tick, run: &Running, cause: Cause) {
+    /// Learns from an attempt and returns what it says about the upstream.
+    fn observe(&mut self, now: Tick, run: &Running, cause: Cause) -> Sign {
         let verdict = cause.verdict();
         let time = now.since(run.started);
+        let patience = (self.service.mean() * 2).max(PATIENCE_MIN);
         if verdict.sign == Sign::Answer || cause == Cause::TimedOut {
-            self.service.observe(time);
+            self.service.observe(now, time);
         }
         let late = now > run.request.deadline;
         let sample = match (verdict.sign, verdict.status) {
-            // A missing grant says nothing about load.
-            _ if cause == Cause::Refused(Refusal::Fence) => return,
-            (Sign::None, _) => return,
-            (Sign::Answer, _) if late => Sample::Overload,
-            (Sign::Answer, Some(status)) if status.is_success() => Sample::Success(time),
-            (Sign::Answer, _) => Sample::Error,
+            // A deadline that was too short says nothing about the upstream.
+            _ if cause == Cause::TimedOut && time < patience => return Sign::None,
+            // Neither does a missing grant about its load.
+            _ if cause == Cause::Refused(Refusal::Fence) => return verdict.sign,
+            (Sign::None, _) => return Sign::None,
+            (Sign::Answer, Some(status)) if status.is_success() && !late => Sample::Success(time),
+            (Sign::Answer, _) => Sample::Answer(time),
             (Sign::Refusal | Sign::Failure, _) => Sample::Overload,
         };
         self.limit.observe(now, run.started, sample);
-    }
-
-    /// Cancels a request on behalf of its caller. Only idempotent requests are cancelled once they
-    /// run: to cancel another one would turn its outcome into unknown.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no such request is queued or running.
-    pub fn cancel(&mut self, now: Tick, id: TicketId) -> Result<Cancelled, TicketError> {
-        if let Some(dropped) = self.drop_queued(now, id, Shed::Cancelled) {
-            return Ok(Cancelled::Removed(dropped));
-        }
-        let run = self.running.get_mut(&id).context(NotFoundSnafu { id })?;
-        if !run.request.idempotent {
-            return Ok(Cancelled::Continues);
-        }
-        run.closing = true;
-        Ok(Cancelled::Close)
+        verdict.sign
     }
 
     /// Expires and starts queued requests, names running requests whose deadline has passed, and
@@ -425,7 +426,12 @@
         }
         self.start_ready(now, &mut actions);
         for (&id, run) in &mut self.running {
-            if !run.closing && run.request.deadline <= now {
+            let deadline = run.request.deadline;
+            if !run.expired && deadline <= now {
+                run.expired = true;
+                actions.expired.push(id);
+            }
+            if !run.closing && deadline.after(self.margin) <= now {
                 run.closing = true;
                 actions.close.push(id);
             }
@@ -443,51 +449,22 @@
             Access::Draining(end) if self.queue.len() > 0 => Some(end),
             _ => None,
         };
-        let open = self.running.values().filter(|r| !r.closing);
+        let due = |run: &Running| match run.request.deadline {
+            _ if run.closing => None,
+            deadline if run.expired => Some(deadline.after(self.margin)),
+            deadline => Some(deadline),
+        };
         let wakes = [
             at_once,
             linger.filter(|_| queued),
             self.queue.first_deadline(),
-            open.map(|r| r.request.deadline).min(),
+            self.running.values().filter_map(due).min(),
             drain,
             self.ownership.next_wake(),
         ];
         wakes.into_iter().flatten().min()
     }
 
-    /// Changes whether the upstream may receive requests, see [`Health::access`].
-    ///
-    /// An upstream that returns from [`Access::Closed`] is cold: its limit starts again at 1.
-    ///
-    /// [`Health::access`]: crate::Health::access
-    pub fn set_access(&mut self, now: Tick, access: Access) -> Actions {
-        let before = std::mem::replace(&mut self.access, access);
-        let mut actions = Actions::default();
-        match access {
-            Access::Closed if before != Access::Closed => {
-                self.ownership.stop_grants();
-                actions.dropped = self.drop_all(now);
-                for (&id, run) in self.running.iter_mut().filter(|(_, r)| !r.closing) {
-                    run.closing = true;
-                    actions.close.push(id);
-                }
-            }
-            Access::Open if before == Access::Closed => {
-                self.ownership.resume_grants();
-                self.limit.reset();
-                self.service = ServiceTime::default();
-            }
-            Access::Open | Access::Draining(_) | Access::Closed => {}
-        }
-        actions
-    }
-
-    fn drop_all(&mut self, now: Tick) -> SmallVec<[Dropped; 4]> {
-        let ids = self.queue.ids(None);
-        let dropped = |id| self.drop_queued(now, id, Shed::Unavailable);
-        ids.into_iter().filter_map(dropped).collect()
-    }
-
     fn free_lingering(&mut self, now: Tick) {
         while self
             .lingering
--- /dev/null
+++ b/crates/dispatch/src/admission/access.rs
@@ -0,0 +1,78 @@
+//! Cancellation, and upstreams that leave or are lost.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use snafu::OptionExt;
+use trefoil_core::Tick;
+
+use super::Admission;
+use crate::ticket::NotFoundSnafu;
+use crate::{Actions, Cancelled, Dropped, ServiceTime, Shed, TicketError, TicketId};
+
+/// Time after the start of a drain within which queued requests may still be started.
+pub const DRAIN_QUEUE: Duration = Duration::from_secs(2);
+
+/// Whether the upstream may receive requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Access {
+    /// Requests are admitted.
+    Open,
+    /// Nothing new is admitted; queued requests may start until the given tick.
+    Draining(Tick),
+    /// Nothing is sent.
+    Closed,
+}
+
+impl Admission {
+    /// Cancels a request on behalf of its caller. Only idempotent requests are cancelled once they
+    /// run: to cancel another one would turn its outcome into unknown.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no such request is queued or running.
+    pub fn cancel(&mut self, now: Tick, id: TicketId) -> Result<Cancelled, TicketError> {
+        if let Some(dropped) = self.drop_queued(now, id, Shed::Cancelled) {
+            return Ok(Cancelled::Removed(dropped));
+        }
+        let run = self.running.get_mut(&id).context(NotFoundSnafu { id })?;
+        if !run.request.idempotent {
+            return Ok(Cancelled::Continues);
+        }
+        run.closing = true;
+        Ok(Cancelled::Close)
+    }
+
+    /// Changes whether the upstream may receive requests, see [`Health::access`].
+    ///
+    /// An upstream that returns from [`Access::Closed`] is cold: its limit starts again at 1.
+    ///
+    /// [`Health::access`]: crate::Health::access
+    pub fn set_access(&mut self, now: Tick, access: Access) -> Actions {
+        let before = std::mem::replace(&mut self.access, access);
+        let mut actions = Actions::default();
+        match access {
+            Access::Closed if before != Access::Closed => {
+                self.ownership.stop_grants();
+                actions.dropped = self.drop_all(now);
+                for (&id, run) in self.running.iter_mut().filter(|(_, r)| !r.closing) {
+                    run.closing = true;
+                    actions.close.push(id);
+                }
+            }
+            Access::Open if before == Access::Closed => {
+                self.ownership.resume_grants();
+                self.limit.reset();
+                self.service = ServiceTime::default();
+            }
+            Access::Open | Access::Draining(_) | Access::Closed => {}
+        }
+        actions
+    }
+
+    pub(super) fn drop_all(&mut self, now: Tick) -> SmallVec<[Dropped; 4]> {
+        let ids = self.queue.ids(None);
+        let dropped = |id| self.drop_queued(now, id, Shed::Unavailable);
+        ids.into_iter().filter_map(dropped).collect()
+    }
+}
--- a/crates/dispatch/src/admission/shards.rs
+++ b/crates/dispatch/src/admission/shards.rs
@@ -4,7 +4,7 @@
 use trefoil_core::{Revision, Shard, Tick, UpstreamName};
 
 use super::Admission;
-use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Shed};
+use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Request, Shed};
 
 impl Admission {
     /// Ownership of shards at this upstream.
@@ -27,8 +27,8 @@
     }
 
     /// Takes in the release of a shard by its previous owner, see [`Ownership::receive`]. Requests
-    /// that were held for it become startable; those whose ids the outcome memory turns out not to
-    /// cover are answered unknown.
+    /// that were held for it become startable, but for non-idempotent ones whose ids the outcome
+    /// memory turns out not to cover.
     ///
     /// # Errors
     ///
@@ -44,12 +44,16 @@
         if self.ownership.receive(unix, shard, revision)? == Hold::Serving {
             let since = self.ownership.serving_since(shard);
             for id in self.queue.ids(Some(shard)) {
-                let memory = &self.memory;
-                let forgotten = |r: &crate::Request| !memory.covers(now, r, since);
-                if self.queue.get(id).is_some_and(|q| forgotten(&q.request)) {
-                    actions
+                let covered = |r: &Request| {
+                    let covers = |id| self.memory.covers(now, id, since);
+                    r.id.as_ref().is_none_or(covers)
+                };
+                match self.queue.get_mut(id) {
+                    Some(queued) if covered(&queued.request) => queued.doubt = false,
+                    Some(queued) if queued.request.idempotent => {}
+                    _ => actions
                         .dropped
-                        .extend(self.drop_queued(now, id, Shed::Forgotten));
+                        .extend(self.drop_queued(now, id, Shed::Forgotten)),
                 }
             }
             self.queue.unhold(shard);
--- /dev/null
+++ b/crates/dispatch/src/health.rs
@@ -0,0 +1,294 @@
+//! Health of one upstream from what its dispatcher observes.
+//!
+//! Three kinds of observation count: whether probes are answered, whether requests are answered,
+//! and what the routing resource says about leaving. Health and load endpoints lag or mislead, so a
+//! [`Health::hint`] from them only brings the next probe forward. States and transitions are in
+//! `health.yaml`.
+//!
+//! # Silence
+//!
+//! A probe is sent every [`PROBE`] and has failed if it is not answered within the same time. Three
+//! failed probes in a row without any answer in between make the upstream lost. A failed request
+//! makes it suspect and the next probe due at once, but does not count towards the three: a burst
+//! of requests on one broken connection would otherwise decide within a millisecond. A refusal is
+//! an answer: it proves that the upstream is alive.
+//!
+//! An upstream that freezes right after an answered probe is lost [`PROBE`] × 4 = 1.6 s later; if a
+//! request fails first or the freeze precedes a probe, 1.2 s.
+//!
+//! # Stall
+//!
+//! An upstream can answer probes from a healthy thread while its workers are stuck. If
+//! [`STALL_FAILURES`] requests in a row fail over at least [`STALL`], without a single answer to a
+//! request, the upstream is lost although its probes are answered. Both conditions are needed: the
+//! count keeps a quiet upstream from being judged on one or two requests, and the time keeps a
+//! restart of the upstream's process from moving all its keys.
+//!
+//! A leaving upstream that falls silent or stalls has left. It never becomes cold again by itself,
+//! since then it would receive new work while it is declared to be leaving.
+//!
+//! # Recovery
+//!
+//! A lost upstream is cold again after three answered probes in a row. It owns nothing then, since
+//! its shards were released, and gets shards only from a new plan. One answered probe would not
+//! suffice: a stalled upstream answers every probe.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use trefoil_core::chart::ChartError;
+use trefoil_core::{StateChart, Tick};
+
+use crate::admission::DRAIN_QUEUE;
+use crate::limit::GROWTH;
+use crate::{Access, Sign};
+
+/// Time between probes, and time after which an unanswered probe has failed.
+pub const PROBE: Duration = Duration::from_millis(400);
+
+/// Failed probes in a row that make an upstream lost, and answered ones that bring it back.
+pub const PROBES: u32 = 3;
+
+/// Shortest time over which requests must fail to make an upstream lost that answers probes.
+pub const STALL: Duration = Duration::from_millis(1600);
+
+/// Requests in a row that must fail to make an upstream lost that answers probes.
+pub const STALL_FAILURES: u32 = 8;
+
+const CHART: &str = include_str!("health.yaml");
+
+/// State of an upstream.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+pub enum State {
+    /// Receives requests; few were answered so far.
+    Cold,
+    /// Receives and answers requests.
+    Serving,
+    /// A probe or request failed and nothing was answered since.
+    Suspect,
+    /// Leaves: finishes what it has and receives nothing new.
+    Draining,
+    /// Does not answer.
+    Lost,
+    /// Has left.
+    Left,
+}
+
+/// What moves an upstream between states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+pub enum Event {
+    /// Enough requests were answered.
+    Warmed,
+    /// A probe or request failed.
+    Failed,
+    /// A probe or request was answered or refused.
+    Answered,
+    /// [`PROBES`] probes failed in a row.
+    Silent,
+    /// Requests fail although probes may be answered.
+    Stalled,
+    /// [`PROBES`] probes of a lost upstream were answered in a row.
+    Recovered,
+    /// The upstream is declared to be leaving.
+    Leaving,
+    /// A leaving upstream owns no shards and has nothing in flight.
+    Emptied,
+    /// The upstream is no longer declared to be leaving.
+    Returned,
+}
+
+/// One probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct Probe(u64);
+
+#[derive(Debug, Clone, Copy)]
+struct Sent {
+    probe: Probe,
+    at: Tick,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Streak {
+    count: u32,
+    since: Tick,
+}
+
+/// Health of one upstream.
+#[derive(Debug)]
+pub struct Health {
+    chart: StateChart<State, Event>,
+    state: State,
+    since: Tick,
+    /// The probe that is neither answered nor failed.
+    sent: Option<Sent>,
+    due: Tick,
+    next: u64,
+    failed: u32,
+    answered: u32,
+    /// Requests that failed since one was answered.
+    stall: Streak,
+    /// Requests that were answered since the state was last cold.
+    warm: u32,
+}
+
+impl Health {
+    /// Health of an upstream that was not observed before. The first probe is due at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the crate's own chart does not load.
+    pub fn new(now: Tick) -> Result<Self, ChartError> {
+        let chart = StateChart::parse(CHART)?;
+        Ok(Self {
+            state: chart.initial(),
+            chart,
+            since: now,
+            sent: None,
+            due: now,
+            next: 0,
+            failed: 0,
+            answered: 0,
+            stall: Streak::default(),
+            warm: 0,
+        })
+    }
+
+    /// The state.
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Since when the upstream is in its state.
+    pub fn since(&self) -> Tick {
+        self.since
+    }
+
+    /// Whether the upstream may receive requests.
+    pub fn access(&self) -> Access {
+        match self.state {
+            State::Cold | State::Serving | State::Suspect => Access::Open,
+            State::Draining => Access::Draining(self.since.after(DRAIN_QUEUE)),
+            State::Lost | State::Left => Access::Closed,
+        }
+    }
+
+    fn apply(&mut self, now: Tick, event: Event) {
+        if let Some(state) = self.chart.next(self.state, &event) {
+            self.state = state;
+            self.since = now;
+            self.warm = 0;
+            self.answered = 0;
+        }
+    }
+
+    /// Sends a probe if one is due, after a probe that was not answered in time has failed.
+    pub fn poll(&mut self, now: Tick) -> Option<Probe> {
+        if let Some(sent) = self.sent
+            && now.since(sent.at) >= PROBE
+        {
+            self.probe_failed(now, sent.probe);
+        }
+        if self.sent.is_some() || now < self.due || self.state == State::Left {
+            return None;
+        }
+        let probe = Probe(self.next);
+        self.next += 1;
+        self.sent = Some(Sent { probe, at: now });
+        self.due = now.after(PROBE);
+        Some(probe)
+    }
+
+    /// The tick at which [`Health::poll`] is to be called next.
+    pub fn next_wake(&self) -> Option<Tick> {
+        let timeout = self.sent.map(|s| s.at.after(PROBE));
+        (self.state != State::Left).then(|| timeout.unwrap_or(self.due))
+    }
+
+    /// A probe was answered, possibly late. What the answer says does not matter.
+    pub fn probe_answered(&mut self, now: Tick, probe: Probe) {
+        if self.sent.is_some_and(|s| s.probe == probe) {
+            self.sent = None;
+        }
+        self.failed = 0;
+        self.answered += 1;
+        self.apply_answer(now);
+    }
+
+    /// A probe could not be sent or its connection failed. A probe that has already counted as
+    /// failed does not count again.
+    pub fn probe_failed(&mut self, now: Tick, probe: Probe) {
+        if self.sent.is_some_and(|s| s.probe == probe) {
+            self.sent = None;
+            self.failed += 1;
+            self.answered = 0;
+            self.apply(now, Event::Failed);
+            if self.failed >= PROBES {
+                self.apply(now, Event::Silent);
+            }
+        }
+    }
+
+    fn apply_answer(&mut self, now: Tick) {
+        if self.answered >= PROBES {
+            self.apply(now, Event::Recovered);
+        }
+        self.apply(now, Event::Answered);
+    }
+
+    /// Takes in what an attempt to send a request showed.
+    pub fn observe(&mut self, now: Tick, sign: Sign) {
+        match sign {
+            Sign::None => {}
+            Sign::Answer | Sign::Refusal => {
+                self.failed = 0;
+                self.stall = Streak::default();
+                self.apply(now, Event::Answered);
+                self.warm += u32::from(sign == Sign::Answer);
+                if self.warm >= GROWTH {
+                    self.apply(now, Event::Warmed);
+                }
+            }
+            Sign::Failure => self.count_failure(now),
+        }
+    }
+
+    fn count_failure(&mut self, now: Tick) {
+        if self.stall.count == 0 {
+            self.stall.since = now;
+        }
+        self.stall.count += 1;
+        self.apply(now, Event::Failed);
+        self.due = self.due.min(now);
+        if self.stall.count >= STALL_FAILURES && now.since(self.stall.since) >= STALL {
+            self.stall = Streak::default();
+            self.apply(now, Event::Stalled);
+        }
+    }
+
+    /// Takes in a hint that the upstream may be unwell. It only makes the next probe due.
+    pub fn hint(&mut self, now: Tick) {
+        self.due = self.due.min(now);
+    }
+
+    /// The upstream is declared to be leaving, or no longer so.
+    pub fn set_leaving(&mut self, now: Tick, leaving: bool) {
+        let event = if leaving {
+            Event::Leaving
+        } else {
+            Event::Returned
+        };
+        self.apply(now, event);
+    }
+
+    /// The upstream owns no shards and has nothing in flight.
+    pub fn emptied(&mut self, now: Tick) {
+        self.apply(now, Event::Emptied);
+    }
+}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`Admission`] combines the parts below and is what a driver talks to.
 //! - [`Cause`] maps what happened on a connection to a truthful [`Outcome`](trefoil_core::Outcome).
 //! - [`OutcomeMemory`] recognises repeats of a request id.
+//! - [`Health`] judges the upstream by probes and requests, and says whether it gets work.
 //! - [`Limit`] and [`ServiceTime`] follow what the upstream shows under load.
 //! - [`Ownership`] releases a shard only with proof that nothing is in flight.
 //! - [`RetryBudget`] and [`ConnectionBudget`] bound what the upstream is exposed to.
 
 pub mod admission;
 pub mod budget;
+pub mod health;
 pub mod limit;
 #[doc(hidden)]
 pub mod mechanism;
@@ -27,6 +29,7 @@
 
 pub use admission::{Access, Admission, AdmissionBuilder};
 pub use budget::{Connection, ConnectionBudget, RetryBudget};
+pub use health::{Health, Probe, State};
 pub use limit::{Limit, ServiceTime};
 pub use memory::{OutcomeMemory, Wall};
 pub use ownership::{Hold, Origin, Ownership, OwnershipError, Proof, Release};
--- a/crates/dispatch/src/limit.rs
+++ b/crates/dispatch/src/limit.rs
@@ -15,10 +15,13 @@
 //! one. The usual latency follows a rise slowly (1/256 for each answer) and a fall quickly (1/8), so
 //! a permanent change of the work becomes the new usual and does not hold the limit down for good.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use trefoil_core::{Slots, Tick};
 
+use crate::admission::STALE;
+
 /// Successful answers that raise the limit by one slot.
 pub const GROWTH: u32 = 8;
 
@@ -28,39 +31,60 @@
 /// Answers that are seen before latency can lower the limit; a mean of fewer is too uncertain.
 const LATENCY_MIN: u32 = 32;
 
-/// Largest number of answers that the mean service time covers.
-const WINDOW: u32 = 32;
+/// Number of observations that the service time covers.
+const WINDOW: usize = 256;
+
+/// Number of observations of a full window that may exceed the tail: 2 of 256.
+const ABOVE_TAIL: usize = 2;
 
-/// Mean and mean deviation of the service time, over roughly the last 32 observations.
-#[derive(Debug, Clone, Copy, Default)]
+/// Service time over the last 256 observations.
+#[derive(Debug, Clone, Default)]
 pub struct ServiceTime {
-    mean: f64,
-    deviation: f64,
-    count: u32,
+    times: VecDeque<Duration>,
+    sorted: Vec<Duration>,
+    sum: Duration,
+    latest: Tick,
 }
 
 impl ServiceTime {
     /// Adds an observation. The time until a timeout counts as well: it is a lower bound of the
     /// service time, and leaving it out would make a slow upstream look fast.
-    pub fn observe(&mut self, time: Duration) {
-        let time = time.as_secs_f64();
-        self.count = (self.count + 1).min(WINDOW);
-        let weight = 1.0 / f64::from(self.count);
-        let error = time - self.mean;
-        self.mean += weight * error;
-        self.deviation += weight * (error.abs() - self.deviation);
+    pub fn observe(&mut self, now: Tick, time: Duration) {
+        if self.is_stale(now) {
+            // Otherwise the mean would need many observations to leave a slow period behind.
+            *self = Self::default();
+        }
+        self.latest = now;
+        if self.times.len() >= WINDOW
+            && let Some(oldest) = self.times.pop_front()
+        {
+            let index = self.sorted.partition_point(|&t| t < oldest);
+            self.sorted.remove(index);
+            self.sum -= oldest;
+        }
+        self.times.push_back(time);
+        let index = self.sorted.partition_point(|&t| t < time);
+        self.sorted.insert(index, time);
+        self.sum += time;
+    }
+
+    /// Whether nothing has been observed recently.
+    pub fn is_stale(&self, now: Tick) -> bool {
+        self.times.is_empty() || now.since(self.latest) >= STALE
     }
 
     /// The mean; zero before the first observation.
     pub fn mean(&self) -> Duration {
-        Duration::from_secs_f64(self.mean.max(0.0))
+        let count = u32::try_from(self.times.len()).unwrap_or(u32::MAX);
+        self.sum.checked_div(count).unwrap_or_default()
     }
 
-    /// A service time that few requests exceed: the mean plus three mean deviations.
+    /// A service time that few requests exceed: about the 99th percentile. A quantile is used and
+    /// not a multiple of the deviation, because the times of one upstream often have two modes.
     pub fn tail(&self) -> Duration {
-        // The first observation has the whole time as its deviation, which would shed too much.
-        let spread = if self.count < 2 { 0.0 } else { self.deviation };
-        Duration::from_secs_f64((self.mean + 3.0 * spread).max(0.0))
+        let above = ABOVE_TAIL * self.sorted.len() / WINDOW;
+        let index = self.sorted.len().checked_sub(above + 1);
+        index.map_or(Duration::ZERO, |i| self.sorted[i])
     }
 }
 
@@ -69,9 +93,11 @@
 pub enum Sample {
     /// A successful answer in time, and how long it took.
     Success(Duration),
-    /// An answer with an error of the upstream; it neither raises nor lowers the limit.
-    Error,
-    /// A refusal, a failure or a late answer.
+    /// An answer that was late or reports an error of the upstream, and how long it took. It does
+    /// not raise the limit. A late answer does not lower it by itself either: with deadlines close
+    /// to the service time some answers are late at any load.
+    Answer(Duration),
+    /// A refusal or a failure.
     Overload,
 }
 
@@ -115,21 +141,28 @@
     pub fn observe(&mut self, now: Tick, started: Tick, sample: Sample) {
         match sample {
             _ if self.lowered.is_some_and(|at| started < at) => {}
-            Sample::Error => {}
             Sample::Overload => self.lower(now),
+            Sample::Answer(time) => {
+                self.track(time);
+                self.adapt(now);
+            }
             Sample::Success(time) => {
                 self.track(time);
                 self.successes += 1;
-                if self.answers >= LATENCY_MIN && self.recent > SLOWDOWN * self.usual {
-                    self.lower(now);
-                } else if self.successes >= GROWTH {
-                    self.successes = 0;
-                    self.current = (self.current + 1).min(self.slots);
-                }
+                self.adapt(now);
             }
         }
     }
 
+    fn adapt(&mut self, now: Tick) {
+        if self.answers >= LATENCY_MIN && self.recent > SLOWDOWN * self.usual {
+            self.lower(now);
+        } else if self.successes >= GROWTH {
+            self.successes = 0;
+            self.current = (self.current + 1).min(self.slots);
+        }
+    }
+
     fn track(&mut self, time: Duration) {
         let time = time.as_secs_f64();
         self.answers = self.answers.saturating_add(1);
--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -30,8 +30,10 @@
 //! would raise the bound above the present and cause every request of every caller to be answered
 //! unknown.
 //!
-//! The rule protects non-idempotent requests. An idempotent request that is not in the memory runs,
-//! since a second execution does no harm and an unknown answer after each takeover would.
+//! The rule keeps non-idempotent requests from running. An idempotent request with such an id runs,
+//! since a second execution does no harm and an unknown answer after each takeover would. But it is
+//! admitted with a doubt: if it is shed or refused, its caller is told "unknown", because an earlier
+//! copy may have run under a predecessor.
 //!
 //! # Repeats
 //!
@@ -91,9 +93,10 @@
     Finished(Record),
     /// Another request was seen under this id.
     Conflict,
-    /// A request with this id may have run, or the id was minted in the future: the memory does not
-    /// cover it.
+    /// A request with this id may have run: the memory does not cover it.
     Forgotten,
+    /// The id was minted in the future and must not be recorded.
+    Future,
     /// The id is new, but as many ids are in flight as the memory may hold.
     Full,
 }
@@ -174,26 +177,28 @@
             Some((false, _)) => Lookup::Conflict,
             Some((true, Some(record))) => Lookup::Finished(record),
             Some((true, None)) => Lookup::InFlight,
-            None if !self.covers(now, request, tenure) => Lookup::Forgotten,
+            None if self.is_future(now, id) => Lookup::Future,
             None if self.in_flight() >= self.capacity / 2 => Lookup::Full,
+            None if !self.covers(now, id, tenure) => Lookup::Forgotten,
             None => Lookup::New,
         }
     }
 
-    /// Whether the memory would know the id of `request` if it had been seen before.
-    pub fn covers(&self, now: Tick, request: &Request, tenure: Option<UnixMillis>) -> bool {
-        let minted = request.id.as_ref().and_then(RequestId::minted_at);
-        let error = millis(CLOCK_ERROR);
-        match minted {
-            Some(minted) if minted > self.wall.at(now) + error => false,
-            _ if request.idempotent || self.disabled.has(Mechanism::MintRule) => true,
-            Some(minted) => {
-                tenure.is_none_or(|began| minted >= began + error)
-                    && self.evicted.is_none_or(|latest| minted > latest)
-                    && minted + millis(SPAN) >= self.wall.at(now)
-            }
-            None => true,
-        }
+    fn is_future(&self, now: Tick, id: &RequestId) -> bool {
+        let latest = self.wall.at(now) + millis(CLOCK_ERROR);
+        id.minted_at().is_some_and(|minted| minted > latest)
+    }
+
+    /// Whether the memory would know `id` if it had been seen before. Ids that are not `UUIDv7`
+    /// count as covered, since nothing is known of their age.
+    pub fn covers(&self, now: Tick, id: &RequestId, tenure: Option<UnixMillis>) -> bool {
+        let off = self.disabled.has(Mechanism::MintRule);
+        id.minted_at().is_none_or(|minted| {
+            let served = tenure.is_none_or(|began| minted >= began + millis(CLOCK_ERROR));
+            let kept = self.evicted.is_none_or(|latest| minted > latest);
+            let recent = minted + millis(SPAN) >= self.wall.at(now);
+            off || served && kept && recent
+        })
     }
 
     /// Remembers the id of a request that is admitted.
--- a/crates/dispatch/src/ownership.rs
+++ b/crates/dispatch/src/ownership.rs
@@ -367,11 +367,10 @@
     /// Completes the releases for which proof exists. Each is to be sent until the new owner's
     /// dispatcher acknowledges it.
     pub fn poll(&mut self, now: Tick) -> Vec<Release> {
-        let (proof, wait) = (self.proof, self.wait);
         let ready: Vec<Shard> = self
             .shards
             .iter()
-            .filter(|(_, h)| h.state == Hold::Releasing && (!wait || h.is_proven(proof, now)))
+            .filter(|(_, h)| h.state == Hold::Releasing && self.proven_at(h) <= now)
             .map(|(&shard, _)| shard)
             .collect();
         let release = |shard| {
@@ -390,22 +389,17 @@
     /// The earliest tick at which [`Ownership::poll`] may complete a release without another event.
     pub fn next_wake(&self) -> Option<Tick> {
         let releasing = self.shards.values().filter(|h| h.state == Hold::Releasing);
-        releasing.map(|h| h.proven_at(self.proof)).min()
-    }
-}
-
-impl Holding {
-    fn is_proven(&self, proof: Proof, now: Tick) -> bool {
-        now >= self.proven_at(proof)
+        releasing.map(|h| self.proven_at(h)).min()
     }
 
     /// When proof exists if no further request is answered.
-    fn proven_at(&self, proof: Proof) -> Tick {
-        match proof {
-            Proof::Deadline if self.open == 0 => self.doubt,
-            Proof::Deadline => self.horizon,
-            Proof::Grant if self.open == 0 && !self.unanswered => Tick::default(),
-            Proof::Grant => self.granted,
+    fn proven_at(&self, holding: &Holding) -> Tick {
+        match self.proof {
+            _ if !self.wait => Tick::default(),
+            Proof::Deadline if holding.open == 0 => holding.doubt,
+            Proof::Deadline => holding.horizon,
+            Proof::Grant if holding.open == 0 && !holding.unanswered => Tick::default(),
+            Proof::Grant => holding.granted,
         }
     }
 }
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct Queued {
     pub(crate) request: Request,
-    /// Whether an earlier attempt ended unknown.
+    /// Whether an earlier attempt or copy may have run.
     pub(crate) doubt: bool,
 }
 
@@ -64,9 +64,10 @@
             .or_else(|| self.held.remove(&order))
     }
 
-    pub(crate) fn get(&self, id: TicketId) -> Option<&Queued> {
+    pub(crate) fn get_mut(&mut self, id: TicketId) -> Option<&mut Queued> {
         let order = (*self.deadlines.get(&id)?, id);
-        self.ready.get(&order).or_else(|| self.held.get(&order))
+        let held = &mut self.held;
+        self.ready.get_mut(&order).or_else(|| held.get_mut(&order))
     }
 
     /// Deadlines of the startable requests, earliest first.
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -109,8 +109,8 @@
     /// The caller cancelled the request before it was started.
     #[display("cancelled")]
     Cancelled,
-    /// The request may have run earlier, or its id was minted in the future: the outcome memory
-    /// does not cover the id.
+    /// The request is not idempotent and may have run earlier, or its id was minted in the future:
+    /// the outcome memory does not cover the id.
     #[display("forgotten")]
     Forgotten,
     /// The upstream is draining or lost.
@@ -137,7 +137,9 @@
     }
 
     /// Whether the caller is told. A request that the ingress sends to another upstream under the
-    /// same id has not received its final answer, so its id must not be recorded here.
+    /// same id has not received its final answer, so its id must not be recorded here. An ingress
+    /// that gives up on a request with an id tells "unknown": another copy of the request may have
+    /// run, and no memory was asked.
     pub fn is_final(self) -> bool {
         match self {
             Self::Expired
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -36,8 +36,8 @@
     Start(Ticket),
     /// The request waits. It appears later in [`Actions::started`] or [`Actions::dropped`].
     Queued(TicketId),
-    /// The request is not admitted.
-    Shed(Shed),
+    /// The request is not admitted, and this is what is known of its execution.
+    Shed(Shed, Outcome),
     /// The request is a repeat of a finished one and does not run again.
     Repeat(Record),
     /// The request is a repeat of one that is queued or running.
@@ -53,7 +53,7 @@
     pub fn outcome(&self) -> Option<Outcome> {
         match self {
             Self::Start(_) | Self::Queued(_) => None,
-            Self::Shed(why) => Some(why.outcome()),
+            Self::Shed(_, outcome) => Some(*outcome),
             Self::Conflict => Some(Outcome::NotRun),
             Self::Repeat(record) => Some(record.outcome),
             Self::InFlight => Some(Outcome::Unknown),
@@ -68,8 +68,8 @@
     pub id: TicketId,
     /// Why it was not started.
     pub why: Shed,
-    /// What the caller is told: that of [`Shed::outcome`], or unknown if an earlier attempt ended
-    /// unknown.
+    /// What the caller is told: that of [`Shed::outcome`], or unknown if an earlier attempt or copy
+    /// may have run.
     pub outcome: Outcome,
 }
 
@@ -81,6 +81,11 @@
     pub started: SmallVec<[Ticket; 4]>,
     /// Queued requests to answer now.
     pub dropped: SmallVec<[Dropped; 4]>,
+    /// Running requests whose deadline has passed. Their callers are told "unknown" now; their
+    /// tickets stay open for a late answer. A request that has not been written is finished with
+    /// [`Cause::NothingWritten`](crate::Cause::NothingWritten) instead, and its caller is told "not
+    /// run". Each is named once.
+    pub expired: SmallVec<[TicketId; 4]>,
     /// Running requests whose connection is to be closed, and whose ticket is then to be finished.
     /// Each is named once.
     pub close: SmallVec<[TicketId; 4]>,
@@ -102,7 +107,9 @@
 pub struct Finished {
     /// What became of the request.
     pub report: Report,
-    /// The judgement of the attempt.
+    /// The judgement of the request so far, and what the attempt says about the upstream, which is
+    /// to be given to [`Health::observe`](crate::Health::observe). A timeout after a deadline that
+    /// was too short says nothing.
     pub verdict: Verdict,
     /// What else the driver has to do.
     pub actions: Actions,
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -34,7 +34,8 @@
     /// The whole request was written and the connection ended without any byte of an answer.
     #[display("no answer")]
     NoAnswer,
-    /// The request was at least partially written and its deadline passed without a whole answer.
+    /// The request was at least partially written, and its deadline and the margin passed without a
+    /// whole answer.
     #[display("timed out")]
     TimedOut,
     /// The request was at least partially written and this process closed the connection, because
--- a/tests/all/dispatch.rs
+++ b/tests/all/dispatch.rs
@@ -1,7 +1,9 @@
 //! Tests of `trefoil-dispatch`.
 
 mod causes;
+mod load;
 mod script;
+mod sim;
 
 use std::time::Duration;
 
--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -170,7 +170,7 @@
         match admission.offer(self.now, request) {
             Decision::Start(ticket) => self.start(ticket),
             Decision::Queued(id) => format!("queued {id}\n"),
-            Decision::Shed(why) => format!("shed ({why}): {}\n", why.outcome()),
+            Decision::Shed(why, outcome) => format!("shed ({why}): {outcome}\n"),
             Decision::Repeat(record) => format!("repeat: {}\n", record.outcome),
             Decision::InFlight => "in flight\n".to_owned(),
             Decision::Conflict => "conflict\n".to_owned(),
@@ -203,6 +203,12 @@
         let drop = |d: Dropped| format!("drop {} ({}): {}\n", d.id, d.why, d.outcome);
         let mut text: String = actions.dropped.into_iter().map(drop).collect();
         text.extend(actions.started.into_iter().map(|t| self.start(t)));
+        text.extend(
+            actions
+                .expired
+                .into_iter()
+                .map(|id| format!("expire {id}\n")),
+        );
         text.extend(actions.close.into_iter().map(|id| format!("close {id}\n")));
         let release = |r: trefoil_dispatch::Release| {
             format!("release {} to {} at {}\n", r.shard, r.to, r.revision)
