Hand the records of a shard over with its release

The outcome memory belongs to one dispatcher, so after a move the new owner did not know which ids the old one had run. It could only answer every non-idempotent request unknown whose id was minted before the move. A release now carries the shard's records and the time since which they are complete, and held requests are judged again when it arrives.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -436,7 +436,7 @@
                 actions.close.push(id);
             }
         }
-        actions.releases = self.ownership.poll(now);
+        actions.releases = self.releases(now);
         actions
     }
 
--- a/crates/dispatch/src/admission/shards.rs
+++ b/crates/dispatch/src/admission/shards.rs
@@ -4,7 +4,8 @@
 use trefoil_core::{Revision, Shard, Tick, UpstreamName};
 
 use super::Admission;
-use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Request, Shed};
+use crate::memory::Handover;
+use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Release, Shed, TicketId};
 
 impl Admission {
     /// Ownership of shards at this upstream.
@@ -27,8 +28,8 @@
     }
 
     /// Takes in the release of a shard by its previous owner, see [`Ownership::receive`]. Requests
-    /// that were held for it become startable, but for non-idempotent ones whose ids the outcome
-    /// memory turns out not to cover.
+    /// that were held for it become startable, but for those that the previous owner has seen and
+    /// for non-idempotent ones whose ids the outcome memory turns out not to cover.
     ///
     /// # Errors
     ///
@@ -38,23 +39,14 @@
         now: Tick,
         shard: Shard,
         revision: Revision,
+        handover: Handover,
     ) -> Result<Actions, OwnershipError> {
-        let unix = self.wall.at(now);
+        let state = self.ownership.receive(shard, revision, handover.since)?;
+        self.memory.import(now, shard, handover.records);
         let mut actions = Actions::default();
-        if self.ownership.receive(unix, shard, revision)? == Hold::Serving {
-            let since = self.ownership.serving_since(shard);
+        if state == Hold::Serving {
             for id in self.queue.ids(Some(shard)) {
-                let covered = |r: &Request| {
-                    let covers = |id| self.memory.covers(now, id, since);
-                    r.id.as_ref().is_none_or(covers)
-                };
-                match self.queue.get_mut(id) {
-                    Some(queued) if covered(&queued.request) => queued.doubt = false,
-                    Some(queued) if queued.request.idempotent => {}
-                    _ => actions
-                        .dropped
-                        .extend(self.drop_queued(now, id, Shed::Forgotten)),
-                }
+                actions.dropped.extend(self.recheck(now, id));
             }
             self.queue.unhold(shard);
             self.start_ready(now, &mut actions);
@@ -62,6 +54,41 @@
         Ok(actions)
     }
 
+    /// Judges a held request again after the release of its shard has arrived.
+    fn recheck(&mut self, now: Tick, id: TicketId) -> Option<Dropped> {
+        let queued = self.queue.get_mut(id)?;
+        let request = &queued.request;
+        let since = self.ownership.serving_since(request.shard);
+        let covered = match &request.id {
+            Some(id) => self.memory.covers(now, id, since),
+            None => true,
+        };
+        match self.memory.record(request) {
+            // Under another digest, the record says nothing about this request.
+            Some((record, same)) => {
+                self.queue.remove(id);
+                let why = Shed::Repeat;
+                let outcome = if same { record.outcome } else { why.outcome() };
+                Some(Dropped { id, why, outcome })
+            }
+            None if !covered && !request.idempotent => self.drop_queued(now, id, Shed::Forgotten),
+            None => {
+                queued.doubt = !covered;
+                None
+            }
+        }
+    }
+
+    /// The releases for which proof exists, with the records of their shards.
+    pub(super) fn releases(&mut self, now: Tick) -> Vec<Release> {
+        let mut releases = self.ownership.poll(now);
+        for release in &mut releases {
+            let since = release.handover.since;
+            release.handover = self.memory.export(now, release.shard, since);
+        }
+        releases
+    }
+
     /// Stops admissions for a shard that goes to another upstream, see [`Ownership::revoke`]. Its
     /// queued requests are handed back as [`Shed::Moved`]; its running requests finish.
     ///
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,7 +31,7 @@
 pub use budget::{Connection, ConnectionBudget, RetryBudget};
 pub use health::{Health, Probe, State};
 pub use limit::{Limit, ServiceTime};
-pub use memory::{OutcomeMemory, Wall};
+pub use memory::{Handover, OutcomeMemory, Wall};
 pub use ownership::{Hold, Origin, Ownership, OwnershipError, Proof, Release};
 pub use request::{Digest, Record, Request, Shed};
 pub use ticket::{
--- a/crates/dispatch/src/mechanism.rs
+++ b/crates/dispatch/src/mechanism.rs
@@ -13,6 +13,8 @@
     Memory,
     /// The rule for `UUIDv7` ids from before the tenure or the memory.
     MintRule,
+    /// The records that a released shard carries.
+    Handover,
     /// The wait until nothing is in flight before a shard is released.
     ReleaseWait,
     /// Slots that stay occupied while the upstream may still work on an unanswered request.
--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -26,6 +26,11 @@
 //! another upstream brings ids that only the previous dispatcher knows, so the tenure of the shard
 //! begins when its release arrives, not when this dispatcher started.
 //!
+//! A planned move would therefore answer every non-idempotent request unknown whose id was minted
+//! before the move. To avoid that, the release of a shard carries a [`Handover`]: the records of the
+//! shard and the time since which they are complete. The new owner continues the tenure of the old
+//! one. A handover of more than [`HANDOVER_MAX`] records is left empty, and the tenure begins anew.
+//!
 //! An id minted more than [`CLOCK_ERROR`] in the future is answered unknown too. Once evicted, it
 //! would raise the bound above the present and cause every request of every caller to be answered
 //! unknown.
@@ -46,7 +51,8 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use trefoil_core::{RequestId, Tick, UnixMillis};
+use serde::{Deserialize, Serialize};
+use trefoil_core::{Outcome, RequestId, Shard, Tick, UnixMillis};
 
 use crate::mechanism::{Disabled, Mechanism};
 use crate::{Digest, Record, Request};
@@ -82,6 +88,18 @@
     UnixMillis(u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
 }
 
+/// Most records in a handover, so that it fits one frame of 1 MiB.
+pub const HANDOVER_MAX: usize = 4096;
+
+/// What the new owner of a shard learns about the shard's ids.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Handover {
+    /// The records are complete for ids minted at least [`CLOCK_ERROR`] after this time.
+    pub since: UnixMillis,
+    /// Ids that were seen, and what became of them.
+    pub records: Vec<(RequestId, Digest, Record)>,
+}
+
 /// What the memory knows of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Lookup {
@@ -103,6 +121,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Entry {
+    shard: Shard,
     digest: Digest,
     record: Option<Record>,
 }
@@ -206,6 +225,7 @@
         if let Some(id) = &request.id {
             self.make_room();
             let entry = Entry {
+                shard: request.shard,
                 digest: request.digest,
                 record: None,
             };
@@ -234,6 +254,55 @@
         }
     }
 
+    /// The records of a shard that has been served here since `since`.
+    ///
+    /// A request that is still open has been waited out, and its outcome is unknown.
+    pub fn export(&self, now: Tick, shard: Shard, since: UnixMillis) -> Handover {
+        let evicted = self.evicted.map_or(0, |latest| latest.0 + 1);
+        let kept = UnixMillis(evicted.saturating_sub(millis(CLOCK_ERROR).0));
+        let on = !self.disabled.has(Mechanism::Handover);
+        let entries = self.entries.iter().filter(|(_, e)| e.shard == shard && on);
+        let unknown = Record::of(Outcome::Unknown);
+        let records: Vec<_> = entries
+            .map(|(id, e)| (id.clone(), e.digest, e.record.unwrap_or(unknown)))
+            .take(HANDOVER_MAX + 1)
+            .collect();
+        if records.len() > HANDOVER_MAX {
+            return Handover {
+                since: self.wall.at(now),
+                records: Vec::new(),
+            };
+        }
+        Handover {
+            since: since.max(kept),
+            records,
+        }
+    }
+
+    /// Takes in the records of a shard. The record of an id that is in flight here becomes final,
+    /// and the driver of this memory must not start its request.
+    pub fn import(&mut self, now: Tick, shard: Shard, records: Vec<(RequestId, Digest, Record)>) {
+        for (id, digest, record) in records {
+            if self.entries.get(&id).is_some_and(|e| e.record.is_some()) {
+                continue;
+            }
+            self.make_room();
+            let entry = Entry {
+                shard,
+                digest,
+                record: Some(record),
+            };
+            self.entries.insert(id.clone(), entry);
+            self.finished.push_back((now, id));
+        }
+    }
+
+    /// The final record of a request's id, and whether it is of the same request.
+    pub fn record(&self, request: &Request) -> Option<(Record, bool)> {
+        let entry = self.entries.get(request.id.as_ref()?)?;
+        Some((entry.record?, entry.digest == request.digest))
+    }
+
     fn make_room(&mut self) {
         while self.entries.len() >= self.capacity && self.evict() {}
     }
--- a/crates/dispatch/src/ownership.rs
+++ b/crates/dispatch/src/ownership.rs
@@ -43,6 +43,8 @@
 use trefoil_core::chart::ChartError;
 use trefoil_core::{Revision, Shard, StateChart, Tick, UnixMillis, UpstreamName};
 
+use crate::memory::Handover;
+
 /// Validity of a grant.
 pub const GRANT: Duration = Duration::from_millis(1500);
 
@@ -119,6 +121,8 @@
     pub to: UpstreamName,
     /// Revision of the placement that moves the shard.
     pub revision: Revision,
+    /// What the new owner must know about the shard's ids.
+    pub handover: Handover,
 }
 
 /// Why a step of a shard is not possible.
@@ -266,8 +270,8 @@
         Ok(())
     }
 
-    /// Takes in the release of a shard. The shard may be served if the result is
-    /// [`Hold::Serving`].
+    /// Takes in the release of a shard whose ids are covered from `since`. The shard may be served
+    /// if the result is [`Hold::Serving`].
     ///
     /// A standby may receive the release of a lost owner before the log assigns the shard. The
     /// driver checks the recorded standby and calls [`Ownership::assign`] first.
@@ -278,15 +282,15 @@
     /// is to be acknowledged like the first.
     pub fn receive(
         &mut self,
-        unix: UnixMillis,
         shard: Shard,
         revision: Revision,
+        since: UnixMillis,
     ) -> Result<Hold, OwnershipError> {
         match self.shards.get(&shard) {
             Some(h) if h.awaits != revision => OtherReleaseSnafu { shard, revision }.fail(),
             _ => {
                 let holding = self.step(shard, HoldEvent::Received)?;
-                holding.since = unix;
+                holding.since = since;
                 Ok(holding.state)
             }
         }
@@ -364,7 +368,7 @@
         self.stopped = false;
     }
 
-    /// Completes the releases for which proof exists. Each is to be sent until the new owner's
+    /// Completes the releases for which proof exists, without their records. Each is to be sent until the new owner's
     /// dispatcher acknowledges it.
     pub fn poll(&mut self, now: Tick) -> Vec<Release> {
         let ready: Vec<Shard> = self
@@ -381,6 +385,10 @@
                 shard,
                 to,
                 revision,
+                handover: Handover {
+                    since: holding.since,
+                    records: Vec::new(),
+                },
             })
         };
         ready.into_iter().filter_map(release).collect()
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -1,6 +1,7 @@
 //! Requests as the dispatcher sees them.
 
 use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
 use trefoil_core::{Outcome, RequestId, Shard, Tick};
 
 use crate::Status;
@@ -10,7 +11,10 @@
 ///
 /// The driver computes it with a 128-bit hash. A caller that constructs a collision harms only its
 /// own request, so the hash does not need to be cryptographic.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, From, Into)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Display, From, Into, Serialize, Deserialize,
+)]
+#[serde(transparent)]
 pub struct Digest(pub u128);
 
 /// A request for one upstream.
@@ -73,7 +77,7 @@
 }
 
 /// The final judgement of a request, as it is remembered for repeats.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
     /// What the caller was told.
     pub outcome: Outcome,
@@ -113,6 +117,9 @@
     /// the outcome memory does not cover the id.
     #[display("forgotten")]
     Forgotten,
+    /// The previous owner of the shard has seen the id.
+    #[display("repeat")]
+    Repeat,
     /// The upstream is draining or lost.
     #[display("unavailable")]
     Unavailable,
@@ -125,7 +132,7 @@
     /// What the caller is told, if no attempt was started.
     pub fn outcome(self) -> Outcome {
         match self {
-            Self::Forgotten => Outcome::Unknown,
+            Self::Forgotten | Self::Repeat => Outcome::Unknown,
             Self::Expired
             | Self::TooLate
             | Self::QueueFull
@@ -147,7 +154,8 @@
             | Self::QueueFull
             | Self::MemoryFull
             | Self::Cancelled
-            | Self::Forgotten => true,
+            | Self::Forgotten
+            | Self::Repeat => true,
             Self::Unavailable | Self::Moved => false,
         }
     }
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -17,6 +17,7 @@
 //! [`Verdict::after`] keeps the unknown.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 use trefoil_core::Outcome;
 
 /// What happened on the upstream connection during one attempt.
@@ -68,7 +69,21 @@
 }
 
 /// HTTP status code of a whole answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, derive_more::From)]
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    derive_more::From,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
 pub struct Status(pub u16);
 
 impl Status {
--- a/tests/all/dispatch/load.rs
+++ b/tests/all/dispatch/load.rs
@@ -149,7 +149,8 @@
     for (setup, mechanism) in [
         (faulty(0), Mechanism::Memory),
         (takeover, Mechanism::MintRule),
-        (moved, Mechanism::ReleaseWait),
+        (moved.clone(), Mechanism::ReleaseWait),
+        (moved, Mechanism::Handover),
         (strained, Mechanism::Linger),
         (faulty(0), Mechanism::Doubt),
     ] {
--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use datadriven::{TestCase, walk};
-use trefoil_core::{Revision, Shard, Slots, Tick, UnixMillis};
+use trefoil_core::{Outcome, Revision, Shard, Slots, Tick, UnixMillis};
 use trefoil_dispatch::mechanism::Mechanism;
 use trefoil_dispatch::{
-    Access, Actions, Admission, Cause, Decision, Digest, Dropped, Finished, Origin, Proof, Refusal,
-    Report, Request, Status, Ticket, Wall,
+    Access, Actions, Admission, Cause, Decision, Digest, Dropped, Finished, Handover, Origin,
+    Proof, Record, Refusal, Report, Request, Status, Ticket, Wall,
 };
 
 use super::{ms, v7};
@@ -63,6 +63,7 @@
     match text {
         "memory" => Mechanism::Memory,
         "mint-rule" => Mechanism::MintRule,
+        "handover" => Mechanism::Handover,
         "release-wait" => Mechanism::ReleaseWait,
         "linger" => Mechanism::Linger,
         "shedding" => Mechanism::Shedding,
@@ -211,7 +212,12 @@
         );
         text.extend(actions.close.into_iter().map(|id| format!("close {id}\n")));
         let release = |r: trefoil_dispatch::Release| {
-            format!("release {} to {} at {}\n", r.shard, r.to, r.revision)
+            let (records, since) = (r.handover.records.len(), r.handover.since);
+            let covers = format!("{records} records since {since}");
+            format!(
+                "release {} to {} at {}, {covers}\n",
+                r.shard, r.to, r.revision
+            )
         };
         text.extend(actions.releases.into_iter().map(release));
         text
@@ -249,9 +255,21 @@
                     .assign(self.now, shard, origin)
                     .map(|()| String::new())
             }
-            "receive" => admission
-                .receive(self.now, shard, revision)
-                .map(|a| self.actions(a)),
+            "receive" => {
+                let since = UnixMillis(take(case, "since", 0));
+                // Records are written as `id.digest`; all of them are done.
+                let record = |text: String| {
+                    let (id, digest) = text.split_once('.').expect("an id and a digest");
+                    let record = Record::of(Outcome::Done);
+                    let digest = Digest(digest.parse().expect("a digest"));
+                    (request_id(id), digest, record)
+                };
+                let records = case.try_take_args::<String>("records").expect("records");
+                let records = records.into_iter().flatten().map(record).collect();
+                let handover = Handover { since, records };
+                let received = admission.receive(self.now, shard, revision, handover);
+                received.map(|a| self.actions(a))
+            }
             "revoke" => {
                 let to = take(case, "to", "other".to_owned());
                 let to = to.parse().expect("an upstream's name");
--- a/tests/all/dispatch/sim.rs
+++ b/tests/all/dispatch/sim.rs
@@ -89,6 +89,8 @@
     events: BTreeMap<(Tick, u64), Event>,
     nodes: Vec<Node>,
     calls: Vec<Sent>,
+    /// When upstream 1 began to serve the shards of upstream 0.
+    served: Option<Tick>,
     check: Checker,
 }
 
@@ -110,6 +112,7 @@
             events: BTreeMap::new(),
             nodes: Vec::new(),
             calls: Vec::new(),
+            served: None,
             check: Checker::default(),
             setup,
         };
@@ -245,11 +248,7 @@
 
     /// An execution on upstream 0 must not end after upstream 1 began to serve its shards.
     fn check_owner(&mut self, call: Call, node: usize, begun: Tick) {
-        let served = self.nodes.get(1).and_then(|n| {
-            let since = n.admission.ownership().serving_since(Shard(0))?;
-            Some(Tick(Duration::from_millis(since.0 - EPOCH)))
-        });
-        if self.setup.moved.is_some() && node == 0 && served.is_some_and(|s| self.now > s) {
+        if node == 0 && self.served.is_some_and(|since| self.now > since) {
             let id = &self.calls[call].id;
             let text = format!("{id} began at {begun} and ran after the shard moved");
             self.check.violations.insert(text);
@@ -347,8 +346,10 @@
             self.finish(node, era, id, Cause::TimedOut);
         }
         for release in actions.releases {
+            self.served = Some(self.now);
             let admission = &mut self.nodes[1].admission;
-            let received = admission.receive(self.now, release.shard, release.revision);
+            let received =
+                admission.receive(self.now, release.shard, release.revision, release.handover);
             self.act(1, received.expect("an awaited shard"));
         }
     }
