Check the dispatcher's invariants with random steps

Scripted scenarios cover only the orders of events that their author thought of. A model now applies random offers, completions, moves and grants to an admission and checks slots, queue order, single runs, truth of not-run, the memory bound, tickets and proof of release after every step. It also led to tickets that name their admission, and a stalled upstream now needs 30 s of answered probes to return, because three probes brought it back after 200 ms.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -63,7 +63,7 @@
 use crate::mechanism::{Disabled, Mechanism};
 use crate::memory::Lookup;
 use crate::queue::{Queue, Queued};
-use crate::ticket::NotFoundSnafu;
+use crate::ticket::{Issuer, NotFoundSnafu};
 use crate::{
     Actions, Cause, ConnectionBudget, Decision, Dropped, Finished, Hold, Limit, OutcomeMemory,
     Ownership, Record, Refusal, Report, Request, RetryBudget, ServiceTime, Shed, Sign, Stop,
@@ -105,6 +105,7 @@
     /// Ends of the attempts that the upstream may still work on.
     lingering: BinaryHeap<Reverse<Tick>>,
     next: u64,
+    issuer: Issuer,
     memory: OutcomeMemory,
     ownership: Ownership,
     disabled: Disabled,
@@ -263,7 +264,10 @@
             closing: false,
         };
         self.running.insert(id, running);
-        Ticket { id }
+        Ticket {
+            id,
+            issuer: self.issuer,
+        }
     }
 
     fn start_ready(&mut self, now: Tick, actions: &mut Actions) {
@@ -347,8 +351,10 @@
         ticket: Ticket,
         cause: Cause,
     ) -> Result<Finished, TicketError> {
-        let Ticket { id } = ticket;
-        let run = self.running.remove(&id).context(NotFoundSnafu { id })?;
+        let Ticket { id, issuer } = ticket;
+        let own = issuer == self.issuer;
+        let run = own.then(|| self.running.remove(&id)).flatten();
+        let run = run.context(NotFoundSnafu { id })?;
         let attempt = cause.verdict();
         let verdict = attempt.after(run.doubt);
         let until = run.request.deadline.after(self.margin).max(now);
--- a/crates/dispatch/src/admission/builder.rs
+++ b/crates/dispatch/src/admission/builder.rs
@@ -116,6 +116,7 @@
             running: std::collections::BTreeMap::new(),
             lingering: std::collections::BinaryHeap::new(),
             next: 0,
+            issuer: crate::ticket::Issuer::next(),
             memory,
             ownership,
             disabled: self.disabled,
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -29,9 +29,10 @@
 //!
 //! # Recovery
 //!
-//! A lost upstream is cold again after three answered probes in a row. It owns nothing then, since
-//! its shards were released, and gets shards only from a new plan. One answered probe would not
-//! suffice: a stalled upstream answers every probe.
+//! An upstream that was silent is cold again after three answered probes in a row. It owns nothing
+//! then, since its shards were released, and gets shards only from a new plan. After a stall,
+//! answered probes prove little, and an early return would move keys there and back for as long as
+//! the stall lasts. It then takes [`STALL_PROBES`] answered probes in a row, which is 30 s.
 
 use std::time::Duration;
 
@@ -56,6 +57,9 @@
 /// Requests in a row that must fail to make an upstream lost that answers probes.
 pub const STALL_FAILURES: u32 = 8;
 
+/// Answered probes in a row that bring an upstream back after a stall.
+pub const STALL_PROBES: u32 = 75;
+
 const CHART: &str = include_str!("health.yaml");
 
 /// State of an upstream.
@@ -132,6 +136,8 @@
     next: u64,
     failed: u32,
     answered: u32,
+    /// Answered probes that bring a lost upstream back.
+    needed: u32,
     /// Requests that failed since one was answered.
     stall: Streak,
     /// Requests that were answered since the state was last cold.
@@ -155,6 +161,7 @@
             next: 0,
             failed: 0,
             answered: 0,
+            needed: PROBES,
             stall: Streak::default(),
             warm: 0,
         })
@@ -236,7 +243,8 @@
     }
 
     fn apply_answer(&mut self, now: Tick) {
-        if self.answered >= PROBES {
+        if self.answered >= self.needed {
+            self.needed = PROBES;
             self.apply(now, Event::Recovered);
         }
         self.apply(now, Event::Answered);
@@ -260,6 +268,9 @@
     }
 
     fn count_failure(&mut self, now: Tick) {
+        if self.access() == Access::Closed {
+            return;
+        }
         if self.stall.count == 0 {
             self.stall.since = now;
         }
@@ -268,6 +279,7 @@
         self.due = self.due.min(now);
         if self.stall.count >= STALL_FAILURES && now.since(self.stall.since) >= STALL {
             self.stall = Streak::default();
+            self.needed = STALL_PROBES;
             self.apply(now, Event::Stalled);
         }
     }
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -1,5 +1,7 @@
 //! Handles and results of admission.
 
+use std::sync::atomic::{AtomicU64, Ordering};
+
 use derive_more::Display;
 use smallvec::SmallVec;
 use snafu::Snafu;
@@ -19,6 +21,19 @@
 #[must_use = "the slot stays occupied until the ticket is finished"]
 pub struct Ticket {
     pub(crate) id: TicketId,
+    /// The admission that issued the ticket.
+    pub(crate) issuer: Issuer,
+}
+
+/// Number of an admission in this process, so that a ticket cannot free a slot of another upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Issuer(u64);
+
+impl Issuer {
+    pub(crate) fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(0);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
 }
 
 impl Ticket {
--- a/tests/all/dispatch.rs
+++ b/tests/all/dispatch.rs
@@ -1,7 +1,9 @@
 //! Tests of `trefoil-dispatch`.
 
 mod causes;
+mod limits;
 mod load;
+mod properties;
 mod script;
 mod sim;
 
--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -3,6 +3,8 @@
 //! A scenario drives one [`Admission`] on manual time; times are in milliseconds. Ids written as
 //! `v1000-7` are `UUIDv7` ids minted at Unix time 1000 ms. `REWRITE=1` updates the expected output.
 
+mod health;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -30,6 +32,7 @@
     now: Tick,
     admission: Option<Admission>,
     tickets: BTreeMap<String, Ticket>,
+    health: health::Script,
 }
 
 fn take<T>(case: &mut TestCase, name: &str, default: T) -> T
@@ -89,6 +92,9 @@
             self.new_admission(case);
             return String::new();
         }
+        if let Some(part) = name.strip_prefix("health-") {
+            return self.health.run(part, case);
+        }
         let mut admission = self.admission.take().expect("`new` comes first");
         let text = match name.as_str() {
             "offer" => self.offer(&mut admission, case),
