Keep connections of non-idempotent requests to a lost upstream

Closing every connection of a lost upstream turned outcomes into unknown that a late answer would have settled. Only idempotent requests are closed now, since they can run on the standby instead. A release that arrives twice is told apart from a wrong one, and a poll visits only the shards that are being released.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -44,7 +44,7 @@
 //!
 //! A draining upstream gets no new requests. What is already queued may start within
 //! [`DRAIN_QUEUE`], less than the 3 s after which a leaving upstream must receive nothing new. A
-//! lost upstream starts nothing, its queue is handed back, and its connections are closed.
+//! lost upstream starts nothing and its queue is handed back, see [`Admission::set_access`].
 
 mod access;
 mod builder;
--- a/crates/dispatch/src/admission/access.rs
+++ b/crates/dispatch/src/admission/access.rs
@@ -45,7 +45,9 @@
 
     /// Changes whether the upstream may receive requests, see [`Health::access`].
     ///
-    /// An upstream that returns from [`Access::Closed`] is cold: its limit starts again at 1.
+    /// When the upstream is lost, its queue is handed back and the connections of its idempotent
+    /// requests are closed. An upstream that returns from [`Access::Closed`]
+    /// is cold: its limit starts again at 1.
     ///
     /// [`Health::access`]: crate::Health::access
     pub fn set_access(&mut self, now: Tick, access: Access) -> Actions {
@@ -55,9 +57,13 @@
             Access::Closed if before != Access::Closed => {
                 self.ownership.stop_grants();
                 actions.dropped = self.drop_all(now);
-                for (&id, run) in self.running.iter_mut().filter(|(_, r)| !r.closing) {
-                    run.closing = true;
-                    actions.close.push(id);
+                // An idempotent request can run on the standby instead. Another one keeps its
+                // connection, since only a late answer can settle its outcome.
+                for (&id, run) in &mut self.running {
+                    if run.request.idempotent && !run.closing {
+                        run.closing = true;
+                        actions.close.push(id);
+                    }
                 }
             }
             Access::Open if before == Access::Closed => {
--- a/crates/dispatch/src/ownership.rs
+++ b/crates/dispatch/src/ownership.rs
@@ -34,7 +34,7 @@
 //! must not start before the release of the previous one has arrived here. A shard cannot be
 //! assigned again while it is being released; the driver applies the assignment after the release.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use derive_more::Display;
@@ -138,6 +138,15 @@
         /// The event.
         event: HoldEvent,
     },
+    /// The release has been taken in before. The sender did not receive the acknowledgement, so it is
+    /// to be acknowledged again.
+    #[snafu(display("the release of shard {shard} at revision {revision} is a repeat"))]
+    Repeated {
+        /// The shard.
+        shard: Shard,
+        /// Revision of the release.
+        revision: Revision,
+    },
     /// A release names another revision than the one the shard waits for.
     #[snafu(display("shard {shard} waits for another release than that of revision {revision}"))]
     OtherRelease {
@@ -171,6 +180,8 @@
     chart: StateChart<Hold, HoldEvent>,
     proof: Proof,
     shards: BTreeMap<Shard, Holding>,
+    /// The shards in [`Hold::Releasing`], so that a poll does not visit all shards.
+    releasing: BTreeSet<Shard>,
     stopped: bool,
     wait: bool,
 }
@@ -186,6 +197,7 @@
             chart: StateChart::parse(CHART)?,
             proof,
             shards: BTreeMap::new(),
+            releasing: BTreeSet::new(),
             stopped: false,
             wait: true,
         })
@@ -203,6 +215,12 @@
             .map_or(self.chart.initial(), |h| h.state)
     }
 
+    /// Whether no shard is owned here or on its way here or away.
+    pub fn is_empty(&self) -> bool {
+        let initial = self.chart.initial();
+        self.shards.values().all(|h| h.state == initial)
+    }
+
     /// The upstream that a shard was or is being released to.
     pub fn successor(&self, shard: Shard) -> Option<&UpstreamName> {
         let (to, _) = self.shards.get(&shard)?.to.as_ref()?;
@@ -234,6 +252,10 @@
             state,
             event,
         })?;
+        match holding.state {
+            Hold::Releasing => self.releasing.insert(shard),
+            _ => self.releasing.remove(&shard),
+        };
         Ok(holding)
     }
 
@@ -278,8 +300,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the shard does not wait for this release. A repeated message ends here as well and
-    /// is to be acknowledged like the first.
+    /// Fails if the shard does not wait for this release, or has taken it in before.
     pub fn receive(
         &mut self,
         shard: Shard,
@@ -288,6 +309,9 @@
     ) -> Result<Hold, OwnershipError> {
         match self.shards.get(&shard) {
             Some(h) if h.awaits != revision => OtherReleaseSnafu { shard, revision }.fail(),
+            Some(h) if !matches!(h.state, Hold::Awaiting | Hold::Relaying) => {
+                RepeatedSnafu { shard, revision }.fail()
+            }
             _ => {
                 let holding = self.step(shard, HoldEvent::Received)?;
                 holding.since = since;
@@ -372,10 +396,9 @@
     /// dispatcher acknowledges it.
     pub fn poll(&mut self, now: Tick) -> Vec<Release> {
         let ready: Vec<Shard> = self
-            .shards
-            .iter()
-            .filter(|(_, h)| h.state == Hold::Releasing && self.proven_at(h) <= now)
-            .map(|(&shard, _)| shard)
+            .releasing()
+            .filter(|&(_, h)| self.proven_at(h) <= now)
+            .map(|(shard, _)| shard)
             .collect();
         let release = |shard| {
             let holding = self.step(shard, HoldEvent::Proven).ok()?;
@@ -396,8 +419,12 @@
 
     /// The earliest tick at which [`Ownership::poll`] may complete a release without another event.
     pub fn next_wake(&self) -> Option<Tick> {
-        let releasing = self.shards.values().filter(|h| h.state == Hold::Releasing);
-        releasing.map(|h| self.proven_at(h)).min()
+        self.releasing().map(|(_, h)| self.proven_at(h)).min()
+    }
+
+    fn releasing(&self) -> impl Iterator<Item = (Shard, &Holding)> {
+        let shards = self.releasing.iter();
+        shards.filter_map(|shard| Some((*shard, self.shards.get(shard)?)))
     }
 
     /// When proof exists if no further request is answered.
--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -100,6 +100,21 @@
             "offer" => self.offer(&mut admission, case),
             "finish" => self.finish(&mut admission, case),
             "until" => self.until(&mut admission, ms(take(case, "t", 0))),
+            "repeat" => {
+                // Idempotent requests that are answered after 10 ms each.
+                for _ in 0..take(case, "times", 1) {
+                    let deadline = self.now.after(Duration::from_mins(1));
+                    let request = Request::new(Shard(0), deadline).idempotent();
+                    let Decision::Start(ticket) = admission.offer(self.now, request) else {
+                        panic!("the upstream is idle");
+                    };
+                    self.now = self.now.after(Duration::from_millis(10));
+                    let answered = Cause::Answered(Status(200));
+                    let finished = admission.finish(self.now, ticket, answered);
+                    finished.expect("the ticket is of this admission");
+                }
+                String::new()
+            }
             "check" => {
                 let ticket = &self.tickets[&take(case, "n", String::new())];
                 match admission.check_write(self.now, ticket) {
