Add the QUIC endpoints between hosts

Entry hosts need a way to forward requests to dispatchers and to exchange control messages, with proof of whether a request can have reached its peer. The crate gives each request its own bidirectional stream of one pooled connection for each address, with a postcard head and a raw body, under mutual TLS 1.3 with the deployment's own authority. A host certificate carries a role name that clients verify and a name below it that becomes the peer id, and the accepting side sends a greeting once it accepts the certificate, so that every failure before it is known to be unsent.

Refusals, losses and cancellation are implemented but not tested yet.

--- /dev/null
+++ b/crates/wire/src/code.rs
@@ -0,0 +1,48 @@
+//! Codes of stream resets and of closed connections.
+//!
+//! A peer uses a code of [`is_refusal`] only for a stream that it has not passed to its handler.
+//! Such a code is therefore proof that the request did not run, as no other reset is.
+
+use quinn::VarInt;
+
+/// The requester no longer wants the answer.
+pub const CANCELLED: u32 = 1;
+/// The source of the body failed.
+pub const CUT: u32 = 2;
+/// The handler ended without an answer.
+pub const ABORTED: u32 = 3;
+
+/// The frame cannot be decoded or breaks a rule.
+pub const MALFORMED: u32 = 16;
+/// The frame is longer than allowed.
+pub const TOO_LARGE: u32 = 17;
+/// The frame did not arrive in time.
+pub const TOO_SLOW: u32 = 18;
+/// The host is shutting down.
+pub const DRAINING: u32 = 19;
+/// The certificate does not name one host.
+pub const NO_IDENTITY: u32 = 20;
+
+/// Whether `code` says that the request was not passed to the handler.
+pub fn is_refusal(code: u64) -> bool {
+    (u64::from(MALFORMED)..=u64::from(NO_IDENTITY)).contains(&code)
+}
+
+/// The meaning of a code in words.
+pub fn describe(code: u64) -> &'static str {
+    match u32::try_from(code).unwrap_or(u32::MAX) {
+        CANCELLED => "cancelled",
+        CUT => "source of the body failed",
+        ABORTED => "handler ended without an answer",
+        MALFORMED => "malformed frame",
+        TOO_LARGE => "frame too large",
+        TOO_SLOW => "frame not received in time",
+        DRAINING => "host is shutting down",
+        NO_IDENTITY => "certificate does not name one host",
+        _ => "unknown code",
+    }
+}
+
+pub(crate) fn var(code: u32) -> VarInt {
+    VarInt::from_u32(code)
+}
--- /dev/null
+++ b/crates/wire/src/endpoint.rs
@@ -0,0 +1,305 @@
+//! The UDP socket of a host, its transport settings and its limits.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{EndpointConfig, IdleTimeout, SmolRuntime, TransportConfig, VarInt};
+use quinn_proto::HashedConnectionIdGenerator;
+use ring::hmac;
+use snafu::Snafu;
+use trefoil_core::{Clock, SystemClock};
+
+use crate::keys::{Identity, KeyError, PeerId};
+use crate::peers::{Handler, QuicPeers};
+use crate::server::Server;
+
+/// Protocol version in the ALPN.
+pub const PROTOCOL: &str = "trefoil/1";
+
+/// Receive window of one stream, in bytes. A body of 8 MiB over a round trip of 10 ms takes
+/// 0.64 s.
+const STREAM_WINDOW: u32 = 128 * 1024;
+
+/// Round trip assumed before the first measurement. The default of 333 ms repeats a lost first
+/// packet only after a second, which is the whole connect timeout.
+const INITIAL_RTT: Duration = Duration::from_millis(50);
+
+/// Connections in handshake above which a client must first prove its address.
+pub(crate) const HANDSHAKES_MAX: usize = 128;
+
+/// Why an endpoint does not open.
+#[derive(Debug, Snafu)]
+pub enum OpenError {
+    /// The socket cannot be opened.
+    #[snafu(display("cannot open UDP socket {addr}: {source}"))]
+    Socket {
+        /// Address of the socket.
+        addr: SocketAddr,
+        /// Error of the system.
+        source: io::Error,
+    },
+    /// The keys are not usable.
+    #[snafu(display("{source}"), context(false))]
+    Keys {
+        /// Error of the keys.
+        source: KeyError,
+    },
+    /// A setting is out of range.
+    #[snafu(display("setting out of range: {reason}"))]
+    Setting {
+        /// Message of the library.
+        reason: String,
+    },
+}
+
+fn setting<E>(error: E) -> OpenError
+where
+    E: std::fmt::Display,
+{
+    OpenError::Setting {
+        reason: error.to_string(),
+    }
+}
+
+/// Limits of an endpoint, shared by its client and its server.
+#[derive(Debug, Clone)]
+pub(crate) struct Limits {
+    pub(crate) connect: Duration,
+    pub(crate) head: Duration,
+    pub(crate) call: Duration,
+    pub(crate) grace: Duration,
+    pub(crate) idle: Duration,
+    pub(crate) retain: Duration,
+    pub(crate) streams: u32,
+    pub(crate) connections: usize,
+}
+
+/// Settings of an [`Endpoint`].
+#[derive(Debug)]
+pub struct Builder {
+    identity: Identity,
+    clock: Arc<dyn Clock>,
+    versions: Vec<Vec<u8>>,
+    limits: Limits,
+}
+
+impl Builder {
+    /// Default settings for a host with this identity.
+    pub fn new(identity: Identity) -> Self {
+        Self {
+            identity,
+            clock: Arc::new(SystemClock),
+            versions: vec![PROTOCOL.into()],
+            limits: Limits {
+                connect: Duration::from_secs(1),
+                head: Duration::from_secs(1),
+                call: Duration::from_secs(2),
+                grace: Duration::from_millis(500),
+                idle: Duration::from_secs(3),
+                retain: Duration::from_secs(10),
+                streams: 512,
+                connections: 8_192,
+            },
+        }
+    }
+
+    /// Clock for timeouts and for the validity of certificates. QUIC's own timers run on the
+    /// system's clock.
+    #[must_use]
+    pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
+        self.clock = clock;
+        self
+    }
+
+    /// Protocol versions to offer and accept, best first. Default: [`PROTOCOL`].
+    #[must_use]
+    pub fn versions(mut self, versions: &[&str]) -> Self {
+        self.versions = versions.iter().map(|&v| v.into()).collect();
+        self
+    }
+
+    /// Longest time for a connection to become usable. Default: 1 s.
+    #[must_use]
+    pub fn connect_timeout(mut self, span: Duration) -> Self {
+        self.limits.connect = span;
+        self
+    }
+
+    /// Longest time for the head of a request to arrive after its stream was opened. Default: 1 s.
+    #[must_use]
+    pub fn head_timeout(mut self, span: Duration) -> Self {
+        self.limits.head = span;
+        self
+    }
+
+    /// Longest time for a call including its answer. Default: 2 s.
+    #[must_use]
+    pub fn call_timeout(mut self, span: Duration) -> Self {
+        self.limits.call = span;
+        self
+    }
+
+    /// Time past the budget of a forwarded request in which its answer is still awaited, so that
+    /// the dispatcher's own report of a missed deadline arrives. Default: 500 ms.
+    #[must_use]
+    pub fn answer_grace(mut self, span: Duration) -> Self {
+        self.limits.grace = span;
+        self
+    }
+
+    /// Silence after which a connection counts as lost. Default: 3 s.
+    #[must_use]
+    pub fn idle_timeout(mut self, span: Duration) -> Self {
+        self.limits.idle = span;
+        self
+    }
+
+    /// Time after which an unused connection to a peer is closed. Default: 10 s.
+    #[must_use]
+    pub fn retain(mut self, span: Duration) -> Self {
+        self.limits.retain = span;
+        self
+    }
+
+    /// Most concurrent requests on one connection. Default: 512.
+    #[must_use]
+    pub fn max_streams(mut self, count: u32) -> Self {
+        self.limits.streams = count;
+        self
+    }
+
+    /// Most connections that are accepted at a time. Default: 8,192.
+    #[must_use]
+    pub fn max_connections(mut self, count: usize) -> Self {
+        self.limits.connections = count;
+        self
+    }
+
+    /// The transport of one side; `bidi` and `uni` are the streams that its peer may open.
+    fn transport(&self, bidi: u32, uni: u32) -> Result<TransportConfig, OpenError> {
+        let idle = IdleTimeout::try_from(self.limits.idle).map_err(setting)?;
+        let mut transport = TransportConfig::default();
+        transport
+            .max_concurrent_bidi_streams(bidi.into())
+            .max_concurrent_uni_streams(uni.into())
+            .max_idle_timeout(Some(idle))
+            .initial_rtt(INITIAL_RTT)
+            .datagram_receive_buffer_size(None)
+            .stream_receive_window(STREAM_WINDOW.into())
+            // The sum of all stream windows, so that bodies nobody reads cannot use up the window
+            // of the connection and block the other requests.
+            .receive_window(window(self.limits.streams));
+        Ok(transport)
+    }
+
+    /// Opens the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket cannot be opened, the keys are not usable or a setting is out of range.
+    pub fn open(self, addr: SocketAddr) -> Result<Endpoint, OpenError> {
+        let mut client = self.transport(0, 1)?;
+        // Only the connecting side keeps a connection alive, as only it knows whether it is used.
+        client.keep_alive_interval(Some(self.limits.idle / 3));
+        let server = self.transport(self.limits.streams, 0)?;
+
+        let tls = self.identity.server_tls(&self.clock, &self.versions)?;
+        let tls = QuicServerConfig::try_from(tls).map_err(setting)?;
+        let mut accept = quinn::ServerConfig::with_crypto(Arc::new(tls));
+        accept
+            .transport_config(Arc::new(server))
+            .migration(false)
+            .max_incoming(2 * HANDSHAKES_MAX)
+            .incoming_buffer_size(64 * 1024)
+            .incoming_buffer_size_total(4 * 1024 * 1024);
+
+        let tls = self.identity.client_tls(&self.clock, &self.versions)?;
+        let tls = QuicClientConfig::try_from(tls).map_err(setting)?;
+        let mut connect = quinn::ClientConfig::new(Arc::new(tls));
+        connect.transport_config(Arc::new(client));
+
+        let socket = UdpSocket::bind(addr).map_err(|source| OpenError::Socket { addr, source })?;
+        let runtime = Arc::new(SmolRuntime);
+        let quic = quinn::Endpoint::new(self.restartable(), Some(accept), socket, runtime);
+        let quic = quic.map_err(|source| OpenError::Socket { addr, source })?;
+        let addr = quic
+            .local_addr()
+            .map_err(|source| OpenError::Socket { addr, source })?;
+        Ok(Endpoint {
+            peers: QuicPeers::new(quic.clone(), connect, Arc::clone(&self.clock), &self.limits),
+            quic,
+            addr,
+            peer: self.identity.peer().clone(),
+            clock: self.clock,
+            limits: self.limits,
+        })
+    }
+
+    /// Settings that let peers recognise a restart of this host.
+    ///
+    /// The secrets for connection ids and stateless resets are derived from the private key. A
+    /// process that is restarted at the same address can thus tell peers at once that it does not
+    /// know their connections. With random secrets they would send into the void for the idle
+    /// timeout of 3 s.
+    fn restartable(&self) -> EndpointConfig {
+        let reset = self.identity.secret("trefoil stateless reset");
+        let reset = hmac::Key::new(hmac::HMAC_SHA256, reset.as_ref());
+        let ids = self.identity.secret("trefoil connection ids");
+        let ids = ids
+            .as_ref()
+            .first_chunk()
+            .map_or(0, |b| u64::from_be_bytes(*b));
+        let mut config = EndpointConfig::new(Arc::new(reset));
+        config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(ids)));
+        config
+    }
+}
+
+fn window(streams: u32) -> VarInt {
+    let bytes = u64::from(STREAM_WINDOW) * u64::from(streams);
+    VarInt::from_u64(bytes).unwrap_or(VarInt::MAX)
+}
+
+/// The QUIC socket of a host, with which it connects to peers and accepts them.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    quic: quinn::Endpoint,
+    peers: QuicPeers,
+    addr: SocketAddr,
+    peer: PeerId,
+    clock: Arc<dyn Clock>,
+    limits: Limits,
+}
+
+impl Endpoint {
+    /// Address of the socket.
+    pub fn local_addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// The name under which peers know this host.
+    pub fn peer(&self) -> &PeerId {
+        &self.peer
+    }
+
+    /// The way to other hosts. All clones share their connections.
+    pub fn peers(&self) -> QuicPeers {
+        self.peers.clone()
+    }
+
+    /// Accepts peers until the server is drained or dropped.
+    pub fn serve(&self, handler: Arc<dyn Handler>) -> Server {
+        let clock = Arc::clone(&self.clock);
+        Server::start(self.quic.clone(), handler, clock, &self.limits)
+    }
+
+    /// Closes all connections and waits until peers have been told, at most for the idle timeout.
+    pub async fn close(&self) {
+        self.quic.close(VarInt::from_u32(0), b"closed");
+        let told = self.quic.wait_idle();
+        futures_lite::future::or(told, self.clock.sleep(self.limits.idle)).await;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/pool.rs
@@ -0,0 +1,208 @@
+//! One connection to each peer.
+//!
+//! The first request to an address connects, and requests that come meanwhile wait for the same
+//! attempt. The attempt belongs to its waiters: if the one that drives it is dropped, the next one
+//! goes on. A failed attempt is remembered for [`RETRY_DELAY`], so that a peer that refuses this
+//! host is not asked at the rate of the requests.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures_lite::future::or;
+use quinn::{ClientConfig, Connection, ConnectionError, RecvStream, SendStream, VarInt};
+use smol::lock::OnceCell;
+use trefoil_core::{Clock, Tick};
+
+use crate::code;
+use crate::endpoint::Limits;
+use crate::error::PeerError;
+use crate::keys::{self, ROLE};
+
+/// Time for which a failed attempt to connect answers for further requests.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// What the accepting side sends on a stream of its own once it accepts the certificate.
+pub(crate) const GREETING: u8 = 1;
+
+/// TLS alert `no_application_protocol` (RFC 7301).
+const ALERT_NO_PROTOCOL: u64 = 120;
+
+/// QUIC error codes that carry a TLS alert (RFC 9001, section 4.8).
+const ALERTS: std::ops::Range<u64> = 0x100..0x200;
+
+#[derive(Debug, Default)]
+struct Attempt {
+    done: OnceCell<(Tick, Result<Connection, PeerError>)>,
+    used: Mutex<Tick>,
+}
+
+impl Attempt {
+    /// Whether a new request can join this attempt or its connection.
+    fn usable(&self, now: Tick) -> bool {
+        match self.done.get() {
+            None => true,
+            Some((_, Ok(conn))) => conn.close_reason().is_none(),
+            Some((at, Err(_))) => now.since(*at) < RETRY_DELAY,
+        }
+    }
+
+    fn touch(&self, now: Tick) {
+        *self.used.lock().unwrap_or_else(PoisonError::into_inner) = now;
+    }
+
+    fn idle_since(&self) -> Tick {
+        *self.used.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Connections by address.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    quic: quinn::Endpoint,
+    config: ClientConfig,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) limits: Limits,
+    attempts: Mutex<HashMap<SocketAddr, Arc<Attempt>>>,
+}
+
+impl Pool {
+    pub(crate) fn new(
+        quic: quinn::Endpoint,
+        config: ClientConfig,
+        clock: Arc<dyn Clock>,
+        limits: &Limits,
+    ) -> Self {
+        Self {
+            quic,
+            config,
+            clock,
+            limits: limits.clone(),
+            attempts: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Arc<Attempt>>> {
+        self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Number of open connections.
+    pub(crate) fn len(&self) -> usize {
+        let attempts = self.lock();
+        let open = attempts.values().filter(
+            |a| matches!(a.done.get(), Some((_, Ok(conn))) if conn.close_reason().is_none()),
+        );
+        open.count()
+    }
+
+    /// Opens a stream to `to`. Nothing has been sent when this fails.
+    pub(crate) async fn stream(
+        &self,
+        to: SocketAddr,
+    ) -> Result<(SendStream, RecvStream), PeerError> {
+        let conn = self.connection(to).await?;
+        if let Ok(streams) = conn.open_bi().await {
+            return Ok(streams);
+        }
+        // A connection that is found lost here has not carried this request yet, so a second
+        // attempt repeats nothing.
+        let conn = self.connection(to).await?;
+        conn.open_bi().await.map_err(|e| connect_error(to, &e))
+    }
+
+    async fn connection(&self, to: SocketAddr) -> Result<Connection, PeerError> {
+        let attempt = self.attempt(to);
+        let connect = async || {
+            let conn = self.connect(to).await;
+            (self.clock.now(), conn)
+        };
+        let (_, conn) = attempt.done.get_or_init(connect).await;
+        conn.clone()
+    }
+
+    fn attempt(&self, to: SocketAddr) -> Arc<Attempt> {
+        let now = self.clock.now();
+        let mut attempts = self.lock();
+        let unused = |a: &Attempt| now.since(a.idle_since()) > self.limits.retain;
+        // Streams hold their connection, so it closes only after its last request. An attempt that
+        // others wait for has further references.
+        attempts.retain(|_, a| a.usable(now) && !(unused(a) && Arc::strong_count(a) == 1));
+        let attempt = attempts.entry(to).or_default();
+        attempt.touch(now);
+        Arc::clone(attempt)
+    }
+
+    async fn connect(&self, to: SocketAddr) -> Result<Connection, PeerError> {
+        let late = async {
+            self.clock.sleep(self.limits.connect).await;
+            Err(PeerError::Connect {
+                to,
+                reason: format!("no connection after {:?}", self.limits.connect),
+            })
+        };
+        or(self.handshake(to), late).await
+    }
+
+    async fn handshake(&self, to: SocketAddr) -> Result<Connection, PeerError> {
+        let connecting = self.quic.connect_with(self.config.clone(), to, ROLE);
+        let connecting = connecting.map_err(|e| PeerError::Connect {
+            to,
+            reason: e.to_string(),
+        })?;
+        let conn = connecting.await.map_err(|e| connect_error(to, &e))?;
+        // In TLS 1.3 the client's handshake ends before the server has seen its certificate. Until
+        // the greeting arrives, the server may still refuse it.
+        let mut greeting = conn.accept_uni().await.map_err(|e| connect_error(to, &e))?;
+        let greeting = greeting.read_to_end(1).await;
+        match (greeting, identity(&conn)) {
+            (_, Err(reason)) => {
+                conn.close(code::var(code::NO_IDENTITY), reason.as_bytes());
+                Err(PeerError::Untrusted { to, reason })
+            }
+            (Ok(bytes), Ok(_)) if bytes == [GREETING] => Ok(conn),
+            (Ok(_), Ok(_)) => Err(PeerError::Connect {
+                to,
+                reason: "unknown greeting".to_owned(),
+            }),
+            (Err(e), Ok(_)) => Err(PeerError::Connect {
+                to,
+                reason: e.to_string(),
+            }),
+        }
+    }
+}
+
+/// The peer's name from its certificate.
+pub(crate) fn identity(conn: &Connection) -> Result<keys::PeerId, String> {
+    let chain = conn
+        .peer_identity()
+        .and_then(|id| {
+            id.downcast::<Vec<rustls::pki_types::CertificateDer<'static>>>()
+                .ok()
+        })
+        .unwrap_or_default();
+    keys::peer_id(&chain).map_err(|e| e.to_string())
+}
+
+fn connect_error(to: SocketAddr, error: &ConnectionError) -> PeerError {
+    let reason = error.to_string();
+    match error {
+        ConnectionError::ConnectionClosed(close) => match u64::from(close.error_code) {
+            code if code == ALERTS.start + ALERT_NO_PROTOCOL => PeerError::Version { to },
+            code if ALERTS.contains(&code) => PeerError::Unaccepted { to, reason },
+            _ => PeerError::Connect { to, reason },
+        },
+        ConnectionError::TransportError(e) => match u64::from(e.code) {
+            code if code == ALERTS.start + ALERT_NO_PROTOCOL => PeerError::Version { to },
+            code if ALERTS.contains(&code) => PeerError::Untrusted { to, reason },
+            _ => PeerError::Connect { to, reason },
+        },
+        ConnectionError::ApplicationClosed(close)
+            if close.error_code == VarInt::from_u32(code::NO_IDENTITY) =>
+        {
+            PeerError::Unaccepted { to, reason }
+        }
+        _ => PeerError::Connect { to, reason },
+    }
+}
--- a/tests/all/wire.rs
+++ b/tests/all/wire.rs
@@ -1,1 +1,4 @@
-//! Tests of `trefoil-wire`.
+//! Tests of `trefoil-wire` on loopback.
+
+mod round_trip;
+mod support;
--- /dev/null
+++ b/tests/all/wire/support.rs
@@ -0,0 +1,261 @@
+//! Hosts of a test deployment and a handler that does what the path of the request says.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future::or;
+use http_body_util::BodyExt;
+use smol::Timer;
+use smol::channel::{Receiver, Sender, unbounded};
+use trefoil_core::{Clock, KeyHash, Outcome, Revision, SystemClock};
+use trefoil_wire::{
+    AnswerHead, Authority, Body, BoxFuture, Builder, Endpoint, ForwardHead, Handler, Identity,
+    PeerId, Server, body,
+};
+
+/// Longest time of one test.
+const TEST_MAX: Duration = Duration::from_secs(20);
+
+/// Validity of the certificates.
+pub const DAY: Duration = Duration::from_hours(24);
+
+/// Runs a test and fails it if it hangs.
+pub fn run<F>(test: F) -> F::Output
+where
+    F: Future,
+{
+    smol::block_on(or(test, async {
+        Timer::after(TEST_MAX).await;
+        panic!("the test took longer than {TEST_MAX:?}");
+    }))
+}
+
+/// Waits until `done` holds.
+pub async fn eventually<F>(what: &str, done: F)
+where
+    F: Fn() -> bool,
+{
+    for _ in 0..500 {
+        if done() {
+            return;
+        }
+        Timer::after(Duration::from_millis(10)).await;
+    }
+    panic!("did not happen within 5 s: {what}");
+}
+
+/// An authority whose certificates are valid now.
+pub fn authority() -> Authority {
+    Authority::create("test", SystemClock.unix(), DAY).unwrap()
+}
+
+/// The identity of a host.
+pub fn identity(authority: &Authority, name: &str) -> Identity {
+    let host = name.parse().unwrap();
+    authority.identity(&host, SystemClock.unix(), DAY).unwrap()
+}
+
+/// An unused loopback address.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// An endpoint with default settings.
+pub fn open(authority: &Authority, name: &str) -> Endpoint {
+    Builder::new(identity(authority, name))
+        .open(loopback())
+        .unwrap()
+}
+
+/// A host that serves and one that asks it.
+pub struct Pair {
+    pub authority: Authority,
+    pub handler: Arc<Script>,
+    pub served: Endpoint,
+    pub server: Server,
+    pub asking: Endpoint,
+    pub to: SocketAddr,
+}
+
+/// A pair with default settings.
+pub fn pair() -> Pair {
+    let authority = authority();
+    let handler = Script::new();
+    let served = open(&authority, "served");
+    let server = served.serve(handler.clone());
+    let asking = open(&authority, "asking");
+    Pair {
+        to: served.local_addr(),
+        authority,
+        handler,
+        served,
+        server,
+        asking,
+    }
+}
+
+/// A request for `path`.
+pub fn head(path: &str) -> ForwardHead {
+    ForwardHead {
+        service: "tilbud".parse().unwrap(),
+        upstream: "tilbud-1".parse().unwrap(),
+        key: KeyHash::of(b"key"),
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        headers: vec![("x-test".to_owned(), b"1".to_vec())],
+        id: Some("id-1".parse().unwrap()),
+        idempotent: false,
+        budget: Duration::from_secs(5),
+        trace: None,
+        revision: Revision(7),
+    }
+}
+
+/// All bytes of a body.
+pub async fn collect(body: Body) -> Result<Bytes, trefoil_wire::BodyError> {
+    Ok(body.collect().await?.to_bytes())
+}
+
+/// A body that yields the items sent to it and ends when the sender is dropped.
+pub fn piped() -> (Sender<Result<Bytes, trefoil_wire::BodyError>>, Body) {
+    let (send, receive) = unbounded();
+    (send, Body::new(Piped(Box::pin(receive))))
+}
+
+struct Piped(std::pin::Pin<Box<Receiver<Result<Bytes, trefoil_wire::BodyError>>>>);
+
+impl http_body::Body for Piped {
+    type Data = Bytes;
+    type Error = trefoil_wire::BodyError;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, Self::Error>>> {
+        let next = futures_lite::Stream::poll_next(self.0.as_mut(), cx);
+        next.map(|item| item.map(|data| data.map(http_body::Frame::data)))
+    }
+}
+
+/// Counts up when it is dropped.
+struct Dropped(Arc<Script>);
+
+impl Drop for Dropped {
+    fn drop(&mut self) {
+        self.0.ended.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+/// Handler whose answer depends on the path.
+#[derive(Debug, Default)]
+pub struct Script {
+    /// Requests that reached the handler.
+    pub started: AtomicUsize,
+    /// Requests whose future was dropped or completed.
+    pub ended: AtomicUsize,
+    /// Reasons of refusals.
+    pub refusals: std::sync::Mutex<Vec<String>>,
+    /// Names of the peers that asked.
+    pub peers: std::sync::Mutex<Vec<PeerId>>,
+}
+
+impl Script {
+    pub fn new() -> Arc<Self> {
+        Arc::default()
+    }
+
+    pub fn started(&self) -> usize {
+        self.started.load(Ordering::SeqCst)
+    }
+
+    pub fn ended(&self) -> usize {
+        self.ended.load(Ordering::SeqCst)
+    }
+
+    pub fn refusals(&self) -> Vec<String> {
+        self.refusals.lock().unwrap().clone()
+    }
+}
+
+/// An answer with status 200.
+pub fn ok() -> AnswerHead {
+    AnswerHead::Answer {
+        status: 200,
+        headers: vec![("x-answer".to_owned(), b"2".to_vec())],
+        outcome: Outcome::Done,
+        revision: Revision(9),
+    }
+}
+
+impl Handler for Script {
+    fn forward(
+        self: Arc<Self>,
+        from: PeerId,
+        head: ForwardHead,
+        body: Body,
+    ) -> BoxFuture<(AnswerHead, Body)> {
+        self.started.fetch_add(1, Ordering::SeqCst);
+        self.peers.lock().unwrap().push(from);
+        let dropped = Dropped(Arc::clone(&self));
+        Box::pin(async move {
+            let _dropped = dropped;
+            match head.path.as_str() {
+                // Sends the body of the request back while it arrives.
+                "/echo" => (ok(), body),
+                // Reads the body to its end first.
+                "/read" => match collect(body).await {
+                    Ok(bytes) => (ok(), body::full(bytes)),
+                    Err(e) => (
+                        AnswerHead::failed(Outcome::NotRun, e.to_string(), Revision(9)),
+                        body::empty(),
+                    ),
+                },
+                // Never answers.
+                "/hang" => std::future::pending().await,
+                // Answers with a body that fails after its first bytes.
+                "/cut" => {
+                    let (send, body) = piped();
+                    send.try_send(Ok(Bytes::from_static(b"begin"))).unwrap();
+                    let cut = trefoil_wire::BodyError::Source {
+                        reason: "upstream reset".to_owned(),
+                    };
+                    send.try_send(Err(cut)).unwrap();
+                    (ok(), body)
+                }
+                // Answers with a body that never ends.
+                "/endless" => {
+                    let (send, body) = piped();
+                    send.try_send(Ok(Bytes::from_static(b"begin"))).unwrap();
+                    std::mem::forget(send);
+                    (ok(), body)
+                }
+                "/panic" => panic!("handler fails as the test wants"),
+                // `/late/N/TEXT` answers TEXT after N milliseconds.
+                path => {
+                    let mut parts = path.split('/').skip(2);
+                    let millis = parts.next().and_then(|n| n.parse().ok()).unwrap_or(0);
+                    Timer::after(Duration::from_millis(millis)).await;
+                    let text = parts.next().unwrap_or_default().to_owned();
+                    (ok(), body::full(text))
+                }
+            }
+        })
+    }
+
+    fn call(self: Arc<Self>, from: PeerId, message: Bytes) -> BoxFuture<Bytes> {
+        self.started.fetch_add(1, Ordering::SeqCst);
+        Box::pin(async move {
+            let mut answer = from.to_string().into_bytes();
+            answer.push(b' ');
+            answer.extend_from_slice(&message);
+            answer.into()
+        })
+    }
+
+    fn refused(&self, _from: SocketAddr, reason: &str) {
+        self.refusals.lock().unwrap().push(reason.to_owned());
+    }
+}
