Test refusals, losses and cancellation between hosts

The tests now cover untrusted and expired certificates, certificates for another purpose, another protocol version, nine kinds of bad frames, lost and restarted peers, drains under load, cancellation and the codec. A UDP relay in the tests loses datagrams or moves a connection to another process. The budget of a forwarded request now shrinks by the time spent on connecting, because the dispatcher counts it from the arrival of the head.

--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures_lite::future::poll_fn;
-use quinn::{RecvStream, VarInt};
+use quinn::RecvStream;
 use trefoil_core::Clock;
 use trefoil_core::clock::Sleep;
 
@@ -94,16 +94,19 @@
     fn forward(
         &self,
         to: SocketAddr,
-        head: ForwardHead,
+        mut head: ForwardHead,
         body: Body,
     ) -> BoxFuture<Result<(AnswerHead, Body), PeerError>> {
         let pool = Arc::clone(&self.pool);
         Box::pin(async move {
-            let message = head.encode().map_err(|e| PeerError::invalid(to, &e))?;
-            let first = frame(Some(Kind::Forward), &message);
-            let first = first.map_err(|e| PeerError::invalid(to, &e))?;
+            let start = pool.clock.now();
             let until = pool.clock.sleep(head.budget + pool.limits.grace);
-            let mut exchange = Exchange::open(&pool, to, first, body, until).await?;
+            let mut exchange = Exchange::open(&pool, to, until).await?;
+            // The peer counts the budget from the arrival of the head.
+            let waited = pool.clock.now().since(start);
+            head.budget = head.budget.saturating_sub(waited);
+            let first = head.encode().and_then(|m| frame(Some(Kind::Forward), &m));
+            exchange.start(first.map_err(|e| PeerError::invalid(to, &e))?, body);
             let answer = exchange.answer(false).await?;
             let head = AnswerHead::decode(&answer).map_err(|e| PeerError::Answer {
                 to,
@@ -120,7 +123,8 @@
             let first = frame(Some(Kind::Call), &message);
             let first = first.map_err(|e| PeerError::invalid(to, &e))?;
             let until = pool.clock.sleep(pool.limits.call);
-            let mut exchange = Exchange::open(&pool, to, first, body::empty(), until).await?;
+            let mut exchange = Exchange::open(&pool, to, until).await?;
+            exchange.start(first, body::empty());
             exchange.answer(true).await
         })
     }
@@ -131,6 +135,8 @@
     to: SocketAddr,
     until: Sleep,
     recv: RecvStream,
+    /// The sending half, until the request is started.
+    send: Option<Sender>,
     /// The rest of the request, until it has been sent.
     pump: Option<Pump>,
     /// Whether the transport has taken any byte of the request.
@@ -139,13 +145,7 @@
 
 impl Exchange {
     /// Opens a stream. Nothing has been sent when this fails.
-    async fn open(
-        pool: &Arc<Pool>,
-        to: SocketAddr,
-        first: Bytes,
-        body: Body,
-        mut until: Sleep,
-    ) -> Result<Self, PeerError> {
+    async fn open(pool: &Pool, to: SocketAddr, mut until: Sleep) -> Result<Self, PeerError> {
         let mut opening = pin!(pool.stream(to));
         let opened = poll_fn(|cx| match opening.as_mut().poll(cx) {
             Poll::Ready(opened) => Poll::Ready(opened),
@@ -155,16 +155,22 @@
                 .map(|()| Err(PeerError::Timeout { to, sent: false })),
         });
         let (send, recv) = opened.await?;
-        let sender = Sender::new(send, code::var(code::CANCELLED));
         Ok(Self {
             to,
             until,
             recv,
-            pump: Some(Pump::new(sender, first, body, code::var(code::CUT))),
+            send: Some(Sender::new(send, code::var(code::CANCELLED))),
+            pump: None,
             sent: false,
         })
     }
 
+    /// Sets the request that [`Exchange::answer`] sends.
+    fn start(&mut self, first: Bytes, body: Body) {
+        let pump = |sender| Pump::new(sender, first, body, code::var(code::CUT));
+        self.pump = self.send.take().map(pump);
+    }
+
     /// Sends the request until the frame of the answer has arrived.
     async fn answer(&mut self, last: bool) -> Result<Bytes, PeerError> {
         let Self {
@@ -173,6 +179,7 @@
             recv,
             pump,
             sent,
+            ..
         } = self;
         let to = *to;
         let mut read = pin!(async {
@@ -215,7 +222,7 @@
     match error {
         FrameError::Reset(code) if code::is_refusal(code) => PeerError::Refused { to, code },
         FrameError::Lost(quinn::ConnectionError::ApplicationClosed(close))
-            if close.error_code == VarInt::from_u32(code::DRAINING) =>
+            if close.error_code == code::var(code::DRAINING) =>
         {
             let code = close.error_code.into();
             PeerError::Refused { to, code }
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use futures_lite::future::or;
-use quinn::{ClientConfig, Connection, ConnectionError, RecvStream, SendStream, VarInt};
+use quinn::{ClientConfig, Connection, ConnectionError, RecvStream, SendStream};
+use rustls::AlertDescription;
 use smol::lock::OnceCell;
 use trefoil_core::{Clock, Tick};
 
@@ -26,11 +27,8 @@
 /// What the accepting side sends on a stream of its own once it accepts the certificate.
 pub(crate) const GREETING: u8 = 1;
 
-/// TLS alert `no_application_protocol` (RFC 7301).
-const ALERT_NO_PROTOCOL: u64 = 120;
-
-/// QUIC error codes that carry a TLS alert (RFC 9001, section 4.8).
-const ALERTS: std::ops::Range<u64> = 0x100..0x200;
+/// QUIC error code of the TLS alert 0.
+const ALERT_BASE: u64 = 0x100;
 
 #[derive(Debug, Default)]
 struct Attempt {
@@ -188,21 +186,30 @@
 fn connect_error(to: SocketAddr, error: &ConnectionError) -> PeerError {
     let reason = error.to_string();
     match error {
-        ConnectionError::ConnectionClosed(close) => match u64::from(close.error_code) {
-            code if code == ALERTS.start + ALERT_NO_PROTOCOL => PeerError::Version { to },
-            code if ALERTS.contains(&code) => PeerError::Unaccepted { to, reason },
-            _ => PeerError::Connect { to, reason },
+        ConnectionError::ConnectionClosed(close) => match alert(close.error_code.into()) {
+            Some(AlertDescription::NoApplicationProtocol) => PeerError::Version { to },
+            Some(alert) => PeerError::Unaccepted {
+                to,
+                reason: format!("TLS alert {alert:?}"),
+            },
+            None => PeerError::Connect { to, reason },
         },
-        ConnectionError::TransportError(e) => match u64::from(e.code) {
-            code if code == ALERTS.start + ALERT_NO_PROTOCOL => PeerError::Version { to },
-            code if ALERTS.contains(&code) => PeerError::Untrusted { to, reason },
-            _ => PeerError::Connect { to, reason },
+        ConnectionError::TransportError(e) => match alert(e.code.into()) {
+            Some(AlertDescription::NoApplicationProtocol) => PeerError::Version { to },
+            Some(_) => PeerError::Untrusted { to, reason },
+            None => PeerError::Connect { to, reason },
         },
         ConnectionError::ApplicationClosed(close)
-            if close.error_code == VarInt::from_u32(code::NO_IDENTITY) =>
+            if close.error_code == code::var(code::NO_IDENTITY) =>
         {
             PeerError::Unaccepted { to, reason }
         }
         _ => PeerError::Connect { to, reason },
     }
 }
+
+/// The TLS alert in a QUIC error code (RFC 9001, section 4.8).
+fn alert(code: u64) -> Option<AlertDescription> {
+    let alert = u8::try_from(code.checked_sub(ALERT_BASE)?).ok()?;
+    Some(AlertDescription::from(alert))
+}
--- a/tests/all/wire.rs
+++ b/tests/all/wire.rs
@@ -1,4 +1,10 @@
 //! Tests of `trefoil-wire` on loopback.
 
+mod cancel;
+mod codec;
+mod frames;
+mod loss;
+mod relay;
 mod round_trip;
 mod support;
+mod trust;
--- /dev/null
+++ b/tests/all/wire/cancel.rs
@@ -0,0 +1,124 @@
+//! Requests that their sender gives up.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use smol::Timer;
+use trefoil_core::Outcome;
+use trefoil_wire::{AnswerHead, BodyError, PeerError, Peers, body};
+
+use super::support::{collect, eventually, head, pair, piped, run};
+
+/// Guards against handlers that work on for a requester that has gone.
+#[test]
+fn dropped_future() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let hang = smol::spawn(peers.forward(pair.to, head("/hang"), body::empty()));
+        eventually("request starts", || pair.handler.started() == 1).await;
+        assert_eq!(pair.handler.ended(), 0);
+        drop(hang);
+        eventually("handler ends", || pair.handler.ended() == 1).await;
+        // The connection stays in use.
+        peers.call(pair.to, Bytes::new()).await.unwrap();
+        assert_eq!(peers.connections(), 1);
+    });
+}
+
+/// Guards against an upstream's answer that is read on after the caller has gone.
+#[test]
+fn dropped_answer() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let (send, request) = piped();
+        let echo = peers.forward(pair.to, head("/echo"), request).await;
+        let (_, mut answer) = echo.unwrap();
+        send.send(Ok(Bytes::from_static(b"one"))).await.unwrap();
+        answer.frame().await.unwrap().unwrap();
+        drop(answer);
+        eventually("the request's body is dropped", || send.is_closed()).await;
+    });
+}
+
+/// Guards against a request body that ends early and is taken for a whole one.
+#[test]
+fn cut_off_request() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let (send, request) = piped();
+        let forward = smol::spawn(peers.forward(pair.to, head("/read"), request));
+        send.send(Ok(Bytes::from_static(b"begin"))).await.unwrap();
+        eventually("request starts", || pair.handler.started() == 1).await;
+        let reason = "caller has gone".to_owned();
+        let cut = BodyError::Source { reason };
+        send.send(Err(cut)).await.unwrap();
+        let error = forward.await.unwrap_err();
+        assert!(
+            matches!(error, PeerError::Source { sent: true, .. }),
+            "{error}"
+        );
+        eventually("handler ends", || pair.handler.ended() == 1).await;
+    });
+}
+
+/// Guards against an endless wait for a handler that does not answer: the request ends after its
+/// budget and the grace, and the handler notices.
+#[test]
+fn budget_ends() {
+    run(async {
+        let pair = pair();
+        let mut hang = head("/hang");
+        hang.budget = Duration::from_millis(100);
+        let peers = pair.asking.peers();
+        let error = peers.forward(pair.to, hang, body::empty()).await;
+        let error = error.unwrap_err();
+        assert!(
+            matches!(error, PeerError::Timeout { sent: true, .. }),
+            "{error}"
+        );
+        eventually("handler ends", || pair.handler.ended() == 1).await;
+    });
+}
+
+/// Guards against a panic of a handler that looks like an answer or ends the server.
+#[test]
+fn handler_panics() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let error = peers.forward(pair.to, head("/panic"), body::empty()).await;
+        let error = error.unwrap_err();
+        assert!(matches!(error, PeerError::Answer { .. }), "{error}");
+        assert!(error.sent());
+        peers.call(pair.to, Bytes::new()).await.unwrap();
+    });
+}
+
+/// Guards against an answer that is lost because the request was not read to its end.
+#[test]
+fn answer_before_request_ends() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let (send, request) = piped();
+        let large = Bytes::from(vec![0; 1024 * 1024]);
+        send.send(Ok(large)).await.unwrap();
+        let early = peers.forward(pair.to, head("/late/0/early"), request);
+        let (answer, body) = early.await.unwrap();
+        assert!(matches!(
+            answer,
+            AnswerHead::Answer {
+                outcome: Outcome::Done,
+                ..
+            }
+        ));
+        assert_eq!(collect(body).await.unwrap(), "early");
+        // The body of the request is given up with the answer's end.
+        Timer::after(Duration::from_millis(10)).await;
+        assert!(send.is_closed());
+    });
+}
--- /dev/null
+++ b/tests/all/wire/loss.rs
@@ -0,0 +1,248 @@
+//! Peers that are gone, and what the requester can prove about its request.
+
+use std::net::UdpSocket;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use smol::Timer;
+use trefoil_core::{Clock, SystemClock};
+use trefoil_wire::{BodyError, Builder, Identity, PeerError, Peers, body};
+
+use super::relay::Relay;
+use super::support::{
+    DAY, Script, authority, collect, eventually, head, identity, loopback, open, pair, piped, run,
+    serve,
+};
+
+/// Guards against "sent" for a request to a peer that is not there.
+#[test]
+fn gone_before() {
+    run(async {
+        let authority = authority();
+        let asking = Builder::new(identity(&authority, "asking"))
+            .connect_timeout(Duration::from_millis(300))
+            .open(loopback())
+            .unwrap();
+        // A bound socket that nobody reads, so that no other process can answer there.
+        let silent = UdpSocket::bind(loopback()).unwrap();
+        let to = silent.local_addr().unwrap();
+        let forward = asking.peers().forward(to, head("/read"), body::empty());
+        let error = forward.await.unwrap_err();
+        assert!(matches!(error, PeerError::Connect { .. }), "{error}");
+        assert!(!error.sent());
+    });
+}
+
+/// Guards against waiters that each wait for an attempt of their own.
+#[test]
+fn waiters_share_an_attempt() {
+    run(async {
+        let authority = authority();
+        let asking = Builder::new(identity(&authority, "asking"))
+            .connect_timeout(Duration::from_millis(300))
+            .open(loopback())
+            .unwrap();
+        let silent = UdpSocket::bind(loopback()).unwrap();
+        let to = silent.local_addr().unwrap();
+        let start = Instant::now();
+        let peers = asking.peers();
+        let calls: Vec<_> = (0..20)
+            .map(|_| smol::spawn(peers.call(to, Bytes::new())))
+            .collect();
+        for call in calls {
+            assert!(!call.await.unwrap_err().sent());
+        }
+        assert!(start.elapsed() < Duration::from_millis(900));
+    });
+}
+
+/// Guards against "not sent" for a request that the peer's handler holds when its host is lost, for
+/// one that is written to a connection whose peer is gone, and against an endless wait for either.
+#[test]
+fn gone_after() {
+    run(async {
+        let authority = authority();
+        let served = open(&authority, "served");
+        let handler = Script::new();
+        let _server = serve(&served, &handler);
+        let relay = Relay::new(served.local_addr());
+        let asking = Builder::new(identity(&authority, "asking"))
+            .idle_timeout(Duration::from_millis(600))
+            .open(loopback())
+            .unwrap();
+        let peers = asking.peers();
+        let hang = smol::spawn(peers.forward(relay.addr(), head("/hang"), body::empty()));
+        eventually("request starts", || handler.started() == 1).await;
+        relay.cut();
+        let late = smol::spawn(peers.forward(relay.addr(), head("/read"), body::empty()));
+        for error in [hang.await.unwrap_err(), late.await.unwrap_err()] {
+            assert!(matches!(error, PeerError::Lost { .. }), "{error}");
+            assert!(error.sent());
+        }
+        assert_eq!(handler.started(), 1);
+        eventually("handler ends", || handler.ended() == 1).await;
+        // The next request connects again.
+        relay.restore(served.local_addr());
+        let answer = peers.call(relay.addr(), Bytes::from_static(b"again")).await;
+        assert_eq!(answer.unwrap(), "asking again");
+    });
+}
+
+/// Guards against a stopped server that leaves its requesters waiting or proves too much.
+#[test]
+fn server_dropped() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let hang = smol::spawn(peers.forward(pair.to, head("/hang"), body::empty()));
+        eventually("request starts", || pair.handler.started() == 1).await;
+        drop(pair.server);
+        let error = hang.await.unwrap_err();
+        assert!(error.sent(), "{error}");
+        eventually("handler ends", || pair.handler.ended() == 1).await;
+    });
+}
+
+/// Guards against a restarted peer that is noticed only after the idle timeout of 3 s.
+#[test]
+fn restart_is_noticed() {
+    run(async {
+        let authority = authority();
+        let host = "served".parse().unwrap();
+        let pem = authority.issue(&host, SystemClock.unix(), DAY).unwrap();
+        let start = || {
+            let identity = Identity::from_pem(&authority.pem().cert, &pem).unwrap();
+            Builder::new(identity).open(loopback()).unwrap()
+        };
+        let handler = Script::new();
+        let (old, new) = (start(), start());
+        let _servers = [serve(&old, &handler), serve(&new, &handler)];
+        let relay = Relay::new(old.local_addr());
+        let asking = open(&authority, "asking");
+        let peers = asking.peers();
+        peers.call(relay.addr(), Bytes::new()).await.unwrap();
+        relay.restore(new.local_addr());
+        let begin = Instant::now();
+        let error = peers.call(relay.addr(), Bytes::new()).await.unwrap_err();
+        assert!(
+            matches!(error, PeerError::Lost { sent: true, .. }),
+            "{error}"
+        );
+        peers.call(relay.addr(), Bytes::new()).await.unwrap();
+        let took = begin.elapsed();
+        assert!(took < Duration::from_secs(1), "noticed after {took:?}");
+    });
+}
+
+/// Guards against a cut-off answer that is taken for a whole one: the source fails, the connection
+/// is lost, the host stops.
+#[test]
+fn cut_off_answers() {
+    run(async {
+        let authority = authority();
+        let host = open(&authority, "served");
+        let server = host.serve(Script::new());
+        let relay = Relay::new(host.local_addr());
+        let asking = Builder::new(identity(&authority, "asking"))
+            .idle_timeout(Duration::from_millis(600))
+            .open(loopback())
+            .unwrap();
+        let peers = asking.peers();
+        let to = host.local_addr();
+        // A reset can overtake the head, which then is no answer at all.
+        match peers.forward(to, head("/cut"), body::empty()).await {
+            Ok((_, cut)) => {
+                let cut = collect(cut).await;
+                assert!(matches!(cut, Err(BodyError::Cut { .. })), "{cut:?}");
+            }
+            Err(e) => assert!(matches!(e, PeerError::Answer { .. }), "{e}"),
+        }
+
+        // The body fails after a part of it has arrived.
+        let (send, request) = piped();
+        let echo = peers.forward(to, head("/echo"), request).await;
+        let mut cut = echo.unwrap().1;
+        send.send(Ok(Bytes::from_static(b"begin"))).await.unwrap();
+        cut.frame().await.unwrap().unwrap();
+        let reason = "caller has gone".to_owned();
+        send.send(Err(BodyError::Source { reason })).await.unwrap();
+        let cut = collect(cut).await;
+        assert!(matches!(cut, Err(BodyError::Cut { .. })), "{cut:?}");
+
+        let endless = peers.forward(relay.addr(), head("/endless"), body::empty());
+        let (_, lost) = endless.await.unwrap();
+        relay.cut();
+        let lost = collect(lost).await;
+        assert!(matches!(lost, Err(BodyError::Lost { .. })), "{lost:?}");
+
+        let endless = peers.forward(to, head("/endless"), body::empty());
+        let (_, lost) = endless.await.unwrap();
+        drop(server);
+        let lost = collect(lost).await;
+        assert!(lost.is_err(), "{lost:?}");
+    });
+}
+
+/// Guards against a planned stop that breaks a request in flight, takes a new one, or leaves the
+/// requester without proof.
+#[test]
+fn drain() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let late = smol::spawn(peers.forward(pair.to, head("/late/300/text"), body::empty()));
+        eventually("request starts", || pair.handler.started() == 1).await;
+        let server = pair.server;
+        let drain = smol::spawn(async move {
+            server.drain().await;
+            server
+        });
+        Timer::after(Duration::from_millis(50)).await;
+        let refused = peers.forward(pair.to, head("/read"), body::empty()).await;
+        let refused = refused.unwrap_err();
+        assert!(matches!(refused, PeerError::Refused { .. }), "{refused}");
+        assert!(!refused.sent());
+        let (_, answer) = late.await.unwrap();
+        assert_eq!(collect(answer).await.unwrap(), "text");
+        let _server = drain.await;
+        let refused = peers.call(pair.to, Bytes::new()).await.unwrap_err();
+        assert!(!refused.sent(), "{refused}");
+        assert_eq!(pair.handler.started(), 1);
+    });
+}
+
+/// Guards against "sent" for a request that arrives while the connection is being closed, and
+/// against the opposite: at every moment of a drain, a request that is not sent has not started.
+#[test]
+fn drain_under_requests() {
+    run(async {
+        for round in 0..10 {
+            let pair = pair();
+            let peers = pair.asking.peers();
+            let requests: Vec<_> = (0..50)
+                .map(|n| {
+                    let (peers, to) = (peers.clone(), pair.to);
+                    smol::spawn(async move {
+                        Timer::after(Duration::from_micros(200 * n)).await;
+                        let head = head("/late/1/text");
+                        match peers.forward(to, head, body::empty()).await {
+                            Ok((_, answer)) => collect(answer).await.unwrap() == "text",
+                            Err(e) => {
+                                assert!(!e.sent(), "{e}");
+                                false
+                            }
+                        }
+                    })
+                })
+                .collect();
+            Timer::after(Duration::from_millis(round)).await;
+            pair.server.drain().await;
+            let mut done = 0;
+            for request in requests {
+                done += usize::from(request.await);
+            }
+            assert_eq!(pair.handler.started(), done);
+        }
+    });
+}
--- a/tests/all/wire/round_trip.rs
+++ b/tests/all/wire/round_trip.rs
@@ -1,11 +1,19 @@
 //! Requests that reach their peer and are answered.
 
+use std::sync::Arc;
+use std::time::Duration;
+
 use bytes::Bytes;
-use futures_lite::future::zip;
+use futures_lite::future::{poll_once, zip};
 use http_body_util::BodyExt;
-use trefoil_wire::{Peers, body};
+use smol::Timer;
+use trefoil_core::{Clock, ManualClock, SystemClock};
+use trefoil_wire::{Builder, Peers, body};
 
-use super::support::{collect, head, ok, pair, piped, run};
+use super::support::{
+    Script, authority, collect, eventually, head, identity, loopback, ok, open, pair, piped, run,
+    serve,
+};
 
 /// Guards against heads or bodies that change on the way, and against bodies that are held back
 /// until they are complete.
@@ -60,3 +68,116 @@
         assert_eq!(two.unwrap(), "asking two");
     });
 }
+
+/// Guards against answers that reach another request: 200 requests on one connection, answered in
+/// the reverse of their order.
+#[test]
+fn crossed_requests() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let requests: Vec<_> = (0..200)
+            .map(|n| {
+                let head = head(&format!("/late/{}/text-{n}", 200 - n));
+                smol::spawn(peers.forward(pair.to, head, body::empty()))
+            })
+            .collect();
+        for (n, request) in requests.into_iter().enumerate() {
+            let (_, answer) = request.await.unwrap();
+            assert_eq!(collect(answer).await.unwrap(), format!("text-{n}"));
+        }
+        assert_eq!(peers.connections(), 1);
+    });
+}
+
+/// Guards against requests that fail where they should wait for a stream of the peer.
+#[test]
+fn more_requests_than_streams() {
+    run(async {
+        let authority = authority();
+        let served = Builder::new(identity(&authority, "served")).max_streams(4);
+        let served = served.open(loopback()).unwrap();
+        let handler = Script::new();
+        let _server = serve(&served, &handler);
+        let asking = open(&authority, "asking");
+        let peers = asking.peers();
+        let requests: Vec<_> = (0..32)
+            .map(|n| {
+                let head = head(&format!("/late/20/text-{n}"));
+                smol::spawn(peers.forward(served.local_addr(), head, body::empty()))
+            })
+            .collect();
+        Timer::after(Duration::from_millis(10)).await;
+        assert!(handler.started() <= 4, "the limit of streams does not hold");
+        for (n, request) in requests.into_iter().enumerate() {
+            let (_, answer) = request.await.unwrap();
+            assert_eq!(collect(answer).await.unwrap(), format!("text-{n}"));
+        }
+    });
+}
+
+/// Guards against a connection whose unread bodies block the requests beside them.
+#[test]
+fn unread_bodies_block_nothing() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        let large = Bytes::from(vec![1; 1024 * 1024]);
+        let mut unread = Vec::new();
+        for _ in 0..100 {
+            let request = peers.forward(pair.to, head("/hang"), body::full(large.clone()));
+            unread.push(smol::spawn(request));
+        }
+        eventually("requests start", || pair.handler.started() == 100).await;
+        let request = body::full(large.clone());
+        let (_, answer) = peers
+            .forward(pair.to, head("/read"), request)
+            .await
+            .unwrap();
+        assert_eq!(collect(answer).await.unwrap(), large);
+    });
+}
+
+/// Guards against connections that are kept, and kept alive, for peers without work.
+#[test]
+fn unused_connections_close() {
+    run(async {
+        let authority = authority();
+        let first = open(&authority, "first");
+        let second = open(&authority, "second");
+        let handler = Script::new();
+        let _servers = [serve(&first, &handler), serve(&second, &handler)];
+        let clock = ManualClock::new(SystemClock.unix());
+        let asking = Builder::new(identity(&authority, "asking")).clock(Arc::new(clock.clone()));
+        let peers = asking.open(loopback()).unwrap().peers();
+        let ping = Bytes::from_static(b"ping");
+        peers.call(first.local_addr(), ping.clone()).await.unwrap();
+        peers.call(second.local_addr(), ping.clone()).await.unwrap();
+        assert_eq!(peers.connections(), 2);
+        clock.advance(Duration::from_secs(11));
+        peers.call(first.local_addr(), ping).await.unwrap();
+        assert_eq!(peers.connections(), 1);
+    });
+}
+
+/// Guards against a budget that includes the time that was spent on connecting.
+#[test]
+fn budget_shrinks_while_connecting() {
+    run(async {
+        let pair = pair();
+        let clock = ManualClock::new(SystemClock.unix());
+        let asking = Builder::new(identity(&pair.authority, "slow"))
+            .connect_timeout(Duration::from_mins(1))
+            .clock(Arc::new(clock.clone()));
+        let asking = asking.open(loopback()).unwrap();
+        let request = asking
+            .peers()
+            .forward(pair.to, head("/budget"), body::empty());
+        // The request starts its clock when it is polled first, and its handshake needs packets.
+        let mut request = Box::pin(request);
+        assert!(poll_once(&mut request).await.is_none());
+        clock.advance(Duration::from_secs(2));
+        let (_, answer) = request.await.unwrap();
+        assert_eq!(collect(answer).await.unwrap(), "3s");
+    });
+}
--- a/tests/all/wire/support.rs
+++ b/tests/all/wire/support.rs
@@ -49,7 +49,12 @@
 
 /// An authority whose certificates are valid now.
 pub fn authority() -> Authority {
-    Authority::create("test", SystemClock.unix(), DAY).unwrap()
+    named_authority("test")
+}
+
+/// An authority with this common name.
+pub fn named_authority(name: &str) -> Authority {
+    Authority::create(name, SystemClock.unix(), DAY).unwrap()
 }
 
 /// The identity of a host.
@@ -70,11 +75,16 @@
         .unwrap()
 }
 
+/// Serves with this handler.
+pub fn serve(endpoint: &Endpoint, handler: &Arc<Script>) -> Server {
+    let handler = Arc::clone(handler);
+    endpoint.serve(handler)
+}
+
 /// A host that serves and one that asks it.
 pub struct Pair {
     pub authority: Authority,
     pub handler: Arc<Script>,
-    pub served: Endpoint,
     pub server: Server,
     pub asking: Endpoint,
     pub to: SocketAddr,
@@ -84,14 +94,13 @@
 pub fn pair() -> Pair {
     let authority = authority();
     let handler = Script::new();
-    let served = open(&authority, "served");
-    let server = served.serve(handler.clone());
+    let host = open(&authority, "served");
+    let server = serve(&host, &handler);
     let asking = open(&authority, "asking");
     Pair {
-        to: served.local_addr(),
+        to: host.local_addr(),
         authority,
         handler,
-        served,
         server,
         asking,
     }
@@ -232,6 +241,8 @@
                     std::mem::forget(send);
                     (ok(), body)
                 }
+                // Answers with the budget that arrived.
+                "/budget" => (ok(), body::full(format!("{:?}", head.budget))),
                 "/panic" => panic!("handler fails as the test wants"),
                 // `/late/N/TEXT` answers TEXT after N milliseconds.
                 path => {
--- /dev/null
+++ b/tests/all/wire/trust.rs
@@ -0,0 +1,241 @@
+//! Peers that must be refused.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::rustls::pki_types::pem::PemObject;
+use quinn::rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use quinn::rustls::{self, RootCertStore};
+use rcgen::{CertificateParams, ExtendedKeyUsagePurpose, Issuer, KeyPair};
+use trefoil_core::{Clock, SystemClock, UnixMillis};
+use trefoil_wire::{
+    Authority, Builder, Endpoint, Identity, KeyError, KeyPem, PeerError, Peers, body, keys,
+};
+
+use super::support::{
+    DAY, Pair, authority, eventually, head, identity, loopback, named_authority, open, pair, run,
+};
+
+/// Asks the pair's server and expects an error and a reason at the server.
+async fn refused(pair: &Pair, asking: &Endpoint, reason: &str) -> PeerError {
+    let forward = asking
+        .peers()
+        .forward(pair.to, head("/read"), body::empty());
+    let error = forward.await.unwrap_err();
+    assert!(!error.sent(), "{error}");
+    eventually("the server has a reason", || {
+        !pair.handler.refusals().is_empty()
+    })
+    .await;
+    let refusals = pair.handler.refusals();
+    assert!(refusals[0].contains(reason), "{refusals:?}");
+    assert_eq!(pair.handler.started(), 0);
+    // Others are served as before.
+    pair.asking
+        .peers()
+        .call(pair.to, Bytes::new())
+        .await
+        .unwrap();
+    error
+}
+
+/// A certificate of `authority` with these DNS names.
+fn cert(authority: &Authority, names: &[&str]) -> KeyPem {
+    let names: Vec<_> = names.iter().map(|&n| n.to_owned()).collect();
+    let mut params = CertificateParams::new(names).unwrap();
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ClientAuth,
+        ExtendedKeyUsagePurpose::ServerAuth,
+    ];
+    let pem = authority.pem();
+    let issuer = KeyPair::from_pem(&pem.key).unwrap();
+    let issuer = Issuer::from_ca_cert_pem(&pem.cert, issuer).unwrap();
+    let key = KeyPair::generate().unwrap();
+    KeyPem {
+        cert: params.signed_by(&key, &issuer).unwrap().pem(),
+        key: key.serialize_pem(),
+    }
+}
+
+/// Connects with plain TLS settings and returns the error that closes the connection.
+async fn connect_raw(pair: &Pair, chain: Option<&KeyPem>) -> String {
+    let mut roots = RootCertStore::empty();
+    let root = pair.authority.pem().cert.as_bytes();
+    roots
+        .add(CertificateDer::from_pem_slice(root).unwrap())
+        .unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .unwrap()
+        .with_root_certificates(roots);
+    let mut config = match chain {
+        Some(pem) => {
+            let cert = CertificateDer::from_pem_slice(pem.cert.as_bytes()).unwrap();
+            let key = PrivateKeyDer::from_pem_slice(pem.key.as_bytes()).unwrap();
+            config.with_client_auth_cert(vec![cert], key).unwrap()
+        }
+        None => config.with_no_client_auth(),
+    };
+    config.alpn_protocols = vec![trefoil_wire::PROTOCOL.into()];
+    let config = QuicClientConfig::try_from(config).unwrap();
+    let quic = quinn::Endpoint::client(loopback()).unwrap();
+    let config = quinn::ClientConfig::new(Arc::new(config));
+    let connecting = quic.connect_with(config, pair.to, keys::ROLE).unwrap();
+    match connecting.await {
+        Ok(conn) => {
+            // Whatever a refused peer sends must not reach the handler.
+            if let Ok((mut send, _recv)) = conn.open_bi().await {
+                let _lost = send.write_all(b"\x02\0\0\0\x01x").await;
+            }
+            conn.closed().await.to_string()
+        }
+        Err(e) => e.to_string(),
+    }
+}
+
+/// Guards against a port that talks to anyone.
+#[test]
+fn no_certificate() {
+    run(async {
+        let pair = pair();
+        let error = connect_raw(&pair, None).await;
+        assert!(error.contains("error 116"), "{error}");
+        eventually("the server has a reason", || {
+            !pair.handler.refusals().is_empty()
+        })
+        .await;
+        let refusals = pair.handler.refusals();
+        assert!(
+            refusals[0].contains("peer sent no certificates"),
+            "{refusals:?}"
+        );
+        assert_eq!(pair.handler.started(), 0);
+    });
+}
+
+/// Guards against certificates of the right authority that were issued for another purpose, such as
+/// those of operators, and against those that name no host or two.
+#[test]
+fn certificate_for_another_purpose() {
+    run(async {
+        for names in [
+            &["operator.example"][..],
+            &["served.host.trefoil"],
+            &["host.trefoil"],
+            &["host.trefoil", "a.host.trefoil", "b.host.trefoil"],
+        ] {
+            let pair = pair();
+            let pem = cert(&pair.authority, names);
+            let error = connect_raw(&pair, Some(&pem)).await;
+            assert!(error.contains("names"), "{error}");
+            eventually("the server has a reason", || {
+                !pair.handler.refusals().is_empty()
+            })
+            .await;
+            assert_eq!(pair.handler.started(), 0);
+            let own = Identity::from_pem(&pair.authority.pem().cert, &pem);
+            assert!(matches!(own, Err(KeyError::Names { .. })), "{own:?}");
+        }
+    });
+}
+
+/// Guards against trust in any authority, also in one with the same name. The asking side finds out
+/// first and tells the server with a TLS alert.
+#[test]
+fn server_of_another_authority() {
+    run(async {
+        for (name, alert) in [("other", "error 48"), ("test", "error 51")] {
+            let pair = pair();
+            let stranger = open(&named_authority(name), "stranger");
+            let error = refused(&pair, &stranger, alert).await;
+            assert!(matches!(error, PeerError::Untrusted { .. }), "{error}");
+        }
+    });
+}
+
+/// Guards against a client that knows this deployment's authority but has a certificate of another.
+#[test]
+fn client_of_another_authority() {
+    run(async {
+        let cases = [("other", "UnknownIssuer"), ("test", "BadSignature")];
+        for (name, reason) in cases {
+            let pair = pair();
+            let host = "stranger".parse().unwrap();
+            let now = SystemClock.unix();
+            let pem = named_authority(name).issue(&host, now, DAY).unwrap();
+            let stranger = Identity::from_pem(&pair.authority.pem().cert, &pem).unwrap();
+            let stranger = Builder::new(stranger).open(loopback()).unwrap();
+            let error = refused(&pair, &stranger, reason).await;
+            assert!(matches!(error, PeerError::Unaccepted { .. }), "{error}");
+        }
+    });
+}
+
+/// Guards against certificates that are used after their end.
+#[test]
+fn expired_certificate() {
+    run(async {
+        let pair = pair();
+        let host = "expired".parse().unwrap();
+        let past = UnixMillis(SystemClock.unix().0 - 3 * 86_400_000);
+        let expired = pair.authority.identity(&host, past, DAY).unwrap();
+        let expired = Builder::new(expired).open(loopback()).unwrap();
+        let error = refused(&pair, &expired, "certificate expired").await;
+        assert!(matches!(error, PeerError::Unaccepted { .. }), "{error}");
+        assert!(error.to_string().contains("CertificateExpired"), "{error}");
+    });
+}
+
+/// Guards against peers that would decode heads of another version.
+#[test]
+fn another_version() {
+    run(async {
+        let pair = pair();
+        let next = Builder::new(identity(&pair.authority, "next"))
+            .versions(&["trefoil/2"])
+            .open(loopback())
+            .unwrap();
+        let error = refused(&pair, &next, "protocol").await;
+        assert!(matches!(error, PeerError::Version { .. }), "{error}");
+        let both = Builder::new(identity(&pair.authority, "both"))
+            .versions(&["trefoil/2", trefoil_wire::PROTOCOL])
+            .open(loopback())
+            .unwrap();
+        both.peers().call(pair.to, Bytes::new()).await.unwrap();
+    });
+}
+
+/// Guards against PEM texts that do not survive being written and read, and against names that no
+/// certificate can carry.
+#[test]
+fn keys_from_pem() {
+    run(async {
+        let now = SystemClock.unix();
+        let written = authority().pem().clone();
+        let read = Authority::from_pem(written.clone()).unwrap();
+        let host = "served".parse().unwrap();
+        let pem = read.issue(&host, now, Duration::from_hours(1)).unwrap();
+        let identity = Identity::from_pem(&written.cert, &pem).unwrap();
+        assert_eq!(identity.peer().to_string(), "served");
+        let served = Builder::new(identity).open(loopback()).unwrap();
+        let _server = served.serve(super::support::Script::new());
+        let asking = open(&read, "asking");
+        let answer = asking.peers().call(served.local_addr(), Bytes::new());
+        answer.await.unwrap();
+
+        assert!(!format!("{pem:?}{read:?}").contains("PRIVATE"));
+        let error = read.issue(&"-".parse().unwrap(), now, DAY).unwrap_err();
+        assert!(matches!(error, KeyError::Issue { .. }), "{error}");
+        let error = Identity::from_pem("", &pem).unwrap_err();
+        assert!(error.to_string().contains("authority"), "{error}");
+        let empty = KeyPem {
+            cert: written.cert,
+            key: String::new(),
+        };
+        let error = Authority::from_pem(empty).unwrap_err();
+        assert!(matches!(error, KeyError::Pem { .. }), "{error}");
+    });
+}
