Wait for acknowledged resets when draining

A drain waited for quinn's event of a finished stream. quinn gives none for a stream that was reset, so one cut-off answer kept its connection from draining, and one panic of a handler let the connection end with the proof that the other requests had not run. The server now looks at a reset stream every 20 ms until the peer has acknowledged it, and closes without that proof after a request whose end the peer may not know.

Three tests are added: a drain whose answer is lost on the way, a drain after a cut-off answer and after a panic, and the truncated body of a cancelled request.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -67,7 +67,7 @@
 pub(crate) struct Sender {
     pub(crate) stream: SendStream,
     code: VarInt,
-    finished: bool,
+    closed: bool,
 }
 
 impl Sender {
@@ -76,27 +76,28 @@
         Self {
             stream,
             code,
-            finished: false,
+            closed: false,
         }
     }
 
-    /// Resets the stream with `code` now.
-    pub(crate) fn reset(mut self, code: VarInt) {
-        self.code = code;
+    /// Resets the stream with `code`.
+    pub(crate) fn reset(&mut self, code: VarInt) {
+        self.closed = true;
+        // Fails only for a stream that is already closed.
+        let _closed = self.stream.reset(code);
     }
 
     fn finish(&mut self) {
-        self.finished = true;
-        // Fails only for a stream that was already closed, which the reader sees as such.
+        self.closed = true;
+        // Fails only for a stream that is already closed, which the reader sees as such.
         let _closed = self.stream.finish();
     }
 }
 
 impl Drop for Sender {
     fn drop(&mut self) {
-        if !self.finished {
-            // Fails only for a stream that is already closed.
-            let _closed = self.stream.reset(self.code);
+        if !self.closed {
+            self.reset(self.code);
         }
     }
 }
@@ -115,7 +116,7 @@
 /// Copies a frame and a body into a stream and finishes it.
 #[derive(Debug)]
 pub(crate) struct Pump {
-    sender: Option<Sender>,
+    sender: Sender,
     pending: Bytes,
     body: Body,
     cut: VarInt,
@@ -126,7 +127,7 @@
     /// A pump of `first` and then `body`; a failing source resets the stream with `cut`.
     pub(crate) fn new(sender: Sender, first: Bytes, body: Body, cut: VarInt) -> Self {
         Self {
-            sender: Some(sender),
+            sender,
             pending: first,
             body,
             cut,
@@ -139,15 +140,16 @@
         self.started
     }
 
-    fn poll_write(
-        &mut self,
-        sender: &mut Sender,
-        cx: &mut Context<'_>,
-    ) -> Poll<Result<(), PumpError>> {
+    /// The sending half, for its state after the copy.
+    pub(crate) fn into_sender(self) -> Sender {
+        self.sender
+    }
+
+    fn poll_write(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), PumpError>> {
         while !self.pending.is_empty() {
             let chunks = std::slice::from_mut(&mut self.pending);
             // The future keeps no state between polls, so it can be created for each.
-            let write = pin!(sender.stream.write_chunks(chunks));
+            let write = pin!(self.sender.stream.write_chunks(chunks));
             let written = ready!(write.poll(cx)).map_err(|e| match e {
                 WriteError::Stopped(_) | WriteError::ClosedStream | WriteError::ZeroRttRejected => {
                     PumpError::Stopped
@@ -158,19 +160,23 @@
         }
         Poll::Ready(Ok(()))
     }
+}
 
-    fn poll_copy(
-        &mut self,
-        sender: &mut Sender,
-        cx: &mut Context<'_>,
-    ) -> Poll<Result<(), PumpError>> {
+impl Future for Pump {
+    type Output = Result<(), PumpError>;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         loop {
-            ready!(self.poll_write(sender, cx))?;
+            ready!(self.poll_write(cx))?;
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                 Some(Ok(frame)) => self.pending = frame.into_data().unwrap_or_default(),
-                Some(Err(e)) => return Poll::Ready(Err(PumpError::Source(e))),
+                Some(Err(e)) => {
+                    let cut = self.cut;
+                    self.sender.reset(cut);
+                    return Poll::Ready(Err(PumpError::Source(e)));
+                }
                 None => {
-                    sender.finish();
+                    self.sender.finish();
                     return Poll::Ready(Ok(()));
                 }
             }
@@ -178,27 +184,6 @@
     }
 }
 
-impl Future for Pump {
-    type Output = Result<(), PumpError>;
-
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
-        let Some(mut sender) = self.sender.take() else {
-            return Poll::Ready(Ok(()));
-        };
-        match self.poll_copy(&mut sender, cx) {
-            Poll::Pending => {
-                self.sender = Some(sender);
-                Poll::Pending
-            }
-            Poll::Ready(Err(PumpError::Source(e))) => {
-                sender.reset(self.cut);
-                Poll::Ready(Err(PumpError::Source(e)))
-            }
-            ready @ Poll::Ready(_) => ready,
-        }
-    }
-}
-
 /// Body that is read from a stream until its end.
 ///
 /// Dropping it before the end stops the stream, which the sender notices.
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -2,17 +2,18 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::future::or;
-use quinn::{Connection, Incoming, RecvStream, SendStream};
+use futures_lite::future::{or, poll_once};
+use quinn::{Connection, Incoming, RecvStream};
 use smol::Task;
 use smol::channel::{self, Receiver, Sender as Guard};
 use trefoil_core::{Clock, Outcome};
 
-use crate::body::{self, Body, Pump, Sender, StreamBody};
+use crate::body::{self, Body, Pump, PumpError, Sender, StreamBody};
 use crate::code;
 use crate::codec::{FrameError, Kind, frame, read_end, read_request};
 use crate::endpoint::{HANDSHAKES_MAX, Limits};
@@ -21,6 +22,9 @@
 use crate::peers::Handler;
 use crate::pool::{GREETING, identity};
 
+/// Time between two looks at a reset that the peer has to acknowledge.
+const RESET_POLL: Duration = Duration::from_millis(20);
+
 /// A signal that is given by dropping every clone of its guard.
 #[derive(Debug)]
 struct Signal {
@@ -158,23 +162,21 @@
     let from = conn.remote_address();
     let _close = CloseOnDrop(conn.clone());
     let requests = Signal::new();
+    let unproven = Arc::new(AtomicBool::new(false));
     let accept = async {
         while let Ok((send, recv)) = conn.accept_bi().await {
+            let mut send = Sender::new(send, code::var(code::ABORTED));
             match requests.hold() {
                 Some(held) => {
+                    let proof = Proof {
+                        unproven: Arc::clone(&unproven),
+                        complete: false,
+                        _held: held,
+                    };
                     let shared = Arc::clone(shared);
-                    let request = request(shared, from, peer.clone(), send, recv);
-                    smol::spawn(async move {
-                        request.await;
-                        drop(held);
-                    })
-                    .detach();
+                    smol::spawn(request(shared, from, peer.clone(), send, recv, proof)).detach();
                 }
-                None => refuse(
-                    Sender::new(send, code::var(code::DRAINING)),
-                    recv,
-                    code::DRAINING,
-                ),
+                None => refuse(&mut send, recv, code::DRAINING),
             }
         }
     };
@@ -182,14 +184,35 @@
         shared.drain.given().await;
         requests.release();
         requests.given().await;
-        // Every request that the peer still waits for was not passed to the handler: those that
-        // were are answered, and the answers acknowledged.
-        conn.close(code::var(code::DRAINING), b"host is shutting down");
+        // Without a doubt about any request, those that the peer still waits for were not passed
+        // to the handler: the others are answered, and the answers acknowledged.
+        let code = if unproven.load(Ordering::Acquire) {
+            code::ABORTED
+        } else {
+            code::DRAINING
+        };
+        conn.close(code::var(code), b"host is shutting down");
     };
     or(accept, drain).await;
     Ok(())
 }
 
+/// Records whether the peer knows the end of a request. Unless it is completed, for example because
+/// the handler panicked, the connection does not end with the proof that [`code::DRAINING`] gives.
+struct Proof {
+    unproven: Arc<AtomicBool>,
+    complete: bool,
+    _held: Guard<()>,
+}
+
+impl Drop for Proof {
+    fn drop(&mut self) {
+        if !self.complete {
+            self.unproven.store(true, Ordering::Release);
+        }
+    }
+}
+
 /// Closes the connection when its task is dropped, which also ends its requests.
 struct CloseOnDrop(Connection);
 
@@ -215,44 +238,56 @@
 }
 
 /// Tells the peer that its request was not passed to the handler.
-fn refuse(send: Sender, mut recv: RecvStream, code: u32) {
+fn refuse(send: &mut Sender, mut recv: RecvStream, code: u32) {
     // Fails only for a stream whose end has been read.
     let _closed = recv.stop(code::var(code));
     send.reset(code::var(code));
 }
 
-/// Answers one request and waits until the peer has the answer.
+/// How a request ended.
+enum End {
+    /// The peer gave it up or is lost.
+    Cancelled,
+    /// It was not passed to the handler.
+    Refused(String),
+    /// The answer has been written to its end.
+    Finished,
+    /// The answer was cut off by a reset.
+    Cut(Sender),
+}
+
+/// Answers one request and waits until the peer knows the answer.
 async fn request(
     shared: Arc<Shared>,
     from: SocketAddr,
     peer: PeerId,
-    send: SendStream,
+    send: Sender,
     recv: RecvStream,
+    mut proof: Proof,
 ) {
-    let mut stopped = pin!(send.stopped());
+    let mut stopped = pin!(send.stream.stopped());
     let cancelled = async {
         let _code = stopped.as_mut().await;
-        false
-    };
-    let send = Sender::new(send, code::var(code::ABORTED));
-    let answer = async {
-        if let Err(reason) = answer(&shared, peer, send, recv).await {
-            shared.handler.refused(from, &reason);
-        }
-        true
+        End::Cancelled
     };
     // The cancellation comes first, so that a request that is already cancelled does not start.
-    if or(cancelled, answer).await {
-        let _code = stopped.await;
+    match or(cancelled, answer(&shared, peer, send, recv)).await {
+        End::Cancelled => {}
+        End::Refused(reason) => shared.handler.refused(from, &reason),
+        End::Finished => {
+            let _code = stopped.await;
+        }
+        End::Cut(send) => {
+            // quinn reports no event for an acknowledged reset, but a new future sees the state.
+            while poll_once(send.stream.stopped()).await.is_none() {
+                shared.clock.sleep(RESET_POLL).await;
+            }
+        }
     }
+    proof.complete = true;
 }
 
-async fn answer(
-    shared: &Shared,
-    peer: PeerId,
-    send: Sender,
-    mut recv: RecvStream,
-) -> Result<(), String> {
+async fn answer(shared: &Shared, peer: PeerId, mut send: Sender, mut recv: RecvStream) -> End {
     let head = async {
         let (kind, head) = read_request(&mut recv).await?;
         if kind == Kind::Call {
@@ -267,18 +302,19 @@
     let (kind, head) = match or(head, late).await {
         Ok(read) => read,
         Err(e) => {
-            refuse(send, recv, e.code());
-            return Err(e.describe());
+            refuse(&mut send, recv, e.code());
+            return End::Refused(e.describe());
         }
     };
     let handler = Arc::clone(&shared.handler);
     let (first, body) = match kind {
         Kind::Call => {
             let answer = handler.call(peer, head).await;
-            (
-                frame(None, &answer).map_err(|e| e.to_string())?,
-                body::empty(),
-            )
+            let Ok(first) = frame(None, &answer) else {
+                send.reset(code::var(code::ABORTED));
+                return End::Cut(send);
+            };
+            (first, body::empty())
         }
         Kind::Forward => match ForwardHead::decode(&head) {
             Ok(head) => {
@@ -287,14 +323,17 @@
                 answer_frame(&head, body)
             }
             Err(e) => {
-                refuse(send, recv, code::MALFORMED);
-                return Err(e.to_string());
+                refuse(&mut send, recv, code::MALFORMED);
+                return End::Refused(e.to_string());
             }
         },
     };
-    // A peer that stops reading or a lost connection has ended the request already.
-    let _done = Pump::new(send, first, body, code::var(code::CUT)).await;
-    Ok(())
+    let mut pump = Pump::new(send, first, body, code::var(code::CUT));
+    match (&mut pump).await {
+        Ok(()) => End::Finished,
+        Err(PumpError::Source(_)) => End::Cut(pump.into_sender()),
+        Err(PumpError::Stopped | PumpError::Lost) => End::Cancelled,
+    }
 }
 
 /// The frame of a head, or of a failure if the handler's head breaks a limit.
--- a/tests/all/wire/cancel.rs
+++ b/tests/all/wire/cancel.rs
@@ -27,6 +27,27 @@
     });
 }
 
+/// Guards against the truncated body of a cancelled request that looks complete to a handler which
+/// goes on in a task of its own.
+#[test]
+fn dropped_future_in_the_body() {
+    run(async {
+        let pair = pair();
+        let peers = pair.asking.peers();
+        for round in 0..20 {
+            let (send, request) = piped();
+            let forward = smol::spawn(peers.forward(pair.to, head("/task"), request));
+            send.send(Ok(Bytes::from_static(b"begin"))).await.unwrap();
+            eventually("request starts", || pair.handler.started() == round + 1).await;
+            drop(forward);
+            let read = || pair.handler.bodies.lock().unwrap().len() == round + 1;
+            eventually("the body ends", read).await;
+        }
+        let bodies = pair.handler.bodies.lock().unwrap();
+        assert!(bodies.iter().all(Result::is_err), "{bodies:?}");
+    });
+}
+
 /// Guards against an upstream's answer that is read on after the caller has gone.
 #[test]
 fn dropped_answer() {
--- a/tests/all/wire/loss.rs
+++ b/tests/all/wire/loss.rs
@@ -246,3 +246,46 @@
         }
     });
 }
+
+/// Guards against "not run" for a request that ran: its answer is lost on the way, and the host
+/// closes the connection before the answer has been sent again.
+#[test]
+fn drain_waits_for_the_answer() {
+    run(async {
+        let pair = pair();
+        let relay = Relay::new(pair.to);
+        let peers = pair.asking.peers();
+        let head = head("/late/100/text");
+        let request = smol::spawn(peers.forward(relay.addr(), head, body::empty()));
+        eventually("request starts", || pair.handler.started() == 1).await;
+        relay.mute(true);
+        let drain = smol::spawn(async move { pair.server.drain().await });
+        eventually("request is answered", || pair.handler.ended() == 1).await;
+        Timer::after(Duration::from_millis(20)).await;
+        relay.mute(false);
+        let (_, answer) = request.await.unwrap();
+        assert_eq!(collect(answer).await.unwrap(), "text");
+        drain.await;
+    });
+}
+
+/// Guards against a drain that waits forever for a peer to take an answer that was cut off, and
+/// against proof from a host whose handler panicked.
+#[test]
+fn drain_after_failures() {
+    run(async {
+        for path in ["/cut", "/panic"] {
+            let pair = pair();
+            let peers = pair.asking.peers();
+            let failed = peers.forward(pair.to, head(path), body::empty()).await;
+            let failed = match failed {
+                Ok((_, body)) => collect(body).await.is_err(),
+                Err(e) => e.sent(),
+            };
+            assert!(failed, "{path}");
+            let begin = Instant::now();
+            pair.server.drain().await;
+            assert!(begin.elapsed() < Duration::from_secs(1), "{path}");
+        }
+    });
+}
--- a/tests/all/wire/relay.rs
+++ b/tests/all/wire/relay.rs
@@ -1,7 +1,8 @@
 //! A UDP relay that stands between two hosts and can lose everything.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::SeqCst;
 use std::sync::{Arc, Mutex};
 
 use futures_lite::future::or;
@@ -14,6 +15,7 @@
 struct State {
     target: Mutex<SocketAddr>,
     cut: AtomicBool,
+    mute: AtomicBool,
 }
 
 /// Relays one client's datagrams to a target and back.
@@ -33,6 +35,7 @@
         let state = Arc::new(State {
             target: Mutex::new(target),
             cut: AtomicBool::new(false),
+            mute: AtomicBool::new(false),
         });
         let task = smol::spawn(relay(front, back, Arc::clone(&state)));
         Self {
@@ -49,13 +52,18 @@
 
     /// Loses all datagrams from now on.
     pub fn cut(&self) {
-        self.state.cut.store(true, Ordering::SeqCst);
+        self.state.cut.store(true, SeqCst);
+    }
+
+    /// Loses the datagrams to the client while `on` holds.
+    pub fn mute(&self, on: bool) {
+        self.state.mute.store(on, SeqCst);
     }
 
     /// Delivers datagrams again, from now on to `target`.
     pub fn restore(&self, target: SocketAddr) {
         *self.state.target.lock().unwrap() = target;
-        self.state.cut.store(false, Ordering::SeqCst);
+        self.state.cut.store(false, SeqCst);
     }
 }
 
@@ -66,7 +74,7 @@
         while let Ok((len, from)) = front.recv_from(&mut buf).await {
             *client.lock().unwrap() = Some(from);
             let target = *state.target.lock().unwrap();
-            if !state.cut.load(Ordering::SeqCst) {
+            if !state.cut.load(SeqCst) {
                 back.send_to(&buf[..len], target).await.unwrap();
             }
         }
@@ -76,7 +84,8 @@
         while let Ok((len, from)) = back.recv_from(&mut buf).await {
             let to = *client.lock().unwrap();
             let known = from == *state.target.lock().unwrap();
-            if let Some(to) = to.filter(|_| known && !state.cut.load(Ordering::SeqCst)) {
+            let lost = state.cut.load(SeqCst) || state.mute.load(SeqCst);
+            if let Some(to) = to.filter(|_| known && !lost) {
                 front.send_to(&buf[..len], to).await.unwrap();
             }
         }
--- a/tests/all/wire/support.rs
+++ b/tests/all/wire/support.rs
@@ -1,8 +1,8 @@
 //! Hosts of a test deployment and a handler that does what the path of the request says.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,8 +12,8 @@
 use smol::channel::{Receiver, Sender, unbounded};
 use trefoil_core::{Clock, KeyHash, Outcome, Revision, SystemClock};
 use trefoil_wire::{
-    AnswerHead, Authority, Body, BoxFuture, Builder, Endpoint, ForwardHead, Handler, Identity,
-    PeerId, Server, body,
+    AnswerHead, Authority, Body, BodyError, BoxFuture, Builder, Endpoint, ForwardHead, Handler,
+    Identity, PeerId, Server, body,
 };
 
 /// Longest time of one test.
@@ -124,21 +124,21 @@
 }
 
 /// All bytes of a body.
-pub async fn collect(body: Body) -> Result<Bytes, trefoil_wire::BodyError> {
+pub async fn collect(body: Body) -> Result<Bytes, BodyError> {
     Ok(body.collect().await?.to_bytes())
 }
 
 /// A body that yields the items sent to it and ends when the sender is dropped.
-pub fn piped() -> (Sender<Result<Bytes, trefoil_wire::BodyError>>, Body) {
+pub fn piped() -> (Sender<Result<Bytes, BodyError>>, Body) {
     let (send, receive) = unbounded();
     (send, Body::new(Piped(Box::pin(receive))))
 }
 
-struct Piped(std::pin::Pin<Box<Receiver<Result<Bytes, trefoil_wire::BodyError>>>>);
+struct Piped(std::pin::Pin<Box<Receiver<Result<Bytes, BodyError>>>>);
 
 impl http_body::Body for Piped {
     type Data = Bytes;
-    type Error = trefoil_wire::BodyError;
+    type Error = BodyError;
 
     fn poll_frame(
         mut self: std::pin::Pin<&mut Self>,
@@ -166,9 +166,11 @@
     /// Requests whose future was dropped or completed.
     pub ended: AtomicUsize,
     /// Reasons of refusals.
-    pub refusals: std::sync::Mutex<Vec<String>>,
+    pub refusals: Mutex<Vec<String>>,
+    /// Bodies that were read in a task of their own.
+    pub bodies: Mutex<Vec<Result<Bytes, BodyError>>>,
     /// Names of the peers that asked.
-    pub peers: std::sync::Mutex<Vec<PeerId>>,
+    pub peers: Mutex<Vec<PeerId>>,
 }
 
 impl Script {
@@ -222,13 +224,22 @@
                         body::empty(),
                     ),
                 },
+                // Reads the body in a task that outlives the request.
+                "/task" => {
+                    smol::spawn(async move {
+                        let body = collect(body).await;
+                        self.bodies.lock().unwrap().push(body);
+                    })
+                    .detach();
+                    std::future::pending().await
+                }
                 // Never answers.
                 "/hang" => std::future::pending().await,
                 // Answers with a body that fails after its first bytes.
                 "/cut" => {
                     let (send, body) = piped();
                     send.try_send(Ok(Bytes::from_static(b"begin"))).unwrap();
-                    let cut = trefoil_wire::BodyError::Source {
+                    let cut = BodyError::Source {
                         reason: "upstream reset".to_owned(),
                     };
                     send.try_send(Err(cut)).unwrap();
