Read routing resources and settings with all findings at once

A derived deserializer stops at the first value of a wrong type, and so does serde-saphyr's garde support, so a file with five mistakes took five runs to correct. Resources and settings are now parsed into a tree with places and deserialized repeatedly: each mistake is recorded and its value replaced from a valid sample until the rest can be checked.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,10 +1,26 @@
 //! Routing resources and daemon settings.
 //!
 //! Operators declare what is routed in a [`Routing`] resource. It is parsed from YAML, validated,
-//! and published on the log in its typed form, so that replay never parses YAML.
+//! and published on the log in its typed form, so that replay never parses YAML. The [`Settings`]
+//! of a daemon are read in the same way, and overridden by the environment and by flags.
+//!
+//! Both report every mistake of a file at once as [`Findings`], each with file, line, column and
+//! the path of the value. The module `read` explains how.
 
+mod de;
+pub mod findings;
+pub mod key;
+pub mod path;
+mod read;
 pub mod resource;
+pub mod settings;
+mod tree;
 
+pub use findings::{Finding, Findings, Place};
+pub use key::PublicKey;
+pub use path::{Path, Step};
 pub use resource::{
     Deadlines, Key, Limits, Methods, Routing, RoutingSpec, Service, Upstream, Weights,
 };
+pub use settings::{LogLevel, Overrides, Settings, SettingsBuilder};
+pub use tree::TEXT_MAX;
--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -1,14 +1,26 @@
 //! The routing resource.
 //!
+//! [`Routing::from_yaml`] reports all mistakes of a file together, with their places. A program that
+//! builds a resource calls [`Routing::check`], which applies the same rules.
+//!
 //! Field types stay within what postcard can encode, because the same types travel in log records:
 //! no untagged enums, no flattened structs and no fields that are skipped when empty.
 
 use std::net::SocketAddr;
+use std::str::FromStr;
 
 use garde::Validate;
 use serde::{Deserialize, Serialize};
 use trefoil_core::{DomainName, RegionName, ResourceName, Revision, ServiceName, UpstreamName};
 
+mod checks;
+
+pub use checks::RESOURCE_MAX;
+pub(crate) use checks::unique;
+
+use crate::findings::Findings;
+use crate::read;
+
 /// Default number of shards of a service.
 pub const SHARDS_DEFAULT: u32 = 1024;
 
@@ -31,6 +43,41 @@
     pub spec: RoutingSpec,
 }
 
+impl Routing {
+    /// Reads a resource from YAML. `file` is the name that findings give as the place.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes that were found in the text.
+    pub fn from_yaml(text: &str, file: &str) -> Result<Self, Findings> {
+        read::read(text, file)
+    }
+
+    /// Checks a resource that was not read from YAML. Findings have no line and column.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes that were found.
+    pub fn check(&self) -> Result<(), Findings> {
+        read::check(self, self.name.as_str())
+    }
+
+    /// Prints the resource as YAML with all fields, from which [`from_yaml`](Self::from_yaml) gives
+    /// the same resource.
+    pub fn to_yaml(&self) -> String {
+        // Only a map with keys that are not scalars fails to print, and no field has one.
+        serde_saphyr::to_string(self).unwrap_or_default()
+    }
+}
+
+impl FromStr for Routing {
+    type Err = Findings;
+
+    fn from_str(text: &str) -> Result<Self, Findings> {
+        Self::from_yaml(text, "resource")
+    }
+}
+
 /// Kinds of resources.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
--- /dev/null
+++ b/crates/config/src/settings.rs
@@ -0,0 +1,211 @@
+//! Settings of the daemon.
+//!
+//! A setting comes from the YAML file, is overridden by an environment variable, and that by a flag.
+//! [`Overrides`] changes the document before it is checked, so a value is checked in the same way
+//! wherever it comes from, and a finding names the variable or flag in place of the file.
+//!
+//! Listen addresses may have port 0, which the system replaces by a free port; tests rely on that.
+
+mod builder;
+mod checks;
+mod overrides;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use derive_more::{Display, FromStr};
+use garde::Validate;
+use serde::{Deserialize, Serialize};
+use trefoil_core::{DomainName, HostName, RegionName};
+
+use crate::findings::Findings;
+use crate::key::PublicKey;
+use crate::read;
+
+pub use builder::SettingsBuilder;
+pub use overrides::{Overrides, SETTINGS, flag, variable};
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Settings {
+    /// Name of this entry host. It stays the same across restarts.
+    #[garde(skip)]
+    pub name: HostName,
+    /// Failure domain that this host runs in.
+    #[garde(skip)]
+    pub domain: DomainName,
+    /// Region that this host runs in.
+    #[garde(skip)]
+    pub region: RegionName,
+    /// Address that accepts callers' requests (TCP, HTTP).
+    #[garde(skip)]
+    pub caller: SocketAddr,
+    /// Address that accepts other hosts (UDP, QUIC with mutual TLS).
+    #[garde(skip)]
+    pub peer: SocketAddr,
+    /// Address of the operators' API, metrics and health (TCP, HTTP).
+    #[garde(skip)]
+    pub operator: SocketAddr,
+    /// Peer addresses of hosts that are asked for the newest revision while the log is down.
+    #[serde(default)]
+    #[garde(length(max = 64))]
+    pub seeds: Vec<SocketAddr>,
+    /// Addresses of the platform's services.
+    #[garde(skip)]
+    pub platform: Platform,
+    /// Files for mutual TLS between hosts.
+    #[garde(skip)]
+    pub tls: Tls,
+    /// Keys that sign log records.
+    #[garde(dive)]
+    pub keys: Keys,
+    /// Limits on callers.
+    #[serde(default)]
+    #[garde(dive)]
+    pub limits: CallerLimits,
+    /// File that trace spans are appended to; none are written without it.
+    #[serde(default)]
+    #[garde(skip)]
+    pub trace: Option<PathBuf>,
+    /// Least severe level that is logged.
+    #[serde(default)]
+    #[garde(skip)]
+    pub log_level: LogLevel,
+}
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Platform {
+    /// Log service.
+    pub log: SocketAddr,
+    /// List of live and leaving hosts.
+    pub hosts: SocketAddr,
+}
+
+/// Files for mutual TLS between hosts, in PEM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Certificate of the deployment's authority.
+    pub authority: PathBuf,
+    /// Certificate of this host.
+    pub certificate: PathBuf,
+    /// Private key of this host's certificate.
+    pub key: PathBuf,
+}
+
+/// Keys that sign log records.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields)]
+pub struct Keys {
+    /// Public keys of operators.
+    #[garde(length(min = 1, max = 1024))]
+    pub operators: Vec<PublicKey>,
+    /// Public keys of hosts.
+    #[garde(length(min = 1, max = 65_536))]
+    pub hosts: Vec<PublicKey>,
+    /// File with this host's signing key (PKCS#8).
+    #[garde(skip)]
+    pub signing: PathBuf,
+}
+
+/// Limits on callers. The defaults are those of section 10 of the design.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Largest request head in bytes.
+    #[garde(range(min = 1024, max = 65_536))]
+    pub header: u32,
+    /// Most header fields of a request.
+    #[garde(range(min = 8, max = 1000))]
+    pub headers: u32,
+    /// Most open connections from callers.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub connections: u32,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header: 16 * 1024,
+            headers: 100,
+            connections: 10_000,
+        }
+    }
+}
+
+/// Severity of log lines, from the most severe.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Display,
+    FromStr,
+    Serialize,
+    Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
+#[display(rename_all = "lowercase")]
+#[from_str(rename_all = "lowercase")]
+pub enum LogLevel {
+    /// The process cannot go on.
+    Critical,
+    /// An operation failed.
+    Error,
+    /// Something needs attention.
+    Warning,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for finding faults.
+    Debug,
+    /// Every step.
+    Trace,
+}
+
+impl Settings {
+    /// Reads settings from YAML. `file` is the name that findings give as the place.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes that were found in the text.
+    pub fn from_yaml(text: &str, file: &str) -> Result<Self, Findings> {
+        read::read(text, file)
+    }
+
+    /// Reads settings from YAML and overrides them.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes that were found in the text and in the overrides.
+    pub fn load(text: &str, file: &str, overrides: &Overrides) -> Result<Self, Findings> {
+        read::read_with(text, file, |tree| overrides.apply(tree))
+    }
+
+    /// Starts building settings in a program.
+    pub fn builder(name: HostName, domain: DomainName, region: RegionName) -> SettingsBuilder {
+        SettingsBuilder::new(name, domain, region)
+    }
+
+    /// Checks settings that were not read from YAML. Findings have no line and column.
+    ///
+    /// # Errors
+    ///
+    /// Fails with all mistakes that were found.
+    pub fn check(&self) -> Result<(), Findings> {
+        read::check(self, "settings")
+    }
+
+    /// Prints the settings as YAML with all fields.
+    pub fn to_yaml(&self) -> String {
+        // Only a map with keys that are not scalars fails to print, and no field has one.
+        serde_saphyr::to_string(self).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/config/src/settings/checks.rs
@@ -0,0 +1,83 @@
+//! Checks of settings that involve several fields.
+
+use std::net::SocketAddr;
+use std::path::Path as FilePath;
+
+use super::Settings;
+use crate::path::Path;
+use crate::read::{Checks, Document};
+use crate::resource::unique;
+
+impl Document for Settings {
+    const SAMPLE: &'static str = include_str!("sample.yaml");
+
+    fn check(&self, checks: &mut Checks<'_>) {
+        let root = Path::root();
+        let listens = [
+            (self.caller, root.key("caller")),
+            (self.peer, root.key("peer")),
+            (self.operator, root.key("operator")),
+        ];
+        for (i, (address, path)) in listens.iter().enumerate() {
+            let earlier = listens[..i]
+                .iter()
+                .find(|(other, _)| overlap(*address, *other));
+            if let Some((other, first)) = earlier {
+                let message = format!("{address} overlaps with {other} of {first}");
+                checks.report_with(path, std::slice::from_ref(first), message);
+            }
+        }
+
+        let platform = root.key("platform");
+        let platform = [
+            (self.platform.log, platform.key("log")),
+            (self.platform.hosts, platform.key("hosts")),
+        ];
+        let seeds = (0..self.seeds.len()).map(|i| root.key("seeds").at(i));
+        let seeds: Vec<(SocketAddr, Path)> = self.seeds.iter().copied().zip(seeds).collect();
+        for (address, path) in platform.iter().chain(&seeds) {
+            if address.port() == 0 || address.ip().is_unspecified() {
+                checks.report(path, format!("{address} cannot be connected to"));
+            }
+        }
+        unique("seed", seeds.into_iter(), checks);
+
+        let keys = root.key("keys");
+        let of = |list: &str, len| {
+            let path = keys.key(list);
+            (0..len).map(move |i| path.at(i))
+        };
+        let operators = self
+            .keys
+            .operators
+            .iter()
+            .zip(of("operators", self.keys.operators.len()));
+        let hosts = self
+            .keys
+            .hosts
+            .iter()
+            .zip(of("hosts", self.keys.hosts.len()));
+        // A key in both lists would let a host publish configuration.
+        unique("key", operators.chain(hosts), checks);
+
+        let tls = root.key("tls");
+        let files = [
+            (Some(&self.tls.authority), tls.key("authority")),
+            (Some(&self.tls.certificate), tls.key("certificate")),
+            (Some(&self.tls.key), tls.key("key")),
+            (Some(&self.keys.signing), keys.key("signing")),
+            (self.trace.as_ref(), root.key("trace")),
+        ];
+        for (file, path) in files {
+            if file.is_some_and(|file| file == FilePath::new("")) {
+                checks.report(&path, "must not be empty");
+            }
+        }
+    }
+}
+
+/// Whether two listen addresses cannot be used by one process. Port 0 stands for any free port.
+fn overlap(a: SocketAddr, b: SocketAddr) -> bool {
+    let any = a.ip().is_unspecified() || b.ip().is_unspecified();
+    a.port() != 0 && a.port() == b.port() && (any || a.ip() == b.ip())
+}
--- /dev/null
+++ b/tests/all/config/properties.rs
@@ -0,0 +1,181 @@
+//! Properties of the parser, with a fixed seed so that every run draws the same cases.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use trefoil_config::resource::Kind;
+use trefoil_config::{
+    Deadlines, Key, Limits, Methods, Path, Routing, RoutingSpec, Service, Settings, Upstream,
+    Weights,
+};
+use trefoil_core::Revision;
+
+use super::{ROUTING, SETTINGS};
+
+fn runner(cases: u32) -> TestRunner {
+    TestRunner::new(Config {
+        cases,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(0x7265_666f_696c),
+        failure_persistence: None,
+        ..Config::default()
+    })
+}
+
+/// Reads a text as both documents. Panics fail the test; findings are expected.
+fn read(text: &str) {
+    for list in [
+        Routing::from_yaml(text, "r").err(),
+        Settings::from_yaml(text, "s").err(),
+    ] {
+        let findings = list.into_iter().flatten();
+        findings.for_each(|f| assert!(!f.message.is_empty(), "a finding says what is wrong"));
+    }
+}
+
+/// Guards against panics on arbitrary text.
+#[test]
+fn arbitrary_text_does_not_panic() {
+    let text = prop_oneof![
+        any::<String>(),
+        "[-:{}\\[\\],&*!|>'\"%@`#? \n\ta-c0-9~<]{0,80}",
+        "(kind|name|spec|services|key|[a-z]{1,3}|[\\[{}\\]:\n -]){0,60}",
+    ];
+    runner(2000)
+        .run(&text, |text| {
+            read(&text);
+            Ok(())
+        })
+        .expect("no panic");
+}
+
+/// Guards against panics on almost valid text, which reaches the checks that arbitrary text does
+/// not: a piece of a valid file is replaced.
+#[test]
+fn damaged_text_does_not_panic() {
+    let damage = (
+        any::<bool>(),
+        0..2000_usize,
+        0..40_usize,
+        "[-:{}\\[\\],&*!'\"\n a-c0-9~]{0,6}",
+    );
+    runner(2000)
+        .run(&damage, |(first, start, len, insert)| {
+            let text = if first { ROUTING } else { SETTINGS };
+            let start = start.min(text.len());
+            let end = (start + len).min(text.len());
+            read(&format!("{}{insert}{}", &text[..start], &text[end..]));
+            Ok(())
+        })
+        .expect("no panic");
+}
+
+fn service(index: usize) -> impl Strategy<Value = Service> {
+    let key = prop_oneof![
+        "[A-Za-z][A-Za-z0-9-]{0,20}".prop_map(|name| Key::Header(format!("X-{name}"))),
+        (1..=16_u8).prop_map(Key::Path),
+    ];
+    let weights = (0.0..1000.0_f64, 0.0..1000.0_f64, 0.1..1000.0_f64);
+    let limits = (
+        1..=1024_u32,
+        1..=4096_u32,
+        1..=100_000_u32,
+        1..=1_073_741_824_u64,
+    );
+    let deadlines = (1..=600_000_u32, 1..=600_000_u32, 0..=600_000_u32);
+    let upstreams = proptest::collection::vec((any::<bool>(), any::<[u8; 2]>()), 0..6);
+    let rest = (any::<bool>(), 0..=20_u32, any::<bool>());
+    (key, weights, limits, deadlines, upstreams, rest).prop_map(
+        move |(key, (unavailable, churn, imbalance), l, d, list, (fenced, shards, post))| {
+            // The first upstream is not leaving.
+            let list = [(false, [0, 0])].into_iter().chain(list).enumerate();
+            let upstreams = list.map(|(i, (leaving, _))| Upstream {
+                name: format!("{index}-{i}").parse().expect("a name"),
+                address: SocketAddr::from((
+                    Ipv4Addr::LOCALHOST,
+                    u16::try_from(1 + index * 100 + i).expect("a port"),
+                )),
+                domain: "null".parse().expect("a name"),
+                leaving,
+            });
+            Service {
+                name: format!("{index}").parse().expect("a name"),
+                key,
+                methods: Methods {
+                    idempotent: vec!["GET".to_owned()],
+                    non_idempotent: if post {
+                        vec!["POST".to_owned()]
+                    } else {
+                        Vec::new()
+                    },
+                },
+                fenced,
+                shards: 1 << shards,
+                weights: Weights {
+                    unavailable,
+                    churn,
+                    imbalance,
+                },
+                limits: Limits {
+                    slots: l.0,
+                    connections: l.1,
+                    queue: l.2,
+                    body: l.3,
+                },
+                deadlines: Deadlines {
+                    default: d.0.min(d.1),
+                    max: d.0.max(d.1),
+                    margin: d.2,
+                },
+                upstreams: upstreams.collect(),
+            }
+        },
+    )
+}
+
+/// Guards against a printed resource that reads back as another one, such as a name of digits or
+/// `null` without quotes, or a number that loses digits. `get` prints what `apply` reads.
+#[test]
+fn printing_and_reading_gives_the_same_resource() {
+    let services = (1..4_usize).prop_flat_map(|n| (0..n).map(service).collect::<Vec<_>>());
+    let resource = ("[a-z0-9-]{1,63}", any::<u64>(), services);
+    runner(300)
+        .run(&resource, |(name, revision, services)| {
+            let routing = Routing {
+                kind: Kind::Routing,
+                name: name.parse().expect("a name"),
+                revision: Revision(revision),
+                spec: RoutingSpec {
+                    region: "true".parse().expect("a name"),
+                    domains: vec![
+                        "null".parse().expect("a name"),
+                        "1".parse().expect("a name"),
+                    ],
+                    services,
+                },
+            };
+            let text = routing.to_yaml();
+            prop_assert_eq!(Routing::from_yaml(&text, "printed"), Ok(routing));
+            Ok(())
+        })
+        .expect("the same resource");
+}
+
+/// Guards against a path in JSON findings that reads back as another one.
+#[test]
+fn printing_and_reading_gives_the_same_path() {
+    let step = prop_oneof![
+        "[a-z][a-z-]{0,8}".prop_map(trefoil_config::Step::Key),
+        any::<usize>().prop_map(trefoil_config::Step::Index),
+    ];
+    runner(300)
+        .run(&proptest::collection::vec(step, 0..6), |steps| {
+            let path = steps
+                .into_iter()
+                .fold(Path::root(), |path, step| path.with(step));
+            prop_assert_eq!(path.to_string().parse(), Ok(path));
+            Ok(())
+        })
+        .expect("the same path");
+}
