--- /dev/null
+++ b/crates/daemon/src/ingress.rs
@@ -0,0 +1,298 @@
+//! The callers' port.
+//!
+//! The ingress reads the head of a request, finds the owner of its key and that upstream's
+//! dispatcher, and forwards the request. Until proof exists that a request did not run, it is
+//! forwarded once. Small bodies are read first, so that a request which was not run, for example
+//! because the key's owner has just changed, can be forwarded again.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use http::request::Parts;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use slog::debug;
+use trefoil_core::{Outcome, Tick, UpstreamName};
+use trefoil_http::Service;
+use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers};
+
+use crate::dispatcher::{Dispatchers, owner};
+use crate::problem::{OUTCOME_HEADER, Problem, outcome_value};
+use crate::request::{Intent, forwarded};
+use crate::shared::Shared;
+
+/// Bodies up to this many bytes are read before the request is forwarded.
+const REPLAY_MAX: u64 = 64 * 1024;
+
+/// Time beyond the deadline in which the dispatcher can still say that a request was not run.
+const ANSWER_GRACE: Duration = Duration::from_millis(100);
+
+/// Wait before a request that was not run is forwarded again.
+const RETRY_WAIT: Duration = Duration::from_millis(20);
+
+/// The callers' port.
+#[derive(Debug)]
+pub struct Ingress {
+    shared: Arc<Shared>,
+    dispatchers: Arc<Dispatchers>,
+    peers: Arc<dyn Peers>,
+}
+
+/// The body of a caller's request.
+enum Payload {
+    Whole(Bytes),
+    Stream(Option<Body>),
+}
+
+/// How one attempt ended.
+enum Attempt {
+    Answered(AnswerHead, Body),
+    Failed(Outcome, String),
+}
+
+impl Ingress {
+    /// An ingress that forwards to `peers`, and to `dispatchers` where this host is the
+    /// dispatcher.
+    pub fn new(shared: Arc<Shared>, dispatchers: Arc<Dispatchers>, peers: Arc<dyn Peers>) -> Self {
+        Self {
+            shared,
+            dispatchers,
+            peers,
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<trefoil_http::Body> {
+        let started = self.shared.clock.now();
+        let (parts, body) = request.into_parts();
+        let (service, result) = self.serve(&parts, body).await;
+        let (outcome, response) = match result {
+            Ok(response) => (Outcome::Done, response),
+            Err(problem) => (problem.outcome, problem.response()),
+        };
+        let span = self.shared.clock.now().since(started);
+        self.shared.metrics.answered(&service, outcome, span);
+        debug!(self.shared.logger, "request answered"; "service" => &service,
+            "method" => %parts.method, "outcome" => %outcome,
+            "status" => response.status().as_u16(), "us" => span.as_micros());
+        response
+    }
+
+    async fn serve(
+        &self,
+        parts: &Parts,
+        body: Incoming,
+    ) -> (String, Result<Response<trefoil_http::Body>, Box<Problem>>) {
+        if !self.shared.is_ready() {
+            let reason = "this host is starting, draining or behind the newest configuration";
+            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            return ("-".to_owned(), Err(Box::new(problem)));
+        }
+        match Intent::read(parts, &self.shared.view()) {
+            Ok(intent) => {
+                let name = intent.service.name.to_string();
+                (name, self.route(&intent, parts, body).await)
+            }
+            Err(problem) => ("-".to_owned(), Err(problem)),
+        }
+    }
+
+    async fn route(
+        &self,
+        intent: &Intent,
+        parts: &Parts,
+        body: Incoming,
+    ) -> Result<Response<trefoil_http::Body>, Box<Problem>> {
+        let until = self.shared.clock.now().after(intent.budget);
+        let mut payload = self.payload(intent, body, until).await?;
+        loop {
+            let attempt = self.attempt(intent, parts, &mut payload, until).await;
+            let again = matches!(payload, Payload::Whole(_));
+            match attempt {
+                Attempt::Answered(head, body) => return Ok(passed_on(head, body)),
+                Attempt::Failed(Outcome::NotRun, reason) => {
+                    let next = self.shared.clock.now().after(RETRY_WAIT);
+                    if !again || next >= until {
+                        return Err(Box::new(unavailable(&reason)));
+                    }
+                    self.shared.wait_change(next).await;
+                }
+                Attempt::Failed(_, reason) => return Err(Box::new(Problem::unknown(&reason))),
+            }
+        }
+    }
+
+    async fn payload(
+        &self,
+        intent: &Intent,
+        body: Incoming,
+        until: Tick,
+    ) -> Result<Payload, Box<Problem>> {
+        let max = usize::try_from(intent.service.limits.body).unwrap_or(usize::MAX);
+        let exact = http_body::Body::size_hint(&body).exact();
+        let body = Limited::new(body, max);
+        if exact.is_none_or(|n| n > REPLAY_MAX) {
+            let body = body.map_err(|e| BodyError::Source {
+                reason: e.to_string(),
+            });
+            return Ok(Payload::Stream(Some(body.boxed())));
+        }
+        let late = async {
+            self.shared.clock.sleep_until(until).await;
+            None
+        };
+        match async { Some(body.collect().await) }.or(late).await {
+            Some(Ok(whole)) => Ok(Payload::Whole(whole.to_bytes())),
+            Some(Err(e)) => {
+                let detail = format!("the body broke off: {e}");
+                Err(Box::new(Problem::not_run(StatusCode::BAD_REQUEST, detail)))
+            }
+            None => {
+                let detail = "the body did not arrive within the deadline";
+                Err(Box::new(Problem::not_run(
+                    StatusCode::REQUEST_TIMEOUT,
+                    detail,
+                )))
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        intent: &Intent,
+        parts: &Parts,
+        payload: &mut Payload,
+        until: Tick,
+    ) -> Attempt {
+        let view = self.shared.view();
+        let not_run = |reason: &str| Attempt::Failed(Outcome::NotRun, reason.to_owned());
+        let Some(upstream) = owner(&view, &intent.service, intent.key) else {
+            return not_run("the key has no owner yet");
+        };
+        let host = view
+            .dispatchers
+            .get(upstream)
+            .and_then(|a| a.assignment.hosts.first());
+        let Some(host) = host.and_then(|id| view.hosts.get(id)) else {
+            return not_run("the key's upstream has no dispatcher yet");
+        };
+        let budget = until.since(self.shared.clock.now());
+        let head = self.head(intent, parts, upstream, budget);
+        let body = match payload {
+            Payload::Whole(bytes) => trefoil_wire::body::full(bytes.clone()),
+            Payload::Stream(body) => match body.take() {
+                Some(body) => body,
+                None => return not_run("the body was already sent"),
+            },
+        };
+        let late = async {
+            self.shared
+                .clock
+                .sleep_until(until.after(ANSWER_GRACE))
+                .await;
+            Attempt::Failed(Outcome::Unknown, "the deadline passed".to_owned())
+        };
+        let sent = async {
+            if host.id == self.shared.host.id {
+                let id = PeerId::from(self.shared.host.name.clone());
+                let answer = Arc::clone(&self.dispatchers).forward(id, head, body).await;
+                return self.judge(answer);
+            }
+            match self.peers.forward(host.addresses.peer, head, body).await {
+                Ok(answer) => self.judge(answer),
+                Err(e) if e.sent() => Attempt::Failed(Outcome::Unknown, e.to_string()),
+                Err(e) => Attempt::Failed(Outcome::NotRun, e.to_string()),
+            }
+        };
+        sent.or(late).await
+    }
+
+    fn head(
+        &self,
+        intent: &Intent,
+        parts: &Parts,
+        upstream: &UpstreamName,
+        budget: Duration,
+    ) -> ForwardHead {
+        let path = parts.uri.path_and_query().map_or("/", |p| p.as_str());
+        ForwardHead {
+            service: intent.service.name.clone(),
+            upstream: upstream.clone(),
+            key: intent.key,
+            method: parts.method.to_string(),
+            path: path.to_owned(),
+            headers: forwarded(&parts.headers),
+            id: intent.id.clone(),
+            idempotent: intent.idempotent,
+            budget,
+            trace: intent.trace.clone(),
+            revision: self.shared.view().revision,
+        }
+    }
+
+    fn judge(&self, (head, body): (AnswerHead, Body)) -> Attempt {
+        match head {
+            AnswerHead::Answer { revision, .. } => {
+                self.shared.learn(revision);
+                Attempt::Answered(head, body)
+            }
+            AnswerHead::Failed {
+                outcome,
+                reason,
+                revision,
+            } => {
+                self.shared.learn(revision);
+                Attempt::Failed(outcome, reason)
+            }
+            AnswerHead::Moved { upstream, revision } => {
+                self.shared.learn(revision);
+                Attempt::Failed(Outcome::NotRun, format!("the key moved to {upstream}"))
+            }
+        }
+    }
+}
+
+impl Service for Ingress {
+    fn handle(
+        self: Arc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Boxed<Response<trefoil_http::Body>> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+fn unavailable(reason: &str) -> Problem {
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+}
+
+fn passed_on(head: AnswerHead, body: Body) -> Response<trefoil_http::Body> {
+    let AnswerHead::Answer {
+        status,
+        headers,
+        outcome,
+        ..
+    } = head
+    else {
+        return Problem::unknown("the dispatcher's answer has no head").response();
+    };
+    let body = body
+        .map_err(|e| Box::new(e) as trefoil_http::BodyError)
+        .boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+        .headers_mut()
+        .insert(OUTCOME_HEADER, outcome_value(outcome));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,112 @@
+//! Metrics of the process, in the `OpenMetrics` text format.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::{Registry, Unit};
+use trefoil_core::Outcome;
+
+/// Smallest latency bucket in seconds; buckets double from here to about 8 s.
+const SMALLEST_BUCKET: f64 = 0.000_25;
+const BUCKETS: u16 = 16;
+
+/// Labels of a request at the ingress.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// The service, or `-` if the request named none that is declared.
+    pub service: String,
+    /// What the caller was told.
+    pub outcome: String,
+}
+
+/// Labels of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UpstreamLabels {
+    /// The upstream.
+    pub upstream: String,
+}
+
+/// Metrics of the process.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Arc<Registry>,
+    /// Requests that were answered.
+    pub requests: Family<RequestLabels, Counter>,
+    /// Time from the head of a request to the head of its answer.
+    pub latency: Histogram,
+    /// Requests at an upstream.
+    pub active: Family<UpstreamLabels, Gauge>,
+    /// Requests sent to an upstream.
+    pub sent: Family<UpstreamLabels, Counter>,
+    /// Revision of the view.
+    pub revision: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("trefoil");
+        let requests = Family::default();
+        let latency = Histogram::new(exponential_buckets(SMALLEST_BUCKET, 2.0, BUCKETS));
+        let active = Family::default();
+        let sent = Family::default();
+        let revision = Gauge::default();
+        registry.register(
+            "requests",
+            "Requests answered at the ingress",
+            requests.clone(),
+        );
+        registry.register_with_unit(
+            "latency",
+            "Time to the head of the answer",
+            Unit::Seconds,
+            latency.clone(),
+        );
+        registry.register("active", "Requests at an upstream", active.clone());
+        registry.register("sent", "Requests sent to an upstream", sent.clone());
+        registry.register("revision", "Revision of the view", revision.clone());
+        Self {
+            registry: Arc::new(registry),
+            requests,
+            latency,
+            active,
+            sent,
+            revision,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts an answered request.
+    pub fn answered(&self, service: &str, outcome: Outcome, span: Duration) {
+        let labels = RequestLabels {
+            service: service.to_owned(),
+            outcome: outcome.to_string(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        self.latency.observe(span.as_secs_f64());
+    }
+
+    /// The labels of an upstream.
+    pub fn upstream(name: &str) -> UpstreamLabels {
+        UpstreamLabels {
+            upstream: name.to_owned(),
+        }
+    }
+
+    /// The metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric does not encode.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,311 @@
+//! The operators' port: health, metrics, resources and status.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+use trefoil_core::{DomainName, HostName, ResourceName, Revision, ServiceName, UpstreamName};
+use trefoil_http::{Body, Service, full};
+use trefoil_log::log::RECORD_MAX;
+use trefoil_log::{HostRecord, Resource, SubmitError, Verdict, View};
+use trefoil_wire::{Peers, decode, encode};
+
+use crate::message::{Message, Reply};
+use crate::shared::Shared;
+
+/// Time in which an operator's record must be read back.
+const SUBMIT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time in which a host must tell its revision.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The operators' port.
+#[derive(Debug)]
+pub struct Operator {
+    shared: Arc<Shared>,
+    peers: Arc<dyn Peers>,
+}
+
+/// What a failure domain serves.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct DomainStatus {
+    /// Lowest revision of the domain's hosts that answered.
+    pub revision: Option<Revision>,
+    /// Hosts that answered.
+    pub hosts: u32,
+    /// Hosts that did not answer.
+    pub silent: u32,
+}
+
+/// A resource with its status.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct ResourceStatus {
+    /// The resource.
+    pub resource: Resource,
+    /// What each failure domain serves.
+    pub domains: BTreeMap<DomainName, DomainStatus>,
+    /// Whether every host that is known serves the resource.
+    pub everywhere: bool,
+}
+
+/// Status of the deployment as this host sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// Name of this host.
+    pub host: HostName,
+    /// Revision of this host.
+    pub revision: Revision,
+    /// Whether this host serves callers.
+    pub ready: bool,
+    /// Live hosts by name.
+    pub hosts: Vec<HostStatus>,
+    /// Upstreams with their dispatchers and shards.
+    pub upstreams: Vec<UpstreamStatus>,
+}
+
+/// A host in the [`Status`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct HostStatus {
+    /// Name of the host.
+    pub name: HostName,
+    /// Failure domain of the host.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub caller: SocketAddr,
+}
+
+/// An upstream in the [`Status`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct UpstreamStatus {
+    /// Name of the upstream.
+    pub name: UpstreamName,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// The host that sends to it.
+    pub dispatcher: Option<HostName>,
+    /// Number of shards that it owns.
+    pub shards: usize,
+}
+
+impl Operator {
+    /// The operators' port of a host.
+    pub fn new(shared: Arc<Shared>, peers: Arc<dyn Peers>) -> Self {
+        Self { shared, peers }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::GET, "/livez") => text(StatusCode::OK, "ok"),
+            (&Method::GET, "/readyz") if self.shared.is_ready() => text(StatusCode::OK, "ok"),
+            (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::GET, "/v1/status") => json(StatusCode::OK, &status(&self.shared)),
+            (&Method::GET, "/v1/resources") => {
+                let view = self.shared.view();
+                json(StatusCode::OK, &view.resources.values().collect::<Vec<_>>())
+            }
+            (&Method::POST, "/v1/records") => self.record(request).await,
+            (&Method::POST, "/v1/drain") => {
+                self.shared.start_drain();
+                text(StatusCode::ACCEPTED, "draining")
+            }
+            (&Method::GET, _) => match path.strip_prefix("/v1/resources/") {
+                Some(name) => self.resource(name).await,
+                None => text(StatusCode::NOT_FOUND, "no such call"),
+            },
+            _ => text(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn metrics(&self) -> Response<Body> {
+        let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        match self.shared.metrics.encode() {
+            Ok(metrics) => {
+                let mut response = Response::new(full(metrics));
+                response
+                    .headers_mut()
+                    .insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+                response
+            }
+            Err(e) => text(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+        }
+    }
+
+    async fn record(&self, request: Request<Incoming>) -> Response<Body> {
+        let body = match Limited::new(request.into_body(), RECORD_MAX)
+            .collect()
+            .await
+        {
+            Ok(body) => body.to_bytes(),
+            Err(e) => return text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()),
+        };
+        let until = self.shared.clock.now().after(SUBMIT_TIMEOUT);
+        match self.shared.submit(body, until).await {
+            Ok(verdict @ Verdict::Conflict { .. }) => json(StatusCode::CONFLICT, &verdict),
+            Ok(verdict @ Verdict::Rejected { .. }) => {
+                json(StatusCode::UNPROCESSABLE_ENTITY, &verdict)
+            }
+            Ok(verdict) => json(StatusCode::OK, &verdict),
+            Err(e @ SubmitError::BadRecord { .. }) => text(StatusCode::BAD_REQUEST, &e.to_string()),
+            Err(e @ SubmitError::NotAppended { .. }) => {
+                text(StatusCode::SERVICE_UNAVAILABLE, &e.to_string())
+            }
+            // The record may be in the log, so the answer must not read as a refusal.
+            Err(e @ SubmitError::Unknown { .. }) => text(StatusCode::BAD_GATEWAY, &e.to_string()),
+        }
+    }
+
+    async fn resource(&self, name: &str) -> Response<Body> {
+        let view = self.shared.view();
+        let resource = name
+            .parse::<ResourceName>()
+            .ok()
+            .and_then(|n| view.resources.get(&n));
+        let Some(resource) = resource else {
+            return text(
+                StatusCode::NOT_FOUND,
+                &format!("no resource is named {name:?}"),
+            );
+        };
+        let domains = self.domains(&view).await;
+        let serves =
+            |d: &DomainStatus| d.silent == 0 && d.revision.is_some_and(|r| r >= resource.revision);
+        let everywhere = domains.values().all(serves);
+        json(
+            StatusCode::OK,
+            &ResourceStatus {
+                resource: Resource::clone(resource),
+                domains,
+                everywhere,
+            },
+        )
+    }
+
+    /// Asks all live hosts which revision they serve.
+    async fn domains(&self, view: &View) -> BTreeMap<DomainName, DomainStatus> {
+        let asked: Vec<_> = view
+            .hosts
+            .values()
+            .map(|host| {
+                (
+                    host.domain.clone(),
+                    smol::spawn(self.ask(host, view.revision)),
+                )
+            })
+            .collect();
+        let mut domains = BTreeMap::<_, DomainStatus>::new();
+        for (domain, answer) in asked {
+            let status = domains.entry(domain).or_default();
+            match answer.await {
+                Some(revision) => {
+                    status.hosts += 1;
+                    status.revision = Some(status.revision.map_or(revision, |r| r.min(revision)));
+                }
+                None => status.silent += 1,
+            }
+        }
+        domains
+    }
+
+    fn ask(&self, host: &HostRecord, sender: Revision) -> Boxed<Option<Revision>> {
+        let (shared, peers) = (Arc::clone(&self.shared), Arc::clone(&self.peers));
+        let (id, address) = (host.id, host.addresses.peer);
+        async move {
+            if id == shared.host.id {
+                return Some(shared.view().revision);
+            }
+            let message = encode(&Message::Revision { sender }).ok()?;
+            let late = async {
+                shared.clock.sleep(ASK_TIMEOUT).await;
+                None
+            };
+            let reply = async { peers.call(address, message).await.ok() }
+                .or(late)
+                .await?;
+            match decode::<Reply>(&reply).ok()? {
+                Reply::Revision { revision } => Some(revision),
+                Reply::Refused { .. } => None,
+            }
+        }
+        .boxed()
+    }
+}
+
+impl Service for Operator {
+    fn handle(
+        self: Arc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Boxed<Response<Body>> {
+        async move { self.answer(request).await }.boxed()
+    }
+}
+
+fn status(shared: &Shared) -> Status {
+    let view = shared.view();
+    let mut upstreams = Vec::new();
+    for service in view.services() {
+        for upstream in &service.upstreams {
+            let assigned = view.dispatchers.get(&upstream.name);
+            let dispatcher = assigned.and_then(|a| a.assignment.hosts.first());
+            let dispatcher = dispatcher.and_then(|id| view.hosts.get(id));
+            let table = view.tables.get(&service.name);
+            let member = table.and_then(|t| t.member(&upstream.name));
+            let owned = |t: &trefoil_placement::Table| {
+                t.seats().iter().filter(|s| Some(s.owner) == member).count()
+            };
+            upstreams.push(UpstreamStatus {
+                name: upstream.name.clone(),
+                service: service.name.clone(),
+                dispatcher: dispatcher.map(|h| h.name.clone()),
+                shards: table.map_or(0, |t| owned(t)),
+            });
+        }
+    }
+    let host = |h: &HostRecord| HostStatus {
+        name: h.name.clone(),
+        domain: h.domain.clone(),
+        caller: h.addresses.caller,
+    };
+    Status {
+        host: shared.host.name.clone(),
+        revision: view.revision,
+        ready: shared.is_ready(),
+        hosts: view.hosts.values().map(host).collect(),
+        upstreams,
+    }
+}
+
+fn json<T>(status: StatusCode, value: &T) -> Response<Body>
+where
+    T: Serialize,
+{
+    let (status, data) = match serde_json::to_vec(value) {
+        Ok(data) => (status, Bytes::from(data)),
+        Err(e) => (
+            StatusCode::INTERNAL_SERVER_ERROR,
+            Bytes::from(e.to_string()),
+        ),
+    };
+    let mut response = Response::new(full(data));
+    *response.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+fn text(status: StatusCode, message: &str) -> Response<Body> {
+    let mut response = Response::new(full(format!("{message}\n")));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/pool.rs
@@ -0,0 +1,76 @@
+//! Warm connections to one upstream.
+//!
+//! A connection carries one request at a time. It comes back to the pool only after the whole
+//! answer was read; a connection whose request was cancelled, timed out or broke is closed. So an
+//! answer that arrives late can never be taken for the answer to a later request.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use trefoil_http::{Connection, ConnectionError};
+
+/// Time in which a connection must open. Opening takes about 1 ms; a lost first packet is sent
+/// again after 1 s.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Time that a connection which has just answered may take to become free.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(2);
+
+/// Warm connections to one upstream.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    address: SocketAddr,
+    keep: usize,
+    idle: Arc<Mutex<Vec<Connection>>>,
+}
+
+impl Pool {
+    /// A pool that keeps up to `keep` idle connections.
+    pub fn new(address: SocketAddr, keep: usize) -> Self {
+        Self {
+            address,
+            keep,
+            idle: Arc::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// An idle connection, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no idle connection and none can be opened.
+    pub async fn take(&self) -> Result<Connection, ConnectionError> {
+        loop {
+            let idle = self.lock().pop();
+            let Some(mut connection) = idle else {
+                return Connection::open(self.address, OPEN_TIMEOUT).await;
+            };
+            let late = async {
+                smol::Timer::after(SETTLE_TIMEOUT).await;
+                Err(ConnectionError::NotWritten)
+            };
+            if connection.is_idle() || connection.ready().or(late).await.is_ok() {
+                return Ok(connection);
+            }
+        }
+    }
+
+    /// Takes back a connection whose answer was read to its end.
+    pub fn give_back(&self, connection: Connection) {
+        let mut idle = self.lock();
+        if idle.len() < self.keep {
+            idle.push(connection);
+        }
+    }
+
+    /// Closes the idle connections.
+    pub fn close(&self) {
+        self.lock().clear();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request.rs
@@ -0,0 +1,236 @@
+//! What an ingress reads from a caller's request.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::header::{self, HeaderName};
+use http::request::Parts;
+use http::{HeaderMap, StatusCode};
+use trefoil_config::{Key, Service};
+use trefoil_core::{KeyHash, RequestId, ServiceName};
+use trefoil_log::View;
+use trefoil_wire::Headers;
+
+use crate::problem::Problem;
+
+/// Header with the caller's request id.
+pub const ID_HEADER: &str = "idempotency-key";
+
+/// Header with the caller's deadline in milliseconds from now.
+pub const TIMEOUT_HEADER: &str = "trefoil-timeout-ms";
+
+/// Header with the W3C trace context.
+pub const TRACE_HEADER: &str = "traceparent";
+
+/// Longest key in bytes.
+pub const KEY_MAX: usize = 256;
+
+/// Headers that end at each hop (RFC 9110, section 7.6.1).
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    header::HOST,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// Prefixes of headers that only the router may set.
+const RESERVED: [&str; 2] = ["trefoil-", "fence-token"];
+
+/// What a request asks for.
+#[derive(Debug, Clone)]
+pub struct Intent {
+    /// The service.
+    pub service: Service,
+    /// Hash of the key.
+    pub key: KeyHash,
+    /// Whether the method is idempotent.
+    pub idempotent: bool,
+    /// The caller's request id.
+    pub id: Option<RequestId>,
+    /// Time until the deadline.
+    pub budget: Duration,
+    /// The caller's trace context.
+    pub trace: Option<String>,
+}
+
+impl Intent {
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the problem that the caller is told.
+    pub fn read(parts: &Parts, view: &View) -> Result<Self, Box<Problem>> {
+        let path = parts.uri.path();
+        let name = path
+            .trim_start_matches('/')
+            .split('/')
+            .next()
+            .unwrap_or_default();
+        let service = name
+            .parse::<ServiceName>()
+            .ok()
+            .and_then(|n| view.service(&n));
+        let Some((_, service)) = service else {
+            return refuse(
+                StatusCode::NOT_FOUND,
+                format!("no service is named {name:?}"),
+            );
+        };
+        let key = read_key(&service.key, parts)?;
+        let idempotent = classify(service, parts.method.as_str())?;
+        let id = read_id(&parts.headers)?;
+        let budget = read_budget(service, &parts.headers)?;
+        let length = text(&parts.headers, header::CONTENT_LENGTH.as_str())?;
+        let length = length.and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
+        if length > service.limits.body {
+            let detail = format!(
+                "the body has {length} bytes, at most {} go",
+                service.limits.body
+            );
+            return refuse(StatusCode::PAYLOAD_TOO_LARGE, detail);
+        }
+        // A trace context that does not parse is dropped, as the standard asks.
+        let trace = text(&parts.headers, TRACE_HEADER)
+            .ok()
+            .flatten()
+            .map(str::to_owned);
+        Ok(Self {
+            service: service.clone(),
+            key,
+            idempotent,
+            id,
+            budget,
+            trace,
+        })
+    }
+}
+
+fn refuse<T, D>(status: StatusCode, detail: D) -> Result<T, Box<Problem>>
+where
+    D: Into<String>,
+{
+    Err(Box::new(Problem::not_run(status, detail)))
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Box<Problem>> {
+    match headers.get(name).map(http::HeaderValue::to_str) {
+        None => Ok(None),
+        Some(Ok(text)) => Ok(Some(text.trim())),
+        Some(Err(_)) => refuse(
+            StatusCode::BAD_REQUEST,
+            format!("the header {name} is not visible ASCII"),
+        ),
+    }
+}
+
+fn read_key(key: &Key, parts: &Parts) -> Result<KeyHash, Box<Problem>> {
+    let value = match key {
+        Key::Header(name) => text(&parts.headers, name)?,
+        Key::Path(index) => parts.uri.path().split('/').nth(usize::from(*index) + 1),
+    };
+    let place = match key {
+        Key::Header(name) => format!("the header {name}"),
+        Key::Path(index) => format!("path segment {index} after the service"),
+    };
+    match value {
+        None | Some("") => refuse(
+            StatusCode::BAD_REQUEST,
+            format!("the request has no key in {place}"),
+        ),
+        Some(v) if v.len() > KEY_MAX => {
+            let detail = format!(
+                "the key in {place} has {} bytes, at most {KEY_MAX} go",
+                v.len()
+            );
+            refuse(StatusCode::BAD_REQUEST, detail)
+        }
+        Some(v) => Ok(KeyHash::of(v.as_bytes())),
+    }
+}
+
+fn classify(service: &Service, method: &str) -> Result<bool, Box<Problem>> {
+    let listed = |list: &[String]| list.iter().any(|m| m == method);
+    match () {
+        () if listed(&service.methods.idempotent) => Ok(true),
+        () if listed(&service.methods.non_idempotent) => Ok(false),
+        () => {
+            let detail = format!("service {} does not declare {method}", service.name);
+            refuse(StatusCode::METHOD_NOT_ALLOWED, detail)
+        }
+    }
+}
+
+fn read_id(headers: &HeaderMap) -> Result<Option<RequestId>, Box<Problem>> {
+    // The header is a structured string, but many clients send it without quotes.
+    let Some(value) = text(headers, ID_HEADER)? else {
+        return Ok(None);
+    };
+    let bare = value
+        .strip_prefix('"')
+        .and_then(|v| v.strip_suffix('"'))
+        .unwrap_or(value);
+    match bare.parse() {
+        Ok(id) => Ok(Some(id)),
+        Err(e) => refuse(
+            StatusCode::BAD_REQUEST,
+            format!("the header Idempotency-Key {e}"),
+        ),
+    }
+}
+
+fn read_budget(service: &Service, headers: &HeaderMap) -> Result<Duration, Box<Problem>> {
+    let max = service.deadlines.max;
+    let millis = match text(headers, TIMEOUT_HEADER)?.map(str::parse::<u32>) {
+        None => service.deadlines.default,
+        Some(Ok(millis)) if millis > 0 => millis.min(max),
+        Some(_) => {
+            let detail = "the header Trefoil-Timeout-Ms is not a number above 0";
+            return refuse(StatusCode::BAD_REQUEST, detail);
+        }
+    };
+    Ok(Duration::from_millis(millis.into()))
+}
+
+/// The headers that are passed on.
+pub fn forwarded(headers: &HeaderMap) -> Headers {
+    let listed = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok());
+    let listed: Vec<_> = listed
+        .flat_map(|v| v.split(','))
+        .map(|n| n.trim().to_ascii_lowercase())
+        .collect();
+    let reserved = |name: &str| RESERVED.iter().any(|p| name.starts_with(p));
+    let passes = |name: &HeaderName| {
+        !HOP_HEADERS.contains(name)
+            && name.as_str() != "keep-alive"
+            && !reserved(name.as_str())
+            && !listed.iter().any(|l| l == name.as_str())
+    };
+    let pairs = headers.iter().filter(|(name, _)| passes(name));
+    pairs
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect()
+}
+
+/// Whether the upstream marked its answer as a refusal before execution.
+pub fn is_refusal(status: StatusCode, headers: &HeaderMap) -> bool {
+    let marked = headers.get("trefoil-refused").is_some_and(|v| v == "1");
+    marked
+        && matches!(
+            status,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT
+        )
+}
+
+/// The `Host` header for an upstream.
+pub fn host_value(address: SocketAddr) -> http::HeaderValue {
+    // A socket address is visible ASCII.
+    http::HeaderValue::from_str(&address.to_string())
+        .unwrap_or(http::HeaderValue::from_static("upstream"))
+}
--- /dev/null
+++ b/crates/daemon/src/shared.rs
@@ -0,0 +1,221 @@
+//! State that all parts of the process share.
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use event_listener::Event;
+use futures_lite::FutureExt;
+use slog::Logger;
+use trefoil_core::{Clock, Offset, Revision, Tick, WriterId};
+use trefoil_log::record::{Body, Envelope, RecordError, Signed};
+use trefoil_log::{FORMAT, HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
+
+use crate::metrics::Metrics;
+
+/// Verdicts that are kept for those who wait for them.
+const VERDICTS_MAX: usize = 4096;
+
+/// State that all parts of the process share.
+#[derive(Debug)]
+pub struct Shared {
+    /// This incarnation.
+    pub host: HostRecord,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's log.
+    pub log: Arc<dyn Log>,
+    /// Logger of the process.
+    pub logger: Logger,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    signer: Signer,
+    writer: WriterId,
+    sequence: async_lock::Mutex<u64>,
+    view: ArcSwap<View>,
+    changed: Event,
+    verdicts: Mutex<VecDeque<(Offset, Verdict)>>,
+    floor: AtomicU64,
+    caught_up: AtomicBool,
+    draining: AtomicBool,
+}
+
+impl Shared {
+    /// Shared state with an empty view.
+    pub fn new(
+        host: HostRecord,
+        clock: Arc<dyn Clock>,
+        log: Arc<dyn Log>,
+        logger: Logger,
+        signer: Signer,
+    ) -> Self {
+        Self {
+            host,
+            clock,
+            log,
+            logger,
+            metrics: Metrics::default(),
+            signer,
+            writer: WriterId::random(),
+            sequence: async_lock::Mutex::new(0),
+            view: ArcSwap::default(),
+            changed: Event::new(),
+            verdicts: Mutex::default(),
+            floor: AtomicU64::new(0),
+            caught_up: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// The view in force.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    fn verdicts(&self) -> MutexGuard<'_, VecDeque<(Offset, Verdict)>> {
+        self.verdicts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Publishes a newer view with the verdicts that led to it.
+    pub fn publish<I>(&self, view: View, verdicts: I)
+    where
+        I: IntoIterator<Item = (Offset, Verdict)>,
+    {
+        let mut kept = self.verdicts();
+        kept.extend(verdicts);
+        let excess = kept.len().saturating_sub(VERDICTS_MAX);
+        kept.drain(..excess);
+        drop(kept);
+        let revision = view.revision;
+        self.metrics
+            .revision
+            .set(i64::try_from(revision.0).unwrap_or(i64::MAX));
+        self.view.store(Arc::new(view));
+        self.learn(revision);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Records that some host has reached `revision`.
+    pub fn learn(&self, revision: Revision) {
+        self.floor.fetch_max(revision.0, Ordering::SeqCst);
+    }
+
+    /// Whether the view is at least as new as every revision this host has learnt of.
+    pub fn at_floor(&self) -> bool {
+        self.view.load().revision.0 >= self.floor.load(Ordering::SeqCst)
+    }
+
+    /// Marks whether the log was read to its end at least once.
+    pub fn set_caught_up(&self) {
+        if !self.caught_up.swap(true, Ordering::SeqCst) {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Starts to refuse new callers and leaves the ready list.
+    pub fn start_drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Whether the host is draining.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Whether the host may serve callers: its view is not older than one it has learnt of.
+    pub fn is_current(&self) -> bool {
+        self.caught_up.load(Ordering::SeqCst) && self.at_floor()
+    }
+
+    /// Whether the host should get new callers.
+    pub fn is_ready(&self) -> bool {
+        self.is_current() && !self.is_draining()
+    }
+
+    /// Waits until `done` holds, checking again whenever the view or the host's state changes.
+    /// Returns whether it held before `until`.
+    pub async fn wait_until<F>(&self, until: Tick, done: F) -> bool
+    where
+        F: Fn(&Self) -> bool,
+    {
+        loop {
+            let listener = self.changed.listen();
+            if done(self) {
+                return true;
+            }
+            let late = async {
+                self.clock.sleep_until(until).await;
+                true
+            };
+            let changed = async {
+                listener.await;
+                false
+            };
+            if changed.or(late).await {
+                return done(self);
+            }
+        }
+    }
+
+    /// Waits for the next change of the view, at most until `until`.
+    pub async fn wait_change(&self, until: Tick) {
+        let listener = self.changed.listen();
+        listener.or(self.clock.sleep_until(until)).await;
+    }
+
+    /// Appends a decision of this host and waits for its verdict.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record is not known to be in the log before `until`.
+    pub async fn decide(
+        &self,
+        base: Revision,
+        body: Body,
+        until: Tick,
+    ) -> Result<Verdict, SubmitError> {
+        // One append at a time: a record that lands after its successor would be taken for a
+        // duplicate, because replay keeps only the newest sequence of a writer.
+        let mut sequence = self.sequence.lock().await;
+        *sequence += 1;
+        let envelope = Envelope {
+            format: FORMAT,
+            writer: self.writer,
+            sequence: *sequence,
+            base,
+            time: self.clock.unix(),
+            body,
+        };
+        let data = encode(&envelope, &self.signer)?;
+        self.submit(data, until).await
+    }
+
+    /// Appends a signed record and waits for its verdict. Safe to repeat with the same record.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record is not known to be in the log before `until`.
+    pub async fn submit(&self, data: bytes::Bytes, until: Tick) -> Result<Verdict, SubmitError> {
+        let from = self.view().next;
+        let offset = submit(&*self.log, &*self.clock, data, from, until).await?;
+        let found = |s: &Self| s.view.load().next > offset;
+        if !self.wait_until(until, found).await {
+            let reason = "the record was not read back in time".to_owned();
+            return Err(SubmitError::Unknown {
+                source: trefoil_log::LogError::Ambiguous { reason },
+            });
+        }
+        let verdicts = self.verdicts();
+        let verdict = verdicts
+            .iter()
+            .find(|(o, _)| *o == offset)
+            .map(|(_, v)| v.clone());
+        Ok(verdict.unwrap_or(Verdict::Duplicate))
+    }
+}
+
+fn encode(envelope: &Envelope, signer: &Signer) -> Result<bytes::Bytes, RecordError> {
+    Signed::new(envelope, signer)?.encode()
+}
--- /dev/null
+++ b/crates/http/src/client.rs
@@ -0,0 +1,194 @@
+//! The client side.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use smol::Task;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use snafu::{ResultExt, Snafu};
+
+use crate::{Body, full};
+
+/// Why a request on a [`Connection`] failed.
+#[derive(Debug, Snafu)]
+pub enum ConnectionError {
+    /// The connection could not be opened; nothing was sent.
+    #[snafu(display("cannot connect to {address}: {source}"))]
+    Connect {
+        /// The address.
+        address: SocketAddr,
+        /// The error of the socket.
+        source: std::io::Error,
+    },
+    /// The connection broke before any byte of the request was written.
+    #[snafu(display("the connection closed before the request was written"))]
+    NotWritten,
+    /// The connection broke after the request was begun.
+    #[snafu(display("the connection broke: {source}"))]
+    Broken {
+        /// The error of the connection.
+        source: hyper::Error,
+    },
+}
+
+/// A connection that carries one request at a time.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Body>,
+    // Dropping the task closes the socket, also while an answer is outstanding.
+    _driver: Task<()>,
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is refused or not open within `timeout`.
+    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, ConnectionError> {
+        let late = async {
+            smol::Timer::after(timeout).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let stream = TcpStream::connect(address)
+            .or(late)
+            .await
+            .context(ConnectSnafu { address })?;
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(FuturesIo::new(stream)).await;
+        let (sender, connection) = handshake.context(BrokenSnafu)?;
+        let driver = smol::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            _driver: driver,
+        })
+    }
+
+    /// Whether the connection is open and has no request outstanding.
+    pub fn is_idle(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks; the error says whether anything was written.
+    pub async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, ConnectionError> {
+        self.sender
+            .ready()
+            .await
+            .or(Err(ConnectionError::NotWritten))?;
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            // hyper returns the request only if it did not begin to write it.
+            Err(mut e) => match e.take_message() {
+                Some(_) => Err(ConnectionError::NotWritten),
+                None => Err(e.into_error()).context(BrokenSnafu),
+            },
+        }
+    }
+
+    /// Waits until the connection can take another request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is closed.
+    pub async fn ready(&mut self) -> Result<(), ConnectionError> {
+        self.sender.ready().await.context(BrokenSnafu)
+    }
+}
+
+/// Why a [`call`] failed.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// The connection could not be opened or broke.
+    #[snafu(display("{source}"), context(false))]
+    Connection {
+        /// The connection's error.
+        source: ConnectionError,
+    },
+    /// The answer broke off or is too large.
+    #[snafu(display("the answer of {address} is incomplete: {reason}"))]
+    Incomplete {
+        /// The address.
+        address: SocketAddr,
+        /// What went wrong.
+        reason: String,
+    },
+    /// No answer came in time.
+    #[snafu(display("no answer from {address} within {} ms", timeout.as_millis()))]
+    TimedOut {
+        /// The address.
+        address: SocketAddr,
+        /// The time that was allowed.
+        timeout: Duration,
+    },
+}
+
+impl CallError {
+    /// Whether the server can have received the request.
+    pub fn may_have_been_sent(&self) -> bool {
+        !matches!(
+            self,
+            Self::Connection {
+                source: ConnectionError::Connect { .. } | ConnectionError::NotWritten
+            }
+        )
+    }
+}
+
+/// Sends one request on a connection of its own and reads the whole answer of at most `max` bytes.
+///
+/// # Errors
+///
+/// Fails if the answer is not complete within `timeout`.
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    max: usize,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let late = async {
+        smol::Timer::after(timeout).await;
+        Err(CallError::TimedOut { address, timeout })
+    };
+    exchange(address, request, max, timeout).or(late).await
+}
+
+async fn exchange(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    max: usize,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let mut connection = Connection::open(address, timeout).await?;
+    let (mut parts, data) = request.into_parts();
+    if let Ok(host) = address.to_string().parse() {
+        parts.headers.entry(http::header::HOST).or_insert(host);
+    }
+    let response = connection
+        .send(Request::from_parts(parts, full(data)))
+        .await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), max).collect().await;
+    let body = body
+        .map_err(|e| CallError::Incomplete {
+            address,
+            reason: e.to_string(),
+        })?
+        .to_bytes();
+    Ok((status, body))
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,178 @@
+//! The server side.
+
+use std::convert::Infallible;
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use event_listener::Event;
+use futures_lite::future::Boxed;
+use futures_lite::{FutureExt, future};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+
+use crate::Body;
+
+/// Time in which a client must send the head of a request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Wait after a failed accept, for example because the process has no free file descriptor.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Handles requests.
+pub trait Service: Debug + Send + Sync + 'static {
+    /// Answers one request from `peer`.
+    fn handle(
+        self: Arc<Self>,
+        peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Boxed<Response<Body>>;
+}
+
+/// Bounds on what clients may send.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Header fields of a request.
+    pub fields: usize,
+    /// Connections open at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: 16 * 1024,
+            fields: 100,
+            connections: 4096,
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    stopping: Event,
+    stopped: std::sync::atomic::AtomicBool,
+    open: AtomicUsize,
+    closed: Event,
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    state: Arc<State>,
+}
+
+impl Server {
+    /// Serves on a bound listener until [`stop`](Self::stop).
+    pub fn serve(listener: TcpListener, limits: Limits, service: Arc<dyn Service>) -> Self {
+        let state = Arc::new(State::default());
+        smol::spawn(accept(listener, limits, service, Arc::clone(&state))).detach();
+        Self { state }
+    }
+
+    /// Stops accepting, lets every request in flight finish and waits until all connections are
+    /// closed.
+    pub async fn stop(&self) {
+        self.state.stopped.store(true, Ordering::SeqCst);
+        self.state.stopping.notify(usize::MAX);
+        loop {
+            let listener = self.state.closed.listen();
+            if self.state.open.load(Ordering::SeqCst) == 0 {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
+
+impl State {
+    async fn stopping(&self) {
+        loop {
+            let listener = self.stopping.listen();
+            if self.stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            listener.await;
+        }
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    limits: Limits,
+    service: Arc<dyn Service>,
+    state: Arc<State>,
+) {
+    loop {
+        let next = async { Some(listener.accept().await) };
+        let stop = async {
+            state.stopping().await;
+            None
+        };
+        match stop.or(next).await {
+            None => return,
+            Some(Err(_)) => {
+                smol::Timer::after(ACCEPT_RETRY).await;
+            }
+            // Dropping the stream closes the connection, which tells the client to go elsewhere.
+            Some(Ok(_)) if state.open.load(Ordering::SeqCst) >= limits.connections => {}
+            Some(Ok((stream, peer))) => {
+                state.open.fetch_add(1, Ordering::SeqCst);
+                let (service, state) = (Arc::clone(&service), Arc::clone(&state));
+                smol::spawn(async move {
+                    serve(stream, peer, limits, service, &state).await;
+                    state.open.fetch_sub(1, Ordering::SeqCst);
+                    state.closed.notify(usize::MAX);
+                })
+                .detach();
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: Limits,
+    service: Arc<dyn Service>,
+    state: &State,
+) {
+    // An answer's head and body leave as separate writes; with delayed acknowledgements Nagle's
+    // algorithm would hold the second one back for 40 ms.
+    let _ = stream.set_nodelay(true);
+    let handler = service_fn(move |request| {
+        let answer = Arc::clone(&service).handle(peer, request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_headers(limits.fields)
+        .max_header_size(limits.head)
+        .max_buf_size(limits.head.max(8192))
+        .half_close(false)
+        .serve_connection(FuturesIo::new(stream), handler);
+    let mut connection = pin!(connection);
+    let stopping = async {
+        state.stopping().await;
+        true
+    };
+    let done = async {
+        // An error here ends this connection only; the client sees it closed.
+        let _ = connection.as_mut().await;
+        false
+    };
+    if future::or(done, stopping).await {
+        connection.as_mut().graceful_shutdown();
+        let _ = connection.await;
+    }
+}
--- /dev/null
+++ b/crates/log/src/append.rs
@@ -0,0 +1,108 @@
+//! Appending a record with a known result.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use snafu::Snafu;
+use trefoil_core::{Clock, Offset, Tick, WriterId};
+
+use crate::log::{Log, LogError};
+use crate::record::{RecordError, Signed};
+
+/// Records read in one call while a lost answer is resolved.
+const READ_MAX: usize = 256;
+
+/// Wait between two calls of a log that is unavailable.
+const RETRY_WAIT: Duration = Duration::from_millis(100);
+
+/// Why a record was not found in the log before the deadline.
+#[derive(Debug, Snafu)]
+pub enum SubmitError {
+    /// The record is not in the log, and no call is outstanding that could still append it.
+    #[snafu(display("the record was not appended: {source}"))]
+    NotAppended {
+        /// The last error of the log.
+        source: LogError,
+    },
+    /// The record may be in the log.
+    #[snafu(display("the record may have been appended: {source}"))]
+    Unknown {
+        /// The last error of the log.
+        source: LogError,
+    },
+    /// The record does not decode.
+    #[snafu(display("{source}"), context(false))]
+    BadRecord {
+        /// The decoder's error.
+        source: RecordError,
+    },
+}
+
+enum Search {
+    Found(Offset),
+    Absent,
+}
+
+/// Appends a signed record and resolves lost answers by reading forward from `from`, which must
+/// not be above the log's end at the time of the call. Safe to repeat with the same record.
+///
+/// # Errors
+///
+/// Fails if the record was not found in the log before `until`; the error says whether it can be
+/// there.
+pub async fn submit(
+    log: &dyn Log,
+    clock: &dyn Clock,
+    data: Bytes,
+    from: Offset,
+    until: Tick,
+) -> Result<Offset, SubmitError> {
+    let envelope = Signed::decode(&data)?.envelope()?;
+    let id = (envelope.writer, envelope.sequence);
+    // A lost answer leaves a call behind that may still take effect, so from then on a failure
+    // can no longer be reported as "not appended".
+    let mut ambiguous = false;
+    loop {
+        let error = match log.append(data.clone()).await {
+            Ok(offset) if !ambiguous => return Ok(offset),
+            Ok(offset) => return Ok(first_copy(log, id, from).await.unwrap_or(offset)),
+            Err(e @ LogError::TooLarge { .. }) => {
+                return Err(SubmitError::NotAppended { source: e });
+            }
+            Err(e) => e,
+        };
+        ambiguous |= matches!(error, LogError::Ambiguous { .. });
+        if ambiguous && let Some(offset) = first_copy(log, id, from).await {
+            return Ok(offset);
+        }
+        match clock.now() >= until {
+            true if ambiguous => return Err(SubmitError::Unknown { source: error }),
+            true => return Err(SubmitError::NotAppended { source: error }),
+            false => clock.sleep(RETRY_WAIT).await,
+        }
+    }
+}
+
+async fn first_copy(log: &dyn Log, id: (WriterId, u64), from: Offset) -> Option<Offset> {
+    match search(log, id, from).await {
+        Ok(Search::Found(offset)) => Some(offset),
+        Ok(Search::Absent) | Err(_) => None,
+    }
+}
+
+async fn search(log: &dyn Log, id: (WriterId, u64), mut from: Offset) -> Result<Search, LogError> {
+    loop {
+        let batch = log.read(from, READ_MAX, Duration::ZERO).await?;
+        let matches = |data: &[u8]| {
+            let envelope = Signed::decode(data).and_then(|s| s.envelope());
+            envelope.is_ok_and(|e| (e.writer, e.sequence) == id)
+        };
+        if let Some(found) = batch.records.iter().find(|r| matches(&r.data)) {
+            return Ok(Search::Found(found.offset));
+        }
+        if batch.next >= batch.end {
+            return Ok(Search::Absent);
+        }
+        from = batch.next;
+    }
+}
--- /dev/null
+++ b/crates/log/src/host.rs
@@ -0,0 +1,42 @@
+//! What the log records about an entry host.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use trefoil_core::{DomainName, HostId, HostName, RegionName};
+
+/// Addresses of one incarnation of an entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Addresses {
+    /// Address for callers.
+    pub caller: SocketAddr,
+    /// Address for other hosts.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+}
+
+/// One incarnation of an entry host, as it joined.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// The incarnation.
+    pub id: HostId,
+    /// Name of the host, which outlives the incarnation.
+    pub name: HostName,
+    /// Region of the host.
+    pub region: RegionName,
+    /// Failure domain of the host.
+    pub domain: DomainName,
+    /// Addresses of the incarnation.
+    pub addresses: Addresses,
+}
+
+/// Witnesses of one host's lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lease {
+    /// Counts the witness sets of the incarnation.
+    pub generation: u64,
+    /// The witnesses, empty for a host that is alone.
+    pub witnesses: SmallVec<[HostId; 5]>,
+}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,1 +1,31 @@
-//! Placeholder.
+//! The decision log and its deterministic replay.
+//!
+//! Only decisions go through the platform's log: accepted configuration, hosts that join and
+//! leave, dispatcher assignments and placement changes. Heartbeats, load and health never do,
+//! because the log takes several hundred appends a second and has outages.
+//!
+//! Every process replays the same records by the same rule ([`View::apply`]) and so reaches the
+//! same [`View`]. The rule accepts or rejects a record by looking only at the record and at the
+//! view before it. Racing operators therefore get one winner and one [`Verdict::Conflict`],
+//! whichever host they asked.
+//!
+//! An append whose answer was lost is resolved by reading forward for its writer and sequence
+//! ([`append::submit`]); a copy that lands twice is dropped by replay as [`Verdict::Duplicate`].
+//! A record is never skipped: a record that cannot be decoded stops the replay, because a view
+//! that left it out would differ from the views of other hosts.
+
+pub mod append;
+pub mod host;
+pub mod log;
+pub mod memory;
+pub mod record;
+pub mod sign;
+pub mod view;
+
+pub use append::{SubmitError, submit};
+pub use host::{Addresses, HostRecord, Lease};
+pub use log::{Batch, Log, LogError, Stored};
+pub use memory::MemoryLog;
+pub use record::{Assignment, Body, Envelope, FORMAT, Placement, RecordError, Signed};
+pub use sign::{KeyError, KeyId, Keyring, Role, Signer};
+pub use view::{Resource, Verdict, View};
--- /dev/null
+++ b/crates/log/src/log.rs
@@ -0,0 +1,73 @@
+//! The platform's log service as this project uses it.
+
+use std::fmt::Debug;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future::Boxed;
+use snafu::Snafu;
+use trefoil_core::Offset;
+
+/// Largest record in bytes.
+pub const RECORD_MAX: usize = 256 * 1024;
+
+/// Why a call of the log failed.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub))]
+pub enum LogError {
+    /// The log refused the call before it took effect.
+    #[snafu(display("the log is unavailable: {reason}"))]
+    Unavailable {
+        /// What the log or the connection reported.
+        reason: String,
+    },
+    /// The append may or may not have taken effect.
+    #[snafu(display("the log's answer was lost: {reason}"))]
+    Ambiguous {
+        /// What the connection reported.
+        reason: String,
+    },
+    /// The offset is older than the oldest record that the log keeps.
+    #[snafu(display("the log no longer keeps offset {from}, its oldest is {first}"))]
+    Truncated {
+        /// The offset that was asked for.
+        from: Offset,
+        /// The oldest retained offset.
+        first: Offset,
+    },
+    /// The record is larger than [`RECORD_MAX`].
+    #[snafu(display("the record has {size} bytes, at most {RECORD_MAX} are allowed"))]
+    TooLarge {
+        /// Size in bytes.
+        size: usize,
+    },
+}
+
+/// A stored record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stored {
+    /// Position in the log.
+    pub offset: Offset,
+    /// The bytes as appended.
+    pub data: Bytes,
+}
+
+/// Answer of a read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Records in the order of their offsets.
+    pub records: Vec<Stored>,
+    /// Offset at which the next read goes on.
+    pub next: Offset,
+    /// Offset after the newest record at the time of the read.
+    pub end: Offset,
+}
+
+/// An append-only log with offsets.
+pub trait Log: Debug + Send + Sync {
+    /// Appends a record and returns its offset.
+    fn append(&self, data: Bytes) -> Boxed<Result<Offset, LogError>>;
+
+    /// Reads up to `max` records from `from`; waits up to `wait` if there are none yet.
+    fn read(&self, from: Offset, max: usize, wait: Duration) -> Boxed<Result<Batch, LogError>>;
+}
--- /dev/null
+++ b/crates/log/src/record.rs
@@ -0,0 +1,170 @@
+//! Log records and their codec.
+//!
+//! A record is a postcard-encoded [`Signed`]: the encoded [`Envelope`] and a signature over exactly
+//! those bytes, so that a record can be verified without decoding it first.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+use snafu::{ResultExt, Snafu};
+use trefoil_config::Routing;
+use trefoil_core::{HostId, Revision, ServiceName, UnixMillis, UpstreamName, WriterId};
+use trefoil_placement::Change;
+
+use crate::host::{HostRecord, Lease};
+use crate::sign::{KeyId, Signer};
+
+/// The newest record format that this build writes and reads.
+pub const FORMAT: u16 = 1;
+
+/// The dispatcher of an upstream and its successors, in the order of their ranks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Hosts by rank.
+    pub hosts: SmallVec<[HostId; 3]>,
+}
+
+/// A placement decision.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// Changes of shard tables, applied in order.
+    pub changes: Vec<(ServiceName, Change)>,
+    /// New dispatcher assignments.
+    pub assignments: Vec<Assignment>,
+}
+
+/// What a record decides.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Publishes a routing resource. The resource's revision names the one it builds on.
+    Config(Box<Routing>),
+    /// A host joins.
+    Joined(HostRecord),
+    /// A host leaves after a graceful shutdown.
+    Left {
+        /// The incarnation that leaves.
+        host: HostId,
+    },
+    /// A majority of a host's witnesses attested that its lease expired.
+    Expired {
+        /// The incarnation whose lease expired.
+        host: HostId,
+    },
+    /// A host names the witnesses of its lease.
+    Lease {
+        /// The holder.
+        host: HostId,
+        /// Its witnesses.
+        lease: Lease,
+    },
+    /// Changes placement. The envelope's base names the placement revision it builds on.
+    Placement(Placement),
+    /// Raises the record format that may be written.
+    Level {
+        /// The new format.
+        format: u16,
+    },
+}
+
+/// A record before it is signed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// Format of the record.
+    pub format: u16,
+    /// Who appends the record.
+    pub writer: WriterId,
+    /// Counts the writer's records, from 1.
+    pub sequence: u64,
+    /// Revision that the decision builds on.
+    pub base: Revision,
+    /// Wall clock of the writer.
+    pub time: UnixMillis,
+    /// The decision.
+    pub body: Body,
+}
+
+/// A signed record as it is stored in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Signed {
+    envelope: Vec<u8>,
+    key: KeyId,
+    signature: Vec<u8>,
+}
+
+/// Why a record does not decode.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum RecordError {
+    /// The bytes are not a signed record.
+    #[snafu(display("not a signed record: {source}"))]
+    BadRecord {
+        /// The decoder's error.
+        source: postcard::Error,
+    },
+    /// The envelope does not decode, for example because a newer version wrote it.
+    #[snafu(display("the envelope does not decode: {source}"))]
+    BadEnvelope {
+        /// The decoder's error.
+        source: postcard::Error,
+    },
+}
+
+impl Signed {
+    /// Encodes and signs an envelope.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the envelope does not encode.
+    pub fn new(envelope: &Envelope, signer: &Signer) -> Result<Self, RecordError> {
+        let envelope = postcard::to_stdvec(envelope).context(BadEnvelopeSnafu)?;
+        let signature = signer.sign(&envelope);
+        Ok(Self {
+            envelope,
+            key: signer.key(),
+            signature,
+        })
+    }
+
+    /// Reads a stored record without verifying it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a signed record.
+    pub fn decode(data: &[u8]) -> Result<Self, RecordError> {
+        postcard::from_bytes(data).context(BadRecordSnafu)
+    }
+
+    /// The bytes that are stored.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record does not encode.
+    pub fn encode(&self) -> Result<Bytes, RecordError> {
+        Ok(postcard::to_stdvec(self).context(BadRecordSnafu)?.into())
+    }
+
+    /// Decodes the envelope.
+    ///
+    /// # Errors
+    ///
+    /// Fails if this build does not know the format or the body.
+    pub fn envelope(&self) -> Result<Envelope, RecordError> {
+        postcard::from_bytes(&self.envelope).context(BadEnvelopeSnafu)
+    }
+
+    /// The key that signed the record.
+    pub fn key(&self) -> KeyId {
+        self.key
+    }
+
+    /// The signed bytes.
+    pub fn signed_bytes(&self) -> &[u8] {
+        &self.envelope
+    }
+
+    /// The signature.
+    pub fn signature(&self) -> &[u8] {
+        &self.signature
+    }
+}
--- /dev/null
+++ b/crates/log/src/view.rs
@@ -0,0 +1,331 @@
+//! The state that replay of the log leads to.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use trefoil_config::{Routing, RoutingSpec, Service, Upstream};
+use trefoil_core::{
+    HostId, Offset, Rank, ResourceName, Revision, ServiceName, Term, Token, UnixMillis,
+    UpstreamName, WriterId,
+};
+use trefoil_placement::Table;
+
+use crate::host::{HostRecord, Lease};
+use crate::record::{Assignment, Body, Envelope, FORMAT, Placement, RecordError, Signed};
+use crate::sign::{Keyring, Role};
+
+/// How many records a writer's last sequence is remembered for after its last record. A lost
+/// append is resolved long before that many records have followed it.
+const WRITER_WINDOW: u64 = 200_000;
+
+/// Replay forgets old writers once in this many records.
+const PRUNE_EVERY: u64 = 1024;
+
+/// A routing resource in force.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Resource {
+    /// Name of the resource.
+    pub name: ResourceName,
+    /// Revision at which it was accepted.
+    pub revision: Revision,
+    /// Wall clock of the operator that published it.
+    pub accepted: UnixMillis,
+    /// The declared part.
+    pub spec: RoutingSpec,
+}
+
+/// The assignment of an upstream's dispatcher in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assigned {
+    /// Term of the assignment: the revision of its record.
+    pub term: Term,
+    /// The hosts by rank.
+    pub assignment: Assignment,
+}
+
+impl Assigned {
+    /// The token under which a host may act, if it is named.
+    pub fn token(&self, host: HostId) -> Option<Token> {
+        let rank = self.assignment.hosts.iter().position(|&h| h == host)?;
+        Some(Token {
+            term: self.term,
+            rank: Rank(u8::try_from(rank).ok()?),
+        })
+    }
+}
+
+/// What replay made of a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// The record is in force.
+    Accepted {
+        /// Revision of the state with the record.
+        revision: Revision,
+    },
+    /// An earlier copy of the record was replayed already.
+    Duplicate,
+    /// Another record of the same subject was accepted first.
+    Conflict {
+        /// Revision of the subject that is in force.
+        current: Revision,
+    },
+    /// The record can never be accepted.
+    Rejected {
+        /// Why.
+        reason: String,
+    },
+}
+
+/// Why replay cannot go on.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum ReplayError {
+    /// A record with a valid signature does not decode, so a newer version wrote it.
+    #[snafu(display("record {offset} needs a newer version: {source}"))]
+    Newer {
+        /// The record's offset.
+        offset: Offset,
+        /// The decoder's error.
+        source: RecordError,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Written {
+    sequence: u64,
+    offset: Offset,
+}
+
+/// The state of the deployment at one revision.
+///
+/// Invariant: the view is a function of the replayed records alone. Nothing here depends on the
+/// clock, on the host that replays, or on the order in which map entries were inserted.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    /// Revision of the newest accepted record.
+    pub revision: Revision,
+    /// Offset of the next record to replay.
+    pub next: Offset,
+    /// Record format that may be written.
+    pub level: u16,
+    /// Routing resources by name.
+    pub resources: BTreeMap<ResourceName, Arc<Resource>>,
+    /// Live incarnations of entry hosts.
+    pub hosts: Arc<BTreeMap<HostId, HostRecord>>,
+    /// Witnesses of each host's lease.
+    pub leases: Arc<BTreeMap<HostId, Lease>>,
+    /// Shard tables by service.
+    pub tables: BTreeMap<ServiceName, Arc<Table>>,
+    /// Dispatchers by upstream.
+    pub dispatchers: Arc<BTreeMap<UpstreamName, Assigned>>,
+    /// Revision of the newest placement decision.
+    pub placement: Revision,
+    writers: Arc<BTreeMap<WriterId, Written>>,
+}
+
+impl View {
+    /// The declared service and the resource that declares it.
+    pub fn service(&self, name: &ServiceName) -> Option<(&Resource, &Service)> {
+        self.resources.values().find_map(|resource| {
+            let service = resource.spec.services.iter().find(|s| s.name == *name)?;
+            Some((&**resource, service))
+        })
+    }
+
+    /// All declared services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.resources.values().flat_map(|r| &r.spec.services)
+    }
+
+    /// The declared upstream and its service.
+    pub fn upstream(&self, name: &UpstreamName) -> Option<(&Service, &Upstream)> {
+        let mut all = self
+            .services()
+            .flat_map(|s| s.upstreams.iter().map(move |u| (s, u)));
+        all.find(|(_, u)| u.name == *name)
+    }
+
+    /// Replays one stored record.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a record that was validly signed does not decode; the view is unchanged then.
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        data: &[u8],
+        keys: &Keyring,
+    ) -> Result<Verdict, ReplayError> {
+        let verdict = self.judge(offset, data, keys)?;
+        self.next = offset.next();
+        if let Verdict::Accepted { revision } = verdict {
+            self.revision = revision;
+        }
+        if offset.0.is_multiple_of(PRUNE_EVERY) {
+            let oldest = offset.0.saturating_sub(WRITER_WINDOW);
+            Arc::make_mut(&mut self.writers).retain(|_, w| w.offset.0 >= oldest);
+        }
+        Ok(verdict)
+    }
+
+    fn judge(
+        &mut self,
+        offset: Offset,
+        data: &[u8],
+        keys: &Keyring,
+    ) -> Result<Verdict, ReplayError> {
+        // Bytes that no known key signed are not from this deployment and are passed over.
+        let Ok(signed) = Signed::decode(data) else {
+            return Ok(rejected("not a signed record"));
+        };
+        let Some(role) = keys.verify(signed.key(), signed.signed_bytes(), signed.signature())
+        else {
+            return Ok(rejected("unknown key or bad signature"));
+        };
+        let envelope = signed
+            .envelope()
+            .map_err(|source| ReplayError::Newer { offset, source })?;
+        let last = self.writers.get(&envelope.writer);
+        if last.is_some_and(|w| envelope.sequence <= w.sequence) {
+            return Ok(Verdict::Duplicate);
+        }
+        let written = Written {
+            sequence: envelope.sequence,
+            offset,
+        };
+        Arc::make_mut(&mut self.writers).insert(envelope.writer, written);
+        Ok(self.decide(offset.revision(), envelope, role))
+    }
+
+    fn decide(&mut self, revision: Revision, envelope: Envelope, role: Role) -> Verdict {
+        let accepted = Verdict::Accepted { revision };
+        let needed = match envelope.body {
+            Body::Config(_) | Body::Level { .. } => Role::Operator,
+            _ => Role::Host,
+        };
+        if role != needed {
+            return rejected(&format!("needs a key of the role {needed}"));
+        }
+        match envelope.body {
+            Body::Config(routing) => self.configure(revision, envelope.time, *routing),
+            Body::Joined(host) => {
+                Arc::make_mut(&mut self.hosts).insert(host.id, host);
+                accepted
+            }
+            Body::Left { host } | Body::Expired { host } if self.hosts.contains_key(&host) => {
+                Arc::make_mut(&mut self.hosts).remove(&host);
+                Arc::make_mut(&mut self.leases).remove(&host);
+                accepted
+            }
+            Body::Lease { host, lease } if self.hosts.contains_key(&host) => {
+                match self.leases.get(&host) {
+                    Some(old) if lease.generation <= old.generation => {
+                        rejected("the lease generation is not newer")
+                    }
+                    _ => {
+                        Arc::make_mut(&mut self.leases).insert(host, lease);
+                        accepted
+                    }
+                }
+            }
+            Body::Left { .. } | Body::Expired { .. } | Body::Lease { .. } => {
+                rejected("the host is not live")
+            }
+            Body::Placement(_) if envelope.base != self.placement => Verdict::Conflict {
+                current: self.placement,
+            },
+            Body::Placement(placement) => self.place(revision, &placement),
+            Body::Level { format } if format > self.level && format <= FORMAT => {
+                self.level = format;
+                accepted
+            }
+            Body::Level { .. } => rejected("the level is not above the present one or not known"),
+        }
+    }
+
+    fn configure(&mut self, revision: Revision, time: UnixMillis, routing: Routing) -> Verdict {
+        let current = self
+            .resources
+            .get(&routing.name)
+            .map_or(Revision(0), |r| r.revision);
+        if routing.revision != current {
+            return Verdict::Conflict { current };
+        }
+        if let Some(reason) = self.clash(&routing) {
+            return rejected(&reason);
+        }
+        let resource = Resource {
+            name: routing.name,
+            revision,
+            accepted: time,
+            spec: routing.spec,
+        };
+        self.resources
+            .insert(resource.name.clone(), Arc::new(resource));
+        let declared = |name: &ServiceName| {
+            self.resources
+                .values()
+                .any(|r| r.spec.services.iter().any(|s| s.name == *name))
+        };
+        let gone: Vec<_> = self
+            .tables
+            .keys()
+            .filter(|n| !declared(n))
+            .cloned()
+            .collect();
+        for name in gone {
+            self.tables.remove(&name);
+        }
+        Verdict::Accepted { revision }
+    }
+
+    /// Names a service or upstream that another resource declares already.
+    fn clash(&self, routing: &Routing) -> Option<String> {
+        let others = || self.resources.values().filter(|r| r.name != routing.name);
+        routing.spec.services.iter().find_map(|service| {
+            let same = |s: &&Service| {
+                s.name == service.name
+                    || s.upstreams
+                        .iter()
+                        .any(|u| service.upstreams.iter().any(|v| u.name == v.name))
+            };
+            let other = others().find(|r| r.spec.services.iter().any(|s| same(&s)))?;
+            Some(format!(
+                "service {} or one of its upstreams is declared by resource {}",
+                service.name, other.name
+            ))
+        })
+    }
+
+    fn place(&mut self, revision: Revision, placement: &Placement) -> Verdict {
+        let mut tables = self.tables.clone();
+        for (service, change) in &placement.changes {
+            if self.service(service).is_none() {
+                return rejected(&format!("service {service} is not declared"));
+            }
+            let table = tables.entry(service.clone()).or_default();
+            if let Err(e) = Arc::make_mut(table).apply(change) {
+                return rejected(&format!("service {service}: {e}"));
+            }
+        }
+        self.tables = tables;
+        let term = Term(revision.0);
+        let dispatchers = Arc::make_mut(&mut self.dispatchers);
+        for assignment in &placement.assignments {
+            let assigned = Assigned {
+                term,
+                assignment: assignment.clone(),
+            };
+            dispatchers.insert(assignment.upstream.clone(), assigned);
+        }
+        self.placement = revision;
+        Verdict::Accepted { revision }
+    }
+}
+
+fn rejected(reason: &str) -> Verdict {
+    Verdict::Rejected {
+        reason: reason.to_owned(),
+    }
+}
--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,9 +1,9 @@
 //! Plans: changes that bring a table to a wanted state.
 
-use trefoil_core::UpstreamName;
+use trefoil_core::{Shard, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::table::{Change, Member, Seat};
+use crate::table::{Change, Member, Move, Seat, Table};
 
 /// Score of a member for a shard in rendezvous hashing.
 fn score(name: &UpstreamName, shard: u32) -> u64 {
@@ -31,3 +31,38 @@
     let seats = (0..shards).map(seat).collect();
     Change::Reset { members, seats }
 }
+
+/// Moves that give every shard an owner and a standby that are not lost, and give members that
+/// own too little their share. Shards whose seats are fine stay where they are.
+pub fn reseat(table: &Table) -> Vec<Move> {
+    let live: Vec<_> = table.live().collect();
+    let best = |shard: u32, not: Option<Member>| {
+        let others = live.iter().filter(|(m, _)| Some(*m) != not);
+        others
+            .max_by_key(|(m, name)| (score(name, shard), *m))
+            .map(|(m, _)| *m)
+    };
+    let mut moves = Vec::new();
+    for (shard, seat) in (0u32..).zip(table.seats()) {
+        let Some(top) = best(shard, None) else {
+            continue;
+        };
+        // A member with a higher index than the owner joined after the shard was placed.
+        let keep = !table.is_lost(seat.owner) && top <= seat.owner;
+        let owner = if keep { seat.owner } else { top };
+        let keep = !table.is_lost(seat.standby) && seat.standby != owner;
+        let standby = if keep {
+            seat.standby
+        } else {
+            best(shard, Some(owner)).unwrap_or(owner)
+        };
+        let next = Seat { owner, standby };
+        if next != *seat {
+            moves.push(Move {
+                shard: Shard(shard),
+                seat: next,
+            });
+        }
+    }
+    moves
+}
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -132,6 +132,12 @@
         self.members.get(member.index())
     }
 
+    /// The members that are not lost.
+    pub fn live(&self) -> impl Iterator<Item = (Member, &UpstreamName)> {
+        let all = (0u16..).map(Member).zip(&self.members);
+        all.filter(|(m, _)| !self.is_lost(*m))
+    }
+
     /// The seats of all shards.
     pub fn seats(&self) -> &[Seat] {
         &self.seats
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Faults of the stand-in platform.
+
+pub mod faults;
+
+pub use faults::{Fault, FaultControl, FaultyLog};
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,105 @@
+//! Stand-in processes for tests: a platform and upstreams, with faults that a test switches on.
+//!
+//! `trefoil-standin platform --listen ADDR` serves the log and the host list;
+//! `trefoil-standin upstream --listen ADDR --name NAME` serves a sample upstream. Each prints
+//! `listening ADDR` when it is ready. `POST /-/fault` with a [`Fault`](faults::Fault) as JSON
+//! switches a fault of the platform on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use trefoil_core::{HostName, SystemClock, UpstreamName};
+use trefoil_dev::{PlatformServer, SampleUpstream};
+use trefoil_http::{Limits, Server, Service};
+use trefoil_log::MemoryLog;
+use trefoil_standin::{FaultControl, FaultyLog};
+
+/// Records that the stand-in log keeps.
+const RETAIN: usize = 100_000;
+
+fn command() -> Command {
+    let listen = Arg::new("listen")
+        .long("listen")
+        .value_parser(value_parser!(SocketAddr))
+        .default_value("127.0.0.1:0");
+    let number = |name: &'static str, value: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .value_parser(value_parser!(u32))
+            .default_value(value)
+    };
+    Command::new("trefoil-standin")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("platform").arg(listen.clone()).arg(
+                Arg::new("host")
+                    .long("host")
+                    .value_parser(value_parser!(HostName))
+                    .action(ArgAction::Append),
+            ),
+        )
+        .subcommand(
+            Command::new("upstream")
+                .arg(listen)
+                .arg(
+                    Arg::new("name")
+                        .long("name")
+                        .value_parser(value_parser!(UpstreamName))
+                        .required(true),
+                )
+                .arg(number("slots", "4"))
+                .arg(number("work-ms", "1"))
+                .arg(Arg::new("fenced").long("fenced").action(ArgAction::SetTrue)),
+        )
+}
+
+fn platform(matches: &ArgMatches) -> Arc<dyn Service> {
+    let clock = Arc::new(SystemClock);
+    let log = Arc::new(FaultyLog::new(
+        Arc::new(MemoryLog::new(Arc::<SystemClock>::clone(&clock), RETAIN)),
+        clock,
+    ));
+    let hosts = matches
+        .get_many::<HostName>("host")
+        .unwrap_or_default()
+        .cloned()
+        .collect();
+    let server = Arc::new(PlatformServer::new(Arc::<FaultyLog>::clone(&log), hosts));
+    Arc::new(FaultControl::new(log, server))
+}
+
+fn upstream(matches: &ArgMatches) -> Option<Arc<dyn Service>> {
+    let name = matches.get_one::<UpstreamName>("name")?.clone();
+    let number = |name| matches.get_one::<u32>(name).copied().unwrap_or(1);
+    let work = Duration::from_millis(number("work-ms").into());
+    let fenced = matches.get_flag("fenced");
+    let clock = Arc::new(SystemClock);
+    Some(Arc::new(SampleUpstream::new(
+        name,
+        number("slots"),
+        fenced,
+        work,
+        clock,
+    )))
+}
+
+fn main() -> std::io::Result<()> {
+    let matches = command().get_matches();
+    let (service, matches) = match matches.subcommand() {
+        Some(("platform", matches)) => (Some(platform(matches)), matches),
+        Some((_, matches)) => (upstream(matches), matches),
+        None => return Ok(()),
+    };
+    let address = matches.get_one::<SocketAddr>("listen").copied();
+    let (Some(address), Some(service)) = (address, service) else {
+        return Ok(());
+    };
+    smol::block_on(async {
+        let listener = smol::net::TcpListener::bind(address).await?;
+        println!("listening {}", listener.local_addr()?);
+        let _server = Server::serve(listener, Limits::default(), service);
+        std::future::pending::<std::io::Result<()>>().await
+    })
+}
--- /dev/null
+++ b/crates/standin/tests/platform.rs
@@ -0,0 +1,80 @@
+//! The stand-in platform keeps the protocol that the clients of `trefoil-platform` speak.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use trefoil_core::Offset;
+use trefoil_http::call;
+use trefoil_log::{Log, LogError};
+use trefoil_platform::LogClient;
+
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn platform() -> (Process, SocketAddr) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_trefoil-standin"));
+    let mut child = command
+        .arg("platform")
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("spawn");
+    let mut line = String::new();
+    let out = child.stdout.take().expect("stdout is piped");
+    BufReader::new(out)
+        .read_line(&mut line)
+        .expect("first line");
+    let address = line.trim().strip_prefix("listening ").expect("address");
+    (Process(child), address.parse().expect("address parses"))
+}
+
+async fn fault(address: SocketAddr, json: &'static str) {
+    let request = Request::post("/-/fault").body(Bytes::from_static(json.as_bytes()));
+    let timeout = Duration::from_secs(2);
+    let answer = call(address, request.expect("request"), 1024, timeout).await;
+    assert!(
+        answer.expect("answer").0.is_success(),
+        "fault {json} is accepted"
+    );
+}
+
+/// Guards against a stand-in whose faults differ from what they stand for: a lost answer must
+/// leave the record in the log, an outage must not.
+#[test]
+fn faults_do_what_they_say() {
+    let (_process, address) = platform();
+    let log = LogClient::new(address);
+    smol::block_on(async {
+        assert_eq!(log.append(Bytes::from_static(b"a")).await, Ok(Offset(0)));
+        fault(address, "\"answer-lost\"").await;
+        let lost = log.append(Bytes::from_static(b"b")).await;
+        assert!(
+            matches!(lost, Err(LogError::Ambiguous { .. })),
+            "got {lost:?}"
+        );
+        fault(address, "\"twice\"").await;
+        assert_eq!(log.append(Bytes::from_static(b"c")).await, Ok(Offset(2)));
+        fault(address, "\"down\"").await;
+        let down = log.append(Bytes::from_static(b"d")).await;
+        assert!(
+            matches!(down, Err(LogError::Unavailable { .. })),
+            "got {down:?}"
+        );
+        fault(address, "\"none\"").await;
+        let batch = log.read(Offset(0), 10, Duration::ZERO).await.expect("read");
+        let data: Vec<_> = batch.records.iter().map(|r| r.data.to_vec()).collect();
+        assert_eq!(
+            data,
+            [b"a".to_vec(), b"b".to_vec(), b"c".to_vec(), b"c".to_vec()]
+        );
+    });
+}
--- /dev/null
+++ b/src/commands/dev.rs
@@ -0,0 +1,151 @@
+//! `trefoild dev`: a router with an in-memory log and sample upstreams in one process.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use clap::Command;
+use futures_lite::StreamExt;
+use slog::{Level, Logger};
+use smol::net::TcpListener;
+use trefoil_config::Routing;
+use trefoil_core::{Clock, Revision, SystemClock, UpstreamName, WriterId};
+use trefoil_daemon::{Node, NodeConfig, logging};
+use trefoil_dev::SampleUpstream;
+use trefoil_http::{Limits, Server};
+use trefoil_log::{
+    Addresses, Body, Envelope, FORMAT, Keyring, MemoryLog, Role, Signed, Signer, Verdict,
+};
+use trefoil_wire::Authority;
+
+/// Records that the in-memory log keeps.
+const RETAIN: usize = 100_000;
+
+/// Concurrent requests of a sample upstream.
+const SLOTS: u32 = 4;
+
+/// Time that a sample upstream works on a request.
+const WORK: Duration = Duration::from_millis(2);
+
+/// Validity of the certificate that the process issues to itself.
+const CERTIFICATE_VALID: Duration = Duration::from_hours(720);
+
+/// Time in which the resource must be in force.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new("dev")
+        .about("Runs a router with an in-memory platform and sample upstreams")
+        .after_help("Callers use 127.0.0.1:8080; operators, metrics and health 127.0.0.1:9090.")
+}
+
+/// Runs the subcommand.
+pub fn execute() -> Result<(), Box<dyn Error>> {
+    smol::block_on(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let operator = Signer::from_pkcs8(&Signer::generate()?)?;
+        let (logger, _flush) = logging::stderr(Level::Info);
+        let node = start(&clock, &operator, logger).await?;
+        let mut servers = Vec::new();
+        let mut upstreams = Vec::new();
+        for name in ["offers-1", "offers-2", "offers-3"] {
+            let (server, address) = serve(name.parse()?, &clock).await?;
+            servers.push(server);
+            upstreams.push(format!(
+                "        - {{ name: {name}, address: \"{address}\", domain: local }}\n"
+            ));
+        }
+        publish(&node, &operator, &clock, &resource(&upstreams.concat())).await?;
+        println!("Ready. Try:");
+        println!("  curl -i http://127.0.0.1:8080/offers/customer-17");
+        println!("  cargo run --locked --bin trefoilctl -- status");
+        signals.next().await;
+        node.drain().await;
+        Ok(())
+    })
+}
+
+async fn start(
+    clock: &Arc<dyn Clock>,
+    operator: &Signer,
+    logger: Logger,
+) -> Result<Node, Box<dyn Error>> {
+    let name = "dev".parse()?;
+    let authority = Authority::create("trefoil-dev", clock.unix(), CERTIFICATE_VALID)?;
+    let identity = authority.identity(&name, clock.unix(), CERTIFICATE_VALID)?;
+    let signer = Signer::from_pkcs8(&Signer::generate()?)?;
+    let mut keys = Keyring::default();
+    keys.add(operator.key(), Role::Operator);
+    keys.add(signer.key(), Role::Host);
+    let addresses = Addresses {
+        caller: SocketAddr::from(([127, 0, 0, 1], 8080)),
+        operator: SocketAddr::from(([127, 0, 0, 1], 9090)),
+        peer: SocketAddr::from(([127, 0, 0, 1], 0)),
+    };
+    let log = Arc::new(MemoryLog::new(Arc::clone(clock), RETAIN));
+    let (region, domain) = ("dev".parse()?, "local".parse()?);
+    let config = NodeConfig::new(name, region, domain, identity, signer, log)
+        .addresses(addresses)
+        .keys(keys)
+        .logger(logger);
+    Ok(Node::start(config).await?)
+}
+
+async fn serve(
+    name: UpstreamName,
+    clock: &Arc<dyn Clock>,
+) -> Result<(Server, SocketAddr), Box<dyn Error>> {
+    let upstream = SampleUpstream::new(name, SLOTS, true, WORK, Arc::clone(clock));
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    Ok((
+        Server::serve(listener, Limits::default(), Arc::new(upstream)),
+        address,
+    ))
+}
+
+fn resource(upstreams: &str) -> String {
+    format!(
+        "kind: Routing
+name: dev
+spec:
+  region: dev
+  domains: [local]
+  services:
+    - name: offers
+      key: {{ path: 1 }}
+      methods: {{ idempotent: [GET, HEAD], non-idempotent: [POST, PUT, DELETE] }}
+      fenced: true
+      limits: {{ slots: {SLOTS}, connections: 130 }}
+      deadlines: {{ default: 5000, max: 30000 }}
+      upstreams:
+{upstreams}"
+    )
+}
+
+async fn publish(
+    node: &Node,
+    operator: &Signer,
+    clock: &Arc<dyn Clock>,
+    yaml: &str,
+) -> Result<(), Box<dyn Error>> {
+    let routing = Routing::from_yaml(yaml, "sample resource").map_err(|e| e.to_string())?;
+    let envelope = Envelope {
+        format: FORMAT,
+        writer: WriterId::random(),
+        sequence: 1,
+        base: Revision(0),
+        time: clock.unix(),
+        body: Body::Config(Box::new(routing)),
+    };
+    let record = Signed::new(&envelope, operator)?.encode()?;
+    let until = clock.now().after(APPLY_TIMEOUT);
+    match node.shared().submit(record, until).await? {
+        Verdict::Accepted { .. } => Ok(()),
+        verdict => Err(format!("the sample resource was not accepted: {verdict:?}").into()),
+    }
+}
--- /dev/null
+++ b/src/commands/run.rs
@@ -0,0 +1,70 @@
+//! `trefoild run`: runs an entry host until it is told to stop.
+
+use std::error::Error;
+use std::sync::Arc;
+
+use async_signal::{Signal, Signals};
+use clap::{ArgMatches, Command};
+use futures_lite::StreamExt;
+use slog::Level;
+use trefoil_config::settings::LogLevel;
+use trefoil_daemon::{Node, NodeConfig, logging};
+use trefoil_platform::LogClient;
+
+use crate::settings;
+
+/// The subcommand.
+pub fn command() -> Command {
+    Command::new("run")
+        .about("Runs an entry host; SIGTERM drains it")
+        .arg(settings::arg())
+}
+
+/// Runs the subcommand.
+pub fn execute(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let loaded = settings::load(matches)?;
+    let (addresses, limits) = (loaded.addresses(), loaded.limits());
+    let settings::Loaded {
+        settings,
+        identity,
+        signer,
+        keys,
+    } = loaded;
+    let (logger, _flush) = logging::stderr(level(settings.log_level));
+    let log = Arc::new(LogClient::new(settings.platform.log));
+    let config = NodeConfig::new(
+        settings.name,
+        settings.region,
+        settings.domain,
+        identity,
+        signer,
+        log,
+    )
+    .addresses(addresses)
+    .keys(keys)
+    .limits(limits)
+    .logger(logger);
+    smol::block_on(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let node = Node::start(config).await?;
+        let bound = node.addresses();
+        println!(
+            "ready caller={} peer={} operator={}",
+            bound.caller, bound.peer, bound.operator
+        );
+        signals.next().await;
+        node.drain().await;
+        Ok(())
+    })
+}
+
+fn level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Critical => Level::Critical,
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Trace => Level::Trace,
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod dispatch;
 mod lease;
 mod placement;
+mod process;
 mod wire;
--- /dev/null
+++ b/tests/all/process.rs
@@ -0,0 +1,5 @@
+//! Whole paths over separate processes on loopback.
+
+mod deployment;
+mod stops;
+mod thin;
--- /dev/null
+++ b/tests/all/process/deployment.rs
@@ -0,0 +1,375 @@
+//! A deployment of separate processes: a stand-in platform, stand-in upstreams and daemons.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+use tempfile::TempDir;
+use trefoil_config::Routing;
+use trefoil_core::{Clock, Revision, SystemClock, WriterId};
+use trefoil_log::{Body, Envelope, FORMAT, Signed, Signer};
+use trefoil_wire::Authority;
+
+const CERTIFICATE_VALID: Duration = Duration::from_hours(24);
+
+/// Longest wait for a state that a test expects.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A child process that is killed when it is dropped.
+pub struct Process {
+    child: Child,
+    line: String,
+}
+
+impl Process {
+    fn start(command: &mut Command) -> Self {
+        let mut child = command
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the process starts");
+        let mut out = BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let mut line = String::new();
+        out.read_line(&mut line).expect("the first line");
+        // A full pipe would block the process, so the rest is read and dropped.
+        std::thread::spawn(move || out.read_to_end(&mut Vec::new()));
+        Self {
+            child,
+            line: line.trim().to_owned(),
+        }
+    }
+
+    fn address(&self, name: &str) -> SocketAddr {
+        let field = self.line.split(' ').find_map(|w| w.strip_prefix(name));
+        let field = field.unwrap_or_else(|| panic!("{name} in {:?}", self.line));
+        field.parse().expect("an address")
+    }
+
+    fn listening(&self) -> SocketAddr {
+        let address = self.line.strip_prefix("listening ").expect("a stand-in");
+        address.parse().expect("an address")
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("pid"));
+        kill(pid, signal).expect("the process exists");
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self) -> ExitStatus {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            match self.child.try_wait().expect("the child can be waited for") {
+                Some(status) => return status,
+                None if Instant::now() > until => panic!("the process did not end: {}", self.line),
+                None => std::thread::sleep(Duration::from_millis(20)),
+            }
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An upstream of a deployment.
+pub struct Upstream {
+    /// The process.
+    pub process: Process,
+    /// Its address.
+    pub address: SocketAddr,
+    domain: String,
+}
+
+/// A daemon of a deployment.
+pub struct Daemon {
+    /// The process.
+    pub process: Process,
+    /// Its callers' port.
+    pub caller: SocketAddr,
+    /// Its operators' port.
+    pub operator: SocketAddr,
+}
+
+/// Answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub outcome: String,
+    pub headers: HeaderMap,
+    pub body: String,
+}
+
+impl Answer {
+    /// A field of the JSON body.
+    pub fn field(&self, name: &str) -> Value {
+        let body: Value = serde_json::from_str(&self.body).unwrap_or_default();
+        body.get(name).cloned().unwrap_or_default()
+    }
+}
+
+/// Separate processes with keys and certificates in a directory of their own.
+pub struct Deployment {
+    dir: TempDir,
+    authority: Authority,
+    operator: Signer,
+    host: Signer,
+    /// The platform's process.
+    pub platform: Process,
+    /// Upstreams by name.
+    pub upstreams: BTreeMap<String, Upstream>,
+    /// Daemons by name.
+    pub daemons: BTreeMap<String, Daemon>,
+}
+
+fn standin() -> PathBuf {
+    let path = Path::new(env!("CARGO_BIN_EXE_trefoild")).with_file_name("trefoil-standin");
+    assert!(
+        path.exists(),
+        "build it first: cargo build -p trefoil-standin"
+    );
+    path
+}
+
+fn signer(file: &Path) -> Signer {
+    let der = Signer::generate().expect("a key pair");
+    std::fs::write(file, &der).expect("the key file is written");
+    Signer::from_pkcs8(&der).expect("the key pair reads back")
+}
+
+impl Deployment {
+    /// A platform without daemons and upstreams.
+    pub fn new() -> Self {
+        let dir = tempfile::tempdir().expect("a directory");
+        let now = SystemClock.unix();
+        let authority = Authority::create("test", now, CERTIFICATE_VALID).expect("an authority");
+        let operator = signer(&dir.path().join("operator.key"));
+        let host = signer(&dir.path().join("host.key"));
+        let platform = Process::start(Command::new(standin()).arg("platform"));
+        let (upstreams, daemons) = Default::default();
+        Self {
+            dir,
+            authority,
+            operator,
+            host,
+            platform,
+            upstreams,
+            daemons,
+        }
+    }
+
+    /// Starts an upstream.
+    pub fn upstream(&mut self, name: &str, domain: &str, flags: &[&str]) {
+        let mut command = Command::new(standin());
+        command.args(["upstream", "--name", name]).args(flags);
+        let process = Process::start(&mut command);
+        let address = process.listening();
+        let domain = domain.to_owned();
+        self.upstreams.insert(
+            name.to_owned(),
+            Upstream {
+                process,
+                address,
+                domain,
+            },
+        );
+    }
+
+    /// Starts a daemon and waits until it has joined.
+    pub fn daemon(&mut self, name: &str, domain: &str) {
+        let settings = self.settings(name, domain);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
+        command.args(["run", "--settings"]).arg(settings);
+        if std::env::var_os("DEPLOYMENT_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        let process = Process::start(&mut command);
+        let (caller, operator) = (process.address("caller="), process.address("operator="));
+        self.daemons.insert(
+            name.to_owned(),
+            Daemon {
+                process,
+                caller,
+                operator,
+            },
+        );
+    }
+
+    fn settings(&self, name: &str, domain: &str) -> PathBuf {
+        let dir = self.dir.path();
+        let file = |suffix: &str| dir.join(format!("{name}.{suffix}"));
+        let host = name.parse().expect("a host name");
+        let pem = self
+            .authority
+            .issue(&host, SystemClock.unix(), CERTIFICATE_VALID);
+        let pem = pem.expect("a certificate");
+        std::fs::write(file("cert.pem"), &pem.cert).expect("written");
+        std::fs::write(file("key.pem"), &pem.key).expect("written");
+        std::fs::write(dir.join("authority.pem"), &self.authority.pem().cert).expect("written");
+        let at = dir.display();
+        let platform = self.platform.listening();
+        let text = format!(
+            "name: {name}
+domain: {domain}
+region: test
+caller: 127.0.0.1:0
+peer: 127.0.0.1:0
+operator: 127.0.0.1:0
+platform: {{ log: \"{platform}\", hosts: \"{platform}\" }}
+tls:
+  authority: {at}/authority.pem
+  certificate: {at}/{name}.cert.pem
+  key: {at}/{name}.key.pem
+keys:
+  operators: [\"{}\"]
+  hosts: [\"{}\"]
+  signing: {at}/host.key
+",
+            self.operator.key(),
+            self.host.key()
+        );
+        std::fs::write(file("yaml"), text).expect("written");
+        file("yaml")
+    }
+
+    /// A routing resource with all upstreams in one service named `offers`.
+    pub fn resource(&self, fenced: bool) -> String {
+        let mut list = String::new();
+        let domains: std::collections::BTreeSet<_> =
+            self.upstreams.values().map(|u| u.domain.as_str()).collect();
+        for (name, u) in &self.upstreams {
+            let line = format!(
+                "        - {{ name: {name}, address: \"{}\", domain: {} }}\n",
+                u.address, u.domain
+            );
+            list.write_str(&line).expect("written");
+        }
+        let domains = domains.into_iter().collect::<Vec<_>>().join(", ");
+        format!(
+            "kind: Routing
+name: test
+spec:
+  region: test
+  domains: [{domains}]
+  services:
+    - name: offers
+      key: {{ path: 1 }}
+      methods: {{ idempotent: [GET, HEAD], non-idempotent: [POST, PUT, DELETE] }}
+      limits: {{ slots: 4, connections: 130 }}
+      deadlines: {{ default: 5000, max: 30000 }}
+      fenced: {fenced}
+      upstreams:
+{list}"
+        )
+    }
+
+    /// Publishes a resource through a daemon and returns status and verdict.
+    pub fn publish(&self, daemon: &str, yaml: &str, base: u64) -> (StatusCode, String) {
+        let mut routing = Routing::from_yaml(yaml, "test").unwrap_or_else(|e| panic!("{e}"));
+        routing.revision = Revision(base);
+        let envelope = Envelope {
+            format: FORMAT,
+            writer: WriterId::random(),
+            sequence: 1,
+            base: Revision(base),
+            time: SystemClock.unix(),
+            body: Body::Config(Box::new(routing)),
+        };
+        let record = Signed::new(&envelope, &self.operator).and_then(|s| s.encode());
+        let request = Request::post("/v1/records").body(record.expect("the record encodes"));
+        call(self.daemons[daemon].operator, request.expect("a request"))
+    }
+
+    /// Switches a fault of the platform on.
+    pub fn fault(&self, fault: &str) {
+        let body = Bytes::from(fault.to_owned());
+        let request = Request::post("/-/fault").body(body).expect("a request");
+        let (status, body) = call(self.platform.listening(), request);
+        assert!(status.is_success(), "fault {fault}: {body}");
+    }
+
+    /// Sends a caller's request through a daemon.
+    pub fn send(&self, daemon: &str, request: Request<Bytes>) -> Answer {
+        send(self.daemons[daemon].caller, request)
+    }
+
+    /// Gets a path through a daemon.
+    pub fn get(&self, daemon: &str, path: &str) -> Answer {
+        self.send(
+            daemon,
+            Request::get(path).body(Bytes::new()).expect("a request"),
+        )
+    }
+
+    /// The requests that an upstream has executed.
+    pub fn runs(&self, upstream: &str) -> Vec<Value> {
+        let request = Request::get("/-/runs")
+            .body(Bytes::new())
+            .expect("a request");
+        let (_, body) = call(self.upstreams[upstream].address, request);
+        serde_json::from_str(&body).expect("a list of runs")
+    }
+}
+
+/// Sends a caller's request.
+pub fn send(address: SocketAddr, request: Request<Bytes>) -> Answer {
+    smol::block_on(async {
+        let mut connection = trefoil_http::Connection::open(address, PATIENCE)
+            .await
+            .expect("the port is open");
+        let (mut parts, body) = request.into_parts();
+        parts
+            .headers
+            .insert("host", "test".parse().expect("a value"));
+        let request = Request::from_parts(parts, trefoil_http::full(body));
+        let response = connection.send(request).await.expect("an answer");
+        let (parts, body) = response.into_parts();
+        let body = http_body_util::BodyExt::collect(body)
+            .await
+            .expect("a whole body");
+        let outcome = parts
+            .headers
+            .get("trefoil-outcome")
+            .and_then(|v| v.to_str().ok());
+        Answer {
+            status: parts.status,
+            outcome: outcome.unwrap_or_default().to_owned(),
+            headers: parts.headers,
+            body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
+        }
+    })
+}
+
+/// Sends a control request and returns status and body.
+pub fn call(address: SocketAddr, request: Request<Bytes>) -> (StatusCode, String) {
+    let answer = smol::block_on(trefoil_http::call(address, request, 1 << 24, PATIENCE));
+    let (status, body) = answer.expect("an answer");
+    (status, String::from_utf8_lossy(&body).into_owned())
+}
+
+/// Waits until `done` gives a value.
+pub fn eventually<T, F>(what: &str, mut done: F) -> T
+where
+    F: FnMut() -> Option<T>,
+{
+    let until = Instant::now() + PATIENCE;
+    loop {
+        match done() {
+            Some(value) => return value,
+            None if Instant::now() > until => panic!("not within {PATIENCE:?}: {what}"),
+            None => std::thread::sleep(Duration::from_millis(20)),
+        }
+    }
+}
--- /dev/null
+++ b/tests/all/process/stops.rs
@@ -0,0 +1,161 @@
+//! Planned stops and outages of the platform, over separate processes.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use nix::sys::signal::Signal;
+
+use super::deployment::{Deployment, eventually, send};
+
+fn two_hosts(flags: &[&str]) -> Deployment {
+    let mut deployment = Deployment::new();
+    deployment.upstream("offers-1", "a", flags);
+    deployment.upstream("offers-2", "b", flags);
+    deployment.daemon("host-1", "a");
+    deployment.daemon("host-2", "b");
+    deployment
+}
+
+fn post(key: u32, id: &str) -> Request<Bytes> {
+    let request = Request::post(format!("/offers/customer-{key}")).header("idempotency-key", id);
+    request
+        .body(Bytes::from_static(b"order"))
+        .expect("a request")
+}
+
+fn serves(deployment: &Deployment, daemon: &str) -> Option<()> {
+    let done = |k| {
+        deployment
+            .get(daemon, &format!("/offers/customer-{k}"))
+            .outcome
+            == "done"
+    };
+    (0..10).all(done).then_some(())
+}
+
+/// Guards against a planned stop that cuts off a request in flight (P7): while a host drains under
+/// load, every request that a caller began on either host gets its whole answer, and none is told
+/// that its outcome is unknown.
+#[test]
+fn a_drain_under_load_cuts_nothing() {
+    let mut deployment = two_hosts(&["--work-ms", "20"]);
+    let resource = deployment.resource(false);
+    let (status, verdict) = deployment.publish("host-1", &resource, 0);
+    assert_eq!(status, StatusCode::OK, "{verdict}");
+    eventually("both hosts serve", || {
+        serves(&deployment, "host-1").and_then(|()| serves(&deployment, "host-2"))
+    });
+
+    let stop = AtomicBool::new(false);
+    let address = deployment.daemons["host-2"].caller;
+    let mut leaving = deployment.daemons.remove("host-1").expect("host-1 runs");
+    std::thread::scope(|scope| {
+        let callers: Vec<_> = (0..6)
+            .map(|caller| {
+                let stop = &stop;
+                scope.spawn(move || {
+                    let mut answers = Vec::new();
+                    for i in 0..200 {
+                        if stop.load(Ordering::SeqCst) {
+                            break;
+                        }
+                        answers.push(send(address, post(i, &format!("{caller}-{i}"))));
+                    }
+                    answers
+                })
+            })
+            .collect();
+        std::thread::sleep(std::time::Duration::from_millis(300));
+        leaving.process.signal(Signal::SIGTERM);
+        let status = leaving.process.wait();
+        assert!(
+            status.success(),
+            "a drained host exits with 0, got {status}"
+        );
+        std::thread::sleep(std::time::Duration::from_millis(300));
+        stop.store(true, Ordering::SeqCst);
+        for caller in callers {
+            for answer in caller.join().expect("the caller's thread") {
+                let told = (answer.status, answer.outcome.as_str());
+                assert_eq!(told, (StatusCode::OK, "done"), "{}", answer.body);
+            }
+        }
+    });
+}
+
+/// Guards against answers of the log being taken at their word: a record whose answer was lost is
+/// accepted, a record that landed twice counts once, and a record that the log refused is not.
+#[test]
+fn publishing_survives_a_bad_log() {
+    let deployment = two_hosts(&[]);
+    let resource = deployment.resource(false);
+    deployment.fault("\"answer-lost\"");
+    let (status, verdict) = deployment.publish("host-1", &resource, 0);
+    assert_eq!(status, StatusCode::OK, "{verdict}");
+    let revision = verdict
+        .split(|c: char| !c.is_ascii_digit())
+        .find(|w| !w.is_empty());
+    let revision: u64 = revision.and_then(|r| r.parse().ok()).expect("a revision");
+
+    deployment.fault("\"twice\"");
+    let (status, verdict) = deployment.publish("host-2", &resource, revision);
+    assert_eq!(status, StatusCode::OK, "{verdict}");
+
+    let (status, verdict) = deployment.publish("host-1", &resource, revision);
+    assert_eq!(
+        status,
+        StatusCode::CONFLICT,
+        "the second operator is told: {verdict}"
+    );
+
+    deployment.fault("\"none\"");
+    eventually("host-1 serves", || serves(&deployment, "host-1"));
+    deployment.fault("\"down\"");
+    let (status, body) = deployment.publish("host-1", &resource, 0);
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+    assert!(
+        serves(&deployment, "host-2").is_some(),
+        "keys are served while the log is down"
+    );
+}
+
+/// Guards against a repeat of a non-idempotent request whose answer is late (P5): the caller is
+/// told that the outcome is unknown, and the upstream runs it once.
+#[test]
+fn a_frozen_upstream_runs_a_request_once() {
+    let mut deployment = Deployment::new();
+    deployment.upstream("offers-1", "a", &[]);
+    deployment.daemon("host-1", "a");
+    let resource = deployment.resource(false);
+    deployment.publish("host-1", &resource, 0);
+    eventually("host-1 serves", || serves(&deployment, "host-1"));
+    let before = deployment.runs("offers-1").len();
+
+    deployment.upstreams["offers-1"]
+        .process
+        .signal(Signal::SIGSTOP);
+    let mut request = post(1, "order-1");
+    let timeout = http::HeaderValue::from_static("500");
+    request.headers_mut().insert("trefoil-timeout-ms", timeout);
+    let answer = deployment.send("host-1", request);
+    assert_eq!(answer.outcome, "unknown", "{}", answer.body);
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    let kind = answer
+        .headers
+        .get("content-type")
+        .and_then(|v| v.to_str().ok());
+    assert_eq!(kind, Some("application/problem+json"));
+
+    deployment.upstreams["offers-1"]
+        .process
+        .signal(Signal::SIGCONT);
+    eventually("host-1 serves again", || serves(&deployment, "host-1"));
+    let runs = deployment.runs("offers-1");
+    let orders = runs
+        .iter()
+        .skip(before)
+        .filter(|r| r["id"] == "order-1")
+        .count();
+    assert!(orders <= 1, "the order ran {orders} times");
+}
