Add trefoilctl validate, keys and completions

Operators need to check a resource, and to make keys and certificates, before any daemon runs. The command line is built with clap's builder interface, one file for each subcommand, with results as text or JSON and the four exit codes of the design.

--- a/src/bin/trefoilctl.rs
+++ b/src/bin/trefoilctl.rs
@@ -1,3 +1,7 @@
 //! The operators' command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    trefoilcart::commands::ctl::main()
+}
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,3 @@
+//! Subcommands of the binaries, one file for each.
+
+pub mod ctl;
--- /dev/null
+++ b/src/commands/ctl.rs
@@ -0,0 +1,117 @@
+//! The subcommands of `trefoilctl`.
+//!
+//! Every subcommand prints its result to standard output, as text for people or as JSON for
+//! programs, and ends with one of four exit codes: a script can tell a configuration that was
+//! refused from one whose fate is unknown, and only the latter needs another look. Messages about
+//! the command itself go to standard error.
+
+mod completions;
+mod context;
+mod failure;
+mod keys;
+mod validate;
+
+use std::ffi::OsString;
+use std::io;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+pub use context::{Context, Format};
+pub use failure::Failure;
+
+/// Where the daemon's operators' API is expected.
+const SERVER: &str = "127.0.0.1:9090";
+
+/// Exit codes, from section 11 of the design.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Exit {
+    /// Done.
+    Done = 0,
+    /// Refused: the input is invalid, or another change came first.
+    Refused = 1,
+    /// The command line is wrong, or a file that it names cannot be used.
+    Usage = 2,
+    /// The daemon cannot be reached, or whether the change took effect is not known.
+    Unknown = 3,
+}
+
+const EXIT_CODES: &str = "Exit codes:
+  0  done
+  1  refused: the input is invalid, or another change came first
+  2  wrong usage, or a file that cannot be used
+  3  unreachable, or it is unknown whether the change took effect";
+
+/// The whole command line.
+pub fn command() -> Command {
+    Command::new("trefoilctl")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Checks and publishes routing resources, and shows what is in force")
+        .after_help(EXIT_CODES)
+        .max_term_width(100)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_name("FORMAT")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .global(true)
+                .help("Form of the result"),
+        )
+        .arg(
+            Arg::new("server")
+                .long("server")
+                .value_name("ADDR")
+                .env("TREFOIL_SERVER")
+                .hide_env_values(true)
+                .value_parser(value_parser!(std::net::SocketAddr))
+                .default_value(SERVER)
+                .global(true)
+                .help("Address of a daemon's operators' API"),
+        )
+        .subcommand(validate::command())
+        .subcommand(keys::command())
+        .subcommand(completions::command())
+}
+
+/// Runs `trefoilctl` with the arguments of the process.
+pub fn main() -> ExitCode {
+    ExitCode::from(run(std::env::args_os()) as u8)
+}
+
+fn run<I>(arguments: I) -> Exit
+where
+    I: Iterator<Item = OsString>,
+{
+    let matches = match command().try_get_matches_from(arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            // Help and version are errors to clap; a closed standard output changes nothing.
+            drop(error.print());
+            return if error.use_stderr() {
+                Exit::Usage
+            } else {
+                Exit::Done
+            };
+        }
+    };
+    let mut context = Context::new(&matches, io::stdout().lock());
+    let done = match matches.subcommand() {
+        Some(("validate", own)) => validate::run(own, &mut context),
+        Some(("keys", own)) => keys::run(own, &mut context),
+        Some(("completions", own)) => completions::run(own, &mut context),
+        // Every subcommand of `command` is listed above.
+        _ => Ok(Exit::Usage),
+    };
+    done.unwrap_or_else(|failure| context.fail(&failure))
+}
+
+/// The value of an argument that is required or has a default.
+fn required<'a, T>(matches: &'a ArgMatches, name: &'static str) -> Result<&'a T, Failure>
+where
+    T: Clone + Send + Sync + 'static,
+{
+    matches.get_one(name).ok_or(Failure::Argument { name })
+}
--- /dev/null
+++ b/src/commands/ctl/keys.rs
@@ -0,0 +1,145 @@
+//! `trefoilctl keys`: signing keys, the deployment's authority and host certificates.
+//!
+//! Private keys are written to new files that only their owner can read. A file that exists is
+//! never overwritten, because a lost signing key cannot be replaced without a change of settings on
+//! every host.
+
+mod certificates;
+
+use std::array::TryFromSliceError;
+use std::fmt;
+use std::fs::OpenOptions;
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use ring::rand::SystemRandom;
+use ring::signature::{Ed25519KeyPair, KeyPair};
+use serde::Serialize;
+use snafu::ResultExt;
+use trefoil_config::PublicKey;
+
+use super::failure::{ReadSnafu, WriteSnafu};
+use super::{Context, Exit, Failure, required};
+
+/// Mode of files with private keys.
+const PRIVATE: u32 = 0o600;
+
+/// Mode of files with public contents.
+const PUBLIC: u32 = 0o644;
+
+const EXAMPLES: &str = "Examples:
+  trefoilctl keys operator --out operator.key
+  trefoilctl keys host --out entry-01.signing.key
+  trefoilctl keys public operator.key
+  trefoilctl keys authority --name brekkestad --out authority
+  trefoilctl keys certificate --host entry-01 --authority authority --out entry-01
+
+Put the printed public keys into keys.operators and keys.hosts of every host's settings.";
+
+pub(super) fn command() -> Command {
+    let out = |help| {
+        Arg::new("out")
+            .long("out")
+            .value_name("FILE")
+            .value_parser(value_parser!(PathBuf))
+            .required(true)
+            .help(help)
+    };
+    let signing = |name, about| {
+        Command::new(name)
+            .about(about)
+            .arg(out("New file for the private key (PKCS#8)"))
+    };
+    Command::new("keys")
+        .about("Create signing keys and certificates; needs no daemon")
+        .after_help(EXAMPLES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(signing("operator", "Create the signing key of an operator"))
+        .subcommand(signing("host", "Create the signing key of a host"))
+        .subcommand(
+            Command::new("public")
+                .about("Print the public key of a signing key")
+                .arg(
+                    Arg::new("file")
+                        .value_name("FILE")
+                        .value_parser(value_parser!(PathBuf))
+                        .required(true)
+                        .help("File with the private key"),
+                ),
+        )
+        .subcommand(certificates::authority_command())
+        .subcommand(certificates::host_command())
+}
+
+/// A signing key that was created or read.
+#[derive(Debug, Serialize)]
+struct Signing {
+    file: String,
+    public: PublicKey,
+}
+
+impl fmt::Display for Signing {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.public)
+    }
+}
+
+pub(super) fn run(matches: &ArgMatches, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    match matches.subcommand() {
+        Some(("operator" | "host", own)) => create(required::<PathBuf>(own, "out")?, context),
+        Some(("public", own)) => show(required::<PathBuf>(own, "file")?, context),
+        Some(("authority", own)) => certificates::authority(own, context),
+        Some(("certificate", own)) => certificates::host(own, context),
+        // Every subcommand of `command` is listed above.
+        _ => Ok(Exit::Usage),
+    }
+}
+
+fn create(path: &Path, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let made = Ed25519KeyPair::generate_pkcs8(&SystemRandom::new());
+    let made = made.map_err(|e| Failure::Create {
+        reason: e.to_string(),
+    })?;
+    let public = public_key(path, made.as_ref())?;
+    write_new(path, PRIVATE, made.as_ref())?;
+    print(path, public, context)
+}
+
+fn show(path: &Path, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let bytes = std::fs::read(path).context(ReadSnafu { path })?;
+    let public = public_key(path, &bytes)?;
+    print(path, public, context)
+}
+
+fn print(path: &Path, public: PublicKey, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let file = path.display().to_string();
+    context.print(&Signing { file, public })?;
+    Ok(Exit::Done)
+}
+
+fn public_key(path: &Path, pkcs8: &[u8]) -> Result<PublicKey, Failure> {
+    let bad = |reason: String| Failure::Key {
+        path: path.to_owned(),
+        reason,
+    };
+    let pair = Ed25519KeyPair::from_pkcs8(pkcs8).map_err(|e| bad(e.to_string()))?;
+    let bytes: Result<_, TryFromSliceError> = pair.public_key().as_ref().try_into();
+    bytes.map(PublicKey).map_err(|e| bad(e.to_string()))
+}
+
+/// Writes a file that must not exist yet.
+fn write_new(path: &Path, mode: u32, bytes: &[u8]) -> Result<(), Failure> {
+    let mut options = OpenOptions::new();
+    let mut file = options
+        .write(true)
+        .create_new(true)
+        .mode(mode)
+        .open(path)
+        .context(WriteSnafu { path })?;
+    file.write_all(bytes)
+        .and_then(|()| file.sync_all())
+        .context(WriteSnafu { path })
+}
--- /dev/null
+++ b/src/commands/ctl/keys/certificates.rs
@@ -0,0 +1,139 @@
+//! `trefoilctl keys authority` and `trefoilctl keys certificate`.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use serde::Serialize;
+use snafu::ResultExt;
+use trefoil_core::{Clock, HostName, SystemClock};
+use trefoil_wire::keys::{Authority, KeyPem};
+
+use super::{PRIVATE, PUBLIC, write_new};
+use crate::commands::ctl::context::read_text;
+use crate::commands::ctl::failure::CertificateSnafu;
+use crate::commands::ctl::{Context, Exit, Failure, required};
+
+/// Validity of an authority in days: ten years, so that it outlives the hosts it certifies.
+const AUTHORITY_DAYS: &str = "3650";
+
+/// Validity of a host certificate in days. Hosts are replaced more often than once a year.
+const HOST_DAYS: &str = "365";
+
+pub(super) fn authority_command() -> Command {
+    Command::new("authority")
+        .about("Create the deployment's certificate authority")
+        .arg(
+            Arg::new("name")
+                .long("name")
+                .value_name("NAME")
+                .required(true)
+                .help("Name in the certificate, for people"),
+        )
+        .arg(days(AUTHORITY_DAYS))
+        .arg(prefix(
+            "out",
+            "New files PREFIX.pem (certificate) and PREFIX.key.pem (private key)",
+        ))
+}
+
+pub(super) fn host_command() -> Command {
+    Command::new("certificate")
+        .about("Issue the certificate of a host")
+        .arg(
+            Arg::new("host")
+                .long("host")
+                .value_name("NAME")
+                .value_parser(value_parser!(HostName))
+                .required(true)
+                .help("Name of the host, as in its settings"),
+        )
+        .arg(days(HOST_DAYS))
+        .arg(prefix(
+            "authority",
+            "Files PREFIX.pem and PREFIX.key.pem of the authority",
+        ))
+        .arg(prefix(
+            "out",
+            "New files PREFIX.pem (certificate) and PREFIX.key.pem (private key)",
+        ))
+}
+
+fn days(default: &'static str) -> Arg {
+    Arg::new("days")
+        .long("days")
+        .value_name("DAYS")
+        .value_parser(value_parser!(u64).range(1..=36_500))
+        .default_value(default)
+        .help("Validity")
+}
+
+fn prefix(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("PREFIX")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help(help)
+}
+
+/// Files that were written.
+#[derive(Debug, Serialize)]
+struct Written {
+    certificate: String,
+    key: String,
+}
+
+impl fmt::Display for Written {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}\n{}", self.certificate, self.key)
+    }
+}
+
+pub(super) fn authority(matches: &ArgMatches, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let name = required::<String>(matches, "name")?;
+    let now = SystemClock.unix();
+    let made = Authority::create(name, now, validity(matches)?).context(CertificateSnafu)?;
+    write(matches, made.pem(), context)
+}
+
+pub(super) fn host(matches: &ArgMatches, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let host = required::<HostName>(matches, "host")?;
+    let (cert, key) = files(required::<PathBuf>(matches, "authority")?);
+    let pem = KeyPem {
+        cert: read_text(&cert)?,
+        key: read_text(&key)?,
+    };
+    let authority = Authority::from_pem(pem).context(CertificateSnafu)?;
+    let now = SystemClock.unix();
+    let made = authority
+        .issue(host, now, validity(matches)?)
+        .context(CertificateSnafu)?;
+    write(matches, &made, context)
+}
+
+fn validity(matches: &ArgMatches) -> Result<Duration, Failure> {
+    Ok(Duration::from_hours(24 * required::<u64>(matches, "days")?))
+}
+
+fn write(matches: &ArgMatches, pem: &KeyPem, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let (cert, key) = files(required::<PathBuf>(matches, "out")?);
+    write_new(&key, PRIVATE, pem.key.as_bytes())?;
+    write_new(&cert, PUBLIC, pem.cert.as_bytes())?;
+    context.print(&Written {
+        certificate: cert.display().to_string(),
+        key: key.display().to_string(),
+    })?;
+    Ok(Exit::Done)
+}
+
+/// The certificate file and the key file of a prefix, which may contain dots.
+fn files(prefix: &Path) -> (PathBuf, PathBuf) {
+    let with = |suffix: &str| {
+        let mut name = prefix.as_os_str().to_owned();
+        name.push(suffix);
+        PathBuf::from(name)
+    };
+    (with(".pem"), with(".key.pem"))
+}
--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -1,5 +1,6 @@
 //! Tests of `trefoil-config` and of `trefoilctl`.
 
+mod cli;
 mod examples;
 mod properties;
 mod routing;
