--- a/tests/all/config.rs
+++ b/tests/all/config.rs
@@ -17,3 +17,22 @@
     assert_eq!(text.matches(from).count(), 1, "{from:?} must occur once");
     text.replace(from, to)
 }
+
+/// For every value of a printed document, its line and the text with a mapping in its place.
+fn with_broken_lines(text: &str) -> Vec<(u32, String)> {
+    let lines: Vec<&str> = text.lines().collect();
+    let before = |line: &str| match line.split_once(": ") {
+        Some((key, _)) => Some(format!("{key}: ")),
+        None => line.find("- ").map(|i| line[..i + 2].to_owned()),
+    };
+    let numbered = lines.iter().zip(0..);
+    let starts = numbered.filter_map(|(line, i)| before(line).map(|start| (i, start)));
+    starts
+        .map(|(i, start)| {
+            let broken = format!("{start}{{ a: {{ b: c }} }}");
+            let mut all = lines.clone();
+            all[i as usize] = &broken;
+            (i + 1, all.join("\n"))
+        })
+        .collect()
+}
--- a/tests/all/config/routing.rs
+++ b/tests/all/config/routing.rs
@@ -3,7 +3,7 @@
 use trefoil_config::{Findings, Routing};
 use trefoil_core::DomainName;
 
-use super::{ROUTING, changed};
+use super::{ROUTING, changed, with_broken_lines};
 
 fn findings(text: &str) -> Findings {
     Routing::from_yaml(text, "routing.yaml").expect_err("the text has mistakes")
@@ -168,6 +168,21 @@
     );
 }
 
+/// Guards against a field that the sample document lacks: its mistakes would end the search for
+/// others, or be followed by findings about the value that stands in.
+#[test]
+fn every_unreadable_value_is_one_finding() {
+    let routing = Routing::from_yaml(ROUTING, "routing.yaml").expect("the resource is valid");
+    let text = routing.to_yaml();
+    let all = with_broken_lines(&text);
+    for (line, broken) in &all {
+        let list = findings(broken);
+        assert_eq!(list.len(), 1, "line {line}: {list}");
+        assert_eq!(list.as_slice()[0].place.line, *line, "{list}");
+    }
+    assert_eq!(all.len(), 55, "{text}");
+}
+
 /// Guards against a resource that does not fit into a log record.
 #[test]
 fn a_large_resource_is_refused() {
--- a/tests/all/config/settings.rs
+++ b/tests/all/config/settings.rs
@@ -5,7 +5,7 @@
 use trefoil_config::settings::{SETTINGS as NAMES, Tls, flag, variable};
 use trefoil_config::{Findings, LogLevel, Overrides, PublicKey, Settings};
 
-use super::{SETTINGS, changed};
+use super::{SETTINGS, changed, with_broken_lines};
 
 fn findings(text: &str) -> Findings {
     Settings::from_yaml(text, "trefoild.yaml").expect_err("the text has mistakes")
@@ -35,6 +35,21 @@
     assert_eq!(again, settings);
 }
 
+/// Guards against a setting that the sample document lacks: its mistakes would end the search for
+/// others, or be followed by findings about the value that stands in.
+#[test]
+fn every_unreadable_value_is_one_finding() {
+    let settings = Settings::from_yaml(SETTINGS, "trefoild.yaml").expect("valid settings");
+    let text = settings.to_yaml();
+    let all = with_broken_lines(&text);
+    for (line, broken) in &all {
+        let list = findings(broken);
+        assert_eq!(list.len(), 1, "line {line}: {list}");
+        assert_eq!(list.as_slice()[0].place.line, *line, "{list}");
+    }
+    assert_eq!(all.len(), 20, "{text}");
+}
+
 /// Guards against a check across settings that is lost.
 #[test]
 fn checks_across_settings() {
