--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -2,7 +2,7 @@
 //!
 //! Any host may plan. A record names the placement revision that it builds on, so of two planners
 //! that act at once one is rejected and looks again. To keep such races rare, each host waits its
-//! position in the member list times [`STAGGER`] and then plans only what is still needed.
+//! position in the member list times `STAGGER` and then plans only what is still needed.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
