Add trefoilctl apply, get, watch, status, report and drain

Operators had no command to publish a resource or to see what is in force. apply signs one record, repeats it until there is a verdict, and reports unknown whenever an attempt may have taken effect without one; get prints a resource that can be changed and applied again.

--- a/src/commands/ctl.rs
+++ b/src/commands/ctl.rs
@@ -5,11 +5,18 @@
 //! refused from one whose fate is unknown, and only the latter needs another look. Messages about
 //! the command itself go to standard error.
 
+mod apply;
+mod client;
 mod completions;
 mod context;
+mod drain;
 mod failure;
+mod get;
 mod keys;
+mod report;
+mod status;
 mod validate;
+mod watch;
 
 use std::ffi::OsString;
 use std::io;
@@ -72,6 +79,12 @@
                 .help("Address of a daemon's operators' API"),
         )
         .subcommand(validate::command())
+        .subcommand(apply::command())
+        .subcommand(get::command())
+        .subcommand(watch::command())
+        .subcommand(drain::command())
+        .subcommand(report::command())
+        .subcommand(status::command())
         .subcommand(keys::command())
         .subcommand(completions::command())
 }
@@ -100,6 +113,12 @@
     let mut context = Context::new(&matches, io::stdout().lock());
     let done = match matches.subcommand() {
         Some(("validate", own)) => validate::run(own, &mut context),
+        Some(("apply", own)) => apply::run(own, &mut context),
+        Some(("get", own)) => get::run(own, &mut context),
+        Some(("watch", own)) => watch::run(own, &mut context),
+        Some(("drain", own)) => drain::run(own, &mut context),
+        Some(("report", own)) => report::run(own, &mut context),
+        Some(("status", own)) => status::run(own, &mut context),
         Some(("keys", own)) => keys::run(own, &mut context),
         Some(("completions", own)) => completions::run(own, &mut context),
         // Every subcommand of `command` is listed above.
--- a/src/commands/ctl/failure.rs
+++ b/src/commands/ctl/failure.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::path::PathBuf;
 
+use http::StatusCode;
 use snafu::Snafu;
+use trefoil_core::ResourceName;
 
 use super::Exit;
 
@@ -34,7 +36,7 @@
         source: io::Error,
     },
     /// A file holds no key of the expected kind.
-    #[snafu(display("{} holds no Ed25519 key in PKCS#8: {reason}", path.display()))]
+    #[snafu(display("{}: {reason}", path.display()))]
     Key {
         /// The file.
         path: PathBuf,
@@ -53,6 +55,40 @@
         /// Reason.
         source: trefoil_wire::keys::KeyError,
     },
+    /// A record does not encode.
+    #[snafu(display("cannot encode the record: {source}"))]
+    Record {
+        /// Reason.
+        source: trefoil_log::RecordError,
+    },
+    /// The daemon gave no answer.
+    #[snafu(display("{source}"))]
+    Unreachable {
+        /// Reason.
+        source: trefoil_http::CallError,
+    },
+    /// The daemon refused a request or failed.
+    #[snafu(display("the daemon answered {status}: {message}"))]
+    Answer {
+        /// Status of the answer.
+        status: StatusCode,
+        /// Text of the answer.
+        message: String,
+    },
+    /// The daemon's answer is not what this version expects.
+    #[snafu(display("the answer to {path} cannot be read: {source}"))]
+    Malformed {
+        /// The call.
+        path: String,
+        /// Reason.
+        source: serde_json::Error,
+    },
+    /// No resource has this name.
+    #[snafu(display("no resource is named {name}"))]
+    NoResource {
+        /// The name.
+        name: ResourceName,
+    },
     /// Standard output is closed or full.
     #[snafu(display("cannot write the result: {source}"))]
     Output {
@@ -67,12 +103,17 @@
         match self {
             // `trefoilctl watch | head` ends like this.
             Self::Output { source } if source.kind() == io::ErrorKind::BrokenPipe => Exit::Done,
-            Self::Output { .. } => Exit::Unknown,
+            Self::NoResource { .. } => Exit::Refused,
+            Self::Output { .. }
+            | Self::Unreachable { .. }
+            | Self::Answer { .. }
+            | Self::Malformed { .. } => Exit::Unknown,
             Self::Argument { .. }
             | Self::Read { .. }
             | Self::Write { .. }
             | Self::Key { .. }
             | Self::Create { .. }
+            | Self::Record { .. }
             | Self::Certificate { .. } => Exit::Usage,
         }
     }
--- a/src/commands/ctl/keys.rs
+++ b/src/commands/ctl/keys.rs
@@ -6,7 +6,6 @@
 
 mod certificates;
 
-use std::array::TryFromSliceError;
 use std::fmt;
 use std::fs::OpenOptions;
 use std::io::Write;
@@ -14,11 +13,9 @@
 use std::path::{Path, PathBuf};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use ring::rand::SystemRandom;
-use ring::signature::{Ed25519KeyPair, KeyPair};
 use serde::Serialize;
 use snafu::ResultExt;
-use trefoil_config::PublicKey;
+use trefoil_log::{KeyId, Signer};
 
 use super::failure::{ReadSnafu, WriteSnafu};
 use super::{Context, Exit, Failure, required};
@@ -78,7 +75,7 @@
 #[derive(Debug, Serialize)]
 struct Signing {
     file: String,
-    public: PublicKey,
+    public: String,
 }
 
 impl fmt::Display for Signing {
@@ -99,12 +96,11 @@
 }
 
 fn create(path: &Path, context: &mut Context<'_>) -> Result<Exit, Failure> {
-    let made = Ed25519KeyPair::generate_pkcs8(&SystemRandom::new());
-    let made = made.map_err(|e| Failure::Create {
+    let made = Signer::generate().map_err(|e| Failure::Create {
         reason: e.to_string(),
     })?;
-    let public = public_key(path, made.as_ref())?;
-    write_new(path, PRIVATE, made.as_ref())?;
+    let public = public_key(path, &made)?;
+    write_new(path, PRIVATE, &made)?;
     print(path, public, context)
 }
 
@@ -114,20 +110,20 @@
     print(path, public, context)
 }
 
-fn print(path: &Path, public: PublicKey, context: &mut Context<'_>) -> Result<Exit, Failure> {
-    let file = path.display().to_string();
-    context.print(&Signing { file, public })?;
+fn print(path: &Path, public: KeyId, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    context.print(&Signing {
+        file: path.display().to_string(),
+        public: public.to_string(),
+    })?;
     Ok(Exit::Done)
 }
 
-fn public_key(path: &Path, pkcs8: &[u8]) -> Result<PublicKey, Failure> {
-    let bad = |reason: String| Failure::Key {
+fn public_key(path: &Path, pkcs8: &[u8]) -> Result<KeyId, Failure> {
+    let signer = Signer::from_pkcs8(pkcs8).map_err(|e| Failure::Key {
         path: path.to_owned(),
-        reason,
-    };
-    let pair = Ed25519KeyPair::from_pkcs8(pkcs8).map_err(|e| bad(e.to_string()))?;
-    let bytes: Result<_, TryFromSliceError> = pair.public_key().as_ref().try_into();
-    bytes.map(PublicKey).map_err(|e| bad(e.to_string()))
+        reason: e.to_string(),
+    })?;
+    Ok(signer.key())
 }
 
 /// Writes a file that must not exist yet.
--- /dev/null
+++ b/src/commands/ctl/report.rs
@@ -0,0 +1,34 @@
+//! `trefoilctl report`: the placement report.
+
+use clap::{Arg, ArgMatches, Command};
+
+use super::client::Client;
+use super::{Context, Exit, Failure, Format};
+
+const EXAMPLES: &str = "Examples:
+  trefoilctl report
+  trefoilctl report --html > placement.html
+  trefoilctl report --output json";
+
+pub(super) fn command() -> Command {
+    Command::new("report")
+        .about("Print the placement report: imbalance, churn and unavailable time")
+        .after_help(EXAMPLES)
+        .arg(
+            Arg::new("html")
+                .long("html")
+                .action(clap::ArgAction::SetTrue)
+                .help("Print a page for a browser"),
+        )
+}
+
+pub(super) fn run(matches: &ArgMatches, context: &mut Context<'_>) -> Result<Exit, Failure> {
+    let form = match context.format {
+        _ if matches.get_flag("html") => "html",
+        Format::Text => "text",
+        Format::Json => "json",
+    };
+    let report = Client::new(context.server).raw(&format!("/v1/report?format={form}"))?;
+    context.raw(&report)?;
+    Ok(Exit::Done)
+}
--- a/tests/all/config/cli.rs
+++ b/tests/all/config/cli.rs
@@ -1,6 +1,9 @@
 //! Runs of `trefoilctl` that need no daemon.
 
+mod apply;
+mod daemon;
 mod keys;
+mod stub;
 
 use std::path::Path;
 use std::process::{Command, Stdio};
@@ -32,6 +35,24 @@
     )
 }
 
+/// A run without what differs between two runs: the address and the times.
+fn redacted(run: &str, address: &str) -> String {
+    let is_time = |word: &str| word.len() == 24 && word.starts_with("20") && word.ends_with('Z');
+    let line = |line: &str| {
+        let words = line.split(' ').map(|w| {
+            let time = w.trim_end_matches([',', ';']);
+            if is_time(time) {
+                w.replace(time, "TIME")
+            } else {
+                w.to_owned()
+            }
+        });
+        words.collect::<Vec<_>>().join(" ")
+    };
+    let lines: Vec<String> = run.split('\n').map(line).collect();
+    lines.join("\n").replace(address, "SERVER")
+}
+
 fn sessions(all: &[&[&str]]) -> String {
     let runs: Vec<String> = all.iter().map(|arguments| session(arguments)).collect();
     runs.join("\n")
@@ -94,7 +115,18 @@
 /// Guards against subcommands without help or examples.
 #[test]
 fn help_has_examples() {
-    let all: Vec<String> = ["validate", "keys", "completions"]
+    let names = [
+        "validate",
+        "apply",
+        "get",
+        "watch",
+        "drain",
+        "report",
+        "status",
+        "keys",
+        "completions",
+    ];
+    let all: Vec<String> = names
         .iter()
         .map(|name| session(&[name, "--help"]))
         .collect();
@@ -110,7 +142,7 @@
     for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
         let run = session(&["completions", shell]);
         assert!(run.ends_with("-- exit 0 --\n"), "{shell}: {run}");
-        for name in ["validate", "keys", "certificate"] {
+        for name in ["validate", "apply", "watch", "keys", "certificate"] {
             assert!(run.contains(name), "the script for {shell} lacks {name}");
         }
     }
--- /dev/null
+++ b/tests/all/config/cli/daemon.rs
@@ -0,0 +1,200 @@
+//! `trefoilctl` against a real entry host with an in-memory log.
+
+use std::fs;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tempfile::TempDir;
+use trefoil_core::{Clock, SystemClock};
+use trefoil_daemon::{Node, NodeConfig};
+use trefoil_log::{Keyring, MemoryLog, Role, Signer};
+use trefoil_wire::Authority;
+
+use super::{redacted, session_in};
+use crate::config::ROUTING;
+
+const DAY: Duration = Duration::from_hours(24);
+
+/// An entry host, and a directory with the operator's key and a resource.
+struct Host {
+    node: Node,
+    directory: TempDir,
+}
+
+impl Host {
+    fn start() -> Self {
+        let directory = tempfile::tempdir().expect("a directory");
+        let at = directory.path();
+        let made = session_in(at, &["keys", "operator", "--out", "operator.key"]);
+        assert!(made.ends_with("-- exit 0 --\n"), "{made}");
+        fs::write(at.join("routing.yaml"), ROUTING).expect("a file");
+
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let name = "entry-01".parse().expect("a name");
+        let authority = Authority::create("test", clock.unix(), DAY).expect("an authority");
+        let identity = authority
+            .identity(&name, clock.unix(), DAY)
+            .expect("an identity");
+        let der = Signer::generate().expect("a key");
+        let signer = Signer::from_pkcs8(&der).expect("a key");
+        let mut keys = Keyring::default();
+        let der = fs::read(at.join("operator.key")).expect("the key");
+        keys.add(
+            Signer::from_pkcs8(&der).expect("a key").key(),
+            Role::Operator,
+        );
+        keys.add(signer.key(), Role::Host);
+        let log = Arc::new(MemoryLog::new(clock, 1000));
+        let (region, domain) = ("north".parse(), "a".parse());
+        let (region, domain) = (region.expect("a name"), domain.expect("a name"));
+        let config = NodeConfig::new(name, region, domain, identity, signer, log).keys(keys);
+        let node = smol::block_on(Node::start(config)).expect("the host starts");
+        Self { node, directory }
+    }
+
+    fn at(&self) -> &Path {
+        self.directory.path()
+    }
+
+    fn run(&self, arguments: &[&str]) -> String {
+        let address = self.node.addresses().operator.to_string();
+        let mut all = arguments.to_vec();
+        all.extend(["--server", &address]);
+        let run = redacted(&session_in(self.at(), &all), &address);
+        run.replace(&self.node.addresses().caller.to_string(), "CALLER")
+    }
+}
+
+/// A run without revisions: they count the records of the host and of its planner too.
+fn without_revisions(run: &str) -> String {
+    let parts = run.split("revision ").enumerate().map(|(i, part)| match i {
+        0 => part.to_owned(),
+        _ => format!(
+            "revision N{}",
+            part.trim_start_matches(|c: char| c.is_ascii_digit())
+        ),
+    });
+    let lines = parts.collect::<String>();
+    let lines = lines
+        .lines()
+        .map(|line| match line.strip_prefix("revision: ") {
+            Some(_) => "revision: N",
+            None => line,
+        });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Guards against a command that does not work with the daemon of the same version: publishing,
+/// a conflict of two operators, reading back, and changing what was read.
+#[test]
+fn a_resource_is_published_changed_and_read() {
+    let host = Host::start();
+    let apply = ["apply", "routing.yaml", "--key", "operator.key"];
+    let before = host.run(&["get"]);
+    let first = host.run(&apply);
+    let again = host.run(&apply);
+    let got = host.run(&["get", "waterworks"]);
+    insta::assert_snapshot!(without_revisions(
+        &[before, first, again, got.clone()].join("\n")
+    ));
+
+    let resource: Vec<&str> = got
+        .lines()
+        .skip(1)
+        .take_while(|l| !l.starts_with("-- exit"))
+        .collect();
+    let changed = resource.join("\n").replace("slots: 4", "slots: 3");
+    fs::write(host.at().join("routing.yaml"), changed).expect("a file");
+    let second = host.run(&apply);
+    assert!(
+        second.contains("\naccepted: waterworks revision "),
+        "{second}"
+    );
+    let json = host.run(&["get", "waterworks", "--output", "json"]);
+    let value: serde_json::Value =
+        serde_json::from_str(json.lines().nth(1).expect("one line")).expect("JSON");
+    assert_eq!(
+        value["resource"]["spec"]["services"][0]["limits"]["slots"],
+        3
+    );
+    assert_eq!(value["everywhere"], true);
+    smol::block_on(host.node.drain());
+}
+
+/// Guards against a key that is not an operator's, and against names that do not exist.
+#[test]
+fn refusals_of_the_daemon_are_told() {
+    let host = Host::start();
+    let made = host.run(&["keys", "operator", "--out", "stranger.key"]);
+    assert!(made.ends_with("-- exit 0 --\n"), "{made}");
+    insta::assert_snapshot!(
+        [
+            host.run(&["apply", "routing.yaml", "--key", "stranger.key"]),
+            host.run(&["get", "nothing"]),
+            host.run(&["get", "NOTHING"]),
+        ]
+        .join("\n")
+    );
+    smol::block_on(host.node.drain());
+}
+
+/// Guards against changes that `watch` misses, shows twice or shows in another form than a line.
+#[test]
+fn changes_are_watched() {
+    let host = Host::start();
+    let applied = host.run(&["apply", "routing.yaml", "--key", "operator.key"]);
+    assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
+    let seen = host.run(&["watch", "--count", "1", "--output", "json"]);
+    let line = seen.lines().nth(1).expect("one line");
+    let value: serde_json::Value = serde_json::from_str(line).expect("JSON");
+    assert_eq!(value["name"], "waterworks");
+    let revision = value["revision"].as_u64().expect("a number").to_string();
+
+    let later = std::thread::scope(|scope| {
+        let watch = scope.spawn(|| host.run(&["watch", "--count", "1", "--from", &revision]));
+        let text = ROUTING.replace(
+            "name: waterworks",
+            &format!("name: waterworks\nrevision: {revision}"),
+        );
+        fs::write(host.at().join("routing.yaml"), text).expect("a file");
+        let applied = host.run(&["apply", "routing.yaml", "--key", "operator.key"]);
+        assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
+        watch.join().expect("no panic")
+    });
+    let shown: Vec<&str> = later
+        .lines()
+        .filter(|l| l.starts_with("revision "))
+        .collect();
+    assert_eq!(shown.len(), 1, "{later}");
+    assert!(
+        !shown[0].starts_with(&format!("revision {revision}:")),
+        "{later}"
+    );
+    smol::block_on(host.node.drain());
+}
+
+/// Guards against a status that misses hosts or upstreams, and against a drain that leaves the host
+/// ready.
+#[test]
+fn status_and_drain() {
+    let host = Host::start();
+    let applied = host.run(&["apply", "routing.yaml", "--key", "operator.key"]);
+    assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
+    let before = host.run(&["status"]);
+    for part in [
+        "host entry-01: ready, revision ",
+        "\nentry-01  a       CALLER\n",
+        "\nlookup-1  lookup ",
+    ] {
+        assert!(before.contains(part), "{before}");
+    }
+    let drained = host.run(&["drain"]);
+    assert!(
+        drained.ends_with("SERVER: draining\n-- exit 0 --\n"),
+        "{drained}"
+    );
+    let after = host.run(&["status", "--output", "json"]);
+    assert!(after.contains("\"ready\":false"), "{after}");
+    smol::block_on(host.node.drain());
+}
