--- /dev/null
+++ b/crates/dispatch/src/admission/shards.rs
@@ -0,0 +1,115 @@
+//! Steps of ownership that also concern queued requests.
+
+use smallvec::SmallVec;
+use trefoil_core::{Revision, Shard, Tick, UpstreamName};
+
+use super::Admission;
+use crate::memory::Handover;
+use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Release, Shed, TicketId};
+
+impl Admission {
+    /// Ownership of shards at this upstream.
+    pub fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
+    /// Gives a shard to this upstream, see [`Ownership::assign`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the shard is owned here already or is being released.
+    pub fn assign(
+        &mut self,
+        now: Tick,
+        shard: Shard,
+        origin: Origin,
+    ) -> Result<(), OwnershipError> {
+        self.ownership.assign(now, self.wall.at(now), shard, origin)
+    }
+
+    /// Takes in the release of a shard by its previous owner, see [`Ownership::receive`]. Requests
+    /// that were held for it become startable, but for those that the previous owner has seen and
+    /// for non-idempotent ones whose ids the outcome memory turns out not to cover.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the shard does not wait for this release.
+    pub fn receive(
+        &mut self,
+        now: Tick,
+        shard: Shard,
+        revision: Revision,
+        handover: Handover,
+    ) -> Result<Actions, OwnershipError> {
+        let state = self.ownership.receive(shard, revision, handover.since)?;
+        self.memory.import(now, shard, handover.records);
+        let mut actions = Actions::default();
+        if state == Hold::Serving {
+            for id in self.queue.ids(Some(shard)) {
+                actions.dropped.extend(self.recheck(now, id));
+            }
+            self.queue.unhold(shard);
+            self.start_ready(now, &mut actions);
+        }
+        Ok(actions)
+    }
+
+    /// Judges a held request again after the release of its shard has arrived.
+    fn recheck(&mut self, now: Tick, id: TicketId) -> Option<Dropped> {
+        let queued = self.queue.get_mut(id)?;
+        let request = &queued.request;
+        let since = self.ownership.serving_since(request.shard);
+        let covered = match &request.id {
+            Some(id) => self.memory.covers(now, id, since),
+            None => true,
+        };
+        match self.memory.record(request) {
+            // Under another digest, the record says nothing about this request.
+            Some((record, same)) => {
+                self.queue.remove(id);
+                let why = Shed::Repeat;
+                let outcome = if same { record.outcome } else { why.outcome() };
+                Some(Dropped { id, why, outcome })
+            }
+            None if !covered && !request.idempotent => self.drop_queued(now, id, Shed::Forgotten),
+            None => {
+                queued.doubt = !covered;
+                None
+            }
+        }
+    }
+
+    /// The releases for which proof exists, with the records of their shards.
+    pub(super) fn releases(&mut self, now: Tick) -> Vec<Release> {
+        let mut releases = self.ownership.poll(now);
+        for release in &mut releases {
+            let since = release.handover.since;
+            release.handover = self.memory.export(now, release.shard, since);
+        }
+        releases
+    }
+
+    /// Stops admissions for a shard that goes to another upstream, see [`Ownership::revoke`]. Its
+    /// queued requests are handed back as [`Shed::Moved`]; its running requests finish.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the shard is not owned here.
+    pub fn revoke(
+        &mut self,
+        now: Tick,
+        shard: Shard,
+        to: UpstreamName,
+        revision: Revision,
+    ) -> Result<SmallVec<[Dropped; 4]>, OwnershipError> {
+        self.ownership.revoke(shard, to, revision)?;
+        let queued = self.queue.ids(Some(shard));
+        let moved = |id| self.drop_queued(now, id, Shed::Moved);
+        Ok(queued.into_iter().filter_map(moved).collect())
+    }
+
+    /// The shards that the grant sent at `now` names, see [`Ownership::renew`].
+    pub fn renew(&mut self, now: Tick) -> Vec<Shard> {
+        self.ownership.renew(now)
+    }
+}
