Test reports, variables and an unreachable daemon with trefoilctl

The placement report, the variables for the daemon and the key, and the exit code without a daemon were not covered, nor was deeply nested or oversized text. Five tests cover them, with a stand-in that serves the report, and findings are checked to lie within their text.

--- a/tests/all/config/cli.rs
+++ b/tests/all/config/cli.rs
@@ -5,19 +5,27 @@
 mod keys;
 mod stub;
 
+use std::net::TcpListener;
 use std::path::Path;
 use std::process::{Command, Stdio};
 
+use stub::{Show, Stub};
+
 /// What one run printed, and how it ended.
 fn session(arguments: &[&str]) -> String {
     session_in(Path::new(env!("CARGO_MANIFEST_DIR")), arguments)
 }
 
 fn session_in(directory: &Path, arguments: &[&str]) -> String {
+    session_with(directory, &[], arguments)
+}
+
+fn session_with(directory: &Path, variables: &[(&str, &str)], arguments: &[&str]) -> String {
     let output = Command::new(env!("CARGO_BIN_EXE_trefoilctl"))
         .args(arguments)
         .current_dir(directory)
         .env_clear()
+        .envs(variables.iter().copied())
         .stdin(Stdio::null())
         .output()
         .expect("trefoilctl runs");
@@ -136,6 +144,55 @@
     insta::assert_snapshot!(format!("{}\n{}", session(&["--help"]), all.join("\n")));
 }
 
+/// Guards against a report in another form than the one asked for.
+#[test]
+fn the_report_has_the_form_asked_for() {
+    let stub = Stub::start(&[], Show::Nothing);
+    let address = stub.address.to_string();
+    let report = |more: &[&str]| {
+        let run = session(&[&["report", "--server", &address], more].concat());
+        run.lines().skip(1).collect::<Vec<_>>().join("\n")
+    };
+    assert_eq!(report(&[]), "the report as text\n-- exit 0 --");
+    assert_eq!(
+        report(&["--output", "json"]),
+        "the report as json\n-- exit 0 --"
+    );
+    assert_eq!(report(&["--html"]), "the report as html\n-- exit 0 --");
+}
+
+/// Guards against an unreachable daemon that looks like an empty one.
+#[test]
+fn an_unreachable_daemon_has_its_own_code() {
+    let free = TcpListener::bind("127.0.0.1:0")
+        .expect("a free port")
+        .local_addr();
+    let nobody = free.expect("an address").to_string();
+    for command in ["get", "watch", "status", "report", "drain"] {
+        let run = session(&[command, "--server", &nobody]);
+        assert!(
+            run.contains("trefoilctl: cannot connect to 127.0.0.1:"),
+            "{run}"
+        );
+        assert!(run.ends_with("-- exit 3 --\n"), "{run}");
+    }
+}
+
+/// Guards against variables that are ignored, or that a flag does not override.
+#[test]
+fn variables_name_the_daemon() {
+    let stub = Stub::start(&[], Show::Nothing);
+    let address = stub.address.to_string();
+    let report = |server: &str, more: &[&str]| {
+        let directory = Path::new(env!("CARGO_MANIFEST_DIR"));
+        let variables = [("TREFOIL_SERVER", server)];
+        session_with(directory, &variables, &[&["report"], more].concat())
+    };
+    assert!(report(&address, &[]).ends_with("-- exit 0 --\n"));
+    assert!(report("127.0.0.1:1", &["--server", &address]).ends_with("-- exit 0 --\n"));
+    assert!(report("nowhere", &[]).ends_with("-- exit 2 --\n"));
+}
+
 /// Guards against scripts for a shell that lack the subcommands.
 #[test]
 fn completions_know_the_subcommands() {
--- a/tests/all/config/cli/apply.rs
+++ b/tests/all/config/cli/apply.rs
@@ -8,7 +8,7 @@
 use trefoil_log::{Keyring, Role, Signed, Signer};
 
 use super::stub::{Answer, Show, Stub, envelope};
-use super::{redacted, session_in};
+use super::{redacted, session_in, session_with};
 use crate::config::ROUTING;
 
 fn accepted(revision: u64) -> Answer {
@@ -170,6 +170,23 @@
     assert_eq!(envelope(data).base.0, 41);
 }
 
+/// Guards against an operator's key that has to be on the command line.
+#[test]
+fn the_key_comes_from_a_variable_too() {
+    let at = directory();
+    let stub = Stub::start(&[conflict(3)], Show::Nothing);
+    let address = stub.address.to_string();
+    let variables = [
+        ("TREFOIL_OPERATOR_KEY", "operator.key"),
+        ("TREFOIL_SERVER", &address),
+    ];
+    let run = session_with(at.path(), &variables, &["apply", "routing.yaml"]);
+    assert!(
+        run.contains("conflict: waterworks is at revision 3"),
+        "{run}"
+    );
+}
+
 /// Guards against output that programs cannot read.
 #[test]
 fn verdicts_are_json() {
--- a/tests/all/config/cli/stub.rs
+++ b/tests/all/config/cli/stub.rs
@@ -93,6 +93,9 @@
             0 | 1 => state.answers.first().cloned().expect("an answer"),
             _ => state.answers.remove(0),
         }
+    } else if let Some(rest) = head.strip_prefix("GET /v1/report?format=") {
+        let form = rest.split(' ').next().unwrap_or_default();
+        Answer::Status(200, json!(format!("the report as {form}\n")))
     } else {
         resource(&state)
     }
--- a/tests/all/config/properties.rs
+++ b/tests/all/config/properties.rs
@@ -23,17 +23,35 @@
     })
 }
 
-/// Reads a text as both documents. Panics fail the test; findings are expected.
+/// Reads a text as both documents. Panics fail the test; findings are expected, each within the
+/// text.
 fn read(text: &str) {
+    let lines = u32::try_from(text.lines().count()).expect("a short text");
     for list in [
         Routing::from_yaml(text, "r").err(),
         Settings::from_yaml(text, "s").err(),
     ] {
-        let findings = list.into_iter().flatten();
-        findings.for_each(|f| assert!(!f.message.is_empty(), "a finding says what is wrong"));
+        for finding in list.into_iter().flatten() {
+            assert!(!finding.message.is_empty(), "a finding says what is wrong");
+            let place = &finding.place;
+            assert!(place.column >= 1, "{finding}");
+            // A syntax error at the end of the text is on the line after the last.
+            assert!((1..=lines + 1).contains(&place.line), "{finding}");
+        }
     }
 }
 
+/// Guards against a stack overflow on deeply nested text, and against unbounded work.
+#[test]
+fn deep_and_large_text_is_refused() {
+    for piece in ["[", "{a: ", "- ", "a:\n ", "? "] {
+        read(&piece.repeat(100_000));
+    }
+    let large = format!("# {}\n{ROUTING}", "x".repeat(trefoil_config::TEXT_MAX));
+    let list = Routing::from_yaml(&large, "large").expect_err("the text is too large");
+    assert_eq!(list.len(), 1, "{list}");
+}
+
 /// Guards against panics on arbitrary text.
 #[test]
 fn arbitrary_text_does_not_panic() {
