--- /dev/null
+++ b/tests/all/config/cli.rs
@@ -0,0 +1,206 @@
+//! Runs of `trefoilctl` that need no daemon.
+
+mod apply;
+mod daemon;
+mod keys;
+mod stub;
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+use stub::{Show, Stub};
+
+/// What one run printed, and how it ended.
+fn session(arguments: &[&str]) -> String {
+    session_in(Path::new(env!("CARGO_MANIFEST_DIR")), arguments)
+}
+
+fn session_in(directory: &Path, arguments: &[&str]) -> String {
+    session_with(directory, &[], arguments)
+}
+
+fn session_with(directory: &Path, variables: &[(&str, &str)], arguments: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_trefoilctl"))
+        .args(arguments)
+        .current_dir(directory)
+        .env_clear()
+        .envs(variables.iter().copied())
+        .stdin(Stdio::null())
+        .output()
+        .expect("trefoilctl runs");
+    let (out, err) = (output.stdout, output.stderr);
+    let text = |bytes| String::from_utf8(bytes).expect("output is UTF-8");
+    let code = output.status.code().expect("no signal ends trefoilctl");
+    let error = match text(err) {
+        err if err.is_empty() => err,
+        err => format!("-- stderr --\n{err}"),
+    };
+    format!(
+        "$ trefoilctl {}\n{}{error}-- exit {code} --\n",
+        arguments.join(" "),
+        text(out),
+    )
+}
+
+/// A run without what differs between two runs: the address and the times.
+fn redacted(run: &str, address: &str) -> String {
+    let is_time = |word: &str| word.len() == 24 && word.starts_with("20") && word.ends_with('Z');
+    let line = |line: &str| {
+        let words = line.split(' ').map(|w| {
+            let time = w.trim_end_matches([',', ';']);
+            if is_time(time) {
+                w.replace(time, "TIME")
+            } else {
+                w.to_owned()
+            }
+        });
+        words.collect::<Vec<_>>().join(" ")
+    };
+    let lines: Vec<String> = run.split('\n').map(line).collect();
+    lines.join("\n").replace(address, "SERVER")
+}
+
+fn sessions(all: &[&[&str]]) -> String {
+    let runs: Vec<String> = all.iter().map(|arguments| session(arguments)).collect();
+    runs.join("\n")
+}
+
+const FIVE: &str = "tests/all/config/files/routing-five.yaml";
+const VALID: &str = "examples/monterrey.yaml";
+
+/// Guards against a validation that passes or refuses the wrong file, and against another exit
+/// code or form of the result.
+#[test]
+fn validate_reports_all_files() {
+    insta::assert_snapshot!(sessions(&[
+        &["validate", VALID, "examples/brekkestad.yaml"],
+        &["validate", VALID, FIVE],
+        &["validate", "--output", "json", VALID],
+        &["validate", "-"],
+    ]));
+}
+
+/// Guards against findings that JSON output loses.
+#[test]
+fn validate_prints_json() {
+    let run = session(&["--output", "json", "validate", VALID, FIVE]);
+    let json = run.lines().nth(1).expect("one line of JSON");
+    let value: serde_json::Value = serde_json::from_str(json).expect("JSON");
+    assert_eq!(value["files"][0]["valid"], true);
+    assert_eq!(
+        value["files"][1]["findings"].as_array().map(Vec::len),
+        Some(5)
+    );
+    assert_eq!(value["files"][1]["findings"][0]["line"], 2);
+    assert!(run.ends_with("-- exit 1 --\n"), "{run}");
+}
+
+/// Guards against wrong usage that looks like a refused configuration to a script.
+#[test]
+fn wrong_usage_has_its_own_code() {
+    insta::assert_snapshot!(sessions(&[
+        &[],
+        &["validate"],
+        &["validate", "no-such-file.yaml"],
+        &["validate", "--output", "json", "no-such-file.yaml"],
+        &["validate", "--output", "xml", VALID],
+        &["--server", "nowhere", "validate", VALID],
+        &[
+            "keys",
+            "certificate",
+            "--host",
+            "Entry",
+            "--authority",
+            "a",
+            "--out",
+            "b"
+        ],
+        &["completions", "ksh"],
+    ]));
+}
+
+/// Guards against subcommands without help or examples.
+#[test]
+fn help_has_examples() {
+    let names = [
+        "validate",
+        "apply",
+        "get",
+        "watch",
+        "drain",
+        "report",
+        "status",
+        "keys",
+        "completions",
+    ];
+    let all: Vec<String> = names
+        .iter()
+        .map(|name| session(&[name, "--help"]))
+        .collect();
+    for run in &all {
+        assert!(run.contains("Examples:\n  trefoilctl "), "{run}");
+    }
+    insta::assert_snapshot!(format!("{}\n{}", session(&["--help"]), all.join("\n")));
+}
+
+/// Guards against a report in another form than the one asked for.
+#[test]
+fn the_report_has_the_form_asked_for() {
+    let stub = Stub::start(&[], Show::Nothing);
+    let address = stub.address.to_string();
+    let report = |more: &[&str]| {
+        let run = session(&[&["report", "--server", &address], more].concat());
+        run.lines().skip(1).collect::<Vec<_>>().join("\n")
+    };
+    assert_eq!(report(&[]), "the report as text\n-- exit 0 --");
+    assert_eq!(
+        report(&["--output", "json"]),
+        "the report as json\n-- exit 0 --"
+    );
+    assert_eq!(report(&["--html"]), "the report as html\n-- exit 0 --");
+}
+
+/// Guards against an unreachable daemon that looks like an empty one.
+#[test]
+fn an_unreachable_daemon_has_its_own_code() {
+    let free = TcpListener::bind("127.0.0.1:0")
+        .expect("a free port")
+        .local_addr();
+    let nobody = free.expect("an address").to_string();
+    for command in ["get", "watch", "status", "report", "drain"] {
+        let run = session(&[command, "--server", &nobody]);
+        assert!(
+            run.contains("trefoilctl: cannot connect to 127.0.0.1:"),
+            "{run}"
+        );
+        assert!(run.ends_with("-- exit 3 --\n"), "{run}");
+    }
+}
+
+/// Guards against variables that are ignored, or that a flag does not override.
+#[test]
+fn variables_name_the_daemon() {
+    let stub = Stub::start(&[], Show::Nothing);
+    let address = stub.address.to_string();
+    let report = |server: &str, more: &[&str]| {
+        let directory = Path::new(env!("CARGO_MANIFEST_DIR"));
+        let variables = [("TREFOIL_SERVER", server)];
+        session_with(directory, &variables, &[&["report"], more].concat())
+    };
+    assert!(report(&address, &[]).ends_with("-- exit 0 --\n"));
+    assert!(report("127.0.0.1:1", &["--server", &address]).ends_with("-- exit 0 --\n"));
+    assert!(report("nowhere", &[]).ends_with("-- exit 2 --\n"));
+}
+
+/// Guards against scripts for a shell that lack the subcommands.
+#[test]
+fn completions_know_the_subcommands() {
+    for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
+        let run = session(&["completions", shell]);
+        assert!(run.ends_with("-- exit 0 --\n"), "{shell}: {run}");
+        for name in ["validate", "apply", "watch", "keys", "certificate"] {
+            assert!(run.contains(name), "the script for {shell} lacks {name}");
+        }
+    }
+}
