--- /dev/null
+++ b/crates/daemon/src/authority.rs
@@ -0,0 +1,399 @@
+//! This host's authority: its lease, the leases that it witnesses, and its dispatcher roles.
+//!
+//! The decisions are those of `trefoil-lease`. This module feeds them with messages, records and
+//! time, and carries out their effects: it sends messages, arms the [watchdog](crate::watchdog) and
+//! tells the dispatchers which roles began and ended.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender};
+use event_listener::Event;
+use futures_lite::FutureExt;
+use slog::{debug, error, info, warn};
+use snafu::Snafu;
+use trefoil_core::chart::ChartError;
+use trefoil_core::{HostId, Tick, Token, UpstreamName};
+use trefoil_lease::{Effect, Holder, Message as LeaseMessage, Peer, Succession, Timing, Witness};
+use trefoil_log::View;
+use trefoil_wire::{PeerId, Peers, decode, encode};
+
+use crate::message::{Message, Reply};
+use crate::shared::Shared;
+use crate::watchdog::Watchdog;
+
+/// Longest time between two looks at the records.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// Time between two looks at connections that are being closed. It must be well below the margin.
+const CLOSE_POLL: Duration = Duration::from_millis(5);
+
+/// Time in which a peer must answer. A later promise would be worth little: the lease counts it
+/// from the time at which the heartbeat was sent.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A change of this host's dispatcher roles.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RoleChange {
+    /// This host now acts for an upstream.
+    Began(UpstreamName),
+    /// This host must stop at once, because its lease is about to end.
+    Stopped(UpstreamName),
+    /// Another host was assigned: nothing more is admitted, and what is in flight finishes.
+    Draining(UpstreamName),
+}
+
+/// Why the authority cannot be set up.
+#[derive(Debug, Snafu)]
+pub enum AuthorityError {
+    /// A state chart of this build does not load.
+    #[snafu(display("{source}"), context(false))]
+    Chart {
+        /// The chart's error.
+        source: ChartError,
+    },
+    /// The kernel timer cannot be created.
+    #[snafu(
+        display("the kernel timer cannot be created: {source}"),
+        context(false)
+    )]
+    Watchdog {
+        /// The system's error.
+        source: nix::errno::Errno,
+    },
+}
+
+#[derive(Debug)]
+struct State {
+    holder: Holder,
+    witness: Witness,
+    succession: Succession,
+    watchdog: Option<Watchdog>,
+}
+
+/// This host's authority.
+#[derive(Debug)]
+pub struct Authority {
+    shared: Arc<Shared>,
+    peers: Arc<dyn Peers>,
+    state: Mutex<State>,
+    changes: Sender<RoleChange>,
+    ended: Event,
+    woken: Event,
+    margin: Duration,
+}
+
+impl Authority {
+    /// The authority of a host that has none yet, and the changes of its roles. With `watchdog`,
+    /// the kernel kills this process if it is stopped past the end of its lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a state chart does not load or the kernel timer cannot be created.
+    pub fn new(
+        shared: Arc<Shared>,
+        peers: Arc<dyn Peers>,
+        timing: Timing,
+        watchdog: bool,
+    ) -> Result<(Self, Receiver<RoleChange>), AuthorityError> {
+        let (host, address) = (shared.host.id, shared.host.addresses.peer);
+        let now = shared.clock.now();
+        let state = State {
+            holder: Holder::new(host, timing)?,
+            witness: Witness::new(host, address, timing, now)?,
+            succession: Succession::new(host, timing),
+            watchdog: watchdog.then(Watchdog::new).transpose()?,
+        };
+        let (changes, receiver) = async_channel::unbounded();
+        let (state, ended, woken) = (Mutex::new(state), Event::new(), Event::new());
+        let margin = timing.margin();
+        Ok((
+            Self {
+                shared,
+                peers,
+                state,
+                changes,
+                ended,
+                woken,
+                margin,
+            },
+            receiver,
+        ))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The token with which this host may send to an upstream now. It is asked immediately before
+    /// each request is handed to the socket.
+    pub fn token(&self, upstream: &UpstreamName) -> Option<Token> {
+        let state = self.lock();
+        let now = self.shared.clock.now();
+        state.succession.authority(upstream, &state.holder, now)
+    }
+
+    /// Whether this host's lease is valid now. A host without a valid lease serves nobody: it may
+    /// be cut off and may have missed a change of configuration.
+    pub fn is_valid(&self) -> bool {
+        self.lock().holder.is_valid(self.shared.clock.now())
+    }
+
+    /// The tick at which this host must have closed its upstream connections, if its lease ends.
+    pub fn stop_at(&self) -> Option<Tick> {
+        let state = self.lock();
+        let end = state.holder.valid_until()?;
+        Some(Tick(end.0.saturating_sub(self.margin)))
+    }
+
+    /// Disarms the kernel timer once the lease is about to end and no connection is open any more.
+    pub async fn release_watchdog<F>(self: Arc<Self>, is_closed: F)
+    where
+        F: Fn() -> bool,
+    {
+        loop {
+            let now = self.shared.clock.now();
+            match self.stop_at() {
+                Some(at) if at > now => self.shared.clock.sleep_until(at).await,
+                Some(_) => {
+                    if is_closed() {
+                        self.disarm();
+                    }
+                    self.shared.clock.sleep(CLOSE_POLL).await;
+                }
+                None => self.shared.clock.sleep(LOOK_EVERY).await,
+            }
+        }
+    }
+
+    /// Whether this host may write the record of its next lease generation.
+    pub fn can_change(&self) -> bool {
+        self.lock().holder.can_change()
+    }
+
+    /// The hosts that are known to be lost and that the log does not have as lost yet.
+    pub fn lost_hosts(&self, view: &View) -> Vec<HostId> {
+        let state = self.lock();
+        view.hosts
+            .keys()
+            .copied()
+            .filter(|h| state.succession.is_lost(*h))
+            .collect()
+    }
+
+    /// Reports that nothing of an earlier term is in flight at an upstream.
+    pub fn drained(&self, upstream: &UpstreamName) {
+        self.lock().succession.drained(upstream);
+        self.woken.notify(usize::MAX);
+    }
+
+    /// Waits until the lease of this incarnation has ended for good.
+    pub async fn ended(&self) {
+        self.ended.listen().await;
+    }
+
+    /// Keeps the lease and the roles for as long as the process runs.
+    pub async fn run(self: Arc<Self>) {
+        let mut synced = None;
+        loop {
+            let woken = self.woken.listen();
+            let view = self.shared.view();
+            let now = self.shared.clock.now();
+            let (effects, wake) = {
+                let mut state = self.lock();
+                let mut effects = Vec::new();
+                if synced != Some(view.next) {
+                    effects.extend(state.sync(&view, self.shared.is_caught_up(), now));
+                    synced = Some(view.next);
+                }
+                effects.extend(state.poll(now));
+                (effects, state.next_wake())
+            };
+            self.perform(&view, effects);
+            let latest = now.after(LOOK_EVERY);
+            let until = wake
+                .map_or(latest, |w| w.min(latest))
+                .max(now.after(MIN_WAIT));
+            let changed = self.shared.wait_change(until);
+            woken.or(changed).await;
+        }
+    }
+
+    /// Handles messages of a peer and returns those that answer them.
+    pub fn receive(
+        self: &Arc<Self>,
+        from: &PeerId,
+        host: HostId,
+        messages: &[LeaseMessage],
+    ) -> Vec<LeaseMessage> {
+        let view = self.shared.view();
+        let Some(record) = view.hosts.get(&host).filter(|h| h.name == from.0) else {
+            // The sender has joined after this host's view, or it is recorded as lost.
+            return Vec::new();
+        };
+        let peer = Peer {
+            host,
+            address: record.addresses.peer,
+        };
+        let now = self.shared.clock.now();
+        let effects = {
+            let mut state = self.lock();
+            let handle = |m: &LeaseMessage| state.receive(peer, m, now);
+            messages.iter().flat_map(handle).collect::<Vec<_>>()
+        };
+        let (answers, rest): (Vec<_>, Vec<_>) = effects
+            .into_iter()
+            .partition(|e| matches!(e, Effect::Send { to, .. } if *to == host));
+        self.perform(&view, rest);
+        self.woken.notify(usize::MAX);
+        let message = |e| match e {
+            Effect::Send { message, .. } => Some(message),
+            _ => None,
+        };
+        answers.into_iter().filter_map(message).collect()
+    }
+
+    fn perform(self: &Arc<Self>, view: &View, effects: Vec<Effect>) {
+        let mut outgoing = BTreeMap::<HostId, Vec<LeaseMessage>>::new();
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => outgoing.entry(to).or_default().push(message),
+                other => self.perform_local(other),
+            }
+        }
+        for (host, messages) in outgoing {
+            if let Some(record) = view.hosts.get(&host) {
+                let send = Arc::clone(self).send(host, record.addresses.peer, messages);
+                smol::spawn(send).detach();
+            }
+        }
+    }
+
+    fn perform_local(&self, effect: Effect) {
+        let logger = &self.shared.logger;
+        let change = match effect {
+            Effect::Extended { until } => {
+                self.arm(until);
+                None
+            }
+            Effect::Ended => {
+                error!(logger, "lease ended");
+                self.ended.notify(usize::MAX);
+                None
+            }
+            Effect::ChangeFailed { generation } => {
+                warn!(logger, "lease change failed"; "generation" => %generation);
+                None
+            }
+            Effect::Acquired { upstream, token } => {
+                info!(logger, "role began"; "upstream" => %upstream, "token" => %token);
+                Some(RoleChange::Began(upstream))
+            }
+            Effect::Stopped { upstream } => {
+                warn!(logger, "role stopped"; "upstream" => %upstream);
+                Some(RoleChange::Stopped(upstream))
+            }
+            Effect::Drain { upstream } => {
+                info!(logger, "role draining"; "upstream" => %upstream);
+                Some(RoleChange::Draining(upstream))
+            }
+            Effect::Behind => {
+                debug!(logger, "a peer has read newer records");
+                None
+            }
+            Effect::Send { .. } => None,
+        };
+        if let Some(change) = change {
+            // The channel is unbounded and its receiver lives as long as the process.
+            let _ = self.changes.try_send(change);
+        }
+    }
+
+    fn arm(&self, until: Tick) {
+        if let Some(watchdog) = &mut self.lock().watchdog
+            && let Err(e) = watchdog.arm(until)
+        {
+            error!(self.shared.logger, "kernel timer not armed"; "error" => %e);
+        }
+    }
+
+    /// Disarms the kernel timer, because the process is about to end or has closed its connections.
+    pub fn disarm(&self) {
+        if let Some(watchdog) = &mut self.lock().watchdog
+            && let Err(e) = watchdog.disarm()
+        {
+            error!(self.shared.logger, "kernel timer not disarmed"; "error" => %e);
+        }
+    }
+
+    async fn send(self: Arc<Self>, to: HostId, address: SocketAddr, messages: Vec<LeaseMessage>) {
+        let revision = self.shared.view().revision;
+        let message = Message::Lease {
+            from: self.shared.host.id,
+            revision,
+            messages,
+        };
+        let Ok(data) = encode(&message) else { return };
+        let late = async {
+            self.shared.clock.sleep(CALL_TIMEOUT).await;
+            None
+        };
+        let call = async { self.peers.call(address, data).await.ok() };
+        let Some(reply) = call.or(late).await else {
+            return;
+        };
+        if let Ok(Reply::Lease { revision, messages }) = decode::<Reply>(&reply) {
+            self.shared.learn(revision);
+            let now = self.shared.clock.now();
+            let peer = Peer { host: to, address };
+            let effects = {
+                let mut state = self.lock();
+                let handle = |m: &LeaseMessage| state.receive(peer, m, now);
+                messages.iter().flat_map(handle).collect::<Vec<_>>()
+            };
+            let view = self.shared.view();
+            self.perform(&view, effects);
+            self.woken.notify(usize::MAX);
+        }
+    }
+}
+
+/// Shortest wait between two rounds, so that a tick that is due at once cannot spin.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
+impl State {
+    fn sync(&mut self, view: &View, tail: bool, now: Tick) -> Vec<Effect> {
+        if tail {
+            self.witness.reached_tail();
+        }
+        self.witness.sync(&view.records, now);
+        let mut effects = self.holder.sync(&view.records, now);
+        effects.extend(self.succession.sync(&view.records, now));
+        effects
+    }
+
+    fn poll(&mut self, now: Tick) -> Vec<Effect> {
+        let mut effects = self.holder.poll(now);
+        effects.extend(self.witness.poll(now));
+        effects.extend(self.succession.poll(&self.holder, now));
+        effects
+    }
+
+    fn receive(&mut self, from: Peer, message: &LeaseMessage, now: Tick) -> Vec<Effect> {
+        let mut effects = self.holder.receive(from, message, now);
+        effects.extend(self.witness.receive(from, message, now));
+        effects.extend(self.succession.receive(from, message));
+        effects
+    }
+
+    fn next_wake(&self) -> Option<Tick> {
+        let wakes = [
+            self.holder.next_wake(),
+            self.witness.next_wake(),
+            self.succession.next_wake(),
+        ];
+        wakes.into_iter().flatten().min()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -0,0 +1,271 @@
+//! Which shards an upstream serves, and how they pass from one dispatcher to the next.
+//!
+//! The new owner's dispatcher asks the previous owner's dispatcher for its releases until it has
+//! them all. Asking needs no state at the previous owner but that of its admission, and it also
+//! works when either dispatcher was taken over in the meantime.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use slog::{debug, info};
+use trefoil_core::{HostId, Revision, ServiceName, Shard, Tick, UpstreamName};
+use trefoil_dispatch::memory::Handover;
+use trefoil_dispatch::{Hold, Origin};
+use trefoil_log::View;
+use trefoil_placement::{Member, Table};
+use trefoil_wire::{decode, encode};
+
+use super::driver::Driver;
+use crate::message::{Message, Reply};
+
+/// Time between two questions for releases.
+const ASK_EVERY: Duration = Duration::from_millis(100);
+
+/// Shards named in one question, so that it and its answer stay within a frame.
+const ASK_MAX: usize = 256;
+
+/// A question for the releases of shards.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Query {
+    /// The previous owner.
+    pub from: UpstreamName,
+    /// The new owner.
+    pub to: UpstreamName,
+    /// The sender's revision.
+    pub revision: Revision,
+    /// The shards, with the revision that moved each.
+    pub shards: Vec<(Shard, Revision)>,
+}
+
+/// A release of one shard.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Released {
+    /// The shard.
+    pub shard: Shard,
+    /// Revision of the placement that moved it.
+    pub revision: Revision,
+    /// What the new owner must know about the shard's ids.
+    pub handover: Handover,
+}
+
+impl Driver {
+    /// Takes over changes of the shard table.
+    pub(super) fn sync(&self, view: &View) {
+        let Some(table) = view.tables.get(self.service()) else {
+            return;
+        };
+        let mut inner = self.lock();
+        let known = inner.table.as_ref().is_some_and(|t| Arc::ptr_eq(t, table));
+        if known {
+            return;
+        }
+        inner.table = Some(Arc::clone(table));
+        drop(inner);
+        let now = self.shared.clock.now();
+        for (shard, seat) in (0..).map(Shard).zip(table.seats()) {
+            let owns = table.name(seat.owner) == Some(self.name());
+            let hold = self.lock().admission.ownership().state(shard);
+            match hold {
+                Hold::Released if owns => self.assign(view, now, shard),
+                Hold::Serving | Hold::Awaiting if !owns => {
+                    self.revoke(view, table, now, shard, seat.owner);
+                }
+                Hold::Releasing | Hold::Relaying if owns => {
+                    // The shard came back before it was released. It is taken up again when the
+                    // release is complete; until then the table must be looked at again.
+                    self.lock().table = None;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn assign(&self, view: &View, now: Tick, shard: Shard) {
+        let moved = view
+            .moved
+            .get(self.service())
+            .and_then(|m| m.get(&shard))
+            .copied();
+        let table = view.tables.get(self.service());
+        let from = moved.and_then(|m| table?.name(m.from));
+        let origin = match moved {
+            Some(moved) if from != Some(self.name()) => Origin::Owner(moved.revision),
+            _ if self.is_first() => Origin::New,
+            _ => Origin::Predecessor(self.predecessor_end()),
+        };
+        let mut inner = self.lock();
+        if let Err(e) = inner.admission.assign(now, shard, origin) {
+            debug!(self.shared.logger, "shard not taken"; "upstream" => %self.name(), "error" => %e);
+        }
+    }
+
+    fn revoke(&self, view: &View, table: &Table, now: Tick, shard: Shard, to: Member) {
+        let Some(to) = table.name(to).cloned() else {
+            return;
+        };
+        let moved = view.moved.get(self.service()).and_then(|m| m.get(&shard));
+        let revision = moved.map_or(view.placement, |m| m.revision);
+        let mut inner = self.lock();
+        inner.released.remove(&shard);
+        match inner.admission.revoke(now, shard, to, revision) {
+            Ok(dropped) => inner.drop_waiters(dropped),
+            Err(e) => {
+                debug!(self.shared.logger, "shard not revoked"; "upstream" => %self.name(), "error" => %e);
+            }
+        }
+    }
+
+    /// The releases that answer a question of a new owner's dispatcher.
+    pub(super) fn released(&self, query: &Query) -> Vec<Released> {
+        let view = self.shared.view();
+        self.sync(&view);
+        let now = self.shared.clock.now();
+        let inner = self.lock();
+        let settled = now >= self.predecessor_end();
+        let answer = |&(shard, revision): &(Shard, Revision)| {
+            let hold = inner.admission.ownership().state(shard);
+            let handover = match inner.released.get(&shard) {
+                Some(release) if release.revision == revision => release.handover.clone(),
+                // This dispatcher never held the shard. Requests of an earlier dispatcher have
+                // ended once the longest of them would have.
+                None if hold == Hold::Released && settled => Handover {
+                    since: self.shared.clock.unix(),
+                    records: Vec::new(),
+                },
+                _ => return None,
+            };
+            Some(Released {
+                shard,
+                revision,
+                handover,
+            })
+        };
+        query
+            .shards
+            .iter()
+            .take(ASK_MAX)
+            .filter_map(answer)
+            .collect()
+    }
+
+    /// The shards that wait for a release, by the upstream that must give it.
+    fn awaited(&self, view: &View) -> BTreeMap<UpstreamName, Vec<(Shard, Revision)>> {
+        let mut awaited = BTreeMap::<_, Vec<_>>::new();
+        let (Some(table), Some(moved)) = (
+            view.tables.get(self.service()),
+            view.moved.get(self.service()),
+        ) else {
+            return awaited;
+        };
+        let inner = self.lock();
+        for (&shard, moved) in moved.iter() {
+            let waits = matches!(
+                inner.admission.ownership().state(shard),
+                Hold::Awaiting | Hold::Relaying
+            );
+            if let Some(from) = table.name(moved.from).filter(|_| waits) {
+                awaited
+                    .entry(from.clone())
+                    .or_default()
+                    .push((shard, moved.revision));
+            }
+        }
+        awaited
+    }
+
+    /// Asks for the releases that are missing, for as long as the driver runs.
+    pub(super) async fn collect_releases(self: Arc<Self>) {
+        loop {
+            let view = self.shared.view();
+            for (from, mut shards) in self.awaited(&view) {
+                shards.truncate(ASK_MAX);
+                self.ask(&view, from, shards).await;
+            }
+            self.shared.clock.sleep(ASK_EVERY).await;
+        }
+    }
+
+    async fn ask(&self, view: &View, from: UpstreamName, shards: Vec<(Shard, Revision)>) {
+        let revision = view.revision;
+        let query = Query {
+            from: from.clone(),
+            to: self.name().clone(),
+            revision,
+            shards,
+        };
+        let hosts: Vec<HostId> = view
+            .records
+            .assignment(&from)
+            .map(|a| a.hosts.iter().copied().collect())
+            .unwrap_or_default();
+        for host in hosts {
+            let Some(record) = view.hosts.get(&host) else {
+                continue;
+            };
+            let released = if host == self.shared.host.id {
+                self.local_releases(&query)
+            } else {
+                self.remote_releases(record.addresses.peer, &query).await
+            };
+            if !released.is_empty() {
+                self.take(released);
+                return;
+            }
+        }
+    }
+
+    fn local_releases(&self, query: &Query) -> Vec<Released> {
+        let local = self
+            .siblings
+            .upgrade()
+            .and_then(|all| all.driver(&query.from));
+        local.map(|d| d.released(query)).unwrap_or_default()
+    }
+
+    async fn remote_releases(&self, to: std::net::SocketAddr, query: &Query) -> Vec<Released> {
+        let Ok(data) = encode(&Message::Releases {
+            query: query.clone(),
+        }) else {
+            return Vec::new();
+        };
+        match self
+            .peers
+            .call(to, data)
+            .await
+            .map(|reply| decode::<Reply>(&reply))
+        {
+            Ok(Ok(Reply::Releases { shards })) => shards,
+            _ => Vec::new(),
+        }
+    }
+
+    fn take(&self, released: Vec<Released>) {
+        let now = self.shared.clock.now();
+        let count = released.len();
+        let mut actions = Vec::new();
+        let mut inner = self.lock();
+        for release in released {
+            let Released {
+                shard,
+                revision,
+                handover,
+            } = release;
+            if let Ok(next) = inner.admission.receive(now, shard, revision, handover) {
+                actions.push(next);
+            }
+        }
+        for next in actions {
+            inner.perform(next);
+        }
+        drop(inner);
+        self.wake();
+        info!(self.shared.logger, "shards received"; "upstream" => %self.name(), "count" => count);
+    }
+
+    /// The service of the upstream.
+    pub(super) fn service(&self) -> &ServiceName {
+        &self.service
+    }
+}
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -19,11 +19,15 @@
 use slog::debug;
 use trefoil_core::{Outcome, Tick, UpstreamName};
 use trefoil_http::Service;
-use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers};
+use trefoil_log::HostRecord;
+use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers, encode};
 
+use crate::authority::Authority;
 use crate::dispatcher::{Dispatchers, owner};
+use crate::message::Message;
 use crate::problem::{OUTCOME_HEADER, Problem, outcome_value};
 use crate::request::{Intent, forwarded};
+use crate::routes::Routes;
 use crate::shared::Shared;
 
 /// Bodies up to this many bytes are read before the request is forwarded.
@@ -32,6 +36,11 @@
 /// Time beyond the deadline in which the dispatcher can still say that a request was not run.
 const ANSWER_GRACE: Duration = Duration::from_millis(100);
 
+/// Time after which a host that has not answered is asked whether it is alive, and time for its
+/// answer. Both together are well below a lease, so new requests go elsewhere before the successor
+/// takes over.
+const PATIENCE: Duration = Duration::from_millis(300);
+
 /// Wait before a request that was not run is forwarded again.
 const RETRY_WAIT: Duration = Duration::from_millis(20);
 
@@ -39,8 +48,10 @@
 #[derive(Debug)]
 pub struct Ingress {
     shared: Arc<Shared>,
+    authority: Arc<Authority>,
     dispatchers: Arc<Dispatchers>,
     peers: Arc<dyn Peers>,
+    routes: Routes,
 }
 
 /// The body of a caller's request.
@@ -58,11 +69,19 @@
 impl Ingress {
     /// An ingress that forwards to `peers`, and to `dispatchers` where this host is the
     /// dispatcher.
-    pub fn new(shared: Arc<Shared>, dispatchers: Arc<Dispatchers>, peers: Arc<dyn Peers>) -> Self {
+    pub fn new(
+        shared: Arc<Shared>,
+        authority: Arc<Authority>,
+        dispatchers: Arc<Dispatchers>,
+        peers: Arc<dyn Peers>,
+    ) -> Self {
+        let routes = Routes::default();
         Self {
             shared,
+            authority,
             dispatchers,
             peers,
+            routes,
         }
     }
 
@@ -87,7 +106,7 @@
         parts: &Parts,
         body: Incoming,
     ) -> (String, Result<Response<trefoil_http::Body>, Box<Problem>>) {
-        if !self.shared.is_ready() {
+        if !self.shared.is_ready() || !self.authority.is_valid() {
             let reason = "this host is starting, draining or behind the newest configuration";
             let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
             return ("-".to_owned(), Err(Box::new(problem)));
@@ -109,19 +128,28 @@
     ) -> Result<Response<trefoil_http::Body>, Box<Problem>> {
         let until = self.shared.clock.now().after(intent.budget);
         let mut payload = self.payload(intent, body, until).await?;
+        self.routes.deposit(&intent.service.name);
+        // Once an attempt of an idempotent request has ended unknown, a later "not run" of another
+        // attempt says nothing about the request.
+        let mut doubt = false;
         loop {
             let attempt = self.attempt(intent, parts, &mut payload, until).await;
-            let again = matches!(payload, Payload::Whole(_));
-            match attempt {
+            let (outcome, reason) = match attempt {
                 Attempt::Answered(head, body) => return Ok(passed_on(head, body)),
-                Attempt::Failed(Outcome::NotRun, reason) => {
-                    let next = self.shared.clock.now().after(RETRY_WAIT);
-                    if !again || next >= until {
-                        return Err(Box::new(unavailable(&reason)));
-                    }
-                    self.shared.wait_change(next).await;
-                }
-                Attempt::Failed(_, reason) => return Err(Box::new(Problem::unknown(&reason))),
+                Attempt::Failed(outcome, reason) => (outcome, reason),
+            };
+            doubt |= outcome != Outcome::NotRun;
+            let next = self.shared.clock.now().after(RETRY_WAIT);
+            let again = matches!(payload, Payload::Whole(_)) && next < until;
+            let again = again
+                && match outcome {
+                    Outcome::NotRun => true,
+                    _ => intent.idempotent && self.routes.withdraw(&intent.service.name),
+                };
+            match again {
+                true => self.shared.wait_change(next).await,
+                false if doubt => return Err(Box::new(Problem::unknown(&reason))),
+                false => return Err(Box::new(unavailable(&reason))),
             }
         }
     }
@@ -161,6 +189,8 @@
         }
     }
 
+    /// Tries the hosts that may be the dispatcher of the key's upstream, until one of them has
+    /// taken the request or all have said that it was not run.
     async fn attempt(
         &self,
         intent: &Intent,
@@ -173,42 +203,92 @@
         let Some(upstream) = owner(&view, &intent.service, intent.key) else {
             return not_run("the key has no owner yet");
         };
-        let host = view
-            .dispatchers
-            .get(upstream)
-            .and_then(|a| a.assignment.hosts.first());
-        let Some(host) = host.and_then(|id| view.hosts.get(id)) else {
-            return not_run("the key's upstream has no dispatcher yet");
-        };
-        let budget = until.since(self.shared.clock.now());
-        let head = self.head(intent, parts, upstream, budget);
-        let body = match payload {
-            Payload::Whole(bytes) => trefoil_wire::body::full(bytes.clone()),
-            Payload::Stream(body) => match body.take() {
-                Some(body) => body,
-                None => return not_run("the body was already sent"),
-            },
-        };
-        let late = async {
-            self.shared
-                .clock
-                .sleep_until(until.after(ANSWER_GRACE))
+        let mut last = not_run("the key's upstream has no dispatcher yet");
+        for host in self.routes.hosts(&view, upstream, self.shared.clock.now()) {
+            let budget = until.since(self.shared.clock.now());
+            let head = self.head(intent, parts, upstream, budget);
+            let body = match payload {
+                Payload::Whole(bytes) => trefoil_wire::body::full(bytes.clone()),
+                Payload::Stream(body) => match body.take() {
+                    Some(body) => body,
+                    None => return last,
+                },
+            };
+            last = self
+                .forward(host, head, body, intent.idempotent, until)
                 .await;
-            Attempt::Failed(Outcome::Unknown, "the deadline passed".to_owned())
-        };
-        let sent = async {
-            if host.id == self.shared.host.id {
-                let id = PeerId::from(self.shared.host.name.clone());
-                let answer = Arc::clone(&self.dispatchers).forward(id, head, body).await;
-                return self.judge(answer);
+            match &last {
+                Attempt::Failed(Outcome::NotRun, _) => {}
+                Attempt::Answered(..) => {
+                    self.routes.answered(upstream, host.id);
+                    return last;
+                }
+                Attempt::Failed(..) => return last,
             }
+        }
+        last
+    }
+
+    async fn forward(
+        &self,
+        host: &HostRecord,
+        head: ForwardHead,
+        body: Body,
+        idempotent: bool,
+        until: Tick,
+    ) -> Attempt {
+        if host.id == self.shared.host.id {
+            let id = PeerId::from(self.shared.host.name.clone());
+            let local = async {
+                let answer = Arc::clone(&self.dispatchers).forward(id, head, body).await;
+                self.judge(answer)
+            };
+            return local.or(self.late(until)).await;
+        }
+        let sent = async {
             match self.peers.forward(host.addresses.peer, head, body).await {
                 Ok(answer) => self.judge(answer),
                 Err(e) if e.sent() => Attempt::Failed(Outcome::Unknown, e.to_string()),
-                Err(e) => Attempt::Failed(Outcome::NotRun, e.to_string()),
+                Err(e) => {
+                    self.routes.suspect(host.id, self.shared.clock.now());
+                    Attempt::Failed(Outcome::NotRun, e.to_string())
+                }
             }
         };
-        sent.or(late).await
+        sent.or(self.watch(host, idempotent))
+            .or(self.late(until))
+            .await
+    }
+
+    async fn late(&self, until: Tick) -> Attempt {
+        self.shared
+            .clock
+            .sleep_until(until.after(ANSWER_GRACE))
+            .await;
+        Attempt::Failed(Outcome::Unknown, "the deadline passed".to_owned())
+    }
+
+    /// Asks a host that is slow to answer whether it is alive. If not, new requests go to its
+    /// successors first. Only an idempotent request gives up on it.
+    async fn watch(&self, host: &HostRecord, idempotent: bool) -> Attempt {
+        loop {
+            self.shared.clock.sleep(PATIENCE).await;
+            let revision = self.shared.view().revision;
+            let ping = encode(&Message::Revision { sender: revision }).unwrap_or_default();
+            let call = async { self.peers.call(host.addresses.peer, ping).await.is_ok() };
+            let timeout = async {
+                self.shared.clock.sleep(PATIENCE).await;
+                false
+            };
+            if call.or(timeout).await {
+                continue;
+            }
+            self.routes.suspect(host.id, self.shared.clock.now());
+            if idempotent {
+                let reason = "the dispatcher does not answer".to_owned();
+                return Attempt::Failed(Outcome::Unknown, reason);
+            }
+        }
     }
 
     fn head(
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! All decisions read one immutable `View` behind an atomic pointer. A request loads it once per
 //! attempt, so a change of configuration never shows half-way through a decision.
 
+pub mod authority;
 pub mod dispatcher;
 pub mod ingress;
 pub mod logging;
@@ -19,8 +20,10 @@
 pub mod pool;
 pub mod problem;
 pub mod request;
+pub mod routes;
 pub mod shared;
 pub mod tailer;
+pub mod watchdog;
 
 pub use node::{Node, NodeConfig, NodeError};
 pub use shared::Shared;
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -1,11 +1,17 @@
 //! Joining and leaving the deployment.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
-use trefoil_core::Revision;
-use trefoil_log::{Body, Verdict};
+use smallvec::SmallVec;
+use trefoil_core::{DomainName, HostId, KeyHash, Revision, Tick};
 
+use trefoil_lease::{Generation, Lease, Seat};
+use trefoil_log::{Body, HostRecord, Verdict, View};
+
+use crate::authority::Authority;
 use crate::shared::Shared;
 
 /// Time in which a record must be read back.
@@ -14,6 +20,24 @@
 /// Wait after a failed attempt to join.
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
+/// Fewest other hosts with which a lease has witnesses. With fewer, the loss of any host would take
+/// the majority from all others; without witnesses only the lost host's own upstreams wait, until
+/// it returns at its address.
+pub const WITNESSES_MIN: usize = 3;
+
+/// Most witnesses of a lease.
+const SEATS_MAX: usize = 5;
+
+/// Most witnesses in one failure domain where there are at least three domains.
+const WITNESSES_PER_DOMAIN: usize = 2;
+
+/// Longest time between two looks at the witnesses.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// Time for which one lost witness is not replaced. The majority holds without it, and a restart of
+/// a host would otherwise cost a record for each of the leases that it witnesses.
+const REPLACE_AFTER: Duration = Duration::from_secs(30);
+
 /// Records this incarnation in the log; returns once the record was read back.
 pub async fn join(shared: &Shared) {
     loop {
@@ -51,3 +75,121 @@
         Err(e) => warn!(shared.logger, "leaving not written"; "error" => %e),
     }
 }
+
+/// Names witnesses for this host's lease, and new ones when witnesses are lost, for as long as the
+/// process runs.
+pub async fn keep_lease(shared: Arc<Shared>, authority: Arc<Authority>) {
+    let mut missing_since = None;
+    loop {
+        let view = shared.view();
+        let now = shared.clock.now();
+        if let Some(lease) = next_lease(&view, &shared.host, now, &mut missing_since) {
+            let first = lease.generation == Generation::FIRST;
+            if view.hosts.contains_key(&shared.host.id) && (first || authority.can_change()) {
+                name_witnesses(&shared, lease).await;
+            }
+        }
+        shared
+            .wait_change(shared.clock.now().after(LOOK_EVERY))
+            .await;
+    }
+}
+
+async fn name_witnesses(shared: &Shared, lease: Lease) {
+    let (generation, count) = (lease.generation, lease.seats.len());
+    let until = shared.clock.now().after(SUBMIT_TIMEOUT);
+    match shared.decide(Revision(0), Body::Lease(lease), until).await {
+        Ok(Verdict::Accepted { .. }) => {
+            info!(shared.logger, "witnesses named"; "generation" => %generation, "count" => count);
+        }
+        Ok(verdict) => warn!(shared.logger, "witnesses not accepted"; "verdict" => ?verdict),
+        Err(e) => warn!(shared.logger, "witnesses not written"; "error" => %e),
+    }
+}
+
+/// The lease record that a host needs next, if any. `missing_since` remembers when a single witness
+/// was found missing.
+pub fn next_lease(
+    view: &View,
+    host: &HostRecord,
+    now: Tick,
+    missing_since: &mut Option<Tick>,
+) -> Option<Lease> {
+    let others = view.hosts.values().filter(|h| h.id != host.id).count();
+    let full = if others < WITNESSES_MIN {
+        0
+    } else {
+        others.min(SEATS_MAX)
+    };
+    let Some(tenure) = view.records.tenure(host.id) else {
+        let seats = choose(view, host, &[], full);
+        return Some(Lease {
+            holder: host.id,
+            generation: Generation::FIRST,
+            seats,
+        });
+    };
+    let current = &tenure.current;
+    let kept: SmallVec<[Seat; 5]> = current
+        .seats
+        .iter()
+        .copied()
+        .filter(|s| view.hosts.contains_key(&s.host))
+        .collect();
+    let missing = full.saturating_sub(kept.len());
+    if missing != 1 {
+        *missing_since = None;
+    }
+    let due = match missing {
+        0 => false,
+        1 => now.since(*missing_since.get_or_insert(now)) >= REPLACE_AFTER,
+        _ => true,
+    };
+    due.then(|| {
+        *missing_since = None;
+        let seats = choose(view, host, &kept, full);
+        Lease {
+            holder: host.id,
+            generation: current.generation.next(),
+            seats,
+        }
+    })
+}
+
+/// Chooses `full` witnesses: those in `kept`, and others by a hash, so that the load of witnessing
+/// is even without any host knowing it.
+fn choose(view: &View, host: &HostRecord, kept: &[Seat], full: usize) -> SmallVec<[Seat; 5]> {
+    let mut seats = SmallVec::<[Seat; 5]>::from_slice(kept);
+    let mut domains = BTreeMap::<&DomainName, usize>::new();
+    for seat in kept {
+        if let Some(record) = view.hosts.get(&seat.host) {
+            *domains.entry(&record.domain).or_default() += 1;
+        }
+    }
+    let all: std::collections::BTreeSet<_> = view.hosts.values().map(|h| &h.domain).collect();
+    let most = if all.len() < 3 {
+        SEATS_MAX
+    } else {
+        WITNESSES_PER_DOMAIN
+    };
+    let score = |id: HostId| KeyHash::of(format!("{}/{id}", host.id).as_bytes());
+    // Witnesses stay in the holder's region, so that a region that is cut off keeps its leases.
+    let near = |h: &&HostRecord| h.id != host.id && h.region == host.region;
+    let mut candidates: Vec<_> = view.hosts.values().filter(near).collect();
+    candidates.sort_by_cached_key(|h| score(h.id));
+    // A second round goes over the limit of a domain if there are too few hosts in the others.
+    for limit in [most, SEATS_MAX] {
+        for record in &candidates {
+            let used = domains.entry(&record.domain).or_default();
+            let taken = seats.iter().any(|s| s.host == record.id);
+            if seats.len() < full && !taken && *used < limit {
+                *used += 1;
+                seats.push(Seat {
+                    host: record.id,
+                    address: record.addresses.peer,
+                });
+            }
+        }
+    }
+    seats
+}
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,7 +1,10 @@
 //! Control messages between hosts.
 
 use serde::{Deserialize, Serialize};
-use trefoil_core::Revision;
+use trefoil_core::{HostId, Revision};
+use trefoil_lease::Message as LeaseMessage;
+
+use crate::dispatcher::shards::{Query, Released};
 
 /// A question to another host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,6 +14,20 @@
         /// The sender's revision.
         sender: Revision,
     },
+    /// Messages about leases.
+    Lease {
+        /// The sender's incarnation.
+        from: HostId,
+        /// The sender's revision.
+        revision: Revision,
+        /// The messages.
+        messages: Vec<LeaseMessage>,
+    },
+    /// Asks for the releases of shards.
+    Releases {
+        /// The question.
+        query: Query,
+    },
 }
 
 /// The answer to a [`Message`].
@@ -21,6 +38,18 @@
         /// The revision.
         revision: Revision,
     },
+    /// Answers to messages about leases.
+    Lease {
+        /// The host's revision.
+        revision: Revision,
+        /// The answers.
+        messages: Vec<LeaseMessage>,
+    },
+    /// The releases that exist.
+    Releases {
+        /// The releases.
+        shards: Vec<Released>,
+    },
     /// The message does not decode.
     Refused {
         /// Why.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,21 +2,30 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use slog::{Logger, info, o};
 use smol::Task;
 use snafu::{ResultExt, Snafu};
 use trefoil_core::{Clock, DomainName, HostId, HostName, RegionName, SystemClock};
 use trefoil_http::{Limits, Server};
+use trefoil_lease::Timing;
 use trefoil_log::{Addresses, HostRecord, Keyring, Log, Signer};
 use trefoil_wire::{Builder, Identity, OpenError, Peers};
 
+use crate::authority::{Authority, AuthorityError};
 use crate::dispatcher::Dispatchers;
 use crate::ingress::Ingress;
 use crate::operator::Operator;
 use crate::shared::Shared;
 use crate::{member, planner, tailer};
 
+/// Longest wait for other hosts to take over the upstreams of a host that stops.
+const HAND_OVER_MAX: Duration = Duration::from_secs(5);
+
+/// Time between two looks at what is still in flight.
+const HAND_OVER_POLL: Duration = Duration::from_millis(10);
+
 /// Everything a [`Node`] needs to know.
 #[derive(Debug)]
 pub struct NodeConfig {
@@ -31,6 +40,8 @@
     logger: Logger,
     limits: Limits,
     clock: Arc<dyn Clock>,
+    timing: Timing,
+    watchdog: bool,
 }
 
 impl NodeConfig {
@@ -62,6 +73,8 @@
             logger: Logger::root(slog::Discard, o!()),
             limits: Limits::default(),
             clock: Arc::new(SystemClock),
+            timing: Timing::default(),
+            watchdog: false,
         }
     }
 
@@ -86,6 +99,21 @@
         self
     }
 
+    /// Sets the durations of leases, which all hosts of a deployment must share.
+    #[must_use]
+    pub fn timing(mut self, timing: Timing) -> Self {
+        self.timing = timing;
+        self
+    }
+
+    /// Lets the kernel kill this process if it is stopped past the end of its lease. For a process
+    /// that runs nothing but this node.
+    #[must_use]
+    pub fn watchdog(mut self) -> Self {
+        self.watchdog = true;
+        self
+    }
+
     /// Sets the bounds on what clients may send.
     #[must_use]
     pub fn limits(mut self, limits: Limits) -> Self {
@@ -103,6 +131,12 @@
         /// The endpoint's error.
         source: OpenError,
     },
+    /// The lease cannot be set up.
+    #[snafu(display("{source}"))]
+    Authority {
+        /// What is missing.
+        source: AuthorityError,
+    },
     /// A port cannot be opened.
     #[snafu(display("the {port} port {address}: {source}"))]
     Bind {
@@ -119,6 +153,8 @@
 #[derive(Debug)]
 pub struct Node {
     shared: Arc<Shared>,
+    authority: Arc<Authority>,
+    dispatchers: Arc<Dispatchers>,
     ingress: Server,
     operator: Server,
     peers: trefoil_wire::Server,
@@ -140,10 +176,10 @@
         let peers: Arc<dyn Peers> = Arc::new(endpoint.peers());
         // The listeners are bound before the host record is written, because it names their ports.
         let caller = bound("caller", addresses.caller)?;
-        let operator = bound("operator", addresses.operator)?;
+        let bound_operator = bound("operator", addresses.operator)?;
         let addresses = Addresses {
             caller: caller.1,
-            operator: operator.1,
+            operator: bound_operator.1,
             peer: endpoint.local_addr(),
         };
         let host = HostRecord {
@@ -163,26 +199,52 @@
             logger,
             config.signer,
         ));
-        let dispatchers = Arc::new(Dispatchers::new(Arc::clone(&shared)));
+        let (authority, changes) = Authority::new(
+            Arc::clone(&shared),
+            Arc::clone(&peers),
+            config.timing,
+            config.watchdog,
+        )
+        .context(AuthoritySnafu)?;
+        let authority = Arc::new(authority);
+        let dispatchers = Arc::new(Dispatchers::new(
+            Arc::clone(&shared),
+            Arc::clone(&authority),
+            Arc::clone(&peers),
+        ));
         let ingress = Ingress::new(
             Arc::clone(&shared),
+            Arc::clone(&authority),
             Arc::clone(&dispatchers),
             Arc::clone(&peers),
         );
-        let service = Operator::new(Arc::clone(&shared), peers);
+        let operator = Operator::new(Arc::clone(&shared), peers);
         let (tail, keys) = (Arc::clone(&shared), config.keys);
+        let closed = Arc::clone(&dispatchers);
         let tasks = vec![
             smol::spawn(async move {
                 tailer::run(tail, keys).await;
             }),
-            smol::spawn(Arc::clone(&dispatchers).run()),
-            smol::spawn(planner::run(Arc::clone(&shared), Arc::clone(&dispatchers))),
+            smol::spawn(Arc::clone(&authority).run()),
+            smol::spawn(Arc::clone(&authority).release_watchdog(move || closed.is_empty())),
+            smol::spawn(Arc::clone(&dispatchers).run(changes)),
+            smol::spawn(planner::run(
+                Arc::clone(&shared),
+                Arc::clone(&authority),
+                Arc::clone(&dispatchers),
+            )),
+            smol::spawn(member::keep_lease(
+                Arc::clone(&shared),
+                Arc::clone(&authority),
+            )),
         ];
         let node = Self {
             ingress: Server::serve(caller.0, limits, Arc::new(ingress)),
-            operator: Server::serve(operator.0, limits, Arc::new(service)),
-            peers: endpoint.serve(dispatchers),
+            operator: Server::serve(bound_operator.0, limits, Arc::new(operator)),
+            peers: endpoint.serve(Arc::<Dispatchers>::clone(&dispatchers)),
             shared,
+            authority,
+            dispatchers,
             _tasks: tasks,
         };
         member::join(&node.shared).await;
@@ -199,14 +261,33 @@
         &self.shared
     }
 
-    /// Leaves the ready list, finishes what is in flight and leaves the deployment.
+    /// Waits until this incarnation's lease has ended for good. The process must then end and be
+    /// started again.
+    pub async fn ended(&self) {
+        self.authority.ended().await;
+    }
+
+    /// Leaves the ready list, hands its upstreams over, finishes what is in flight and leaves the
+    /// deployment.
     pub async fn drain(self) {
         info!(self.shared.logger, "draining");
         self.shared.start_drain();
         self.ingress.stop().await;
+        planner::hand_over(&self.shared).await;
+        let until = self.shared.clock.now().after(HAND_OVER_MAX);
+        let closed = |_: &Shared| self.dispatchers.is_empty();
+        while !closed(&self.shared) && self.shared.clock.now() < until {
+            self.shared.clock.sleep(HAND_OVER_POLL).await;
+        }
+        // Without another host or without the log nobody takes over; the requests still finish.
+        self.dispatchers.drain();
+        while !self.dispatchers.is_idle() {
+            self.shared.clock.sleep(HAND_OVER_POLL).await;
+        }
         member::leave(&self.shared).await;
         self.peers.drain().await;
         self.operator.stop().await;
+        self.authority.disarm();
         info!(self.shared.logger, "drained");
     }
 }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -234,7 +234,7 @@
                 .await?;
             match decode::<Reply>(&reply).ok()? {
                 Reply::Revision { revision } => Some(revision),
-                Reply::Refused { .. } => None,
+                Reply::Lease { .. } | Reply::Releases { .. } | Reply::Refused { .. } => None,
             }
         }
         .boxed()
@@ -256,8 +256,8 @@
     let mut upstreams = Vec::new();
     for service in view.services() {
         for upstream in &service.upstreams {
-            let assigned = view.dispatchers.get(&upstream.name);
-            let dispatcher = assigned.and_then(|a| a.assignment.hosts.first());
+            let assignment = view.records.assignment(&upstream.name);
+            let dispatcher = assignment.and_then(|a| a.hosts.first());
             let dispatcher = dispatcher.and_then(|id| view.hosts.get(id));
             let table = view.tables.get(&service.name);
             let member = table.and_then(|t| t.member(&upstream.name));
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -11,16 +11,20 @@
 use slog::{info, warn};
 use smallvec::SmallVec;
 use trefoil_config::Service;
-use trefoil_core::{DomainName, HostId, KeyHash, ServiceName, UpstreamName};
-use trefoil_log::{Assignment, Body, HostRecord, Placement, Verdict, View};
+use trefoil_core::{DomainName, HostId, KeyHash, Revision, UpstreamName};
+use trefoil_log::{Body, HostRecord, Placement, Ranking, Verdict, View};
 use trefoil_placement::{Change, Member, Table, initial};
 
+use crate::authority::Authority;
 use crate::dispatcher::Dispatchers;
 use crate::shared::Shared;
 
 /// Wait for each position in the member list before a host plans.
 const STAGGER: Duration = Duration::from_millis(500);
 
+/// Wait for each host before this one that can prove the loss of a host as well.
+const PROVER_STAGGER: Duration = Duration::from_millis(100);
+
 /// Longest time between two looks at the view.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
 
@@ -30,24 +34,32 @@
 /// Hosts named in an assignment: the dispatcher and two successors.
 const RANKS: usize = 3;
 
+/// Upstreams that a host may have more than another before one is moved. Below that, moving would
+/// cost more than it evens out.
+const LOAD_GAP: usize = 2;
+
 /// Plans for as long as the process runs.
-pub async fn run(shared: Arc<Shared>, dispatchers: Arc<Dispatchers>) {
+pub async fn run(shared: Arc<Shared>, authority: Arc<Authority>, dispatchers: Arc<Dispatchers>) {
     loop {
         shared
             .wait_change(shared.clock.now().after(LOOK_EVERY))
             .await;
+        bury_lost(&shared, &authority).await;
+        let view = shared.view();
         let needed = |view: &View| wanted(view, &dispatchers.observed());
-        if !shared.is_current() || needed(&shared.view()).is_none() {
+        if !shared.is_current() || needed(&view).is_none() {
             continue;
         }
-        let position = shared
-            .view()
-            .hosts
-            .keys()
-            .position(|h| *h == shared.host.id);
+        // What only this host has seen is planned by nobody else, so there is nothing to wait for.
+        let shown = wanted(&view, &Observed::default()).is_some();
+        let position = view.hosts.keys().position(|h| *h == shared.host.id);
         let Some(position) = position else { continue };
-        let wait = STAGGER * u32::try_from(position).unwrap_or(u32::MAX);
-        shared.clock.sleep(wait).await;
+        if shown {
+            shared
+                .clock
+                .sleep(STAGGER * u32::try_from(position).unwrap_or(u32::MAX))
+                .await;
+        }
         let view = shared.view();
         if let Some(placement) = needed(&view) {
             submit(&shared, &view, placement).await;
@@ -55,6 +67,53 @@
     }
 }
 
+/// Records the hosts of which this host can prove that their leases have expired. Those that can
+/// prove it are the successors and witnesses of the lost host; each waits for those before it.
+async fn bury_lost(shared: &Shared, authority: &Authority) {
+    for host in authority.lost_hosts(&shared.view()) {
+        let view = shared.view();
+        let provers = view.records.successors(host);
+        let position = provers
+            .iter()
+            .position(|h| *h == shared.host.id)
+            .unwrap_or(provers.len());
+        let wait = PROVER_STAGGER * u32::try_from(position).unwrap_or(u32::MAX);
+        shared.clock.sleep(wait).await;
+        if shared.view().hosts.contains_key(&host) {
+            bury(shared, host).await;
+        }
+    }
+}
+
+/// Records that a host's lease has expired.
+async fn bury(shared: &Shared, host: HostId) {
+    let until = shared.clock.now().after(SUBMIT_TIMEOUT);
+    match shared
+        .decide(Revision(0), Body::Expired { host }, until)
+        .await
+    {
+        Ok(verdict) => info!(shared.logger, "host expired"; "lost" => %host, "verdict" => ?verdict),
+        Err(e) => warn!(shared.logger, "expiry not written"; "lost" => %host, "error" => %e),
+    }
+}
+
+/// Gives the upstreams of this host to others, because it stops.
+pub async fn hand_over(shared: &Shared) {
+    let view = shared.view();
+    let assignments = assignments(&view, &[shared.host.id]);
+    if !assignments.is_empty() {
+        submit(
+            shared,
+            &view,
+            Placement {
+                changes: Vec::new(),
+                assignments,
+            },
+        )
+        .await;
+    }
+}
+
 async fn submit(shared: &Shared, view: &View, placement: Placement) {
     let until = shared.clock.now().after(SUBMIT_TIMEOUT);
     let changes = placement.changes.len();
@@ -85,9 +144,6 @@
 
 /// The placement decision that the view needs, if any.
 pub fn wanted(view: &View, observed: &Observed) -> Option<Placement> {
-    if view.hosts.is_empty() {
-        return None;
-    }
     let mut placement = Placement::default();
     for service in view.services() {
         let changes = table_changes(view, service, observed);
@@ -95,7 +151,7 @@
             .changes
             .extend(changes.into_iter().map(|c| (service.name.clone(), c)));
     }
-    placement.assignments = assignments(view);
+    placement.assignments = assignments(view, &[]);
     let empty = placement.changes.is_empty() && placement.assignments.is_empty();
     (!empty).then_some(placement)
 }
@@ -161,74 +217,93 @@
     changes
 }
 
-fn assignments(view: &View) -> Vec<Assignment> {
-    let live = |host: &HostId| view.hosts.contains_key(host);
-    let mut load: BTreeMap<HostId, usize> = view.hosts.keys().map(|h| (*h, 0)).collect();
-    for assigned in view.dispatchers.values() {
-        if let Some(count) = assigned
-            .assignment
-            .hosts
-            .first()
-            .and_then(|h| load.get_mut(h))
-        {
+/// Assignments that are needed, without the hosts in `excluded`.
+pub fn assignments(view: &View, excluded: &[HostId]) -> Vec<Ranking> {
+    // A host takes part once it has a lease: without one it could not act.
+    let hosts: Vec<_> = view
+        .hosts
+        .values()
+        .filter(|h| view.records.tenure(h.id).is_some() && !excluded.contains(&h.id))
+        .collect();
+    let live = |id: &HostId| hosts.iter().any(|h| h.id == *id);
+    let mut load: BTreeMap<HostId, usize> = hosts.iter().map(|h| (h.id, 0)).collect();
+    for assignment in view.records.assignments() {
+        if let Some(count) = assignment.hosts.first().and_then(|h| load.get_mut(h)) {
             *count += 1;
         }
     }
+    let full = RANKS.min(hosts.len());
     let mut list = Vec::new();
-    for service in view.services() {
-        for upstream in &service.upstreams {
-            let current = view.dispatchers.get(&upstream.name);
-            let full = RANKS.min(view.hosts.len());
-            let fits = |a: &Assignment| a.hosts.iter().filter(|h| live(h)).count() >= full;
-            let current = current.map(|a| &a.assignment);
-            if current.is_some_and(|a| a.hosts.first().is_some_and(live) && fits(a)) {
-                continue;
-            }
-            let hosts = ranked(
-                view,
-                &load,
-                current,
-                &service.name,
-                &upstream.domain,
-                &upstream.name,
-            );
-            if let Some(count) = hosts.first().and_then(|h| load.get_mut(h)) {
-                *count += 1;
-            }
-            list.push(Assignment {
-                upstream: upstream.name.clone(),
-                hosts,
-            });
+    for upstream in view.services().flat_map(|s| &s.upstreams) {
+        let current = view.records.assignment(&upstream.name).map(|a| &*a.hosts);
+        let ranks = current.unwrap_or_default();
+        let complete = ranks.iter().filter(|h| live(h)).count() >= full;
+        let first = ranks.first().copied().filter(live);
+        if complete && first.is_some_and(|h| !overloaded(&load, h)) {
+            continue;
         }
+        let moves = first.filter(|h| overloaded(&load, *h));
+        let ranked = ranked(
+            &hosts,
+            &load,
+            ranks,
+            moves,
+            &upstream.domain,
+            &upstream.name,
+        );
+        if ranked.is_empty() || (complete && ranked.first() == first.as_ref()) {
+            continue;
+        }
+        if let Some(count) = moves.and_then(|h| load.get_mut(&h)) {
+            *count -= 1;
+        }
+        if let Some(count) = ranked
+            .first()
+            .filter(|h| Some(**h) != first)
+            .and_then(|h| load.get_mut(h))
+        {
+            *count += 1;
+        }
+        list.push(Ranking {
+            upstream: upstream.name.clone(),
+            hosts: ranked,
+        });
     }
     list
 }
 
-/// Hosts for an upstream: the present ones that are live come first, so that a change of
-/// successors does not move the dispatcher; then hosts of the upstream's failure domain with the
-/// fewest upstreams.
+/// Whether a host dispatches to so many more upstreams than another that moving one pays.
+fn overloaded(load: &BTreeMap<HostId, usize>, host: HostId) -> bool {
+    let least = load.values().min().copied().unwrap_or(0);
+    load.get(&host).is_some_and(|n| *n > least + LOAD_GAP)
+}
+
+/// Hosts for an upstream. Those ranked at present come first, so that a change of successors does
+/// not move the dispatcher; then hosts of the upstream's failure domain, those with the fewest
+/// upstreams first. The host in `moves` is to give the upstream up, so it comes last.
 fn ranked(
-    view: &View,
+    hosts: &[&HostRecord],
     load: &BTreeMap<HostId, usize>,
-    current: Option<&Assignment>,
-    service: &ServiceName,
+    present: &[HostId],
+    moves: Option<HostId>,
     domain: &DomainName,
     upstream: &UpstreamName,
 ) -> SmallVec<[HostId; 3]> {
-    let present = |id: &HostId| current.and_then(|a| a.hosts.iter().position(|h| h == id));
-    let score =
-        |host: &HostRecord| KeyHash::of(format!("{service}/{upstream}/{}", host.id).as_bytes());
-    let order = |host: &HostRecord| {
+    let score = |host: &HostRecord| KeyHash::of(format!("{upstream}/{}", host.id).as_bytes());
+    let order = |host: &&HostRecord| {
         let id = host.id;
-        let rank = present(&id).unwrap_or(usize::MAX);
+        let rank = present.iter().position(|h| *h == id).unwrap_or(usize::MAX);
+        let rank = if moves.is_some() { usize::MAX } else { rank };
+        let count = load.get(&id).copied().unwrap_or(0);
         (
+            moves == Some(id),
             rank,
             host.domain != *domain,
-            load.get(&id).copied().unwrap_or(0),
+            count,
             score(host),
         )
     };
-    let mut hosts: Vec<_> = view.hosts.values().collect();
-    hosts.sort_by_cached_key(|h| order(h));
-    hosts.into_iter().take(RANKS).map(|h| h.id).collect()
+    let mut ranked = hosts.to_vec();
+    ranked.sort_by_cached_key(|h| order(h));
+    ranked.into_iter().take(RANKS).map(|h| h.id).collect()
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Whether the log was read to its end at least once.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::SeqCst)
+    }
+
     /// Starts to refuse new callers and leaves the ready list.
     pub fn start_drain(&self) {
         self.draining.store(true, Ordering::SeqCst);
@@ -126,7 +131,7 @@
 
     /// Whether the host may serve callers: its view is not older than one it has learnt of.
     pub fn is_current(&self) -> bool {
-        self.caught_up.load(Ordering::SeqCst) && self.at_floor()
+        self.is_caught_up() && self.at_floor()
     }
 
     /// Whether the host should get new callers.
--- a/crates/log/src/host.rs
+++ b/crates/log/src/host.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 use trefoil_core::{DomainName, HostId, HostName, RegionName};
 
 /// Addresses of one incarnation of an entry host.
@@ -31,12 +30,3 @@
     /// Addresses of the incarnation.
     pub addresses: Addresses,
 }
-
-/// Witnesses of one host's lease.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lease {
-    /// Counts the witness sets of the incarnation.
-    pub generation: u64,
-    /// The witnesses, empty for a host that is alone.
-    pub witnesses: SmallVec<[HostId; 5]>,
-}
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -20,12 +20,14 @@
 pub mod memory;
 pub mod record;
 pub mod sign;
+pub mod snapshot;
 pub mod view;
 
 pub use append::{SubmitError, submit};
-pub use host::{Addresses, HostRecord, Lease};
+pub use host::{Addresses, HostRecord};
 pub use log::{Batch, Log, LogError, Stored};
 pub use memory::MemoryLog;
-pub use record::{Assignment, Body, Envelope, FORMAT, Placement, RecordError, Signed};
+pub use record::{Body, Envelope, FORMAT, Placement, Ranking, RecordError, Signed};
 pub use sign::{KeyError, KeyId, Keyring, Role, Signer};
-pub use view::{Resource, Verdict, View};
+pub use snapshot::{Assembler, Part, SnapshotError};
+pub use view::{Moved, Resource, Verdict, View};
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -9,17 +9,19 @@
 use snafu::{ResultExt, Snafu};
 use trefoil_config::Routing;
 use trefoil_core::{HostId, Revision, ServiceName, UnixMillis, UpstreamName, WriterId};
+use trefoil_lease::Lease;
 use trefoil_placement::Change;
 
-use crate::host::{HostRecord, Lease};
+use crate::host::HostRecord;
 use crate::sign::{KeyId, Signer};
+use crate::snapshot::Part;
 
 /// The newest record format that this build writes and reads.
 pub const FORMAT: u16 = 1;
 
 /// The dispatcher of an upstream and its successors, in the order of their ranks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Assignment {
+pub struct Ranking {
     /// The upstream.
     pub upstream: UpstreamName,
     /// Hosts by rank.
@@ -32,7 +34,7 @@
     /// Changes of shard tables, applied in order.
     pub changes: Vec<(ServiceName, Change)>,
     /// New dispatcher assignments.
-    pub assignments: Vec<Assignment>,
+    pub assignments: Vec<Ranking>,
 }
 
 /// What a record decides.
@@ -53,14 +55,12 @@
         host: HostId,
     },
     /// A host names the witnesses of its lease.
-    Lease {
-        /// The holder.
-        host: HostId,
-        /// Its witnesses.
-        lease: Lease,
-    },
+    Lease(Lease),
     /// Changes placement. The envelope's base names the placement revision it builds on.
     Placement(Placement),
+    /// One part of a snapshot of the view. It changes nothing for a host that has replayed the
+    /// records before it.
+    Snapshot(Part),
     /// Raises the record format that may be written.
     Level {
         /// The new format.
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -7,14 +7,15 @@
 use snafu::Snafu;
 use trefoil_config::{Routing, RoutingSpec, Service, Upstream};
 use trefoil_core::{
-    HostId, Offset, Rank, ResourceName, Revision, ServiceName, Term, Token, UnixMillis,
-    UpstreamName, WriterId,
+    HostId, Offset, ResourceName, Revision, ServiceName, Shard, UnixMillis, UpstreamName, WriterId,
 };
-use trefoil_placement::Table;
+use trefoil_lease::Records;
+use trefoil_placement::{Member, Table};
 
-use crate::host::{HostRecord, Lease};
-use crate::record::{Assignment, Body, Envelope, FORMAT, Placement, RecordError, Signed};
+use crate::host::HostRecord;
+use crate::record::{Body, Envelope, FORMAT, Placement, RecordError, Signed};
 use crate::sign::{Keyring, Role};
+use crate::snapshot::Progress;
 
 /// How many records a writer's last sequence is remembered for after its last record. A lost
 /// append is resolved long before that many records have followed it.
@@ -36,24 +37,13 @@
     pub spec: RoutingSpec,
 }
 
-/// The assignment of an upstream's dispatcher in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Assigned {
-    /// Term of the assignment: the revision of its record.
-    pub term: Term,
-    /// The hosts by rank.
-    pub assignment: Assignment,
-}
-
-impl Assigned {
-    /// The token under which a host may act, if it is named.
-    pub fn token(&self, host: HostId) -> Option<Token> {
-        let rank = self.assignment.hosts.iter().position(|&h| h == host)?;
-        Some(Token {
-            term: self.term,
-            rank: Rank(u8::try_from(rank).ok()?),
-        })
-    }
+/// The last change of a shard's owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moved {
+    /// The owner before the change. The new owner waits for its release.
+    pub from: Member,
+    /// Revision of the placement that made the change.
+    pub revision: Revision,
 }
 
 /// What replay made of a record.
@@ -64,6 +54,8 @@
         /// Revision of the state with the record.
         revision: Revision,
     },
+    /// The record changes nothing, as a part of a snapshot does not.
+    Noted,
     /// An earlier copy of the record was replayed already.
     Duplicate,
     /// Another record of the same subject was accepted first.
@@ -113,14 +105,16 @@
     pub resources: BTreeMap<ResourceName, Arc<Resource>>,
     /// Live incarnations of entry hosts.
     pub hosts: Arc<BTreeMap<HostId, HostRecord>>,
-    /// Witnesses of each host's lease.
-    pub leases: Arc<BTreeMap<HostId, Lease>>,
+    /// The last change of owner of each shard that was ever moved, by service.
+    pub moved: BTreeMap<ServiceName, Arc<BTreeMap<Shard, Moved>>>,
+    /// Leases of the hosts and dispatchers of the upstreams.
+    pub records: Arc<Records>,
     /// Shard tables by service.
     pub tables: BTreeMap<ServiceName, Arc<Table>>,
-    /// Dispatchers by upstream.
-    pub dispatchers: Arc<BTreeMap<UpstreamName, Assigned>>,
     /// Revision of the newest placement decision.
     pub placement: Revision,
+    /// Progress of the snapshots in the log.
+    pub snapshots: Progress,
     writers: Arc<BTreeMap<WriterId, Written>>,
 }
 
@@ -210,27 +204,27 @@
         match envelope.body {
             Body::Config(routing) => self.configure(revision, envelope.time, *routing),
             Body::Joined(host) => {
-                Arc::make_mut(&mut self.hosts).insert(host.id, host);
+                self.join(host);
                 accepted
             }
             Body::Left { host } | Body::Expired { host } if self.hosts.contains_key(&host) => {
-                Arc::make_mut(&mut self.hosts).remove(&host);
-                Arc::make_mut(&mut self.leases).remove(&host);
+                self.bury(host);
                 accepted
             }
-            Body::Lease { host, lease } if self.hosts.contains_key(&host) => {
-                match self.leases.get(&host) {
-                    Some(old) if lease.generation <= old.generation => {
-                        rejected("the lease generation is not newer")
-                    }
-                    _ => {
-                        Arc::make_mut(&mut self.leases).insert(host, lease);
-                        accepted
-                    }
+            Body::Left { .. } | Body::Expired { .. } => rejected("the host is not live"),
+            Body::Lease(lease) if !self.hosts.contains_key(&lease.holder) => {
+                rejected("the holder is not live")
+            }
+            Body::Lease(lease) => {
+                if Arc::make_mut(&mut self.records).lease(lease) {
+                    accepted
+                } else {
+                    rejected("the lease is not sound or its generation is not the next")
                 }
             }
-            Body::Left { .. } | Body::Expired { .. } | Body::Lease { .. } => {
-                rejected("the host is not live")
+            Body::Snapshot(part) => {
+                self.snapshots.note(envelope.writer, &part);
+                Verdict::Noted
             }
             Body::Placement(_) if envelope.base != self.placement => Verdict::Conflict {
                 current: self.placement,
@@ -244,6 +238,22 @@
         }
     }
 
+    /// Adds a host. An earlier incarnation at one of its addresses is gone: the new one wrote this
+    /// record after it had bound the address, which only one process can do.
+    fn join(&mut self, host: HostRecord) {
+        let same = |old: &&HostRecord| old.addresses.peer == host.addresses.peer;
+        let replaced: Vec<_> = self.hosts.values().filter(same).map(|old| old.id).collect();
+        for id in replaced {
+            self.bury(id);
+        }
+        Arc::make_mut(&mut self.hosts).insert(host.id, host);
+    }
+
+    fn bury(&mut self, host: HostId) {
+        Arc::make_mut(&mut self.hosts).remove(&host);
+        Arc::make_mut(&mut self.records).bury(host);
+    }
+
     fn configure(&mut self, revision: Revision, time: UnixMillis, routing: Routing) -> Verdict {
         let current = self
             .resources
@@ -276,6 +286,7 @@
             .collect();
         for name in gone {
             self.tables.remove(&name);
+            self.moved.remove(&name);
         }
         Verdict::Accepted { revision }
     }
@@ -309,21 +320,38 @@
                 return rejected(&format!("service {service}: {e}"));
             }
         }
+        for (name, table) in &tables {
+            if let Some(old) = self.tables.get(name).filter(|old| !Arc::ptr_eq(old, table)) {
+                let moved = Arc::make_mut(self.moved.entry(name.clone()).or_default());
+                moved.extend(changed_owners(old, table, revision));
+            }
+        }
         self.tables = tables;
-        let term = Term(revision.0);
-        let dispatchers = Arc::make_mut(&mut self.dispatchers);
-        for assignment in &placement.assignments {
-            let assigned = Assigned {
-                term,
-                assignment: assignment.clone(),
-            };
-            dispatchers.insert(assignment.upstream.clone(), assigned);
+        let records = Arc::make_mut(&mut self.records);
+        for ranking in &placement.assignments {
+            records.assign(&ranking.upstream, ranking.hosts.iter().copied());
         }
         self.placement = revision;
         Verdict::Accepted { revision }
     }
 }
 
+fn changed_owners(old: &Table, new: &Table, revision: Revision) -> Vec<(Shard, Moved)> {
+    let pairs = (0..).map(Shard).zip(old.seats().iter().zip(new.seats()));
+    let changed = pairs.filter(|(_, (before, after))| before.owner != after.owner);
+    changed
+        .map(|(shard, (before, _))| {
+            (
+                shard,
+                Moved {
+                    from: before.owner,
+                    revision,
+                },
+            )
+        })
+        .collect()
+}
+
 fn rejected(reason: &str) -> Verdict {
     Verdict::Rejected {
         reason: reason.to_owned(),
--- a/src/commands/ctl/apply.rs
+++ b/src/commands/ctl/apply.rs
@@ -158,7 +158,8 @@
             Sent::Verdict(Verdict::Rejected { reason }) | Sent::Refused(reason) => {
                 Outcome::refused(reason)
             }
-            Sent::Verdict(Verdict::Duplicate) => self.decided_before(),
+            // A record with a resource is never only noted.
+            Sent::Verdict(Verdict::Duplicate | Verdict::Noted) => self.decided_before(),
             Sent::Nothing(reason) => Outcome::Unavailable { reason },
             Sent::Perhaps(reason) => self.unknown(reason),
         }
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -5,7 +5,7 @@
 
 use async_signal::{Signal, Signals};
 use clap::{ArgMatches, Command};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 use slog::Level;
 use trefoil_config::settings::LogLevel;
 use trefoil_daemon::{Node, NodeConfig, logging};
@@ -43,6 +43,7 @@
     .addresses(addresses)
     .keys(keys)
     .limits(limits)
+    .watchdog()
     .logger(logger);
     smol::block_on(async {
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
@@ -52,7 +53,19 @@
             "ready caller={} peer={} operator={}",
             bound.caller, bound.peer, bound.operator
         );
-        signals.next().await;
+        let signal = async {
+            signals.next().await;
+            true
+        };
+        let ended = async {
+            node.ended().await;
+            false
+        };
+        if !signal.or(ended).await {
+            return Err(Box::from(
+                "the lease of this incarnation has ended; start the process again",
+            ));
+        }
         node.drain().await;
         Ok(())
     })
