Tell a repeated change from another operator's in tests

Two mutations survived the tests: a duplicate whose resource another record published was taken for accepted, and watch printed an unchanged resource again. The stand-in can now show the same declaration by another record, and the watch test waits through one look without a change.

--- a/tests/all/config/cli.rs
+++ b/tests/all/config/cli.rs
@@ -20,13 +20,19 @@
     session_with(directory, &[], arguments)
 }
 
-fn session_with(directory: &Path, variables: &[(&str, &str)], arguments: &[&str]) -> String {
-    let output = Command::new(env!("CARGO_BIN_EXE_trefoilctl"))
+fn command(directory: &Path, arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_trefoilctl"));
+    command
         .args(arguments)
         .current_dir(directory)
         .env_clear()
+        .stdin(Stdio::null());
+    command
+}
+
+fn session_with(directory: &Path, variables: &[(&str, &str)], arguments: &[&str]) -> String {
+    let output = command(directory, arguments)
         .envs(variables.iter().copied())
-        .stdin(Stdio::null())
         .output()
         .expect("trefoilctl runs");
     let (out, err) = (output.stdout, output.stderr);
--- a/tests/all/config/cli/apply.rs
+++ b/tests/all/config/cli/apply.rs
@@ -98,6 +98,7 @@
             applied(&[Answer::Lost, accepted(8)], in_force),
             applied(&[Answer::Lost, duplicate()], in_force),
             applied(&[Answer::Lost, duplicate()], Show::Other { revision: 9 }),
+            applied(&[Answer::Lost, duplicate()], Show::Same { revision: 9 }),
             applied(&[Answer::Lost, duplicate()], Show::Nothing),
             // The log does not have the second copy; it may still have the first.
             applied(&[Answer::Lost, log_down()], Show::Nothing),
--- a/tests/all/config/cli/daemon.rs
+++ b/tests/all/config/cli/daemon.rs
@@ -1,7 +1,9 @@
 //! `trefoilctl` against a real entry host with an in-memory log.
 
 use std::fs;
+use std::io::{BufRead, BufReader};
 use std::path::Path;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +13,14 @@
 use trefoil_log::{Keyring, MemoryLog, Role, Signer};
 use trefoil_wire::Authority;
 
-use super::{redacted, session_in};
-use crate::config::ROUTING;
+use super::{command, redacted, session_in};
+use crate::config::{ROUTING, changed};
 
 const DAY: Duration = Duration::from_hours(24);
 
+/// Time between two looks of `watch`.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// An entry host, and a directory with the operator's key and a resource.
 struct Host {
     node: Node,
@@ -143,34 +148,39 @@
 #[test]
 fn changes_are_watched() {
     let host = Host::start();
-    let applied = host.run(&["apply", "routing.yaml", "--key", "operator.key"]);
+    let apply = ["apply", "routing.yaml", "--key", "operator.key"];
+    let applied = host.run(&apply);
     assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
-    let seen = host.run(&["watch", "--count", "1", "--output", "json"]);
-    let line = seen.lines().nth(1).expect("one line");
-    let value: serde_json::Value = serde_json::from_str(line).expect("JSON");
-    assert_eq!(value["name"], "waterworks");
-    let revision = value["revision"].as_u64().expect("a number").to_string();
-
-    let later = std::thread::scope(|scope| {
-        let watch = scope.spawn(|| host.run(&["watch", "--count", "1", "--from", &revision]));
-        let text = ROUTING.replace(
-            "name: waterworks",
-            &format!("name: waterworks\nrevision: {revision}"),
-        );
-        fs::write(host.at().join("routing.yaml"), text).expect("a file");
-        let applied = host.run(&["apply", "routing.yaml", "--key", "operator.key"]);
-        assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
-        watch.join().expect("no panic")
-    });
-    let shown: Vec<&str> = later
-        .lines()
-        .filter(|l| l.starts_with("revision "))
-        .collect();
-    assert_eq!(shown.len(), 1, "{later}");
-    assert!(
-        !shown[0].starts_with(&format!("revision {revision}:")),
-        "{later}"
-    );
+    let address = host.node.addresses().operator.to_string();
+    let watch = [
+        "watch", "--count", "2", "--output", "json", "--server", &address,
+    ];
+    let mut child = command(host.at(), &watch)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("trefoilctl runs");
+    let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+    let mut next = || {
+        let line = lines.next().expect("a line").expect("UTF-8");
+        let value: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+        assert_eq!(value["name"], "waterworks");
+        value["revision"].as_u64().expect("a number")
+    };
+    let first = next();
+    // At least one look in which nothing changed, or a change shown twice would go unnoticed.
+    std::thread::sleep(WATCH_INTERVAL + Duration::from_millis(300));
+    let text = format!("name: waterworks\nrevision: {first}");
+    let text = changed(ROUTING, "name: waterworks", &text);
+    fs::write(host.at().join("routing.yaml"), text).expect("a file");
+    let applied = host.run(&apply);
+    assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
+    let second = next();
+    assert!(second > first, "{second}");
+    assert!(child.wait().expect("watch ends").success());
+
+    let later = host.run(&["watch", "--count", "1", "--from", &first.to_string()]);
+    let start = format!("revision {second}: waterworks, accepted TIME\n-- exit 0 --\n");
+    assert!(later.ends_with(&start), "{later}");
     smol::block_on(host.node.drain());
 }
 
--- a/tests/all/config/cli/stub.rs
+++ b/tests/all/config/cli/stub.rs
@@ -26,6 +26,8 @@
     Nothing,
     /// The resource of the posted record, and whether all domains serve it.
     Posted { revision: u64, everywhere: bool },
+    /// What the posted record declares, published by another record.
+    Same { revision: u64 },
     /// A resource that another operator published.
     Other { revision: u64 },
 }
@@ -127,7 +129,20 @@
 
 fn resource(state: &State) -> Answer {
     let posted = state.records.last().map(|data| envelope(data));
-    match (state.show, posted) {
+    let (show, own) = match state.show {
+        Show::Same { revision } => {
+            let everywhere = true;
+            (
+                Show::Posted {
+                    revision,
+                    everywhere,
+                },
+                false,
+            )
+        }
+        show => (show, true),
+    };
+    match (show, posted) {
         (
             Show::Posted {
                 revision,
@@ -141,7 +156,7 @@
             let behind = if everywhere { revision } else { revision - 1 };
             let value = json!({
                 "resource": {
-                    "name": routing.name, "revision": revision, "accepted": envelope.time,
+                    "name": routing.name, "revision": revision, "accepted": envelope.time.0 - u64::from(!own),
                     "spec": routing.spec,
                 },
                 "domains": {
