--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -3,6 +3,8 @@
 //! A scenario drives one [`Admission`] on manual time; times are in milliseconds. Ids written as
 //! `v1000-7` are `UUIDv7` ids minted at Unix time 1000 ms. `REWRITE=1` updates the expected output.
 
+mod health;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -30,6 +32,7 @@
     now: Tick,
     admission: Option<Admission>,
     tickets: BTreeMap<String, Ticket>,
+    health: health::Script,
 }
 
 fn take<T>(case: &mut TestCase, name: &str, default: T) -> T
@@ -89,11 +92,29 @@
             self.new_admission(case);
             return String::new();
         }
+        if let Some(part) = name.strip_prefix("health-") {
+            return self.health.run(part, case);
+        }
         let mut admission = self.admission.take().expect("`new` comes first");
         let text = match name.as_str() {
             "offer" => self.offer(&mut admission, case),
             "finish" => self.finish(&mut admission, case),
             "until" => self.until(&mut admission, ms(take(case, "t", 0))),
+            "repeat" => {
+                // Idempotent requests that are answered after 10 ms each.
+                for _ in 0..take(case, "times", 1) {
+                    let deadline = self.now.after(Duration::from_mins(1));
+                    let request = Request::new(Shard(0), deadline).idempotent();
+                    let Decision::Start(ticket) = admission.offer(self.now, request) else {
+                        panic!("the upstream is idle");
+                    };
+                    self.now = self.now.after(Duration::from_millis(10));
+                    let answered = Cause::Answered(Status(200));
+                    let finished = admission.finish(self.now, ticket, answered);
+                    finished.expect("the ticket is of this admission");
+                }
+                String::new()
+            }
             "check" => {
                 let ticket = &self.tickets[&take(case, "n", String::new())];
                 match admission.check_write(self.now, ticket) {
