Let idempotent requests run again after an unknown outcome

A retry under the same id was answered with the recorded unknown, also at the standby, which receives the records with the release; after the loss of an upstream no idempotent request with an id could have been retried. Such a request now runs again, and is told unknown if it is then refused. A full memory no longer hides that an id is not covered.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -62,7 +62,7 @@
 use crate::limit::Sample;
 use crate::mechanism::{Disabled, Mechanism};
 use crate::memory::Lookup;
-use crate::queue::{Queue, Queued};
+use crate::queue::{Doubt, Queue, Queued};
 use crate::ticket::{Issuer, NotFoundSnafu};
 use crate::{
     Actions, Cause, ConnectionBudget, Decision, Dropped, Finished, Hold, Limit, OutcomeMemory,
@@ -177,23 +177,25 @@
                 Decision::Shed(Shed::Forgotten, Shed::Forgotten.outcome())
             }
             known => {
-                // Until the release arrives, only the previous owner knows whether a copy has run.
-                let awaiting = hold == Hold::Awaiting && request.id.is_some();
-                let doubt = awaiting || known == Lookup::Forgotten;
-                let queued = Queued { request, doubt };
-                let full = known == Lookup::Full;
-                self.admit(now, queued, hold == Hold::Awaiting, full)
+                let doubt = match known {
+                    Lookup::Again => Doubt::Attempt,
+                    Lookup::Forgotten => Doubt::Copy,
+                    // Until the release arrives, only the previous owner knows of other copies.
+                    _ if hold == Hold::Awaiting && request.id.is_some() => Doubt::Copy,
+                    _ => Doubt::None,
+                };
+                self.admit(now, Queued { request, doubt }, hold == Hold::Awaiting)
             }
         }
     }
 
-    fn admit(&mut self, now: Tick, queued: Queued, held: bool, full: bool) -> Decision {
+    fn admit(&mut self, now: Tick, queued: Queued, held: bool) -> Decision {
         self.free_lingering(now);
         let idle = !held && !self.queue.has_ready() && self.has_capacity(now);
         let deadline = queued.request.deadline;
         let shed = match () {
             () if deadline <= now => Some(Shed::Expired),
-            () if full => Some(Shed::MemoryFull),
+            () if queued.request.id.is_some() && self.memory.is_full() => Some(Shed::MemoryFull),
             () if !idle && self.queue.len() >= self.queue_max => Some(Shed::QueueFull),
             () if !self.can_meet(now, deadline) => Some(Shed::TooLate),
             () => None,
@@ -259,7 +261,7 @@
         let running = Running {
             request,
             started: now,
-            doubt: queued.doubt,
+            doubt: queued.doubt != Doubt::None,
             expired: false,
             closing: false,
         };
@@ -300,10 +302,11 @@
     /// Decides the outcome of a request that has left the queue without being started.
     fn settle(&mut self, now: Tick, id: TicketId, queued: &Queued, why: Shed) -> Dropped {
         let outcome = match why.outcome() {
-            Outcome::NotRun if queued.doubt => Outcome::Unknown,
+            Outcome::NotRun if queued.doubt == Doubt::Attempt => Outcome::Unknown,
+            Outcome::NotRun if queued.doubt == Doubt::Copy && why.is_final() => Outcome::Unknown,
             outcome => outcome,
         };
-        if why.is_final() || queued.doubt {
+        if why.is_final() || queued.doubt == Doubt::Attempt {
             self.memory
                 .finish(now, &queued.request, Record::of(outcome));
         } else {
@@ -387,7 +390,10 @@
             && self.ownership.state(request.shard) == Hold::Serving
             && self.can_meet(now, request.deadline);
         if useful && self.retries.withdraw() {
-            let doubt = verdict.outcome == Outcome::Unknown && !self.disabled.has(Mechanism::Doubt);
+            let doubt = match verdict.outcome {
+                Outcome::Unknown if !self.disabled.has(Mechanism::Doubt) => Doubt::Attempt,
+                _ => Doubt::None,
+            };
             self.queue.push(id, Queued { request, doubt }, false);
             return Report::Retry(id);
         }
--- a/crates/dispatch/src/admission/shards.rs
+++ b/crates/dispatch/src/admission/shards.rs
@@ -1,10 +1,11 @@
 //! Steps of ownership that also concern queued requests.
 
 use smallvec::SmallVec;
-use trefoil_core::{Revision, Shard, Tick, UpstreamName};
+use trefoil_core::{Outcome, Revision, Shard, Tick, UpstreamName};
 
 use super::Admission;
 use crate::memory::Handover;
+use crate::queue::Doubt;
 use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Release, Shed, TicketId};
 
 impl Admission {
@@ -64,6 +65,12 @@
             None => true,
         };
         match self.memory.record(request) {
+            // The previous owner closed it, for example when its upstream was lost.
+            Some((record, true)) if record.outcome == Outcome::Unknown && request.idempotent => {
+                self.memory.begin(request);
+                queued.doubt = Doubt::Attempt;
+                None
+            }
             // Under another digest, the record says nothing about this request.
             Some((record, same)) => {
                 self.queue.remove(id);
@@ -72,10 +79,11 @@
                 Some(Dropped { id, why, outcome })
             }
             None if !covered && !request.idempotent => self.drop_queued(now, id, Shed::Forgotten),
-            None => {
-                queued.doubt = !covered;
+            None if covered && queued.doubt == Doubt::Copy => {
+                queued.doubt = Doubt::None;
                 None
             }
+            None => None,
         }
     }
 
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -186,6 +186,16 @@
         }
     }
 
+    /// Whether the grant of an upstream that checks fences is renewed.
+    ///
+    /// It is not renewed while the upstream is suspect, so that the last grant expires while the
+    /// probes still run and not after them. A suspicion ends within 1.2 s, by an answer or by loss,
+    /// and the last grant was sent at most 400 ms before it, so an upstream that answers keeps its
+    /// grant but for at most the last 100 ms.
+    pub fn may_grant(&self) -> bool {
+        matches!(self.state, State::Cold | State::Serving | State::Draining)
+    }
+
     fn apply(&mut self, now: Tick, event: Event) {
         if let Some(state) = self.chart.next(self.state, &event) {
             self.state = state;
--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -45,7 +45,9 @@
 //! A repeat of an id in flight is answered at once as in flight. Waiting for the first copy would
 //! need an unbounded list of waiters and a copy of the answer for each of them. A repeat of a
 //! finished id gets its [`Record`], which has the status but not the body of the answer: bodies of
-//! up to 8 MiB for 65,536 ids do not fit a host. An id that comes with another digest is a conflict
+//! up to 8 MiB for 65,536 ids do not fit a host. The exception is an idempotent request whose outcome
+//! is unknown: it runs again, since retries under one id must remain possible after the loss of an
+//! upstream, whose records go to the standby. An id that comes with another digest is a conflict
 //! and is refused. Ids are compared as text, so two spellings of one UUID are two ids.
 
 use std::collections::{HashMap, VecDeque};
@@ -109,14 +111,14 @@
     InFlight,
     /// A request with this id has finished.
     Finished(Record),
+    /// An idempotent request with this id may have run, and can run again.
+    Again,
     /// Another request was seen under this id.
     Conflict,
     /// A request with this id may have run: the memory does not cover it.
     Forgotten,
     /// The id was minted in the future and must not be recorded.
     Future,
-    /// The id is new, but as many ids are in flight as the memory may hold.
-    Full,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -194,15 +196,24 @@
         let known = self.entries.get(id);
         match known.map(|e| (e.digest == request.digest, e.record)) {
             Some((false, _)) => Lookup::Conflict,
+            Some((true, Some(record)))
+                if record.outcome == Outcome::Unknown && request.idempotent =>
+            {
+                Lookup::Again
+            }
             Some((true, Some(record))) => Lookup::Finished(record),
             Some((true, None)) => Lookup::InFlight,
             None if self.is_future(now, id) => Lookup::Future,
-            None if self.in_flight() >= self.capacity / 2 => Lookup::Full,
             None if !self.covers(now, id, tenure) => Lookup::Forgotten,
             None => Lookup::New,
         }
     }
 
+    /// Whether as many ids are in flight as may be. The other half of the capacity is for outcomes.
+    pub fn is_full(&self) -> bool {
+        self.in_flight() >= self.capacity / 2
+    }
+
     fn is_future(&self, now: Tick, id: &RequestId) -> bool {
         let latest = self.wall.at(now) + millis(CLOCK_ERROR);
         id.minted_at().is_some_and(|minted| minted > latest)
@@ -230,7 +241,11 @@
                 digest: request.digest,
                 record: None,
             };
-            self.entries.insert(id.clone(), entry);
+            if self.entries.insert(id.clone(), entry).is_some() {
+                // An idempotent request runs again after an unknown outcome, which is rare enough
+                // for a search.
+                self.finished.retain(|(_, other)| other != id);
+            }
         }
     }
 
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -19,8 +19,19 @@
 #[derive(Debug)]
 pub(crate) struct Queued {
     pub(crate) request: Request,
-    /// Whether an earlier attempt or copy may have run.
-    pub(crate) doubt: bool,
+    pub(crate) doubt: Doubt,
+}
+
+/// Why a queued request may have run before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Doubt {
+    /// It has not.
+    None,
+    /// The outcome memory does not cover its id, so another copy may have run. Whoever receives the
+    /// request next decides anew.
+    Copy,
+    /// An attempt or copy under this dispatcher ended unknown, which must stay on record.
+    Attempt,
 }
 
 #[derive(Debug, Default)]
--- a/tests/all/dispatch.rs
+++ b/tests/all/dispatch.rs
@@ -3,6 +3,7 @@
 mod causes;
 mod limits;
 mod load;
+mod loss;
 mod memory;
 mod properties;
 mod script;
--- a/tests/all/dispatch/memory.rs
+++ b/tests/all/dispatch/memory.rs
@@ -71,12 +71,11 @@
 #[test]
 fn half_of_the_memory_may_be_in_flight() {
     let mut memory = OutcomeMemory::with_capacity(Wall::default(), 8);
-    let now = ms(60_000);
     for number in 0..4 {
+        assert!(!memory.is_full());
         memory.begin(&request(50_000, number));
     }
-    let found = memory.look_up(now, &request(50_000, 4), None);
-    assert_eq!(found, Lookup::Full);
+    assert!(memory.is_full());
 }
 
 /// Guards against a handover that does not fit a frame, and against one that claims to cover ids
--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -278,12 +278,15 @@
             }
             "receive" => {
                 let since = UnixMillis(take(case, "since", 0));
-                // Records are written as `id.digest`; all of them are done.
+                // Records are written as `id.digest`, followed by `.unknown` if they are not done.
                 let record = |text: String| {
-                    let (id, digest) = text.split_once('.').expect("an id and a digest");
-                    let record = Record::of(Outcome::Done);
+                    let (id, rest) = text.split_once('.').expect("an id and a digest");
+                    let (digest, outcome) = match rest.strip_suffix(".unknown") {
+                        Some(digest) => (digest, Outcome::Unknown),
+                        None => (rest, Outcome::Done),
+                    };
                     let digest = Digest(digest.parse().expect("a digest"));
-                    (request_id(id), digest, record)
+                    (request_id(id), digest, Record::of(outcome))
                 };
                 let records = case.try_take_args::<String>("records").expect("records");
                 let records = records.into_iter().flatten().map(record).collect();
