Use the usual names and check deadlines before a retry

Names such as Hold, Sign and Stop were not the terms of the field; they are ShardState, Signal and WriteError now, and the last is an error type. A retry was possible after the deadline if the upstream was idle and its service time had not been observed for a second, which told the caller twice; it is refused now. The wall clock of a tenure can no longer be set, since a correction would have changed which ids are covered.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -65,9 +65,9 @@
 use crate::queue::{Doubt, Queue, Queued};
 use crate::ticket::{Issuer, NotFoundSnafu};
 use crate::{
-    Actions, Cause, ConnectionBudget, Decision, Dropped, Finished, Hold, Limit, OutcomeMemory,
-    Ownership, Record, Refusal, Report, Request, RetryBudget, ServiceTime, Shed, Sign, Stop,
-    Ticket, TicketError, TicketId, Verdict, Wall,
+    Actions, Cause, ConnectionBudget, Decision, Dropped, Finished, Limit, OutcomeMemory, Ownership,
+    Record, Refusal, Report, Request, RetryBudget, ServiceTime, ShardState, ShedReason, Signal,
+    Ticket, TicketError, TicketId, Verdict, WallClock, WriteError,
 };
 
 /// Time without an observation after which the estimated service time is tried out again.
@@ -94,7 +94,7 @@
     slots: Slots,
     queue_max: usize,
     margin: Duration,
-    wall: Wall,
+    wall: WallClock,
     access: Access,
     limit: Limit,
     service: ServiceTime,
@@ -113,7 +113,7 @@
 
 impl Admission {
     /// Settings of an admission of a tenure that begins at `wall`.
-    pub fn builder(wall: Wall) -> AdmissionBuilder {
+    pub fn builder(wall: WallClock) -> AdmissionBuilder {
         AdmissionBuilder::new(wall)
     }
 
@@ -160,31 +160,34 @@
 
     /// Decides about a request.
     pub fn offer(&mut self, now: Tick, request: Request) -> Decision {
-        let hold = self.ownership.state(request.shard);
+        let state = self.ownership.state(request.shard);
         let since = self.ownership.serving_since(request.shard);
-        let owned = matches!(hold, Hold::Serving | Hold::Awaiting);
+        let owned = matches!(state, ShardState::Serving | ShardState::Awaiting);
         match self.memory.look_up(now, &request, since) {
             // Repeats are answered whoever owns the shard by now.
             Lookup::Finished(record) => Decision::Repeat(record),
             Lookup::InFlight => Decision::InFlight,
             Lookup::Conflict => Decision::Conflict,
             _ if self.access != Access::Open => {
-                Decision::Shed(Shed::Unavailable, Shed::Unavailable.outcome())
+                Decision::Shed(ShedReason::Unavailable, ShedReason::Unavailable.outcome())
+            }
+            _ if !owned => Decision::Shed(ShedReason::Moved, ShedReason::Moved.outcome()),
+            Lookup::Future => {
+                Decision::Shed(ShedReason::Forgotten, ShedReason::Forgotten.outcome())
             }
-            _ if !owned => Decision::Shed(Shed::Moved, Shed::Moved.outcome()),
-            Lookup::Future => Decision::Shed(Shed::Forgotten, Shed::Forgotten.outcome()),
             Lookup::Forgotten if !request.idempotent => {
-                Decision::Shed(Shed::Forgotten, Shed::Forgotten.outcome())
+                Decision::Shed(ShedReason::Forgotten, ShedReason::Forgotten.outcome())
             }
             known => {
                 let doubt = match known {
-                    Lookup::Again => Doubt::Attempt,
+                    Lookup::Retriable => Doubt::Attempt,
                     Lookup::Forgotten => Doubt::Copy,
                     // Until the release arrives, only the previous owner knows of other copies.
-                    _ if hold == Hold::Awaiting && request.id.is_some() => Doubt::Copy,
+                    _ if state == ShardState::Awaiting && request.id.is_some() => Doubt::Copy,
                     _ => Doubt::None,
                 };
-                self.admit(now, Queued { request, doubt }, hold == Hold::Awaiting)
+                let held = state == ShardState::Awaiting;
+                self.admit(now, Queued { request, doubt }, held)
             }
         }
     }
@@ -194,10 +197,12 @@
         let idle = !held && !self.queue.has_ready() && self.has_capacity(now);
         let deadline = queued.request.deadline;
         let shed = match () {
-            () if deadline <= now => Some(Shed::Expired),
-            () if queued.request.id.is_some() && self.memory.is_full() => Some(Shed::MemoryFull),
-            () if !idle && self.queue.len() >= self.queue_max => Some(Shed::QueueFull),
-            () if !self.can_meet(now, deadline) => Some(Shed::TooLate),
+            () if deadline <= now => Some(ShedReason::Expired),
+            () if queued.request.id.is_some() && self.memory.is_full() => {
+                Some(ShedReason::MemoryFull)
+            }
+            () if !idle && self.queue.len() >= self.queue_max => Some(ShedReason::QueueFull),
+            () if !self.can_meet(now, deadline) => Some(ShedReason::TooLate),
             () => None,
         };
         let id = TicketId(self.next);
@@ -276,7 +281,7 @@
         while let Some((id, queued)) = self.queue.pop_expired(now) {
             actions
                 .dropped
-                .push(self.settle(now, id, &queued, Shed::Expired));
+                .push(self.settle(now, id, &queued, ShedReason::Expired));
         }
         while self.has_capacity(now) {
             let Some((id, queued)) = self.queue.pop() else {
@@ -292,7 +297,7 @@
             if short && !trial && !self.disabled.has(Mechanism::Shedding) {
                 actions
                     .dropped
-                    .push(self.settle(now, id, &queued, Shed::TooLate));
+                    .push(self.settle(now, id, &queued, ShedReason::TooLate));
             } else {
                 actions.started.push(self.start(now, id, queued));
             }
@@ -300,7 +305,7 @@
     }
 
     /// Decides the outcome of a request that has left the queue without being started.
-    fn settle(&mut self, now: Tick, id: TicketId, queued: &Queued, why: Shed) -> Dropped {
+    fn settle(&mut self, now: Tick, id: TicketId, queued: &Queued, why: ShedReason) -> Dropped {
         let outcome = match why.outcome() {
             Outcome::NotRun if queued.doubt == Doubt::Attempt => Outcome::Unknown,
             Outcome::NotRun if queued.doubt == Doubt::Copy && why.is_final() => Outcome::Unknown,
@@ -315,7 +320,7 @@
         Dropped { id, why, outcome }
     }
 
-    fn drop_queued(&mut self, now: Tick, id: TicketId, why: Shed) -> Option<Dropped> {
+    fn drop_queued(&mut self, now: Tick, id: TicketId, why: ShedReason) -> Option<Dropped> {
         let queued = self.queue.remove(id)?;
         Some(self.settle(now, id, &queued, why))
     }
@@ -327,14 +332,14 @@
     ///
     /// Says why the request must not be written. The driver then finishes the ticket with
     /// [`Cause::NothingWritten`].
-    pub fn check_write(&self, now: Tick, ticket: &Ticket) -> Result<(), Stop> {
+    pub fn check_write(&self, now: Tick, ticket: &Ticket) -> Result<(), WriteError> {
         let running = self.running.get(&ticket.id);
         let shard = running.map(|r| r.request.shard);
         match self.access {
-            Access::Closed => Err(Stop::Unavailable),
-            Access::Draining(end) if now >= end => Err(Stop::Unavailable),
-            _ if running.is_none_or(|r| r.request.deadline <= now) => Err(Stop::Deadline),
-            _ if shard.is_some_and(|s| !self.ownership.check_write(s)) => Err(Stop::Released),
+            Access::Closed => Err(WriteError::Unavailable),
+            Access::Draining(end) if now >= end => Err(WriteError::Unavailable),
+            _ if running.is_none_or(|r| r.request.deadline <= now) => Err(WriteError::Deadline),
+            _ if shard.is_some_and(|s| !self.ownership.check_write(s)) => Err(WriteError::Released),
             _ => Ok(()),
         }
     }
@@ -369,14 +374,14 @@
         } else {
             self.ownership.end(run.request.shard);
         }
-        let sign = self.observe(now, &run, cause);
+        let signal = self.observe(now, &run, cause);
         let report = self.conclude(now, id, run, &verdict);
         let mut actions = Actions::default();
         self.free_lingering(now);
         self.start_ready(now, &mut actions);
         Ok(Finished {
             report,
-            verdict: Verdict { sign, ..verdict },
+            verdict: Verdict { signal, ..verdict },
             actions,
         })
     }
@@ -386,8 +391,9 @@
         let useful = verdict.retry
             && request.idempotent
             && !run.closing
+            && now < request.deadline
             && self.access == Access::Open
-            && self.ownership.state(request.shard) == Hold::Serving
+            && self.ownership.state(request.shard) == ShardState::Serving
             && self.can_meet(now, request.deadline);
         if useful && self.retries.withdraw() {
             let doubt = match verdict.outcome {
@@ -406,26 +412,26 @@
     }
 
     /// Learns from an attempt and returns what it says about the upstream.
-    fn observe(&mut self, now: Tick, run: &Running, cause: Cause) -> Sign {
+    fn observe(&mut self, now: Tick, run: &Running, cause: Cause) -> Signal {
         let verdict = cause.verdict();
         let time = now.since(run.started);
         let patience = (self.service.mean() * 2).max(PATIENCE_MIN);
-        if verdict.sign == Sign::Answer || cause == Cause::TimedOut {
+        if verdict.signal == Signal::Answer || cause == Cause::TimedOut {
             self.service.observe(now, time);
         }
         let late = now > run.request.deadline;
-        let sample = match (verdict.sign, verdict.status) {
+        let sample = match (verdict.signal, verdict.status) {
             // A deadline that was too short says nothing about the upstream.
-            _ if cause == Cause::TimedOut && time < patience => return Sign::None,
+            _ if cause == Cause::TimedOut && time < patience => return Signal::None,
             // Neither does a missing grant about its load.
-            _ if cause == Cause::Refused(Refusal::Fence) => return verdict.sign,
-            (Sign::None, _) => return Sign::None,
-            (Sign::Answer, Some(status)) if status.is_success() && !late => Sample::Success(time),
-            (Sign::Answer, _) => Sample::Answer(time),
-            (Sign::Refusal | Sign::Failure, _) => Sample::Overload,
+            _ if cause == Cause::Refused(Refusal::Fence) => return verdict.signal,
+            (Signal::None, _) => return Signal::None,
+            (Signal::Answer, Some(status)) if status.is_success() && !late => Sample::Success(time),
+            (Signal::Answer, _) => Sample::Answer(time),
+            (Signal::Refusal | Signal::Failure, _) => Sample::Overload,
         };
         self.limit.observe(now, run.started, sample);
-        verdict.sign
+        verdict.signal
     }
 
     /// Expires and starts queued requests, names running requests whose deadline has passed, and
--- a/crates/dispatch/src/admission/access.rs
+++ b/crates/dispatch/src/admission/access.rs
@@ -8,7 +8,7 @@
 
 use super::Admission;
 use crate::ticket::NotFoundSnafu;
-use crate::{Actions, Cancelled, Dropped, ServiceTime, Shed, TicketError, TicketId};
+use crate::{Actions, Cancelled, Dropped, ServiceTime, ShedReason, TicketError, TicketId};
 
 /// Time after the start of a drain within which queued requests may still be started.
 pub const DRAIN_QUEUE: Duration = Duration::from_secs(2);
@@ -32,7 +32,7 @@
     ///
     /// Fails if no such request is queued or running.
     pub fn cancel(&mut self, now: Tick, id: TicketId) -> Result<Cancelled, TicketError> {
-        if let Some(dropped) = self.drop_queued(now, id, Shed::Cancelled) {
+        if let Some(dropped) = self.drop_queued(now, id, ShedReason::Cancelled) {
             return Ok(Cancelled::Removed(dropped));
         }
         let run = self.running.get_mut(&id).context(NotFoundSnafu { id })?;
@@ -78,7 +78,7 @@
 
     pub(super) fn drop_all(&mut self, now: Tick) -> SmallVec<[Dropped; 4]> {
         let ids = self.queue.ids(None);
-        let dropped = |id| self.drop_queued(now, id, Shed::Unavailable);
+        let dropped = |id| self.drop_queued(now, id, ShedReason::Unavailable);
         ids.into_iter().filter_map(dropped).collect()
     }
 }
--- a/crates/dispatch/src/admission/builder.rs
+++ b/crates/dispatch/src/admission/builder.rs
@@ -9,13 +9,13 @@
 use crate::mechanism::{Disabled, Mechanism};
 use crate::memory::CAPACITY;
 use crate::{
-    ConnectionBudget, Limit, OutcomeMemory, Ownership, Proof, RetryBudget, ServiceTime, Wall,
+    ConnectionBudget, Limit, OutcomeMemory, Ownership, Proof, RetryBudget, ServiceTime, WallClock,
 };
 
 /// Settings of an [`Admission`].
 #[derive(Debug, Clone)]
 pub struct AdmissionBuilder {
-    wall: Wall,
+    wall: WallClock,
     slots: Slots,
     connections: u32,
     queue: u32,
@@ -26,7 +26,7 @@
 }
 
 impl AdmissionBuilder {
-    pub(super) fn new(wall: Wall) -> Self {
+    pub(super) fn new(wall: WallClock) -> Self {
         Self {
             wall,
             slots: Slots(1),
--- a/crates/dispatch/src/admission/shards.rs
+++ b/crates/dispatch/src/admission/shards.rs
@@ -6,7 +6,9 @@
 use super::Admission;
 use crate::memory::Handover;
 use crate::queue::Doubt;
-use crate::{Actions, Dropped, Hold, Origin, Ownership, OwnershipError, Release, Shed, TicketId};
+use crate::{
+    Actions, Dropped, Origin, Ownership, OwnershipError, Release, ShardState, ShedReason, TicketId,
+};
 
 impl Admission {
     /// Ownership of shards at this upstream.
@@ -45,7 +47,7 @@
         let state = self.ownership.receive(shard, revision, handover.since)?;
         self.memory.import(now, shard, handover.records);
         let mut actions = Actions::default();
-        if state == Hold::Serving {
+        if state == ShardState::Serving {
             for id in self.queue.ids(Some(shard)) {
                 actions.dropped.extend(self.recheck(now, id));
             }
@@ -74,11 +76,13 @@
             // Under another digest, the record says nothing about this request.
             Some((record, same)) => {
                 self.queue.remove(id);
-                let why = Shed::Repeat;
+                let why = ShedReason::Repeat;
                 let outcome = if same { record.outcome } else { why.outcome() };
                 Some(Dropped { id, why, outcome })
             }
-            None if !covered && !request.idempotent => self.drop_queued(now, id, Shed::Forgotten),
+            None if !covered && !request.idempotent => {
+                self.drop_queued(now, id, ShedReason::Forgotten)
+            }
             None if covered && queued.doubt == Doubt::Copy => {
                 queued.doubt = Doubt::None;
                 None
@@ -98,7 +102,7 @@
     }
 
     /// Stops admissions for a shard that goes to another upstream, see [`Ownership::revoke`]. Its
-    /// queued requests are handed back as [`Shed::Moved`]; its running requests finish.
+    /// queued requests are handed back as [`ShedReason::Moved`]; its running requests finish.
     ///
     /// # Errors
     ///
@@ -112,7 +116,7 @@
     ) -> Result<SmallVec<[Dropped; 4]>, OwnershipError> {
         self.ownership.revoke(shard, to, revision)?;
         let queued = self.queue.ids(Some(shard));
-        let moved = |id| self.drop_queued(now, id, Shed::Moved);
+        let moved = |id| self.drop_queued(now, id, ShedReason::Moved);
         Ok(queued.into_iter().filter_map(moved).collect())
     }
 
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -43,7 +43,7 @@
 
 use crate::admission::DRAIN_QUEUE;
 use crate::limit::GROWTH;
-use crate::{Access, Sign};
+use crate::{Access, Signal};
 
 /// Time between probes, and time after which an unanswered probe has failed.
 pub const PROBE: Duration = Duration::from_millis(400);
@@ -261,19 +261,19 @@
     }
 
     /// Takes in what an attempt to send a request showed.
-    pub fn observe(&mut self, now: Tick, sign: Sign) {
-        match sign {
-            Sign::None => {}
-            Sign::Answer | Sign::Refusal => {
+    pub fn observe(&mut self, now: Tick, signal: Signal) {
+        match signal {
+            Signal::None => {}
+            Signal::Answer | Signal::Refusal => {
                 self.failed = 0;
                 self.stall = Streak::default();
                 self.apply(now, Event::Answered);
-                self.warm += u32::from(sign == Sign::Answer);
+                self.warm += u32::from(signal == Signal::Answer);
                 if self.warm >= GROWTH {
                     self.apply(now, Event::Warmed);
                 }
             }
-            Sign::Failure => self.count_failure(now),
+            Signal::Failure => self.count_failure(now),
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,10 +22,10 @@
 //! ```
 //! use std::time::Duration;
 //! use trefoil_core::{Outcome, Shard, Slots, Tick};
-//! use trefoil_dispatch::{Admission, Cause, Decision, Origin, Report, Request, Status, Wall};
+//! use trefoil_dispatch::{Admission, Cause, Decision, Origin, Report, Request, Status, WallClock};
 //!
 //! let now = Tick::default();
-//! let mut admission = Admission::builder(Wall::default()).slots(Slots(4)).build()?;
+//! let mut admission = Admission::builder(WallClock::default()).slots(Slots(4)).build()?;
 //! admission.assign(now, Shard(7), Origin::New)?;
 //!
 //! let request = Request::new(Shard(7), now.after(Duration::from_millis(200))).idempotent();
@@ -46,7 +46,7 @@
 //!
 //! The driver sends what [`Actions`] names as started, answers what it names as dropped or expired,
 //! and calls [`Admission::poll`] and [`Health::poll`] at the ticks that their `next_wake` gives. It
-//! passes [`Health::access`] to [`Admission::set_access`] after every change of state, and the sign
+//! passes [`Health::access`] to [`Admission::set_access`] after every change of state, and the signal
 //! of each finished attempt to [`Health::observe`].
 
 pub mod admission;
@@ -66,10 +66,11 @@
 pub use budget::{Connection, ConnectionBudget, RetryBudget};
 pub use health::{Health, Probe, State};
 pub use limit::{Limit, ServiceTime};
-pub use memory::{Handover, OutcomeMemory, Wall};
-pub use ownership::{Hold, Origin, Ownership, OwnershipError, Proof, Release};
-pub use request::{Digest, Record, Request, Shed};
+pub use memory::{Handover, OutcomeMemory, WallClock};
+pub use ownership::{Origin, Ownership, OwnershipError, Proof, Release, ShardState};
+pub use request::{Digest, Record, Request, ShedReason};
 pub use ticket::{
-    Actions, Cancelled, Decision, Dropped, Finished, Report, Stop, Ticket, TicketError, TicketId,
+    Actions, Cancelled, Decision, Dropped, Finished, Report, Ticket, TicketError, TicketId,
+    WriteError,
 };
-pub use verdict::{Cause, Refusal, Sign, Status, Verdict};
+pub use verdict::{Cause, Refusal, Signal, Status, Verdict};
--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -23,13 +23,15 @@
 //! - more than [`SPAN`] ago.
 //!
 //! The tenure is that of this dispatcher *over the shard at this upstream*. A shard that moves from
-//! another upstream brings ids that only the previous dispatcher knows, so the tenure of the shard
-//! begins when its release arrives, not when this dispatcher started.
+//! another upstream brings ids that only the previous dispatcher knows. If its tenure began with the
+//! move, every non-idempotent request whose id was minted before would be answered unknown. The
+//! release of a shard therefore carries a [`Handover`]: the records of the shard and the time since
+//! which they are complete. The new owner continues the tenure of the old one. A handover of more
+//! than [`HANDOVER_MAX`] records is left empty, and the tenure begins anew.
 //!
-//! A planned move would therefore answer every non-idempotent request unknown whose id was minted
-//! before the move. To avoid that, the release of a shard carries a [`Handover`]: the records of the
-//! shard and the time since which they are complete. The new owner continues the tenure of the old
-//! one. A handover of more than [`HANDOVER_MAX`] records is left empty, and the tenure begins anew.
+//! The rule assumes that the wall clocks of callers and hosts differ by less than [`CLOCK_ERROR`]. A
+//! dispatcher whose clock is further behind would take ids for new that its predecessor may have run,
+//! so the driver must not start a tenure while its clock disagrees with those of its peers.
 //!
 //! An id minted more than [`CLOCK_ERROR`] in the future is answered unknown too. Once evicted, it
 //! would raise the bound above the present and cause every request of every caller to be answered
@@ -72,14 +74,14 @@
 /// A wall clock time at a tick, from which the wall clock time of other ticks follows. A jump of
 /// the wall clock during the tenure does not change what the memory covers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Wall {
+pub struct WallClock {
     /// The tick.
     pub tick: Tick,
     /// The wall clock time at that tick.
     pub unix: UnixMillis,
 }
 
-impl Wall {
+impl WallClock {
     /// The wall clock time at `tick`; that of the origin for an earlier tick.
     pub fn at(self, tick: Tick) -> UnixMillis {
         self.unix + millis(tick.since(self.tick))
@@ -112,7 +114,7 @@
     /// A request with this id has finished.
     Finished(Record),
     /// An idempotent request with this id may have run, and can run again.
-    Again,
+    Retriable,
     /// Another request was seen under this id.
     Conflict,
     /// A request with this id may have run: the memory does not cover it.
@@ -134,7 +136,7 @@
     entries: HashMap<RequestId, Entry>,
     finished: VecDeque<(Tick, RequestId)>,
     capacity: usize,
-    wall: Wall,
+    wall: WallClock,
     /// Latest mint time of an id that was evicted.
     evicted: Option<UnixMillis>,
     disabled: Disabled,
@@ -142,12 +144,12 @@
 
 impl OutcomeMemory {
     /// An empty memory of a tenure that began at `wall`.
-    pub fn new(wall: Wall) -> Self {
+    pub fn new(wall: WallClock) -> Self {
         Self::with_capacity(wall, CAPACITY)
     }
 
     /// A memory for fewer ids than [`CAPACITY`]; at least 2.
-    pub fn with_capacity(wall: Wall, capacity: usize) -> Self {
+    pub fn with_capacity(wall: WallClock, capacity: usize) -> Self {
         Self {
             entries: HashMap::new(),
             finished: VecDeque::new(),
@@ -177,11 +179,6 @@
         self.entries.len() - self.finished.len()
     }
 
-    /// Sets the wall clock anew after it was corrected. Records are not affected.
-    pub fn set_wall(&mut self, wall: Wall) {
-        self.wall = wall;
-    }
-
     /// What is known of `request`, whose shard this dispatcher has served here since `tenure`. While
     /// the shard waits for its release, there is no tenure yet, and the driver asks
     /// [`OutcomeMemory::covers`] when the release arrives.
@@ -199,7 +196,7 @@
             Some((true, Some(record)))
                 if record.outcome == Outcome::Unknown && request.idempotent =>
             {
-                Lookup::Again
+                Lookup::Retriable
             }
             Some((true, Some(record))) => Lookup::Finished(record),
             Some((true, None)) => Lookup::InFlight,
--- a/crates/dispatch/src/ownership.rs
+++ b/crates/dispatch/src/ownership.rs
@@ -10,7 +10,7 @@
 //! [`Proof::Deadline`], for upstreams that do not check fences: every request was answered or proved
 //! not run, or the latest deadline plus the declared margin has passed. The bound also covers
 //! requests that are still open here, so a request that is never finished cannot hold a shard
-//! forever. A write after the bound is impossible: [`Ownership::check_write`] refuses it.
+//! forever. A write after the bound is impossible: [`Admission::check_write`] refuses it.
 //!
 //! [`Proof::Grant`], for upstreams that check fences: every request was answered or proved not run,
 //! or the last grant that named the shard has expired. A shard that is being released stays in the
@@ -33,6 +33,8 @@
 //! A shard that is revoked again while it waits for its release becomes *relaying*: the next owner
 //! must not start before the release of the previous one has arrived here. A shard cannot be
 //! assigned again while it is being released; the driver applies the assignment after the release.
+//!
+//! [`Admission::check_write`]: crate::Admission::check_write
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -63,7 +65,7 @@
 )]
 #[serde(rename_all = "kebab-case")]
 #[display(rename_all = "kebab-case")]
-pub enum Hold {
+pub enum ShardState {
     /// Not owned here.
     Released,
     /// Owned here according to the log; the previous owner has not released it yet.
@@ -80,7 +82,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Display, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 #[display(rename_all = "kebab-case")]
-pub enum HoldEvent {
+pub enum ShardEvent {
     /// The log gives the shard to this upstream.
     Assigned,
     /// The previous owner's release has arrived, or there is no previous owner.
@@ -134,9 +136,9 @@
         /// The shard.
         shard: Shard,
         /// Its state.
-        state: Hold,
+        state: ShardState,
         /// The event.
-        event: HoldEvent,
+        event: ShardEvent,
     },
     /// The release has been taken in before. The sender did not receive the acknowledgement, so it is
     /// to be acknowledged again.
@@ -159,7 +161,7 @@
 
 #[derive(Debug)]
 struct Holding {
-    state: Hold,
+    state: ShardState,
     awaits: Revision,
     to: Option<(UpstreamName, Revision)>,
     since: UnixMillis,
@@ -177,10 +179,10 @@
 /// Ownership of shards at one upstream.
 #[derive(Debug)]
 pub struct Ownership {
-    chart: StateChart<Hold, HoldEvent>,
+    chart: StateChart<ShardState, ShardEvent>,
     proof: Proof,
     shards: BTreeMap<Shard, Holding>,
-    /// The shards in [`Hold::Releasing`], so that a poll does not visit all shards.
+    /// The shards in [`ShardState::Releasing`], so that a poll does not visit all shards.
     releasing: BTreeSet<Shard>,
     stopped: bool,
     wait: bool,
@@ -209,7 +211,7 @@
     }
 
     /// The state of a shard.
-    pub fn state(&self, shard: Shard) -> Hold {
+    pub fn state(&self, shard: Shard) -> ShardState {
         self.shards
             .get(&shard)
             .map_or(self.chart.initial(), |h| h.state)
@@ -230,10 +232,10 @@
     /// Since when the shard has been served here under this dispatcher, if it is.
     pub fn serving_since(&self, shard: Shard) -> Option<UnixMillis> {
         let holding = self.shards.get(&shard)?;
-        (holding.state == Hold::Serving).then_some(holding.since)
+        (holding.state == ShardState::Serving).then_some(holding.since)
     }
 
-    fn step(&mut self, shard: Shard, event: HoldEvent) -> Result<&mut Holding, OwnershipError> {
+    fn step(&mut self, shard: Shard, event: ShardEvent) -> Result<&mut Holding, OwnershipError> {
         let initial = self.chart.initial();
         let holding = self.shards.entry(shard).or_insert(Holding {
             state: initial,
@@ -253,7 +255,7 @@
             event,
         })?;
         match holding.state {
-            Hold::Releasing => self.releasing.insert(shard),
+            ShardState::Releasing => self.releasing.insert(shard),
             _ => self.releasing.remove(&shard),
         };
         Ok(holding)
@@ -272,15 +274,15 @@
         shard: Shard,
         origin: Origin,
     ) -> Result<(), OwnershipError> {
-        let holding = self.step(shard, HoldEvent::Assigned)?;
+        let holding = self.step(shard, ShardEvent::Assigned)?;
         holding.to = None;
         match origin {
             Origin::Owner(revision) => holding.awaits = revision,
             Origin::New => {
-                self.step(shard, HoldEvent::Received)?.since = unix;
+                self.step(shard, ShardEvent::Received)?.since = unix;
             }
             Origin::Predecessor(until) => {
-                let holding = self.step(shard, HoldEvent::Received)?;
+                let holding = self.step(shard, ShardEvent::Received)?;
                 holding.since = unix;
                 holding.doubt = holding.doubt.max(until);
                 holding.horizon = holding.horizon.max(until);
@@ -293,7 +295,7 @@
     }
 
     /// Takes in the release of a shard whose ids are covered from `since`. The shard may be served
-    /// if the result is [`Hold::Serving`].
+    /// if the result is [`ShardState::Serving`].
     ///
     /// A standby may receive the release of a lost owner before the log assigns the shard. The
     /// driver checks the recorded standby and calls [`Ownership::assign`] first.
@@ -306,14 +308,14 @@
         shard: Shard,
         revision: Revision,
         since: UnixMillis,
-    ) -> Result<Hold, OwnershipError> {
+    ) -> Result<ShardState, OwnershipError> {
         match self.shards.get(&shard) {
             Some(h) if h.awaits != revision => OtherReleaseSnafu { shard, revision }.fail(),
-            Some(h) if !matches!(h.state, Hold::Awaiting | Hold::Relaying) => {
+            Some(h) if !matches!(h.state, ShardState::Awaiting | ShardState::Relaying) => {
                 RepeatedSnafu { shard, revision }.fail()
             }
             _ => {
-                let holding = self.step(shard, HoldEvent::Received)?;
+                let holding = self.step(shard, ShardEvent::Received)?;
                 holding.since = since;
                 Ok(holding.state)
             }
@@ -331,7 +333,7 @@
         to: UpstreamName,
         revision: Revision,
     ) -> Result<(), OwnershipError> {
-        self.step(shard, HoldEvent::Revoked)?.to = Some((to, revision));
+        self.step(shard, ShardEvent::Revoked)?.to = Some((to, revision));
         Ok(())
     }
 
@@ -361,7 +363,10 @@
 
     /// Whether a started request of the shard may be handed to a connection now.
     pub(crate) fn check_write(&self, shard: Shard) -> bool {
-        matches!(self.state(shard), Hold::Serving | Hold::Releasing)
+        matches!(
+            self.state(shard),
+            ShardState::Serving | ShardState::Releasing
+        )
     }
 
     /// The shards that the grant sent at `now` names. Empty while grants are stopped.
@@ -370,9 +375,9 @@
             return Vec::new();
         }
         let named = self.shards.iter_mut().filter(|(_, h)| match h.state {
-            Hold::Serving => true,
-            Hold::Releasing => h.open > 0 && !h.unanswered,
-            Hold::Released | Hold::Awaiting | Hold::Relaying => false,
+            ShardState::Serving => true,
+            ShardState::Releasing => h.open > 0 && !h.unanswered,
+            ShardState::Released | ShardState::Awaiting | ShardState::Relaying => false,
         });
         named
             .map(|(&shard, holding)| {
@@ -392,8 +397,8 @@
         self.stopped = false;
     }
 
-    /// Completes the releases for which proof exists, without their records. Each is to be sent until the new owner's
-    /// dispatcher acknowledges it.
+    /// Completes the releases for which proof exists, without their records. Each is to be sent
+    /// until the new owner's dispatcher acknowledges it.
     pub fn poll(&mut self, now: Tick) -> Vec<Release> {
         let ready: Vec<Shard> = self
             .releasing()
@@ -401,7 +406,7 @@
             .map(|(shard, _)| shard)
             .collect();
         let release = |shard| {
-            let holding = self.step(shard, HoldEvent::Proven).ok()?;
+            let holding = self.step(shard, ShardEvent::Proven).ok()?;
             let (to, revision) = holding.to.clone()?;
             holding.unanswered = false;
             Some(Release {
--- a/crates/dispatch/src/request.rs
+++ b/crates/dispatch/src/request.rs
@@ -97,7 +97,7 @@
 
 /// Why a request was not admitted, or left the queue without being started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
-pub enum Shed {
+pub enum ShedReason {
     /// The deadline has passed.
     #[display("expired")]
     Expired,
@@ -128,7 +128,7 @@
     Moved,
 }
 
-impl Shed {
+impl ShedReason {
     /// What the caller is told, if no attempt was started.
     pub fn outcome(self) -> Outcome {
         match self {
--- a/crates/dispatch/src/ticket.rs
+++ b/crates/dispatch/src/ticket.rs
@@ -7,7 +7,7 @@
 use snafu::Snafu;
 use trefoil_core::Outcome;
 
-use crate::{Record, Release, Shed, Verdict};
+use crate::{Record, Release, ShedReason, Verdict};
 
 /// Identifies an admitted request at one upstream. It grants nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
@@ -52,7 +52,7 @@
     /// The request waits. It appears later in [`Actions::started`] or [`Actions::dropped`].
     Queued(TicketId),
     /// The request is not admitted, and this is what is known of its execution.
-    Shed(Shed, Outcome),
+    Shed(ShedReason, Outcome),
     /// The request is a repeat of a finished one and does not run again.
     Repeat(Record),
     /// The request is a repeat of one that is queued or running.
@@ -82,8 +82,8 @@
     /// The request.
     pub id: TicketId,
     /// Why it was not started.
-    pub why: Shed,
-    /// What the caller is told: that of [`Shed::outcome`], or unknown if an earlier attempt or copy
+    pub why: ShedReason,
+    /// What the caller is told: that of [`ShedReason::outcome`], or unknown if an earlier attempt or copy
     /// may have run.
     pub outcome: Outcome,
 }
@@ -142,16 +142,16 @@
 }
 
 /// Why a request must not be handed to a connection.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum Stop {
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum WriteError {
     /// The deadline has passed.
-    #[display("deadline passed")]
+    #[snafu(display("the deadline has passed"))]
     Deadline,
     /// The shard has been released to another owner.
-    #[display("shard released")]
+    #[snafu(display("the shard has been released"))]
     Released,
     /// The upstream is lost, or is leaving and the time for its queue has passed.
-    #[display("upstream unavailable")]
+    #[snafu(display("the upstream is lost or leaving"))]
     Unavailable,
 }
 
--- a/crates/dispatch/src/verdict.rs
+++ b/crates/dispatch/src/verdict.rs
@@ -95,7 +95,7 @@
 
 /// What an attempt says about the upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum Sign {
+pub enum Signal {
     /// The upstream answered, so it is alive.
     #[display("answer")]
     Answer,
@@ -125,7 +125,7 @@
     /// Whether the connection can carry another request.
     pub reuse: bool,
     /// What the attempt says about the upstream.
-    pub sign: Sign,
+    pub signal: Signal,
 }
 
 impl Cause {
@@ -137,7 +137,7 @@
             may_linger: false,
             retry: true,
             reuse: false,
-            sign: Sign::Failure,
+            signal: Signal::Failure,
         };
         let unknown = Verdict {
             outcome: Outcome::Unknown,
@@ -149,19 +149,19 @@
             Self::NotConnected => not_run,
             // The local process did not write: the upstream is not to blame.
             Self::NothingWritten => Verdict {
-                sign: Sign::None,
+                signal: Signal::None,
                 ..not_run
             },
             Self::Refused(Refusal::Overload) => Verdict {
                 reuse: true,
-                sign: Sign::Refusal,
+                signal: Signal::Refusal,
                 ..not_run
             },
             // A second attempt with the same token or grant would be refused again.
             Self::Refused(Refusal::Fence) => Verdict {
                 retry: false,
                 reuse: true,
-                sign: Sign::Refusal,
+                signal: Signal::Refusal,
                 ..not_run
             },
             Self::PartiallyWritten | Self::NoAnswer | Self::CutOff => unknown,
@@ -173,7 +173,7 @@
             // This process ended the attempt, which says nothing about the upstream.
             Self::Abandoned => Verdict {
                 retry: false,
-                sign: Sign::None,
+                signal: Signal::None,
                 ..unknown
             },
             Self::Answered(status) => Verdict {
@@ -182,7 +182,7 @@
                 may_linger: false,
                 retry: false,
                 reuse: true,
-                sign: Sign::Answer,
+                signal: Signal::Answer,
             },
             // The timeout may already have closed the connection, so it is not used again.
             Self::AnsweredLate(status) => Verdict {
@@ -191,7 +191,7 @@
                 may_linger: false,
                 retry: false,
                 reuse: false,
-                sign: Sign::Answer,
+                signal: Signal::Answer,
             },
         }
     }
--- a/tests/all/dispatch/limits.rs
+++ b/tests/all/dispatch/limits.rs
@@ -8,7 +8,7 @@
 use trefoil_dispatch::limit::Sample;
 use trefoil_dispatch::{
     Admission, Cause, ConnectionBudget, Decision, Limit, Origin, Request, RetryBudget, ServiceTime,
-    Status, Wall,
+    Status, WallClock,
 };
 
 use super::ms;
@@ -114,7 +114,7 @@
 #[test]
 fn tickets_of_another_upstream_are_refused() {
     let admission = || {
-        let wall = Wall::default();
+        let wall = WallClock::default();
         let mut admission = Admission::builder(wall).build().expect("the charts load");
         let origin = Origin::New;
         let shard = trefoil_core::Shard(0);
--- a/tests/all/dispatch/loss.rs
+++ b/tests/all/dispatch/loss.rs
@@ -5,7 +5,7 @@
 use trefoil_core::{Revision, Shard, Slots, Tick};
 use trefoil_dispatch::health::{Health, Probe, State};
 use trefoil_dispatch::ownership::RENEWAL;
-use trefoil_dispatch::{Admission, Decision, Origin, Proof, Request, Wall};
+use trefoil_dispatch::{Admission, Decision, Origin, Proof, Request, WallClock};
 
 use super::ms;
 
@@ -15,7 +15,7 @@
 /// Drives an upstream that freezes at `freeze` with a request in flight, and returns when its shard
 /// may be released.
 fn release(freeze: Tick) -> Tick {
-    let builder = Admission::builder(Wall::default())
+    let builder = Admission::builder(WallClock::default())
         .slots(Slots(2))
         .proof(Proof::Grant);
     let mut admission = builder.build().expect("the charts load");
--- a/tests/all/dispatch/memory.rs
+++ b/tests/all/dispatch/memory.rs
@@ -4,7 +4,7 @@
 
 use trefoil_core::{Outcome, Shard, Tick, UnixMillis};
 use trefoil_dispatch::memory::{CAPACITY, HANDOVER_MAX, Lookup, OutcomeMemory, SPAN};
-use trefoil_dispatch::{Digest, Record, Request, Wall};
+use trefoil_dispatch::{Digest, Record, Request, WallClock};
 
 use super::{ms, v7};
 
@@ -19,7 +19,7 @@
 
 /// A memory whose tenure began long ago, and 100,000 ids of which the last `open` are in flight.
 fn filled(open: u64) -> (OutcomeMemory, Tick) {
-    let mut memory = OutcomeMemory::new(Wall::default());
+    let mut memory = OutcomeMemory::new(WallClock::default());
     let now = ms(60_000);
     for number in 0..100_000 {
         // Ten ids for each millisecond.
@@ -70,7 +70,7 @@
 /// Guards against ids in flight that leave no room for the outcome of a shed request.
 #[test]
 fn half_of_the_memory_may_be_in_flight() {
-    let mut memory = OutcomeMemory::with_capacity(Wall::default(), 8);
+    let mut memory = OutcomeMemory::with_capacity(WallClock::default(), 8);
     for number in 0..4 {
         assert!(!memory.is_full());
         memory.begin(&request(50_000, number));
@@ -87,7 +87,7 @@
     assert_eq!(handover.records, []);
     assert_eq!(handover.since, UnixMillis(60_000));
 
-    let mut memory = OutcomeMemory::with_capacity(Wall::default(), 8);
+    let mut memory = OutcomeMemory::with_capacity(WallClock::default(), 8);
     for number in 0..10 {
         let request = request(50_000 + number, number);
         memory.begin(&request);
--- a/tests/all/dispatch/properties/model.rs
+++ b/tests/all/dispatch/properties/model.rs
@@ -7,8 +7,8 @@
 use trefoil_dispatch::mechanism::Mechanism;
 use trefoil_dispatch::ownership::GRANT;
 use trefoil_dispatch::{
-    Access, Actions, Admission, Cancelled, Cause, Decision, Digest, Handover, Hold, Origin, Proof,
-    Report, Request, Ticket, TicketId, Wall,
+    Access, Actions, Admission, Cancelled, Cause, Decision, Digest, Handover, Origin, Proof,
+    Report, Request, ShardState, Ticket, TicketId, WallClock,
 };
 
 use crate::dispatch::{ms, v7};
@@ -72,7 +72,7 @@
 
 impl Model {
     pub(super) fn new(slots: u32, proof: Proof, without: Option<Mechanism>) -> Self {
-        let wall = Wall {
+        let wall = WallClock {
             tick: Tick::default(),
             unix: UnixMillis(0),
         };
@@ -259,7 +259,8 @@
         live.queued = false;
         let request = live.request.clone();
         let earlier = self.live.values().filter(|l| {
-            let serving = self.admission.ownership().state(l.request.shard()) == Hold::Serving;
+            let serving =
+                self.admission.ownership().state(l.request.shard()) == ShardState::Serving;
             l.queued && serving && l.request.deadline() < request.deadline()
         });
         assert_eq!(earlier.count(), 0, "{id} overtook an earlier deadline");
@@ -374,7 +375,7 @@
                 .admission
                 .ownership()
                 .state(self.live[id].request.shard());
-            let held = matches!(state, Hold::Serving | Hold::Releasing);
+            let held = matches!(state, ShardState::Serving | ShardState::Releasing);
             assert!(held || self.admission.check_write(now, ticket).is_err());
         }
     }
--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -13,7 +13,7 @@
 use trefoil_dispatch::mechanism::Mechanism;
 use trefoil_dispatch::{
     Access, Actions, Admission, Cause, Decision, Digest, Dropped, Finished, Handover, Origin,
-    Proof, Record, Refusal, Report, Request, Status, Ticket, Wall,
+    Proof, Record, Refusal, Report, Request, Status, Ticket, WallClock,
 };
 
 use super::{ms, v7};
@@ -153,7 +153,7 @@
     fn new_admission(&mut self, case: &mut TestCase) {
         self.now = ms(take(case, "t", 0));
         self.tickets.clear();
-        let wall = Wall {
+        let wall = WallClock {
             tick: self.now,
             unix: UnixMillis(take(case, "unix", 0)),
         };
--- a/tests/all/dispatch/script/health.rs
+++ b/tests/all/dispatch/script/health.rs
@@ -6,7 +6,7 @@
 use datadriven::TestCase;
 use trefoil_core::Tick;
 use trefoil_dispatch::health::{Health, Probe};
-use trefoil_dispatch::{Access, Sign};
+use trefoil_dispatch::{Access, Signal};
 
 use super::take;
 use crate::dispatch::ms;
@@ -21,12 +21,12 @@
     health: Option<Health>,
 }
 
-fn sign(text: &str) -> Sign {
+fn signal(text: &str) -> Signal {
     match text {
-        "answer" => Sign::Answer,
-        "refusal" => Sign::Refusal,
-        "failure" => Sign::Failure,
-        _ => Sign::None,
+        "answer" => Signal::Answer,
+        "refusal" => Signal::Refusal,
+        "failure" => Signal::Failure,
+        _ => Signal::None,
     }
 }
 
@@ -42,10 +42,10 @@
         let mut text = String::new();
         match name {
             "run" => text = self.drive(&mut health, case),
-            "sign" => {
-                let sign = sign(&take(case, "sign", String::new()));
+            "signal" => {
+                let signal = signal(&take(case, "signal", String::new()));
                 for _ in 0..take(case, "times", 1) {
-                    health.observe(self.now, sign);
+                    health.observe(self.now, signal);
                 }
             }
             "leaving" => health.set_leaving(self.now, true),
@@ -67,11 +67,11 @@
     }
 
     /// Runs until `t`. Probes are answered, refused or met with silence; a request ends with the
-    /// given sign every `every` ms.
+    /// given signal every `every` ms.
     fn drive(&mut self, health: &mut Health, case: &mut TestCase) -> String {
         let end = ms(take(case, "t", 0));
         let probes = take(case, "probes", "answer".to_owned());
-        let requests = sign(&take(case, "requests", String::new()));
+        let requests = signal(&take(case, "requests", String::new()));
         let every = Duration::from_millis(take(case, "every", 100));
         let mut request = self.now.after(every);
         let mut answer: Option<(Tick, Probe)> = None;
--- a/tests/all/dispatch/sim.rs
+++ b/tests/all/dispatch/sim.rs
@@ -13,7 +13,7 @@
 use trefoil_core::{Outcome, RequestId, Revision, Shard, Slots, Tick, UnixMillis};
 use trefoil_dispatch::{
     Actions, Admission, Cause, Decision, Digest, Origin, Refusal, Report, Request, Status, Ticket,
-    TicketId, Wall,
+    TicketId, WallClock,
 };
 
 use self::setup::MEAN;
@@ -97,7 +97,7 @@
 
 fn admission(setup: &Setup, slots: u32, now: Tick) -> Admission {
     let unix = UnixMillis(EPOCH + u64::try_from(now.0.as_millis()).expect("a short run"));
-    let mut builder = Admission::builder(Wall { tick: now, unix }).slots(Slots(slots));
+    let mut builder = Admission::builder(WallClock { tick: now, unix }).slots(Slots(slots));
     if let Some(mechanism) = setup.without {
         builder = builder.without(mechanism);
     }
