--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -43,7 +43,7 @@
 
 use crate::admission::DRAIN_QUEUE;
 use crate::limit::GROWTH;
-use crate::{Access, Sign};
+use crate::{Access, Signal};
 
 /// Time between probes, and time after which an unanswered probe has failed.
 pub const PROBE: Duration = Duration::from_millis(400);
@@ -186,6 +186,16 @@
         }
     }
 
+    /// Whether the grant of an upstream that checks fences is renewed.
+    ///
+    /// It is not renewed while the upstream is suspect, so that the last grant expires while the
+    /// probes still run and not after them. A suspicion ends within 1.2 s, by an answer or by loss,
+    /// and the last grant was sent at most 400 ms before it, so an upstream that answers keeps its
+    /// grant but for at most the last 100 ms.
+    pub fn may_grant(&self) -> bool {
+        matches!(self.state, State::Cold | State::Serving | State::Draining)
+    }
+
     fn apply(&mut self, now: Tick, event: Event) {
         if let Some(state) = self.chart.next(self.state, &event) {
             self.state = state;
@@ -251,19 +261,19 @@
     }
 
     /// Takes in what an attempt to send a request showed.
-    pub fn observe(&mut self, now: Tick, sign: Sign) {
-        match sign {
-            Sign::None => {}
-            Sign::Answer | Sign::Refusal => {
+    pub fn observe(&mut self, now: Tick, signal: Signal) {
+        match signal {
+            Signal::None => {}
+            Signal::Answer | Signal::Refusal => {
                 self.failed = 0;
                 self.stall = Streak::default();
                 self.apply(now, Event::Answered);
-                self.warm += u32::from(sign == Sign::Answer);
+                self.warm += u32::from(signal == Signal::Answer);
                 if self.warm >= GROWTH {
                     self.apply(now, Event::Warmed);
                 }
             }
-            Sign::Failure => self.count_failure(now),
+            Signal::Failure => self.count_failure(now),
         }
     }
 
--- a/crates/dispatch/src/memory.rs
+++ b/crates/dispatch/src/memory.rs
@@ -23,13 +23,15 @@
 //! - more than [`SPAN`] ago.
 //!
 //! The tenure is that of this dispatcher *over the shard at this upstream*. A shard that moves from
-//! another upstream brings ids that only the previous dispatcher knows, so the tenure of the shard
-//! begins when its release arrives, not when this dispatcher started.
+//! another upstream brings ids that only the previous dispatcher knows. If its tenure began with the
+//! move, every non-idempotent request whose id was minted before would be answered unknown. The
+//! release of a shard therefore carries a [`Handover`]: the records of the shard and the time since
+//! which they are complete. The new owner continues the tenure of the old one. A handover of more
+//! than [`HANDOVER_MAX`] records is left empty, and the tenure begins anew.
 //!
-//! A planned move would therefore answer every non-idempotent request unknown whose id was minted
-//! before the move. To avoid that, the release of a shard carries a [`Handover`]: the records of the
-//! shard and the time since which they are complete. The new owner continues the tenure of the old
-//! one. A handover of more than [`HANDOVER_MAX`] records is left empty, and the tenure begins anew.
+//! The rule assumes that the wall clocks of callers and hosts differ by less than [`CLOCK_ERROR`]. A
+//! dispatcher whose clock is further behind would take ids for new that its predecessor may have run,
+//! so the driver must not start a tenure while its clock disagrees with those of its peers.
 //!
 //! An id minted more than [`CLOCK_ERROR`] in the future is answered unknown too. Once evicted, it
 //! would raise the bound above the present and cause every request of every caller to be answered
@@ -45,7 +47,9 @@
 //! A repeat of an id in flight is answered at once as in flight. Waiting for the first copy would
 //! need an unbounded list of waiters and a copy of the answer for each of them. A repeat of a
 //! finished id gets its [`Record`], which has the status but not the body of the answer: bodies of
-//! up to 8 MiB for 65,536 ids do not fit a host. An id that comes with another digest is a conflict
+//! up to 8 MiB for 65,536 ids do not fit a host. The exception is an idempotent request whose outcome
+//! is unknown: it runs again, since retries under one id must remain possible after the loss of an
+//! upstream, whose records go to the standby. An id that comes with another digest is a conflict
 //! and is refused. Ids are compared as text, so two spellings of one UUID are two ids.
 
 use std::collections::{HashMap, VecDeque};
@@ -70,14 +74,14 @@
 /// A wall clock time at a tick, from which the wall clock time of other ticks follows. A jump of
 /// the wall clock during the tenure does not change what the memory covers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Wall {
+pub struct WallClock {
     /// The tick.
     pub tick: Tick,
     /// The wall clock time at that tick.
     pub unix: UnixMillis,
 }
 
-impl Wall {
+impl WallClock {
     /// The wall clock time at `tick`; that of the origin for an earlier tick.
     pub fn at(self, tick: Tick) -> UnixMillis {
         self.unix + millis(tick.since(self.tick))
@@ -109,14 +113,14 @@
     InFlight,
     /// A request with this id has finished.
     Finished(Record),
+    /// An idempotent request with this id may have run, and can run again.
+    Retriable,
     /// Another request was seen under this id.
     Conflict,
     /// A request with this id may have run: the memory does not cover it.
     Forgotten,
     /// The id was minted in the future and must not be recorded.
     Future,
-    /// The id is new, but as many ids are in flight as the memory may hold.
-    Full,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -132,7 +136,7 @@
     entries: HashMap<RequestId, Entry>,
     finished: VecDeque<(Tick, RequestId)>,
     capacity: usize,
-    wall: Wall,
+    wall: WallClock,
     /// Latest mint time of an id that was evicted.
     evicted: Option<UnixMillis>,
     disabled: Disabled,
@@ -140,12 +144,12 @@
 
 impl OutcomeMemory {
     /// An empty memory of a tenure that began at `wall`.
-    pub fn new(wall: Wall) -> Self {
+    pub fn new(wall: WallClock) -> Self {
         Self::with_capacity(wall, CAPACITY)
     }
 
     /// A memory for fewer ids than [`CAPACITY`]; at least 2.
-    pub fn with_capacity(wall: Wall, capacity: usize) -> Self {
+    pub fn with_capacity(wall: WallClock, capacity: usize) -> Self {
         Self {
             entries: HashMap::new(),
             finished: VecDeque::new(),
@@ -175,11 +179,6 @@
         self.entries.len() - self.finished.len()
     }
 
-    /// Sets the wall clock anew after it was corrected. Records are not affected.
-    pub fn set_wall(&mut self, wall: Wall) {
-        self.wall = wall;
-    }
-
     /// What is known of `request`, whose shard this dispatcher has served here since `tenure`. While
     /// the shard waits for its release, there is no tenure yet, and the driver asks
     /// [`OutcomeMemory::covers`] when the release arrives.
@@ -194,15 +193,24 @@
         let known = self.entries.get(id);
         match known.map(|e| (e.digest == request.digest, e.record)) {
             Some((false, _)) => Lookup::Conflict,
+            Some((true, Some(record)))
+                if record.outcome == Outcome::Unknown && request.idempotent =>
+            {
+                Lookup::Retriable
+            }
             Some((true, Some(record))) => Lookup::Finished(record),
             Some((true, None)) => Lookup::InFlight,
             None if self.is_future(now, id) => Lookup::Future,
-            None if self.in_flight() >= self.capacity / 2 => Lookup::Full,
             None if !self.covers(now, id, tenure) => Lookup::Forgotten,
             None => Lookup::New,
         }
     }
 
+    /// Whether as many ids are in flight as may be. The other half of the capacity is for outcomes.
+    pub fn is_full(&self) -> bool {
+        self.in_flight() >= self.capacity / 2
+    }
+
     fn is_future(&self, now: Tick, id: &RequestId) -> bool {
         let latest = self.wall.at(now) + millis(CLOCK_ERROR);
         id.minted_at().is_some_and(|minted| minted > latest)
@@ -222,14 +230,19 @@
 
     /// Remembers the id of a request that is admitted.
     pub fn begin(&mut self, request: &Request) {
-        if let Some(id) = &request.id {
+        let on = !self.disabled.has(Mechanism::Memory);
+        if let Some(id) = request.id.as_ref().filter(|_| on) {
             self.make_room();
             let entry = Entry {
                 shard: request.shard,
                 digest: request.digest,
                 record: None,
             };
-            self.entries.insert(id.clone(), entry);
+            if self.entries.insert(id.clone(), entry).is_some() {
+                // An idempotent request runs again after an unknown outcome, which is rare enough
+                // for a search.
+                self.finished.retain(|(_, other)| other != id);
+            }
         }
     }
 
@@ -263,7 +276,7 @@
         let on = !self.disabled.has(Mechanism::Handover);
         let entries = self.entries.iter().filter(|(_, e)| e.shard == shard && on);
         let unknown = Record::of(Outcome::Unknown);
-        let records: Vec<_> = entries
+        let mut records: Vec<_> = entries
             .map(|(id, e)| (id.clone(), e.digest, e.record.unwrap_or(unknown)))
             .take(HANDOVER_MAX + 1)
             .collect();
@@ -273,6 +286,7 @@
                 records: Vec::new(),
             };
         }
+        records.sort_unstable_by(|a, b| a.0.cmp(&b.0));
         Handover {
             since: since.max(kept),
             records,
