Give a new host time while its witnesses read late

A holder whose first lease was never valid ended after the grace time, so a host could not join while readers of the log were more than 3 s late. The grace time now begins anew with each refusal of a witness that has not read the record, and a lease that was valid ends exactly at its end. A holder also ends when it reads its own expiry in the log.

--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -46,6 +46,9 @@
 use crate::switches::Switches;
 use crate::timing::Timing;
 
+/// End of a lease that has not been valid.
+const NEVER: Tick = Tick(Duration::ZERO);
+
 const CHART: &str = include_str!("../charts/holder.yaml");
 
 /// State of a holder; `charts/holder.yaml` describes each one.
@@ -106,7 +109,7 @@
         counted.sort_unstable();
         let index = counted.len() - majority(counted.len());
         let end = counted[index].map(|t| t.after(span));
-        Some(end.unwrap_or_default())
+        Some(end.unwrap_or(NEVER))
     }
 
     fn count<F>(&self, test: F) -> bool
@@ -137,7 +140,7 @@
     state: HolderState,
     current: Option<Set>,
     next: Option<Set>,
-    /// When the first record was read.
+    /// When the grace time of the first record began.
     since: Tick,
     /// When the next heartbeats are due.
     next_heartbeat: Tick,
@@ -206,7 +209,9 @@
     /// Takes over new lease records of this host.
     pub fn sync(&mut self, records: &Records, now: Tick) -> Vec<Effect> {
         let Some(tenure) = records.tenure(self.host) else {
-            return Vec::new();
+            // The log has the expiry of this incarnation.
+            let over = self.current.is_some() && self.step(Event::Lapsed);
+            return over.then_some(Effect::Ended).into_iter().collect();
         };
         let newest = &tenure.current;
         let known = self.next.as_ref().or(self.current.as_ref());
@@ -285,7 +290,7 @@
     /// A host without witnesses has a lease without end. A host that has not read its first record
     /// has a lease that ends at tick zero.
     pub fn valid_until(&self) -> Option<Tick> {
-        let never = Some(Tick::default());
+        let never = Some(NEVER);
         let end = |set: &Option<Set>| set.as_ref().map_or(never, |s| s.until(self.span()));
         match self.state {
             HolderState::Ended => never,
@@ -324,9 +329,12 @@
     }
 
     /// When the holder gives up; `None` if its lease does not end.
+    ///
+    /// A lease that has never been valid gets the grace time.
     fn lapse(&self) -> Option<Tick> {
         let first = self.since.after(self.timing.grace);
-        self.valid_until().map(|end| end.max(first))
+        let end = self.valid_until();
+        end.map(|end| if end == NEVER { first } else { end })
     }
 
     /// Sends the heartbeats that are due, and asks the old witnesses to close.
@@ -387,6 +395,7 @@
             | Message::Closed { generation } => *generation,
             _ => return Vec::new(),
         };
+        let never = self.valid_until() == Some(NEVER);
         let sets = self.current.iter_mut().chain(&mut self.next);
         let Some(set) = sets.into_iter().find(|s| s.lease.generation == generation) else {
             return Vec::new();
@@ -417,6 +426,9 @@
                 reason: Refusal::Expired | Refusal::Replaced,
                 ..
             } => vote.refused = true,
+            // A witness that has not read the first record yet promises nothing that would keep
+            // others from acting, so the grace time begins anew.
+            Message::Refused { .. } if never => self.since = now,
             _ => {}
         }
         let before = self.state;
