--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -22,6 +22,14 @@
 //! - attests [`Verdict::Unsettled`] for a generation that is not, which proves something only
 //!   together with the expiry of the newer one.
 //!
+//! # Restart of a process whose lease has ended
+//!
+//! The end of its own lease does not make a host a bad witness. If it restarted at once, the holders
+//! that it serves would lose its promises; and where three of a holder's five witnesses restart
+//! together, that holder ends and restarts as well, which takes promises from others in turn. Among
+//! few hosts the restarts would not come to an end. So the process stays as a witness, holders leave
+//! it out of their next generations, and it restarts when [`Witness::serving`] is zero.
+//!
 //! # Memory
 //!
 //! Entries exist only for leases in the records, at most two generations for each holder, and at
@@ -90,8 +98,8 @@
     relied: bool,
     newest: bool,
     /// Successors that have yet to acknowledge the verdict.
-    unaware: BTreeSet<HostId>,
-    aware: BTreeSet<HostId>,
+    pending: BTreeSet<HostId>,
+    acknowledged: BTreeSet<HostId>,
 }
 
 /// The witness of other hosts' leases.
@@ -157,6 +165,14 @@
         self.entries.get(&(holder, generation)).map(|e| e.state)
     }
 
+    /// Number of leases that this witness helps to keep up.
+    ///
+    /// A process whose own lease has ended should stay until this is zero, and then restart.
+    pub fn serving(&self) -> usize {
+        let states = self.entries.values().map(|e| e.state);
+        states.filter(|s| *s == EntryState::Promised).count()
+    }
+
     /// Number of entries.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -185,8 +201,8 @@
                         due,
                         relied: false,
                         newest,
-                        unaware: BTreeSet::new(),
-                        aware: BTreeSet::new(),
+                        pending: BTreeSet::new(),
+                        acknowledged: BTreeSet::new(),
                     };
                     self.entries.insert(key, entry);
                 }
@@ -195,13 +211,13 @@
         }
         for (&(holder, _), entry) in &mut self.entries {
             let mut successors = records.successors(holder);
-            entry.aware.retain(|h| successors.contains(h));
-            successors.retain(|h| !entry.aware.contains(h));
+            entry.acknowledged.retain(|h| successors.contains(h));
+            successors.retain(|h| !entry.acknowledged.contains(h));
             // A new recipient of a final verdict does not wait for the next repetition.
-            if entry.state.verdict().is_some() && !successors.is_subset(&entry.unaware) {
+            if entry.state.verdict().is_some() && !successors.is_subset(&entry.pending) {
                 entry.due = now;
             }
-            entry.unaware = successors;
+            entry.pending = successors;
         }
     }
 
@@ -233,9 +249,9 @@
             Message::Attested(attestation) => {
                 let key = (attestation.holder, attestation.generation);
                 if let Some(entry) = self.entries.get_mut(&key)
-                    && entry.unaware.remove(&from.host)
+                    && entry.pending.remove(&from.host)
                 {
-                    entry.aware.insert(from.host);
+                    entry.acknowledged.insert(from.host);
                 }
                 Vec::new()
             }
@@ -292,7 +308,7 @@
         let active = self.entries.values().filter(|e| match e.state {
             EntryState::Waiting | EntryState::Promised => true,
             EntryState::Inherited => self.tail || self.switches.skip_wait,
-            _ => !e.unaware.is_empty(),
+            _ => !e.pending.is_empty(),
         });
         active.map(|e| e.due).min()
     }
@@ -323,8 +339,8 @@
                 verdict,
                 relied: entry.relied,
             };
-            let unaware = entry.unaware.iter();
-            effects.extend(unaware.map(|&to| send(to, Message::Attest(attestation))));
+            let pending = entry.pending.iter();
+            effects.extend(pending.map(|&to| send(to, Message::Attest(attestation))));
         }
         effects
     }
