Add hot-key entries and a hot-key sketch

A key that is hotter than its shard's share of a server needs an owner of its own, and the table had none. The table now has at most 4,096 sorted entries with owner and standby, which lost members leave like shards; the change variants are appended, so old records decode as before.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,7 +5,9 @@
 //! that replay the same records hold the same table.
 
 pub mod plan;
+pub mod sketch;
 pub mod table;
 
 pub use plan::initial;
-pub use table::{Change, Member, Move, Seat, Table, TableError};
+pub use sketch::{HotKey, HotKeys};
+pub use table::{Change, HOT_MAX, HotMove, Member, Move, Replacement, Seat, Table, TableError};
--- a/crates/placement/src/table.rs
+++ b/crates/placement/src/table.rs
@@ -1,9 +1,39 @@
 //! The shard table of one service.
+//!
+//! A [`Seat`] takes 4 bytes, so a table of 2^20 shards is 4 MiB and stays in the cache of the last
+//! level. Keys that are too hot for their shard have entries of their own, at most [`HOT_MAX`]. They
+//! are kept sorted by key: 4,096 keys of 8 bytes fit the cache of the first level, and a sorted list
+//! is equal and serialized equally on all hosts, which a hash table with a random seed is not.
+//!
+//! A seat never names a lost member as standby while its owner lives: the loss of a standby makes
+//! the owner its own standby until a plan names another. A shard whose owner and standby are lost
+//! keeps its seat, and [`Table::is_lost`] of the owner tells that nobody serves it.
+//!
+//! Two limits come from the design. A log record has at most 256 KiB, so a table of full size is
+//! not created by one [`Change::Reset`] but by [`Change::Vacant`], joins and moves in batches of
+//! [`BATCH`]. A [`Member`] has 16 bits and a lost member keeps its index; with 3,810 host events a
+//! day the indices above 19,000 would last 12 days, so [`Change::Replace`] uses them again.
+
+use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::Snafu;
-use trefoil_core::{KeyHash, Shard, UpstreamName};
+use trefoil_core::{Bytes, KeyHash, Shard, UpstreamName};
+
+/// Largest number of hot-key entries of a table.
+pub const HOT_MAX: usize = 4096;
+
+/// Largest number of members of a table: all values of a [`Member`] but [`Member::NONE`].
+pub const MEMBERS_MAX: usize = 65_535;
+
+/// Largest number of moves in one change. A move of a hot key takes at most 16 bytes in postcard,
+/// so a batch takes at most 64 KiB of the 256 KiB of a log record.
+pub const BATCH: usize = 4096;
+
+/// Largest number of members in one change. A name takes at most 64 bytes, so a batch takes at
+/// most 128 KiB.
+pub const BATCH_MEMBERS: usize = 2048;
 
 /// Index of an upstream in its table's member list. It stays with the upstream while the table
 /// lives; a lost member keeps its index.
@@ -27,6 +57,9 @@
 pub struct Member(pub u16);
 
 impl Member {
+    /// No member. It counts as lost in every table.
+    pub const NONE: Self = Self(u16::MAX);
+
     /// The position of the member in the member list.
     pub fn index(self) -> usize {
         usize::from(self.0)
@@ -51,7 +84,35 @@
     pub seat: Seat,
 }
 
+impl Seat {
+    /// The seat of a shard that was never given to a member.
+    pub const VACANT: Self = Self {
+        owner: Member::NONE,
+        standby: Member::NONE,
+    };
+}
+
+/// A seat for one hot key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HotMove {
+    /// The key.
+    pub key: KeyHash,
+    /// Its owner and standby.
+    pub seat: Seat,
+}
+
+/// A member that takes the index of a lost one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Replacement {
+    /// The index.
+    pub member: Member,
+    /// The new member.
+    pub name: UpstreamName,
+}
+
 /// A change of a table, as it is written to the log.
+///
+/// New variants are added at the end, because postcard encodes a variant by its position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// Creates the table or replaces it: the first seat belongs to shard 0.
@@ -76,6 +137,26 @@
         /// The lost members.
         members: SmallVec<[Member; 4]>,
     },
+    /// Gives hot keys entries of their own, or new seats if they have entries.
+    HotMoves {
+        /// The entries.
+        moves: Vec<HotMove>,
+    },
+    /// Removes hot-key entries; the keys return to the seats of their shards.
+    HotDrops {
+        /// The keys. A key without an entry is ignored.
+        keys: Vec<KeyHash>,
+    },
+    /// Creates the table or replaces it by one without members whose shards are all vacant.
+    Vacant {
+        /// Number of shards.
+        shards: u32,
+    },
+    /// Gives indices of lost members, which no seat may name any more, to new members.
+    Replace {
+        /// The new members.
+        members: Vec<Replacement>,
+    },
 }
 
 /// Why a change does not fit a table.
@@ -93,6 +174,30 @@
         /// The member.
         member: Member,
     },
+    /// A move names a member that was lost.
+    #[snafu(display("member {member} was lost"))]
+    LostMember {
+        /// The member.
+        member: Member,
+    },
+    /// The index of a member that lives or is named by a seat was given to a new member.
+    #[snafu(display("index {member} is in use"))]
+    InUse {
+        /// The member.
+        member: Member,
+    },
+    /// There are more members than indices.
+    #[snafu(display("{count} members, at most {MEMBERS_MAX} are allowed"))]
+    TooManyMembers {
+        /// Number of members after the change.
+        count: usize,
+    },
+    /// There are more hot-key entries than allowed.
+    #[snafu(display("{count} hot-key entries, at most {HOT_MAX} are allowed"))]
+    TooManyHot {
+        /// Number of entries after the change.
+        count: usize,
+    },
     /// A move names a shard that does not exist.
     #[snafu(display("shard {shard} does not exist"))]
     NoShard {
@@ -101,12 +206,15 @@
     },
 }
 
-/// Owners and standbys of all shards of one service.
+/// Owners and standbys of all shards and hot keys of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Table {
     members: Vec<UpstreamName>,
     lost: Vec<bool>,
     seats: Vec<Seat>,
+    /// Hot keys in ascending order; `hot_seats` has their seats in the same order.
+    hot_keys: Vec<KeyHash>,
+    hot_seats: Vec<Seat>,
 }
 
 impl Table {
@@ -122,9 +230,9 @@
 
     /// The member of that name that is not lost.
     pub fn member(&self, name: &UpstreamName) -> Option<Member> {
-        let index = self.members.iter().rposition(|m| m == name)?;
-        let member = Member(u16::try_from(index).ok()?);
-        (!self.is_lost(member)).then_some(member)
+        let live = |(m, lost): (&UpstreamName, &bool)| m == name && !lost;
+        let index = self.members.iter().zip(&self.lost).rposition(live)?;
+        Some(Member(u16::try_from(index).ok()?))
     }
 
     /// The name of a member.
@@ -152,28 +260,66 @@
         self.seats.get(usize::try_from(shard.0).ok()?).copied()
     }
 
+    /// Owner and standby of a key: those of its own entry, or else those of its shard.
+    pub fn locate(&self, key: KeyHash) -> Option<Seat> {
+        self.hot_seat(key).or_else(|| self.seat(self.shard(key)))
+    }
+
+    /// The seat of a key that has an entry of its own.
+    pub fn hot_seat(&self, key: KeyHash) -> Option<Seat> {
+        let index = self.hot_keys.binary_search(&key).ok()?;
+        self.hot_seats.get(index).copied()
+    }
+
+    /// The hot-key entries in ascending order of their keys.
+    pub fn hot(&self) -> impl ExactSizeIterator<Item = HotMove> + '_ {
+        let pairs = self.hot_keys.iter().zip(&self.hot_seats);
+        pairs.map(|(&key, &seat)| HotMove { key, seat })
+    }
+
+    /// Memory that the table takes, without unused capacity.
+    pub fn state_bytes(&self) -> Bytes {
+        let names: usize = self.members.iter().map(|m| m.as_str().len()).sum();
+        let members = self.members.len() * (size_of::<UpstreamName>() + size_of::<bool>());
+        let seats = size_of_val(self.seats.as_slice()) + size_of_val(self.hot_seats.as_slice());
+        let keys = size_of_val(self.hot_keys.as_slice());
+        Bytes((size_of::<Self>() + names + members + seats + keys) as u64)
+    }
+
+    /// [`Table::state_bytes`] for each shard.
+    pub fn bytes_per_shard(&self) -> f64 {
+        let Bytes(total) = self.state_bytes();
+        #[expect(clippy::cast_precision_loss, reason = "a ratio for display")]
+        let total = total as f64;
+        total / f64::from(self.shard_count().max(1))
+    }
+
     /// Applies a change. On an error the table is unchanged.
     ///
     /// # Errors
     ///
-    /// Fails if the change names a member or shard that does not exist.
+    /// Fails if the change names a member or shard that does not exist, gives a shard to a lost
+    /// member, uses an index again that is in use, or exceeds [`MEMBERS_MAX`] or [`HOT_MAX`].
     pub fn apply(&mut self, change: &Change) -> Result<(), TableError> {
         match change {
             Change::Reset { members, seats } => {
-                if !seats.len().is_power_of_two() {
-                    return Err(TableError::BadCount { count: seats.len() });
-                }
+                check_shards(seats.len())?;
+                check_members(members.len())?;
                 check(seats.iter(), members.len())?;
-                self.lost = vec![false; members.len()];
-                self.members.clone_from(members);
-                self.seats.clone_from(seats);
+                *self = Self {
+                    lost: vec![false; members.len()],
+                    members: members.clone(),
+                    seats: seats.clone(),
+                    ..Self::default()
+                };
             }
             Change::Join { members } => {
+                check_members(self.members.len() + members.len())?;
                 self.members.extend(members.iter().cloned());
                 self.lost.resize(self.members.len(), false);
             }
             Change::Moves { moves } => {
-                check(moves.iter().map(|m| &m.seat), self.members.len())?;
+                self.check_live(moves.iter().map(|m| &m.seat))?;
                 if let Some(bad) = moves.iter().find(|m| self.seat(m.shard).is_none()) {
                     return Err(TableError::NoShard { shard: bad.shard });
                 }
@@ -190,20 +336,126 @@
                 }
                 self.promote_standbys();
             }
+            Change::HotMoves { moves } => {
+                self.check_live(moves.iter().map(|m| &m.seat))?;
+                self.set_hot(moves)?;
+            }
+            Change::HotDrops { keys } => {
+                let mut kept: Vec<HotMove> = self.hot().collect();
+                let drops: BTreeSet<_> = keys.iter().collect();
+                kept.retain(|m| !drops.contains(&m.key));
+                self.replace_hot(&kept);
+            }
+            Change::Vacant { shards } => {
+                let count = usize::try_from(*shards).unwrap_or(usize::MAX);
+                check_shards(count)?;
+                *self = Self {
+                    seats: vec![Seat::VACANT; count],
+                    ..Self::default()
+                };
+            }
+            Change::Replace { members } => {
+                self.check_free(members)?;
+                for r in members {
+                    self.members[r.member.index()].clone_from(&r.name);
+                    self.lost[r.member.index()] = false;
+                }
+            }
         }
         Ok(())
     }
 
+    /// Members that were lost and that no seat names, so that their indices can be used again.
+    pub fn free_indices(&self) -> Vec<Member> {
+        let mut free = self.lost.clone();
+        for seat in self.seats.iter().chain(&self.hot_seats) {
+            for member in [seat.owner, seat.standby] {
+                if let Some(it) = free.get_mut(member.index()) {
+                    *it = false;
+                }
+            }
+        }
+        let indices = (0u16..).zip(free);
+        indices
+            .filter_map(|(i, free)| free.then_some(Member(i)))
+            .collect()
+    }
+
+    fn set_hot(&mut self, moves: &[HotMove]) -> Result<(), TableError> {
+        let mut all: Vec<HotMove> = self.hot().chain(moves.iter().copied()).collect();
+        // The sort is stable and the last entry of a key counts, so a move replaces an old entry.
+        all.sort_by_key(|m| m.key);
+        all.reverse();
+        all.dedup_by_key(|m| m.key);
+        all.reverse();
+        match all.len() {
+            count if count > HOT_MAX => Err(TableError::TooManyHot { count }),
+            _ => {
+                self.replace_hot(&all);
+                Ok(())
+            }
+        }
+    }
+
+    fn replace_hot(&mut self, entries: &[HotMove]) {
+        self.hot_keys = entries.iter().map(|m| m.key).collect();
+        self.hot_seats = entries.iter().map(|m| m.seat).collect();
+    }
+
+    fn check_live<'a, I>(&self, seats: I) -> Result<(), TableError>
+    where
+        I: Iterator<Item = &'a Seat> + Clone,
+    {
+        check(seats.clone(), self.members.len())?;
+        let mut named = seats.flat_map(|s| [s.owner, s.standby]);
+        match named.find(|m| self.lost[m.index()]) {
+            Some(member) => Err(TableError::LostMember { member }),
+            None => Ok(()),
+        }
+    }
+
+    fn check_free(&self, members: &[Replacement]) -> Result<(), TableError> {
+        let free = self.free_indices();
+        let mut taken: Vec<Member> = members.iter().map(|r| r.member).collect();
+        taken.sort_unstable();
+        let twice = taken.windows(2).find(|pair| pair[0] == pair[1]);
+        let used = taken.iter().find(|m| free.binary_search(m).is_err());
+        match used.or(twice.map(|pair| &pair[0])) {
+            Some(&member) if member.index() >= self.members.len() => {
+                Err(TableError::NoMember { member })
+            }
+            Some(&member) => Err(TableError::InUse { member }),
+            None => Ok(()),
+        }
+    }
+
     fn promote_standbys(&mut self) {
         let lost = &self.lost;
-        for seat in &mut self.seats {
-            if lost[seat.owner.index()] && !lost[seat.standby.index()] {
-                seat.owner = seat.standby;
+        let is_lost = |m: Member| lost.get(m.index()).copied().unwrap_or(true);
+        for seat in self.seats.iter_mut().chain(&mut self.hot_seats) {
+            match (is_lost(seat.owner), is_lost(seat.standby)) {
+                (true, false) => seat.owner = seat.standby,
+                (false, true) => seat.standby = seat.owner,
+                _ => {}
             }
         }
     }
 }
 
+fn check_shards(count: usize) -> Result<(), TableError> {
+    match count {
+        n if n.is_power_of_two() && u32::try_from(n).is_ok() => Ok(()),
+        _ => Err(TableError::BadCount { count }),
+    }
+}
+
+fn check_members(count: usize) -> Result<(), TableError> {
+    match count {
+        n if n <= MEMBERS_MAX => Ok(()),
+        _ => Err(TableError::TooManyMembers { count }),
+    }
+}
+
 fn check<'a, I>(seats: I, members: usize) -> Result<(), TableError>
 where
     I: Iterator<Item = &'a Seat>,
