--- /dev/null
+++ b/crates/placement/src/baseline.rs
@@ -0,0 +1,187 @@
+//! Simple placements that the planner is compared with.
+//!
+//! Neither looks at churn, and neither gives hot keys entries of their own. Their standbys follow
+//! rendezvous hashing without regard to failure domains.
+
+use std::collections::BTreeSet;
+use std::fmt::Debug;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::member::Ramp;
+use crate::planner::{Input, Plan, PlanError, Planner};
+use crate::reason::{Reason, Reasoned, Unit};
+use crate::table::{BATCH, Change, Member, Move, Seat};
+
+/// Something that makes plans.
+pub trait Placer: Debug + Sync {
+    /// Name in tables.
+    fn name(&self) -> &str;
+
+    /// Makes a plan.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Planner::plan`] does.
+    fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError>;
+}
+
+impl Placer for Planner {
+    fn name(&self) -> &'static str {
+        "planner"
+    }
+
+    fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
+        self.plan(input)
+    }
+}
+
+/// A planner under another name, to compare settings.
+#[derive(Debug)]
+pub struct Named(pub &'static str, pub Planner);
+
+impl Placer for Named {
+    fn name(&self) -> &str {
+        self.0
+    }
+
+    fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
+        self.1.plan(input)
+    }
+}
+
+/// Rendezvous hashing: the member with the highest score of a shard owns it, the next one is its
+/// standby. Load has no influence.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Rendezvous;
+
+impl Placer for Rendezvous {
+    fn name(&self) -> &'static str {
+        "rendezvous"
+    }
+
+    fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
+        let open = open_members(input);
+        let shards = 0..input.table.shard_count();
+        plan_of(input, shards.map(|s| ranked(input, &open, s)))
+    }
+}
+
+/// Greedy least-loaded: in each window all shards are dealt anew, the heaviest first, each to the
+/// member with the least utilization.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Greedy {
+    /// Ramp of joining members.
+    pub ramp: Ramp,
+}
+
+impl Placer for Greedy {
+    fn name(&self) -> &'static str {
+        "greedy least-loaded"
+    }
+
+    fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
+        let open = open_members(input);
+        let load = &input.load.shards;
+        let mut order: Vec<u32> = (0..input.table.shard_count()).collect();
+        order.sort_by(|&a, &b| {
+            load[b as usize]
+                .total_cmp(&load[a as usize])
+                .then(a.cmp(&b))
+        });
+        let mut ranks: BTreeSet<(u64, Member)> = open.iter().map(|&m| (0, m)).collect();
+        let mut used = vec![0.0f64; input.members.len()];
+        let mut seats = vec![Seat::VACANT; order.len()];
+        for shard in order {
+            let Some((_, owner)) = ranks.pop_first() else {
+                return Err(PlanError::NoMembers);
+            };
+            let capacity = self.ramp.capacity(&input.members[owner.index()]);
+            used[owner.index()] += load[shard as usize];
+            // The bits of floats that are not negative sort as the floats do.
+            ranks.insert(((used[owner.index()] / capacity).to_bits(), owner));
+            let Seat {
+                owner: first,
+                standby: second,
+            } = ranked(input, &open, shard);
+            let standby = if first == owner { second } else { first };
+            seats[shard as usize] = Seat { owner, standby };
+        }
+        plan_of(input, seats)
+    }
+}
+
+fn open_members(input: &Input<'_>) -> Vec<Member> {
+    let all = (0u16..).zip(input.members).map(|(i, p)| (Member(i), p));
+    all.filter(|(m, p)| p.is_open() && !input.table.is_lost(*m))
+        .map(|(m, _)| m)
+        .collect()
+}
+
+/// The members with the two highest rendezvous scores.
+fn ranked(input: &Input<'_>, open: &[Member], shard: u32) -> Seat {
+    let score = |m: Member| {
+        let name = input.table.name(m).map_or("", |n| n.as_str());
+        xxh3_64_with_seed(name.as_bytes(), u64::from(shard))
+    };
+    let mut best: [Option<(u64, Member)>; 2] = [None; 2];
+    for it in open.iter().map(|&m| Some((score(m), m))) {
+        match it {
+            _ if it > best[0] => best = [it, best[0]],
+            _ if it > best[1] => best[1] = it,
+            _ => {}
+        }
+    }
+    let owner = best[0].map_or(Member::NONE, |b| b.1);
+    let standby = best[1].map_or(owner, |b| b.1);
+    Seat { owner, standby }
+}
+
+/// The plan that gives the shards the wanted seats.
+fn plan_of<I>(input: &Input<'_>, wanted: I) -> Result<Plan, PlanError>
+where
+    I: IntoIterator<Item = Seat>,
+{
+    let mut table = input.table.clone();
+    let mut plan = Plan::default();
+    let lost = (0u16..)
+        .zip(input.members)
+        .filter(|(i, p)| p.state == crate::State::Lost && !input.table.is_lost(Member(*i)));
+    let members: smallvec::SmallVec<[Member; 4]> = lost.map(|(i, _)| Member(i)).collect();
+    if !members.is_empty() {
+        let change = Change::Lost { members };
+        // The members are those of the table, so the change applies.
+        let _ = table.apply(&change);
+        plan.changes.push(change);
+    }
+    let mut moves = Vec::new();
+    for ((shard, seat), &old) in (0..)
+        .map(trefoil_core::Shard)
+        .zip(wanted)
+        .zip(table.seats())
+    {
+        if seat.owner == Member::NONE {
+            return Err(PlanError::NoMembers);
+        }
+        if seat != old {
+            moves.push(Move { shard, seat });
+            plan.moves.push(Reasoned {
+                unit: Unit::Shard(shard),
+                from: old,
+                to: seat,
+                reason: match old.owner {
+                    owner if owner == seat.owner => Reason::StandbyGroup,
+                    owner if table.is_lost(owner) => Reason::Orphaned,
+                    _ => Reason::Balance,
+                },
+                gain: 0.0,
+                price: 0.0,
+            });
+        }
+    }
+    plan.changes
+        .extend(moves.chunks(BATCH).map(|moves| Change::Moves {
+            moves: moves.to_vec(),
+        }));
+    Ok(plan)
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,6 +4,8 @@
 //! [`Table`] of a service changes only by [`Change`] records that come from the log, so all hosts
 //! that replay the same records hold the same table.
 
+pub mod baseline;
+pub mod compare;
 pub mod load;
 pub mod member;
 pub mod objective;
@@ -13,7 +15,8 @@
 pub mod sketch;
 pub mod table;
 
-pub use load::{KeyLoad, Load};
+pub use baseline::Placer;
+pub use load::{KeyLoad, Load, Meter};
 pub use member::{Domain, Profile, Ramp, State};
 pub use objective::{Cost, Objective};
 pub use plan::initial;
--- a/crates/placement/src/objective.rs
+++ b/crates/placement/src/objective.rs
@@ -119,3 +119,10 @@
     let open = sides.into_iter().filter(|s| s.capacity > 0.0);
     open.map(|s| s.capacity * (s.ratio() - 1.0).powi(2)).sum()
 }
+
+/// A count as a float.
+pub(crate) fn float(count: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^53")]
+    let float = count as f64;
+    float
+}
