Add the placement report and tests of the comparison

Operations and customer service need the same windows in different views, and neither could see them.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plan;
 pub mod planner;
 pub mod reason;
+pub mod report;
 pub mod sketch;
 pub mod table;
 
@@ -22,5 +23,6 @@
 pub use plan::initial;
 pub use planner::{Input, Plan, PlanError, Planner};
 pub use reason::{Reason, Reasoned, Unit};
+pub use report::{Recorder, Report, Sample};
 pub use sketch::{HotKey, HotKeys};
 pub use table::{Change, HOT_MAX, HotMove, Member, Move, Replacement, Seat, Table, TableError};
--- /dev/null
+++ b/crates/placement/src/report/record.rs
@@ -0,0 +1,324 @@
+//! Collects the windows of one service.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use trefoil_core::{DomainName, ServiceName, UnixMillis, UpstreamName};
+
+use super::{DomainRow, MoveRow, ReasonRow, ServiceReport, Trade, UpstreamRow, WindowRow};
+use crate::load::Load;
+use crate::member::{Profile, Ramp, State};
+use crate::objective::{ENTRY, Objective};
+use crate::planner::Plan;
+use crate::reason::{Reason, Unit};
+use crate::table::{Member, Table};
+
+/// Windows, moves and trades that a recorder keeps. With windows of 10 s the windows are a day;
+/// the moves of a failure domain at full size are cut.
+const KEPT: usize = 8_640;
+
+/// One measure window of a service.
+#[derive(Debug, Clone, Copy)]
+pub struct Sample<'a> {
+    /// End of the window.
+    pub at: UnixMillis,
+    /// The table that was in force in the window.
+    pub table: &'a Table,
+    /// One profile for each member of the table.
+    pub members: &'a [Profile],
+    /// Load of the window.
+    pub load: &'a Load,
+    /// The plan that was made at the end of the window.
+    pub plan: &'a Plan,
+    /// Seconds without service in the window, for members that had any.
+    pub unavailable: &'a [(Member, f64)],
+}
+
+/// Collects the windows of one service.
+#[derive(Debug, Clone)]
+pub struct Recorder {
+    service: ServiceName,
+    domains: Vec<DomainName>,
+    objective: Objective,
+    ramp: Ramp,
+    windows: VecDeque<WindowRow>,
+    moves: VecDeque<MoveRow>,
+    omitted: u64,
+    trades: VecDeque<Trade>,
+    reasons: BTreeMap<Reason, u64>,
+    upstreams: BTreeMap<UpstreamName, Upstream>,
+    /// Load of each domain over all windows and its greatest share in a window.
+    shares: Vec<(f64, f64)>,
+    total: f64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Upstream {
+    domain: usize,
+    state: Option<State>,
+    shards: u64,
+    hot: u64,
+    load: f64,
+    peak: f64,
+    gained: u64,
+    given: u64,
+    unavailable: f64,
+}
+
+impl Recorder {
+    /// A recorder without windows. The domains are those that [`Profile::domain`] counts.
+    pub fn new(service: ServiceName, domains: Vec<DomainName>, objective: Objective) -> Self {
+        Self {
+            service,
+            shares: vec![(0.0, 0.0); domains.len()],
+            domains,
+            objective,
+            ramp: Ramp::default(),
+            windows: VecDeque::new(),
+            moves: VecDeque::new(),
+            omitted: 0,
+            trades: VecDeque::new(),
+            reasons: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            total: 0.0,
+        }
+    }
+
+    /// Sets the objective, if the weights have changed.
+    pub fn set_objective(&mut self, objective: Objective) {
+        self.objective = objective;
+    }
+
+    /// Adds a window.
+    pub fn record(&mut self, sample: &Sample<'_>) {
+        let Sample {
+            table,
+            plan,
+            unavailable,
+            ..
+        } = *sample;
+        let used = self.add_load(sample);
+        for &(member, seconds) in unavailable {
+            if let Some(upstream) = self.upstream(table, member) {
+                upstream.unavailable += seconds;
+            }
+        }
+        let (moved, keys) = self.add_moves(sample);
+        let load: f64 = used.iter().sum();
+        let row = WindowRow {
+            at: sample.at,
+            load,
+            peak: self.add_peaks(sample, &used),
+            moved,
+            churn: keys / f64::from(table.shard_count().max(1)),
+            // The sum of nothing is -0.0.
+            unavailable: 0.0 + unavailable.iter().map(|u| u.1).sum::<f64>(),
+        };
+        push(&mut self.windows, row);
+        if !plan.is_empty() {
+            push(&mut self.trades, trade(sample.at, plan));
+        }
+    }
+
+    fn upstream(&mut self, table: &Table, member: Member) -> Option<&mut Upstream> {
+        let name = table.name(member)?;
+        Some(self.upstreams.entry(name.clone()).or_default())
+    }
+
+    /// Adds shards, hot keys and load of each member. Returns the load of each member.
+    fn add_load(&mut self, sample: &Sample<'_>) -> Vec<f64> {
+        let table = sample.table;
+        let mut used = vec![0.0; sample.members.len()];
+        let mut counts = vec![(0, 0); sample.members.len()];
+        let mut loads = sample.load.shards.clone();
+        loads.resize(table.seats().len(), 0.0);
+        for hot in &sample.load.hot {
+            let Some(seat) = table.hot_seat(hot.key) else {
+                continue;
+            };
+            let shard = &mut loads[table.shard(hot.key).0 as usize];
+            let load = hot.load.min(*shard);
+            *shard -= load;
+            if let Some(sum) = used.get_mut(seat.owner.index()) {
+                *sum += load;
+            }
+        }
+        for (seat, load) in table.seats().iter().zip(loads) {
+            if let Some(sum) = used.get_mut(seat.owner.index()) {
+                *sum += load;
+                counts[seat.owner.index()].0 += 1;
+            }
+        }
+        for entry in table.hot() {
+            if let Some(count) = counts.get_mut(entry.seat.owner.index()) {
+                count.1 += 1;
+            }
+        }
+        let members = (0u16..).map(Member).zip(sample.members);
+        for ((member, profile), (&load, &(shards, hot))) in members.zip(used.iter().zip(&counts)) {
+            if let Some(upstream) = self.upstream(table, member) {
+                upstream.domain = profile.domain.index();
+                upstream.state = Some(profile.state);
+                upstream.load += load;
+                (upstream.shards, upstream.hot) = (shards, hot);
+            }
+        }
+        used
+    }
+
+    /// Updates the greatest utilizations and shares. Returns peak over mean of the window.
+    fn add_peaks(&mut self, sample: &Sample<'_>, used: &[f64]) -> f64 {
+        let load: f64 = used.iter().sum();
+        let ramp = self.ramp;
+        let capacity: f64 = sample.members.iter().map(|p| ramp.capacity(p)).sum();
+        self.total += load;
+        if load <= 0.0 || capacity <= 0.0 {
+            return 1.0;
+        }
+        let mut peak = 0.0f64;
+        let mut shares = vec![0.0; self.domains.len()];
+        let members = (0u16..).map(Member).zip(sample.members);
+        for ((member, profile), used) in members.zip(used) {
+            let own = ramp.capacity(profile);
+            let ratio = match own {
+                own if own > 0.0 => used / own / (load / capacity),
+                _ => 0.0,
+            };
+            peak = peak.max(ratio);
+            if let Some(sum) = shares.get_mut(profile.domain.index()) {
+                *sum += used / load;
+            }
+            if let Some(upstream) = self.upstream(sample.table, member) {
+                upstream.peak = upstream.peak.max(ratio);
+            }
+        }
+        for ((sum, greatest), share) in self.shares.iter_mut().zip(shares) {
+            *sum += share * load;
+            *greatest = greatest.max(share);
+        }
+        peak
+    }
+
+    /// Adds the moves of a plan. Returns the number of changed owners and the shards' worth of keys.
+    fn add_moves(&mut self, sample: &Sample<'_>) -> (u64, f64) {
+        let (mut moved, mut keys) = (0, 0.0);
+        for m in &sample.plan.moves {
+            *self.reasons.entry(m.reason).or_default() += 1;
+            if m.from.owner == m.to.owner {
+                continue;
+            }
+            moved += 1;
+            keys += match m.unit {
+                Unit::Shard(_) => 1.0,
+                Unit::Key(_) => ENTRY,
+            };
+            if let Some(upstream) = self.upstream(sample.table, m.from.owner) {
+                upstream.given += 1;
+            }
+            if let Some(upstream) = self.upstream(sample.table, m.to.owner) {
+                upstream.gained += 1;
+            }
+            let row = MoveRow {
+                at: sample.at,
+                unit: m.unit,
+                from: sample.table.name(m.from.owner).cloned(),
+                to: sample.table.name(m.to.owner).cloned(),
+                reason: m.reason,
+                gain: m.gain,
+                price: m.price,
+            };
+            self.omitted += push(&mut self.moves, row);
+        }
+        (moved, keys)
+    }
+
+    /// The report of the windows so far.
+    pub fn report(&self) -> ServiceReport {
+        let total = if self.total > 0.0 { self.total } else { 1.0 };
+        let domain = |i: usize| match self.domains.get(i) {
+            Some(name) => name.clone(),
+            None => unknown(),
+        };
+        let upstreams = self.upstreams.iter().map(|(name, it)| UpstreamRow {
+            name: name.clone(),
+            domain: domain(it.domain),
+            state: state(it.state).to_owned(),
+            shards: it.shards,
+            hot: it.hot,
+            share: it.load / total,
+            peak: it.peak,
+            gained: it.gained,
+            given: it.given,
+            unavailable: it.unavailable,
+        });
+        let mut upstreams: Vec<UpstreamRow> = upstreams.collect();
+        // The sort is stable, so equal shares stay in the order of their names.
+        upstreams.sort_by(|a, b| b.share.total_cmp(&a.share));
+        let rows = self.shares.iter().enumerate().map(|(i, &(load, peak))| {
+            let mine = self.upstreams.values().filter(|u| u.domain == i);
+            let live = mine.clone().filter(|u| u.state != Some(State::Lost));
+            DomainRow {
+                domain: domain(i),
+                upstreams: live.count() as u64,
+                share: load / total,
+                peak,
+                unavailable: 0.0 + mine.map(|u| u.unavailable).sum::<f64>(),
+            }
+        });
+        let mut domains: Vec<DomainRow> = rows.collect();
+        domains.sort_by(|a, b| b.share.total_cmp(&a.share));
+        let reasons = Reason::ALL.into_iter();
+        let reasons = reasons.filter_map(|reason| {
+            let &moves = self.reasons.get(&reason)?;
+            Some(ReasonRow { reason, moves })
+        });
+        ServiceReport {
+            service: self.service.clone(),
+            weights: self.objective.weights,
+            windows: self.windows.iter().copied().collect(),
+            upstreams,
+            domains,
+            reasons: reasons.collect(),
+            moves: self.moves.iter().cloned().collect(),
+            omitted: self.omitted,
+            trades: self.trades.iter().copied().collect(),
+        }
+    }
+}
+
+/// Appends to a bounded list. Returns the number of items that were dropped.
+fn push<T>(list: &mut VecDeque<T>, item: T) -> u64 {
+    list.push_back(item);
+    let full = list.len() > KEPT;
+    if full {
+        list.pop_front();
+    }
+    u64::from(full)
+}
+
+fn trade(at: UnixMillis, plan: &Plan) -> Trade {
+    let chosen = plan.moves.iter().filter(|m| !m.reason.is_forced());
+    let (gained, paid) = chosen.fold((0.0, 0.0), |s, m| (s.0 + m.gain, s.1 + m.price));
+    Trade {
+        at,
+        before: plan.before,
+        after: plan.after,
+        forced: plan.forced,
+        chosen: plan.chosen,
+        gained,
+        paid,
+    }
+}
+
+fn state(state: Option<State>) -> &'static str {
+    match state {
+        Some(State::Cold { .. }) => "cold",
+        Some(State::Serving) => "serving",
+        Some(State::Leaving) => "leaving",
+        Some(State::Lost) => "lost",
+        None => "unknown",
+    }
+}
+
+fn unknown() -> DomainName {
+    "unknown".parse().expect("the name is valid")
+}
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -2,7 +2,9 @@
 //!
 //! The property tests use a fixed seed, so that a failure on one machine is a failure on all.
 
+mod compare;
 mod planner;
+mod report;
 mod sketch;
 mod table;
 
--- /dev/null
+++ b/tests/all/placement/compare.rs
@@ -0,0 +1,60 @@
+//! Tests of the comparison and of the targets that it measures.
+
+use trefoil_placement::baseline::{Greedy, Placer, Rendezvous};
+use trefoil_placement::compare::{Event, Measures, Scenario, objective, run};
+use trefoil_placement::{Objective, Planner};
+
+/// Sixty windows with one event of each kind, small enough for a build without optimization.
+fn small(scenario: Scenario) -> Scenario {
+    Scenario {
+        keys: 2_000,
+        windows: 60,
+        events: vec![
+            (10, Event::Lose(1)),
+            (20, Event::Return),
+            (30, Event::Leave),
+            (36, Event::Return),
+            (50, Event::LoseDomain),
+        ],
+        ..scenario
+    }
+}
+
+fn measure(scenario: &Scenario, placer: &dyn Placer) -> Measures {
+    run(scenario, placer, 7).expect("members are open")
+}
+
+/// Guards against figures that cannot be repeated.
+#[test]
+fn same_seed_gives_the_same_figures() {
+    let scenario = small(Scenario::monterrey());
+    let planner = Planner::new(objective(&scenario));
+    assert_eq!(measure(&scenario, &planner), measure(&scenario, &planner));
+}
+
+/// Guards against a miss of the churn targets at today's sizes of both deployments.
+#[test]
+fn churn_targets() {
+    for scenario in [Scenario::monterrey(), Scenario::brekkestad()] {
+        let scenario = small(scenario);
+        let planner = measure(&scenario, &Planner::new(objective(&scenario)));
+        let greedy = measure(&scenario, &Greedy::default());
+        assert!(planner.loss.ratio() <= 1.2, "{:?}", planner.loss);
+        assert!(
+            planner.moved * 10.0 <= greedy.moved,
+            "{} {}",
+            planner.moved,
+            greedy.moved
+        );
+        assert!(planner.unavailable < measure(&scenario, &Rendezvous).unavailable);
+    }
+}
+
+/// Guards against weights without effect: the deployment that weights churn highest has less.
+#[test]
+fn churn_weight_lowers_churn() {
+    let scenario = small(Scenario::brekkestad());
+    let own = measure(&scenario, &Planner::new(objective(&scenario)));
+    let equal = measure(&scenario, &Planner::new(Objective::default()));
+    assert!(own.moved < equal.moved, "{} {}", own.moved, equal.moved);
+}
--- /dev/null
+++ b/tests/all/placement/report.rs
@@ -0,0 +1,111 @@
+//! Tests of the placement report.
+
+use trefoil_core::{DomainName, KeyHash, PerSecond, UnixMillis};
+use trefoil_placement::{
+    Change, Domain, Input, KeyLoad, Load, Member, Objective, Plan, Planner, Profile, Recorder,
+    Report, Sample, State, Table,
+};
+
+use super::names;
+
+/// Six windows of a small service: a first table, a hot key, a lost server and a leaving one.
+fn report(title: &str) -> Report {
+    let mut table = Table::default();
+    let members = names(4);
+    let changes = [Change::Vacant { shards: 16 }, Change::Join { members }];
+    for change in changes {
+        table.apply(&change).expect("applies");
+    }
+    let profile = |i: u16| Profile {
+        domain: Domain(i % 2),
+        capacity: PerSecond(100.0),
+        state: State::Serving,
+    };
+    let mut members: Vec<Profile> = (0..4).map(profile).collect();
+    let domain = |text: &str| text.parse::<DomainName>().expect("valid name");
+    let domains = vec![domain("noreste-mty"), domain("noreste-snn")];
+    let service = "registro-gar".parse().expect("valid name");
+    let mut recorder = Recorder::new(service, domains, Objective::default());
+    let mut load = Load::even(16);
+    for window in 0..6u64 {
+        let mut unavailable = Vec::new();
+        match window {
+            2 => {
+                load.shards[3] = 9.0;
+                let key = KeyHash(3);
+                load.hot = vec![KeyLoad { key, load: 4.0 }];
+            }
+            3 => {
+                members[1].state = State::Lost;
+                unavailable.push((Member(1), 3.0));
+            }
+            4 => members[2].state = State::Leaving,
+            _ => {}
+        }
+        let input = Input {
+            table: &table,
+            members: &members,
+            load: &load,
+        };
+        let plan: Plan = Planner::new(Objective::default())
+            .plan(&input)
+            .expect("open members");
+        recorder.record(&Sample {
+            at: UnixMillis(1_790_000_000_000 + window * 10_000),
+            table: &table,
+            members: &members,
+            load: &load,
+            plan: &plan,
+            unavailable: &unavailable,
+        });
+        for change in &plan.changes {
+            table.apply(change).expect("a plan applies");
+        }
+    }
+    Report {
+        title: title.to_owned(),
+        services: vec![recorder.report()],
+    }
+}
+
+/// Guards against a changed text report.
+#[test]
+fn text_report() {
+    insta::assert_snapshot!(report("noreste").to_text());
+}
+
+/// Guards against a changed page, and against markup from outside.
+#[test]
+fn html_report() {
+    let page = report("<script>alert('noreste')</script> & more").to_html();
+    assert!(!page.contains("<script") && !page.contains("http"));
+    insta::assert_snapshot!(page);
+}
+
+/// Guards against a JSON report that cannot be read back, and against shares that do not add up.
+#[test]
+fn json_report() {
+    let report = report("noreste");
+    let json = report.to_json().expect("encodes");
+    let back: Report = serde_json::from_str(&json).expect("decodes");
+    assert_eq!(back, report);
+    let service = &report.services[0];
+    let sum = |shares: Vec<f64>| shares.into_iter().sum::<f64>();
+    // The first window has no owners, so a sixth of the load is nobody's and is left out.
+    assert!((sum(service.upstreams.iter().map(|u| u.share).collect()) - 1.0).abs() < 1e-9);
+    assert!((sum(service.domains.iter().map(|u| u.share).collect()) - 1.0).abs() < 1e-9);
+    let gained: u64 = service.upstreams.iter().map(|u| u.gained).sum();
+    assert_eq!(gained, service.moves.len() as u64);
+    assert_eq!(
+        service.moves.len() as u64,
+        service.windows.iter().map(|w| w.moved).sum::<u64>()
+    );
+    assert!((service.unavailable() - 3.0).abs() < 1e-9);
+}
+
+/// Guards against control characters in a terminal.
+#[test]
+fn text_has_no_control_characters() {
+    let text = report("nor\u{1b}[31meste\n").to_text();
+    assert!(text.chars().all(|c| c == '\n' || !c.is_control()));
+}
