Smooth shard loads unless they change beyond chance

A shard of today's size has about 47 requests in a window, so the planner took chance for load. The comparison planned its first window from no load, which is fixed.

--- a/crates/placement/examples/compare.rs
+++ b/crates/placement/examples/compare.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p trefoil-placement --example compare [FIRST_SEED [SEEDS]]`
 
-use trefoil_placement::baseline::{Greedy, Named, Placer, Rendezvous};
+use trefoil_placement::baseline::{Greedy, KEEP, Named, Placer, Rendezvous};
 use trefoil_placement::compare::{Scenario, objective, table};
 use trefoil_placement::{Objective, Planner};
 
@@ -14,13 +14,33 @@
         let objective = objective(&scenario);
         let mut free = objective;
         free.weights.churn = 0.0;
-        let eager = Planner::new(free).budget(1.0);
-        let equal = Planner::new(Objective::default());
-        let placers: [&dyn Placer; 5] = [
+        let eager = Named {
+            name: "planner, churn 0",
+            keep: KEEP,
+            placer: Planner::new(free).budget(1.0),
+        };
+        let equal = Named {
+            name: "planner, equal weights",
+            keep: KEEP,
+            placer: Planner::new(Objective::default()),
+        };
+        let smoothed = Named {
+            name: "greedy, smoothed load",
+            keep: KEEP,
+            placer: Greedy::default(),
+        };
+        let first_version = Named {
+            name: "planner, first version",
+            keep: 0.0,
+            placer: Planner::new(objective),
+        };
+        let placers: [&dyn Placer; 7] = [
             &Rendezvous,
             &Greedy::default(),
-            &Named("planner, churn 0", eager),
-            &Named("planner, equal", equal),
+            &smoothed,
+            &eager,
+            &equal,
+            &first_version,
             &Planner::new(objective),
         ];
         println!("{}", table(&scenario, placers, first..first + seeds)?);
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -13,11 +13,19 @@
 use crate::reason::{Reason, Reasoned, Unit};
 use crate::table::{BATCH, Change, Member, Move, Seat};
 
+/// Smoothing of the load for the planner.
+pub const KEEP: f64 = 0.875;
+
 /// Something that makes plans.
 pub trait Placer: Debug + Sync {
     /// Name in tables.
     fn name(&self) -> &str;
 
+    /// The smoothing of the load, see [`crate::load::Meter::new`].
+    fn keep(&self) -> f64 {
+        0.0
+    }
+
     /// Makes a plan.
     ///
     /// # Errors
@@ -31,22 +39,40 @@
         "planner"
     }
 
+    fn keep(&self) -> f64 {
+        KEEP
+    }
+
     fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
         self.plan(input)
     }
 }
 
-/// A planner under another name, to compare settings.
+/// A placement under another name and with another smoothing of the load, to compare settings.
 #[derive(Debug)]
-pub struct Named(pub &'static str, pub Planner);
+pub struct Named<P> {
+    /// Name in tables.
+    pub name: &'static str,
+    /// The smoothing of the load.
+    pub keep: f64,
+    /// The placement.
+    pub placer: P,
+}
 
-impl Placer for Named {
+impl<P> Placer for Named<P>
+where
+    P: Placer,
+{
     fn name(&self) -> &str {
-        self.0
+        self.name
+    }
+
+    fn keep(&self) -> f64 {
+        self.keep
     }
 
     fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
-        self.1.plan(input)
+        self.placer.place(input)
     }
 }
 
--- a/crates/placement/src/compare/run.rs
+++ b/crates/placement/src/compare/run.rs
@@ -13,7 +13,7 @@
 use crate::table::{Change, Member, Seat, Table};
 
 /// Counters of the hot-key sketch and number of hot keys that a placement is told.
-const HOT: (usize, usize) = (1024, 64);
+const HOT: (usize, usize) = (4096, 64);
 
 /// Runs a placement through a scenario.
 ///
@@ -25,7 +25,7 @@
 ///
 /// Panics if a plan does not apply to the table it was made for.
 pub fn run(scenario: &Scenario, placer: &dyn Placer, seed: u64) -> Result<Measures, PlanError> {
-    Run::new(scenario, seed).play(placer)
+    Run::new(scenario, seed, placer.keep()).play(placer)
 }
 
 struct Run<'a> {
@@ -41,7 +41,7 @@
 }
 
 impl<'a> Run<'a> {
-    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+    fn new(scenario: &'a Scenario, seed: u64, keep: f64) -> Self {
         let domains = (0u16..).zip(&scenario.domains);
         let domains = domains.flat_map(|(d, &n)| std::iter::repeat_n(Domain(d), n.into()));
         let members: Vec<Profile> = domains.map(profile).collect();
@@ -53,7 +53,7 @@
             workload: Workload::new(scenario, seed),
             table,
             members,
-            meter: Meter::new(scenario.shards, HOT.0),
+            meter: Meter::new(scenario.shards, HOT.0, keep),
             ramp: Ramp::default(),
             gone: Vec::new(),
             measures: Measures {
@@ -67,6 +67,7 @@
         // The placements start from what they make of one window of load, which is not measured.
         self.measure();
         self.place(placer)?;
+        self.measure();
         let mut joined = None;
         for window in 0..self.scenario.windows {
             if window % self.scenario.shift == self.scenario.shift - 1 {
@@ -108,10 +109,11 @@
     }
 
     fn place(&mut self, placer: &dyn Placer) -> Result<(), PlanError> {
+        let load = self.meter.close(HOT.1);
         let plan = placer.place(&Input {
             table: &self.table,
             members: &self.members,
-            load: &self.meter.load(HOT.1),
+            load: &load,
         })?;
         for change in &plan.changes {
             apply(&mut self.table, change);
@@ -123,7 +125,6 @@
     fn measure(&mut self) -> f64 {
         let counts = self.workload.window();
         let mut used = vec![0u64; self.members.len()];
-        self.meter.decay(0);
         for (&key, count) in self.workload.keys.iter().zip(counts) {
             if count > 0 {
                 self.meter.observe(key, count);
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -1,9 +1,11 @@
 //! The load that a plan is made for.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
 use trefoil_core::KeyHash;
 
-use crate::sketch::{DECAY_UNIT, HotKeys};
+use crate::sketch::HotKeys;
 
 /// Load of one hot key.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -35,64 +37,129 @@
     }
 }
 
+/// Difference from the smoothed load at which a count is taken as a change, in standard deviations.
+/// Chance exceeds 4 in one of 16,000 counts, which is one shard in 16 windows of 1,024 shards.
+const CHANGE: f64 = 4.0;
+
 /// Measures the load of one service: a counter for each shard and a sketch of the hot keys.
 ///
 /// Each host counts the requests that it sees. At the end of a measure window the planner merges
-/// the meters of all hosts, reads the [`Load`] and lets old windows decay.
+/// the meters of all hosts and [closes](Meter::close) the window.
+///
+/// A shard of a small service has few requests in a window, and a planner that takes their noise
+/// for load moves shards that have no more load than others. The load of a shard is therefore
+/// smoothed over windows, unless it changes by more than chance explains: the hottest keys change
+/// within minutes, and the load follows at once.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Meter {
-    shards: Vec<u64>,
+    keep: f64,
+    /// Requests of this window.
+    fresh: Vec<u64>,
     sketch: HotKeys,
+    /// Counts and smoothed load of the keys that have entries.
+    entries: BTreeMap<KeyHash, Counter>,
+    /// Smoothed load of earlier windows; empty before the first.
+    smooth: Vec<f64>,
+}
+
+/// Counter of one key.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct Counter {
+    fresh: u64,
+    smooth: Option<f64>,
 }
 
 impl Meter {
-    /// A meter for a number of shards, with a number of counters for hot keys.
-    pub fn new(shards: u32, counters: usize) -> Self {
+    /// A meter for a number of shards, with a number of counters for hot keys. `keep` is the part
+    /// of the smoothed load that is kept from window to window, from 0 to 1.
+    pub fn new(shards: u32, counters: usize, keep: f64) -> Self {
         Self {
-            shards: vec![0; shards as usize],
+            keep: keep.clamp(0.0, 1.0),
+            fresh: vec![0; shards as usize],
             sketch: HotKeys::new(counters),
+            entries: BTreeMap::new(),
+            smooth: Vec::new(),
         }
     }
 
+    /// Counts the keys that have entries exactly. Keys that are not given any more are forgotten.
+    ///
+    /// The sketch alone is not enough: a key that cooled down leaves it, and would then count as
+    /// load of its shard's owner while another member serves it.
+    pub fn track<I>(&mut self, keys: I)
+    where
+        I: IntoIterator<Item = KeyHash>,
+    {
+        let old = std::mem::take(&mut self.entries);
+        let known = |key| (key, old.get(&key).copied().unwrap_or_default());
+        self.entries = keys.into_iter().map(known).collect();
+    }
+
     /// Counts work for a key.
     pub fn observe(&mut self, key: KeyHash, weight: u64) {
-        let count = u32::try_from(self.shards.len()).unwrap_or(u32::MAX).max(1);
+        let count = u32::try_from(self.fresh.len()).unwrap_or(u32::MAX).max(1);
         let shard = key.shard(count).0 as usize;
-        if let Some(sum) = self.shards.get_mut(shard) {
+        if let Some(sum) = self.fresh.get_mut(shard) {
             *sum = sum.saturating_add(weight);
         }
-        self.sketch.observe(key, weight);
+        match self.entries.get_mut(&key) {
+            Some(counter) => counter.fresh = counter.fresh.saturating_add(weight),
+            None => self.sketch.observe(key, weight),
+        }
     }
 
-    /// Adds what another host has counted. Shards beyond those of `self` are ignored.
+    /// Adds what another host has counted in the same window. Shards beyond those of `self` are
+    /// ignored.
     pub fn merge(&mut self, other: &Self) {
-        for (sum, more) in self.shards.iter_mut().zip(&other.shards) {
+        for (sum, more) in self.fresh.iter_mut().zip(&other.fresh) {
             *sum = sum.saturating_add(*more);
         }
+        for (key, more) in &other.entries {
+            if let Some(counter) = self.entries.get_mut(key) {
+                counter.fresh = counter.fresh.saturating_add(more.fresh);
+            }
+        }
         self.sketch.merge(&other.sketch);
     }
 
-    /// The load, with the `keys` hottest keys.
-    pub fn load(&self, keys: usize) -> Load {
-        let hot = self.sketch.top(keys).into_iter().map(|e| KeyLoad {
+    /// Ends a window. Returns the load with the tracked keys and the `keys` hottest other ones.
+    pub fn close(&mut self, keys: usize) -> Load {
+        if self.smooth.is_empty() {
+            self.smooth = self.fresh.iter().map(|&s| float(s)).collect();
+        }
+        for (old, &now) in self.smooth.iter_mut().zip(&self.fresh) {
+            *old = smooth(*old, float(now), self.keep);
+        }
+        let mut hot = Vec::new();
+        for (&key, counter) in &mut self.entries {
+            let now = float(std::mem::take(&mut counter.fresh));
+            let load = smooth(counter.smooth.unwrap_or(now), now, self.keep);
+            counter.smooth = Some(load);
+            hot.push(KeyLoad { key, load });
+        }
+        let found = self.sketch.top(keys).into_iter().map(|e| KeyLoad {
             key: e.key,
             // The lower bound: an overestimated key would be moved for nothing.
             load: float(e.count - e.error),
         });
-        Load {
-            shards: self.shards.iter().map(|&s| float(s)).collect(),
-            hot: hot.filter(|h| h.load > 0.0).collect(),
-        }
+        // A host that did not track a key yet has it in its sketch.
+        hot.extend(found.filter(|h| h.load > 0.0 && !self.entries.contains_key(&h.key)));
+        let load = Load {
+            shards: self.smooth.clone(),
+            hot,
+        };
+        self.fresh.fill(0);
+        self.sketch.decay(0);
+        load
     }
+}
 
-    /// Multiplies all counts by `keep / DECAY_UNIT`, rounded down for shards.
-    pub fn decay(&mut self, keep: u64) {
-        for sum in &mut self.shards {
-            let scaled = u128::from(*sum) * u128::from(keep.min(DECAY_UNIT));
-            *sum = u64::try_from(scaled / u128::from(DECAY_UNIT)).unwrap_or(u64::MAX);
-        }
-        self.sketch.decay(keep);
-    }
+/// The smoothed load after a count.
+fn smooth(old: f64, now: f64, keep: f64) -> f64 {
+    // The standard deviation of a count is the root of its mean.
+    let is_change = (now - old).abs() > CHANGE * old.max(1.0).sqrt();
+    let keep = if is_change { 0.0 } else { keep };
+    old * keep + now * (1.0 - keep)
 }
 
 fn float(count: u64) -> f64 {
