Count the keys that have entries exactly

A key with an entry that cooled down left the sketch, and its load was then planned as that of its shard's owner while another member served it. The meter now counts tracked keys exactly and takes only the other ones from the sketch.

--- a/crates/placement/src/compare/run.rs
+++ b/crates/placement/src/compare/run.rs
@@ -118,6 +118,7 @@
         for change in &plan.changes {
             apply(&mut self.table, change);
         }
+        self.meter.track(self.table.hot().map(|m| m.key));
         Ok(())
     }
 
