Raise the churn budget of a plan to 20%

When the hottest keys change, their moves take up to 8% of churn, because half of the churn is load; a budget of 5% stretched them over two windows with a peak of 1.290 in between. The default is now 20%, and the report tests have settings of their own so that defaults do not change golden files.

--- a/crates/placement/examples/compare.rs
+++ b/crates/placement/examples/compare.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p trefoil-placement --example compare [FIRST_SEED [SEEDS]]`
 
-use trefoil_placement::baseline::{Greedy, KEEP, Named, Placer, Rendezvous};
+use trefoil_placement::baseline::{FirstPlanner, Greedy, KEEP, Named, Placer, Rendezvous};
 use trefoil_placement::compare::{Scenario, objective, table};
 use trefoil_placement::{Objective, Planner};
 
@@ -29,18 +29,13 @@
             keep: KEEP,
             placer: Greedy::default(),
         };
-        let first_version = Named {
-            name: "planner, first version",
-            keep: 0.0,
-            placer: Planner::new(objective),
-        };
         let placers: [&dyn Placer; 7] = [
             &Rendezvous,
             &Greedy::default(),
             &smoothed,
             &eager,
             &equal,
-            &first_version,
+            &FirstPlanner::new(objective),
             &Planner::new(objective),
         ];
         println!("{}", table(&scenario, placers, first..first + seeds)?);
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::member::Ramp;
+use crate::objective::Objective;
 use crate::planner::{Input, Plan, PlanError, Planner};
 use crate::reason::{Reason, Reasoned, Unit};
 use crate::table::{BATCH, Change, Member, Move, Seat};
@@ -26,6 +27,11 @@
         0.0
     }
 
+    /// Whether the keys that have entries are counted exactly, see [`crate::load::Meter::track`].
+    fn tracks(&self) -> bool {
+        true
+    }
+
     /// Makes a plan.
     ///
     /// # Errors
@@ -76,6 +82,36 @@
     }
 }
 
+/// The planner as it was before the rounds of docs/experiments.md: loads that are not smoothed,
+/// entries that are not counted, and the first settings.
+#[derive(Debug, Clone)]
+pub struct FirstPlanner(Planner);
+
+impl FirstPlanner {
+    /// The first planner with an objective. Its horizon was 32 windows.
+    pub fn new(objective: Objective) -> Self {
+        let objective = Objective {
+            horizon: 32.0,
+            ..objective
+        };
+        Self(Planner::new(objective).budget(0.05))
+    }
+}
+
+impl Placer for FirstPlanner {
+    fn name(&self) -> &'static str {
+        "planner, first version"
+    }
+
+    fn tracks(&self) -> bool {
+        false
+    }
+
+    fn place(&self, input: &Input<'_>) -> Result<Plan, PlanError> {
+        self.0.plan(input)
+    }
+}
+
 /// Rendezvous hashing: the member with the highest score of a shard owns it, the next one is its
 /// standby. Load has no influence.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/placement/src/compare/run.rs
+++ b/crates/placement/src/compare/run.rs
@@ -118,7 +118,9 @@
         for change in &plan.changes {
             apply(&mut self.table, change);
         }
-        self.meter.track(self.table.hot().map(|m| m.key));
+        if placer.tracks() {
+            self.meter.track(self.table.hot().map(|m| m.key));
+        }
         Ok(())
     }
 
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -116,11 +116,15 @@
 }
 
 impl Planner {
-    /// A planner with a churn budget of 5% for each plan and groups of 16 standbys.
+    /// A planner with a churn budget of 20% for each plan and groups of 16 standbys.
+    ///
+    /// When the 20 hottest keys change, their moves take up to 8% of churn, because half of the
+    /// churn is load. A budget of 5% stretched them over two windows (docs/experiments.md, round
+    /// 4).
     pub fn new(objective: Objective) -> Self {
         Self {
             objective,
-            budget: 0.05,
+            budget: 0.2,
             group: 16,
             ramp: Ramp::default(),
         }
--- a/tests/all/placement/report.rs
+++ b/tests/all/placement/report.rs
@@ -8,6 +8,15 @@
 
 use super::names;
 
+/// A planner with settings of its own, so that new defaults do not change the golden files.
+fn planner() -> Planner {
+    let objective = Objective {
+        horizon: 32.0,
+        ..Objective::default()
+    };
+    Planner::new(objective).budget(0.2)
+}
+
 /// Six windows of a small service: a first table, a hot key, a lost server and a leaving one.
 fn report(title: &str) -> Report {
     let mut table = Table::default();
@@ -47,9 +56,7 @@
             members: &members,
             load: &load,
         };
-        let plan: Plan = Planner::new(Objective::default())
-            .plan(&input)
-            .expect("open members");
+        let plan: Plan = planner().plan(&input).expect("open members");
         recorder.record(&Sample {
             at: UnixMillis(1_790_000_000_000 + window * 10_000),
             table: &table,
