Choose the move with the greatest net gain first

The planner preferred the greatest gain for its churn, which are hot keys that are too small to close a difference between two servers, so the next window moved more of them. It now makes the move with the greatest gain less its cost first; the old choice stays as `Choice::PerChurn` for the first version in the comparison.

--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -10,7 +10,7 @@
 
 use crate::member::Ramp;
 use crate::objective::Objective;
-use crate::planner::{Input, Plan, PlanError, Planner};
+use crate::planner::{Choice, Input, Plan, PlanError, Planner};
 use crate::reason::{Reason, Reasoned, Unit};
 use crate::table::{BATCH, Change, Member, Move, Seat};
 
@@ -94,7 +94,8 @@
             horizon: 32.0,
             ..objective
         };
-        Self(Planner::new(objective).budget(0.05))
+        let planner = Planner::new(objective).budget(0.05);
+        Self(planner.choice(Choice::PerChurn))
     }
 }
 
--- a/crates/placement/src/planner.rs
+++ b/crates/placement/src/planner.rs
@@ -99,6 +99,18 @@
     }
 }
 
+/// Which of the moves that gain more than they cost is made first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Choice {
+    /// The one with the greatest gain less its cost. It closes a difference of load with few moves.
+    #[default]
+    Net,
+    /// The one with the greatest gain for its churn, the choice of the first version. It prefers
+    /// hot keys that are too small to close the difference, and needs more moves.
+    PerChurn,
+}
+
 /// Plans the placement of one service.
 ///
 /// ```
@@ -113,6 +125,7 @@
     budget: f64,
     group: usize,
     ramp: Ramp,
+    choice: Choice,
 }
 
 impl Planner {
@@ -127,6 +140,7 @@
             budget: 0.2,
             group: 16,
             ramp: Ramp::default(),
+            choice: Choice::default(),
         }
     }
 
@@ -152,6 +166,13 @@
         self
     }
 
+    /// Sets which move is made first.
+    #[must_use]
+    pub fn choice(mut self, choice: Choice) -> Self {
+        self.choice = choice;
+        self
+    }
+
     /// Makes a plan.
     ///
     /// # Errors
--- a/crates/placement/src/planner/balance.rs
+++ b/crates/placement/src/planner/balance.rs
@@ -1,9 +1,10 @@
 //! Moves that balance the load.
 //!
 //! The member with the highest utilization gives to the one with the lowest, and of its units the
-//! one that gains most for its churn. A member none of whose units gains anything is left alone. A
+//! one that gains most (see [`Choice`]). A member none of whose units gains anything is left alone. A
 //! unit moves once in a plan at most.
 
+use super::Choice;
 use super::draft::{Draft, Index, Noted};
 use super::units::Units;
 use crate::objective;
@@ -58,7 +59,7 @@
     }
 }
 
-/// The unit that gains most for its price.
+/// The unit that is worth most.
 fn best(
     draft: &Draft<'_>,
     units: &[Index],
@@ -80,7 +81,10 @@
         }
         let gain = draft.objective.gain(load, donor, receiver);
         let price = draft.price(unit);
-        let worth = (gain - price) / churn;
+        let worth = match draft.choice {
+            Choice::Net => gain - price,
+            Choice::PerChurn => (gain - price) / churn,
+        };
         if gain > price && best.is_none_or(|(most, ..)| worth > most) {
             let reason = Reason::Balance;
             best = Some((
--- a/crates/placement/src/planner/draft.rs
+++ b/crates/placement/src/planner/draft.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 use trefoil_core::{KeyHash, Shard};
 
-use super::{Input, PlanError, Planner};
+use super::{Choice, Input, PlanError, Planner};
 use crate::member::State;
 use crate::objective::{self, Cost, ENTRY, EXPOSURE, Objective, Side};
 use crate::reason::{Reason, Unit};
@@ -43,6 +43,7 @@
 pub(super) struct Draft<'a> {
     pub input: Input<'a>,
     pub objective: Objective,
+    pub choice: Choice,
     /// Members that this plan records as lost.
     pub newly: SmallVec<[Member; 4]>,
     pub lost: Vec<bool>,
@@ -105,6 +106,7 @@
         let mut draft = Self {
             input: *input,
             objective: planner.objective,
+            choice: planner.choice,
             newly,
             used: vec![0.0; capacity.len()],
             capacity,
