Renew certificates and bound what peers put into errors

An endpoint could take a new certificate only by a restart, and a peer could put a long text with line breaks into the errors and log lines of this host, because the reason of a closed connection was passed on as it came. Endpoint::renew now replaces certificate and authorities for new connections, reasons lose control characters and are cut at 256 bytes, and a handshake that a client keeps going without completing it ends after the connect timeout.

--- a/crates/wire/src/body.rs
+++ b/crates/wire/src/body.rs
@@ -15,6 +15,8 @@
 use quinn::{ReadError, RecvStream, SendStream, VarInt, WriteError};
 use snafu::Snafu;
 
+use crate::error::reason;
+
 /// Body of a forwarded request or of its answer, streamed.
 pub type Body = BoxBody<Bytes, BodyError>;
 
@@ -226,9 +228,7 @@
             Ok(Some(bytes)) => return Poll::Ready(Some(Ok(Frame::data(bytes)))),
             Ok(None) => None,
             Err(ReadError::Reset(code)) => Some(Err(BodyError::Cut { code: code.into() })),
-            Err(e) => Some(Err(BodyError::Lost {
-                reason: e.to_string(),
-            })),
+            Err(e) => Some(Err(BodyError::Lost { reason: reason(e) })),
         };
         this.stream = None;
         this.pump = None;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -12,6 +12,7 @@
 use snafu::Snafu;
 
 use crate::code;
+use crate::error::reason;
 
 /// Longest frame, in bytes.
 pub const FRAME_MAX: usize = 1024 * 1024;
@@ -142,7 +143,7 @@
     pub(crate) fn describe(&self) -> String {
         match self {
             Self::Reset(code) => format!("stream reset: {}", code::describe(*code)),
-            Self::Lost(e) => e.to_string(),
+            Self::Lost(e) => reason(e),
             Self::Truncated => "stream ended inside a frame".to_owned(),
             Self::TooLarge => format!("frame of more than {FRAME_MAX} bytes"),
             Self::Malformed => "malformed frame".to_owned(),
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::future::or;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{EndpointConfig, IdleTimeout, SmolRuntime, TransportConfig, VarInt};
 use quinn_proto::HashedConnectionIdGenerator;
@@ -47,6 +48,14 @@
         /// Error of the keys.
         source: KeyError,
     },
+    /// The new certificate names another host.
+    #[snafu(display("new certificate names {new}, this host is {old}"))]
+    Renamed {
+        /// The name of this host.
+        old: PeerId,
+        /// The name in the new certificate.
+        new: PeerId,
+    },
     /// A setting is out of range.
     #[snafu(display("setting out of range: {reason}"))]
     Setting {
@@ -81,6 +90,11 @@
 #[derive(Debug)]
 pub struct Builder {
     identity: Identity,
+    settings: Settings,
+}
+
+#[derive(Debug, Clone)]
+struct Settings {
     clock: Arc<dyn Clock>,
     versions: Vec<Vec<u8>>,
     limits: Limits,
@@ -91,17 +105,19 @@
     pub fn new(identity: Identity) -> Self {
         Self {
             identity,
-            clock: Arc::new(SystemClock),
-            versions: vec![PROTOCOL.into()],
-            limits: Limits {
-                connect: Duration::from_secs(1),
-                head: Duration::from_secs(1),
-                call: Duration::from_secs(2),
-                grace: Duration::from_millis(500),
-                idle: Duration::from_secs(3),
-                retain: Duration::from_secs(10),
-                streams: 512,
-                connections: 8_192,
+            settings: Settings {
+                clock: Arc::new(SystemClock),
+                versions: vec![PROTOCOL.into()],
+                limits: Limits {
+                    connect: Duration::from_secs(1),
+                    head: Duration::from_secs(1),
+                    call: Duration::from_secs(2),
+                    grace: Duration::from_millis(500),
+                    idle: Duration::from_secs(3),
+                    retain: Duration::from_secs(10),
+                    streams: 512,
+                    connections: 8_192,
+                },
             },
         }
     }
@@ -110,35 +126,35 @@
     /// system's clock.
     #[must_use]
     pub fn clock(mut self, clock: Arc<dyn Clock>) -> Self {
-        self.clock = clock;
+        self.settings.clock = clock;
         self
     }
 
     /// Protocol versions to offer and accept, best first. Default: [`PROTOCOL`].
     #[must_use]
     pub fn versions(mut self, versions: &[&str]) -> Self {
-        self.versions = versions.iter().map(|&v| v.into()).collect();
+        self.settings.versions = versions.iter().map(|&v| v.into()).collect();
         self
     }
 
     /// Longest time for a connection to become usable. Default: 1 s.
     #[must_use]
     pub fn connect_timeout(mut self, span: Duration) -> Self {
-        self.limits.connect = span;
+        self.settings.limits.connect = span;
         self
     }
 
     /// Longest time for the head of a request to arrive after its stream was opened. Default: 1 s.
     #[must_use]
     pub fn head_timeout(mut self, span: Duration) -> Self {
-        self.limits.head = span;
+        self.settings.limits.head = span;
         self
     }
 
     /// Longest time for a call including its answer. Default: 2 s.
     #[must_use]
     pub fn call_timeout(mut self, span: Duration) -> Self {
-        self.limits.call = span;
+        self.settings.limits.call = span;
         self
     }
 
@@ -146,38 +162,66 @@
     /// the dispatcher's own report of a missed deadline arrives. Default: 500 ms.
     #[must_use]
     pub fn answer_grace(mut self, span: Duration) -> Self {
-        self.limits.grace = span;
+        self.settings.limits.grace = span;
         self
     }
 
     /// Silence after which a connection counts as lost. Default: 3 s.
     #[must_use]
     pub fn idle_timeout(mut self, span: Duration) -> Self {
-        self.limits.idle = span;
+        self.settings.limits.idle = span;
         self
     }
 
     /// Time after which an unused connection to a peer is closed. Default: 10 s.
     #[must_use]
     pub fn retain(mut self, span: Duration) -> Self {
-        self.limits.retain = span;
+        self.settings.limits.retain = span;
         self
     }
 
     /// Most concurrent requests on one connection. Default: 512.
     #[must_use]
     pub fn max_streams(mut self, count: u32) -> Self {
-        self.limits.streams = count;
+        self.settings.limits.streams = count;
         self
     }
 
     /// Most connections that are accepted at a time. Default: 8,192.
     #[must_use]
     pub fn max_connections(mut self, count: usize) -> Self {
-        self.limits.connections = count;
+        self.settings.limits.connections = count;
         self
     }
 
+    /// Opens the endpoint.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket cannot be opened, the keys are not usable or a setting is out of range.
+    pub fn open(self, addr: SocketAddr) -> Result<Endpoint, OpenError> {
+        let Self { identity, settings } = self;
+        let accept = settings.accept(&identity)?;
+        let connect = settings.connect(&identity)?;
+        let socket = UdpSocket::bind(addr).map_err(|source| OpenError::Socket { addr, source })?;
+        let runtime = Arc::new(SmolRuntime);
+        let quic = quinn::Endpoint::new(restartable(&identity), Some(accept), socket, runtime);
+        let quic = quic.map_err(|source| OpenError::Socket { addr, source })?;
+        let addr = quic
+            .local_addr()
+            .map_err(|source| OpenError::Socket { addr, source })?;
+        let clock = Arc::clone(&settings.clock);
+        Ok(Endpoint {
+            peers: QuicPeers::new(quic.clone(), connect, clock, &settings.limits),
+            quic,
+            addr,
+            peer: identity.peer().clone(),
+            settings,
+        })
+    }
+}
+
+impl Settings {
     /// The transport of one side; `bidi` and `uni` are the streams that its peer may open.
     fn transport(&self, bidi: u32, uni: u32) -> Result<TransportConfig, OpenError> {
         let idle = IdleTimeout::try_from(self.limits.idle).map_err(setting)?;
@@ -195,67 +239,45 @@
         Ok(transport)
     }
 
-    /// Opens the endpoint.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the socket cannot be opened, the keys are not usable or a setting is out of range.
-    pub fn open(self, addr: SocketAddr) -> Result<Endpoint, OpenError> {
-        let mut client = self.transport(0, 1)?;
-        // Only the connecting side keeps a connection alive, as only it knows whether it is used.
-        client.keep_alive_interval(Some(self.limits.idle / 3));
-        let server = self.transport(self.limits.streams, 0)?;
-
-        let tls = self.identity.server_tls(&self.clock, &self.versions)?;
+    fn accept(&self, identity: &Identity) -> Result<quinn::ServerConfig, OpenError> {
+        let tls = identity.server_tls(&self.clock, &self.versions)?;
         let tls = QuicServerConfig::try_from(tls).map_err(setting)?;
-        let mut accept = quinn::ServerConfig::with_crypto(Arc::new(tls));
-        accept
-            .transport_config(Arc::new(server))
+        let mut config = quinn::ServerConfig::with_crypto(Arc::new(tls));
+        config
+            .transport_config(Arc::new(self.transport(self.limits.streams, 0)?))
             .migration(false)
             .max_incoming(2 * HANDSHAKES_MAX)
             .incoming_buffer_size(64 * 1024)
             .incoming_buffer_size_total(4 * 1024 * 1024);
+        Ok(config)
+    }
 
-        let tls = self.identity.client_tls(&self.clock, &self.versions)?;
+    fn connect(&self, identity: &Identity) -> Result<quinn::ClientConfig, OpenError> {
+        let mut transport = self.transport(0, 1)?;
+        // Only the connecting side keeps a connection alive, as only it knows whether it is used.
+        transport.keep_alive_interval(Some(self.limits.idle / 3));
+        let tls = identity.client_tls(&self.clock, &self.versions)?;
         let tls = QuicClientConfig::try_from(tls).map_err(setting)?;
-        let mut connect = quinn::ClientConfig::new(Arc::new(tls));
-        connect.transport_config(Arc::new(client));
-
-        let socket = UdpSocket::bind(addr).map_err(|source| OpenError::Socket { addr, source })?;
-        let runtime = Arc::new(SmolRuntime);
-        let quic = quinn::Endpoint::new(self.restartable(), Some(accept), socket, runtime);
-        let quic = quic.map_err(|source| OpenError::Socket { addr, source })?;
-        let addr = quic
-            .local_addr()
-            .map_err(|source| OpenError::Socket { addr, source })?;
-        Ok(Endpoint {
-            peers: QuicPeers::new(quic.clone(), connect, Arc::clone(&self.clock), &self.limits),
-            quic,
-            addr,
-            peer: self.identity.peer().clone(),
-            clock: self.clock,
-            limits: self.limits,
-        })
+        let mut config = quinn::ClientConfig::new(Arc::new(tls));
+        config.transport_config(Arc::new(transport));
+        Ok(config)
     }
+}
 
-    /// Settings that let peers recognise a restart of this host.
-    ///
-    /// The secrets for connection ids and stateless resets are derived from the private key. A
-    /// process that is restarted at the same address can thus tell peers at once that it does not
-    /// know their connections. With random secrets they would send into the void for the idle
-    /// timeout of 3 s.
-    fn restartable(&self) -> EndpointConfig {
-        let reset = self.identity.secret("trefoil stateless reset");
-        let reset = hmac::Key::new(hmac::HMAC_SHA256, reset.as_ref());
-        let ids = self.identity.secret("trefoil connection ids");
-        let ids = ids
-            .as_ref()
-            .first_chunk()
-            .map_or(0, |b| u64::from_be_bytes(*b));
-        let mut config = EndpointConfig::new(Arc::new(reset));
-        config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(ids)));
-        config
-    }
+/// Settings that let peers recognise a restart of this host.
+///
+/// The secrets for connection ids and stateless resets are derived from the private key. A process
+/// that is restarted at the same address can thus tell peers at once that it does not know their
+/// connections. With random secrets they would send into the void for the idle timeout of 3 s.
+fn restartable(identity: &Identity) -> EndpointConfig {
+    let reset = identity.secret("trefoil stateless reset");
+    let reset = hmac::Key::new(hmac::HMAC_SHA256, reset.as_ref());
+    let ids = identity.secret("trefoil connection ids");
+    let ids = ids.as_ref().first_chunk();
+    let ids = ids.map_or(0, |bytes| u64::from_be_bytes(*bytes));
+    let mut config = EndpointConfig::new(Arc::new(reset));
+    config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(ids)));
+    config
 }
 
 fn window(streams: u32) -> VarInt {
@@ -270,8 +292,7 @@
     peers: QuicPeers,
     addr: SocketAddr,
     peer: PeerId,
-    clock: Arc<dyn Clock>,
-    limits: Limits,
+    settings: Settings,
 }
 
 impl Endpoint {
@@ -292,14 +313,33 @@
 
     /// Accepts peers until the server is drained or dropped.
     pub fn serve(&self, handler: Arc<dyn Handler>) -> Server {
-        let clock = Arc::clone(&self.clock);
-        Server::start(self.quic.clone(), handler, clock, &self.limits)
+        let clock = Arc::clone(&self.settings.clock);
+        Server::start(self.quic.clone(), handler, clock, &self.settings.limits)
+    }
+
+    /// Uses another certificate of this host, or other authorities, for new connections.
+    ///
+    /// Open connections stay as they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails without any change if the identity is not usable or names another host.
+    pub fn renew(&self, identity: &Identity) -> Result<(), OpenError> {
+        if *identity.peer() != self.peer {
+            let (old, new) = (self.peer.clone(), identity.peer().clone());
+            return Err(OpenError::Renamed { old, new });
+        }
+        let accept = self.settings.accept(identity)?;
+        self.peers.renew(self.settings.connect(identity)?);
+        self.quic.set_server_config(Some(accept));
+        Ok(())
     }
 
     /// Closes all connections and waits until peers have been told, at most for the idle timeout.
     pub async fn close(&self) {
         self.quic.close(VarInt::from_u32(0), b"closed");
         let told = self.quic.wait_idle();
-        futures_lite::future::or(told, self.clock.sleep(self.limits.idle)).await;
+        let Settings { clock, limits, .. } = &self.settings;
+        or(told, clock.sleep(limits.idle)).await;
     }
 }
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -7,6 +7,20 @@
 use crate::code;
 use crate::codec::CodecError;
 
+/// Longest reason in an error, in bytes.
+const REASON_MAX: usize = 256;
+
+/// The text of an error, fit for a log line. A peer chooses the reason with which it closes a
+/// connection, so that text can be long and hold line breaks.
+pub(crate) fn reason<E>(error: E) -> String
+where
+    E: std::fmt::Display,
+{
+    let mut text = error.to_string().replace(char::is_control, " ");
+    text.truncate(text.floor_char_boundary(REASON_MAX));
+    text
+}
+
 /// Why a peer did not answer.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum PeerError {
@@ -98,7 +112,7 @@
     pub(crate) fn invalid(to: SocketAddr, error: &CodecError) -> Self {
         Self::Invalid {
             to,
-            reason: error.to_string(),
+            reason: reason(error),
         }
     }
 
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::code;
 use crate::codec::{FrameError, Kind, frame, read_end, read_frame};
 use crate::endpoint::Limits;
-use crate::error::PeerError;
+use crate::error::{PeerError, reason};
 use crate::keys::PeerId;
 use crate::message::{AnswerHead, ForwardHead};
 use crate::pool::Pool;
@@ -84,6 +84,10 @@
         }
     }
 
+    pub(crate) fn renew(&self, config: quinn::ClientConfig) {
+        self.pool.renew(config);
+    }
+
     /// Number of open connections to peers.
     pub fn connections(&self) -> usize {
         self.pool.len()
@@ -110,7 +114,7 @@
             let answer = exchange.answer(false).await?;
             let head = AnswerHead::decode(&answer).map_err(|e| PeerError::Answer {
                 to,
-                reason: e.to_string(),
+                reason: reason(e),
             })?;
             let rest = StreamBody::new(exchange.recv, exchange.pump);
             Ok((head, Body::new(rest)))
@@ -198,7 +202,7 @@
                     Poll::Ready(Err(PumpError::Source(e))) => {
                         return Poll::Ready(Err(PeerError::Source {
                             to,
-                            reason: e.to_string(),
+                            reason: reason(e),
                             sent: *sent,
                         }));
                     }
@@ -229,7 +233,7 @@
         }
         FrameError::Lost(e) => PeerError::Lost {
             to,
-            reason: e.to_string(),
+            reason: reason(e),
             sent,
         },
         other => PeerError::Answer {
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -18,7 +18,7 @@
 
 use crate::code;
 use crate::endpoint::Limits;
-use crate::error::PeerError;
+use crate::error::{PeerError, reason};
 use crate::keys::{self, ROLE};
 
 /// Time for which a failed attempt to connect answers for further requests.
@@ -59,7 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     quic: quinn::Endpoint,
-    config: ClientConfig,
+    config: Mutex<ClientConfig>,
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) limits: Limits,
     attempts: Mutex<HashMap<SocketAddr, Arc<Attempt>>>,
@@ -74,7 +74,7 @@
     ) -> Self {
         Self {
             quic,
-            config,
+            config: Mutex::new(config),
             clock,
             limits: limits.clone(),
             attempts: Mutex::default(),
@@ -85,6 +85,15 @@
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn config(&self) -> MutexGuard<'_, ClientConfig> {
+        self.config.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes new connections with these settings.
+    pub(crate) fn renew(&self, config: ClientConfig) {
+        *self.config() = config;
+    }
+
     /// Number of open connections.
     pub(crate) fn len(&self) -> usize {
         let attempts = self.lock();
@@ -143,10 +152,11 @@
     }
 
     async fn handshake(&self, to: SocketAddr) -> Result<Connection, PeerError> {
-        let connecting = self.quic.connect_with(self.config.clone(), to, ROLE);
+        let config = self.config().clone();
+        let connecting = self.quic.connect_with(config, to, ROLE);
         let connecting = connecting.map_err(|e| PeerError::Connect {
             to,
-            reason: e.to_string(),
+            reason: reason(e),
         })?;
         let conn = connecting.await.map_err(|e| connect_error(to, &e))?;
         // In TLS 1.3 the client's handshake ends before the server has seen its certificate. Until
@@ -165,7 +175,7 @@
             }),
             (Err(e), Ok(_)) => Err(PeerError::Connect {
                 to,
-                reason: e.to_string(),
+                reason: reason(e),
             }),
         }
     }
@@ -180,11 +190,11 @@
                 .ok()
         })
         .unwrap_or_default();
-    keys::peer_id(&chain).map_err(|e| e.to_string())
+    keys::peer_id(&chain).map_err(reason)
 }
 
 fn connect_error(to: SocketAddr, error: &ConnectionError) -> PeerError {
-    let reason = error.to_string();
+    let reason = reason(error);
     match error {
         ConnectionError::ConnectionClosed(close) => match alert(close.error_code.into()) {
             Some(AlertDescription::NoApplicationProtocol) => PeerError::Version { to },
--- a/crates/wire/src/server.rs
+++ b/crates/wire/src/server.rs
@@ -17,6 +17,7 @@
 use crate::code;
 use crate::codec::{FrameError, Kind, frame, read_end, read_request};
 use crate::endpoint::{HANDSHAKES_MAX, Limits};
+use crate::error::reason;
 use crate::keys::PeerId;
 use crate::message::{AnswerHead, ForwardHead};
 use crate::peers::Handler;
@@ -156,7 +157,12 @@
 /// Serves one connection. Fails if the peer is refused.
 async fn connection(shared: &Arc<Shared>, incoming: Incoming) -> Result<(), String> {
     shared.handshakes.fetch_add(1, Ordering::Relaxed);
-    let greeted = greet(incoming).await;
+    // The idle timeout does not bound the handshake of a client that keeps sending.
+    let late = async {
+        shared.clock.sleep(shared.limits.connect).await;
+        Err("no handshake in time".to_owned())
+    };
+    let greeted = or(greet(incoming), late).await;
     shared.handshakes.fetch_sub(1, Ordering::Relaxed);
     let (conn, peer) = greeted?;
     let from = conn.remote_address();
@@ -224,14 +230,14 @@
 
 /// Completes the handshake and tells the peer that its certificate is accepted.
 async fn greet(incoming: Incoming) -> Result<(Connection, PeerId), String> {
-    let connecting = incoming.accept().map_err(|e| e.to_string())?;
-    let conn = connecting.await.map_err(|e| e.to_string())?;
+    let connecting = incoming.accept().map_err(reason)?;
+    let conn = connecting.await.map_err(reason)?;
     let peer = identity(&conn).inspect_err(|reason| {
         conn.close(code::var(code::NO_IDENTITY), reason.as_bytes());
     })?;
-    let mut greeting = conn.open_uni().await.map_err(|e| e.to_string())?;
+    let mut greeting = conn.open_uni().await.map_err(reason)?;
     let written = greeting.write_all(&[GREETING]).await;
-    written.map_err(|e| e.to_string())?;
+    written.map_err(reason)?;
     // Fails only for a stream that the peer has stopped, which changes nothing here.
     let _closed = greeting.finish();
     Ok((conn, peer))
@@ -324,7 +330,7 @@
             }
             Err(e) => {
                 refuse(&mut send, recv, code::MALFORMED);
-                return End::Refused(e.to_string());
+                return End::Refused(reason(e));
             }
         },
     };
--- a/tests/all/wire/frames.rs
+++ b/tests/all/wire/frames.rs
@@ -1,19 +1,22 @@
 //! Streams that carry no valid request.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use quinn::crypto::rustls::QuicClientConfig;
+use bytes::Bytes;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{Connection, ReadToEndError, VarInt};
+use smol::Task;
 use trefoil_core::{Clock, SystemClock};
-use trefoil_wire::{Builder, code, keys};
+use trefoil_wire::{Builder, Identity, PROTOCOL, PeerError, Peers, code, keys};
 
-use super::support::{Script, authority, eventually, identity, loopback, run, serve};
+use super::support::{Script, authority, eventually, identity, loopback, open, run, serve};
 
 /// Connects as a host that writes what it wants.
-async fn connect(to: std::net::SocketAddr, host: &trefoil_wire::Identity) -> Connection {
+async fn connect(to: SocketAddr, host: &Identity) -> Connection {
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
-    let tls = host.client_tls(&clock, &[trefoil_wire::PROTOCOL.into()]);
+    let tls = host.client_tls(&clock, &[PROTOCOL.into()]);
     let config = QuicClientConfig::try_from(tls.unwrap()).unwrap();
     let config = quinn::ClientConfig::new(Arc::new(config));
     let quic = quinn::Endpoint::client(loopback()).unwrap();
@@ -156,3 +159,92 @@
         assert_eq!(handler.started(), 1);
     });
 }
+
+/// Accepts connections at a loopback address and gives them to `serve`.
+fn raw_host<F>(host: &Identity, serve: fn(Connection) -> F) -> (SocketAddr, Task<()>)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let tls = host.server_tls(&clock, &[PROTOCOL.into()]).unwrap();
+    let config = QuicServerConfig::try_from(tls).unwrap();
+    let config = quinn::ServerConfig::with_crypto(Arc::new(config));
+    let quic = quinn::Endpoint::server(config, loopback()).unwrap();
+    let addr = quic.local_addr().unwrap();
+    let accept = async move {
+        while let Some(incoming) = quic.accept().await {
+            serve(incoming.await.unwrap()).await;
+        }
+    };
+    (addr, smol::spawn(accept))
+}
+
+async fn greet(conn: &Connection, greeting: &[u8]) {
+    let mut send = conn.open_uni().await.unwrap();
+    send.write_all(greeting).await.unwrap();
+    send.finish().unwrap();
+}
+
+/// Guards against bad answers that are taken for answers, or whose error does not say what is
+/// wrong. The request was sent each time.
+#[test]
+fn bad_answers() {
+    // Answers a call with the bytes of the call.
+    async fn repeat(conn: Connection) {
+        greet(&conn, &[1]).await;
+        while let Ok((mut send, mut recv)) = conn.accept_bi().await {
+            let request = recv.read_to_end(1024).await.unwrap();
+            send.write_all(&request[5..]).await.unwrap();
+            send.finish().unwrap();
+        }
+    }
+    run(async {
+        let authority = authority();
+        let (to, _accept) = raw_host(&identity(&authority, "served"), repeat);
+        let asking = open(&authority, "asking");
+        let peers = asking.peers();
+        let cases: [(&[u8], &str); 5] = [
+            (b"", "ended inside"),
+            (b"\0\0", "ended inside"),
+            (b"\0\0\0\x05abc", "ended inside"),
+            (b"\xff\xff\xff\xffabc", "1048576"),
+            (b"\0\0\0\x01ab", "malformed"),
+        ];
+        for (answer, reason) in cases {
+            let error = peers.call(to, answer.into()).await.unwrap_err();
+            assert!(matches!(error, PeerError::Answer { .. }), "{error}");
+            assert!(error.sent());
+            assert!(error.to_string().contains(reason), "{error}");
+        }
+        let good = peers.call(to, b"\0\0\0\x01a"[..].into()).await;
+        assert_eq!(good.unwrap(), "a");
+        assert_eq!(peers.connections(), 1);
+    });
+}
+
+/// Guards against a greeting of another protocol, and against a peer that writes lines of its own
+/// into this host's log.
+#[test]
+fn bad_greetings() {
+    async fn unknown(conn: Connection) {
+        greet(&conn, &[7]).await;
+        conn.closed().await;
+    }
+    async fn closed(conn: Connection) {
+        conn.close(VarInt::from_u32(99), "first\nsecond ".repeat(40).as_bytes());
+    }
+    run(async {
+        let authority = authority();
+        let host = identity(&authority, "served");
+        let asking = open(&authority, "asking");
+        let (to, _unknown) = raw_host(&host, unknown);
+        let error = asking.peers().call(to, Bytes::new()).await.unwrap_err();
+        assert!(error.to_string().contains("unknown greeting"), "{error}");
+        let (to, _closed) = raw_host(&host, closed);
+        let error = asking.peers().call(to, Bytes::new()).await.unwrap_err();
+        assert!(matches!(error, PeerError::Connect { .. }), "{error}");
+        let text = error.to_string();
+        assert!(text.contains("first second"), "{text}");
+        assert!(text.len() < 320 && !text.contains('\n'), "{text}");
+    });
+}
--- a/tests/all/wire/loss.rs
+++ b/tests/all/wire/loss.rs
@@ -34,7 +34,8 @@
     });
 }
 
-/// Guards against waiters that each wait for an attempt of their own.
+/// Guards against waiters that each wait for an attempt of their own, and against an attempt that
+/// ends with the request that began it.
 #[test]
 fn waiters_share_an_attempt() {
     run(async {
@@ -47,9 +48,13 @@
         let to = silent.local_addr().unwrap();
         let start = Instant::now();
         let peers = asking.peers();
+        let first = smol::spawn(peers.call(to, Bytes::new()));
+        Timer::after(Duration::from_millis(20)).await;
         let calls: Vec<_> = (0..20)
             .map(|_| smol::spawn(peers.call(to, Bytes::new())))
             .collect();
+        Timer::after(Duration::from_millis(20)).await;
+        drop(first);
         for call in calls {
             assert!(!call.await.unwrap_err().sent());
         }
--- a/tests/all/wire/trust.rs
+++ b/tests/all/wire/trust.rs
@@ -9,13 +9,16 @@
 use quinn::rustls::pki_types::{CertificateDer, PrivateKeyDer};
 use quinn::rustls::{self, RootCertStore};
 use rcgen::{CertificateParams, ExtendedKeyUsagePurpose, Issuer, KeyPair};
+use smol::Timer;
 use trefoil_core::{Clock, SystemClock, UnixMillis};
 use trefoil_wire::{
-    Authority, Builder, Endpoint, Identity, KeyError, KeyPem, PeerError, Peers, body, keys,
+    Authority, Builder, Endpoint, Identity, KeyError, KeyPem, OpenError, PeerError, Peers, body,
+    keys,
 };
 
 use super::support::{
-    DAY, Pair, authority, eventually, head, identity, loopback, named_authority, open, pair, run,
+    DAY, Pair, Script, authority, eventually, head, identity, loopback, named_authority, open,
+    pair, run,
 };
 
 /// Asks the pair's server and expects an error and a reason at the server.
@@ -221,7 +224,7 @@
         let identity = Identity::from_pem(&written.cert, &pem).unwrap();
         assert_eq!(identity.peer().to_string(), "served");
         let served = Builder::new(identity).open(loopback()).unwrap();
-        let _server = served.serve(super::support::Script::new());
+        let _server = served.serve(Script::new());
         let asking = open(&read, "asking");
         let answer = asking.peers().call(served.local_addr(), Bytes::new());
         answer.await.unwrap();
@@ -239,3 +242,31 @@
         assert!(matches!(error, KeyError::Pem { .. }), "{error}");
     });
 }
+
+/// Guards against a certificate that can only be replaced by a restart, which would interrupt the
+/// requests in flight.
+#[test]
+fn renewed_certificate() {
+    run(async {
+        let pair = pair();
+        let host = "asking".parse().unwrap();
+        let past = UnixMillis(SystemClock.unix().0 - 3 * 86_400_000);
+        let expired = pair.authority.identity(&host, past, DAY).unwrap();
+        let asking = Builder::new(expired).open(loopback()).unwrap();
+        let peers = asking.peers();
+        peers.call(pair.to, Bytes::new()).await.unwrap_err();
+        let renamed = asking.renew(&identity(&pair.authority, "other"));
+        assert!(
+            matches!(renamed, Err(OpenError::Renamed { .. })),
+            "{renamed:?}"
+        );
+        asking.renew(&identity(&pair.authority, "asking")).unwrap();
+        // Failed attempts are remembered for 100 ms.
+        Timer::after(Duration::from_millis(150)).await;
+        peers.call(pair.to, Bytes::new()).await.unwrap();
+        // The accepting side takes its new certificate into use as well.
+        let _server = asking.serve(Script::new());
+        let to = asking.local_addr();
+        pair.asking.peers().call(to, Bytes::new()).await.unwrap();
+    });
+}
