--- a/crates/daemon/src/authority.rs
+++ b/crates/daemon/src/authority.rs
@@ -392,7 +392,7 @@
         let wakes = [
             self.holder.next_wake(),
             self.witness.next_wake(),
-            self.succession.next_wake(),
+            self.succession.next_wake(&self.holder),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -44,7 +44,7 @@
         shared
             .wait_change(shared.clock.now().after(LOOK_EVERY))
             .await;
-        bury_lost(&shared, &authority).await;
+        record_lost(&shared, &authority).await;
         let view = shared.view();
         let needed = |view: &View| wanted(view, &dispatchers.observed());
         if !shared.is_current() || needed(&view).is_none() {
@@ -69,7 +69,7 @@
 
 /// Records the hosts of which this host can prove that their leases have expired. Those that can
 /// prove it are the successors and witnesses of the lost host; each waits for those before it.
-async fn bury_lost(shared: &Shared, authority: &Authority) {
+async fn record_lost(shared: &Shared, authority: &Authority) {
     for host in authority.lost_hosts(&shared.view()) {
         let view = shared.view();
         let provers = view.records.successors(host);
@@ -80,13 +80,13 @@
         let wait = PROVER_STAGGER * u32::try_from(position).unwrap_or(u32::MAX);
         shared.clock.sleep(wait).await;
         if shared.view().hosts.contains_key(&host) {
-            bury(shared, host).await;
+            record_expiry(shared, host).await;
         }
     }
 }
 
 /// Records that a host's lease has expired.
-async fn bury(shared: &Shared, host: HostId) {
+async fn record_expiry(shared: &Shared, host: HostId) {
     let until = shared.clock.now().after(SUBMIT_TIMEOUT);
     match shared
         .decide(Revision(0), Body::Expired { host }, until)
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -208,7 +208,7 @@
                 accepted
             }
             Body::Left { host } | Body::Expired { host } if self.hosts.contains_key(&host) => {
-                self.bury(host);
+                self.expire(host);
                 accepted
             }
             Body::Left { .. } | Body::Expired { .. } => rejected("the host is not live"),
@@ -244,14 +244,14 @@
         let same = |old: &&HostRecord| old.addresses.peer == host.addresses.peer;
         let replaced: Vec<_> = self.hosts.values().filter(same).map(|old| old.id).collect();
         for id in replaced {
-            self.bury(id);
+            self.expire(id);
         }
         Arc::make_mut(&mut self.hosts).insert(host.id, host);
     }
 
-    fn bury(&mut self, host: HostId) {
+    fn expire(&mut self, host: HostId) {
         Arc::make_mut(&mut self.hosts).remove(&host);
-        Arc::make_mut(&mut self.records).bury(host);
+        Arc::make_mut(&mut self.records).expire(host);
     }
 
     fn configure(&mut self, revision: Revision, time: UnixMillis, routing: Routing) -> Verdict {
