--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 pub mod driver;
 pub mod exchange;
+pub mod job;
 pub mod shards;
 
 use std::collections::BTreeMap;
--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -6,36 +6,30 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender};
+use async_channel::Sender;
 use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::FutureExt;
 use http::Request as HttpRequest;
-use http_body_util::BodyExt;
 use slog::{info, warn};
 use smol::Task;
 use trefoil_config::{Service, Upstream};
 use trefoil_core::chart::ChartError;
-use trefoil_core::{KeyHash, Outcome, ServiceName, Shard, Slots, Tick, UpstreamName};
+use trefoil_core::{KeyHash, ServiceName, Shard, Slots, Tick, UpstreamName};
 use trefoil_dispatch::{
-    Access, Actions, Admission, Cause, Decision, Digest, Dropped, Finished, Health, Probe, Proof,
-    Record, Release, Report, Request, ShardState, State, Ticket, TicketId, WallClock,
+    Access, Actions, Admission, Cause, Dropped, Finished, Health, Probe, Proof, Release, Report,
+    ShardState, State, Ticket, TicketId, WallClock,
 };
 use trefoil_log::View;
 use trefoil_placement::Table;
-use trefoil_wire::{AnswerHead, Body, ForwardHead, Peers};
-use xxhash_rust::xxh3::Xxh3;
+use trefoil_wire::Peers;
 
-use super::{Answer, Dispatchers, exchange, failed};
+use super::{Dispatchers, exchange};
 use crate::authority::Authority;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::shared::Shared;
 
-/// Bodies up to this many bytes are read before the request is offered, so that it can be sent
-/// again and its digest covers the body.
-pub const REPLAY_MAX: usize = 64 * 1024;
-
 /// Time for a probe to answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -64,7 +58,7 @@
     pub(super) health: Health,
     pub(super) table: Option<Arc<Table>>,
     pub(super) released: BTreeMap<Shard, Release>,
-    waiters: BTreeMap<TicketId, Sender<Notice>>,
+    pub(super) waiters: BTreeMap<TicketId, Sender<Notice>>,
     granted: Tick,
 }
 
@@ -394,104 +388,8 @@
         }
     }
 
-    /// Answers a forwarded request.
-    pub async fn handle(
-        self: &Arc<Self>,
-        view: &View,
-        head: ForwardHead,
-        body: Body,
-        until: Tick,
-    ) -> Answer {
-        let Some(table) = view.tables.get(&self.service) else {
-            return failed(&self.shared, Outcome::NotRun, "the service has no table");
-        };
-        let shard = table.shard(head.key);
-        let payload = match Payload::read(&head, body).await {
-            Ok(payload) => payload,
-            Err(reason) => return failed(&self.shared, Outcome::NotRun, &reason),
-        };
-        let mut request = Request::new(shard, until);
-        if let Some(id) = &head.id {
-            request = request.id(id.clone(), payload.digest(&head));
-        }
-        if head.idempotent {
-            request = request.idempotent();
-        }
-        let now = self.shared.clock.now();
-        let (sender, signals) = async_channel::unbounded();
-        let decision = {
-            let mut inner = self.lock();
-            let decision = inner.admission.offer(now, request);
-            let id = match &decision {
-                Decision::Start(ticket) => Some(ticket.id()),
-                Decision::Queued(id) => Some(*id),
-                _ => None,
-            };
-            if let Some(id) = id {
-                inner.waiters.insert(id, sender);
-            }
-            decision
-        };
-        let (id, ticket) = match decision {
-            Decision::Start(ticket) => (ticket.id(), Some(ticket)),
-            Decision::Queued(id) => (id, None),
-            other => return self.refused(&other),
-        };
-        self.wake();
-        let job = Job {
-            driver: Arc::clone(self),
-            head,
-            payload,
-            shard,
-            id,
-            signals,
-            until,
-        };
-        if job.head.idempotent {
-            return job.run(ticket).await;
-        }
-        // The caller may go away, but a request that is not idempotent runs to its end so that its
-        // outcome is learnt.
-        let (answered, answer) = async_channel::bounded(1);
-        smol::spawn(async move {
-            let _ = answered.send(job.run(ticket).await).await;
-        })
-        .detach();
-        match answer.recv().await {
-            Ok(answer) => answer,
-            Err(_) => failed(&self.shared, Outcome::Unknown, "the request was given up"),
-        }
-    }
-
-    fn refused(&self, decision: &Decision) -> Answer {
-        let outcome = decision.outcome().unwrap_or(Outcome::Unknown);
-        let reason = match decision {
-            Decision::Shed(why, _) => format!("the request was shed: {why}"),
-            Decision::Repeat(record) => return self.repeated(*record),
-            Decision::InFlight => "a request with this id is being executed".to_owned(),
-            Decision::Conflict => "another request was seen under this id".to_owned(),
-            Decision::Start(_) | Decision::Queued(_) => String::new(),
-        };
-        failed(&self.shared, outcome, &reason)
-    }
-
-    /// Answers a repeat of a request that has finished. The body of the first answer is not kept.
-    fn repeated(&self, record: Record) -> Answer {
-        let revision = self.shared.view().revision;
-        let head = match record.status {
-            Some(status) => AnswerHead::Answer {
-                status: status.0,
-                headers: vec![("trefoil-repeat".to_owned(), b"1".to_vec())],
-                outcome: record.outcome,
-                revision,
-            },
-            None => AnswerHead::failed(record.outcome, "repeat of a finished request", revision),
-        };
-        (head, trefoil_wire::body::empty())
-    }
-
     /// Reports the end of an attempt. Returns the report if the request has ended.
-    fn finish(&self, ticket: Ticket, cause: Cause) -> Option<Report> {
+    pub(super) fn finish(&self, ticket: Ticket, cause: Cause) -> Option<Report> {
         let now = self.shared.clock.now();
         let mut inner = self.lock();
         let finished = inner.admission.finish(now, ticket, cause).ok();
@@ -525,171 +423,3 @@
 
 /// Shortest wait between two rounds, so that a tick that is due at once cannot spin.
 const MIN_WAIT: Duration = Duration::from_millis(1);
-
-/// The body of a request.
-#[derive(Debug)]
-pub(super) enum Payload {
-    /// The whole body, which can be sent again.
-    Whole(Bytes),
-    /// A body that can be sent once.
-    Stream(Option<Body>),
-}
-
-impl Payload {
-    async fn read(head: &ForwardHead, body: Body) -> Result<Self, String> {
-        let length = head
-            .headers
-            .iter()
-            .find(|(name, _)| name == "content-length");
-        let length = length.and_then(|(_, v)| std::str::from_utf8(v).ok()?.parse::<u64>().ok());
-        let chunked = head
-            .headers
-            .iter()
-            .any(|(name, _)| name == "transfer-encoding");
-        match length {
-            Some(n) if n > REPLAY_MAX as u64 => Ok(Self::Stream(Some(body))),
-            None if chunked => Ok(Self::Stream(Some(body))),
-            _ => {
-                let body = http_body_util::Limited::new(body, REPLAY_MAX);
-                let whole = body.collect().await.map_err(|e| e.to_string())?;
-                Ok(Self::Whole(whole.to_bytes()))
-            }
-        }
-    }
-
-    /// The digest of a request. Of a body that can be sent once it covers only the length, because
-    /// the body is not read before the decision.
-    fn digest(&self, head: &ForwardHead) -> Digest {
-        let mut hash = Xxh3::new();
-        for part in [&head.method, &head.path] {
-            hash.update(&part.len().to_le_bytes());
-            hash.update(part.as_bytes());
-        }
-        match self {
-            Self::Whole(bytes) => hash.update(bytes),
-            Self::Stream(_) => {
-                let length = head
-                    .headers
-                    .iter()
-                    .find(|(name, _)| name == "content-length");
-                hash.update(length.map_or(b"", |(_, v)| v.as_slice()));
-            }
-        }
-        Digest(hash.digest128())
-    }
-}
-
-/// A started request. If it is dropped, because its caller has gone away, the slot is given back
-/// and the request counts as abandoned, or as not written if it was not.
-#[derive(Debug)]
-pub(super) struct Held {
-    driver: Arc<Driver>,
-    ticket: Option<Ticket>,
-    written: bool,
-}
-
-impl Held {
-    fn new(driver: &Arc<Driver>, ticket: Ticket) -> Self {
-        Self {
-            driver: Arc::clone(driver),
-            ticket: Some(ticket),
-            written: false,
-        }
-    }
-
-    /// Notes that from now on a part of the request may be written.
-    pub(super) fn written(&mut self) {
-        self.written = true;
-    }
-
-    /// Whether the request may be handed to a connection now.
-    pub(super) fn may_write(&self) -> bool {
-        let now = self.driver.shared.clock.now();
-        let inner = self.driver.lock();
-        self.ticket
-            .as_ref()
-            .is_some_and(|t| inner.admission.check_write(now, t).is_ok())
-    }
-
-    /// Reports the end of the attempt.
-    pub(super) fn finish(mut self, cause: Cause) -> Option<Report> {
-        self.ticket
-            .take()
-            .and_then(|ticket| self.driver.finish(ticket, cause))
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            let cause = if self.written {
-                Cause::Abandoned
-            } else {
-                Cause::NothingWritten
-            };
-            let report = self.driver.finish(ticket, cause);
-            if let Some(Report::Retry(id)) = report {
-                self.driver.cancel(id);
-            }
-        }
-    }
-}
-
-/// One admitted request.
-#[derive(Debug)]
-pub(super) struct Job {
-    pub(super) driver: Arc<Driver>,
-    pub(super) head: ForwardHead,
-    pub(super) payload: Payload,
-    pub(super) shard: Shard,
-    id: TicketId,
-    pub(super) signals: Receiver<Notice>,
-    pub(super) until: Tick,
-}
-
-impl Drop for Job {
-    fn drop(&mut self) {
-        let mut inner = self.driver.lock();
-        inner.waiters.remove(&self.id);
-        drop(inner);
-        // Takes a request out of the queue whose caller has gone away. It has no effect on one that
-        // has ended.
-        self.driver.cancel(self.id);
-    }
-}
-
-impl Job {
-    async fn run(mut self, mut ticket: Option<Ticket>) -> Answer {
-        loop {
-            let ready = match ticket.take() {
-                Some(ready) => ready,
-                None => match self.signals.recv().await {
-                    Ok(Notice::Start(ready)) => ready,
-                    Ok(Notice::Dropped(dropped)) => return self.dropped(dropped),
-                    Ok(Notice::Expired | Notice::Close) => continue,
-                    Err(_) => {
-                        let reason = "the dispatcher stopped";
-                        return failed(&self.driver.shared, Outcome::NotRun, reason);
-                    }
-                },
-            };
-            let held = Held::new(&self.driver, ready);
-            match self.attempt(held).await {
-                exchange::Attempt::Answer(answer) => return answer,
-                exchange::Attempt::Ended(cause, Some(Report::Answer(record))) => {
-                    let reason = cause.to_string();
-                    return failed(&self.driver.shared, record.outcome, &reason);
-                }
-                exchange::Attempt::Ended(_, Some(Report::Retry(_))) => {}
-                exchange::Attempt::Ended(cause, None) => {
-                    return failed(&self.driver.shared, Outcome::Unknown, &cause.to_string());
-                }
-            }
-        }
-    }
-
-    fn dropped(&self, dropped: Dropped) -> Answer {
-        let reason = format!("the request was shed: {}", dropped.why);
-        failed(&self.driver.shared, dropped.outcome, &reason)
-    }
-}
--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -20,7 +20,8 @@
 use trefoil_wire::{AnswerHead, BodyError};
 
 use super::Answer;
-use super::driver::{Driver, Held, Job, Notice, Payload, REPLAY_MAX};
+use super::driver::{Driver, Notice};
+use super::job::{Held, Job, Payload, REPLAY_MAX};
 use crate::request::{self, host_value, is_refusal};
 
 /// Header with the dispatcher's fencing token.
