--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -26,9 +26,9 @@
 //!
 //! The end of its own lease does not make a host a bad witness. If it restarted at once, the holders
 //! that it serves would lose its promises; and where three of a holder's five witnesses restart
-//! together, that holder ends and restarts as well, which takes promises from others in turn. Among
-//! few hosts the restarts would not come to an end. So the process stays as a witness, holders leave
-//! it out of their next generations, and it restarts when [`Witness::serving`] is zero.
+//! together, that holder ends and restarts as well, which takes promises from others in turn. So the
+//! process stays as a witness, holders leave it out of their next generations, and it restarts when
+//! [`Witness::serving`] is zero.
 //!
 //! # Memory
 //!
