Show that the log tail and the relied generation matter

Two rules of the witness and the successor had no switch, so nothing showed that they are needed. A fresh process in the tests learns only what peers within reach have read.

--- a/crates/lease/src/succession.rs
+++ b/crates/lease/src/succession.rs
@@ -206,7 +206,8 @@
             None => expired,
             Some(lease) => {
                 let previous = votes(lease);
-                let relied = current.relied || previous.count(|v| v == Verdict::Closed) > 0;
+                let closed = previous.count(|v| v == Verdict::Closed) > 0;
+                let relied = current.relied || closed || self.switches.skip_relied;
                 let stopped = previous.count(|_| true) >= quorum(lease);
                 previous.expired() >= quorum(lease) || (expired && (relied || stopped))
             }
--- a/crates/lease/src/switches.rs
+++ b/crates/lease/src/switches.rs
@@ -22,12 +22,16 @@
     pub renew_after_attesting: bool,
     /// A fresh witness attests in its predecessor's place without waiting.
     pub skip_wait: bool,
+    /// A fresh witness attests in its predecessor's place before it has read the log to its tail.
+    pub skip_tail: bool,
     /// A fresh witness never attests in its predecessor's place.
     pub no_address_rule: bool,
     /// A fresh witness renews promises in its predecessor's place.
     pub renew_in_place: bool,
     /// A fresh witness attests the expiry of a generation that its predecessor may have closed.
     pub attest_outdated: bool,
+    /// A successor acts on a majority of the newest generation, whether or not the holder relies on it.
+    pub skip_relied: bool,
     /// A successor acts on one attestation instead of a majority.
     pub any_attestation: bool,
     /// Rank 2 acts when rank 0 has expired, whether or not rank 1 has.
--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -160,6 +160,10 @@
         self.tail = true;
     }
 
+    fn is_informed(&self) -> bool {
+        self.tail || self.switches.skip_tail || self.switches.skip_wait
+    }
+
     /// The state of the entry for one generation of a holder's lease.
     pub fn state(&self, holder: HostId, generation: Generation) -> Option<EntryState> {
         self.entries.get(&(holder, generation)).map(|e| e.state)
@@ -307,7 +311,7 @@
     pub fn next_wake(&self) -> Option<Tick> {
         let active = self.entries.values().filter(|e| match e.state {
             EntryState::Waiting | EntryState::Promised => true,
-            EntryState::Inherited => self.tail || self.switches.skip_wait,
+            EntryState::Inherited => self.is_informed(),
             _ => !e.pending.is_empty(),
         });
         active.map(|e| e.due).min()
@@ -316,9 +320,9 @@
     /// Attests the expiries that are due, and repeats verdicts that are not acknowledged.
     pub fn poll(&mut self, now: Tick) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let ready = self.tail || self.switches.skip_wait;
+        let informed = self.is_informed();
         for (&(holder, generation), entry) in &mut self.entries {
-            if now < entry.due || (entry.state == EntryState::Inherited && !ready) {
+            if now < entry.due || (entry.state == EntryState::Inherited && !informed) {
                 continue;
             }
             let outdated = entry.state == EntryState::Inherited && !entry.newest;
--- a/tests/all/lease/world.rs
+++ b/tests/all/lease/world.rs
@@ -133,8 +133,11 @@
             Some(i) => self.nodes[i] = node,
             None => self.nodes.push(node),
         }
-        // Without the log a fresh process learns what its peers have read.
-        let known = self.nodes.iter().filter(|n| n.up()).map(|n| n.read).max();
+        // Without the log a fresh process learns what the peers that it can reach have read.
+        let reached =
+            |peer| !self.cuts.contains(&(index, peer)) && !self.cuts.contains(&(peer, index));
+        let peers = (0..self.nodes.len()).filter(|&p| reached(p) && self.nodes[p].up());
+        let known = peers.map(|p| self.nodes[p].read).max();
         if !self.log_up {
             self.catch_up(index, known.unwrap_or(0));
         }
