--- a/tests/all/lease/world.rs
+++ b/tests/all/lease/world.rs
@@ -9,7 +9,7 @@
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use trefoil_core::HostId;
+use trefoil_core::{HostId, UpstreamName};
 use trefoil_lease::{Effect, Generation, HolderState, Lease, Message, Peer, Seat, Switches};
 use uuid::Uuid;
 
@@ -44,6 +44,7 @@
     nodes: Vec<Node>,
     ids: BTreeMap<HostId, usize>,
     log: Log,
+    upstreams: BTreeSet<UpstreamName>,
     cuts: BTreeSet<(usize, usize)>,
     transit: Vec<Transit>,
     random: StdRng,
@@ -61,6 +62,7 @@
             nodes: Vec::new(),
             ids: BTreeMap::new(),
             log: Vec::new(),
+            upstreams: BTreeSet::new(),
             cuts: BTreeSet::new(),
             transit: Vec::new(),
             random: StdRng::seed_from_u64(seed),
@@ -131,8 +133,11 @@
             Some(i) => self.nodes[i] = node,
             None => self.nodes.push(node),
         }
-        // Without the log a fresh process learns what its peers have read.
-        let known = self.nodes.iter().filter(|n| n.up()).map(|n| n.read).max();
+        // Without the log a fresh process learns what the peers that it can reach have read.
+        let reached =
+            |peer| !self.cuts.contains(&(index, peer)) && !self.cuts.contains(&(peer, index));
+        let peers = (0..self.nodes.len()).filter(|&p| reached(p) && self.nodes[p].up());
+        let known = peers.map(|p| self.nodes[p].read).max();
         if !self.log_up {
             self.catch_up(index, known.unwrap_or(0));
         }
@@ -271,6 +276,9 @@
 
     fn append(&mut self, entry: Entry) {
         assert!(self.log_up, "the log is down");
+        if let Entry::Assign(upstream, _) = &entry {
+            self.upstreams.insert(upstream.clone());
+        }
         self.log.push((self.now, entry));
     }
 
@@ -339,10 +347,8 @@
     fn deliver(&mut self) {
         let now = self.now;
         let cuts = &self.cuts;
-        let (due, rest): (Vec<_>, Vec<_>) = self.transit.drain(..).partition(|f| f.at <= now);
-        self.transit = rest;
-        for f in due.into_iter().filter(|f| !cuts.contains(&(f.from, f.to))) {
-            if self.nodes[f.to].running {
+        for f in self.transit.extract_if(.., |f| f.at <= now) {
+            if self.nodes[f.to].running && !cuts.contains(&(f.from, f.to)) {
                 self.nodes[f.to].inbox.push((f.peer, f.message));
             }
         }
@@ -362,11 +368,7 @@
     }
 
     fn judge(&mut self) {
-        let upstreams = self.log.iter().filter_map(|(_, e)| match e {
-            Entry::Assign(upstream, _) => Some(upstream),
-            _ => None,
-        });
-        for upstream in upstreams.collect::<BTreeSet<_>>() {
+        for upstream in &self.upstreams {
             let found: Vec<_> = self
                 .nodes
                 .iter()
