Fail over a lost upstream while the log is down

Without the log, the loss of an upstream could not be recorded and its keys waited for the log. The dispatcher now carries the recorded standbys out by itself: it announces the failover to every live successor, waits for the same proof as for any move, and offers the shards to the standbys' dispatchers. A successor that takes the role over knows of the failover, so it does not serve the shards a second time.

Lease messages are judged by the records that the roles were synced with. A newer view would have let a host renounce a term under which its role still acted; found by reading, no run showed it.

--- a/crates/daemon/src/authority.rs
+++ b/crates/daemon/src/authority.rs
@@ -16,7 +16,9 @@
 use snafu::Snafu;
 use trefoil_core::chart::ChartError;
 use trefoil_core::{HostId, Tick, Token, UpstreamName};
-use trefoil_lease::{Effect, Holder, Message as LeaseMessage, Peer, Succession, Timing, Witness};
+use trefoil_lease::{
+    Effect, Holder, Message as LeaseMessage, Peer, Records, Succession, Timing, Witness,
+};
 use trefoil_log::View;
 use trefoil_wire::{PeerId, Peers, decode, encode};
 
@@ -70,6 +72,9 @@
     holder: Holder,
     witness: Witness,
     succession: Succession,
+    /// The records that all three were last synced with. Messages are judged by these and not by a
+    /// newer view: a role that has not been synced may still act under a term that the view ended.
+    records: Arc<Records>,
     watchdog: Option<Watchdog>,
 }
 
@@ -104,6 +109,7 @@
             holder: Holder::new(host, timing)?,
             witness: Witness::new(host, address, timing, now)?,
             succession: Succession::new(host, timing),
+            records: Arc::default(),
             watchdog: watchdog.then(Watchdog::new).transpose()?,
         };
         let (changes, receiver) = async_channel::unbounded();
@@ -368,6 +374,7 @@
         if tail {
             self.witness.reached_tail();
         }
+        self.records = Arc::clone(&view.records);
         self.witness.sync(&view.records, now);
         let mut effects = self.holder.sync(&view.records, now);
         effects.extend(self.succession.sync(&view.records, now));
@@ -384,7 +391,7 @@
     fn receive(&mut self, from: Peer, message: &LeaseMessage, now: Tick) -> Vec<Effect> {
         let mut effects = self.holder.receive(from, message, now);
         effects.extend(self.witness.receive(from, message, now));
-        effects.extend(self.succession.receive(from, message));
+        effects.extend(self.succession.receive(from, message, &self.records));
         effects
     }
 
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 pub mod driver;
 pub mod exchange;
+pub mod failover;
 pub mod job;
 pub mod shards;
 
@@ -30,6 +31,7 @@
 use trefoil_wire::{AnswerHead, Body, ForwardHead, Handler, PeerId, Peers, decode, encode};
 
 use self::driver::Driver;
+use self::failover::Announcement;
 use crate::authority::{Authority, RoleChange};
 use crate::message::{Message, Reply};
 use crate::planner::Observed;
@@ -48,6 +50,7 @@
     authority: Arc<Authority>,
     peers: Arc<dyn Peers>,
     drivers: Mutex<BTreeMap<UpstreamName, Arc<Driver>>>,
+    announced: Mutex<BTreeMap<UpstreamName, Announcement>>,
 }
 
 /// Head and body of an answer.
@@ -61,6 +64,7 @@
             authority,
             peers,
             drivers: Mutex::default(),
+            announced: Mutex::default(),
         }
     }
 
@@ -68,6 +72,12 @@
         self.drivers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn announcements(&self) -> MutexGuard<'_, BTreeMap<UpstreamName, Announcement>> {
+        self.announced
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn all(&self) -> Vec<Arc<Driver>> {
         self.lock().values().cloned().collect()
     }
@@ -86,6 +96,7 @@
         let mut observed = Observed::default();
         for driver in self.all() {
             let list = match driver.health() {
+                _ if driver.has_failed_over() => &mut observed.lost,
                 State::Lost => &mut observed.lost,
                 State::Cold | State::Serving => &mut observed.healthy,
                 State::Suspect | State::Draining | State::Left => continue,
@@ -249,6 +260,8 @@
                 }
             }
             Ok(Message::Releases { query }) => self.releases(&query).await,
+            Ok(Message::FailedOver { announcement }) => self.announced(&announcement),
+            Ok(Message::Offer { offer }) => self.offered(&offer),
             Err(e) => Reply::Refused {
                 reason: e.to_string(),
             },
--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -1,6 +1,6 @@
 //! The driver of one upstream: performs what `trefoil-dispatch` decides.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
@@ -24,6 +24,7 @@
 use trefoil_placement::Table;
 use trefoil_wire::Peers;
 
+use super::failover::Provisional;
 use super::{Dispatchers, exchange};
 use crate::authority::Authority;
 use crate::metrics::Metrics;
@@ -58,6 +59,9 @@
     pub(super) health: Health,
     pub(super) table: Option<Arc<Table>>,
     pub(super) released: BTreeMap<Shard, Release>,
+    /// Released shards that a standby serves already.
+    pub(super) taken: BTreeSet<Shard>,
+    pub(super) provisional: Provisional,
     pub(super) waiters: BTreeMap<TicketId, Sender<Notice>>,
     granted: Tick,
 }
@@ -78,6 +82,7 @@
     stopped: AtomicBool,
     stop: Event,
     draining: AtomicBool,
+    pub(super) failed_over: AtomicBool,
     first: bool,
     predecessor_end: Tick,
     tasks: Mutex<Vec<Task<()>>>,
@@ -164,6 +169,8 @@
             health: Health::new(now)?,
             table: None,
             released: BTreeMap::new(),
+            taken: BTreeSet::new(),
+            provisional: Provisional::new(),
             waiters: BTreeMap::new(),
             granted: Tick::default(),
         };
@@ -181,16 +188,22 @@
             stopped: AtomicBool::new(false),
             stop: Event::new(),
             draining: AtomicBool::new(false),
+            failed_over: AtomicBool::new(false),
             first,
             predecessor_end: if first { now } else { now.after(longest) },
             tasks: Mutex::default(),
             shared,
             authority,
         });
-        driver.sync(&driver.shared.view());
+        let view = driver.shared.view();
+        driver.sync(&view);
+        if dispatchers.has_failed_over(&view, driver.name()) {
+            driver.start_failover(&view);
+        }
         let tasks = vec![
             smol::spawn(Arc::clone(&driver).run()),
             smol::spawn(Arc::clone(&driver).collect_releases()),
+            smol::spawn(Arc::clone(&driver).watch_loss()),
         ];
         *driver.tasks.lock().unwrap_or_else(PoisonError::into_inner) = tasks;
         Ok(driver)
--- a/crates/daemon/src/dispatcher/job.rs
+++ b/crates/daemon/src/dispatcher/job.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use trefoil_core::{Outcome, Shard, Tick};
 use trefoil_dispatch::{
-    Cause, Decision, Digest, Dropped, Record, Report, Request, Ticket, TicketId,
+    Cause, Decision, Digest, Dropped, Record, Report, Request, ShedReason, Ticket, TicketId,
 };
 use trefoil_log::View;
 use trefoil_wire::{AnswerHead, Body, ForwardHead};
@@ -62,7 +62,7 @@
         let (id, ticket) = match decision {
             Decision::Start(ticket) => (ticket.id(), Some(ticket)),
             Decision::Queued(id) => (id, None),
-            other => return self.refused(&other),
+            other => return self.refused(shard, &other),
         };
         self.wake();
         let job = Job {
@@ -90,7 +90,18 @@
         }
     }
 
-    fn refused(&self, decision: &Decision) -> Answer {
+    fn refused(&self, shard: Shard, decision: &Decision) -> Answer {
+        // A lost upstream is reported as unavailable before it is as moved.
+        if let Decision::Shed(ShedReason::Moved | ShedReason::Unavailable, _) = decision
+            && let Some(to) = self.lock().admission.ownership().successor(shard).cloned()
+        {
+            let revision = self.shared.view().revision;
+            let moved = AnswerHead::Moved {
+                upstream: to,
+                revision,
+            };
+            return (moved, trefoil_wire::body::empty());
+        }
         let outcome = decision.outcome().unwrap_or(Outcome::Unknown);
         let reason = match decision {
             Decision::Shed(why, _) => format!("the request was shed: {why}"),
--- a/crates/daemon/src/dispatcher/shards.rs
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -64,9 +65,13 @@
         inner.table = Some(Arc::clone(table));
         drop(inner);
         let now = self.shared.clock.now();
+        self.end_failover(table);
         for (shard, seat) in (0..).map(Shard).zip(table.seats()) {
             let owns = table.name(seat.owner) == Some(self.name());
             let hold = self.lock().admission.ownership().state(shard);
+            if self.is_provisional(shard, table.name(seat.owner)) || self.has_failed_over() {
+                continue;
+            }
             match hold {
                 ShardState::Released if owns => self.assign(view, now, shard),
                 ShardState::Serving | ShardState::Awaiting if !owns => {
@@ -82,6 +87,24 @@
         }
     }
 
+    /// A failover without the log ends when the log has taken the member out of the table.
+    fn end_failover(&self, table: &Table) {
+        if self.has_failed_over() && table.member(self.name()).is_none() {
+            self.failed_over.store(false, Ordering::SeqCst);
+        }
+    }
+
+    /// Whether a shard is served here as a recorded standby, and the log still names the upstream
+    /// that has failed over.
+    fn is_provisional(&self, shard: Shard, owner: Option<&UpstreamName>) -> bool {
+        let mut inner = self.lock();
+        let stands = inner.provisional.get(&shard) == owner && owner.is_some();
+        if !stands {
+            inner.provisional.remove(&shard);
+        }
+        stands
+    }
+
     fn assign(&self, view: &View, now: Tick, shard: Shard) {
         let moved = view
             .moved
@@ -96,6 +119,8 @@
             _ => Origin::Predecessor(self.predecessor_end()),
         };
         let mut inner = self.lock();
+        inner.released.remove(&shard);
+        inner.taken.remove(&shard);
         if let Err(e) = inner.admission.assign(now, shard, origin) {
             debug!(self.shared.logger, "shard not taken"; "upstream" => %self.name(), "error" => %e);
         }
@@ -127,7 +152,11 @@
         let answer = |&(shard, revision): &(Shard, Revision)| {
             let hold = inner.admission.ownership().state(shard);
             let handover = match inner.released.get(&shard) {
-                Some(release) if release.revision == revision => release.handover.clone(),
+                // A failover without the log carries the placement's revision, not that of the
+                // record which confirms it later.
+                Some(release) if release.revision == revision || release.to == query.to => {
+                    release.handover.clone()
+                }
                 // This dispatcher never held the shard. Requests of an earlier dispatcher have
                 // ended once the longest of them would have.
                 None if hold == ShardState::Released && settled => Handover {
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -19,7 +19,7 @@
 use slog::debug;
 use trefoil_core::{Outcome, Tick, UpstreamName};
 use trefoil_http::Service;
-use trefoil_log::HostRecord;
+use trefoil_log::{HostRecord, View};
 use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers, encode};
 
 use crate::authority::Authority;
@@ -44,6 +44,9 @@
 /// before the successor takes over.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Owners that are tried in one attempt beyond the recorded one.
+const MOVES_MAX: usize = 2;
+
 /// Wait before a request that was not run is forwarded again.
 const RETRY_WAIT: Duration = Duration::from_millis(20);
 
@@ -66,6 +69,7 @@
 /// How one attempt ended.
 enum Attempt {
     Answered(AnswerHead, Body),
+    Moved(UpstreamName),
     Failed(Outcome, String),
 }
 
@@ -139,6 +143,7 @@
             let attempt = self.attempt(intent, parts, &mut payload, until).await;
             let (outcome, reason) = match attempt {
                 Attempt::Answered(head, body) => return Ok(passed_on(head, body)),
+                Attempt::Moved(to) => (Outcome::NotRun, format!("the key moved to {to}")),
                 Attempt::Failed(outcome, reason) => (outcome, reason),
             };
             doubt |= outcome != Outcome::NotRun;
@@ -203,11 +208,37 @@
     ) -> Attempt {
         let view = self.shared.view();
         let not_run = |reason: &str| Attempt::Failed(Outcome::NotRun, reason.to_owned());
-        let Some(upstream) = owner(&view, &intent.service, intent.key) else {
+        let Some(recorded) = owner(&view, &intent.service, intent.key) else {
             return not_run("the key has no owner yet");
         };
+        // A dispatcher names another owner if it has a newer view, or if its upstream has failed
+        // over while the log is down.
+        let mut upstream = recorded.clone();
         let mut last = not_run("the key's upstream has no dispatcher yet");
-        for host in self.routes.hosts(&view, upstream, self.shared.clock.now()) {
+        for _ in 0..=MOVES_MAX {
+            last = self
+                .attempt_at(&view, &upstream, intent, parts, payload, until)
+                .await;
+            match &last {
+                Attempt::Moved(to) => upstream = to.clone(),
+                _ => break,
+            }
+        }
+        last
+    }
+
+    async fn attempt_at(
+        &self,
+        view: &View,
+        upstream: &UpstreamName,
+        intent: &Intent,
+        parts: &Parts,
+        payload: &mut Payload,
+        until: Tick,
+    ) -> Attempt {
+        let reason = "the key's upstream has no dispatcher yet".to_owned();
+        let mut last = Attempt::Failed(Outcome::NotRun, reason);
+        for host in self.routes.hosts(view, upstream, self.shared.clock.now()) {
             let budget = until.since(self.shared.clock.now());
             let head = self.head(intent, parts, upstream, budget);
             let body = match payload {
@@ -222,7 +253,7 @@
                 .await;
             match &last {
                 Attempt::Failed(Outcome::NotRun, _) => {}
-                Attempt::Answered(..) => {
+                Attempt::Answered(..) | Attempt::Moved(_) => {
                     self.routes.answered(upstream, host.id);
                     return last;
                 }
@@ -346,7 +377,7 @@
             }
             AnswerHead::Moved { upstream, revision } => {
                 self.shared.learn(revision);
-                Attempt::Failed(Outcome::NotRun, format!("the key moved to {upstream}"))
+                Attempt::Moved(upstream)
             }
         }
     }
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,9 +1,10 @@
 //! Control messages between hosts.
 
 use serde::{Deserialize, Serialize};
-use trefoil_core::{HostId, Revision};
+use trefoil_core::{HostId, Revision, Shard};
 use trefoil_lease::Message as LeaseMessage;
 
+use crate::dispatcher::failover::{Announcement, Offer};
 use crate::dispatcher::shards::{Query, Released};
 
 /// A question to another host.
@@ -28,6 +29,16 @@
         /// The question.
         query: Query,
     },
+    /// Announces a failover to a successor.
+    FailedOver {
+        /// The announcement.
+        announcement: Announcement,
+    },
+    /// Offers shards to a standby.
+    Offer {
+        /// The offer.
+        offer: Offer,
+    },
 }
 
 /// The answer to a [`Message`].
@@ -50,6 +61,13 @@
         /// The releases.
         shards: Vec<Released>,
     },
+    /// The announcement is known.
+    Announced,
+    /// The offered shards that the standby serves.
+    Taken {
+        /// The shards.
+        shards: Vec<Shard>,
+    },
     /// The message does not decode.
     Refused {
         /// Why.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -234,7 +234,7 @@
                 .await?;
             match decode::<Reply>(&reply).ok()? {
                 Reply::Revision { revision } => Some(revision),
-                Reply::Lease { .. } | Reply::Releases { .. } | Reply::Refused { .. } => None,
+                _ => None,
             }
         }
         .boxed()
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -140,6 +140,15 @@
         all.find(|(_, u)| u.name == *name)
     }
 
+    /// Revision of the newest change of owner of a shard that was taken from an upstream.
+    pub fn moved_at(&self, service: &ServiceName, from: &UpstreamName) -> Revision {
+        let (Some(table), Some(moved)) = (self.tables.get(service), self.moved.get(service)) else {
+            return Revision(0);
+        };
+        let taken = moved.values().filter(|m| table.name(m.from) == Some(from));
+        taken.map(|m| m.revision).max().unwrap_or_default()
+    }
+
     /// Replays one stored record.
     ///
     /// # Errors
--- a/tests/all/process/takeover.rs
+++ b/tests/all/process/takeover.rs
@@ -130,3 +130,80 @@
     println!("lost upstream: served again after {} ms", took.as_millis());
     assert!(took <= TARGET, "served again after {took:?}");
 }
+
+/// Guards against keys that wait for the log after the loss of their upstream, and against a
+/// standby that is forgotten when the log comes back.
+#[test]
+fn a_lost_upstream_is_replaced_while_the_log_is_down() {
+    let mut deployment = deployment(5, true);
+    std::thread::sleep(Duration::from_secs(2));
+    deployment.fault("\"down\"");
+    let started = Instant::now();
+    deployment.upstreams.remove("offers-2").expect("it runs");
+    eventually("served again", || serves(&deployment, "host-1"));
+    let took = started.elapsed();
+    println!(
+        "lost upstream, log down: served again after {} ms",
+        took.as_millis()
+    );
+    assert!(took <= TARGET, "served again after {took:?}");
+
+    deployment.fault("\"none\"");
+    eventually("the loss is recorded", || {
+        let status = status(&deployment, "host-1");
+        let lost = status["upstreams"]
+            .as_array()?
+            .iter()
+            .find(|u| u["name"] == "offers-2")?;
+        (lost["shards"] == 0).then_some(())
+    });
+    assert!(
+        serves(&deployment, "host-3").is_some(),
+        "the standbys go on serving"
+    );
+}
+
+/// Guards against a successor that serves keys which its predecessor gave to a standby while the
+/// log was down.
+#[test]
+fn a_failover_outlives_its_dispatcher_while_the_log_is_down() {
+    let mut deployment = deployment(5, true);
+    std::thread::sleep(Duration::from_secs(2));
+    deployment.fault("\"down\"");
+    let before = status(&deployment, "host-1");
+    let upstreams = before["upstreams"].as_array().expect("upstreams");
+    let of = |name: &str| {
+        let found = upstreams.iter().find(|u| u["name"] == name);
+        found
+            .and_then(|u| u["dispatcher"].as_str())
+            .unwrap_or_default()
+            .to_owned()
+    };
+    let frozen = upstreams.iter().filter_map(|u| u["name"].as_str());
+    let frozen = frozen
+        .filter(|n| of(n) != "host-1")
+        .max()
+        .expect("an upstream")
+        .to_owned();
+    deployment.upstreams[&frozen]
+        .process
+        .signal(Signal::SIGSTOP);
+    eventually("the standbys serve", || serves(&deployment, "host-1"));
+    let runs = |deployment: &Deployment| -> usize { deployment.runs(&frozen).len() };
+
+    deployment.daemons.remove(&of(&frozen)).expect("it runs");
+    eventually("served again", || serves(&deployment, "host-1"));
+    deployment.upstreams[&frozen]
+        .process
+        .signal(Signal::SIGCONT);
+    let woken = runs(&deployment);
+    for _ in 0..5 {
+        assert!(serves(&deployment, "host-1").is_some(), "keys stay served");
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    assert_eq!(
+        runs(&deployment),
+        woken,
+        "the returned upstream gets no requests"
+    );
+}
