Say not run only when nobody can know of an earlier copy

A caller that repeated a request id was told 'not run' when no dispatcher could be asked, although an earlier copy of the request may have run. An ingress now says 'unknown' for a non-idempotent request with an id unless a dispatcher has given its final word, and does not forward a request again that a dispatcher has shed for good, which multiplied the load of an overloaded upstream by its retries. The other way round, a request that found no connection to its dispatcher within its deadline was told 'unknown' although nothing was sent; connecting now ends with the deadline and proves 'not run'.

The new test failed before: first without an id (not within 20 s), then with one id for many keys, which was the test's own mistake.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -294,6 +294,12 @@
     )
 }
 
+/// The dispatcher's final word on a request that has no answer of the upstream.
+pub fn settled(shared: &Shared, outcome: Outcome, reason: &str) -> Answer {
+    let (head, body) = failed(shared, outcome, reason);
+    (head.settle(), body)
+}
+
 /// The upstream that owns a key.
 pub fn owner<'a>(view: &'a View, service: &Service, key: KeyHash) -> Option<&'a UpstreamName> {
     let table = view.tables.get(&service.name)?;
--- a/crates/daemon/src/dispatcher/job.rs
+++ b/crates/daemon/src/dispatcher/job.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use super::driver::{Driver, Notice};
-use super::{Answer, exchange, failed};
+use super::{Answer, exchange, failed, settled};
 
 /// Bodies up to this many bytes are read before the request is offered, so that it can be sent
 /// again and its digest covers the body.
@@ -104,13 +104,20 @@
         }
         let outcome = decision.outcome().unwrap_or(Outcome::Unknown);
         let reason = match decision {
-            Decision::Shed(why, _) => format!("the request was shed: {why}"),
+            Decision::Shed(why, _) if why.is_final() => format!("the request was shed: {why}"),
+            Decision::Shed(why, _) => {
+                return failed(
+                    &self.shared,
+                    outcome,
+                    &format!("the request was shed: {why}"),
+                );
+            }
             Decision::Repeat(record) => return self.repeated(*record),
             Decision::InFlight => "a request with this id is being executed".to_owned(),
             Decision::Conflict => "another request was seen under this id".to_owned(),
             Decision::Start(_) | Decision::Queued(_) => String::new(),
         };
-        failed(&self.shared, outcome, &reason)
+        settled(&self.shared, outcome, &reason)
     }
 
     /// Answers a repeat of a request that has finished. The body of the first answer is not kept.
@@ -123,7 +130,8 @@
                 outcome: record.outcome,
                 revision,
             },
-            None => AnswerHead::failed(record.outcome, "repeat of a finished request", revision),
+            None => AnswerHead::failed(record.outcome, "repeat of a finished request", revision)
+                .settle(),
         };
         (head, trefoil_wire::body::empty())
     }
@@ -281,7 +289,7 @@
                 exchange::Attempt::Answer(answer) => return answer,
                 exchange::Attempt::Ended(cause, Some(Report::Answer(record))) => {
                     let reason = cause.to_string();
-                    return failed(&self.driver.shared, record.outcome, &reason);
+                    return settled(&self.driver.shared, record.outcome, &reason);
                 }
                 exchange::Attempt::Ended(_, Some(Report::Retry(_))) => {}
                 exchange::Attempt::Ended(cause, None) => {
@@ -293,6 +301,11 @@
 
     fn dropped(&self, dropped: Dropped) -> Answer {
         let reason = format!("the request was shed: {}", dropped.why);
-        failed(&self.driver.shared, dropped.outcome, &reason)
+        let answer = if dropped.why.is_final() {
+            settled
+        } else {
+            failed
+        };
+        answer(&self.driver.shared, dropped.outcome, &reason)
     }
 }
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -26,7 +26,7 @@
 use crate::dispatcher::{Dispatchers, owner};
 use crate::message::Message;
 use crate::problem::{OUTCOME_HEADER, Problem, outcome_value};
-use crate::request::{Intent, forwarded};
+use crate::request::{ID_HEADER, Intent, forwarded};
 use crate::routes::Routes;
 use crate::shared::Shared;
 
@@ -70,6 +70,9 @@
 enum Attempt {
     Answered(AnswerHead, Body),
     Moved(UpstreamName),
+    /// The dispatcher's final word.
+    Settled(Outcome, String),
+    /// No host has the last word yet.
     Failed(Outcome, String),
 }
 
@@ -115,7 +118,12 @@
     ) -> (String, Result<Response<trefoil_http::Body>, Box<Problem>>) {
         if !self.shared.is_ready() || !self.authority.is_valid() {
             let reason = "this host is starting, draining or behind the newest configuration";
-            let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            // An earlier copy under the same id may have run, and no dispatcher was asked.
+            let problem = if parts.headers.contains_key(ID_HEADER) {
+                Problem::unknown(reason)
+            } else {
+                Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+            };
             return ("-".to_owned(), Err(Box::new(problem)));
         }
         match Intent::read(parts, &self.shared.view()) {
@@ -136,13 +144,19 @@
         let until = self.shared.clock.now().after(intent.budget);
         let mut payload = self.payload(intent, body, until).await?;
         self.routes.deposit(&intent.service.name);
-        // Once an attempt of an idempotent request has ended unknown, a later "not run" of another
-        // attempt says nothing about the request.
+        // "Not run" is the truth about a request only if nothing of it may have run before: not in
+        // an earlier attempt that ended unknown, and not as an earlier copy under the same id that
+        // only a dispatcher's memory would know of.
+        let copies = intent.id.is_some() && !intent.idempotent;
         let mut doubt = false;
         loop {
             let attempt = self.attempt(intent, parts, &mut payload, until).await;
             let (outcome, reason) = match attempt {
                 Attempt::Answered(head, body) => return Ok(passed_on(head, body)),
+                Attempt::Settled(Outcome::NotRun, reason) if !doubt => {
+                    return Err(Box::new(unavailable(&reason)));
+                }
+                Attempt::Settled(_, reason) => (Outcome::Unknown, reason),
                 Attempt::Moved(to) => (Outcome::NotRun, format!("the key moved to {to}")),
                 Attempt::Failed(outcome, reason) => (outcome, reason),
             };
@@ -154,10 +168,12 @@
                     Outcome::NotRun => true,
                     _ => intent.idempotent && self.routes.withdraw(&intent.service.name),
                 };
-            match again {
-                true => self.shared.wait_change(next).await,
-                false if doubt => return Err(Box::new(Problem::unknown(&reason))),
-                false => return Err(Box::new(unavailable(&reason))),
+            if again {
+                self.shared.wait_change(next).await;
+            } else if doubt || copies {
+                return Err(Box::new(Problem::unknown(&reason)));
+            } else {
+                return Err(Box::new(unavailable(&reason)));
             }
         }
     }
@@ -253,7 +269,7 @@
                 .await;
             match &last {
                 Attempt::Failed(Outcome::NotRun, _) => {}
-                Attempt::Answered(..) | Attempt::Moved(_) => {
+                Attempt::Answered(..) | Attempt::Moved(_) | Attempt::Settled(..) => {
                     self.routes.answered(upstream, host.id);
                     return last;
                 }
@@ -371,9 +387,14 @@
                 outcome,
                 reason,
                 revision,
+                settled,
             } => {
                 self.shared.learn(revision);
-                Attempt::Failed(outcome, reason)
+                if settled {
+                    Attempt::Settled(outcome, reason)
+                } else {
+                    Attempt::Failed(outcome, reason)
+                }
             }
             AnswerHead::Moved { upstream, revision } => {
                 self.shared.learn(revision);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -69,6 +69,10 @@
         reason: String,
         /// Revision of the dispatcher's view.
         revision: Revision,
+        /// Whether this is the dispatcher's final word on the request. Any other "not run" holds for
+        /// this attempt only: another host may take the request, and of a request with an id an
+        /// earlier copy may have run.
+        settled: bool,
     },
     /// The key has another owner; the request did not run.
     Moved {
@@ -136,9 +140,19 @@
             outcome,
             reason,
             revision,
+            settled: false,
         }
     }
 
+    /// Marks a failure as the dispatcher's final word on the request.
+    #[must_use]
+    pub fn settle(mut self) -> Self {
+        if let Self::Failed { settled, .. } = &mut self {
+            *settled = true;
+        }
+        self
+    }
+
     /// Revision of the answering host's view.
     pub fn revision(&self) -> Revision {
         match self {
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -104,8 +104,11 @@
         let pool = Arc::clone(&self.pool);
         Box::pin(async move {
             let start = pool.clock.now();
+            // A request that has found no connection within its budget was not sent. The grace is
+            // for the answer to one that was.
+            let latest = pool.clock.sleep(head.budget);
             let until = pool.clock.sleep(head.budget + pool.limits.grace);
-            let mut exchange = Exchange::open(&pool, to, until).await?;
+            let mut exchange = Exchange::open(&pool, to, latest, until).await?;
             // The peer counts the budget from the arrival of the head.
             let waited = pool.clock.now().since(start);
             head.budget = head.budget.saturating_sub(waited);
@@ -126,8 +129,9 @@
         Box::pin(async move {
             let first = frame(Some(Kind::Call), &message);
             let first = first.map_err(|e| PeerError::invalid(to, &e))?;
+            let latest = pool.clock.sleep(pool.limits.call);
             let until = pool.clock.sleep(pool.limits.call);
-            let mut exchange = Exchange::open(&pool, to, until).await?;
+            let mut exchange = Exchange::open(&pool, to, latest, until).await?;
             exchange.start(first, body::empty());
             exchange.answer(true).await
         })
@@ -149,11 +153,16 @@
 
 impl Exchange {
     /// Opens a stream. Nothing has been sent when this fails.
-    async fn open(pool: &Pool, to: SocketAddr, mut until: Sleep) -> Result<Self, PeerError> {
+    async fn open(
+        pool: &Pool,
+        to: SocketAddr,
+        mut latest: Sleep,
+        until: Sleep,
+    ) -> Result<Self, PeerError> {
         let mut opening = pin!(pool.stream(to));
         let opened = poll_fn(|cx| match opening.as_mut().poll(cx) {
             Poll::Ready(opened) => Poll::Ready(opened),
-            Poll::Pending => until
+            Poll::Pending => latest
                 .as_mut()
                 .poll(cx)
                 .map(|()| Err(PeerError::Timeout { to, sent: false })),
--- a/tests/all/process/stops.rs
+++ b/tests/all/process/stops.rs
@@ -159,3 +159,39 @@
         .count();
     assert!(orders <= 1, "the order ran {orders} times");
 }
+
+/// Guards against "not run" for an order of which an earlier copy may have run: with a request id
+/// and nobody who remembers it the outcome is unknown, without an id this one copy did not run.
+#[test]
+fn not_run_needs_somebody_who_remembers_the_id() {
+    let mut deployment = two_hosts(&[]);
+    let resource = deployment.resource(false);
+    let (status, verdict) = deployment.publish("host-1", &resource, 0);
+    assert_eq!(status, StatusCode::OK, "{verdict}");
+    eventually("host-1 serves", || serves(&deployment, "host-1"));
+    deployment.daemons.remove("host-2").expect("it runs");
+
+    let outcome = |id: bool| {
+        // The keys whose dispatcher is still there are answered; what counts are the others.
+        let told = (0..40).map(|k| {
+            let mut request = post(k, &format!("order-{k}"));
+            if !id {
+                request.headers_mut().remove("idempotency-key");
+            }
+            let timeout = http::HeaderValue::from_static("300");
+            request.headers_mut().insert("trefoil-timeout-ms", timeout);
+            deployment.send("host-1", request).outcome
+        });
+        told.filter(|o| o != "done").collect::<Vec<_>>()
+    };
+    // Until the connection to the lost host is given up, requests can have been sent on it.
+    eventually("the host is known to be lost", || {
+        let told = outcome(false);
+        (!told.is_empty() && told.iter().all(|o| o == "not-run")).then_some(())
+    });
+    let told = outcome(true);
+    assert!(
+        !told.is_empty() && told.iter().all(|o| o == "unknown"),
+        "{told:?}"
+    );
+}
