Let a leaving host witness until it can be spared

Restarting 5 hosts one after the other, half a second apart, ended the leases of other hosts: a leaving host stopped witnessing at once, and a lost witness was replaced only after 30 s although 3 of 4 witnesses are needed. A host now announces that it leaves, others replace it as dispatcher and witness, and it stays until no lease depends on it. A lost witness is replaced at once where the majority has none to spare. Ruled out: the change of generation itself, which completed in time.

Scripted scenarios run separate processes under load with kills, stops, freezes and log faults, and a checker compares what callers were told with what ran.

--- a/crates/daemon/src/authority.rs
+++ b/crates/daemon/src/authority.rs
@@ -17,7 +17,8 @@
 use trefoil_core::chart::ChartError;
 use trefoil_core::{HostId, Tick, Token, UpstreamName};
 use trefoil_lease::{
-    Effect, Holder, Message as LeaseMessage, Peer, Records, Succession, Timing, Witness,
+    Effect, EntryState, Holder, Message as LeaseMessage, Peer, Records, Succession, Timing,
+    Witness, majority,
 };
 use trefoil_log::View;
 use trefoil_wire::{PeerId, Peers, decode, encode};
@@ -174,6 +175,21 @@
         }
     }
 
+    /// Whether no live host's lease depends on this host as a witness: each has a majority without
+    /// it, and no change away from this host is half-way.
+    pub fn is_dispensable(&self, view: &View) -> bool {
+        let state = self.lock();
+        let me = self.shared.host.id;
+        let stays = |host: HostId| host != me && view.stays(host);
+        view.records.leases().all(|(lease, newest)| {
+            let witnessed = lease.seat_of(me).is_some() && view.hosts.contains_key(&lease.holder);
+            let kept = lease.seats.iter().filter(|s| stays(s.host)).count();
+            let entry = state.witness.state(lease.holder, lease.generation);
+            let settled = matches!(entry, Some(EntryState::Closed | EntryState::Expired));
+            !witnessed || kept >= majority(lease.seats.len()) || (!newest && settled)
+        })
+    }
+
     /// Whether this host may write the record of its next lease generation.
     pub fn can_change(&self) -> bool {
         self.lock().holder.can_change()
@@ -285,7 +301,11 @@
                 None
             }
             Effect::Ended => {
-                error!(logger, "lease ended");
+                if self.shared.is_draining() {
+                    info!(logger, "lease given up");
+                } else {
+                    error!(logger, "lease ended");
+                }
                 self.ended.notify(usize::MAX);
                 None
             }
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -8,7 +8,7 @@
 use smallvec::SmallVec;
 use trefoil_core::{DomainName, HostId, KeyHash, Revision, Tick};
 
-use trefoil_lease::{Generation, Lease, Seat};
+use trefoil_lease::{Generation, Lease, Seat, majority};
 use trefoil_log::{Body, HostRecord, Verdict, View};
 
 use crate::authority::Authority;
@@ -34,7 +34,7 @@
 /// Longest time between two looks at the witnesses.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 
-/// Time for which one lost witness is not replaced. The majority holds without it, and a restart of
+/// Time for which a lost witness is not replaced while the majority has one to spare. A restart of
 /// a host would otherwise cost a record for each of the leases that it witnesses.
 const REPLACE_AFTER: Duration = Duration::from_secs(30);
 
@@ -57,6 +57,43 @@
     }
 }
 
+/// Longest wait for other hosts to take the place of one that leaves.
+const REPLACED_MAX: Duration = Duration::from_secs(10);
+
+/// Time between two looks at whether they have.
+const REPLACED_POLL: Duration = Duration::from_millis(20);
+
+/// Records that this incarnation is about to leave, so that it gets no new roles.
+pub async fn announce_leave(shared: &Shared) {
+    let until = shared.clock.now().after(SUBMIT_TIMEOUT);
+    match shared
+        .decide(
+            Revision(0),
+            Body::Leaving {
+                host: shared.host.id,
+            },
+            until,
+        )
+        .await
+    {
+        Ok(verdict) => info!(shared.logger, "leaving"; "verdict" => ?verdict),
+        Err(e) => warn!(shared.logger, "leaving not written"; "error" => %e),
+    }
+}
+
+/// Waits until no lease depends on this host as a witness. A host that stopped before could take
+/// the majority from leases whose other witnesses are being replaced as well.
+pub async fn wait_replaced(shared: &Shared, authority: &Authority) {
+    let until = shared.clock.now().after(REPLACED_MAX);
+    while !authority.is_dispensable(&shared.view()) {
+        if shared.clock.now() >= until {
+            warn!(shared.logger, "leaving although leases depend on this host");
+            return;
+        }
+        shared.clock.sleep(REPLACED_POLL).await;
+    }
+}
+
 /// Records that this incarnation has left. The host stops in any case; if the record cannot be
 /// written, its lease ends instead.
 pub async fn leave(shared: &Shared) {
@@ -115,7 +152,8 @@
     now: Tick,
     missing_since: &mut Option<Tick>,
 ) -> Option<Lease> {
-    let others = view.hosts.values().filter(|h| h.id != host.id).count();
+    let stays = |h: &&HostRecord| h.id != host.id && view.stays(h.id);
+    let others = view.hosts.values().filter(stays).count();
     let full = if others < WITNESSES_MIN {
         0
     } else {
@@ -134,16 +172,16 @@
         .seats
         .iter()
         .copied()
-        .filter(|s| view.hosts.contains_key(&s.host))
+        .filter(|s| view.stays(s.host))
         .collect();
-    let missing = full.saturating_sub(kept.len());
-    if missing != 1 {
-        *missing_since = None;
-    }
-    let due = match missing {
-        0 => false,
-        1 => now.since(*missing_since.get_or_insert(now)) >= REPLACE_AFTER,
-        _ => true,
+    let due = match full.saturating_sub(kept.len()) {
+        0 => {
+            *missing_since = None;
+            false
+        }
+        // Without a witness to spare the next loss would end the lease.
+        _ if kept.len() <= majority(current.seats.len()) => true,
+        _ => now.since(*missing_since.get_or_insert(now)) >= REPLACE_AFTER,
     };
     due.then(|| {
         *missing_since = None;
@@ -174,7 +212,7 @@
     };
     let score = |id: HostId| KeyHash::of(format!("{}/{id}", host.id).as_bytes());
     // Witnesses stay in the holder's region, so that a region that is cut off keeps its leases.
-    let near = |h: &&HostRecord| h.id != host.id && h.region == host.region;
+    let near = |h: &&HostRecord| h.id != host.id && h.region == host.region && view.stays(h.id);
     let mut candidates: Vec<_> = view.hosts.values().filter(near).collect();
     candidates.sort_by_cached_key(|h| score(h.id));
     // A second round goes over the limit of a domain if there are too few hosts in the others.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -273,6 +273,7 @@
         info!(self.shared.logger, "draining");
         self.shared.start_drain();
         self.ingress.stop().await;
+        member::announce_leave(&self.shared).await;
         planner::hand_over(&self.shared).await;
         let until = self.shared.clock.now().after(HAND_OVER_MAX);
         let closed = |_: &Shared| self.dispatchers.is_empty();
@@ -284,6 +285,7 @@
         while !self.dispatchers.is_idle() {
             self.shared.clock.sleep(HAND_OVER_POLL).await;
         }
+        member::wait_replaced(&self.shared, &self.authority).await;
         member::leave(&self.shared).await;
         self.peers.drain().await;
         self.operator.stop().await;
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -223,7 +223,8 @@
     let hosts: Vec<_> = view
         .hosts
         .values()
-        .filter(|h| view.records.tenure(h.id).is_some() && !excluded.contains(&h.id))
+        .filter(|h| view.stays(h.id) && view.records.tenure(h.id).is_some())
+        .filter(|h| !excluded.contains(&h.id))
         .collect();
     let live = |id: &HostId| hosts.iter().any(|h| h.id == *id);
     let mut load: BTreeMap<HostId, usize> = hosts.iter().map(|h| (h.id, 0)).collect();
--- a/crates/dev/src/upstream.rs
+++ b/crates/dev/src/upstream.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use trefoil_core::{Clock, Shard, Tick, Token, UpstreamName};
+use trefoil_core::{Clock, Shard, Tick, Token, UnixMillis, UpstreamName};
 use trefoil_http::{Body, Service, full};
 use trefoil_platform::protocol::{GRANT_PATH, Grant};
 
@@ -38,6 +38,10 @@
     pub id: Option<String>,
     /// The `Fence-Token` header.
     pub token: Option<String>,
+    /// When the execution began.
+    pub began: UnixMillis,
+    /// When it took effect.
+    pub ended: UnixMillis,
 }
 
 #[derive(Debug, Default)]
@@ -136,6 +140,7 @@
             Ok(body) => body.to_bytes(),
             Err(_) => return refused(StatusCode::BAD_REQUEST, "the body broke off"),
         };
+        let began = self.clock.unix();
         self.clock.sleep(self.work).await;
         let path = parts
             .uri
@@ -147,6 +152,8 @@
             path: path.clone(),
             id: header(&parts.headers, "idempotency-key").map(str::to_owned),
             token: header(&parts.headers, FENCE_HEADER).map(str::to_owned),
+            began,
+            ended: self.clock.unix(),
         };
         let mut state = self.lock();
         state.runs.push(run);
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -61,6 +61,12 @@
     /// One part of a snapshot of the view. It changes nothing for a host that has replayed the
     /// records before it.
     Snapshot(Part),
+    /// A host is about to leave: others take its place as dispatcher and as witness, and it goes on
+    /// until they have.
+    Leaving {
+        /// The incarnation.
+        host: HostId,
+    },
     /// Raises the record format that may be written.
     Level {
         /// The new format.
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -1,6 +1,6 @@
 //! The state that replay of the log leads to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -109,6 +109,8 @@
     pub moved: BTreeMap<ServiceName, Arc<BTreeMap<Shard, Moved>>>,
     /// Leases of the hosts and dispatchers of the upstreams.
     pub records: Arc<Records>,
+    /// Live incarnations that are about to leave.
+    pub leaving: Arc<BTreeSet<HostId>>,
     /// Shard tables by service.
     pub tables: BTreeMap<ServiceName, Arc<Table>>,
     /// Revision of the newest placement decision.
@@ -119,6 +121,11 @@
 }
 
 impl View {
+    /// Whether a host is live and stays.
+    pub fn stays(&self, host: HostId) -> bool {
+        self.hosts.contains_key(&host) && !self.leaving.contains(&host)
+    }
+
     /// The declared service and the resource that declares it.
     pub fn service(&self, name: &ServiceName) -> Option<(&Resource, &Service)> {
         self.resources.values().find_map(|resource| {
@@ -220,7 +227,13 @@
                 self.expire(host);
                 accepted
             }
-            Body::Left { .. } | Body::Expired { .. } => rejected("the host is not live"),
+            Body::Leaving { host } if self.hosts.contains_key(&host) => {
+                Arc::make_mut(&mut self.leaving).insert(host);
+                accepted
+            }
+            Body::Left { .. } | Body::Expired { .. } | Body::Leaving { .. } => {
+                rejected("the host is not live")
+            }
             Body::Lease(lease) if !self.hosts.contains_key(&lease.holder) => {
                 rejected("the holder is not live")
             }
@@ -260,6 +273,9 @@
 
     fn expire(&mut self, host: HostId) {
         Arc::make_mut(&mut self.hosts).remove(&host);
+        if self.leaving.contains(&host) {
+            Arc::make_mut(&mut self.leaving).remove(&host);
+        }
         Arc::make_mut(&mut self.records).expire(host);
     }
 
--- /dev/null
+++ b/tests/all/process/history.rs
@@ -0,0 +1,187 @@
+//! Callers under load, and a checker of what they were told against what ran.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::Value;
+use uuid::Uuid;
+
+use super::deployment::{Answer, send};
+
+/// Keys that callers use.
+const KEYS: u32 = 48;
+
+/// Times that a caller sends one request whose outcome it does not know.
+const COPIES: u32 = 3;
+
+/// One request as its caller saw it.
+#[derive(Debug)]
+pub struct Told {
+    id: String,
+    path: String,
+    outcomes: Vec<String>,
+    answer: Option<Answer>,
+}
+
+/// Callers that send until they are stopped.
+pub struct Load {
+    stop: Arc<AtomicBool>,
+    callers: Vec<JoinHandle<Vec<Told>>>,
+}
+
+impl Load {
+    /// Starts callers that use every address in turn.
+    pub fn start(addresses: &[SocketAddr], callers: u64) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let spawn = |seed| {
+            let (stop, addresses) = (Arc::clone(&stop), addresses.to_vec());
+            std::thread::spawn(move || call_until(&stop, &addresses, seed))
+        };
+        let callers = (0..callers).map(spawn).collect();
+        Self { stop, callers }
+    }
+
+    /// Stops the callers and returns what they were told.
+    pub fn finish(self) -> Vec<Told> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.callers
+            .into_iter()
+            .flat_map(|c| c.join().expect("a caller's thread"))
+            .collect()
+    }
+}
+
+fn call_until(stop: &AtomicBool, addresses: &[SocketAddr], seed: u64) -> Vec<Told> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut told = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let path = format!("/offers/customer-{}", rng.random_range(0..KEYS));
+        let id = Uuid::now_v7().to_string();
+        let mut one = Told {
+            id,
+            path,
+            outcomes: Vec::new(),
+            answer: None,
+        };
+        for _ in 0..COPIES {
+            let address = addresses[rng.random_range(0..addresses.len())];
+            let request = Request::post(&one.path)
+                .header("idempotency-key", &one.id)
+                .header("trefoil-timeout-ms", "1500")
+                .body(Bytes::from(one.id.clone()))
+                .expect("a request");
+            // A host that is being killed or stopped does not answer; its caller knows nothing.
+            let answer = send(address, request);
+            let outcome = answer
+                .as_ref()
+                .map_or("unknown", |a| a.outcome.as_str())
+                .to_owned();
+            let known = outcome != "unknown" && !outcome.is_empty();
+            one.outcomes.push(outcome);
+            one.answer = answer;
+            if known {
+                break;
+            }
+        }
+        told.push(one);
+        std::thread::sleep(Duration::from_millis(rng.random_range(1..6)));
+    }
+    told
+}
+
+/// A run at an upstream.
+#[derive(Debug, Clone)]
+struct Run {
+    upstream: String,
+    began: u64,
+    ended: u64,
+}
+
+/// Compares what callers were told with what ran. Returns the violations, and counts by the last
+/// outcome of each request.
+pub fn check(
+    told: &[Told],
+    runs: &BTreeMap<String, Vec<Value>>,
+    lost: bool,
+) -> (Vec<String>, BTreeMap<String, usize>) {
+    let mut by_id = BTreeMap::<&str, usize>::new();
+    let mut by_path = BTreeMap::<&str, Vec<Run>>::new();
+    for (upstream, list) in runs {
+        for run in list {
+            let path = run["path"].as_str().unwrap_or_default();
+            let number = |name: &str| run[name].as_u64().unwrap_or_default();
+            let upstream = upstream.clone();
+            let run_at = Run {
+                upstream,
+                began: number("began"),
+                ended: number("ended"),
+            };
+            by_path.entry(path).or_default().push(run_at);
+            if let Some(id) = run["id"].as_str() {
+                *by_id.entry(id).or_default() += 1;
+            }
+        }
+    }
+    let mut violations = Vec::new();
+    let mut counts = BTreeMap::<String, usize>::new();
+    for one in told {
+        let ran = by_id.get(one.id.as_str()).copied().unwrap_or(0);
+        let told_last = one.outcomes.last().cloned().unwrap_or_default();
+        *counts.entry(told_last.clone()).or_default() += 1;
+        violations.extend(judge(one, ran, &told_last, lost));
+    }
+    for (path, runs) in &mut by_path {
+        violations.extend(overlaps(path, runs));
+    }
+    (violations, counts)
+}
+
+/// `lost` says that an upstream was killed, whose runs are not known.
+fn judge(one: &Told, ran: usize, outcome: &str, lost: bool) -> Vec<String> {
+    let mut violations = Vec::new();
+    let mut say = |what: &str| {
+        violations.push(format!(
+            "{} {}: {what}, ran {ran} times, told {:?}",
+            one.path, one.id, one.outcomes
+        ));
+    };
+    match outcome {
+        _ if ran > 1 => say("a request ran more than once"),
+        "not-run" if ran > 0 => say("a request ran that was told not run"),
+        "done" if ran != 1 && !lost => say("a request did not run that was told done"),
+        "" => say("an answer had no outcome"),
+        _ => {}
+    }
+    let repeated = one
+        .answer
+        .as_ref()
+        .is_some_and(|a| a.headers.contains_key("trefoil-repeat"));
+    if let Some(answer) = one
+        .answer
+        .as_ref()
+        .filter(|_| outcome == "done" && !repeated)
+        && (answer.field("path") != one.path.as_str() || answer.field("received") != one.id.len())
+    {
+        say("the answer belongs to another request");
+    }
+    violations
+}
+
+/// Runs of one key at two upstreams must not overlap in time.
+fn overlaps(path: &str, runs: &mut [Run]) -> Vec<String> {
+    runs.sort_by_key(|r| (r.ended, r.began));
+    let pairs = runs
+        .windows(2)
+        .filter(|pair| pair[0].upstream != pair[1].upstream && pair[1].began < pair[0].ended);
+    pairs
+        .map(|pair| format!("{path}: runs at two upstreams overlap: {pair:?}"))
+        .collect()
+}
--- /dev/null
+++ b/tests/all/process/scenario.rs
@@ -0,0 +1,289 @@
+//! Scripted failures under load, judged by the checker of the history.
+//!
+//! A script has one step a line; `scenarios/*.txt` hold the scripts with the verdict that is
+//! expected of each.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use nix::sys::signal::Signal;
+use serde_json::Value;
+
+use super::deployment::{Daemon, Deployment, call, eventually};
+use super::history::{Load, check};
+
+/// A key must be served again within this time of a loss.
+const TARGET: Duration = Duration::from_secs(4);
+
+/// An upstream that is leaving gets no new work after this time.
+const LEAVE: Duration = Duration::from_secs(3);
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+struct World {
+    deployment: Deployment,
+    fenced: bool,
+    load: Option<Load>,
+    lost: Instant,
+    verdict: String,
+    stopped: Vec<Daemon>,
+}
+
+impl World {
+    fn new() -> Self {
+        Self {
+            deployment: Deployment::new(),
+            fenced: false,
+            load: None,
+            lost: Instant::now(),
+            verdict: String::new(),
+            stopped: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, line: &str) {
+        let words: Vec<_> = line.split_whitespace().collect();
+        match words[..] {
+            ["upstreams", count, kind] => self.upstreams(number(count), kind == "fenced"),
+            ["hosts", count] => self.hosts(number(count)),
+            ["publish"] => self.publish(&[]),
+            ["load", callers] => self.start_load(number(callers)),
+            ["wait", millis] => std::thread::sleep(Duration::from_millis(number(millis))),
+            ["kill", "dispatcher", "of", upstream] => self.kill_dispatcher(upstream),
+            ["stop", "dispatcher", "of", upstream] => self.stop_dispatcher(upstream),
+            ["restart", host] => self.restart(host),
+            ["lose", upstream] => {
+                self.lost = Instant::now();
+                let upstream = self
+                    .deployment
+                    .upstreams
+                    .get_mut(upstream)
+                    .expect("an upstream");
+                upstream.process.signal(Signal::SIGKILL);
+            }
+            ["freeze", upstream] => {
+                self.lost = Instant::now();
+                self.deployment.upstreams[upstream]
+                    .process
+                    .signal(Signal::SIGSTOP);
+            }
+            ["thaw", upstream] => {
+                self.deployment.upstreams[upstream]
+                    .process
+                    .signal(Signal::SIGCONT);
+            }
+            ["log", fault] => self.deployment.fault(fault),
+            ["leave", upstream] => self.publish(&[upstream]),
+            ["quiet", upstream] => self.quiet(upstream),
+            ["served"] => self.served(),
+            ["check"] => self.check(),
+            _ => panic!("not a step: {line}"),
+        }
+    }
+
+    fn upstreams(&mut self, count: u64, fenced: bool) {
+        self.fenced = fenced;
+        let mut flags = vec!["--work-ms", "3"];
+        flags.extend(fenced.then_some("--fenced"));
+        for (i, domain) in (1..=count).zip(DOMAINS.iter().cycle()) {
+            self.deployment
+                .upstream(&format!("offers-{i}"), domain, &flags);
+        }
+    }
+
+    fn hosts(&mut self, count: u64) {
+        for (i, domain) in (1..=count).zip(DOMAINS.iter().cycle()) {
+            self.deployment.daemon(&format!("host-{i}"), domain);
+        }
+    }
+
+    fn any_host(&self) -> String {
+        self.deployment
+            .daemons
+            .keys()
+            .next()
+            .expect("a host")
+            .clone()
+    }
+
+    fn publish(&mut self, leaving: &[&str]) {
+        let host = self.any_host();
+        let mut resource = self.deployment.resource(self.fenced);
+        for name in leaving {
+            let found = format!("name: {name},");
+            resource = resource.replace(&found, &format!("{found} leaving: true,"));
+        }
+        let status = get(&self.deployment, &host, "/v1/resources");
+        let base = status[0]["revision"].as_u64().unwrap_or(0);
+        let (status, verdict) = self.deployment.publish(&host, &resource, base);
+        assert!(status.is_success(), "{verdict}");
+        self.lost = Instant::now();
+        for host in self.deployment.daemons.keys() {
+            eventually("every host serves", || self.serves(host));
+        }
+    }
+
+    fn serves(&self, host: &str) -> Option<()> {
+        let done = |k| {
+            let path = format!("/offers/customer-{k}");
+            let mut request = Request::get(path).body(Bytes::new()).expect("a request");
+            let timeout = http::HeaderValue::from_static("400");
+            request.headers_mut().insert("trefoil-timeout-ms", timeout);
+            self.deployment.send(host, request).outcome == "done"
+        };
+        (0..24).all(done).then_some(())
+    }
+
+    fn start_load(&mut self, callers: u64) {
+        // Every lease must have its witnesses: a host without any has no successor.
+        std::thread::sleep(Duration::from_secs(2));
+        let addresses: Vec<_> = self.deployment.daemons.values().map(|d| d.caller).collect();
+        self.load = Some(Load::start(&addresses, callers));
+    }
+
+    fn dispatcher(&self, upstream: &str) -> String {
+        let status = get(&self.deployment, &self.any_host(), "/v1/status");
+        let list = status["upstreams"].as_array().expect("upstreams");
+        let found = list
+            .iter()
+            .find(|u| u["name"] == upstream)
+            .expect("the upstream");
+        found["dispatcher"]
+            .as_str()
+            .expect("a dispatcher")
+            .to_owned()
+    }
+
+    fn kill_dispatcher(&mut self, upstream: &str) {
+        let host = self.dispatcher(upstream);
+        self.lost = Instant::now();
+        self.deployment.daemons.remove(&host).expect("it runs");
+    }
+
+    fn stop_dispatcher(&mut self, upstream: &str) {
+        let host = self.dispatcher(upstream);
+        self.lost = Instant::now();
+        let daemon = self.deployment.daemons.remove(&host).expect("it runs");
+        daemon.process.signal(Signal::SIGSTOP);
+        self.stopped.push(daemon);
+    }
+
+    fn restart(&mut self, host: &str) {
+        let mut daemon = self.deployment.daemons.remove(host).expect("it runs");
+        daemon.process.signal(Signal::SIGTERM);
+        let status = daemon.process.wait();
+        assert!(
+            status.success(),
+            "a drained host exits with 0, got {status}"
+        );
+        let index = host.rsplit('-').next().map_or(1, number);
+        let domain = DOMAINS[usize::try_from(index - 1).expect("an index") % DOMAINS.len()];
+        self.deployment.daemon(host, domain);
+        self.lost = Instant::now();
+    }
+
+    /// Waits until all hosts serve all keys, which must be within the target of the last loss.
+    fn served(&mut self) {
+        for host in self.deployment.daemons.keys() {
+            eventually("served again", || self.serves(host));
+        }
+        let took = self.lost.elapsed();
+        println!("served again after {} ms", took.as_millis());
+        if took > TARGET {
+            writeln!(self.verdict, "served again only after {took:?}").expect("written");
+        }
+    }
+
+    /// An upstream that is leaving must get nothing new once its time has passed.
+    fn quiet(&mut self, upstream: &str) {
+        std::thread::sleep(LEAVE.saturating_sub(self.lost.elapsed()));
+        let before = self.deployment.runs(upstream).len();
+        std::thread::sleep(Duration::from_secs(1));
+        let new = self.deployment.runs(upstream).len() - before;
+        if new > 0 {
+            writeln!(self.verdict, "{upstream} ran {new} requests while leaving").expect("written");
+        }
+    }
+
+    fn check(&mut self) {
+        let told = self.load.take().expect("a load").finish();
+        let mut runs = BTreeMap::new();
+        for (name, upstream) in &self.deployment.upstreams {
+            upstream.process.signal(Signal::SIGCONT);
+            if upstream.process.is_running() {
+                runs.insert(name.clone(), self.deployment.runs(name));
+            }
+        }
+        // What was in a socket of an upstream that was stopped runs when it wakes.
+        std::thread::sleep(Duration::from_secs(1));
+        for (name, list) in &mut runs {
+            *list = self.deployment.runs(name);
+        }
+        let lost = self.deployment.upstreams.len() > runs.len();
+        let (violations, counts) = check(&told, &runs, lost);
+        println!("outcomes: {counts:?}");
+        for violation in violations {
+            writeln!(self.verdict, "{violation}").expect("written");
+        }
+        if !counts.contains_key("done") {
+            writeln!(self.verdict, "no request was done").expect("written");
+        }
+    }
+}
+
+fn number(word: &str) -> u64 {
+    word.parse().expect("a number")
+}
+
+fn get(deployment: &Deployment, host: &str, path: &str) -> Value {
+    let request = Request::get(path).body(Bytes::new()).expect("a request");
+    let (_, body) = call(deployment.daemons[host].operator, request);
+    serde_json::from_str(&body).expect("JSON")
+}
+
+fn play(name: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/all/process/scenarios")
+        .join(name);
+    datadriven::walk(path.to_str().expect("a path"), |file| {
+        file.run(|case| {
+            let mut world = World::new();
+            for line in case.input.lines() {
+                world.step(line);
+            }
+            if world.verdict.is_empty() {
+                "ok\n".to_owned()
+            } else {
+                world.verdict
+            }
+        });
+    });
+}
+
+macro_rules! scenarios {
+    ($($name:ident),+ $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                play(concat!(stringify!($name), ".txt"));
+            }
+        )+
+    };
+}
+
+scenarios!(
+    dispatcher_killed,
+    dispatcher_killed_log_down,
+    dispatcher_stopped,
+    dispatchers_killed_in_a_row,
+    upstream_frozen,
+    upstream_frozen_unfenced,
+    upstream_lost_log_down,
+    upstream_leaves,
+    log_slow,
+    rolling_restart,
+);
