--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod log;
 pub mod memory;
 pub mod record;
+pub mod recover;
 pub mod sign;
 pub mod snapshot;
 pub mod view;
--- /dev/null
+++ b/crates/log/src/recover.rs
@@ -0,0 +1,80 @@
+//! Loading the newest snapshot from the log.
+
+use std::time::Duration;
+
+use trefoil_core::Offset;
+
+use crate::log::{Log, LogError};
+use crate::record::{Body, Envelope, Signed};
+use crate::sign::{Keyring, Role};
+use crate::snapshot::Assembler;
+use crate::view::View;
+
+/// Records read in one call.
+const READ_MAX: usize = 256;
+
+/// Reads the retained log from `first` to its end and returns the newest usable snapshot.
+///
+/// A snapshot is usable if all its parts are there, are signed by a host and fit its digest, and if
+/// the log keeps all records from its view's next offset on. Anything else is passed over.
+///
+/// A record that this build cannot decode ends the search: a snapshot after it holds a decision
+/// that this build does not know.
+///
+/// # Errors
+///
+/// Fails if the log cannot be read. [`LogError::Truncated`] means that retention has overtaken the
+/// search, which can then be repeated from the new first offset.
+pub async fn load(
+    log: &dyn Log,
+    keys: &Keyring,
+    first: Offset,
+) -> Result<Option<View>, LogError> {
+    let mut assembler = Assembler::default();
+    let mut newest: Option<View> = None;
+    let mut from = first;
+    loop {
+        let batch = log.read(from, READ_MAX, Duration::ZERO).await?;
+        for record in &batch.records {
+            let envelope = match read(&record.data, keys) {
+                Found::Record(envelope) => envelope,
+                Found::Foreign => continue,
+                Found::Newer => return Ok(newest),
+            };
+            let Body::Snapshot(part) = &envelope.body else {
+                continue;
+            };
+            // A damaged snapshot is as good as none; an older one may still be usable.
+            let Ok(Some(view)) = assembler.add(envelope.writer, part) else {
+                continue;
+            };
+            let usable = view.next >= first && view.next <= record.offset;
+            if usable && newest.as_ref().is_none_or(|n| view.next >= n.next) {
+                newest = Some(view);
+            }
+        }
+        if batch.next >= batch.end {
+            return Ok(newest);
+        }
+        from = batch.next;
+    }
+}
+
+enum Found {
+    Record(Box<Envelope>),
+    Foreign,
+    Newer,
+}
+
+fn read(data: &[u8], keys: &Keyring) -> Found {
+    let Ok(signed) = Signed::decode(data) else {
+        return Found::Foreign;
+    };
+    match keys.verify(signed.key(), signed.signed_bytes(), signed.signature()) {
+        Some(Role::Host) => match signed.envelope() {
+            Ok(envelope) => Found::Record(Box::new(envelope)),
+            Err(_) => Found::Newer,
+        },
+        Some(Role::Operator) | None => Found::Foreign,
+    }
+}
--- a/crates/log/src/snapshot.rs
+++ b/crates/log/src/snapshot.rs
@@ -4,13 +4,17 @@
 //! records that led to it are dropped. A snapshot is split into parts that fit into records. It
 //! counts only when all parts of one writer are there and their digest fits; a writer that dies
 //! half-way leaves parts that nobody uses.
+//!
+//! A host whose next record the log no longer keeps [loads](crate::recover::load) the newest usable
+//! snapshot. The snapshot says nothing about the records after its view, so it is usable only while
+//! the log still keeps all of them.
 
 use std::collections::BTreeMap;
 
 use ring::digest::{SHA256, digest};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
-use trefoil_core::{Revision, WriterId};
+use trefoil_core::{Offset, Revision, UnixMillis, WriterId};
 
 use crate::log::RECORD_MAX;
 use crate::view::View;
@@ -104,6 +108,11 @@
     pub fn add(&mut self, writer: WriterId, part: &Part) -> Result<Option<View>, SnapshotError> {
         let mut partial = match self.partial.remove(&writer) {
             Some(p) if p.digest == part.digest && p.next == part.index => p,
+            // The same part once more: its record landed twice, or the writer started over.
+            Some(p) if p.digest == part.digest && p.next > part.index => {
+                self.partial.insert(writer, p);
+                return Ok(None);
+            }
             _ if part.index == 0 => Partial {
                 digest: part.digest,
                 next: 0,
@@ -124,7 +133,11 @@
         if sha256(&partial.data) != partial.digest {
             return Err(SnapshotError::BadDigest);
         }
-        Ok(Some(postcard::from_bytes(&partial.data)?))
+        let view: View = postcard::from_bytes(&partial.data)?;
+        match view.revision == part.revision {
+            true => Ok(Some(view)),
+            false => Err(SnapshotError::BadDigest),
+        }
     }
 }
 
@@ -133,25 +146,60 @@
 pub struct Progress {
     /// Revision of the view in the newest complete snapshot.
     pub newest: Revision,
-    open: BTreeMap<WriterId, (Revision, u32)>,
+    /// Offset after the newest complete snapshot, or of the first record if there is none. The
+    /// records of the snapshot itself do not count towards the next.
+    pub after: Offset,
+    /// Wall clock of the host that wrote the record before [`after`](Self::after).
+    pub time: UnixMillis,
+    open: BTreeMap<WriterId, Open>,
+}
+
+/// A snapshot of which some parts were replayed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Open {
+    revision: Revision,
+    digest: [u8; 32],
+    next: u32,
 }
 
 impl Progress {
+    /// Notes the time of the first record, from which the first snapshot is due.
+    pub fn begin(&mut self, offset: Offset, time: UnixMillis) {
+        if self.time == UnixMillis(0) {
+            (self.after, self.time) = (offset, time);
+        }
+    }
+
     /// Notes a part that was replayed.
-    pub fn note(&mut self, writer: WriterId, part: &Part) {
+    pub fn note(&mut self, writer: WriterId, part: &Part, offset: Offset, time: UnixMillis) {
         let expected = match self.open.remove(&writer) {
-            Some((revision, next)) if revision == part.revision => next,
+            Some(open) if open.digest == part.digest && part.index > 0 => open.next,
             _ => 0,
         };
-        match part.index == expected {
-            true if part.index + 1 == part.count => self.newest = self.newest.max(part.revision),
-            true => {
-                self.open.insert(writer, (part.revision, part.index + 1));
-            }
-            false => {}
+        if part.index != expected {
+            return;
+        }
+        if part.index + 1 < part.count {
+            let open = Open {
+                revision: part.revision,
+                digest: part.digest,
+                next: part.index + 1,
+            };
+            self.open.insert(writer, open);
+            return;
+        }
+        if part.revision >= self.newest {
+            self.newest = part.revision;
+            (self.after, self.time) = (offset.next(), time);
         }
-        // Writers that died half-way are forgotten once a newer snapshot is complete.
+        // Writers that died half-way are forgotten once a newer snapshot is complete. While nothing
+        // is decided, the next snapshot has the same revision, so equal ones stay.
         let newest = self.newest;
-        self.open.retain(|_, (revision, _)| *revision > newest);
+        self.open.retain(|_, open| open.revision >= newest);
+    }
+
+    /// Whether some snapshot is begun and not complete.
+    pub fn is_open(&self) -> bool {
+        !self.open.is_empty()
     }
 }
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -189,10 +189,12 @@
             offset,
         };
         Arc::make_mut(&mut self.writers).insert(envelope.writer, written);
-        Ok(self.decide(offset.revision(), envelope, role))
+        self.snapshots.begin(offset, envelope.time);
+        Ok(self.decide(offset, envelope, role))
     }
 
-    fn decide(&mut self, revision: Revision, envelope: Envelope, role: Role) -> Verdict {
+    fn decide(&mut self, offset: Offset, envelope: Envelope, role: Role) -> Verdict {
+        let revision = offset.revision();
         let accepted = Verdict::Accepted { revision };
         let needed = match envelope.body {
             Body::Config(_) | Body::Level { .. } => Role::Operator,
@@ -223,7 +225,8 @@
                 }
             }
             Body::Snapshot(part) => {
-                self.snapshots.note(envelope.writer, &part);
+                self.snapshots
+                    .note(envelope.writer, &part, offset, envelope.time);
                 Verdict::Noted
             }
             Body::Placement(_) if envelope.base != self.placement => Verdict::Conflict {
