Bind records to the level in force and remember first verdicts

A record of a newer format could decode by chance, a build rejected a level that it did not know while newer builds accepted it, and a repeat after a lost answer was told only "duplicate". Replay now rejects a record above the level undecoded, raises the level only when all live hosts support it, and stops at a level that the build does not know.

--- a/crates/log/src/host.rs
+++ b/crates/log/src/host.rs
@@ -29,4 +29,6 @@
     pub domain: DomainName,
     /// Addresses of the incarnation.
     pub addresses: Addresses,
+    /// The newest record format that the incarnation reads.
+    pub format: u16,
 }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -13,6 +13,16 @@
 //! ([`append::submit`]); a copy that lands twice is dropped by replay as [`Verdict::Duplicate`].
 //! A record is never skipped: a record that cannot be decoded stops the replay, because a view
 //! that left it out would differ from the views of other hosts.
+//!
+//! # Limit: key lists
+//!
+//! The keys whose records are accepted come from each host's settings, not from the log. A record
+//! whose key a host does not know is passed over, because anybody who reaches the log service could
+//! otherwise stop all hosts with one append. Hosts with different lists would therefore reach
+//! different views. So a key is added to the settings of every host before its first use, and
+//! removed only when the log keeps no record that it signed. A host logs each record that it passes
+//! over, with its offset and reason. Key lists that are themselves changed by records of an operator
+//! would remove this limit; they need a first list in the settings and a new record body.
 
 pub mod append;
 pub mod host;
@@ -28,7 +38,7 @@
 pub use host::{Addresses, HostRecord};
 pub use log::{Batch, Log, LogError, Stored};
 pub use memory::MemoryLog;
-pub use record::{Body, Envelope, FORMAT, Placement, Ranking, RecordError, Signed};
+pub use record::{Body, Envelope, FORMAT, FORMAT_FIRST, Placement, Ranking, RecordError, Signed};
 pub use sign::{KeyError, KeyId, Keyring, Role, Signer};
 pub use snapshot::{Assembler, Part, SnapshotError};
 pub use view::{Moved, Resource, Verdict, View};
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -1,5 +1,17 @@
 //! Log records and their codec.
 //!
+//! # Formats
+//!
+//! Each record names its format first, in every format. A writer uses the lowest format that has
+//! the record's body ([`Body::format`]) and writes nothing above the level in force. Replay rejects
+//! a record above the level without decoding the rest, so old and new builds agree on it. A record
+//! at or below the level that does not decode stops the replay.
+//!
+//! Raising the level is the last step of a rolling upgrade: it is accepted only when every live
+//! host supports the new level, and a build that does not know it stops there.
+//!
+//! # Encoding
+//!
 //! A record is a postcard-encoded [`Signed`]: the encoded [`Envelope`] and a signature over exactly
 //! those bytes, so that a record can be verified without decoding it first.
 
@@ -19,6 +31,10 @@
 /// The newest record format that this build writes and reads.
 pub const FORMAT: u16 = 1;
 
+/// The record format of the first release, which every build reads. It is in force until an
+/// operator raises the level.
+pub const FORMAT_FIRST: u16 = 1;
+
 /// The dispatcher of an upstream and its successors, in the order of their ranks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ranking {
@@ -68,6 +84,22 @@
     },
 }
 
+impl Body {
+    /// The lowest format that has this body.
+    pub fn format(&self) -> u16 {
+        match self {
+            Self::Config(_)
+            | Self::Joined(_)
+            | Self::Left { .. }
+            | Self::Expired { .. }
+            | Self::Lease(_)
+            | Self::Placement(_)
+            | Self::Snapshot(_)
+            | Self::Level { .. } => FORMAT_FIRST,
+        }
+    }
+}
+
 /// A record before it is signed.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Envelope {
@@ -108,6 +140,18 @@
         /// The decoder's error.
         source: postcard::Error,
     },
+    /// The record or the level that it sets is of a format that this build does not know.
+    #[snafu(display("format {format} is above {FORMAT}, the newest that this build knows"))]
+    NewerFormat {
+        /// The format.
+        format: u16,
+    },
+    /// The envelope is followed by other bytes.
+    #[snafu(display("the envelope is followed by {len} bytes"))]
+    Trailing {
+        /// Number of bytes.
+        len: usize,
+    },
 }
 
 impl Signed {
@@ -150,7 +194,26 @@
     ///
     /// Fails if this build does not know the format or the body.
     pub fn envelope(&self) -> Result<Envelope, RecordError> {
-        postcard::from_bytes(&self.envelope).context(BadEnvelopeSnafu)
+        let format = self.format()?;
+        if format > FORMAT {
+            return Err(RecordError::NewerFormat { format });
+        }
+        let (envelope, rest) =
+            postcard::take_from_bytes(&self.envelope).context(BadEnvelopeSnafu)?;
+        match rest.len() {
+            0 => Ok(envelope),
+            len => Err(RecordError::Trailing { len }),
+        }
+    }
+
+    /// The format of the record, which comes first in every format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the record has no format.
+    pub fn format(&self) -> Result<u16, RecordError> {
+        let (format, _) = postcard::take_from_bytes(&self.envelope).context(BadEnvelopeSnafu)?;
+        Ok(format)
     }
 
     /// The key that signed the record.
--- a/crates/log/src/recover.rs
+++ b/crates/log/src/recover.rs
@@ -5,7 +5,7 @@
 use trefoil_core::Offset;
 
 use crate::log::{Log, LogError};
-use crate::record::{Body, Envelope, Signed};
+use crate::record::{Body, Envelope, FORMAT, RecordError, Signed};
 use crate::sign::{Keyring, Role};
 use crate::snapshot::Assembler;
 use crate::view::View;
@@ -18,18 +18,15 @@
 /// A snapshot is usable if all its parts are there, are signed by a host and fit its digest, and if
 /// the log keeps all records from its view's next offset on. Anything else is passed over.
 ///
-/// A record that this build cannot decode ends the search: a snapshot after it holds a decision
-/// that this build does not know.
+/// A record of a known format that does not decode ends the search, because replay would stop there:
+/// a snapshot after it holds a decision that this build does not know. For the same reason a
+/// snapshot is not usable if its level is above those that this build knows.
 ///
 /// # Errors
 ///
 /// Fails if the log cannot be read. [`LogError::Truncated`] means that retention has overtaken the
 /// search, which can then be repeated from the new first offset.
-pub async fn load(
-    log: &dyn Log,
-    keys: &Keyring,
-    first: Offset,
-) -> Result<Option<View>, LogError> {
+pub async fn load(log: &dyn Log, keys: &Keyring, first: Offset) -> Result<Option<View>, LogError> {
     let mut assembler = Assembler::default();
     let mut newest: Option<View> = None;
     let mut from = first;
@@ -48,7 +45,8 @@
             let Ok(Some(view)) = assembler.add(envelope.writer, part) else {
                 continue;
             };
-            let usable = view.next >= first && view.next <= record.offset;
+            let kept = view.next >= first && view.next <= record.offset;
+            let usable = kept && view.level() <= FORMAT;
             if usable && newest.as_ref().is_none_or(|n| view.next >= n.next) {
                 newest = Some(view);
             }
@@ -70,11 +68,12 @@
     let Ok(signed) = Signed::decode(data) else {
         return Found::Foreign;
     };
-    match keys.verify(signed.key(), signed.signed_bytes(), signed.signature()) {
-        Some(Role::Host) => match signed.envelope() {
-            Ok(envelope) => Found::Record(Box::new(envelope)),
-            Err(_) => Found::Newer,
-        },
-        Some(Role::Operator) | None => Found::Foreign,
+    let role = keys.verify(signed.key(), signed.signed_bytes(), signed.signature());
+    match (role, signed.envelope()) {
+        (Some(Role::Host), Ok(envelope)) => Found::Record(Box::new(envelope)),
+        (Some(Role::Operator), Ok(_)) | (None, _) | (_, Err(RecordError::NewerFormat { .. })) => {
+            Found::Foreign
+        }
+        (Some(_), Err(_)) => Found::Newer,
     }
 }
--- a/crates/log/src/sign.rs
+++ b/crates/log/src/sign.rs
@@ -52,7 +52,8 @@
 
     fn from_str(text: &str) -> Result<Self, KeyError> {
         let digits = text.as_bytes();
-        if digits.len() != 2 * KEY_LEN || !text.is_ascii() {
+        // from_str_radix takes a sign as well, so "+f" would pass for a byte.
+        if digits.len() != 2 * KEY_LEN || !digits.iter().all(u8::is_ascii_hexdigit) {
             return Err(KeyError::BadHex);
         }
         let mut key = [0; KEY_LEN];
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use ring::digest::{SHA256, digest};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use snafu::Snafu;
 use trefoil_config::{Routing, RoutingSpec, Service, Upstream};
 use trefoil_core::{
@@ -13,7 +15,7 @@
 use trefoil_placement::{Member, Table};
 
 use crate::host::HostRecord;
-use crate::record::{Body, Envelope, FORMAT, Placement, RecordError, Signed};
+use crate::record::{Body, Envelope, FORMAT, FORMAT_FIRST, Placement, RecordError, Signed};
 use crate::sign::{Keyring, Role};
 use crate::snapshot::Progress;
 
@@ -21,6 +23,10 @@
 /// append is resolved long before that many records have followed it.
 const WRITER_WINDOW: u64 = 200_000;
 
+/// First verdicts that are kept for each writer. An operator's run writes one record; a host has one
+/// record under way at a time.
+const VERDICTS_KEPT: usize = 4;
+
 /// Replay forgets old writers once in this many records.
 const PRUNE_EVERY: u64 = 1024;
 
@@ -83,10 +89,28 @@
     },
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// The newest records of a writer.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Written {
     sequence: u64,
     offset: Offset,
+    kept: SmallVec<[Kept; 1]>,
+}
+
+/// The first verdict on a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Kept {
+    sequence: u64,
+    /// Start of the SHA-256 digest of the signed bytes. A writer that uses a sequence twice must not
+    /// be told the verdict on the first record for the second.
+    digest: u64,
+    verdict: Verdict,
+}
+
+fn digest_of(signed: &[u8]) -> u64 {
+    let sum = digest(&SHA256, signed);
+    let start = sum.as_ref().first_chunk::<8>();
+    start.map_or(0, |b| u64::from_be_bytes(*b))
 }
 
 /// The state of the deployment at one revision.
@@ -99,8 +123,6 @@
     pub revision: Revision,
     /// Offset of the next record to replay.
     pub next: Offset,
-    /// Record format that may be written.
-    pub level: u16,
     /// Routing resources by name.
     pub resources: BTreeMap<ResourceName, Arc<Resource>>,
     /// Live incarnations of entry hosts.
@@ -115,6 +137,7 @@
     pub placement: Revision,
     /// Progress of the snapshots in the log.
     pub snapshots: Progress,
+    raised: u16,
     writers: Arc<BTreeMap<WriterId, Written>>,
 }
 
@@ -140,11 +163,26 @@
         all.find(|(_, u)| u.name == *name)
     }
 
+    /// The record format in force: nothing above it may be written.
+    pub fn level(&self) -> u16 {
+        self.raised.max(FORMAT_FIRST)
+    }
+
+    /// What replay made of the record with this writer, sequence and signed bytes, if it is one of
+    /// the writer's newest and its writer is remembered.
+    pub fn verdict(&self, writer: WriterId, sequence: u64, signed: &[u8]) -> Option<Verdict> {
+        let written = self.writers.get(&writer)?;
+        let mut kept = written.kept.iter();
+        let kept = kept.find(|k| k.sequence == sequence && k.digest == digest_of(signed))?;
+        Some(kept.verdict.clone())
+    }
+
     /// Replays one stored record.
     ///
     /// # Errors
     ///
-    /// Fails if a record that was validly signed does not decode; the view is unchanged then.
+    /// Fails if a record that was validly signed does not decode, or raises the level above those
+    /// that this build knows; the view is unchanged then.
     pub fn apply(
         &mut self,
         offset: Offset,
@@ -177,20 +215,53 @@
         else {
             return Ok(rejected("unknown key or bad signature"));
         };
-        let envelope = signed
-            .envelope()
-            .map_err(|source| ReplayError::Newer { offset, source })?;
-        let last = self.writers.get(&envelope.writer);
-        if last.is_some_and(|w| envelope.sequence <= w.sequence) {
+        let newer = |source| ReplayError::Newer { offset, source };
+        let format = signed.format().map_err(newer)?;
+        if format > self.level() {
+            let level = self.level();
+            return Ok(rejected(&format!(
+                "format {format} is above the level {level}"
+            )));
+        }
+        let envelope = signed.envelope().map_err(newer)?;
+        let (writer, sequence) = (envelope.writer, envelope.sequence);
+        let last = self.writers.get(&writer);
+        if last.is_some_and(|w| sequence <= w.sequence) {
             return Ok(Verdict::Duplicate);
         }
-        let written = Written {
-            sequence: envelope.sequence,
-            offset,
-        };
-        Arc::make_mut(&mut self.writers).insert(envelope.writer, written);
+        if let Body::Level { format } = envelope.body
+            && format > FORMAT
+            && self.refuses_level(format).is_none()
+            && role == Role::Operator
+        {
+            return Err(newer(RecordError::NewerFormat { format }));
+        }
         self.snapshots.begin(offset, envelope.time);
-        Ok(self.decide(offset, envelope, role))
+        let verdict = self.decide(offset, envelope, role);
+        let kept = Kept {
+            sequence,
+            digest: digest_of(signed.signed_bytes()),
+            verdict: verdict.clone(),
+        };
+        let written = Arc::make_mut(&mut self.writers).entry(writer).or_default();
+        (written.sequence, written.offset) = (sequence, offset);
+        if written.kept.len() == VERDICTS_KEPT {
+            written.kept.remove(0);
+        }
+        written.kept.push(kept);
+        Ok(verdict)
+    }
+
+    /// Why the level cannot be raised to `format`, if it cannot.
+    fn refuses_level(&self, format: u16) -> Option<String> {
+        if format <= self.level() {
+            return Some(format!("the level is {} already", self.level()));
+        }
+        let old = self.hosts.values().find(|h| h.format < format)?;
+        Some(format!(
+            "host {} supports formats up to {}",
+            old.name, old.format
+        ))
     }
 
     fn decide(&mut self, offset: Offset, envelope: Envelope, role: Role) -> Verdict {
@@ -205,6 +276,9 @@
         }
         match envelope.body {
             Body::Config(routing) => self.configure(revision, envelope.time, *routing),
+            Body::Joined(host) if host.format < self.level() => {
+                rejected("the host does not support the level in force")
+            }
             Body::Joined(host) => {
                 self.join(host);
                 accepted
@@ -233,11 +307,13 @@
                 current: self.placement,
             },
             Body::Placement(placement) => self.place(revision, &placement),
-            Body::Level { format } if format > self.level && format <= FORMAT => {
-                self.level = format;
-                accepted
-            }
-            Body::Level { .. } => rejected("the level is not above the present one or not known"),
+            Body::Level { format } => match self.refuses_level(format) {
+                Some(reason) => rejected(&reason),
+                None => {
+                    self.raised = format;
+                    accepted
+                }
+            },
         }
     }
 
@@ -294,19 +370,21 @@
         Verdict::Accepted { revision }
     }
 
-    /// Names a service or upstream that another resource declares already.
+    /// Names a service, upstream or address that another resource declares already. Two upstreams at
+    /// one address would have two dispatchers, each with the whole slot budget.
     fn clash(&self, routing: &Routing) -> Option<String> {
+        let meets = |u: &Upstream, v: &Upstream| u.name == v.name || u.address == v.address;
         let others = || self.resources.values().filter(|r| r.name != routing.name);
         routing.spec.services.iter().find_map(|service| {
             let same = |s: &&Service| {
                 s.name == service.name
                     || s.upstreams
                         .iter()
-                        .any(|u| service.upstreams.iter().any(|v| u.name == v.name))
+                        .any(|u| service.upstreams.iter().any(|v| meets(u, v)))
             };
             let other = others().find(|r| r.spec.services.iter().any(|s| same(&s)))?;
             Some(format!(
-                "service {} or one of its upstreams is declared by resource {}",
+                "service {} or one of its upstreams or their addresses is declared by resource {}",
                 service.name, other.name
             ))
         })
