--- a/crates/config/src/resource.rs
+++ b/crates/config/src/resource.rs
@@ -24,6 +24,9 @@
 /// Default number of shards of a service.
 pub const SHARDS_DEFAULT: u32 = 1024;
 
+/// Largest number of shards of a service.
+pub const SHARDS_MAX: u32 = 1 << 20;
+
 /// A routing resource as operators write it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields)]
@@ -262,7 +265,7 @@
 )]
 fn power_of_two<C>(count: &u32, _context: &C) -> garde::Result {
     match count {
-        n if n.is_power_of_two() && *n <= 1 << 20 => Ok(()),
+        n if n.is_power_of_two() && *n <= SHARDS_MAX => Ok(()),
         _ => Err(garde::Error::new(
             "must be a power of two of at most 1048576",
         )),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -60,6 +60,10 @@
     /// Keys that sign log records.
     #[garde(dive)]
     pub keys: Keys,
+    /// When snapshots of the decisions are written to the log.
+    #[serde(default)]
+    #[garde(dive)]
+    pub snapshots: Snapshots,
     /// Limits on callers.
     #[serde(default)]
     #[garde(dive)]
@@ -111,6 +115,29 @@
     pub signing: PathBuf,
 }
 
+/// When snapshots of the decisions are written to the log, whichever comes first. All hosts of a
+/// deployment should have the same values.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Validate)]
+#[serde(deny_unknown_fields, default)]
+pub struct Snapshots {
+    /// Time for which the log keeps a record, in seconds. A snapshot is written after a quarter of
+    /// it, so that two complete ones are always retained.
+    #[garde(range(min = 4, max = 31_536_000))]
+    pub retention: u32,
+    /// Records after which a snapshot is written.
+    #[garde(range(min = 1, max = 1_000_000))]
+    pub records: u32,
+}
+
+impl Default for Snapshots {
+    fn default() -> Self {
+        Self {
+            retention: 86_400,
+            records: 10_000,
+        }
+    }
+}
+
 /// Limits on callers. The defaults are those of section 10 of the design.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Validate)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/config/src/settings/builder.rs
+++ b/crates/config/src/settings/builder.rs
@@ -5,7 +5,7 @@
 
 use trefoil_core::{DomainName, HostName, RegionName};
 
-use super::{CallerLimits, Keys, LogLevel, Platform, Settings, Tls};
+use super::{CallerLimits, Keys, LogLevel, Platform, Settings, Snapshots, Tls};
 use crate::findings::Findings;
 use crate::key::PublicKey;
 
@@ -42,6 +42,7 @@
                     hosts: Vec::new(),
                     signing: PathBuf::new(),
                 },
+                snapshots: Snapshots::default(),
                 limits: CallerLimits::default(),
                 trace: None,
                 log_level: LogLevel::default(),
@@ -115,6 +116,13 @@
         self
     }
 
+    /// Sets when snapshots are written.
+    #[must_use]
+    pub fn snapshots(mut self, snapshots: Snapshots) -> Self {
+        self.settings.snapshots = snapshots;
+        self
+    }
+
     /// Sets the limits on callers.
     #[must_use]
     pub fn limits(mut self, limits: CallerLimits) -> Self {
--- a/crates/config/src/settings/overrides.rs
+++ b/crates/config/src/settings/overrides.rs
@@ -12,7 +12,7 @@
 const CLIENT: [&str; 2] = ["TREFOIL_OPERATOR_KEY", "TREFOIL_SERVER"];
 
 /// Paths of the settings that can be overridden. Lists are given with commas between elements.
-pub const SETTINGS: [&str; 20] = [
+pub const SETTINGS: [&str; 22] = [
     "name",
     "domain",
     "region",
@@ -28,6 +28,8 @@
     "keys.operators",
     "keys.hosts",
     "keys.signing",
+    "snapshots.retention",
+    "snapshots.records",
     "limits.header",
     "limits.headers",
     "limits.connections",
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -30,6 +30,7 @@
 
 use self::driver::Driver;
 use crate::authority::{Authority, RoleChange};
+use crate::catchup;
 use crate::message::{Message, Reply};
 use crate::planner::Observed;
 use crate::shared::Shared;
@@ -248,6 +249,9 @@
                 }
             }
             Ok(Message::Releases { query }) => self.releases(&query).await,
+            Ok(m @ (Message::Known { .. } | Message::Part { .. })) => {
+                catchup::answer(&self.shared, &m)
+            }
             Err(e) => Reply::Refused {
                 reason: e.to_string(),
             },
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -106,7 +106,9 @@
         parts: &Parts,
         body: Incoming,
     ) -> (String, Result<Response<trefoil_http::Body>, Box<Problem>>) {
-        if !self.shared.is_ready() || !self.authority.is_valid() {
+        // Before it has joined, a host has no lease and its seeds answer for it, see `catchup`.
+        let trusted = self.authority.is_valid() || self.shared.is_vouched();
+        if !self.shared.is_ready() || !trusted {
             let reason = "this host is starting, draining or behind the newest configuration";
             let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
             return ("-".to_owned(), Err(Box::new(problem)));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 //! attempt, so a change of configuration never shows half-way through a decision.
 
 pub mod authority;
+pub mod catchup;
 pub mod dispatcher;
 pub mod ingress;
 pub mod logging;
@@ -22,6 +23,7 @@
 pub mod request;
 pub mod routes;
 pub mod shared;
+pub mod snapshots;
 pub mod tailer;
 pub mod watchdog;
 
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -40,7 +40,8 @@
 
 /// Records this incarnation in the log; returns once the record was read back.
 pub async fn join(shared: &Shared) {
-    loop {
+    // A record of which the answer was lost may land after this host has given it up.
+    while !shared.view().hosts.contains_key(&shared.host.id) {
         let until = shared.clock.now().after(SUBMIT_TIMEOUT);
         match shared
             .decide(Revision(0), Body::Joined(shared.host.clone()), until)
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -1,8 +1,9 @@
 //! Control messages between hosts.
 
 use serde::{Deserialize, Serialize};
-use trefoil_core::{HostId, Revision};
+use trefoil_core::{HostId, Offset, Revision};
 use trefoil_lease::Message as LeaseMessage;
+use trefoil_log::Part;
 
 use crate::dispatcher::shards::{Query, Released};
 
@@ -28,6 +29,18 @@
         /// The question.
         query: Query,
     },
+    /// Asks which view the host has. A host that is starting refuses.
+    Known {
+        /// The sender's revision.
+        sender: Revision,
+    },
+    /// Asks for a part of the host's view.
+    Part {
+        /// Digest of the view, as the first part gave it; none for the first part.
+        digest: Option<[u8; 32]>,
+        /// Index of the part.
+        index: u32,
+    },
 }
 
 /// The answer to a [`Message`].
@@ -50,9 +63,23 @@
         /// The releases.
         shards: Vec<Released>,
     },
-    /// The message does not decode.
+    /// The message does not decode, or the host cannot answer it.
     Refused {
         /// Why.
         reason: String,
     },
+    /// The view that the host has.
+    Known {
+        /// Revision of the view.
+        revision: Revision,
+        /// Offset of the next record that the host will replay.
+        next: Offset,
+        /// The highest revision that the host has learnt of.
+        highest: Revision,
+    },
+    /// A part of the host's view, well below the frame limit.
+    Part {
+        /// The part.
+        part: Part,
+    },
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -7,18 +7,19 @@
 use slog::{Logger, info, o};
 use smol::Task;
 use snafu::{ResultExt, Snafu};
-use trefoil_core::{Clock, DomainName, HostId, HostName, RegionName, SystemClock};
+use trefoil_core::{Clock, DomainName, HostId, HostName, RegionName, SystemClock, Tick};
 use trefoil_http::{Limits, Server};
 use trefoil_lease::Timing;
-use trefoil_log::{Addresses, HostRecord, Keyring, Log, Signer};
+use trefoil_log::{Addresses, FORMAT, HostRecord, Keyring, Log, Signer};
 use trefoil_wire::{Builder, Identity, OpenError, Peers};
 
 use crate::authority::{Authority, AuthorityError};
+use crate::catchup::{self, CatchUp};
 use crate::dispatcher::Dispatchers;
 use crate::ingress::Ingress;
 use crate::operator::Operator;
-use crate::shared::Shared;
-use crate::{member, planner, tailer};
+use crate::shared::{Reading, Shared};
+use crate::{member, planner, snapshots, tailer};
 
 /// Longest wait for other hosts to take over the upstreams of a host that stops.
 const HAND_OVER_MAX: Duration = Duration::from_secs(5);
@@ -42,6 +43,8 @@
     clock: Arc<dyn Clock>,
     timing: Timing,
     watchdog: bool,
+    seeds: Vec<SocketAddr>,
+    snapshots: snapshots::Policy,
 }
 
 impl NodeConfig {
@@ -75,6 +78,8 @@
             clock: Arc::new(SystemClock),
             timing: Timing::default(),
             watchdog: false,
+            seeds: Vec::new(),
+            snapshots: snapshots::Policy::default(),
         }
     }
 
@@ -106,6 +111,20 @@
         self
     }
 
+    /// Sets the hosts that are asked for the newest view while the log cannot be read.
+    #[must_use]
+    pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    /// Sets when snapshots are due.
+    #[must_use]
+    pub fn snapshots(mut self, policy: snapshots::Policy) -> Self {
+        self.snapshots = policy;
+        self
+    }
+
     /// Lets the kernel kill this process if it is stopped past the end of its lease. For a process
     /// that runs nothing but this node.
     #[must_use]
@@ -162,7 +181,8 @@
 }
 
 impl Node {
-    /// Opens the ports and starts all parts. Returns when the host has joined.
+    /// Opens the ports and starts all parts. Returns when the host has joined, or serves callers
+    /// without having joined because the log is down.
     ///
     /// # Errors
     ///
@@ -188,6 +208,7 @@
             region: config.region,
             domain: config.domain,
             addresses,
+            format: FORMAT,
         };
         let logger = config.logger.new(o!("host" => host.name.to_string()));
         info!(logger, "starting"; "incarnation" => %host.id, "caller" => %addresses.caller,
@@ -218,13 +239,21 @@
             Arc::clone(&dispatchers),
             Arc::clone(&peers),
         );
+        let catchup = CatchUp::new(
+            Arc::clone(&shared),
+            Arc::clone(&peers),
+            config.seeds,
+            config.timing.lease(),
+        );
+        let joining = Arc::clone(&shared);
         let operator = Operator::new(Arc::clone(&shared), peers);
         let (tail, keys) = (Arc::clone(&shared), config.keys);
         let closed = Arc::clone(&dispatchers);
         let tasks = vec![
-            smol::spawn(async move {
-                tailer::run(tail, keys).await;
-            }),
+            smol::spawn(tailer::run(tail, keys)),
+            smol::spawn(catchup.run()),
+            smol::spawn(snapshots::run(Arc::clone(&shared), config.snapshots)),
+            smol::spawn(async move { member::join(&joining).await }),
             smol::spawn(Arc::clone(&authority).run()),
             smol::spawn(Arc::clone(&authority).release_watchdog(move || closed.is_empty())),
             smol::spawn(Arc::clone(&dispatchers).run(changes)),
@@ -247,7 +276,7 @@
             dispatchers,
             _tasks: tasks,
         };
-        member::join(&node.shared).await;
+        catchup::serving(&node.shared).await;
         Ok(node)
     }
 
@@ -267,13 +296,24 @@
         self.authority.ended().await;
     }
 
+    /// Waits until a record cannot be replayed by this build. The host must then be drained, and
+    /// started again with a newer build.
+    pub async fn stopped(&self) {
+        let stopped = |s: &Shared| matches!(s.reading(), Reading::Stopped(_));
+        self.shared.wait_until(Tick(Duration::MAX), stopped).await;
+    }
+
     /// Leaves the ready list, hands its upstreams over, finishes what is in flight and leaves the
     /// deployment.
     pub async fn drain(self) {
         info!(self.shared.logger, "draining");
         self.shared.start_drain();
         self.ingress.stop().await;
-        planner::hand_over(&self.shared).await;
+        // A host that replays no more would wait in vain to read its plan back; its record of having
+        // left lets the successors act.
+        if !matches!(self.shared.reading(), Reading::Stopped(_)) {
+            planner::hand_over(&self.shared).await;
+        }
         let until = self.shared.clock.now().after(HAND_OVER_MAX);
         let closed = |_: &Shared| self.dispatchers.is_empty();
         while !closed(&self.shared) && self.shared.clock.now() < until {
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -16,7 +16,7 @@
 use trefoil_core::{DomainName, HostName, ResourceName, Revision, ServiceName, UpstreamName};
 use trefoil_http::{Body, Service, full};
 use trefoil_log::log::RECORD_MAX;
-use trefoil_log::{HostRecord, Resource, SubmitError, Verdict, View};
+use trefoil_log::{Body as RecordBody, HostRecord, Resource, Signed, SubmitError, Verdict, View};
 use trefoil_wire::{Peers, decode, encode};
 
 use crate::message::{Message, Reply};
@@ -66,6 +66,10 @@
     pub revision: Revision,
     /// Whether this host serves callers.
     pub ready: bool,
+    /// Whether this host reads the log, and why not.
+    pub log: String,
+    /// Record format in force.
+    pub level: u16,
     /// Live hosts by name.
     pub hosts: Vec<HostStatus>,
     /// Upstreams with their dispatchers and shards.
@@ -149,6 +153,9 @@
             Ok(body) => body.to_bytes(),
             Err(e) => return text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()),
         };
+        if let Some(refusal) = checked(&body) {
+            return refusal;
+        }
         let until = self.shared.clock.now().after(SUBMIT_TIMEOUT);
         match self.shared.submit(body, until).await {
             Ok(verdict @ Verdict::Conflict { .. }) => json(StatusCode::CONFLICT, &verdict),
@@ -234,7 +241,7 @@
                 .await?;
             match decode::<Reply>(&reply).ok()? {
                 Reply::Revision { revision } => Some(revision),
-                Reply::Lease { .. } | Reply::Releases { .. } | Reply::Refused { .. } => None,
+                _ => None,
             }
         }
         .boxed()
@@ -251,6 +258,19 @@
     }
 }
 
+/// Refuses a record with a resource that a file with the same contents would not pass for. Replay
+/// cannot check this: the rules differ between versions, and all hosts must reach the same view.
+fn checked(record: &[u8]) -> Option<Response<Body>> {
+    let envelope = Signed::decode(record).and_then(|s| s.envelope()).ok()?;
+    let RecordBody::Config(routing) = envelope.body else {
+        return None;
+    };
+    let findings = routing.check().err()?;
+    let reason = format!("the resource has {} mistakes:\n{findings}", findings.len());
+    let verdict = Verdict::Rejected { reason };
+    Some(json(StatusCode::UNPROCESSABLE_ENTITY, &verdict))
+}
+
 fn status(shared: &Shared) -> Status {
     let view = shared.view();
     let mut upstreams = Vec::new();
@@ -281,6 +301,8 @@
         host: shared.host.name.clone(),
         revision: view.revision,
         ready: shared.is_ready(),
+        log: shared.reading().to_string(),
+        level: view.level(),
         hosts: view.hosts.values().map(host).collect(),
         upstreams,
     }
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -165,7 +165,14 @@
         } else {
             staying
         };
-        return vec![initial(members, service.shards)];
+        // A resource that an older build published may have values that no table can have.
+        let fits = service.shards.is_power_of_two()
+            && service.shards <= trefoil_config::resource::SHARDS_MAX;
+        return if fits && !members.is_empty() {
+            vec![initial(members, service.shards)]
+        } else {
+            Vec::new()
+        };
     };
     let ends = |name: &UpstreamName| !staying.contains(name) || observed.lost.contains(name);
     let gone: SmallVec<[Member; 4]> = table
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -10,13 +10,35 @@
 use slog::Logger;
 use trefoil_core::{Clock, Offset, Revision, Tick, WriterId};
 use trefoil_log::record::{Body, Envelope, RecordError, Signed};
-use trefoil_log::{FORMAT, HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
+use trefoil_log::{HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
 
+use crate::catchup::Splits;
 use crate::metrics::Metrics;
 
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
 
+/// How far the log can be read.
+#[derive(Debug, Clone, Default, PartialEq, Eq, derive_more::Display)]
+pub enum Reading {
+    /// Nothing was read yet.
+    #[default]
+    #[display("starting")]
+    Starting,
+    /// The log is read.
+    #[display("read")]
+    Current,
+    /// The log cannot be read at present. The host serves the view that it has.
+    #[display("unavailable: {_0}")]
+    Unavailable(String),
+    /// Records are missing, so the host is not ready.
+    #[display("records are missing: {_0}")]
+    Gap(String),
+    /// A record cannot be replayed by this build, so the host drains.
+    #[display("stopped: {_0}")]
+    Stopped(String),
+}
+
 /// State that all parts of the process share.
 #[derive(Debug)]
 pub struct Shared {
@@ -30,6 +52,8 @@
     pub logger: Logger,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Views that were split for other hosts.
+    pub splits: Splits,
     signer: Signer,
     writer: WriterId,
     sequence: async_lock::Mutex<u64>,
@@ -38,7 +62,10 @@
     verdicts: Mutex<VecDeque<(Offset, Verdict)>>,
     floor: AtomicU64,
     caught_up: AtomicBool,
+    synced: AtomicBool,
     draining: AtomicBool,
+    reading: Mutex<Reading>,
+    vouched: Mutex<Tick>,
 }
 
 impl Shared {
@@ -56,6 +83,7 @@
             log,
             logger,
             metrics: Metrics::default(),
+            splits: Splits::default(),
             signer,
             writer: WriterId::random(),
             sequence: async_lock::Mutex::new(0),
@@ -64,7 +92,10 @@
             verdicts: Mutex::default(),
             floor: AtomicU64::new(0),
             caught_up: AtomicBool::new(false),
+            synced: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            reading: Mutex::default(),
+            vouched: Mutex::default(),
         }
     }
 
@@ -77,21 +108,25 @@
         self.verdicts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Publishes a newer view with the verdicts that led to it.
+    /// Publishes a newer view with the verdicts that led to it. The log reader and the catch-up from
+    /// other hosts may both publish; whichever has replayed less comes too late and is dropped.
     pub fn publish<I>(&self, view: View, verdicts: I)
     where
         I: IntoIterator<Item = (Offset, Verdict)>,
     {
         let mut kept = self.verdicts();
+        if view.next < self.view.load().next {
+            return;
+        }
         kept.extend(verdicts);
         let excess = kept.len().saturating_sub(VERDICTS_MAX);
         kept.drain(..excess);
-        drop(kept);
         let revision = view.revision;
         self.metrics
             .revision
             .set(i64::try_from(revision.0).unwrap_or(i64::MAX));
         self.view.store(Arc::new(view));
+        drop(kept);
         self.learn(revision);
         self.changed.notify(usize::MAX);
     }
@@ -101,6 +136,11 @@
         self.floor.fetch_max(revision.0, Ordering::SeqCst);
     }
 
+    /// The highest revision that this host has learnt of.
+    pub fn highest(&self) -> Revision {
+        Revision(self.floor.load(Ordering::SeqCst))
+    }
+
     /// Whether the view is at least as new as every revision this host has learnt of.
     pub fn at_floor(&self) -> bool {
         self.view.load().revision.0 >= self.floor.load(Ordering::SeqCst)
@@ -109,10 +149,56 @@
     /// Marks whether the log was read to its end at least once.
     pub fn set_caught_up(&self) {
         if !self.caught_up.swap(true, Ordering::SeqCst) {
+            self.set_synced();
             self.changed.notify(usize::MAX);
         }
     }
 
+    /// Marks that the view is as new as the log's end or as a majority of the seeds was.
+    pub fn set_synced(&self) {
+        if !self.synced.swap(true, Ordering::SeqCst) {
+            self.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Whether the view was as new as the log's end or as a majority of the seeds at least once.
+    pub fn is_synced(&self) -> bool {
+        self.synced.load(Ordering::SeqCst)
+    }
+
+    /// Notes how far the log can be read. Returns whether that is new.
+    pub fn set_reading(&self, reading: Reading) -> bool {
+        let mut state = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
+        let new = *state != reading;
+        *state = reading;
+        drop(state);
+        if new {
+            self.changed.notify(usize::MAX);
+        }
+        new
+    }
+
+    /// How far the log can be read.
+    pub fn reading(&self) -> Reading {
+        let state = self.reading.lock().unwrap_or_else(PoisonError::into_inner);
+        state.clone()
+    }
+
+    /// Notes that a majority of the seeds answers for this host until `until`.
+    pub fn vouch(&self, until: Tick) {
+        let mut vouched = self.vouched.lock().unwrap_or_else(PoisonError::into_inner);
+        *vouched = until.max(*vouched);
+        drop(vouched);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Whether a majority of the seeds has answered recently enough for this host to serve callers
+    /// before it has joined.
+    pub fn is_vouched(&self) -> bool {
+        let vouched = self.vouched.lock().unwrap_or_else(PoisonError::into_inner);
+        self.clock.now() < *vouched
+    }
+
     /// Whether the log was read to its end at least once.
     pub fn is_caught_up(&self) -> bool {
         self.caught_up.load(Ordering::SeqCst)
@@ -131,7 +217,8 @@
 
     /// Whether the host may serve callers: its view is not older than one it has learnt of.
     pub fn is_current(&self) -> bool {
-        self.is_caught_up() && self.at_floor()
+        let replays = !matches!(self.reading(), Reading::Gap(_) | Reading::Stopped(_));
+        replays && self.is_synced() && self.at_floor()
     }
 
     /// Whether the host should get new callers.
@@ -186,7 +273,7 @@
         let mut sequence = self.sequence.lock().await;
         *sequence += 1;
         let envelope = Envelope {
-            format: FORMAT,
+            format: body.format(),
             writer: self.writer,
             sequence: *sequence,
             base,
@@ -203,6 +290,17 @@
     ///
     /// Fails if the record is not known to be in the log before `until`.
     pub async fn submit(&self, data: bytes::Bytes, until: Tick) -> Result<Verdict, SubmitError> {
+        let signed = Signed::decode(&data)?;
+        let envelope = signed.envelope()?;
+        let id = (envelope.writer, envelope.sequence);
+        let first = |s: &Self| s.view().verdict(id.0, id.1, signed.signed_bytes());
+        if let Some(verdict) = first(self) {
+            return Ok(verdict);
+        }
+        let (format, level) = (envelope.format, self.view().level());
+        if format > level {
+            return Err(RecordError::AboveLevel { format, level }.into());
+        }
         let from = self.view().next;
         let offset = submit(&*self.log, &*self.clock, data, from, until).await?;
         let found = |s: &Self| s.view.load().next > offset;
@@ -213,11 +311,14 @@
             });
         }
         let verdicts = self.verdicts();
-        let verdict = verdicts
-            .iter()
-            .find(|(o, _)| *o == offset)
-            .map(|(_, v)| v.clone());
-        Ok(verdict.unwrap_or(Verdict::Duplicate))
+        let read = verdicts.iter().find(|(o, _)| *o == offset);
+        let read = read.map(|(_, v)| v.clone());
+        // The offset may be that of a copy that landed late, or the view may have come from a
+        // snapshot or another host; the first verdict is in the view then.
+        match read.unwrap_or(Verdict::Duplicate) {
+            Verdict::Duplicate => Ok(first(self).unwrap_or(Verdict::Duplicate)),
+            verdict => Ok(verdict),
+        }
     }
 }
 
--- a/crates/daemon/src/tailer.rs
+++ b/crates/daemon/src/tailer.rs
@@ -1,14 +1,20 @@
 //! Reads the log and publishes the replayed view.
+//!
+//! The reader never ends. While the log is unavailable it keeps trying, and the host serves what it
+//! has. If the log no longer keeps the next record, it loads the newest usable snapshot; without
+//! one the host is not ready until the log or [another host](crate::catchup) has something usable.
+//! A record that this build cannot replay stops it for good: the host drains, because a view that
+//! left the record out would differ from the views of other hosts.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{error, info, warn};
-use snafu::Snafu;
+use trefoil_core::Offset;
 use trefoil_log::view::ReplayError;
-use trefoil_log::{Batch, Keyring, LogError, Verdict, View};
+use trefoil_log::{Batch, Keyring, LogError, Verdict, View, recover};
 
-use crate::shared::Shared;
+use crate::shared::{Reading, Shared};
 
 /// Records read in one call.
 const READ_MAX: usize = 512;
@@ -19,62 +25,100 @@
 /// Wait after a failed read.
 const RETRY_WAIT: Duration = Duration::from_millis(100);
 
-/// Why the reader cannot go on.
-#[derive(Debug, Snafu)]
-pub enum TailError {
-    /// A record cannot be replayed by this version.
-    #[snafu(display("{source}"), context(false))]
-    Replay {
-        /// The error of the replay.
-        source: ReplayError,
-    },
-    /// The log no longer keeps a record that was not read yet.
-    #[snafu(display("{source}"))]
-    Truncated {
-        /// The error of the log.
-        source: LogError,
-    },
-}
+/// Wait before the next search for a snapshot, which reads the whole log.
+const SEARCH_WAIT: Duration = Duration::from_secs(1);
 
 /// Reads the log for ever.
-///
-/// # Errors
-///
-/// Ends only if the view cannot be continued. The view stays as it is then, because a record that
-/// is passed over would make it differ from the views of other hosts.
-pub async fn run(shared: Arc<Shared>, keys: Keyring) -> TailError {
+pub async fn run(shared: Arc<Shared>, keys: Keyring) {
     loop {
-        let next = shared.view().next;
-        match shared.log.read(next, READ_MAX, READ_WAIT).await {
-            Ok(batch) => {
-                if let Err(e) = replay(&shared, &keys, &batch) {
-                    error!(shared.logger, "replay stopped"; "error" => %e);
-                    return e;
-                }
+        let wait = step(&shared, &keys).await;
+        if !wait.is_zero() {
+            shared.clock.sleep(wait).await;
+        }
+    }
+}
+
+/// Reads once and returns the wait before the next read.
+async fn step(shared: &Shared, keys: &Keyring) -> Duration {
+    let next = shared.view().next;
+    match shared.log.read(next, READ_MAX, READ_WAIT).await {
+        Ok(batch) => match replay(shared, keys, &batch) {
+            Ok(()) => {
+                set(shared, Reading::Current);
                 if batch.next >= batch.end {
                     shared.set_caught_up();
                 }
-            }
-            Err(source @ LogError::Truncated { .. }) => {
-                error!(shared.logger, "replay stopped"; "error" => %source);
-                return TailError::Truncated { source };
+                Duration::ZERO
             }
             Err(e) => {
-                warn!(shared.logger, "log read failed"; "from" => %next, "error" => %e);
-                shared.clock.sleep(RETRY_WAIT).await;
+                set(shared, Reading::Stopped(e.to_string()));
+                shared.start_drain();
+                SEARCH_WAIT
             }
+        },
+        Err(LogError::Truncated { first, .. }) => search(shared, keys, next, first).await,
+        Err(e) => {
+            set(shared, Reading::Unavailable(e.to_string()));
+            RETRY_WAIT
+        }
+    }
+}
+
+/// Loads the newest snapshot, because the log keeps records only from `first` on.
+async fn search(shared: &Shared, keys: &Keyring, next: Offset, first: Offset) -> Duration {
+    match recover::load(&*shared.log, keys, first).await {
+        Ok(Some(view)) => {
+            info!(shared.logger, "snapshot loaded"; "missing" => %next, "revision" => %view.revision,
+                "next" => %view.next);
+            shared.publish(view, []);
+            Duration::ZERO
+        }
+        Ok(None) => {
+            let reason = format!(
+                "the log no longer keeps offset {next}, its oldest is {first}, \
+                 and it has no usable snapshot"
+            );
+            set(shared, Reading::Gap(reason));
+            SEARCH_WAIT
+        }
+        // Retention has overtaken the search, or the log has become unavailable.
+        Err(LogError::Truncated { .. }) => RETRY_WAIT,
+        Err(e) => {
+            set(shared, Reading::Unavailable(e.to_string()));
+            RETRY_WAIT
+        }
+    }
+}
+
+/// Notes the state of the reader and logs each change of it once.
+fn set(shared: &Shared, reading: Reading) {
+    if !shared.set_reading(reading.clone()) {
+        return;
+    }
+    match reading {
+        Reading::Starting | Reading::Current => info!(shared.logger, "log read"),
+        Reading::Unavailable(e) => warn!(shared.logger, "log read failed"; "error" => e),
+        Reading::Gap(e) | Reading::Stopped(e) => {
+            error!(shared.logger, "replay stopped"; "error" => e);
         }
     }
 }
 
-fn replay(shared: &Shared, keys: &Keyring, batch: &Batch) -> Result<(), TailError> {
+fn replay(shared: &Shared, keys: &Keyring, batch: &Batch) -> Result<(), ReplayError> {
     if batch.records.is_empty() {
         return Ok(());
     }
     let mut view = View::clone(&shared.view());
     let mut verdicts = Vec::with_capacity(batch.records.len());
+    let mut result = Ok(());
     for record in &batch.records {
-        let verdict = view.apply(record.offset, &record.data, keys)?;
+        let verdict = match view.apply(record.offset, &record.data, keys) {
+            Ok(verdict) => verdict,
+            Err(e) => {
+                result = Err(e);
+                break;
+            }
+        };
         match &verdict {
             Verdict::Accepted { revision } => {
                 info!(shared.logger, "record accepted"; "offset" => %record.offset, "revision" => %revision);
@@ -85,6 +129,7 @@
         }
         verdicts.push((record.offset, verdict));
     }
+    // What comes before a record that cannot be replayed is in force all the same.
     shared.publish(view, verdicts);
-    Ok(())
+    result
 }
--- a/crates/log/src/record.rs
+++ b/crates/log/src/record.rs
@@ -146,6 +146,14 @@
         /// The format.
         format: u16,
     },
+    /// The record is of a format above the level in force.
+    #[snafu(display("format {format} is above the level in force, {level}"))]
+    AboveLevel {
+        /// The record's format.
+        format: u16,
+        /// The level.
+        level: u16,
+    },
     /// The envelope is followed by other bytes.
     #[snafu(display("the envelope is followed by {len} bytes"))]
     Trailing {
--- a/crates/log/src/snapshot.rs
+++ b/crates/log/src/snapshot.rs
@@ -134,9 +134,10 @@
             return Err(SnapshotError::BadDigest);
         }
         let view: View = postcard::from_bytes(&partial.data)?;
-        match view.revision == part.revision {
-            true => Ok(Some(view)),
-            false => Err(SnapshotError::BadDigest),
+        if view.revision == part.revision {
+            Ok(Some(view))
+        } else {
+            Err(SnapshotError::BadDigest)
         }
     }
 }
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -279,6 +279,10 @@
             Body::Joined(host) if host.format < self.level() => {
                 rejected("the host does not support the level in force")
             }
+            // A record that landed late, after the host had written it again, must not bury the host.
+            Body::Joined(host) if self.hosts.contains_key(&host.id) => {
+                rejected("the host has joined already")
+            }
             Body::Joined(host) => {
                 self.join(host);
                 accepted
@@ -307,13 +311,13 @@
                 current: self.placement,
             },
             Body::Placement(placement) => self.place(revision, &placement),
-            Body::Level { format } => match self.refuses_level(format) {
-                Some(reason) => rejected(&reason),
-                None => {
-                    self.raised = format;
-                    accepted
+            Body::Level { format } => {
+                if let Some(reason) = self.refuses_level(format) {
+                    return rejected(&reason);
                 }
-            },
+                self.raised = format;
+                accepted
+            }
         }
     }
 
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -2,17 +2,32 @@
 
 use std::error::Error;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_signal::{Signal, Signals};
 use clap::{ArgMatches, Command};
 use futures_lite::{FutureExt, StreamExt};
 use slog::Level;
 use trefoil_config::settings::LogLevel;
+use trefoil_daemon::snapshots::Policy;
 use trefoil_daemon::{Node, NodeConfig, logging};
 use trefoil_platform::LogClient;
 
 use crate::settings;
 
+/// Snapshots are written so often that this many fit into the log's retention.
+const SNAPSHOTS_RETAINED: u32 = 4;
+
+/// Why the process ends.
+enum End {
+    /// It was told to.
+    Signal,
+    /// Its lease has ended.
+    Lease,
+    /// Its build cannot replay a record.
+    Newer,
+}
+
 /// The subcommand.
 pub fn command() -> Command {
     Command::new("run")
@@ -43,6 +58,11 @@
     .addresses(addresses)
     .keys(keys)
     .limits(limits)
+    .seeds(settings.seeds)
+    .snapshots(Policy {
+        records: settings.snapshots.records.into(),
+        interval: Duration::from_secs(settings.snapshots.retention.into()) / SNAPSHOTS_RETAINED,
+    })
     .watchdog()
     .logger(logger);
     smol::block_on(async {
@@ -55,19 +75,31 @@
         );
         let signal = async {
             signals.next().await;
-            true
+            End::Signal
         };
         let ended = async {
             node.ended().await;
-            false
+            End::Lease
+        };
+        let stopped = async {
+            node.stopped().await;
+            End::Newer
         };
-        if !signal.or(ended).await {
-            return Err(Box::from(
+        match signal.or(ended).or(stopped).await {
+            End::Signal => {
+                node.drain().await;
+                Ok(())
+            }
+            End::Lease => Err(Box::from(
                 "the lease of this incarnation has ended; start the process again",
-            ));
+            )),
+            End::Newer => {
+                node.drain().await;
+                Err(Box::from(
+                    "the log has a record of a newer version; start a newer build",
+                ))
+            }
         }
-        node.drain().await;
-        Ok(())
     })
 }
 
