--- a/crates/log/src/snapshot.rs
+++ b/crates/log/src/snapshot.rs
@@ -66,9 +66,18 @@
 ///
 /// Fails if the view does not encode.
 pub fn split(view: &View) -> Result<Vec<Part>, SnapshotError> {
+    split_into(view, PART_MAX)
+}
+
+/// Splits a view into parts of at most `max` bytes, at least 1.
+///
+/// # Errors
+///
+/// Fails if the view does not encode.
+pub fn split_into(view: &View, max: usize) -> Result<Vec<Part>, SnapshotError> {
     let data = postcard::to_stdvec(view)?;
     let sum = sha256(&data);
-    let chunks = data.chunks(PART_MAX);
+    let chunks = data.chunks(max.max(1));
     let count = u32::try_from(chunks.len()).unwrap_or(u32::MAX);
     let part = |(index, data): (u32, &[u8])| Part {
         revision: view.revision,
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -388,7 +388,7 @@
             };
             let other = others().find(|r| r.spec.services.iter().any(|s| same(&s)))?;
             Some(format!(
-                "service {} or one of its upstreams or their addresses is declared by resource {}",
+                "service {}, or an upstream or address of it, is declared by resource {}",
                 service.name, other.name
             ))
         })
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -16,8 +16,8 @@
 use trefoil_log::MemoryLog;
 use trefoil_standin::{FaultControl, FaultyLog};
 
-/// Records that the stand-in log keeps.
-const RETAIN: usize = 100_000;
+/// Records that the stand-in log keeps, unless `--retain` says otherwise.
+const RETAIN: &str = "100000";
 
 fn command() -> Command {
     let listen = Arg::new("listen")
@@ -33,12 +33,15 @@
     Command::new("trefoil-standin")
         .subcommand_required(true)
         .subcommand(
-            Command::new("platform").arg(listen.clone()).arg(
-                Arg::new("host")
-                    .long("host")
-                    .value_parser(value_parser!(HostName))
-                    .action(ArgAction::Append),
-            ),
+            Command::new("platform")
+                .arg(listen.clone())
+                .arg(number("retain", RETAIN))
+                .arg(
+                    Arg::new("host")
+                        .long("host")
+                        .value_parser(value_parser!(HostName))
+                        .action(ArgAction::Append),
+                ),
         )
         .subcommand(
             Command::new("upstream")
@@ -57,8 +60,13 @@
 
 fn platform(matches: &ArgMatches) -> Arc<dyn Service> {
     let clock = Arc::new(SystemClock);
+    let retain = matches.get_one::<u32>("retain").copied();
+    let retain = retain.and_then(|n| usize::try_from(n).ok());
     let log = Arc::new(FaultyLog::new(
-        Arc::new(MemoryLog::new(Arc::<SystemClock>::clone(&clock), RETAIN)),
+        Arc::new(MemoryLog::new(
+            Arc::<SystemClock>::clone(&clock),
+            retain.unwrap_or(1),
+        )),
         clock,
     ));
     let hosts = matches
--- a/src/commands/ctl/apply.rs
+++ b/src/commands/ctl/apply.rs
@@ -12,9 +12,10 @@
 //! - unknown: the record may or may not be published. This is said whenever an attempt could have
 //!   taken effect and no verdict was learnt, also if later attempts certainly had none.
 //!
-//! A daemon that has already replayed a copy of the record answers `Duplicate`, which does not say
-//! what was decided. The resource in force then tells: a record that was accepted raised the
-//! resource above the revision that it builds on.
+//! A daemon that has already replayed a copy of the record answers with the first verdict. Only if
+//! it no longer remembers that does it answer `Duplicate`, which does not say what was decided. The
+//! resource in force then tells: a record that was accepted raised the resource above the revision
+//! that it builds on.
 
 mod outcome;
 
@@ -27,7 +28,7 @@
 use snafu::ResultExt;
 use trefoil_config::Routing;
 use trefoil_core::{Clock, Revision, SystemClock, Tick, UnixMillis, WriterId};
-use trefoil_log::{Body, Envelope, FORMAT, Signed, Signer, Verdict};
+use trefoil_log::{Body, Envelope, Signed, Signer, Verdict};
 
 use self::outcome::Outcome;
 use super::client::{Client, ResourceStatus, message};
@@ -133,13 +134,14 @@
         until: Tick,
     ) -> Result<Self, Failure> {
         let time = SystemClock.unix();
+        let body = Body::Config(Box::new(routing.clone()));
         let envelope = Envelope {
-            format: FORMAT,
+            format: body.format(),
             writer: WriterId::random(),
             sequence: 1,
             base: routing.revision,
             time,
-            body: Body::Config(Box::new(routing.clone())),
+            body,
         };
         let record = Signed::new(&envelope, signer).context(RecordSnafu)?;
         Ok(Self {
--- a/tests/all/config/cli/apply.rs
+++ b/tests/all/config/cli/apply.rs
@@ -1,7 +1,6 @@
 //! `trefoilctl apply` against scripted answers.
 
 use std::fs;
-use std::net::TcpListener;
 
 use serde_json::json;
 use tempfile::TempDir;
@@ -215,11 +214,8 @@
     fs::write(at.path().join("five.yaml"), five).expect("a file");
     let stub = Stub::start(&[accepted(8)], Show::Nothing);
     let address = stub.address.to_string();
-    // A port that was free a moment ago refuses connections.
-    let free = TcpListener::bind("127.0.0.1:0")
-        .expect("a free port")
-        .local_addr();
-    let nobody = free.expect("an address").to_string();
+    // Nobody listens below the range of free ports, from which other tests take theirs.
+    let nobody = "127.0.0.1:1".to_owned();
     let run = |arguments: &[&str]| {
         let run = session_in(at.path(), &[&["apply"], arguments].concat());
         redacted(&redacted(&run, &address), &nobody)
--- a/tests/all/config/settings.rs
+++ b/tests/all/config/settings.rs
@@ -47,7 +47,7 @@
         assert_eq!(list.len(), 1, "line {line}: {list}");
         assert_eq!(list.as_slice()[0].place.line, *line, "{list}");
     }
-    assert_eq!(all.len(), 20, "{text}");
+    assert_eq!(all.len(), 22, "{text}");
 }
 
 /// Guards against a check across settings that is lost.
@@ -131,6 +131,8 @@
             "ffeeddccbbaa99887766554433221100ffeeddccbbaa99887766554433221100",
         ),
         ("TREFOIL_KEYS_SIGNING", "entry-01.signing.key"),
+        ("TREFOIL_SNAPSHOTS_RETENTION", "3600"),
+        ("TREFOIL_SNAPSHOTS_RECORDS", "500"),
         ("TREFOIL_LIMITS_HEADER", "8192"),
         ("TREFOIL_LIMITS_HEADERS", "50"),
         ("TREFOIL_LIMITS_CONNECTIONS", "7"),
@@ -152,6 +154,10 @@
         (settings.limits.header, settings.limits.headers),
         (8192, 50)
     );
+    assert_eq!(
+        (settings.snapshots.retention, settings.snapshots.records),
+        (3600, 500)
+    );
     assert_eq!(settings.log_level, LogLevel::Debug);
     assert_eq!((settings.keys, settings.tls), (expected.keys, expected.tls));
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod config;
 mod dispatch;
 mod lease;
+mod log;
 mod placement;
 mod process;
 mod wire;
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,5 +1,6 @@
 //! Whole paths over separate processes on loopback.
 
 mod deployment;
+mod recovery;
 mod stops;
 mod thin;
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -99,6 +99,8 @@
     pub process: Process,
     /// Its callers' port.
     pub caller: SocketAddr,
+    /// Its port for other hosts.
+    pub peer: SocketAddr,
     /// Its operators' port.
     pub operator: SocketAddr,
 }
@@ -132,6 +134,12 @@
     pub upstreams: BTreeMap<String, Upstream>,
     /// Daemons by name.
     pub daemons: BTreeMap<String, Daemon>,
+    /// Seeds of the daemons that are started from now on.
+    pub seeds: Vec<SocketAddr>,
+    /// Records after which the daemons that are started from now on write a snapshot.
+    pub snapshot_records: u32,
+    /// Ports that a daemon gets again: for callers, hosts and operators.
+    ports: BTreeMap<String, [SocketAddr; 3]>,
 }
 
 fn standin() -> PathBuf {
@@ -152,13 +160,19 @@
 impl Deployment {
     /// A platform without daemons and upstreams.
     pub fn new() -> Self {
+        Self::with_platform(&[])
+    }
+
+    /// A platform with flags, without daemons and upstreams.
+    pub fn with_platform(flags: &[&str]) -> Self {
         let dir = tempfile::tempdir().expect("a directory");
         let now = SystemClock.unix();
         let authority = Authority::create("test", now, CERTIFICATE_VALID).expect("an authority");
         let operator = signer(&dir.path().join("operator.key"));
         let host = signer(&dir.path().join("host.key"));
-        let platform = Process::start(Command::new(standin()).arg("platform"));
+        let platform = Process::start(Command::new(standin()).arg("platform").args(flags));
         let (upstreams, daemons) = Default::default();
+        let (seeds, ports) = Default::default();
         Self {
             dir,
             authority,
@@ -167,6 +181,9 @@
             platform,
             upstreams,
             daemons,
+            seeds,
+            snapshot_records: 10_000,
+            ports,
         }
     }
 
@@ -187,7 +204,8 @@
         );
     }
 
-    /// Starts a daemon and waits until it has joined.
+    /// Starts a daemon and waits until it has joined, or serves without. A daemon that is started
+    /// again gets the ports that it had.
     pub fn daemon(&mut self, name: &str, domain: &str) {
         let settings = self.settings(name, domain);
         let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
@@ -196,12 +214,15 @@
             command.stderr(Stdio::null());
         }
         let process = Process::start(&mut command);
-        let (caller, operator) = (process.address("caller="), process.address("operator="));
+        let [caller, peer, operator] =
+            ["caller=", "peer=", "operator="].map(|p| process.address(p));
+        self.ports.insert(name.to_owned(), [caller, peer, operator]);
         self.daemons.insert(
             name.to_owned(),
             Daemon {
                 process,
                 caller,
+                peer,
                 operator,
             },
         );
@@ -220,13 +241,24 @@
         std::fs::write(dir.join("authority.pem"), &self.authority.pem().cert).expect("written");
         let at = dir.display();
         let platform = self.platform.listening();
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let [caller, peer, operator] = self.ports.get(name).copied().unwrap_or([free; 3]);
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|s| format!("\"{s}\""))
+            .collect::<Vec<_>>()
+            .join(", ");
+        let records = self.snapshot_records;
         let text = format!(
             "name: {name}
 domain: {domain}
 region: test
-caller: 127.0.0.1:0
-peer: 127.0.0.1:0
-operator: 127.0.0.1:0
+caller: {caller}
+peer: {peer}
+operator: {operator}
+seeds: [{seeds}]
+snapshots: {{ records: {records} }}
 platform: {{ log: \"{platform}\", hosts: \"{platform}\" }}
 tls:
   authority: {at}/authority.pem
@@ -275,6 +307,13 @@
         )
     }
 
+    /// What a daemon says of itself.
+    pub fn status(&self, daemon: &str) -> Value {
+        let request = Request::get("/v1/status").body(Bytes::new());
+        let (_, status) = call(self.daemons[daemon].operator, request.expect("a request"));
+        serde_json::from_str(&status).expect("a status")
+    }
+
     /// Publishes a resource through a daemon and returns status and verdict.
     pub fn publish(&self, daemon: &str, yaml: &str, base: u64) -> (StatusCode, String) {
         let mut routing = Routing::from_yaml(yaml, "test").unwrap_or_else(|e| panic!("{e}"));
