--- a/tests/all/log.rs
+++ b/tests/all/log.rs
@@ -1,6 +1,7 @@
 //! Replay, appends and snapshots of the decision log.
 
 mod append;
+mod daemon;
 mod property;
 mod records;
 mod script;
@@ -14,21 +15,26 @@
     operator: Signer,
     host: Signer,
     stranger: Signer,
+    host_pair: Vec<u8>,
 }
 
 impl Keys {
     fn new() -> Self {
-        let signer = || {
-            let der = Signer::generate().expect("a key pair");
-            Signer::from_pkcs8(&der).expect("the key pair reads back")
-        };
+        let pair = || Signer::generate().expect("a key pair");
+        let host_pair = pair();
         Self {
-            operator: signer(),
-            host: signer(),
-            stranger: signer(),
+            operator: signer(&pair()),
+            host: signer(&host_pair),
+            stranger: signer(&pair()),
+            host_pair,
         }
     }
 
+    /// The hosts' key for one more host.
+    fn host_signer(&self) -> Signer {
+        signer(&self.host_pair)
+    }
+
     fn ring(&self) -> Keyring {
         let mut ring = Keyring::default();
         ring.add(self.operator.key(), Role::Operator);
@@ -37,6 +43,10 @@
     }
 }
 
+fn signer(pair: &[u8]) -> Signer {
+    Signer::from_pkcs8(pair).expect("the key pair reads back")
+}
+
 fn writer(number: u128) -> WriterId {
     WriterId(uuid::Uuid::from_u128(number))
 }
--- /dev/null
+++ b/tests/all/log/daemon.rs
@@ -0,0 +1,138 @@
+//! The parts of a daemon that read the log and catch up without it, on manual time.
+
+mod catchup;
+mod reader;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Discard, Logger, o};
+use smol::Executor;
+use trefoil_core::{Clock, ManualClock, Offset, Revision, UnixMillis};
+use trefoil_daemon::{Shared, tailer};
+use trefoil_log::{Body, FORMAT, HostRecord, Log, MemoryLog, View};
+use trefoil_standin::{Fault, FaultyLog};
+
+use super::script::host;
+use super::{Keys, envelope, routing, signed};
+
+/// Manual time that passes in one step.
+const STEP: Duration = Duration::from_millis(20);
+
+/// Steps after which a state that a test expects has not come.
+const STEPS: usize = 5_000;
+
+/// Hosts without ports, on one log and one clock.
+struct World {
+    executor: Executor<'static>,
+    clock: Arc<ManualClock>,
+    log: MemoryLog,
+    faults: Arc<FaultyLog>,
+    keys: Keys,
+    sequence: u128,
+}
+
+impl World {
+    fn new() -> Self {
+        let clock = Arc::new(ManualClock::new(UnixMillis(1_000)));
+        let log = MemoryLog::new(Arc::<ManualClock>::clone(&clock), 10_000);
+        let faults = FaultyLog::new(Arc::new(log.clone()), Arc::<ManualClock>::clone(&clock));
+        Self {
+            executor: Executor::new(),
+            clock,
+            log,
+            faults: Arc::new(faults),
+            keys: Keys::new(),
+            sequence: 100,
+        }
+    }
+
+    /// A host that does nothing yet.
+    fn idle(&self, number: u16) -> Arc<Shared> {
+        Arc::new(Shared::new(
+            record(number),
+            Arc::<ManualClock>::clone(&self.clock),
+            Arc::<FaultyLog>::clone(&self.faults),
+            Logger::root(Discard, o!()),
+            self.keys.host_signer(),
+        ))
+    }
+
+    /// A host that reads the log.
+    fn reader(&self, number: u16) -> Arc<Shared> {
+        let shared = self.idle(number);
+        let run = tailer::run(Arc::clone(&shared), self.keys.ring());
+        self.executor.spawn(run).detach();
+        shared
+    }
+
+    fn append(&self, data: bytes::Bytes) -> Offset {
+        smol::block_on(self.log.append(data)).expect("the log takes it")
+    }
+
+    /// Writes a record of an operator or a host that is not among the shared states.
+    fn write(&mut self, body: Body) -> Offset {
+        self.sequence += 1;
+        let operator = matches!(body, Body::Config(_) | Body::Level { .. });
+        let record = envelope(self.sequence, 1, body);
+        let key = if operator {
+            &self.keys.operator
+        } else {
+            &self.keys.host
+        };
+        let data = signed(&record, key);
+        self.append(data)
+    }
+
+    fn publish(&mut self, base: u64) -> u64 {
+        let resource = routing("r", "u", 1, base);
+        self.write(Body::Config(Box::new(resource))).revision().0
+    }
+
+    /// The view of a host that has read the whole log.
+    fn replayed(&self) -> View {
+        let (mut view, ring) = (View::default(), self.keys.ring());
+        let read = self.log.read(Offset(0), 10_000, Duration::ZERO);
+        for record in smol::block_on(read).expect("a batch").records {
+            view.apply(record.offset, &record.data, &ring)
+                .expect("replay");
+        }
+        view
+    }
+
+    /// Lets time pass until `done`, and returns whether it came.
+    fn comes<F>(&self, done: F) -> bool
+    where
+        F: Fn() -> bool,
+    {
+        smol::block_on(self.executor.run(async {
+            for _ in 0..STEPS {
+                if done() {
+                    return true;
+                }
+                // Parts that run on other threads get real time as well.
+                smol::Timer::after(Duration::from_micros(200)).await;
+                self.clock.advance(STEP);
+            }
+            done()
+        }))
+    }
+
+    /// Lets a span pass.
+    fn pass(&self, span: Duration) {
+        let until = self.clock.now().after(span);
+        assert!(self.comes(|| self.clock.now() >= until));
+    }
+
+    fn fault(&self, fault: Fault) {
+        self.faults.set(fault);
+    }
+}
+
+fn record(number: u16) -> HostRecord {
+    host(number, number, FORMAT)
+}
+
+fn revision(shared: &Shared) -> Revision {
+    shared.view().revision
+}
--- /dev/null
+++ b/tests/all/log/daemon/catchup.rs
@@ -0,0 +1,184 @@
+//! Catching up from other hosts while the log is down.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use trefoil_core::Revision;
+use trefoil_daemon::Shared;
+use trefoil_daemon::catchup::{CatchUp, answer};
+use trefoil_daemon::message::Message;
+use trefoil_log::{Body as RecordBody, View};
+use trefoil_standin::Fault;
+use trefoil_wire::{AnswerHead, Body, BoxFuture, ForwardHead, PeerError, Peers, decode, encode};
+
+use super::{World, record, revision};
+use crate::log::routing;
+
+const LEASE: Duration = Duration::from_millis(1_500);
+
+/// Hosts that answer questions about views, unless they are cut off.
+#[derive(Debug, Default)]
+struct Net {
+    hosts: BTreeMap<SocketAddr, Arc<Shared>>,
+    cut: Mutex<BTreeSet<SocketAddr>>,
+    /// Lengths of the frames with parts.
+    parts: Mutex<Vec<usize>>,
+}
+
+impl Net {
+    fn new(hosts: &[&Arc<Shared>]) -> Arc<Self> {
+        let by_address = |h: &&Arc<Shared>| (h.host.addresses.peer, Arc::clone(h));
+        Arc::new(Self {
+            hosts: hosts.iter().map(by_address).collect(),
+            ..Self::default()
+        })
+    }
+
+    fn cut(&self, host: &Shared) {
+        let mut cut = self.cut.lock().expect("not poisoned");
+        cut.insert(host.host.addresses.peer);
+    }
+}
+
+impl Peers for Net {
+    fn forward(
+        &self,
+        to: SocketAddr,
+        _head: ForwardHead,
+        _body: Body,
+    ) -> BoxFuture<Result<(AnswerHead, Body), PeerError>> {
+        Box::pin(async move { Err(PeerError::Timeout { to, sent: false }) })
+    }
+
+    fn call(&self, to: SocketAddr, message: Bytes) -> BoxFuture<Result<Bytes, PeerError>> {
+        let cut = self.cut.lock().expect("not poisoned").contains(&to);
+        let host = self.hosts.get(&to).filter(|_| !cut);
+        let reply = host.map(|host| {
+            let message = decode(&message).expect("a message");
+            let frame = encode(&answer(host, &message)).expect("a frame");
+            if matches!(message, Message::Part { .. }) {
+                let mut parts = self.parts.lock().expect("not poisoned");
+                parts.push(frame.len());
+            }
+            frame
+        });
+        Box::pin(async move { reply.ok_or(PeerError::Timeout { to, sent: true }) })
+    }
+}
+
+fn seeds(hosts: &[&Arc<Shared>]) -> Vec<SocketAddr> {
+    hosts.iter().map(|h| h.host.addresses.peer).collect()
+}
+
+fn catch_up(world: &World, host: &Arc<Shared>, net: &Arc<Net>, seeds: Vec<SocketAddr>) {
+    let peers: Arc<dyn Peers> = Arc::<Net>::clone(net);
+    let run = CatchUp::new(Arc::clone(host), peers, seeds, LEASE).run();
+    world.executor.spawn(run).detach();
+}
+
+/// A resource whose encoded view needs several parts.
+fn large() -> RecordBody {
+    let mut resource = routing("large", "x", 7, 0);
+    let service = &mut resource.spec.services[0];
+    let first = service.upstreams[0].clone();
+    service.upstreams.extend((0..4_000u16).map(|i| {
+        let mut next = first.clone();
+        let name = format!("an-upstream-with-a-long-name-{i}");
+        next.name = name.parse().expect("a name");
+        next.address.set_port(1_000 + i);
+        next
+    }));
+    RecordBody::Config(Box::new(resource))
+}
+
+/// Guards against a host that starts with an older view than it could have learnt of: answers of a
+/// minority do not count, a seed that is starting does not answer, the newest view is taken, in
+/// frames below the limit. Also guards against serving on after the majority has fallen silent.
+#[test]
+fn a_host_starts_with_the_newest_view_of_a_majority() {
+    let mut world = World::new();
+    let base = world.publish(0);
+    let ahead = world.reader(1);
+    assert!(world.comes(|| ahead.is_ready() && revision(&ahead) == Revision(base)));
+    // One seed misses what the other one reads from now on.
+    let stale = world.idle(3);
+    stale.publish(View::clone(&ahead.view()), []);
+    stale.set_synced();
+    world.write(large());
+    let newest = world.publish(base);
+    assert!(world.comes(|| revision(&ahead) == Revision(newest)));
+    world.fault(Fault::Down);
+
+    let (starting, host) = (world.idle(4), world.reader(5));
+    let net = Net::new(&[&ahead, &stale, &starting]);
+    net.cut(&stale);
+    let list = seeds(&[&ahead, &stale, &starting]);
+    catch_up(&world, &host, &net, list);
+    world.pass(Duration::from_secs(3));
+    assert!(
+        !host.is_synced() && !host.is_ready(),
+        "one of three answers"
+    );
+
+    net.cut.lock().expect("not poisoned").clear();
+    assert!(world.comes(|| host.is_ready() && host.is_vouched()));
+    assert_eq!(host.view(), ahead.view(), "the newest view");
+    assert!(!host.is_caught_up(), "it has not read the log");
+    let parts = net.parts.lock().expect("not poisoned").clone();
+    assert!(parts.len() > 1, "several parts: {parts:?}");
+    assert!(parts.iter().all(|n| *n < 1 << 20), "{parts:?}");
+
+    net.cut(&ahead);
+    net.cut(&stale);
+    world.pass(LEASE + Duration::from_millis(100));
+    assert!(!host.is_vouched(), "a majority has been silent for a lease");
+}
+
+/// Guards against a host that serves an old view although its seed has learnt of a newer one.
+#[test]
+fn a_host_waits_for_the_revision_that_it_was_told_of() {
+    let mut world = World::new();
+    let seed = world.reader(1);
+    let base = world.publish(0);
+    assert!(world.comes(|| seed.is_ready() && revision(&seed) == Revision(base)));
+    seed.learn(Revision(base + 5));
+    world.fault(Fault::Down);
+    let host = world.reader(2);
+    let net = Net::new(&[&seed]);
+    catch_up(&world, &host, &net, seeds(&[&seed]));
+    assert!(world.comes(|| revision(&host) == Revision(base)));
+    world.pass(Duration::from_secs(2));
+    assert!(!host.is_ready(), "a newer revision exists");
+}
+
+/// Guards against a running host that stays behind while the log is down, and against one that has
+/// joined and still serves on the word of its seeds.
+#[test]
+fn a_running_host_fetches_a_newer_view() {
+    let mut world = World::new();
+    let (ahead, host) = (world.reader(1), world.reader(2));
+    for number in 1..=2 {
+        world.write(RecordBody::Joined(record(number)));
+    }
+    assert!(world.comes(|| host.view().hosts.len() == 2 && ahead.view().hosts.len() == 2));
+    world.fault(Fault::Down);
+    world.pass(Duration::from_secs(2));
+    let newest = world.publish(0);
+    ahead.publish(world.replayed(), []);
+    let net = Net::new(&[&ahead]);
+    catch_up(&world, &host, &net, seeds(&[&ahead]));
+    world.pass(Duration::from_secs(2));
+    assert!(revision(&host) < Revision(newest) && host.is_ready());
+
+    host.learn(Revision(newest));
+    assert!(!host.is_ready(), "a newer revision exists");
+    assert!(world.comes(|| host.is_ready()));
+    assert_eq!(host.view(), ahead.view());
+    assert!(
+        !host.is_vouched(),
+        "a host that has joined serves under its lease"
+    );
+}
--- a/tests/all/log/script.rs
+++ b/tests/all/log/script.rs
@@ -44,7 +44,7 @@
     value.unwrap_or(default)
 }
 
-fn host(number: u16, id: u16, format: u16) -> HostRecord {
+pub(super) fn host(number: u16, id: u16, format: u16) -> HostRecord {
     let port = |base: u16| std::net::SocketAddr::from(([192, 0, 2, 1], base + number));
     HostRecord {
         id: HostId(uuid::Uuid::from_u128(id.into())),
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -318,17 +318,29 @@
     pub fn publish(&self, daemon: &str, yaml: &str, base: u64) -> (StatusCode, String) {
         let mut routing = Routing::from_yaml(yaml, "test").unwrap_or_else(|e| panic!("{e}"));
         routing.revision = Revision(base);
+        let request = Request::post("/v1/records").body(self.record(routing));
+        call(self.daemons[daemon].operator, request.expect("a request"))
+    }
+
+    /// A signed record with a resource, which may be invalid.
+    pub fn record(&self, routing: Routing) -> Bytes {
         let envelope = Envelope {
             format: FORMAT,
             writer: WriterId::random(),
             sequence: 1,
-            base: Revision(base),
+            base: routing.revision,
             time: SystemClock.unix(),
             body: Body::Config(Box::new(routing)),
         };
         let record = Signed::new(&envelope, &self.operator).and_then(|s| s.encode());
-        let request = Request::post("/v1/records").body(record.expect("the record encodes"));
-        call(self.daemons[daemon].operator, request.expect("a request"))
+        record.expect("the record encodes")
+    }
+
+    /// Appends a record to the log without a daemon.
+    pub fn append(&self, record: Bytes) {
+        let request = Request::post("/v1/streams/trefoil").body(record);
+        let (status, body) = call(self.platform.listening(), request.expect("a request"));
+        assert!(status.is_success(), "{body}");
     }
 
     /// Switches a fault of the platform on.
--- a/tests/all/process/recovery.rs
+++ b/tests/all/process/recovery.rs
@@ -1,10 +1,11 @@
 //! Hosts that start or restart without the records that led to the present state.
 
-use http::StatusCode;
+use http::{Request, StatusCode};
 use nix::sys::signal::Signal;
 use serde_json::Value;
+use trefoil_config::Routing;
 
-use super::deployment::{Deployment, eventually};
+use super::deployment::{Deployment, call, eventually};
 
 fn deployment(flags: &[&str]) -> Deployment {
     let mut deployment = Deployment::with_platform(flags);
@@ -122,3 +123,50 @@
     let next = publish(&deployment, "host-2", revision);
     assert!(next > revision, "the configuration was still in force");
 }
+
+/// Guards against a resource with invalid contents that a daemon takes, and against one in the log,
+/// which an older version may have taken, that stops a host or makes it write records for ever.
+#[test]
+fn an_invalid_resource_is_refused_and_does_no_harm() {
+    let mut deployment = deployment(&[]);
+    deployment.daemon("host-1", "a");
+    publish(&deployment, "host-1", 0);
+    eventually("host-1 serves", || serves(&deployment, "host-1"));
+
+    let valid = Routing::from_yaml(&deployment.resource(false), "test").expect("valid");
+    let mut invalid = valid.clone();
+    invalid.name = "invalid".parse().expect("a name");
+    let service = &mut invalid.spec.services[0];
+    service.name = "other".parse().expect("a name");
+    service.upstreams.truncate(1);
+    service.upstreams[0].name = "other-1".parse().expect("a name");
+    service.upstreams[0].address.set_port(9);
+    service.shards = 1_000;
+    service.limits.slots = 0;
+    let record = deployment.record(invalid);
+    let request = Request::post("/v1/records").body(record.clone());
+    let operator = deployment.daemons["host-1"].operator;
+    let (status, body) = call(operator, request.expect("a request"));
+    assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{body}");
+    assert!(body.contains("2 mistakes"), "{body}");
+    assert!(
+        body.contains("power of two") && body.contains("slots"),
+        "{body}"
+    );
+
+    let revision = || deployment.status("host-1")["revision"].as_u64();
+    let before = revision();
+    deployment.append(record);
+    eventually("the record is replayed", || {
+        (revision() > before).then_some(())
+    });
+    std::thread::sleep(std::time::Duration::from_secs(2));
+    let after = revision().expect("a revision") - before.expect("a revision");
+    assert!(
+        after <= 2,
+        "the resource and its dispatcher, not {after} records"
+    );
+    assert!(serves(&deployment, "host-1").is_some());
+    let answer = deployment.get("host-1", "/other/customer-1");
+    assert_eq!(answer.outcome, "not-run", "{}", answer.body);
+}
