--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -33,6 +33,7 @@
 use self::driver::Driver;
 use self::failover::Announcement;
 use crate::authority::{Authority, RoleChange};
+use crate::catchup;
 use crate::message::{Message, Reply};
 use crate::planner::Observed;
 use crate::shared::Shared;
@@ -262,6 +263,9 @@
             Ok(Message::Releases { query }) => self.releases(&query).await,
             Ok(Message::FailedOver { announcement }) => self.announced(&announcement),
             Ok(Message::Offer { offer }) => self.offered(&offer),
+            Ok(m @ (Message::Known { .. } | Message::Part { .. })) => {
+                catchup::answer(&self.shared, &m)
+            }
             Err(e) => Reply::Refused {
                 reason: e.to_string(),
             },
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod history;
+mod recovery;
 mod scenario;
 mod stops;
 mod takeover;
