Answer every refused request with its outcome and a reason

Golden files of callers' and operators' sessions showed that requests whose head hyper cannot read got an answer without an outcome and a problem document, that chunked bodies above 64 KiB failed at the dispatcher because Transfer-Encoding ends at the ingress, and that 413 answers closed the connection without saying so. Two values of Idempotency-Key or of a key header were passed on, a request without Host was taken, another body under a known id was told as 503, and 405 had no Allow header. The server now replaces hyper's own answers and reads a closed connection for up to 1 s so that the answer is not lost to a reset; the dispatcher reads a body of unknown length until it is above 64 KiB and then streams it; a body above the limit is told as 413, "unknown" if a part of it was sent on; another body under an id is 422 and a repeat in flight 409. The dispatcher's bodies move to a module of their own.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -11,6 +11,7 @@
 
 pub mod driver;
 pub mod exchange;
+mod payload;
 pub mod shards;
 
 use std::collections::BTreeMap;
--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -10,32 +10,29 @@
 use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::FutureExt;
-use http::Request as HttpRequest;
-use http_body_util::BodyExt;
+use http::{Request as HttpRequest, StatusCode};
 use slog::{info, warn};
 use smol::Task;
 use trefoil_config::{Service, Upstream};
 use trefoil_core::chart::ChartError;
 use trefoil_core::{KeyHash, Outcome, ServiceName, Shard, Slots, Tick, UpstreamName};
 use trefoil_dispatch::{
-    Access, Actions, Admission, Cause, Decision, Digest, Dropped, Finished, Health, Hold, Probe,
-    Proof, Record, Release, Report, Request, State, Ticket, TicketId, Wall,
+    Access, Actions, Admission, Cause, Decision, Dropped, Finished, Health, Hold, Probe, Proof,
+    Record, Release, Report, Request, State, Ticket, TicketId, Wall,
 };
 use trefoil_log::View;
 use trefoil_placement::Table;
 use trefoil_wire::{AnswerHead, Body, ForwardHead, Peers};
-use xxhash_rust::xxh3::Xxh3;
 
+use super::payload::Payload;
 use super::{Answer, Dispatchers, exchange, failed};
 use crate::authority::Authority;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
+use crate::problem::Problem;
+use crate::request::forwarded;
 use crate::shared::Shared;
 
-/// Bodies up to this many bytes are read before the request is offered, so that it can be sent
-/// again and its digest covers the body.
-pub const REPLAY_MAX: usize = 64 * 1024;
-
 /// Time for a probe to answer.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -464,13 +461,35 @@
         let reason = match decision {
             Decision::Shed(why, _) => format!("the request was shed: {why}"),
             Decision::Repeat(record) => return self.repeated(*record),
-            Decision::InFlight => "a request with this id is being executed".to_owned(),
-            Decision::Conflict => "another request was seen under this id".to_owned(),
+            Decision::InFlight => {
+                let detail = "a request with this id is being executed; repeat it later";
+                return self.problem(&Problem {
+                    outcome,
+                    ..Problem::not_run(StatusCode::CONFLICT, detail)
+                });
+            }
+            Decision::Conflict => {
+                let detail = "another request was seen under this id";
+                return self.problem(&Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, detail));
+            }
             Decision::Start(_) | Decision::Queued(_) => String::new(),
         };
         failed(&self.shared, outcome, &reason)
     }
 
+    /// Answers with a status of its own. The ingress does not forward such a request again, because
+    /// this is an answer and no failure.
+    fn problem(&self, problem: &Problem) -> Answer {
+        let (parts, document) = problem.document().into_parts();
+        let head = AnswerHead::Answer {
+            status: parts.status.as_u16(),
+            headers: forwarded(&parts.headers),
+            outcome: problem.outcome,
+            revision: self.shared.view().revision,
+        };
+        (head, trefoil_wire::body::full(document))
+    }
+
     /// Answers a repeat of a request that has finished. The body of the first answer is not kept.
     fn repeated(&self, record: Record) -> Answer {
         let revision = self.shared.view().revision;
@@ -522,59 +541,6 @@
 /// Shortest wait between two rounds, so that a tick that is due at once cannot spin.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
-/// The body of a request.
-#[derive(Debug)]
-pub(super) enum Payload {
-    /// The whole body, which can be sent again.
-    Whole(Bytes),
-    /// A body that can be sent once.
-    Stream(Option<Body>),
-}
-
-impl Payload {
-    async fn read(head: &ForwardHead, body: Body) -> Result<Self, String> {
-        let length = head
-            .headers
-            .iter()
-            .find(|(name, _)| name == "content-length");
-        let length = length.and_then(|(_, v)| std::str::from_utf8(v).ok()?.parse::<u64>().ok());
-        let chunked = head
-            .headers
-            .iter()
-            .any(|(name, _)| name == "transfer-encoding");
-        match length {
-            Some(n) if n > REPLAY_MAX as u64 => Ok(Self::Stream(Some(body))),
-            None if chunked => Ok(Self::Stream(Some(body))),
-            _ => {
-                let body = http_body_util::Limited::new(body, REPLAY_MAX);
-                let whole = body.collect().await.map_err(|e| e.to_string())?;
-                Ok(Self::Whole(whole.to_bytes()))
-            }
-        }
-    }
-
-    /// The digest of a request. Of a body that can be sent once it covers only the length, because
-    /// the body is not read before the decision.
-    fn digest(&self, head: &ForwardHead) -> Digest {
-        let mut hash = Xxh3::new();
-        for part in [&head.method, &head.path] {
-            hash.update(&part.len().to_le_bytes());
-            hash.update(part.as_bytes());
-        }
-        match self {
-            Self::Whole(bytes) => hash.update(bytes),
-            Self::Stream(_) => {
-                let length = head
-                    .headers
-                    .iter()
-                    .find(|(name, _)| name == "content-length");
-                hash.update(length.map_or(b"", |(_, v)| v.as_slice()));
-            }
-        }
-        Digest(hash.digest128())
-    }
-}
-
 /// A started request. If it is dropped, because its caller has gone away, the slot is given back
 /// and the request counts as abandoned, or as not written if it was not.
 #[derive(Debug)]
--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -20,7 +20,8 @@
 use trefoil_wire::{AnswerHead, BodyError};
 
 use super::Answer;
-use super::driver::{Driver, Held, Job, Payload, REPLAY_MAX, Signal};
+use super::driver::{Driver, Held, Job, Signal};
+use super::payload::{Payload, REPLAY_MAX};
 use crate::request::{self, host_value, is_refusal};
 
 /// Header with the dispatcher's fencing token.
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -7,14 +7,16 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
+use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::debug;
 use trefoil_core::{Outcome, Tick, UpstreamName};
@@ -57,9 +59,19 @@
 /// The body of a caller's request.
 enum Payload {
     Whole(Bytes),
-    Stream(Option<Body>),
+    Stream(Option<Body>, Arc<AtomicBool>),
 }
 
+impl Payload {
+    /// Whether more bytes came than the service allows.
+    fn is_too_large(&self) -> bool {
+        matches!(self, Self::Stream(_, too_large) if too_large.load(Ordering::SeqCst))
+    }
+}
+
+/// An answer for the caller.
+type Answered = (Outcome, Response<trefoil_http::Body>);
+
 /// How one attempt ended.
 enum Attempt {
     Answered(AnswerHead, Body),
@@ -88,10 +100,21 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<trefoil_http::Body> {
         let started = self.shared.clock.now();
         let (parts, body) = request.into_parts();
+        let large = http_body::Body::size_hint(&body)
+            .exact()
+            .is_none_or(|n| n > REPLAY_MAX);
         let (service, result) = self.serve(&parts, body).await;
         let (outcome, response) = match result {
-            Ok(response) => (Outcome::Done, response),
-            Err(problem) => (problem.outcome, problem.response()),
+            Ok(answered) => answered,
+            Err(problem) => {
+                let mut response = problem.response();
+                // The rest of the body is not read, so the connection cannot be used again.
+                if large {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                (problem.outcome, response)
+            }
         };
         let span = self.shared.clock.now().since(started);
         self.shared.metrics.answered(&service, outcome, span);
@@ -105,10 +128,11 @@
         &self,
         parts: &Parts,
         body: Incoming,
-    ) -> (String, Result<Response<trefoil_http::Body>, Box<Problem>>) {
+    ) -> (String, Result<Answered, Box<Problem>>) {
         if !self.shared.is_ready() || !self.authority.is_valid() {
             let reason = "this host is starting, draining or behind the newest configuration";
             let problem = Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason);
+            self.skip(body).await;
             return ("-".to_owned(), Err(Box::new(problem)));
         }
         match Intent::read(parts, &self.shared.view()) {
@@ -116,7 +140,24 @@
                 let name = intent.service.name.to_string();
                 (name, self.route(&intent, parts, body).await)
             }
-            Err(problem) => ("-".to_owned(), Err(problem)),
+            Err(problem) => {
+                self.skip(body).await;
+                ("-".to_owned(), Err(problem))
+            }
+        }
+    }
+
+    /// Reads the small body of a request that is refused, so that the connection can be used again.
+    async fn skip(&self, body: Incoming) {
+        if http_body::Body::size_hint(&body)
+            .exact()
+            .is_some_and(|n| n <= REPLAY_MAX)
+        {
+            let late = self.shared.clock.sleep(PATIENCE);
+            let read = async {
+                let _ = body.collect().await;
+            };
+            read.or(late).await;
         }
     }
 
@@ -125,7 +166,7 @@
         intent: &Intent,
         parts: &Parts,
         body: Incoming,
-    ) -> Result<Response<trefoil_http::Body>, Box<Problem>> {
+    ) -> Result<Answered, Box<Problem>> {
         let until = self.shared.clock.now().after(intent.budget);
         let mut payload = self.payload(intent, body, until).await?;
         self.routes.deposit(&intent.service.name);
@@ -139,6 +180,10 @@
                 Attempt::Failed(outcome, reason) => (outcome, reason),
             };
             doubt |= outcome != Outcome::NotRun;
+            if payload.is_too_large() {
+                let problem = Problem::too_large(intent.service.limits.body, doubt);
+                return Err(Box::new(problem));
+            }
             let next = self.shared.clock.now().after(RETRY_WAIT);
             let again = matches!(payload, Payload::Whole(_)) && next < until;
             let again = again
@@ -164,10 +209,15 @@
         let exact = http_body::Body::size_hint(&body).exact();
         let body = Limited::new(body, max);
         if exact.is_none_or(|n| n > REPLAY_MAX) {
-            let body = body.map_err(|e| BodyError::Source {
-                reason: e.to_string(),
+            let too_large = Arc::new(AtomicBool::new(false));
+            let noted = Arc::clone(&too_large);
+            let body = body.map_err(move |e| {
+                noted.fetch_or(e.is::<LengthLimitError>(), Ordering::SeqCst);
+                BodyError::Source {
+                    reason: e.to_string(),
+                }
             });
-            return Ok(Payload::Stream(Some(body.boxed())));
+            return Ok(Payload::Stream(Some(body.boxed()), too_large));
         }
         let late = async {
             self.shared.clock.sleep_until(until).await;
@@ -209,7 +259,7 @@
             let head = self.head(intent, parts, upstream, budget);
             let body = match payload {
                 Payload::Whole(bytes) => trefoil_wire::body::full(bytes.clone()),
-                Payload::Stream(body) => match body.take() {
+                Payload::Stream(body, _) => match body.take() {
                     Some(body) => body,
                     None => return last,
                 },
@@ -344,13 +394,25 @@
     ) -> Boxed<Response<trefoil_http::Body>> {
         async move { self.answer(request).await }.boxed()
     }
+
+    fn refusal(&self, status: StatusCode) -> Response<Bytes> {
+        let detail = match status {
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "the request's head is too large",
+            StatusCode::URI_TOO_LONG => "the request's path is too long",
+            _ => "the request is not valid HTTP",
+        };
+        self.shared
+            .metrics
+            .answered("-", Outcome::NotRun, Duration::ZERO);
+        Problem::not_run(status, detail).document()
+    }
 }
 
 fn unavailable(reason: &str) -> Problem {
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
 }
 
-fn passed_on(head: AnswerHead, body: Body) -> Response<trefoil_http::Body> {
+fn passed_on(head: AnswerHead, body: Body) -> Answered {
     let AnswerHead::Answer {
         status,
         headers,
@@ -358,7 +420,8 @@
         ..
     } = head
     else {
-        return Problem::unknown("the dispatcher's answer has no head").response();
+        let problem = Problem::unknown("the dispatcher's answer has no head");
+        return (problem.outcome, problem.response());
     };
     let body = body
         .map_err(|e| Box::new(e) as trefoil_http::BodyError)
@@ -374,5 +437,5 @@
     response
         .headers_mut()
         .insert(OUTCOME_HEADER, outcome_value(outcome));
-    response
+    (outcome, response)
 }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -147,7 +147,12 @@
             .await
         {
             Ok(body) => body.to_bytes(),
-            Err(e) => return text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()),
+            Err(e) => {
+                let mut response = text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string());
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+                return response;
+            }
         };
         let until = self.shared.clock.now().after(SUBMIT_TIMEOUT);
         match self.shared.submit(body, until).await {
@@ -249,6 +254,11 @@
     ) -> Boxed<Response<Body>> {
         async move { self.answer(request).await }.boxed()
     }
+
+    fn refusal(&self, status: StatusCode) -> Response<Bytes> {
+        let reason = status.canonical_reason().unwrap_or("bad request");
+        plain(status, reason)
+    }
 }
 
 fn status(shared: &Shared) -> Status {
@@ -305,7 +315,13 @@
 }
 
 fn text(status: StatusCode, message: &str) -> Response<Body> {
-    let mut response = Response::new(full(format!("{message}\n")));
+    plain(status, message).map(full)
+}
+
+fn plain(status: StatusCode, message: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(format!("{message}\n")));
     *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
--- a/crates/daemon/src/problem.rs
+++ b/crates/daemon/src/problem.rs
@@ -1,6 +1,7 @@
 //! Errors for callers as problem documents (RFC 9457).
 
-use http::header::{CONTENT_TYPE, HeaderValue};
+use bytes::Bytes;
+use http::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use http::{HeaderName, Response, StatusCode};
 use serde::Serialize;
 use trefoil_core::Outcome;
@@ -20,6 +21,9 @@
     pub detail: String,
     /// Whether the request ran.
     pub outcome: Outcome,
+    /// The methods that would be allowed, for the `Allow` header.
+    #[serde(skip)]
+    pub allow: Option<String>,
 }
 
 impl Problem {
@@ -42,6 +46,21 @@
         )
     }
 
+    /// A problem of a body that turned out to be larger than `max` bytes while it was sent on. The
+    /// upstream got a part of it and cannot take that for the whole, but only an upstream that
+    /// waits for the whole body has certainly not begun.
+    pub fn too_large(max: u64, begun: bool) -> Self {
+        let detail = format!("the body has more than {max} bytes");
+        let status = StatusCode::PAYLOAD_TOO_LARGE;
+        if !begun {
+            return Self::not_run(status, detail);
+        }
+        let Self {
+            detail, outcome, ..
+        } = Self::unknown(&detail);
+        Self::new(status, outcome, detail)
+    }
+
     fn new(status: StatusCode, outcome: Outcome, detail: String) -> Self {
         let title = status.canonical_reason().unwrap_or("Error");
         Self {
@@ -49,13 +68,20 @@
             title,
             detail,
             outcome,
+            allow: None,
         }
     }
 
     /// The answer with this problem.
     pub fn response(&self) -> Response<Body> {
+        self.document().map(full)
+    }
+
+    /// The answer with this problem as one piece.
+    pub fn document(&self) -> Response<Bytes> {
         // The document has only strings and numbers, so it always encodes.
-        let mut response = Response::new(full(serde_json::to_vec(self).unwrap_or_default()));
+        let document = serde_json::to_vec(self).unwrap_or_default();
+        let mut response = Response::new(Bytes::from(document));
         *response.status_mut() = StatusCode::from_u16(self.status).unwrap_or_default();
         let headers = response.headers_mut();
         headers.insert(
@@ -63,6 +89,10 @@
             HeaderValue::from_static("application/problem+json"),
         );
         headers.insert(OUTCOME_HEADER, outcome_value(self.outcome));
+        let allow = self.allow.as_deref().map(HeaderValue::from_str);
+        if let Some(Ok(allow)) = allow {
+            headers.insert(ALLOW, allow);
+        }
         response
     }
 }
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -5,7 +5,7 @@
 
 use http::header::{self, HeaderName};
 use http::request::Parts;
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, Version};
 use trefoil_config::{Key, Service};
 use trefoil_core::{KeyHash, RequestId, ServiceName};
 use trefoil_log::View;
@@ -64,6 +64,9 @@
     ///
     /// Fails with the problem that the caller is told.
     pub fn read(parts: &Parts, view: &View) -> Result<Self, Box<Problem>> {
+        if parts.version == Version::HTTP_11 && text(&parts.headers, "host")?.is_none() {
+            return refuse(StatusCode::BAD_REQUEST, "the request has no Host header");
+        }
         let path = parts.uri.path();
         let name = path
             .trim_start_matches('/')
@@ -88,7 +91,7 @@
         let length = length.and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
         if length > service.limits.body {
             let detail = format!(
-                "the body has {length} bytes, at most {} go",
+                "the body has {length} bytes, at most {} are allowed",
                 service.limits.body
             );
             return refuse(StatusCode::PAYLOAD_TOO_LARGE, detail);
@@ -116,8 +119,16 @@
     Err(Box::new(Problem::not_run(status, detail)))
 }
 
+/// The value of a header that may be given once. With two values, this host and the upstream could
+/// read different ones.
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Box<Problem>> {
-    match headers.get(name).map(http::HeaderValue::to_str) {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next();
+    if values.next().is_some() {
+        let detail = format!("the header {name} is given more than once");
+        return refuse(StatusCode::BAD_REQUEST, detail);
+    }
+    match first.map(http::HeaderValue::to_str) {
         None => Ok(None),
         Some(Ok(text)) => Ok(Some(text.trim())),
         Some(Err(_)) => refuse(
@@ -143,7 +154,7 @@
         ),
         Some(v) if v.len() > KEY_MAX => {
             let detail = format!(
-                "the key in {place} has {} bytes, at most {KEY_MAX} go",
+                "the key in {place} has {} bytes, at most {KEY_MAX} are allowed",
                 v.len()
             );
             refuse(StatusCode::BAD_REQUEST, detail)
@@ -159,7 +170,12 @@
         () if listed(&service.methods.non_idempotent) => Ok(false),
         () => {
             let detail = format!("service {} does not declare {method}", service.name);
-            refuse(StatusCode::METHOD_NOT_ALLOWED, detail)
+            let mut problem = Problem::not_run(StatusCode::METHOD_NOT_ALLOWED, detail);
+            let methods = &service.methods;
+            let declared = methods.idempotent.iter().chain(&methods.non_idempotent);
+            let declared: Vec<_> = declared.map(String::as_str).collect();
+            problem.allow = Some(declared.join(", "));
+            Err(Box::new(problem))
         }
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 //! on a connection of its own and reads the whole answer, which control traffic uses.
 
 pub mod client;
+mod refusal;
 pub mod server;
 
 use bytes::Bytes;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,4 +1,9 @@
 //! The server side.
+//!
+//! hyper answers a request whose head it cannot read by itself, without a body and without asking
+//! the service. [`Server`] replaces this answer by the service's own, see [`Service::refusal`].
+//! When a connection ends with unread bytes, the system resets it and the client can lose an answer
+//! that it has not read yet; the server therefore reads and drops bytes for a short time.
 
 use std::convert::Infallible;
 use std::fmt::Debug;
@@ -8,10 +13,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::future::Boxed;
-use futures_lite::{FutureExt, future};
-use http::{Request, Response};
+use futures_lite::{AsyncReadExt, FutureExt, future};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -19,6 +25,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::Body;
+use crate::refusal::{Exchange, Refusing};
 
 /// Time in which a client must send the head of a request.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -26,6 +33,10 @@
 /// Wait after a failed accept, for example because the process has no free file descriptor.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// Time for which, and bytes up to which, a closed connection is still read.
+const LINGER: Duration = Duration::from_secs(1);
+const LINGER_MAX: usize = 16 * 1024 * 1024;
+
 /// Handles requests.
 pub trait Service: Debug + Send + Sync + 'static {
     /// Answers one request from `peer`.
@@ -34,6 +45,13 @@
         peer: SocketAddr,
         request: Request<Incoming>,
     ) -> Boxed<Response<Body>>;
+
+    /// The answer to a request whose head cannot be read, with the status that says why.
+    fn refusal(&self, status: StatusCode) -> Response<Bytes> {
+        let mut response = Response::default();
+        *response.status_mut() = status;
+        response
+    }
 }
 
 /// Bounds on what clients may send.
@@ -149,9 +167,13 @@
     // An answer's head and body leave as separate writes; with delayed acknowledgements Nagle's
     // algorithm would hold the second one back for 40 ms.
     let _ = stream.set_nodelay(true);
+    let exchange = Arc::new(Exchange::default());
+    let (io, rest) = (stream.clone(), stream);
+    let io = Refusing::new(io, Arc::clone(&service), Arc::clone(&exchange));
     let handler = service_fn(move |request| {
+        let guard = exchange.begin();
         let answer = Arc::clone(&service).handle(peer, request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move { Ok::<_, Infallible>(answer.await.map(|body| guard.hold(body))) }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -160,7 +182,7 @@
         .max_header_size(limits.head)
         .max_buf_size(limits.head.max(8192))
         .half_close(false)
-        .serve_connection(FuturesIo::new(stream), handler);
+        .serve_connection(FuturesIo::new(io), handler);
     let mut connection = pin!(connection);
     let stopping = async {
         state.stopping().await;
@@ -175,4 +197,23 @@
         connection.as_mut().graceful_shutdown();
         let _ = connection.await;
     }
+    linger(rest).or(state.stopping()).await;
+}
+
+/// Closes the sending side and reads until the client has closed its own.
+async fn linger(mut stream: TcpStream) {
+    let read = async {
+        let _ = stream.shutdown(std::net::Shutdown::Write);
+        let (mut piece, mut left) = (vec![0; 16 * 1024], LINGER_MAX);
+        while let Ok(n @ 1..) = stream.read(&mut piece).await {
+            left = left.saturating_sub(n);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    let late = async {
+        smol::Timer::after(LINGER).await;
+    };
+    read.or(late).await;
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,4 +5,5 @@
 mod lease;
 mod placement;
 mod process;
+mod sessions;
 mod wire;
--- /dev/null
+++ b/tests/all/sessions.rs
@@ -0,0 +1,10 @@
+//! Sessions of callers and operators with an entry host in this process.
+//!
+//! The golden files hold every byte that the host answers, except times, ids and ports.
+
+mod caller;
+mod host;
+mod operator;
+mod streams;
+mod upstream;
+mod wire;
--- /dev/null
+++ b/tests/all/sessions/wire.rs
@@ -0,0 +1,217 @@
+//! HTTP/1.1 as bytes, so that requests can be sent that no client library sends.
+
+use std::fmt::Write as _;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Longest wait for bytes of an answer.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// An answer.
+#[derive(Debug, Default, Clone)]
+pub struct Answer {
+    /// Status line and headers.
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body ended as its framing says.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// The status.
+    pub fn status(&self) -> u16 {
+        let status = self.head.split(' ').nth(1);
+        status.and_then(|s| s.parse().ok()).unwrap_or_default()
+    }
+
+    /// The outcome header.
+    pub fn outcome(&self) -> &str {
+        self.header("trefoil-outcome").unwrap_or_default()
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A connection that carries one request after the other.
+pub struct Connection {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the port is open");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        stream.set_write_timeout(Some(PATIENCE)).expect("a timeout");
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Sends bytes. The other side may have closed the connection after it answered.
+    pub fn send(&mut self, data: &[u8]) -> bool {
+        self.stream.write_all(data).is_ok()
+    }
+
+    /// Reads more bytes; `false` at the end or after a reset.
+    fn more(&mut self) -> bool {
+        let mut piece = vec![0; 64 * 1024];
+        match self.stream.read(&mut piece) {
+            Ok(0) | Err(_) => false,
+            Ok(n) => {
+                self.buffer.extend_from_slice(&piece[..n]);
+                true
+            }
+        }
+    }
+
+    fn take(&mut self, n: usize) -> Option<Vec<u8>> {
+        while self.buffer.len() < n {
+            if !self.more() {
+                return None;
+            }
+        }
+        Some(self.buffer.drain(..n).collect())
+    }
+
+    fn line(&mut self) -> Option<String> {
+        let end = loop {
+            match self.buffer.windows(2).position(|w| w == b"\r\n") {
+                Some(at) => break at + 2,
+                None if !self.more() => return None,
+                None => {}
+            }
+        };
+        let line = self.take(end)?;
+        Some(String::from_utf8_lossy(&line).trim_end().to_owned())
+    }
+
+    /// Reads the head of an answer; empty if there is none.
+    pub fn head(&mut self) -> Answer {
+        let mut answer = Answer::default();
+        while let Some(line) = self.line().filter(|l| !l.is_empty()) {
+            answer.head.push_str(&line);
+            answer.head.push('\n');
+        }
+        answer
+    }
+
+    /// Reads a whole answer, or what comes of it.
+    pub fn answer(&mut self) -> Answer {
+        let mut answer = self.head();
+        match self.body(&answer) {
+            Some(body) => (answer.body, answer.whole) = (body, true),
+            None => answer.body = std::mem::take(&mut self.buffer),
+        }
+        answer
+    }
+
+    /// Reads the body that follows a head, if it is whole.
+    pub fn body(&mut self, head: &Answer) -> Option<Vec<u8>> {
+        match head.header("content-length").map(str::parse) {
+            Some(Ok(length)) => self.take(length),
+            _ if head.header("transfer-encoding") == Some("chunked") => {
+                let mut body = Vec::new();
+                self.chunks(&mut body).map(|()| body)
+            }
+            _ => None,
+        }
+    }
+
+    fn chunks(&mut self, body: &mut Vec<u8>) -> Option<()> {
+        loop {
+            let size = usize::from_str_radix(&self.line()?, 16).ok()?;
+            body.extend(self.take(size)?);
+            self.line()?;
+            if size == 0 {
+                return Some(());
+            }
+        }
+    }
+
+    /// Whether the other side has closed the connection, after at most 2 s.
+    pub fn is_closed(&mut self) -> bool {
+        let short = Some(Duration::from_secs(2));
+        self.stream.set_read_timeout(short).expect("a timeout");
+        let closed = match self.stream.read(&mut [0; 1]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        };
+        self.stream
+            .set_read_timeout(Some(PATIENCE))
+            .expect("a timeout");
+        closed
+    }
+}
+
+/// What is left of a line in a golden file: no times, ids or ports.
+pub fn redacted(line: &str) -> String {
+    let lower = line.to_ascii_lowercase();
+    let fixed = [
+        ("date:", "date: DATE"),
+        ("trefoil-deadline:", "trefoil-deadline: TIME"),
+    ];
+    if let Some((_, text)) = fixed.iter().find(|(prefix, _)| lower.starts_with(prefix)) {
+        return (*text).to_owned();
+    }
+    let mut out = String::new();
+    let mut rest = line;
+    while let Some(at) = rest.find("127.0.0.") {
+        let (before, from) = rest.split_at(at);
+        let end = from
+            .find(|c: char| !(c.is_ascii_digit() || c == '.' || c == ':'))
+            .unwrap_or(from.len());
+        out.push_str(before);
+        out.push_str("ADDRESS");
+        rest = &from[end..];
+    }
+    out.push_str(rest);
+    out
+}
+
+/// An answer as it is shown in a golden file. The length of a body with an address varies.
+pub fn answered(answer: &Answer) -> String {
+    let mut out = String::new();
+    let text = answer.text();
+    let varies = redacted(&text) != text;
+    for line in answer.head.lines().chain(text.lines()) {
+        let length = line.starts_with("content-length:");
+        let line = if varies && length {
+            "content-length: N".to_owned()
+        } else {
+            redacted(line)
+        };
+        writeln!(out, "< {line}").expect("written");
+    }
+    if answer.head.is_empty() {
+        out.push_str("< (no answer)\n");
+    }
+    out
+}
+
+/// A request with long parts shortened, as it is shown in a golden file.
+pub fn shown(request: &[u8]) -> String {
+    let mut out = String::new();
+    for line in String::from_utf8_lossy(request).lines().take(12) {
+        let short: String = line.chars().take(90).collect();
+        let dots = if short.len() < line.len() { "..." } else { "" };
+        writeln!(out, "> {}{dots}", short.escape_debug()).expect("written");
+    }
+    let more = String::from_utf8_lossy(request).lines().count();
+    if more > 12 {
+        writeln!(out, "> ... {} more lines", more - 12).expect("written");
+    }
+    out
+}
