Write trace spans of each hop as JSON lines

The setting `trace` was read and had no effect, and a caller's traceparent reached the upstream unchanged, so a slow request could not be followed through the hosts. Ingress, forward, dispatcher and upstream attempt now have a span each, with the caller's context as the first parent and the last one passed to the upstream. A context that is not valid starts a new trace, and one that is not sampled is passed on without spans. A request through two hosts gives four connected spans of one trace.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -290,7 +290,20 @@
 
 impl Handler for Dispatchers {
     fn forward(self: Arc<Self>, _from: PeerId, head: ForwardHead, body: Body) -> Boxed<Answer> {
-        async move { self.dispatch(head, body).await }.boxed()
+        async move {
+            let trace = head.trace.as_deref();
+            let mut span = self.shared.tracing.server("dispatch", trace);
+            span.set("upstream", &head.upstream);
+            let trace = span.context().or(head.trace);
+            let answer = self.dispatch(ForwardHead { trace, ..head }, body).await;
+            if let AnswerHead::Answer { outcome, .. } | AnswerHead::Failed { outcome, .. } =
+                &answer.0
+            {
+                span.set("outcome", outcome);
+            }
+            answer
+        }
+        .boxed()
     }
 
     fn call(self: Arc<Self>, from: PeerId, message: Bytes) -> Boxed<Bytes> {
--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -23,6 +23,7 @@
 use super::driver::{Driver, Held, Job, Signal};
 use super::payload::{Payload, REPLAY_MAX};
 use crate::request::{self, host_value, is_refusal};
+use crate::trace::{Span, TRACE_HEADER};
 
 /// Header with the dispatcher's fencing token.
 pub const FENCE_HEADER: &str = "fence-token";
@@ -89,7 +90,10 @@
         let Some(token) = driver.authority.token(driver.name()) else {
             return end(held, Cause::NothingWritten);
         };
-        let Some(request) = self.request(token) else {
+        let trace = self.head.trace.as_deref();
+        let mut span = driver.shared.tracing.client("upstream", trace);
+        span.set("upstream", driver.name());
+        let Some(request) = self.request(token, &span) else {
             return end(held, Cause::NothingWritten);
         };
         let stop = async {
@@ -114,7 +118,10 @@
             Sent::Close(Cause::Abandoned)
         };
         let response = match sent.or(self.closing()).or(stop).await {
-            Sent::Head(Ok(response)) => response,
+            Sent::Head(Ok(response)) => {
+                span.set("status", response.status().as_u16());
+                response
+            }
             Sent::Head(Err(ConnectionError::NotWritten | ConnectionError::Connect { .. })) => {
                 return end(held, Cause::NothingWritten);
             }
@@ -203,7 +210,7 @@
         }
     }
 
-    fn request(&mut self, token: Token) -> Option<Request<trefoil_http::Body>> {
+    fn request(&mut self, token: Token, span: &Span) -> Option<Request<trefoil_http::Body>> {
         let driver = &self.driver;
         let mut headers = HeaderMap::with_capacity(self.head.headers.len() + 5);
         for (name, value) in &self.head.headers {
@@ -212,6 +219,9 @@
         }
         let left = self.until.since(driver.shared.clock.now()).as_millis();
         let deadline = u128::from(driver.shared.clock.unix().0) + left;
+        if let Some(trace) = span.context() {
+            headers.insert(TRACE_HEADER, HeaderValue::from_str(&trace).ok()?);
+        }
         headers.insert(HOST, host_value(driver.address()));
         headers.insert(
             FENCE_HEADER,
--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -22,6 +22,7 @@
 use trefoil_core::{Outcome, Tick, UpstreamName};
 use trefoil_http::Service;
 use trefoil_log::HostRecord;
+use trefoil_wire::message::TEXT_MAX;
 use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers, encode};
 
 use crate::authority::Authority;
@@ -31,6 +32,7 @@
 use crate::request::{Intent, forwarded};
 use crate::routes::Routes;
 use crate::shared::Shared;
+use crate::trace::TRACE_HEADER;
 
 /// Bodies up to this many bytes are read before the request is forwarded.
 const REPLAY_MAX: u64 = 64 * 1024;
@@ -103,7 +105,14 @@
         let large = http_body::Body::size_hint(&body)
             .exact()
             .is_none_or(|n| n > REPLAY_MAX);
-        let (service, result) = self.serve(&parts, body).await;
+        // Two values are none: which of them the caller means is not known.
+        let mut traces = parts.headers.get_all(TRACE_HEADER).iter();
+        let trace = traces.next().and_then(|v| v.to_str().ok());
+        let short = |t: &&str| t.len() <= TEXT_MAX && traces.next().is_none();
+        let trace = trace.filter(short);
+        let mut trace_span = self.shared.tracing.server("ingress", trace);
+        let trace = trace_span.context().or(trace.map(str::to_owned));
+        let (service, result) = self.serve(&parts, body, trace).await;
         let (outcome, response) = match result {
             Ok(answered) => answered,
             Err(problem) => {
@@ -118,6 +127,10 @@
         };
         let span = self.shared.clock.now().since(started);
         self.shared.metrics.answered(&service, outcome, span);
+        trace_span.set("service", &service);
+        trace_span.set("method", &parts.method);
+        trace_span.set("outcome", outcome);
+        trace_span.set("status", response.status().as_u16());
         debug!(self.shared.logger, "request answered"; "service" => &service,
             "method" => %parts.method, "outcome" => %outcome,
             "status" => response.status().as_u16(), "us" => span.as_micros());
@@ -128,6 +141,7 @@
         &self,
         parts: &Parts,
         body: Incoming,
+        trace: Option<String>,
     ) -> (String, Result<Answered, Box<Problem>>) {
         if !self.shared.is_ready() || !self.authority.is_valid() {
             let reason = "this host is starting, draining or behind the newest configuration";
@@ -138,6 +152,7 @@
         match Intent::read(parts, &self.shared.view()) {
             Ok(intent) => {
                 let name = intent.service.name.to_string();
+                let intent = Intent { trace, ..intent };
                 (name, self.route(&intent, parts, body).await)
             }
             Err(problem) => {
@@ -256,7 +271,11 @@
         let mut last = not_run("the key's upstream has no dispatcher yet");
         for host in self.routes.hosts(&view, upstream, self.shared.clock.now()) {
             let budget = until.since(self.shared.clock.now());
-            let head = self.head(intent, parts, upstream, budget);
+            let mut head = self.head(intent, parts, upstream, budget);
+            let mut span = self.shared.tracing.client("forward", head.trace.as_deref());
+            head.trace = span.context().or(head.trace);
+            span.set("host", &host.name);
+            span.set("upstream", upstream);
             let body = match payload {
                 Payload::Whole(bytes) => trefoil_wire::body::full(bytes.clone()),
                 Payload::Stream(body, _) => match body.take() {
@@ -267,6 +286,10 @@
             last = self
                 .forward(host, head, body, intent.idempotent, until)
                 .await;
+            if let Attempt::Failed(outcome, reason) = &last {
+                span.set("outcome", outcome);
+                span.set("reason", reason);
+            }
             match &last {
                 Attempt::Failed(Outcome::NotRun, _) => {}
                 Attempt::Answered(..) => {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,7 +23,9 @@
 pub mod routes;
 pub mod shared;
 pub mod tailer;
+pub mod trace;
 pub mod watchdog;
 
 pub use node::{Node, NodeConfig, NodeError};
 pub use shared::Shared;
+pub use trace::Tracing;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -18,6 +18,7 @@
 use crate::ingress::Ingress;
 use crate::operator::Operator;
 use crate::shared::Shared;
+use crate::trace::Tracing;
 use crate::{member, planner, tailer};
 
 /// Longest wait for other hosts to take over the upstreams of a host that stops.
@@ -42,6 +43,7 @@
     clock: Arc<dyn Clock>,
     timing: Timing,
     watchdog: bool,
+    tracing: Tracing,
 }
 
 impl NodeConfig {
@@ -75,6 +77,7 @@
             clock: Arc::new(SystemClock),
             timing: Timing::default(),
             watchdog: false,
+            tracing: Tracing::default(),
         }
     }
 
@@ -114,6 +117,13 @@
         self
     }
 
+    /// Sets the source of trace spans.
+    #[must_use]
+    pub fn tracing(mut self, tracing: Tracing) -> Self {
+        self.tracing = tracing;
+        self
+    }
+
     /// Sets the bounds on what clients may send.
     #[must_use]
     pub fn limits(mut self, limits: Limits) -> Self {
@@ -192,13 +202,9 @@
         let logger = config.logger.new(o!("host" => host.name.to_string()));
         info!(logger, "starting"; "incarnation" => %host.id, "caller" => %addresses.caller,
             "peer" => %addresses.peer, "operator" => %addresses.operator);
-        let shared = Arc::new(Shared::new(
-            host,
-            config.clock,
-            config.log,
-            logger,
-            config.signer,
-        ));
+        let mut shared = Shared::new(host, config.clock, config.log, logger, config.signer);
+        shared.tracing = config.tracing;
+        let shared = Arc::new(shared);
         let (authority, changes) = Authority::new(
             Arc::clone(&shared),
             Arc::clone(&peers),
@@ -288,6 +294,7 @@
         self.peers.drain().await;
         self.operator.stop().await;
         self.authority.disarm();
+        self.shared.tracing.flush();
         info!(self.shared.logger, "drained");
     }
 }
--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -19,9 +19,6 @@
 /// Header with the caller's deadline in milliseconds from now.
 pub const TIMEOUT_HEADER: &str = "trefoil-timeout-ms";
 
-/// Header with the W3C trace context.
-pub const TRACE_HEADER: &str = "traceparent";
-
 /// Longest key in bytes.
 pub const KEY_MAX: usize = 256;
 
@@ -53,7 +50,7 @@
     pub id: Option<RequestId>,
     /// Time until the deadline.
     pub budget: Duration,
-    /// The caller's trace context.
+    /// Trace context of the ingress's span, or the caller's if there is no tracing.
     pub trace: Option<String>,
 }
 
@@ -96,18 +93,13 @@
             );
             return refuse(StatusCode::PAYLOAD_TOO_LARGE, detail);
         }
-        // A trace context that does not parse is dropped, as the standard asks.
-        let trace = text(&parts.headers, TRACE_HEADER)
-            .ok()
-            .flatten()
-            .map(str::to_owned);
         Ok(Self {
             service: service.clone(),
             key,
             idempotent,
             id,
             budget,
-            trace,
+            trace: None,
         })
     }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -13,6 +13,7 @@
 use trefoil_log::{FORMAT, HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
 
 use crate::metrics::Metrics;
+use crate::trace::Tracing;
 
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
@@ -30,6 +31,8 @@
     pub logger: Logger,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Source of trace spans; off unless the node sets it.
+    pub tracing: Tracing,
     signer: Signer,
     writer: WriterId,
     sequence: async_lock::Mutex<u64>,
@@ -56,6 +59,7 @@
             log,
             logger,
             metrics: Metrics::default(),
+            tracing: Tracing::default(),
             signer,
             writer: WriterId::random(),
             sequence: async_lock::Mutex::new(0),
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -8,7 +8,7 @@
 use futures_lite::{FutureExt, StreamExt};
 use slog::Level;
 use trefoil_config::settings::LogLevel;
-use trefoil_daemon::{Node, NodeConfig, logging};
+use trefoil_daemon::{Node, NodeConfig, Tracing, logging};
 use trefoil_platform::LogClient;
 
 use crate::settings;
@@ -31,6 +31,11 @@
         keys,
     } = loaded;
     let (logger, _flush) = logging::stderr(level(settings.log_level));
+    let tracing = match &settings.trace {
+        Some(path) => Tracing::to_file(path, settings.name.as_str())
+            .map_err(|e| format!("{}: {e}", path.display()))?,
+        None => Tracing::default(),
+    };
     let log = Arc::new(LogClient::new(settings.platform.log));
     let config = NodeConfig::new(
         settings.name,
@@ -43,6 +48,7 @@
     .addresses(addresses)
     .keys(keys)
     .limits(limits)
+    .tracing(tracing)
     .watchdog()
     .logger(logger);
     smol::block_on(async {
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -6,5 +6,6 @@
 mod host;
 mod operator;
 mod streams;
+mod traces;
 mod upstream;
 mod wire;
