--- a/tests/all/dispatch/script.rs
+++ b/tests/all/dispatch/script.rs
@@ -13,7 +13,7 @@
 use trefoil_dispatch::mechanism::Mechanism;
 use trefoil_dispatch::{
     Access, Actions, Admission, Cause, Decision, Digest, Dropped, Finished, Handover, Origin,
-    Proof, Record, Refusal, Report, Request, Status, Ticket, Wall,
+    Proof, Record, Refusal, Report, Request, Status, Ticket, WallClock,
 };
 
 use super::{ms, v7};
@@ -153,7 +153,7 @@
     fn new_admission(&mut self, case: &mut TestCase) {
         self.now = ms(take(case, "t", 0));
         self.tickets.clear();
-        let wall = Wall {
+        let wall = WallClock {
             tick: self.now,
             unix: UnixMillis(take(case, "unix", 0)),
         };
@@ -278,12 +278,15 @@
             }
             "receive" => {
                 let since = UnixMillis(take(case, "since", 0));
-                // Records are written as `id.digest`; all of them are done.
+                // Records are written as `id.digest`, followed by `.unknown` if they are not done.
                 let record = |text: String| {
-                    let (id, digest) = text.split_once('.').expect("an id and a digest");
-                    let record = Record::of(Outcome::Done);
+                    let (id, rest) = text.split_once('.').expect("an id and a digest");
+                    let (digest, outcome) = match rest.strip_suffix(".unknown") {
+                        Some(digest) => (digest, Outcome::Unknown),
+                        None => (rest, Outcome::Done),
+                    };
                     let digest = Digest(digest.parse().expect("a digest"));
-                    (request_id(id), digest, record)
+                    (request_id(id), digest, Record::of(outcome))
                 };
                 let records = case.try_take_args::<String>("records").expect("records");
                 let records = records.into_iter().flatten().map(record).collect();
--- a/tests/all/dispatch/sim/setup.rs
+++ b/tests/all/dispatch/sim/setup.rs
@@ -47,7 +47,8 @@
     }
 }
 
-/// Mean service time of the model in seconds: 98% uniform from 5 to 15 ms, 2% 50 ms.
+/// Mean service time of the model in seconds: 98% uniform from 5 to 15 ms, 2% uniform from 40
+/// to 60 ms.
 pub(in crate::dispatch) const MEAN: f64 = 0.98 * 0.010 + 0.02 * 0.050;
 
 /// What the model found.
@@ -61,6 +62,8 @@
     pub(in crate::dispatch) good: Vec<u64>,
     /// Time to the answer in milliseconds at each upstream.
     pub(in crate::dispatch) latencies: Vec<Vec<f64>>,
+    /// Service times that were drawn, in seconds.
+    pub(in crate::dispatch) drawn: Vec<f64>,
     /// Final statements by outcome.
     pub(in crate::dispatch) told: BTreeMap<Outcome, u64>,
     /// Most attempts that an upstream executed at once.
