Give the daemon a flag for each setting and an exit code for an ended lease

`trefoild run` and `trefoild check` took the settings file only, although the settings describe flags; files that could not be used were reported one at a time, and the end of a lease had the same exit code as wrong settings, so a supervisor could not tell when a restart helps. Both subcommands now have a flag for each of the 20 settings, examples and a list of exit codes in their help. All files that cannot be used are reported together, and a process whose lease has ended exits with 75 (EX_TEMPFAIL).

--- a/src/bin/trefoild.rs
+++ b/src/bin/trefoild.rs
@@ -32,7 +32,7 @@
         _ => dev::execute(),
     };
     match result {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(e) => {
             eprintln!("{e}");
             ExitCode::FAILURE
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -2,6 +2,7 @@
 
 use std::error::Error;
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,7 +44,7 @@
 }
 
 /// Runs the subcommand.
-pub fn execute() -> Result<(), Box<dyn Error>> {
+pub fn execute() -> Result<ExitCode, Box<dyn Error>> {
     smol::block_on(async {
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
         let clock: Arc<dyn Clock> = Arc::new(SystemClock);
@@ -65,7 +66,7 @@
         println!("  cargo run --locked --bin trefoilctl -- status");
         signals.next().await;
         node.drain().await;
-        Ok(())
+        Ok(ExitCode::SUCCESS)
     })
 }
 
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -1,6 +1,7 @@
 //! `trefoild run`: runs an entry host until it is told to stop.
 
 use std::error::Error;
+use std::process::ExitCode;
 use std::sync::Arc;
 
 use async_signal::{Signal, Signals};
@@ -13,15 +14,24 @@
 
 use crate::settings;
 
+/// Exit code after the end of the lease (`EX_TEMPFAIL`): a new process can go on at once.
+const LEASE_ENDED: u8 = 75;
+
+const EXAMPLES: &str = "Examples:
+  trefoild run --settings trefoild.yaml
+  trefoild run --settings trefoild.yaml --name entry-02 --domain b
+  TREFOIL_LOG_LEVEL=debug trefoild run --settings trefoild.yaml --trace spans.jsonl";
+
 /// The subcommand.
 pub fn command() -> Command {
     Command::new("run")
-        .about("Runs an entry host; SIGTERM drains it")
-        .arg(settings::arg())
+        .about("Runs an entry host until SIGTERM or SIGINT drains it")
+        .after_help(format!("{EXAMPLES}\n\n{}", settings::EXIT_CODES))
+        .args(settings::args())
 }
 
 /// Runs the subcommand.
-pub fn execute(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+pub fn execute(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
     let loaded = settings::load(matches)?;
     let (addresses, limits) = (loaded.addresses(), loaded.limits());
     let settings::Loaded {
@@ -68,12 +78,11 @@
             false
         };
         if !signal.or(ended).await {
-            return Err(Box::from(
-                "the lease of this incarnation has ended; start the process again",
-            ));
+            eprintln!("the lease of this incarnation has ended; start the process again");
+            return Ok(ExitCode::from(LEASE_ENDED));
         }
         node.drain().await;
-        Ok(())
+        Ok(ExitCode::SUCCESS)
     })
 }
 
--- a/src/commands/settings.rs
+++ b/src/commands/settings.rs
@@ -4,7 +4,7 @@
 
 use clap::{Arg, ArgMatches, value_parser};
 use snafu::{ResultExt, Snafu};
-use trefoil_config::settings::Overrides;
+use trefoil_config::settings::{Overrides, SETTINGS, flag};
 use trefoil_config::{Findings, Settings};
 use trefoil_http::Limits;
 use trefoil_log::{Addresses, KeyId, Keyring, Role, Signer};
@@ -35,16 +35,76 @@
         /// What is wrong with it.
         reason: String,
     },
+    /// Several files cannot be used.
+    #[snafu(display("{}", lines(all)))]
+    Several {
+        /// What is wrong with each.
+        all: Vec<SettingsError>,
+    },
+}
+
+fn lines(all: &[SettingsError]) -> String {
+    let lines: Vec<_> = all.iter().map(ToString::to_string).collect();
+    lines.join("\n")
 }
 
-/// The flag that names the settings file.
-pub fn arg() -> Arg {
-    Arg::new("settings")
+/// Exit codes, for the end of a subcommand's help.
+pub const EXIT_CODES: &str = "Exit codes:
+   0  done; of `run`: drained after SIGTERM or SIGINT
+   1  the settings, a file that they name or a port cannot be used
+   2  wrong usage
+  75  the lease of this incarnation has ended: start the process again";
+
+/// The flag that names the settings file, and a flag for each setting.
+pub fn args() -> Vec<Arg> {
+    let file = Arg::new("settings")
         .long("settings")
         .value_name("FILE")
         .value_parser(value_parser!(PathBuf))
         .required(true)
-        .help("Settings in YAML; TREFOIL_* variables override them")
+        .help("Settings in YAML; TREFOIL_* variables override them, and flags override both");
+    let flags = SETTINGS.iter().map(|setting| {
+        let (value, help) = describe(setting);
+        Arg::new(*setting)
+            .long(flag(setting))
+            .value_name(value)
+            .help(help)
+            .help_heading("Settings")
+    });
+    std::iter::once(file).chain(flags).collect()
+}
+
+/// Name of the value and help of a setting's flag.
+fn describe(setting: &str) -> (&'static str, &'static str) {
+    match setting {
+        "name" => ("NAME", "Name of this entry host"),
+        "domain" => ("NAME", "Failure domain that this host runs in"),
+        "region" => ("NAME", "Region that this host runs in"),
+        "caller" => ("ADDR", "Listen address for callers (HTTP)"),
+        "peer" => ("ADDR", "Listen address for other hosts (QUIC)"),
+        "operator" => (
+            "ADDR",
+            "Listen address for operators, metrics and health (HTTP)",
+        ),
+        "seeds" => (
+            "ADDR,...",
+            "Peer addresses that are asked while the log is down",
+        ),
+        "platform.log" => ("ADDR", "Address of the log service"),
+        "platform.hosts" => ("ADDR", "Address of the host list"),
+        "tls.authority" => ("FILE", "Certificate of the deployment's authority (PEM)"),
+        "tls.certificate" => ("FILE", "Certificate of this host (PEM)"),
+        "tls.key" => ("FILE", "Private key of the certificate (PEM)"),
+        "keys.operators" => ("KEY,...", "Public keys of operators"),
+        "keys.hosts" => ("KEY,...", "Public keys of hosts"),
+        "keys.signing" => ("FILE", "Signing key of this host (PKCS#8)"),
+        "limits.header" => ("BYTES", "Largest head of a caller's request"),
+        "limits.headers" => ("N", "Most header fields of a caller's request"),
+        "limits.connections" => ("N", "Most open connections from callers"),
+        "trace" => ("FILE", "File that trace spans are appended to"),
+        "log-level" => ("LEVEL", "Least severe level that is logged"),
+        _ => ("VALUE", ""),
+    }
 }
 
 /// What the settings and the files that they name hold.
@@ -68,32 +128,59 @@
         .unwrap_or_default();
     let text = read(&path)?;
     let variables = std::env::vars().filter(|(name, _)| name.starts_with("TREFOIL_"));
-    let overrides = Overrides::new().variables(variables);
+    let mut overrides = Overrides::new().variables(variables);
+    for setting in SETTINGS {
+        if let Some(value) = matches.get_one::<String>(setting) {
+            overrides = overrides.flag(setting, value);
+        }
+    }
     let name = path.display().to_string();
     let settings = Settings::load(&text, &name, &overrides)
         .map_err(|findings| SettingsError::Invalid { findings })?;
+    let results = (
+        identity(&settings),
+        signer(&settings),
+        keyring(&settings, &path),
+    );
+    match results {
+        (Ok(identity), Ok(signer), Ok(keys)) => Ok(Loaded {
+            settings,
+            identity,
+            signer,
+            keys,
+        }),
+        // All files that cannot be used are reported together.
+        (identity, signer, keys) => {
+            let errors = [identity.err(), signer.err(), keys.err()];
+            let all: Vec<_> = errors.into_iter().flatten().collect();
+            SeveralSnafu { all }.fail()
+        }
+    }
+}
+
+fn identity(settings: &Settings) -> Result<Identity, SettingsError> {
     let tls = &settings.tls;
-    let host = KeyPem {
-        cert: read(&tls.certificate)?,
-        key: read(&tls.key)?,
+    let files = [&tls.authority, &tls.certificate, &tls.key].map(|path| read(path));
+    let [authority, cert, key] = match files {
+        [Ok(authority), Ok(cert), Ok(key)] => [authority, cert, key],
+        files => {
+            let all: Vec<_> = files.into_iter().filter_map(Result::err).collect();
+            return SeveralSnafu { all }.fail();
+        }
     };
-    let identity =
-        Identity::from_pem(&read(&tls.authority)?, &host).map_err(|e| SettingsError::Key {
-            path: tls.certificate.clone(),
-            reason: e.to_string(),
-        })?;
+    let host = KeyPem { cert, key };
+    Identity::from_pem(&authority, &host).map_err(|e| SettingsError::Key {
+        path: tls.certificate.clone(),
+        reason: e.to_string(),
+    })
+}
+
+fn signer(settings: &Settings) -> Result<Signer, SettingsError> {
     let signing = &settings.keys.signing;
     let der = std::fs::read(signing).context(ReadSnafu { path: signing })?;
-    let signer = Signer::from_pkcs8(&der).map_err(|e| SettingsError::Key {
+    Signer::from_pkcs8(&der).map_err(|e| SettingsError::Key {
         path: signing.clone(),
         reason: e.to_string(),
-    })?;
-    let keys = keyring(&settings, &path)?;
-    Ok(Loaded {
-        settings,
-        identity,
-        signer,
-        keys,
     })
 }
 
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -207,7 +207,8 @@
         );
     }
 
-    fn settings(&self, name: &str, domain: &str) -> PathBuf {
+    /// Writes the settings of a daemon and the files that they name.
+    pub fn settings(&self, name: &str, domain: &str) -> PathBuf {
         let dir = self.dir.path();
         let file = |suffix: &str| dir.join(format!("{name}.{suffix}"));
         let host = name.parse().expect("a host name");
