Stream every accepted change to operators

`trefoilctl watch` asked for the resources once a second, so a resource that changed twice within a second showed one change, and nothing told in which failure domains a change was in force. A stream costs a cursor and at most 64 waiting lines, there are at most 64 streams, and all share one round of questions to the hosts every 250 ms while something is pending. The test of `watch` takes the lines of both kinds and still checks that nothing is shown twice.

--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,8 +1,11 @@
 //! The operators' port: health, metrics, resources and status.
 
+pub mod watch;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,6 +36,8 @@
 pub struct Operator {
     shared: Arc<Shared>,
     peers: Arc<dyn Peers>,
+    asked: watch::Asked,
+    streams: Arc<AtomicUsize>,
 }
 
 /// What a failure domain serves.
@@ -99,10 +104,15 @@
 impl Operator {
     /// The operators' port of a host.
     pub fn new(shared: Arc<Shared>, peers: Arc<dyn Peers>) -> Self {
-        Self { shared, peers }
+        Self {
+            shared,
+            peers,
+            asked: watch::Asked::default(),
+            streams: Arc::default(),
+        }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/livez") => text(StatusCode::OK, "ok"),
@@ -114,6 +124,7 @@
                 let view = self.shared.view();
                 json(StatusCode::OK, &view.resources.values().collect::<Vec<_>>())
             }
+            (&Method::GET, "/v1/watch") => self.watch(request.uri().query()),
             (&Method::POST, "/v1/records") => self.record(request).await,
             (&Method::POST, "/v1/drain") => {
                 self.shared.start_drain();
--- /dev/null
+++ b/crates/daemon/src/operator/watch.rs
@@ -0,0 +1,323 @@
+//! `GET /v1/watch`: changes of resources as a stream of JSON lines.
+//!
+//! With `?from=REVISION` the stream has every change that was accepted after that revision, in
+//! order; without it, it begins with the resources in force. It has two kinds of lines:
+//!
+//! ```text
+//! {"change":"accepted","revision":7,"name":"waterworks","accepted":1796371200000}
+//! {"change":"in-force","revision":7,"name":"waterworks","domains":["a"],"everywhere":false}
+//! ```
+//!
+//! An `in-force` line names the failure domains in which all hosts have come to serve the revision
+//! since the last such line. A revision that is replaced before that has none.
+//!
+//! No accepted revision is left out. If this process does not know all changes after `from`, it
+//! answers 410, and a client that falls so far behind that they are forgotten has its stream cut off
+//! without an end. Such a client reads the resources and starts again.
+//!
+//! A client costs one cursor and at most [`LINES_MAX`] lines that wait for it. All clients share
+//! the questions to the hosts, which are asked only while a revision is not in force everywhere.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_channel::Sender;
+use bytes::Bytes;
+use futures_lite::{FutureExt, StreamExt};
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use serde::{Deserialize, Serialize};
+use trefoil_core::{DomainName, ResourceName, Revision, Tick, UnixMillis};
+use trefoil_http::{Body, BodyError};
+
+use super::{DomainStatus, Operator, text};
+use crate::journal::Change;
+
+/// Most streams at once.
+const STREAMS_MAX: usize = 64;
+
+/// Most lines that wait for one client.
+const LINES_MAX: usize = 64;
+
+/// Time between two questions to the hosts while a revision is not in force everywhere. It is short
+/// against the 3 s in which a change must be in force.
+const ASK_EVERY: Duration = Duration::from_millis(250);
+
+/// Longest time without a line. An empty line is sent then, which shows both sides that the other
+/// one is there.
+pub const KEEP_ALIVE: Duration = Duration::from_secs(5);
+
+/// One line of the stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "change", rename_all = "kebab-case")]
+pub enum Line {
+    /// A change was accepted.
+    Accepted {
+        /// Revision of the resource since this change.
+        revision: Revision,
+        /// The resource.
+        name: ResourceName,
+        /// Wall clock of the operator that published it.
+        accepted: UnixMillis,
+    },
+    /// A change has come into force in more failure domains.
+    InForce {
+        /// Revision of the resource since the change.
+        revision: Revision,
+        /// The resource.
+        name: ResourceName,
+        /// Failure domains that serve it since the last such line.
+        domains: Vec<DomainName>,
+        /// Whether all known failure domains serve it.
+        everywhere: bool,
+    },
+}
+
+impl From<Change> for Line {
+    fn from(change: Change) -> Self {
+        Self::Accepted {
+            revision: change.revision,
+            name: change.name,
+            accepted: change.accepted,
+        }
+    }
+}
+
+/// What the hosts answered last.
+#[derive(Debug, Default)]
+pub(super) struct Asked {
+    latest: async_lock::Mutex<Option<(Tick, Arc<Domains>)>>,
+}
+
+type Domains = BTreeMap<DomainName, DomainStatus>;
+
+type Item = Result<Bytes, BodyError>;
+
+/// Counts a stream for as long as it exists.
+struct Stream {
+    streams: Arc<AtomicUsize>,
+}
+
+impl Stream {
+    fn open(streams: &Arc<AtomicUsize>) -> Option<Self> {
+        let stream = Self {
+            streams: Arc::clone(streams),
+        };
+        let open = streams.fetch_add(1, Ordering::SeqCst);
+        (open < STREAMS_MAX).then_some(stream)
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.streams.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// A revision that is not in force everywhere, with the domains that were told.
+#[derive(Debug)]
+struct Pending {
+    revision: Revision,
+    told: BTreeSet<DomainName>,
+}
+
+/// The state of one stream.
+struct Watcher {
+    operator: Arc<Operator>,
+    cursor: Revision,
+    pending: BTreeMap<ResourceName, Pending>,
+    lines: Sender<Item>,
+    last: Tick,
+    _stream: Stream,
+}
+
+/// The client has gone away or was cut off.
+struct Gone;
+
+impl Operator {
+    /// Starts a stream.
+    pub(super) fn watch(self: &Arc<Self>, query: Option<&str>) -> Response<Body> {
+        let from = match query.map(|q| q.strip_prefix("from=").map(str::parse::<u64>)) {
+            None => None,
+            Some(Some(Ok(from))) => Some(Revision(from)),
+            Some(_) => return text(StatusCode::BAD_REQUEST, "the query is not from=REVISION"),
+        };
+        let known = from.map_or(Ok(()), |f| self.shared.journal.after(f, 0).map(drop));
+        if let Err(e) = known {
+            return text(StatusCode::GONE, &e.to_string());
+        }
+        let Some(stream) = Stream::open(&self.streams) else {
+            let reason = "too many clients watch; try another host";
+            return text(StatusCode::SERVICE_UNAVAILABLE, reason);
+        };
+        let (lines, received) = async_channel::bounded(LINES_MAX);
+        let watcher = Watcher {
+            operator: Arc::clone(self),
+            cursor: from.unwrap_or_default(),
+            pending: BTreeMap::new(),
+            lines,
+            last: self.shared.clock.now(),
+            _stream: stream,
+        };
+        smol::spawn(watcher.run(from.is_none())).detach();
+        let frames = received.map(|item| item.map(Frame::data));
+        let mut response = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+        let kind = HeaderValue::from_static("application/x-ndjson");
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+
+    /// What the failure domains serve, at most [`ASK_EVERY`] old.
+    async fn recent_domains(&self) -> Arc<Domains> {
+        let mut latest = self.asked.latest.lock().await;
+        let now = self.shared.clock.now();
+        match &*latest {
+            Some((at, domains)) if now.since(*at) < ASK_EVERY => Arc::clone(domains),
+            _ => {
+                let domains = Arc::new(self.domains(&self.shared.view()).await);
+                *latest = Some((self.shared.clock.now(), Arc::clone(&domains)));
+                domains
+            }
+        }
+    }
+}
+
+impl Watcher {
+    async fn run(mut self, first: bool) {
+        let lines = self.lines.clone();
+        let gone = async {
+            lines.closed().await;
+            Err(Gone)
+        };
+        let follow = async {
+            if first {
+                self.in_force_now().await?;
+            }
+            while !self.operator.shared.is_draining() {
+                self.changes().await?;
+                self.force().await?;
+                self.wait().await?;
+            }
+            Ok(())
+        };
+        // The end of a drain's stream is a regular one: no change up to here was left out.
+        let _ = follow.or(gone).await;
+    }
+
+    async fn send(&mut self, line: &Line) -> Result<(), Gone> {
+        // A line has only strings, numbers and lists, so it always encodes.
+        let mut data = serde_json::to_vec(line).unwrap_or_default();
+        data.push(b'\n');
+        self.raw(data).await
+    }
+
+    async fn raw(&mut self, data: Vec<u8>) -> Result<(), Gone> {
+        self.last = self.operator.shared.clock.now();
+        self.lines.send(Ok(data.into())).await.or(Err(Gone))
+    }
+
+    /// Sends the resources that are in force, in the order of their revisions.
+    async fn in_force_now(&mut self) -> Result<(), Gone> {
+        let view = self.operator.shared.view();
+        let mut resources: Vec<_> = view.resources.values().collect();
+        resources.sort_by_key(|r| r.revision);
+        for resource in resources {
+            self.accepted(Change {
+                revision: resource.revision,
+                name: resource.name.clone(),
+                accepted: resource.accepted,
+            })
+            .await?;
+        }
+        self.cursor = view.revision;
+        Ok(())
+    }
+
+    async fn accepted(&mut self, change: Change) -> Result<(), Gone> {
+        let pending = Pending {
+            revision: change.revision,
+            told: BTreeSet::new(),
+        };
+        self.cursor = change.revision;
+        self.pending.insert(change.name.clone(), pending);
+        self.send(&change.into()).await
+    }
+
+    /// Sends the changes that were accepted since the last look.
+    async fn changes(&mut self) -> Result<(), Gone> {
+        loop {
+            let journal = &self.operator.shared.journal;
+            let changes = match journal.after(self.cursor, LINES_MAX) {
+                Ok(changes) if changes.is_empty() => return Ok(()),
+                Ok(changes) => changes,
+                Err(e) => {
+                    let _ = self.lines.send(Err(Box::new(e))).await;
+                    return Err(Gone);
+                }
+            };
+            for change in changes {
+                self.accepted(change).await?;
+            }
+        }
+    }
+
+    /// Sends where the newest revisions have come into force.
+    async fn force(&mut self) -> Result<(), Gone> {
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        let status = self.operator.recent_domains().await;
+        let mut lines = Vec::new();
+        self.pending.retain(|name, pending| {
+            let serves = |s: &DomainStatus| {
+                s.silent == 0 && s.revision.is_some_and(|r| r >= pending.revision)
+            };
+            let serving = || status.iter().filter(|(_, s)| serves(s)).map(|(d, _)| d);
+            let domains: Vec<_> = serving()
+                .filter(|d| !pending.told.contains(*d))
+                .cloned()
+                .collect();
+            let everywhere = !status.is_empty() && serving().count() == status.len();
+            if !domains.is_empty() {
+                pending.told.extend(domains.iter().cloned());
+                lines.push(Line::InForce {
+                    revision: pending.revision,
+                    name: name.clone(),
+                    domains,
+                    everywhere,
+                });
+            }
+            !everywhere
+        });
+        for line in lines {
+            self.send(&line).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the next change, or until the hosts are to be asked or a line is due.
+    async fn wait(&mut self) -> Result<(), Gone> {
+        let shared = Arc::clone(&self.operator.shared);
+        let due = self.last.after(KEEP_ALIVE);
+        let until = if self.pending.is_empty() {
+            due
+        } else {
+            due.min(shared.clock.now().after(ASK_EVERY))
+        };
+        let cursor = self.cursor;
+        shared
+            .wait_until(until, |s| {
+                let changes = s.journal.after(cursor, 1);
+                s.is_draining() || changes.map_or(true, |c| !c.is_empty())
+            })
+            .await;
+        if shared.clock.now() >= due {
+            self.raw(b"\n".to_vec()).await?;
+        }
+        Ok(())
+    }
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -12,6 +12,7 @@
 use trefoil_log::record::{Body, Envelope, RecordError, Signed};
 use trefoil_log::{FORMAT, HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
 
+use crate::journal::Journal;
 use crate::metrics::Metrics;
 use crate::trace::Tracing;
 
@@ -33,6 +34,8 @@
     pub metrics: Metrics,
     /// Source of trace spans; off unless the node sets it.
     pub tracing: Tracing,
+    /// Accepted changes of resources.
+    pub journal: Journal,
     signer: Signer,
     writer: WriterId,
     sequence: async_lock::Mutex<u64>,
@@ -60,6 +63,7 @@
             logger,
             metrics: Metrics::default(),
             tracing: Tracing::default(),
+            journal: Journal::default(),
             signer,
             writer: WriterId::random(),
             sequence: async_lock::Mutex::new(0),
@@ -92,6 +96,7 @@
         kept.drain(..excess);
         drop(kept);
         let revision = view.revision;
+        self.journal.published(revision);
         self.metrics
             .revision
             .set(i64::try_from(revision.0).unwrap_or(i64::MAX));
--- a/crates/daemon/src/tailer.rs
+++ b/crates/daemon/src/tailer.rs
@@ -77,6 +77,7 @@
         let verdict = view.apply(record.offset, &record.data, keys)?;
         match &verdict {
             Verdict::Accepted { revision } => {
+                shared.journal.note(*revision, &view);
                 info!(shared.logger, "record accepted"; "offset" => %record.offset, "revision" => %revision);
             }
             other => {
--- a/src/commands/ctl/client.rs
+++ b/src/commands/ctl/client.rs
@@ -9,12 +9,16 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::header::HOST;
 use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Collected, Limited};
+use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use snafu::ResultExt;
-use trefoil_core::{DomainName, ResourceName, Revision, UnixMillis};
-use trefoil_http::{CallError, call};
+use trefoil_core::{Clock, DomainName, ResourceName, Revision, SystemClock, UnixMillis};
+use trefoil_http::{CallError, Connection, call, full};
 use trefoil_log::Resource;
 
 use super::failure::{Failure, MalformedSnafu, UnreachableSnafu};
@@ -22,6 +26,9 @@
 /// Largest answer that is read, in bytes: all resources of a deployment.
 const ANSWER_MAX: usize = 64 * 1024 * 1024;
 
+/// Largest text of a refused request that is read, in bytes.
+const MESSAGE_MAX: usize = 64 * 1024;
+
 /// Wait for an answer. A daemon asks all hosts for at most 500 ms and waits up to 5 s for a record.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -113,6 +120,36 @@
         smol::block_on(call(self.address, request, ANSWER_MAX, self.timeout))
     }
 
+    /// Starts a request whose answer is a stream. The answer ends when the connection is dropped.
+    pub(super) async fn stream(&self, path: &str) -> Result<(Connection, Incoming), Failure> {
+        let address = self.address;
+        let open = async {
+            let mut connection = Connection::open(address, self.timeout).await?;
+            let request = Request::get(path).header(HOST, address.to_string());
+            // The path and the address are built here, so they are always valid.
+            let request = request.body(full(Bytes::new())).unwrap_or_default();
+            let response = connection.send(request).await?;
+            Ok((connection, response))
+        };
+        let late = async {
+            SystemClock.sleep(self.timeout).await;
+            let timeout = self.timeout;
+            Err(CallError::TimedOut { address, timeout })
+        };
+        let (connection, response) = open.or(late).await.context(UnreachableSnafu)?;
+        let status = response.status();
+        let body = response.into_body();
+        if status.is_success() {
+            return Ok((connection, body));
+        }
+        let text = Limited::new(body, MESSAGE_MAX).collect().await;
+        let text = text.map(Collected::to_bytes).unwrap_or_default();
+        Err(Failure::Answer {
+            status,
+            message: message(&text),
+        })
+    }
+
     fn successful(&self, method: Method, path: &str) -> Result<Bytes, Failure> {
         let answer = self.send(method, path, Bytes::new());
         let (status, body) = answer.context(UnreachableSnafu)?;
--- a/tests/all/config/cli.rs
+++ b/tests/all/config/cli.rs
@@ -4,6 +4,7 @@
 mod daemon;
 mod keys;
 mod stub;
+mod watch;
 
 use std::net::TcpListener;
 use std::path::Path;
--- a/tests/all/config/cli/daemon.rs
+++ b/tests/all/config/cli/daemon.rs
@@ -18,9 +18,6 @@
 
 const DAY: Duration = Duration::from_hours(24);
 
-/// Time between two looks of `watch`.
-const WATCH_INTERVAL: Duration = Duration::from_secs(1);
-
 /// An entry host, and a directory with the operator's key and a resource.
 struct Host {
     node: Node,
@@ -160,21 +157,26 @@
         .spawn()
         .expect("trefoilctl runs");
     let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
-    let mut next = || {
+    let mut next = |change: &str| {
         let line = lines.next().expect("a line").expect("UTF-8");
         let value: serde_json::Value = serde_json::from_str(&line).expect("JSON");
-        assert_eq!(value["name"], "waterworks");
+        assert_eq!(
+            (&value["name"], &value["change"]),
+            (&"waterworks".into(), &change.into())
+        );
         value["revision"].as_u64().expect("a number")
     };
-    let first = next();
-    // At least one look in which nothing changed, or a change shown twice would go unnoticed.
-    std::thread::sleep(WATCH_INTERVAL + Duration::from_millis(300));
+    let first = next("accepted");
+    assert_eq!(next("in-force"), first);
+    // The hosts are asked several times in which nothing changed, or a change shown twice would go
+    // unnoticed.
+    std::thread::sleep(Duration::from_millis(1300));
     let text = format!("name: waterworks\nrevision: {first}");
     let text = changed(ROUTING, "name: waterworks", &text);
     fs::write(host.at().join("routing.yaml"), text).expect("a file");
     let applied = host.run(&apply);
     assert!(applied.ends_with("-- exit 0 --\n"), "{applied}");
-    let second = next();
+    let second = next("accepted");
     assert!(second > first, "{second}");
     assert!(child.wait().expect("watch ends").success());
 
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -8,4 +8,5 @@
 mod streams;
 mod traces;
 mod upstream;
+mod watch;
 mod wire;
--- a/tests/all/sessions/wire.rs
+++ b/tests/all/sessions/wire.rs
@@ -132,15 +132,22 @@
 
     fn chunks(&mut self, body: &mut Vec<u8>) -> Option<()> {
         loop {
-            let size = usize::from_str_radix(&self.line()?, 16).ok()?;
-            body.extend(self.take(size)?);
-            self.line()?;
-            if size == 0 {
+            let chunk = self.chunk()?;
+            if chunk.is_empty() {
                 return Some(());
             }
+            body.extend(chunk);
         }
     }
 
+    /// Reads one chunk; the last one is empty.
+    pub fn chunk(&mut self) -> Option<Vec<u8>> {
+        let size = usize::from_str_radix(&self.line()?, 16).ok()?;
+        let chunk = self.take(size)?;
+        self.line()?;
+        Some(chunk)
+    }
+
     /// Whether the other side has closed the connection, after at most 2 s.
     pub fn is_closed(&mut self) -> bool {
         let short = Some(Duration::from_secs(2));
