--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -7,19 +7,22 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
+use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::debug;
 use trefoil_core::{Outcome, Tick, UpstreamName};
 use trefoil_http::Service;
 use trefoil_log::{HostRecord, View};
+use trefoil_wire::message::TEXT_MAX;
 use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers, encode};
 
 use crate::authority::Authority;
@@ -29,6 +32,7 @@
 use crate::request::{ID_HEADER, Intent, forwarded};
 use crate::routes::Routes;
 use crate::shared::Shared;
+use crate::trace::TRACE_HEADER;
 
 /// Bodies up to this many bytes are read before the request is forwarded.
 const REPLAY_MAX: u64 = 64 * 1024;
@@ -63,9 +67,19 @@
 /// The body of a caller's request.
 enum Payload {
     Whole(Bytes),
-    Stream(Option<Body>),
+    Stream(Option<Body>, Arc<AtomicBool>),
 }
 
+impl Payload {
+    /// Whether more bytes came than the service allows.
+    fn is_too_large(&self) -> bool {
+        matches!(self, Self::Stream(_, too_large) if too_large.load(Ordering::SeqCst))
+    }
+}
+
+/// An answer for the caller.
+type Answered = (Outcome, Response<trefoil_http::Body>);
+
 /// How one attempt ended.
 enum Attempt {
     Answered(AnswerHead, Body),
@@ -98,13 +112,35 @@
     async fn answer(&self, request: Request<Incoming>) -> Response<trefoil_http::Body> {
         let started = self.shared.clock.now();
         let (parts, body) = request.into_parts();
-        let (service, result) = self.serve(&parts, body).await;
+        let large = http_body::Body::size_hint(&body)
+            .exact()
+            .is_none_or(|n| n > REPLAY_MAX);
+        // Two values are none: which of them the caller means is not known.
+        let mut traces = parts.headers.get_all(TRACE_HEADER).iter();
+        let trace = traces.next().and_then(|v| v.to_str().ok());
+        let short = |t: &&str| t.len() <= TEXT_MAX && traces.next().is_none();
+        let trace = trace.filter(short);
+        let mut trace_span = self.shared.tracing.server("ingress", trace);
+        let trace = trace_span.context().or(trace.map(str::to_owned));
+        let (service, result) = self.serve(&parts, body, trace).await;
         let (outcome, response) = match result {
-            Ok(response) => (Outcome::Done, response),
-            Err(problem) => (problem.outcome, problem.response()),
+            Ok(answered) => answered,
+            Err(problem) => {
+                let mut response = problem.response();
+                // The rest of the body is not read, so the connection cannot be used again.
+                if large {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
+                (problem.outcome, response)
+            }
         };
         let span = self.shared.clock.now().since(started);
         self.shared.metrics.answered(&service, outcome, span);
+        trace_span.set("service", &service);
+        trace_span.set("method", &parts.method);
+        trace_span.set("outcome", outcome);
+        trace_span.set("status", response.status().as_u16());
         debug!(self.shared.logger, "request answered"; "service" => &service,
             "method" => %parts.method, "outcome" => %outcome,
             "status" => response.status().as_u16(), "us" => span.as_micros());
@@ -115,7 +151,8 @@
         &self,
         parts: &Parts,
         body: Incoming,
-    ) -> (String, Result<Response<trefoil_http::Body>, Box<Problem>>) {
+        trace: Option<String>,
+    ) -> (String, Result<Answered, Box<Problem>>) {
         // Before it has joined, a host has no lease and its seeds answer for it, see `catchup`.
         let trusted = self.authority.is_valid() || self.shared.is_vouched();
         if !self.shared.is_ready() || !trusted {
@@ -126,14 +163,33 @@
             } else {
                 Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
             };
+            self.skip(body).await;
             return ("-".to_owned(), Err(Box::new(problem)));
         }
         match Intent::read(parts, &self.shared.view()) {
             Ok(intent) => {
                 let name = intent.service.name.to_string();
+                let intent = Intent { trace, ..intent };
                 (name, self.route(&intent, parts, body).await)
             }
-            Err(problem) => ("-".to_owned(), Err(problem)),
+            Err(problem) => {
+                self.skip(body).await;
+                ("-".to_owned(), Err(problem))
+            }
+        }
+    }
+
+    /// Reads the small body of a request that is refused, so that the connection can be used again.
+    async fn skip(&self, body: Incoming) {
+        if http_body::Body::size_hint(&body)
+            .exact()
+            .is_some_and(|n| n <= REPLAY_MAX)
+        {
+            let late = self.shared.clock.sleep(PATIENCE);
+            let read = async {
+                let _ = body.collect().await;
+            };
+            read.or(late).await;
         }
     }
 
@@ -142,7 +198,7 @@
         intent: &Intent,
         parts: &Parts,
         body: Incoming,
-    ) -> Result<Response<trefoil_http::Body>, Box<Problem>> {
+    ) -> Result<Answered, Box<Problem>> {
         let until = self.shared.clock.now().after(intent.budget);
         let mut payload = self.payload(intent, body, until).await?;
         self.routes.deposit(&intent.service.name);
@@ -163,6 +219,10 @@
                 Attempt::Failed(outcome, reason) => (outcome, reason),
             };
             doubt |= outcome != Outcome::NotRun;
+            if payload.is_too_large() {
+                let problem = Problem::too_large(intent.service.limits.body, doubt);
+                return Err(Box::new(problem));
+            }
             let next = self.shared.clock.now().after(RETRY_WAIT);
             let again = matches!(payload, Payload::Whole(_)) && next < until;
             let again = again
@@ -190,10 +250,15 @@
         let exact = http_body::Body::size_hint(&body).exact();
         let body = Limited::new(body, max);
         if exact.is_none_or(|n| n > REPLAY_MAX) {
-            let body = body.map_err(|e| BodyError::Source {
-                reason: e.to_string(),
+            let too_large = Arc::new(AtomicBool::new(false));
+            let noted = Arc::clone(&too_large);
+            let body = body.map_err(move |e| {
+                noted.fetch_or(e.is::<LengthLimitError>(), Ordering::SeqCst);
+                BodyError::Source {
+                    reason: e.to_string(),
+                }
             });
-            return Ok(Payload::Stream(Some(body.boxed())));
+            return Ok(Payload::Stream(Some(body.boxed()), too_large));
         }
         let late = async {
             self.shared.clock.sleep_until(until).await;
@@ -258,10 +323,14 @@
         let mut last = Attempt::Failed(Outcome::NotRun, reason);
         for host in self.routes.hosts(view, upstream, self.shared.clock.now()) {
             let budget = until.since(self.shared.clock.now());
-            let head = self.head(intent, parts, upstream, budget);
+            let mut head = self.head(intent, parts, upstream, budget);
+            let mut span = self.shared.tracing.client("forward", head.trace.as_deref());
+            head.trace = span.context().or(head.trace);
+            span.set("host", &host.name);
+            span.set("upstream", upstream);
             let body = match payload {
                 Payload::Whole(bytes) => trefoil_wire::body::full(bytes.clone()),
-                Payload::Stream(body) => match body.take() {
+                Payload::Stream(body, _) => match body.take() {
                     Some(body) => body,
                     None => return last,
                 },
@@ -269,6 +338,10 @@
             last = self
                 .forward(host, head, body, intent.idempotent, until)
                 .await;
+            if let Attempt::Failed(outcome, reason) = &last {
+                span.set("outcome", outcome);
+                span.set("reason", reason);
+            }
             match &last {
                 Attempt::Failed(Outcome::NotRun, _) => {}
                 Attempt::Answered(..) | Attempt::Moved(_) | Attempt::Settled(..) => {
@@ -414,13 +487,25 @@
     ) -> Boxed<Response<trefoil_http::Body>> {
         async move { self.answer(request).await }.boxed()
     }
+
+    fn refusal(&self, status: StatusCode) -> Response<Bytes> {
+        let detail = match status {
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE => "the request's head is too large",
+            StatusCode::URI_TOO_LONG => "the request's path is too long",
+            _ => "the request is not valid HTTP",
+        };
+        self.shared
+            .metrics
+            .answered("-", Outcome::NotRun, Duration::ZERO);
+        Problem::not_run(status, detail).document()
+    }
 }
 
 fn unavailable(reason: &str) -> Problem {
     Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
 }
 
-fn passed_on(head: AnswerHead, body: Body) -> Response<trefoil_http::Body> {
+fn passed_on(head: AnswerHead, body: Body) -> Answered {
     let AnswerHead::Answer {
         status,
         headers,
@@ -428,7 +513,8 @@
         ..
     } = head
     else {
-        return Problem::unknown("the dispatcher's answer has no head").response();
+        let problem = Problem::unknown("the dispatcher's answer has no head");
+        return (problem.outcome, problem.response());
     };
     let body = body
         .map_err(|e| Box::new(e) as trefoil_http::BodyError)
@@ -444,5 +530,5 @@
     response
         .headers_mut()
         .insert(OUTCOME_HEADER, outcome_value(outcome));
-    response
+    (outcome, response)
 }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,14 +1,17 @@
 //! The operators' port: health, metrics, resources and status.
 
+pub mod watch;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -33,6 +36,8 @@
 pub struct Operator {
     shared: Arc<Shared>,
     peers: Arc<dyn Peers>,
+    asked: watch::Asked,
+    streams: Arc<AtomicUsize>,
 }
 
 /// What a failure domain serves.
@@ -103,10 +108,15 @@
 impl Operator {
     /// The operators' port of a host.
     pub fn new(shared: Arc<Shared>, peers: Arc<dyn Peers>) -> Self {
-        Self { shared, peers }
+        Self {
+            shared,
+            peers,
+            asked: watch::Asked::default(),
+            streams: Arc::default(),
+        }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/livez") => text(StatusCode::OK, "ok"),
@@ -118,6 +128,7 @@
                 let view = self.shared.view();
                 json(StatusCode::OK, &view.resources.values().collect::<Vec<_>>())
             }
+            (&Method::GET, "/v1/watch") => self.watch(request.uri().query()),
             (&Method::POST, "/v1/records") => self.record(request).await,
             (&Method::POST, "/v1/drain") => {
                 self.shared.start_drain();
@@ -151,7 +162,12 @@
             .await
         {
             Ok(body) => body.to_bytes(),
-            Err(e) => return text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()),
+            Err(e) => {
+                let mut response = text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string());
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+                return response;
+            }
         };
         if let Some(refusal) = checked(&body) {
             return refusal;
@@ -256,6 +272,11 @@
     ) -> Boxed<Response<Body>> {
         async move { self.answer(request).await }.boxed()
     }
+
+    fn refusal(&self, status: StatusCode) -> Response<Bytes> {
+        let reason = status.canonical_reason().unwrap_or("bad request");
+        plain(status, reason)
+    }
 }
 
 /// Refuses a record with a resource that a file with the same contents would not pass for. Replay
@@ -327,7 +348,13 @@
 }
 
 fn text(status: StatusCode, message: &str) -> Response<Body> {
-    let mut response = Response::new(full(format!("{message}\n")));
+    plain(status, message).map(full)
+}
+
+fn plain(status: StatusCode, message: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(format!("{message}\n")));
     *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
--- a/crates/daemon/src/tailer.rs
+++ b/crates/daemon/src/tailer.rs
@@ -121,6 +121,7 @@
         };
         match &verdict {
             Verdict::Accepted { revision } => {
+                shared.journal.note(*revision, &view);
                 info!(shared.logger, "record accepted"; "offset" => %record.offset, "revision" => %revision);
             }
             other => {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod log;
 mod placement;
 mod process;
+mod sessions;
 mod wire;
