Keep a host whose lease ended as a witness, and bound the process tests

A process whose lease had ended stopped at once, and with it the promises that it gave as a witness; among few hosts that can end the next lease. It now leaves as a planned stop does before it exits with 75. At most three deployments run at once now.

--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -309,6 +309,17 @@
         self.shared.wait_until(Tick(Duration::MAX), stopped).await;
     }
 
+    /// Leaves the deployment after the lease has ended. The process serves nobody any more, but other
+    /// hosts' leases still count on it as a witness: if it ended at once, theirs could end as well.
+    pub async fn retire(self) {
+        info!(self.shared.logger, "retiring");
+        self.shared.start_drain();
+        self.authority.disarm();
+        member::announce_leave(&self.shared).await;
+        member::wait_replaced(&self.shared, &self.authority).await;
+        member::leave(&self.shared).await;
+    }
+
     /// Leaves the ready list, hands its upstreams over, finishes what is in flight and leaves the
     /// deployment.
     pub async fn drain(self) {
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -106,6 +106,7 @@
                 Ok(ExitCode::SUCCESS)
             }
             End::Lease => {
+                node.retire().await;
                 eprintln!("the lease of this incarnation has ended; start the process again");
                 Ok(ExitCode::from(LEASE_ENDED))
             }
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -27,6 +28,32 @@
 /// Longest wait for the answer to a caller. A host that is stopped never answers.
 const ANSWER_MAX: Duration = Duration::from_secs(10);
 
+/// Deployments that run at once. With more, the processes of one starve those of another for longer
+/// than a lease, which the kernel timer takes for a pause.
+const DEPLOYMENTS_MAX: usize = 3;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// Leave to run a deployment.
+struct Permit;
+
+impl Permit {
+    fn wait() -> Self {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let free = ENDED.wait_while(running, |n| *n >= DEPLOYMENTS_MAX);
+        *free.unwrap_or_else(PoisonError::into_inner) += 1;
+        Self
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
 /// A child process that is killed when it is dropped.
 pub struct Process {
     child: Child,
@@ -150,6 +177,8 @@
     pub snapshot_records: u32,
     /// Ports that a daemon gets again: for callers, hosts and operators.
     ports: BTreeMap<String, [SocketAddr; 3]>,
+    // The last field, so that the processes have ended when another deployment begins.
+    _permit: Permit,
 }
 
 fn standin() -> PathBuf {
@@ -175,6 +204,7 @@
 
     /// A platform with flags, without daemons and upstreams.
     pub fn with_platform(flags: &[&str]) -> Self {
+        let permit = Permit::wait();
         let dir = tempfile::tempdir().expect("a directory");
         let now = SystemClock.unix();
         let authority = Authority::create("test", now, CERTIFICATE_VALID).expect("an authority");
@@ -194,6 +224,7 @@
             seeds,
             snapshot_records: 10_000,
             ports,
+            _permit: permit,
         }
     }
 
