Count the hand-over in the price of a move

The weight of unavailable time had no effect on balance: the planner had the same figures with the weights of Monterrey and with equal ones.

--- a/crates/placement/src/objective.rs
+++ b/crates/placement/src/objective.rs
@@ -11,6 +11,9 @@
 //!   The variance instead of the peak, because it is the sum of one term for each member: the gain
 //!   of a single move is found without a look at the other members.
 //!
+//! A planned move makes its load unavailable for a moment, [`HANDOVER`] of a window, which is part
+//! of its price. Without it the weight of unavailable time had no effect on balance.
+//!
 //! Churn is paid once, while imbalance and unavailability are paid in each measure window until
 //! the load changes. Both are therefore multiplied by the [`Objective::horizon`], the number of
 //! windows over which a move has to pay off.
@@ -23,6 +26,10 @@
 /// cost no churn.
 pub const EXPOSURE: f64 = 0.01;
 
+/// Part of a measure window for which the load of a planned move is unavailable: 0.1 s of 10 s, an
+/// estimate of the time in which requests in flight finish and the release crosses domains twice.
+pub const HANDOVER: f64 = 0.01;
+
 /// Share of a shard's keys that an entry for a hot key counts in the churn. The keys in an entry
 /// are one, but the entries are few and every host keeps them.
 pub const ENTRY: f64 = 0.125;
@@ -71,9 +78,10 @@
         lasting * self.horizon + churn * cost.churn
     }
 
-    /// What the churn of a move costs. `keys` and `load` are shares of the service's total.
+    /// What a move costs: its churn, and the unavailable time of its load while it is handed over.
+    /// `keys` and `load` are shares of the service's total.
     pub fn price(&self, keys: f64, load: f64) -> f64 {
-        self.weights.churn * churn(keys, load)
+        self.weights.churn * churn(keys, load) + self.weights.unavailable * HANDOVER * load
     }
 
     /// What balance gains if `load` moves from one member to another.
@@ -89,7 +97,8 @@
     ///
     /// It is the limit for a unit whose load is far above its share of the keys.
     pub fn dead_band(&self) -> f64 {
-        self.weights.churn / (4.0 * self.weights.imbalance * self.horizon)
+        let price = self.weights.churn / 2.0 + self.weights.unavailable * HANDOVER;
+        price / (2.0 * self.weights.imbalance * self.horizon)
     }
 }
 
--- a/crates/placement/src/reason.rs
+++ b/crates/placement/src/reason.rs
@@ -98,8 +98,8 @@
     pub to: Seat,
     /// Why.
     pub reason: Reason,
-    /// What the objective gains, without the cost of the churn.
+    /// What the objective gains, without the price.
     pub gain: f64,
-    /// What the churn costs. Zero if the owner stays.
+    /// What churn and hand-over cost, see [`crate::Objective::price`]. Zero if the owner stays.
     pub price: f64,
 }
--- a/crates/placement/src/report.rs
+++ b/crates/placement/src/report.rs
@@ -144,7 +144,7 @@
     pub reason: Reason,
     /// What the objective gained.
     pub gain: f64,
-    /// What the churn cost.
+    /// What churn and hand-over cost.
     pub price: f64,
 }
 
@@ -163,7 +163,7 @@
     pub chosen: f64,
     /// What the chosen moves gained in the objective.
     pub gained: f64,
-    /// What their churn cost in the objective.
+    /// What their churn and hand-over cost in the objective.
     pub paid: f64,
 }
 
