Add changes that create tables and add members

A table of full size does not fit one record, and every caller would have had to cut member lists and find free indices on its own. `plan::create` gives a vacant table with its members in records that fit, and `plan::join` uses indices of lost members before new ones. The test of reused indices joins one member to each kind of index.

--- a/crates/placement/src/plan.rs
+++ b/crates/placement/src/plan.rs
@@ -1,9 +1,9 @@
-//! Plans: changes that bring a table to a wanted state.
+//! Changes that create tables and add members.
 
 use trefoil_core::UpstreamName;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::table::{Change, Member, Seat};
+use crate::table::{BATCH_MEMBERS, Change, Member, Replacement, Seat, Table};
 
 /// Score of a member for a shard in rendezvous hashing.
 fn score(name: &UpstreamName, shard: u32) -> u64 {
@@ -31,3 +31,28 @@
     let seats = (0..shards).map(seat).collect();
     Change::Reset { members, seats }
 }
+
+/// Changes that create a table whose shards are vacant, in records that fit the log at full size.
+/// A [`crate::Planner`] then gives the shards to members.
+pub fn create(members: Vec<UpstreamName>, shards: u32) -> Vec<Change> {
+    let mut changes = vec![Change::Vacant { shards }];
+    changes.extend(join(&Table::default(), members));
+    changes
+}
+
+/// Changes that add members: to indices of lost members that no seat names, and to new ones.
+pub fn join(table: &Table, mut members: Vec<UpstreamName>) -> Vec<Change> {
+    let free = table.free_indices();
+    let fresh = members.split_off(members.len().min(free.len()));
+    let taken = free.into_iter().zip(members);
+    let taken = taken.map(|(member, name)| Replacement { member, name });
+    let taken: Vec<Replacement> = taken.collect();
+    let mut changes = Vec::new();
+    changes.extend(taken.chunks(BATCH_MEMBERS).map(|members| Change::Replace {
+        members: members.to_vec(),
+    }));
+    changes.extend(fresh.chunks(BATCH_MEMBERS).map(|members| Change::Join {
+        members: members.to_vec(),
+    }));
+    changes
+}
--- a/tests/all/placement/table.rs
+++ b/tests/all/placement/table.rs
@@ -6,7 +6,7 @@
 use trefoil_core::{KeyHash, Shard};
 use trefoil_placement::table::{BATCH, BATCH_MEMBERS};
 use trefoil_placement::{
-    Change, HOT_MAX, HotMove, Member, Move, Replacement, Seat, Table, TableError, initial,
+    Change, HOT_MAX, HotMove, Member, Move, Replacement, Seat, Table, TableError, initial, plan,
 };
 
 use super::{names, runner};
@@ -149,12 +149,12 @@
     table.apply(&Change::Lost { members }).expect("applies");
     assert_eq!(table.free_indices(), [Member(1)]);
     let name: trefoil_core::UpstreamName = "u1".parse().expect("valid name");
-    let members = vec![Replacement {
-        member: Member(1),
-        name: name.clone(),
-    }];
-    table.apply(&Change::Replace { members }).expect("applies");
+    let more = names(2).swap_remove(0);
+    for change in plan::join(&table, vec![name.clone(), more]) {
+        table.apply(&change).expect("applies");
+    }
     assert_eq!(table.member(&name), Some(Member(1)));
+    assert_eq!(table.members().len(), 4, "one more index is needed");
     assert_eq!(table.free_indices(), []);
 }
 
