Compare the units of long lists in groups

A plan compared all units of a member for each move, which took 14.7 s after the loss of one of 20 members with 2^20 shards, a configuration that operators may declare. Lists of more than 512 units are now sorted by load once and compared in groups.

--- a/crates/placement/examples/sizes.rs
+++ b/crates/placement/examples/sizes.rs
@@ -26,10 +26,12 @@
 fn main() -> Result<(), Box<dyn std::error::Error>> {
     let repeats: usize = std::env::args().nth(1).map_or(Ok(9), |a| a.parse())?;
     println!("milliseconds: least / median / greatest of {repeats}");
+    // The last but one has far more shards for each member than any service needs.
     for (members, shards) in [
         (20, 1 << 10),
         (300, 1 << 14),
         (2_400, 1 << 17),
+        (20, 1 << 20),
         (19_000, 1 << 20),
     ] {
         let mut world = World::new(members, shards)?;
--- a/crates/placement/src/planner/balance.rs
+++ b/crates/placement/src/planner/balance.rs
@@ -35,9 +35,14 @@
             return;
         }
         let units = units.get_or_insert_with(|| Units::new(draft));
-        let Some((unit, noted)) = best(draft, units.of(from), (from, to), limit, room) else {
+        let group = units.group(draft, from);
+        if group.is_empty() {
             donors.pop_last();
             continue;
+        }
+        let Some((unit, noted)) = best(draft, group, (from, to), limit, room) else {
+            units.skip(from);
+            continue;
         };
         for member in [from, to] {
             receivers.remove(&(draft.rank(member), member));
--- a/tests/all/placement/planner.rs
+++ b/tests/all/placement/planner.rs
@@ -8,7 +8,7 @@
 use trefoil_placement::planner::SLACK;
 use trefoil_placement::{
     Change, Domain, Input, KeyLoad, Load, Member, Objective, Plan, PlanError, Planner, Profile,
-    Reason, Seat, State, Table, Unit, initial,
+    Reason, Seat, State, Table, Unit, initial, plan,
 };
 
 use super::{names, runner};
@@ -51,13 +51,9 @@
     /// Members in turn in each of `domains` failure domains, with standbys as the planner wants.
     fn new(members: usize, domains: usize, shards: u32) -> Self {
         let mut table = Table::default();
-        table
-            .apply(&Change::Vacant { shards })
-            .expect("a power of two");
-        let join = Change::Join {
-            members: names(members),
-        };
-        table.apply(&join).expect("few members");
+        for change in plan::create(names(members), shards) {
+            table.apply(&change).expect("a power of two");
+        }
         let members = (0..members).map(|i| profile(i % domains, State::Serving));
         let mut world = Self {
             table,
@@ -212,6 +208,19 @@
     assert!(moved <= owned[5] + 2, "{moved} moves for {owned:?}");
 }
 
+/// Guards against long lists of units that are not looked at to their end.
+#[test]
+fn long_lists_are_balanced() {
+    let mut world = World::new(2, 2, 8192);
+    let join = Change::Join {
+        members: vec!["u2".parse().expect("valid name")],
+    };
+    world.table.apply(&join).expect("applies");
+    world.members.push(profile(2, State::Serving));
+    world.step(&planner().budget(1.0));
+    assert!((0..3).all(|m| (2_700..2_760).contains(&world.owned(m))));
+}
+
 /// Guards against a hot key that drags its shard along or overloads its owner for good.
 #[test]
 fn hot_keys_leave_their_shards() {
