State what the baselines are

The module documentation said that no baseline looks at churn, which the first version of the planner does. It now names the two simple placements, and says that the first version uses the present objective.

--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -1,7 +1,7 @@
-//! Simple placements that the planner is compared with.
+//! Placements that the planner is compared with: two simple ones, and its own first version.
 //!
-//! Neither looks at churn, and neither gives hot keys entries of their own. Their standbys follow
-//! rendezvous hashing without regard to failure domains.
+//! [`Rendezvous`] and [`Greedy`] do not look at churn and give hot keys no entries of their own.
+//! Their standbys follow rendezvous hashing without regard to failure domains.
 
 use std::collections::BTreeSet;
 use std::fmt::Debug;
@@ -83,7 +83,8 @@
 }
 
 /// The planner as it was before the rounds of docs/experiments.md: loads that are not smoothed,
-/// entries that are not counted, and the first settings.
+/// entries that are not counted, and the first settings and choice of moves. The objective is the
+/// present one, whose price includes the hand-over.
 #[derive(Debug, Clone)]
 pub struct FirstPlanner(Planner);
 
