Count the load of shards at the dispatchers

The planner knew no load, because nothing measured any. Each driver now counts the requests of its shards and its hottest keys per measure window, under a lock of its own, and the time in which its upstream was lost while it owned shards. Any host can collect the counts of the last closed window from all live hosts by one control message, whose reply is bounded below the frame limit; hosts that do not answer are left out and their shards keep the load of the window before.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -31,6 +31,7 @@
 
 use self::driver::Driver;
 use crate::authority::{Authority, RoleChange};
+use crate::load::{self, UpstreamLoad, Window};
 use crate::message::{Message, Reply};
 use crate::planner::Observed;
 use crate::shared::Shared;
@@ -95,6 +96,12 @@
         observed
     }
 
+    /// What this host's dispatchers counted in a closed measure window.
+    pub fn loads(&self, window: Window) -> Vec<UpstreamLoad> {
+        let closed = |d: Arc<Driver>| d.load(window);
+        load::bounded(self.all().into_iter().filter_map(closed).collect())
+    }
+
     /// Whether no dispatcher runs.
     pub fn is_empty(&self) -> bool {
         self.lock().is_empty()
@@ -248,6 +255,12 @@
                     messages,
                 }
             }
+            Ok(Message::Load { sender, window }) => {
+                self.shared.learn(sender);
+                Reply::Load {
+                    loads: self.loads(window),
+                }
+            }
             Ok(Message::Releases { query }) => self.releases(&query).await,
             Err(e) => Reply::Refused {
                 reason: e.to_string(),
--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -26,6 +26,7 @@
 
 use super::{Dispatchers, exchange};
 use crate::authority::Authority;
+use crate::load::{Counter, UpstreamLoad, Window};
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::shared::Shared;
@@ -74,6 +75,7 @@
     settings: Service,
     pub(super) pool: Pool,
     inner: Mutex<Inner>,
+    pub(super) counter: Counter,
     woken: Event,
     stopped: AtomicBool,
     stop: Event,
@@ -177,6 +179,7 @@
             settings: service.clone(),
             pool: Pool::new(upstream.address, keep),
             inner: Mutex::new(inner),
+            counter: Counter::new(wall.unix, shared.window),
             woken: Event::new(),
             stopped: AtomicBool::new(false),
             stop: Event::new(),
@@ -241,6 +244,12 @@
         self.woken.notify(usize::MAX);
     }
 
+    /// What was counted in a closed measure window.
+    pub fn load(&self, window: Window) -> Option<UpstreamLoad> {
+        let names = (self.name(), &self.service);
+        self.counter.closed(self.shared.clock.unix(), window, names)
+    }
+
     /// Whether the shard of a key is served here although the view names another owner.
     pub fn serves(&self, view: &View, key: KeyHash) -> bool {
         let Some(table) = view.tables.get(&self.service) else {
@@ -322,6 +331,11 @@
     }
 
     fn round(&self, view: &View, now: Tick) -> (Option<Probe>, Option<Vec<Shard>>, Option<Tick>) {
+        let table = view.tables.get(&self.service);
+        let owns = table.is_some_and(|t| t.member(self.name()).is_some());
+        let times = (now, self.shared.clock.unix());
+        let closed = owns && self.health() == State::Lost;
+        self.counter.available(times, !closed);
         let mut inner = self.lock();
         let probe = inner.health.poll(now);
         let leaving = view.upstream(self.name()).is_some_and(|(_, u)| u.leaving);
--- a/crates/daemon/src/dispatcher/job.rs
+++ b/crates/daemon/src/dispatcher/job.rs
@@ -33,6 +33,8 @@
             return failed(&self.shared, Outcome::NotRun, "the service has no table");
         };
         let shard = table.shard(head.key);
+        self.counter
+            .count(self.shared.clock.unix(), shard, head.key);
         let payload = match Payload::read(&head, body).await {
             Ok(payload) => payload,
             Err(reason) => return failed(&self.shared, Outcome::NotRun, &reason),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod authority;
 pub mod dispatcher;
 pub mod ingress;
+pub mod load;
 pub mod logging;
 pub mod member;
 pub mod message;
--- /dev/null
+++ b/crates/daemon/src/load/collector.rs
@@ -0,0 +1,211 @@
+//! Collects what the dispatchers of all hosts counted.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use trefoil_core::{Revision, ServiceName, Shard, UpstreamName};
+use trefoil_log::{HostRecord, View};
+use trefoil_placement::baseline::KEEP;
+use trefoil_placement::{HotKeys, KeyLoad, Load, Meter, Table};
+use trefoil_wire::{decode, encode};
+
+use super::{SKETCH, UpstreamLoad, Window, bounded};
+use crate::dispatcher::Dispatchers;
+use crate::message::{Message, Reply};
+use crate::shared::Shared;
+
+/// Time in which a host must answer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Hosts that are asked at the same time.
+const ASK_AT_ONCE: usize = 64;
+
+/// Load of one service in one window.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Closed {
+    /// Load of the shards, smoothed over windows. It names no hot keys, because the daemon gives
+    /// them no entries (see [`crate::planner`]).
+    pub load: Load,
+    /// The hottest keys, hottest first, in requests of the window.
+    pub hot: Vec<KeyLoad>,
+    /// Seconds without service.
+    pub unavailable: BTreeMap<UpstreamName, f64>,
+    /// Live members whose dispatcher did not answer.
+    pub silent: Vec<UpstreamName>,
+}
+
+/// Merges the replies of the hosts, window by window.
+#[derive(Debug, Default)]
+pub struct Collector {
+    meters: BTreeMap<ServiceName, (Meter, Load)>,
+}
+
+impl Collector {
+    /// Ends a window. A service is left out if none of its dispatchers answered.
+    pub fn close(
+        &mut self,
+        view: &View,
+        replies: &[UpstreamLoad],
+    ) -> BTreeMap<ServiceName, Closed> {
+        self.meters.retain(|name, _| view.tables.contains_key(name));
+        let mut all = BTreeMap::new();
+        for (name, table) in &view.tables {
+            let mine: Vec<_> = replies.iter().filter(|r| r.service == *name).collect();
+            if !mine.is_empty() {
+                all.insert(name.clone(), self.close_service(name, table, &mine));
+            }
+        }
+        all
+    }
+
+    fn close_service(
+        &mut self,
+        name: &ServiceName,
+        table: &Table,
+        replies: &[&UpstreamLoad],
+    ) -> Closed {
+        let count = table.shard_count();
+        let fresh = || (Meter::new(count, 1, KEEP), Load::default());
+        let known = self.meters.entry(name.clone()).or_insert_with(fresh);
+        if !known.1.shards.is_empty() && known.1.shards.len() != table.seats().len() {
+            *known = fresh();
+        }
+        let (meter, last) = known;
+        let mut sketch = HotKeys::new(SKETCH);
+        let mut closed = Closed::default();
+        let mut total = 0u64;
+        for reply in replies {
+            for &(shard, requests) in &reply.shards {
+                meter.add(shard, requests.into());
+                total += u64::from(requests);
+            }
+            for hot in &reply.hot {
+                sketch.observe(hot.key, hot.count - hot.error.min(hot.count));
+            }
+            if reply.unavailable > 0 {
+                let seconds = f64::from(reply.unavailable) / 1000.0;
+                *closed
+                    .unavailable
+                    .entry(reply.upstream.clone())
+                    .or_default() += seconds;
+            }
+        }
+        let answered = |upstream: &UpstreamName| replies.iter().any(|r| r.upstream == *upstream);
+        let silent: Vec<_> = table.live().filter(|(_, u)| !answered(u)).collect();
+        let mut seats = (0..).map(Shard).zip(table.seats());
+        let open = seats
+            .clone()
+            .filter(|(_, s)| silent.iter().all(|(m, _)| *m != s.owner));
+        let mean = total / (open.count() as u64).max(1);
+        for (shard, _) in seats
+            .by_ref()
+            .filter(|(_, s)| silent.iter().any(|(m, _)| *m == s.owner))
+        {
+            meter.add(
+                shard,
+                last.shards
+                    .get(shard.0 as usize)
+                    .map_or(mean, |&l| whole(l)),
+            );
+        }
+        closed.silent = silent.into_iter().map(|(_, u)| u.clone()).collect();
+        closed.load = Load {
+            hot: Vec::new(),
+            ..meter.close(0)
+        };
+        closed.hot = sketch
+            .top(super::HOT_KEYS)
+            .into_iter()
+            .map(key_load)
+            .collect();
+        last.clone_from(&closed.load);
+        closed
+    }
+}
+
+fn key_load(hot: trefoil_placement::HotKey) -> KeyLoad {
+    let load = u32::try_from(hot.count).unwrap_or(u32::MAX);
+    KeyLoad {
+        key: hot.key,
+        load: load.into(),
+    }
+}
+
+fn whole(load: f64) -> u64 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a smoothed count is not negative and far below 2^53"
+    )]
+    let whole = load.round() as u64;
+    whole
+}
+
+/// Asks all live hosts for what they counted in a window. Hosts that do not answer are left out.
+pub async fn collect(
+    shared: &Shared,
+    dispatchers: &Dispatchers,
+    window: Window,
+) -> Vec<UpstreamLoad> {
+    let view = shared.view();
+    let hosts: Vec<_> = view.hosts.values().collect();
+    let mut replies = Vec::new();
+    for some in hosts.chunks(ASK_AT_ONCE) {
+        let asked: Vec<_> = some
+            .iter()
+            .map(|host| smol::spawn(ask_host(shared, dispatchers, host, view.revision, window)))
+            .collect();
+        for answer in asked {
+            replies.extend(answer.await.unwrap_or_default());
+        }
+    }
+    replies
+}
+
+fn ask_host(
+    shared: &Shared,
+    dispatchers: &Dispatchers,
+    host: &HostRecord,
+    revision: Revision,
+    window: Window,
+) -> Boxed<Option<Vec<UpstreamLoad>>> {
+    if host.id == shared.host.id {
+        let own = dispatchers.loads(window);
+        return async move { Some(own) }.boxed();
+    }
+    let message = Message::Load {
+        sender: revision,
+        window,
+    };
+    let reply = ask(shared, dispatchers, host, &message);
+    async move {
+        match reply.await? {
+            Reply::Load { loads } => Some(bounded(loads)),
+            _ => None,
+        }
+    }
+    .boxed()
+}
+
+/// Sends a control message to another host.
+pub fn ask(
+    shared: &Shared,
+    dispatchers: &Dispatchers,
+    host: &HostRecord,
+    message: &Message,
+) -> Boxed<Option<Reply>> {
+    let (peers, address) = (dispatchers.peers(), host.addresses.peer);
+    let (message, late) = (encode(message), shared.clock.sleep(ASK_TIMEOUT));
+    async move {
+        let message = message.ok()?;
+        let answer = async { peers.call(address, message).await.ok() };
+        let late = async {
+            late.await;
+            None
+        };
+        decode::<Reply>(&answer.or(late).await?).ok()
+    }
+    .boxed()
+}
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -5,6 +5,7 @@
 use trefoil_lease::Message as LeaseMessage;
 
 use crate::dispatcher::shards::{Query, Released};
+use crate::load::{UpstreamLoad, Window};
 
 /// A question to another host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,6 +24,13 @@
         /// The messages.
         messages: Vec<LeaseMessage>,
     },
+    /// Asks what the host's dispatchers counted in a closed measure window.
+    Load {
+        /// The sender's revision.
+        sender: Revision,
+        /// The window.
+        window: Window,
+    },
     /// Asks for the releases of shards.
     Releases {
         /// The question.
@@ -45,6 +53,11 @@
         /// The answers.
         messages: Vec<LeaseMessage>,
     },
+    /// What was counted.
+    Load {
+        /// One item for each upstream.
+        loads: Vec<UpstreamLoad>,
+    },
     /// The releases that exist.
     Releases {
         /// The releases.
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -42,6 +42,7 @@
     clock: Arc<dyn Clock>,
     timing: Timing,
     watchdog: bool,
+    window: Duration,
 }
 
 impl NodeConfig {
@@ -75,6 +76,7 @@
             clock: Arc::new(SystemClock),
             timing: Timing::default(),
             watchdog: false,
+            window: crate::load::WINDOW,
         }
     }
 
@@ -106,6 +108,13 @@
         self
     }
 
+    /// Sets the length of a measure window of load, which all hosts of a deployment must share.
+    #[must_use]
+    pub fn window(mut self, length: Duration) -> Self {
+        self.window = length;
+        self
+    }
+
     /// Lets the kernel kill this process if it is stopped past the end of its lease. For a process
     /// that runs nothing but this node.
     #[must_use]
@@ -192,13 +201,8 @@
         let logger = config.logger.new(o!("host" => host.name.to_string()));
         info!(logger, "starting"; "incarnation" => %host.id, "caller" => %addresses.caller,
             "peer" => %addresses.peer, "operator" => %addresses.operator);
-        let shared = Arc::new(Shared::new(
-            host,
-            config.clock,
-            config.log,
-            logger,
-            config.signer,
-        ));
+        let shared = Shared::new(host, config.clock, config.log, logger, config.signer);
+        let shared = Arc::new(shared.window(config.window));
         let (authority, changes) = Authority::new(
             Arc::clone(&shared),
             Arc::clone(&peers),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -234,7 +234,10 @@
                 .await?;
             match decode::<Reply>(&reply).ok()? {
                 Reply::Revision { revision } => Some(revision),
-                Reply::Lease { .. } | Reply::Releases { .. } | Reply::Refused { .. } => None,
+                Reply::Lease { .. }
+                | Reply::Load { .. }
+                | Reply::Releases { .. }
+                | Reply::Refused { .. } => None,
             }
         }
         .boxed()
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use event_listener::Event;
@@ -30,6 +31,8 @@
     pub logger: Logger,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Length of a measure window.
+    pub window: Duration,
     signer: Signer,
     writer: WriterId,
     sequence: async_lock::Mutex<u64>,
@@ -56,6 +59,7 @@
             log,
             logger,
             metrics: Metrics::default(),
+            window: crate::load::WINDOW,
             signer,
             writer: WriterId::random(),
             sequence: async_lock::Mutex::new(0),
@@ -68,6 +72,13 @@
         }
     }
 
+    /// Sets the length of a measure window, which all hosts of a deployment must share.
+    #[must_use]
+    pub fn window(mut self, length: Duration) -> Self {
+        self.window = length;
+        self
+    }
+
     /// The view in force.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/crates/placement/src/load.rs
+++ b/crates/placement/src/load.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use trefoil_core::KeyHash;
+use trefoil_core::{KeyHash, Shard};
 
 use crate::sketch::HotKeys;
 
@@ -108,6 +108,14 @@
         }
     }
 
+    /// Counts work for a shard whose keys are counted elsewhere. Shards beyond those of the meter
+    /// are ignored.
+    pub fn add(&mut self, shard: Shard, weight: u64) {
+        if let Some(sum) = self.fresh.get_mut(shard.0 as usize) {
+            *sum = sum.saturating_add(weight);
+        }
+    }
+
     /// Adds what another host has counted in the same window. Shards beyond those of `self` are
     /// ignored.
     pub fn merge(&mut self, other: &Self) {
