Plan with the planner of the placement crate

The daemon gave shards to upstreams by a rule that knew neither load, capacity, failure domains nor weights, and took a leaving upstream for a lost one. What is needed is now planned by trefoil_placement::Planner without a churn budget, at once and by the hosts that planned it before; the host first in the member list evens out the collected load once per window, and a joining upstream gets its share along the ramp. Plans are split into records below 256 KiB, and a shard of a new table that is placed by a later record waits for nobody's release.

--- a/crates/daemon/src/dispatcher/shards.rs
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -91,7 +91,9 @@
         let table = view.tables.get(self.service());
         let from = moved.and_then(|m| table?.name(m.from));
         let origin = match moved {
-            Some(moved) if from != Some(self.name()) => Origin::Owner(moved.revision),
+            // A shard of a new table that did not fit the first record had no owner before, so
+            // there is nobody to release it.
+            Some(moved) if from.is_some_and(|f| f != self.name()) => Origin::Owner(moved.revision),
             _ if self.is_first() => Origin::New,
             _ => Origin::Predecessor(self.predecessor_end()),
         };
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -237,6 +237,10 @@
                 Arc::clone(&authority),
                 Arc::clone(&dispatchers),
             )),
+            smol::spawn(planner::balance::run(
+                Arc::clone(&shared),
+                Arc::clone(&dispatchers),
+            )),
             smol::spawn(member::keep_lease(
                 Arc::clone(&shared),
                 Arc::clone(&authority),
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -3,22 +3,49 @@
 //! Any host may plan. A record names the placement revision that it builds on, so of two planners
 //! that act at once one is rejected and looks again. To keep such races rare, each host waits its
 //! position in the member list times `STAGGER` and then plans only what is still needed.
+//!
+//! There are two kinds of plans:
+//!
+//! - What is *needed* does not depend on the load: a first table, an upstream that joins, and the
+//!   shards of upstreams that are lost, leaving or no longer declared ([`wanted`]). It is planned at
+//!   once by the rule above and moves nothing else.
+//! - What *improves balance* follows the load of the last measure window ([`balanced`]). Only the
+//!   host first in the member list plans it, once per window, when it has [collected](balance) the
+//!   load of all hosts.
+//!
+//! A joining upstream gets no shards when it joins. The plans of the next windows raise its share
+//! along the ramp of its cold start.
+//!
+//! Hot keys have no entries of their own here: `trefoil-dispatch` hands over shards, and a request
+//! for a hot key could not be told from the others of its shard in the proof that nothing is in
+//! flight. The planner is therefore given no hot keys, and moves whole shards.
+
+pub mod assignments;
+pub mod balance;
+pub mod tables;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
-use smallvec::SmallVec;
-use trefoil_config::Service;
-use trefoil_core::{DomainName, HostId, KeyHash, Revision, UpstreamName};
-use trefoil_log::{Body, HostRecord, Placement, Ranking, Verdict, View};
-use trefoil_placement::{Change, Member, Table, initial};
+use trefoil_core::{HostId, Revision, ServiceName, UpstreamName};
+use trefoil_log::log::RECORD_MAX;
+use trefoil_log::{Body, Placement, Ranking, Verdict, View};
+use trefoil_placement::Change;
+use trefoil_wire::encode;
 
 use crate::authority::Authority;
 use crate::dispatcher::Dispatchers;
+use crate::load::Closed;
 use crate::shared::Shared;
 
+pub use assignments::assignments;
+pub use tables::Cold;
+
+/// Load of each service in the last measure window.
+pub type Loads = BTreeMap<ServiceName, Closed>;
+
 /// Wait for each position in the member list before a host plans.
 const STAGGER: Duration = Duration::from_millis(500);
 
@@ -31,27 +58,38 @@
 /// Time in which a record must be read back.
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Hosts named in an assignment: the dispatcher and two successors.
-const RANKS: usize = 3;
+/// Bytes of changes and assignments in one record. The rest of the record is left to the envelope
+/// and the signature, which take less than 1 KiB.
+const BATCH_BYTES: usize = RECORD_MAX - 4096;
+
+/// Bytes that a change takes besides itself: a service name of at most 63 characters.
+const ITEM_BYTES: usize = 64;
 
-/// Upstreams that a host may have more than another before one is moved. Below that, moving would
-/// cost more than it evens out.
-const LOAD_GAP: usize = 2;
+/// Bytes of an assignment: an upstream name of at most 63 characters and three host ids.
+const RANKING_BYTES: usize = 128;
 
 /// Plans for as long as the process runs.
 pub async fn run(shared: Arc<Shared>, authority: Arc<Authority>, dispatchers: Arc<Dispatchers>) {
+    // The view and what was seen when nothing was needed. Nothing else decides whether a plan is
+    // needed, so the tables are not looked at again until one of them changes.
+    let mut idle = None;
     loop {
         shared
             .wait_change(shared.clock.now().after(LOOK_EVERY))
             .await;
         record_lost(&shared, &authority).await;
-        let view = shared.view();
-        let needed = |view: &View| wanted(view, &dispatchers.observed());
-        if !shared.is_current() || needed(&view).is_none() {
+        let (view, observed) = (shared.view(), dispatchers.observed());
+        let seen = Some((view.revision, observed.clone()));
+        if !shared.is_current() || idle == seen {
+            continue;
+        }
+        let loads = shared.measured.loads();
+        if wanted(&view, &observed, &loads).is_none() {
+            idle = seen;
             continue;
         }
         // What only this host has seen is planned by nobody else, so there is nothing to wait for.
-        let shown = wanted(&view, &Observed::default()).is_some();
+        let shown = wanted(&view, &Observed::default(), &loads).is_some();
         let position = view.hosts.keys().position(|h| *h == shared.host.id);
         let Some(position) = position else { continue };
         if shown {
@@ -61,7 +99,7 @@
                 .await;
         }
         let view = shared.view();
-        if let Some(placement) = needed(&view) {
+        if let Some(placement) = wanted(&view, &dispatchers.observed(), &loads) {
             submit(&shared, &view, placement).await;
         }
     }
@@ -114,21 +152,36 @@
     }
 }
 
+/// Writes a decision, in several records if it is large. Each names the revision of the one before
+/// it, so a concurrent planner ends the plan.
 async fn submit(shared: &Shared, view: &View, placement: Placement) {
+    let mut base = view.placement;
+    for batch in batches(placement) {
+        match write(shared, base, batch).await {
+            Some(revision) => base = revision,
+            None => return,
+        }
+    }
+}
+
+/// Writes one record. Returns the revision of the placement if it was accepted.
+async fn write(shared: &Shared, base: Revision, placement: Placement) -> Option<Revision> {
     let until = shared.clock.now().after(SUBMIT_TIMEOUT);
     let changes = placement.changes.len();
     let assignments = placement.assignments.len();
-    match shared
-        .decide(view.placement, Body::Placement(placement), until)
-        .await
-    {
+    match shared.decide(base, Body::Placement(placement), until).await {
         Ok(Verdict::Accepted { revision }) => {
             info!(shared.logger, "placement changed"; "revision" => %revision, "changes" => changes, "assignments" => assignments);
+            Some(revision)
         }
         Ok(verdict) => {
             info!(shared.logger, "placement not accepted"; "verdict" => ?verdict);
+            None
+        }
+        Err(e) => {
+            warn!(shared.logger, "placement not written"; "error" => %e);
+            None
         }
-        Err(e) => warn!(shared.logger, "placement not written"; "error" => %e),
     }
 }
 
@@ -142,168 +195,76 @@
     pub healthy: Vec<UpstreamName>,
 }
 
-/// The placement decision that the view needs, if any.
-pub fn wanted(view: &View, observed: &Observed) -> Option<Placement> {
-    let mut placement = Placement::default();
+/// The placement decision that the view needs whatever the load is, if any. `loads` only decides
+/// which upstream gets a shard that has to move.
+pub fn wanted(view: &View, observed: &Observed, loads: &Loads) -> Option<Placement> {
+    let mut changes = Vec::new();
     for service in view.services() {
-        let changes = table_changes(view, service, observed);
-        placement
-            .changes
-            .extend(changes.into_iter().map(|c| (service.name.clone(), c)));
+        let load = loads.get(&service.name).map(|c| &c.load);
+        let needed = tables::needed(view, service, observed, load);
+        changes.extend(needed.into_iter().map(|c| (service.name.clone(), c)));
     }
-    placement.assignments = assignments(view, &[]);
-    let empty = placement.changes.is_empty() && placement.assignments.is_empty();
-    (!empty).then_some(placement)
+    placement(changes, assignments(view, &[]))
 }
 
-fn table_changes(view: &View, service: &Service, observed: &Observed) -> Vec<Change> {
-    let staying = service.upstreams.iter().filter(|u| !u.leaving);
-    let staying: Vec<_> = staying.map(|u| u.name.clone()).collect();
-    let Some(table) = view.tables.get(&service.name) else {
-        let members = if staying.is_empty() {
-            declared(service)
-        } else {
-            staying
+/// The placement decision that evens out the load of a window, if any.
+pub fn balanced(view: &View, observed: &Observed, loads: &Loads, cold: &Cold) -> Option<Placement> {
+    let mut changes = Vec::new();
+    for service in view.services() {
+        let Some(closed) = loads.get(&service.name) else {
+            continue;
         };
-        return vec![initial(members, service.shards)];
-    };
-    let ends = |name: &UpstreamName| !staying.contains(name) || observed.lost.contains(name);
-    let gone: SmallVec<[Member; 4]> = table
-        .live()
-        .filter(|(_, name)| ends(name))
-        .map(|(member, _)| member)
-        .collect();
-    if gone.len() == table.live().count() {
-        return Vec::new();
+        let better = tables::balanced(view, service, observed, &closed.load, cold);
+        changes.extend(better.into_iter().map(|c| (service.name.clone(), c)));
     }
-    // A member that was lost joins again only when its dispatcher has seen it answer. A host that
-    // does not probe it would otherwise undo the loss, and the two would go on for ever.
-    let joins = |name: &UpstreamName| match table.member(name) {
-        Some(_) => false,
-        None => !table.members().contains(name) || observed.healthy.contains(name),
-    };
-    let joined: Vec<_> = staying.into_iter().filter(joins).collect();
-    if gone.is_empty() && joined.is_empty() {
-        return Vec::new();
-    }
-    rebalanced(table, gone, joined)
+    placement(changes, Vec::new())
 }
 
-fn declared(service: &Service) -> Vec<UpstreamName> {
-    service.upstreams.iter().map(|u| u.name.clone()).collect()
+fn placement(
+    mut changes: Vec<(ServiceName, Change)>,
+    assignments: Vec<Ranking>,
+) -> Option<Placement> {
+    // Losses come first, so that all of them are in the first record. The sort is stable: the
+    // changes of one service stay in their order, because they are members first, then moves.
+    changes.sort_by_key(|(_, change)| moves_seats(change));
+    let empty = changes.is_empty() && assignments.is_empty();
+    (!empty).then_some(Placement {
+        changes,
+        assignments,
+    })
 }
 
-/// Marks members as lost, adds members, and gives the shards whose seats are affected new seats.
-fn rebalanced(
-    table: &Table,
-    gone: SmallVec<[Member; 4]>,
-    joined: Vec<UpstreamName>,
-) -> Vec<Change> {
-    let mut changes = Vec::new();
-    if !joined.is_empty() {
-        changes.push(Change::Join { members: joined });
-    }
-    if !gone.is_empty() {
-        changes.push(Change::Lost { members: gone });
-    }
-    let mut next = table.clone();
-    if changes.iter().any(|c| next.apply(c).is_err()) {
-        return Vec::new();
-    }
-    let moves = trefoil_placement::plan::reseat(&next);
-    if !moves.is_empty() {
-        changes.push(Change::Moves { moves });
-    }
-    changes
+fn moves_seats(change: &Change) -> bool {
+    matches!(
+        change,
+        Change::Moves { .. } | Change::HotMoves { .. } | Change::HotDrops { .. }
+    )
 }
 
-/// Assignments that are needed, without the hosts in `excluded`.
-pub fn assignments(view: &View, excluded: &[HostId]) -> Vec<Ranking> {
-    // A host takes part once it has a lease: without one it could not act.
-    let hosts: Vec<_> = view
-        .hosts
-        .values()
-        .filter(|h| view.records.tenure(h.id).is_some() && !excluded.contains(&h.id))
-        .collect();
-    let live = |id: &HostId| hosts.iter().any(|h| h.id == *id);
-    let mut load: BTreeMap<HostId, usize> = hosts.iter().map(|h| (h.id, 0)).collect();
-    for assignment in view.records.assignments() {
-        if let Some(count) = assignment.hosts.first().and_then(|h| load.get_mut(h)) {
-            *count += 1;
-        }
+/// Splits a decision into decisions that fit one log record each. Each is valid on the result of
+/// those before it, so a plan that is cut short leaves work for the next one and nothing else.
+pub fn batches(placement: Placement) -> Vec<Placement> {
+    let mut all = vec![Placement::default()];
+    let mut used = 0;
+    for (service, change) in placement.changes {
+        // Every change of the planner takes at most 128 KiB (see `trefoil_placement::table`).
+        let size = encode(&change).map_or(BATCH_BYTES, |b| b.len()) + ITEM_BYTES;
+        let batch = room(&mut all, &mut used, size);
+        batch.changes.push((service, change));
     }
-    let full = RANKS.min(hosts.len());
-    let mut list = Vec::new();
-    for upstream in view.services().flat_map(|s| &s.upstreams) {
-        let current = view.records.assignment(&upstream.name).map(|a| &*a.hosts);
-        let ranks = current.unwrap_or_default();
-        let complete = ranks.iter().filter(|h| live(h)).count() >= full;
-        let first = ranks.first().copied().filter(live);
-        if complete && first.is_some_and(|h| !overloaded(&load, h)) {
-            continue;
-        }
-        let moves = first.filter(|h| overloaded(&load, *h));
-        let ranked = ranked(
-            &hosts,
-            &load,
-            ranks,
-            moves,
-            &upstream.domain,
-            &upstream.name,
-        );
-        if ranked.is_empty() || (complete && ranked.first() == first.as_ref()) {
-            continue;
-        }
-        if let Some(count) = moves.and_then(|h| load.get_mut(&h)) {
-            *count -= 1;
-        }
-        if let Some(count) = ranked
-            .first()
-            .filter(|h| Some(**h) != first)
-            .and_then(|h| load.get_mut(h))
-        {
-            *count += 1;
-        }
-        list.push(Ranking {
-            upstream: upstream.name.clone(),
-            hosts: ranked,
-        });
+    for ranking in placement.assignments {
+        let batch = room(&mut all, &mut used, RANKING_BYTES);
+        batch.assignments.push(ranking);
     }
-    list
-}
-
-/// Whether a host dispatches to so many more upstreams than another that moving one pays.
-fn overloaded(load: &BTreeMap<HostId, usize>, host: HostId) -> bool {
-    let least = load.values().min().copied().unwrap_or(0);
-    load.get(&host).is_some_and(|n| *n > least + LOAD_GAP)
+    all
 }
 
-/// Hosts for an upstream. Those ranked at present come first, so that a change of successors does
-/// not move the dispatcher; then hosts of the upstream's failure domain, those with the fewest
-/// upstreams first. The host in `moves` is to give the upstream up, so it comes last.
-fn ranked(
-    hosts: &[&HostRecord],
-    load: &BTreeMap<HostId, usize>,
-    present: &[HostId],
-    moves: Option<HostId>,
-    domain: &DomainName,
-    upstream: &UpstreamName,
-) -> SmallVec<[HostId; 3]> {
-    let score = |host: &HostRecord| KeyHash::of(format!("{upstream}/{}", host.id).as_bytes());
-    let order = |host: &&HostRecord| {
-        let id = host.id;
-        let rank = present.iter().position(|h| *h == id).unwrap_or(usize::MAX);
-        let rank = if moves.is_some() { usize::MAX } else { rank };
-        let count = load.get(&id).copied().unwrap_or(0);
-        (
-            moves == Some(id),
-            rank,
-            host.domain != *domain,
-            count,
-            score(host),
-        )
-    };
-    let mut ranked = hosts.to_vec();
-    ranked.sort_by_cached_key(|h| order(h));
-    ranked.into_iter().take(RANKS).map(|h| h.id).collect()
+fn room<'a>(all: &'a mut Vec<Placement>, used: &mut usize, size: usize) -> &'a mut Placement {
+    if *used > 0 && *used + size > BATCH_BYTES {
+        all.push(Placement::default());
+        *used = 0;
+    }
+    *used += size;
+    let last = all.len() - 1;
+    &mut all[last]
 }
--- /dev/null
+++ b/crates/daemon/src/planner/balance.rs
@@ -0,0 +1,100 @@
+//! Plans that follow the load, once per measure window.
+//!
+//! The host that is first in the member list collects the load after the end of each window and
+//! writes a plan if one gains more than its churn costs. A host that becomes the first starts with
+//! the load of one window and takes all members as warm; the smoothing and the ramp of its
+//! predecessor are not handed over, because both are rebuilt within a minute.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use slog::debug;
+use trefoil_core::ServiceName;
+use trefoil_log::View;
+use trefoil_placement::{Member, Ramp};
+
+use super::{Cold, Loads, balanced, submit};
+use crate::dispatcher::Dispatchers;
+use crate::load::{Collector, GRACE, Window, collect};
+use crate::shared::Shared;
+
+/// The load of the last window, if this host collected it.
+#[derive(Debug, Default)]
+pub struct Measured {
+    loads: Mutex<Arc<Loads>>,
+}
+
+impl Measured {
+    /// The load of each service. Empty on a host that does not collect.
+    pub fn loads(&self) -> Arc<Loads> {
+        Arc::clone(&self.loads.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn set(&self, loads: Arc<Loads>) {
+        *self.loads.lock().unwrap_or_else(PoisonError::into_inner) = loads;
+    }
+}
+
+/// Ages of the members since this host became the first in the member list.
+#[derive(Debug, Default)]
+pub struct Ages {
+    seen: BTreeMap<ServiceName, BTreeMap<Member, Option<Window>>>,
+}
+
+impl Ages {
+    /// The members that are cold in a window. Members of a table that is seen for the first time
+    /// count as warm.
+    pub fn cold(&mut self, view: &View, window: Window, ramp: Ramp) -> Cold {
+        self.seen.retain(|name, _| view.tables.contains_key(name));
+        let mut cold = Cold::new();
+        for (name, table) in &view.tables {
+            let is_new = !self.seen.contains_key(name);
+            let seen = self.seen.entry(name.clone()).or_default();
+            seen.retain(|member, _| !table.is_lost(*member));
+            for (member, _) in table.live() {
+                let since = *seen.entry(member).or_insert((!is_new).then_some(window));
+                let age = since.map(|s| window.0.saturating_sub(s.0));
+                let age = age.and_then(|a| u32::try_from(a).ok());
+                if let Some(age) = age.filter(|a| *a < ramp.0) {
+                    cold.insert((name.clone(), member), age);
+                }
+            }
+        }
+        cold
+    }
+}
+
+/// Collects and plans for as long as the process runs.
+pub async fn run(shared: Arc<Shared>, dispatchers: Arc<Dispatchers>) {
+    let grace = GRACE.min(shared.window / 4);
+    let (mut collector, mut ages) = (Collector::default(), Ages::default());
+    loop {
+        let window = Window::at(shared.clock.unix(), shared.window);
+        let wait =
+            window.end(shared.window).0 - shared.clock.unix().0.min(window.end(shared.window).0);
+        shared
+            .clock
+            .sleep(Duration::from_millis(wait) + grace)
+            .await;
+        let view = shared.view();
+        if !shared.is_current() || view.hosts.keys().next() != Some(&shared.host.id) {
+            (collector, ages) = Default::default();
+            shared.measured.set(Arc::default());
+            continue;
+        }
+        let replies = collect(&shared, &dispatchers, window).await;
+        let view = shared.view();
+        let loads = Arc::new(collector.close(&view, &replies));
+        for (service, closed) in &*loads {
+            debug!(shared.logger, "load collected"; "service" => %service, "window" => %window,
+                "requests" => closed.load.shards.iter().sum::<f64>(),
+                "hottest" => closed.hot.first().map_or(0.0, |h| h.load), "silent" => closed.silent.len());
+        }
+        shared.measured.set(Arc::clone(&loads));
+        let cold = ages.cold(&view, window, Ramp::default());
+        if let Some(placement) = balanced(&view, &dispatchers.observed(), &loads, &cold) {
+            submit(&shared, &view, placement).await;
+        }
+    }
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -14,6 +14,7 @@
 use trefoil_log::{FORMAT, HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
 
 use crate::metrics::Metrics;
+use crate::planner::balance::Measured;
 
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
@@ -31,6 +32,8 @@
     pub logger: Logger,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// The load of the last measure window.
+    pub measured: Measured,
     /// Length of a measure window.
     pub window: Duration,
     signer: Signer,
@@ -59,6 +62,7 @@
             log,
             logger,
             metrics: Metrics::default(),
+            measured: Measured::default(),
             window: crate::load::WINDOW,
             signer,
             writer: WriterId::random(),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -4,5 +4,6 @@
 mod dispatch;
 mod lease;
 mod placement;
+mod planning;
 mod process;
 mod wire;
--- /dev/null
+++ b/tests/all/planning.rs
@@ -0,0 +1,4 @@
+//! Placement plans of the daemon: what is planned, how it is written and what is reported.
+
+mod needed;
+mod world;
