Serve the placement report on the operators' port

GET /v1/report did not exist, although trefoilctl asks for it. Each host now derives the moves and their reasons from the tables before and after each placement record that it replays, so all hosts tell the same; load, unavailable time and trades come from the host that collects the load, which other hosts ask and whose reply is cut to a frame.

--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -34,6 +34,7 @@
 use crate::load::{self, UpstreamLoad, Window};
 use crate::message::{Message, Reply};
 use crate::planner::Observed;
+use crate::report;
 use crate::shared::Shared;
 
 /// Longest wait for a view that is as new as the ingress's.
@@ -261,6 +262,12 @@
                     loads: self.loads(window),
                 }
             }
+            Ok(Message::Report { sender }) => {
+                self.shared.learn(sender);
+                Reply::Report {
+                    services: report::bounded(self.shared.reports.services()),
+                }
+            }
             Ok(Message::Releases { query }) => self.releases(&query).await,
             Err(e) => Reply::Refused {
                 reason: e.to_string(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod planner;
 pub mod pool;
 pub mod problem;
+pub mod report;
 pub mod request;
 pub mod routes;
 pub mod shared;
--- a/crates/daemon/src/load.rs
+++ b/crates/daemon/src/load.rs
@@ -169,8 +169,8 @@
         }
     }
 
-    /// What was counted in a closed window. A window without requests gives empty counts, except if
-    /// this counter did not exist then.
+    /// What was counted in a closed window, and nothing if the window is still open or this counter
+    /// did not exist then. A window without requests gives empty counts.
     pub fn closed(
         &self,
         now: UnixMillis,
@@ -179,7 +179,9 @@
     ) -> Option<UpstreamLoad> {
         let mut windows = self.lock();
         windows.roll(Window::at(now, self.length));
-        let counts = windows.closed.as_ref().filter(|c| c.window <= window)?;
+        let is_open = windows.open.window <= window;
+        let closed = windows.closed.as_ref().filter(|_| !is_open);
+        let counts = closed.filter(|c| c.window <= window)?;
         let mut load = UpstreamLoad {
             upstream: names.0.clone(),
             service: names.1.clone(),
--- a/crates/daemon/src/load/collector.rs
+++ b/crates/daemon/src/load/collector.rs
@@ -1,6 +1,7 @@
 //! Collects what the dispatchers of all hosts counted.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
@@ -9,7 +10,7 @@
 use trefoil_log::{HostRecord, View};
 use trefoil_placement::baseline::KEEP;
 use trefoil_placement::{HotKeys, KeyLoad, Load, Meter, Table};
-use trefoil_wire::{decode, encode};
+use trefoil_wire::{Peers, decode, encode};
 
 use super::{SKETCH, UpstreamLoad, Window, bounded};
 use crate::dispatcher::Dispatchers;
@@ -179,7 +180,7 @@
         sender: revision,
         window,
     };
-    let reply = ask(shared, dispatchers, host, &message);
+    let reply = ask(shared, &dispatchers.peers(), host, &message);
     async move {
         match reply.await? {
             Reply::Load { loads } => Some(bounded(loads)),
@@ -192,11 +193,11 @@
 /// Sends a control message to another host.
 pub fn ask(
     shared: &Shared,
-    dispatchers: &Dispatchers,
+    peers: &Arc<dyn Peers>,
     host: &HostRecord,
     message: &Message,
 ) -> Boxed<Option<Reply>> {
-    let (peers, address) = (dispatchers.peers(), host.addresses.peer);
+    let (peers, address) = (Arc::clone(peers), host.addresses.peer);
     let (message, late) = (encode(message), shared.clock.sleep(ASK_TIMEOUT));
     async move {
         let message = message.ok()?;
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 use trefoil_core::{HostId, Revision};
 use trefoil_lease::Message as LeaseMessage;
+use trefoil_placement::report::ServiceReport;
 
 use crate::dispatcher::shards::{Query, Released};
 use crate::load::{UpstreamLoad, Window};
@@ -31,6 +32,11 @@
         /// The window.
         window: Window,
     },
+    /// Asks for the placement report that the host has.
+    Report {
+        /// The sender's revision.
+        sender: Revision,
+    },
     /// Asks for the releases of shards.
     Releases {
         /// The question.
@@ -39,7 +45,7 @@
 }
 
 /// The answer to a [`Message`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// The revision that the host serves.
     Revision {
@@ -58,6 +64,11 @@
         /// One item for each upstream.
         loads: Vec<UpstreamLoad>,
     },
+    /// The placement report.
+    Report {
+        /// One part for each service.
+        services: Vec<ServiceReport>,
+    },
     /// The releases that exist.
     Releases {
         /// The releases.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -20,6 +20,7 @@
 use trefoil_wire::{Peers, decode, encode};
 
 use crate::message::{Message, Reply};
+use crate::report::report;
 use crate::shared::Shared;
 
 /// Time in which an operator's record must be read back.
@@ -114,6 +115,7 @@
                 let view = self.shared.view();
                 json(StatusCode::OK, &view.resources.values().collect::<Vec<_>>())
             }
+            (&Method::GET, "/v1/report") => self.report(request.uri().query()).await,
             (&Method::POST, "/v1/records") => self.record(request).await,
             (&Method::POST, "/v1/drain") => {
                 self.shared.start_drain();
@@ -141,6 +143,26 @@
         }
     }
 
+    async fn report(&self, query: Option<&str>) -> Response<Body> {
+        let format = query.map_or(Some("text"), |q| q.strip_prefix("format="));
+        let report = match format {
+            Some("text" | "json" | "html") => report(&self.shared, &self.peers).await,
+            _ => return text(StatusCode::BAD_REQUEST, "format is text, json or html"),
+        };
+        let (kind, page) = match format {
+            Some("json") => match report.to_json() {
+                Ok(json) => ("application/json", json),
+                Err(e) => return text(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+            },
+            Some("html") => ("text/html; charset=utf-8", report.to_html()),
+            _ => ("text/plain; charset=utf-8", report.to_text()),
+        };
+        let mut response = Response::new(full(page));
+        let kind = HeaderValue::from_static(kind);
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+
     async fn record(&self, request: Request<Incoming>) -> Response<Body> {
         let body = match Limited::new(request.into_body(), RECORD_MAX)
             .collect()
@@ -237,6 +259,7 @@
                 Reply::Lease { .. }
                 | Reply::Load { .. }
                 | Reply::Releases { .. }
+                | Reply::Report { .. }
                 | Reply::Refused { .. } => None,
             }
         }
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -29,10 +29,11 @@
 use std::time::Duration;
 
 use slog::{info, warn};
+use trefoil_config::Service;
 use trefoil_core::{HostId, Revision, ServiceName, UpstreamName};
 use trefoil_log::log::RECORD_MAX;
 use trefoil_log::{Body, Placement, Ranking, Verdict, View};
-use trefoil_placement::Change;
+use trefoil_placement::{Change, Plan};
 use trefoil_wire::encode;
 
 use crate::authority::Authority;
@@ -207,17 +208,29 @@
     placement(changes, assignments(view, &[]))
 }
 
-/// The placement decision that evens out the load of a window, if any.
-pub fn balanced(view: &View, observed: &Observed, loads: &Loads, cold: &Cold) -> Option<Placement> {
-    let mut changes = Vec::new();
-    for service in view.services() {
-        let Some(closed) = loads.get(&service.name) else {
-            continue;
-        };
-        let better = tables::balanced(view, service, observed, &closed.load, cold);
-        changes.extend(better.into_iter().map(|c| (service.name.clone(), c)));
-    }
-    placement(changes, Vec::new())
+/// The plans that even out the load of a window, of the services where one gains more than it
+/// costs.
+pub fn balanced(
+    view: &View,
+    observed: &Observed,
+    loads: &Loads,
+    cold: &Cold,
+) -> Vec<(ServiceName, Plan)> {
+    let plan = |service: &Service| {
+        let load = &loads.get(&service.name)?.load;
+        let plan = tables::balanced(view, service, observed, load, cold)?;
+        Some((service.name.clone(), plan))
+    };
+    view.services().filter_map(plan).collect()
+}
+
+/// The decision that carries out plans, if there are any.
+pub fn decision(plans: &[(ServiceName, Plan)]) -> Option<Placement> {
+    let changes = plans.iter().flat_map(|(service, plan)| {
+        let changes = plan.changes.iter().cloned();
+        changes.map(|c| (service.clone(), c))
+    });
+    placement(changes.collect(), Vec::new())
 }
 
 fn placement(
--- a/crates/daemon/src/planner/balance.rs
+++ b/crates/daemon/src/planner/balance.rs
@@ -14,7 +14,7 @@
 use trefoil_log::View;
 use trefoil_placement::{Member, Ramp};
 
-use super::{Cold, Loads, balanced, submit};
+use super::{Cold, Loads, balanced, decision, submit};
 use crate::dispatcher::Dispatchers;
 use crate::load::{Collector, GRACE, Window, collect};
 use crate::shared::Shared;
@@ -81,6 +81,10 @@
         if !shared.is_current() || view.hosts.keys().next() != Some(&shared.host.id) {
             (collector, ages) = Default::default();
             shared.measured.set(Arc::default());
+            let (loads, cold) = (Loads::new(), Cold::new());
+            shared
+                .reports
+                .close(&view, window, &loads, &cold, shared.window);
             continue;
         }
         let replies = collect(&shared, &dispatchers, window).await;
@@ -93,7 +97,12 @@
         }
         shared.measured.set(Arc::clone(&loads));
         let cold = ages.cold(&view, window, Ramp::default());
-        if let Some(placement) = balanced(&view, &dispatchers.observed(), &loads, &cold) {
+        let plans = balanced(&view, &dispatchers.observed(), &loads, &cold);
+        shared
+            .reports
+            .close(&view, window, &loads, &cold, shared.window);
+        shared.reports.planned(&view, &plans);
+        if let Some(placement) = decision(&plans) {
             submit(&shared, &view, placement).await;
         }
     }
--- a/crates/daemon/src/planner/tables.rs
+++ b/crates/daemon/src/planner/tables.rs
@@ -7,7 +7,7 @@
 use trefoil_log::View;
 use trefoil_placement::table::BATCH_MEMBERS;
 use trefoil_placement::{
-    Change, Domain, Input, Load, Member, Objective, Planner, Profile, State, Table,
+    Change, Domain, Input, Load, Member, Objective, Plan, Planner, Profile, State, Table,
 };
 
 use super::Observed;
@@ -152,16 +152,15 @@
     observed: &Observed,
     load: &Load,
     cold: &Cold,
-) -> Vec<Change> {
-    let Some(table) = view.tables.get(&service.name) else {
-        return Vec::new();
-    };
+) -> Option<Plan> {
+    let table = view.tables.get(&service.name)?;
     let members = profiles(view, service, table, observed, cold);
     let input = Input {
         table,
         members: &members,
         load,
     };
-    let plan = Planner::new(objective(service)).plan(&input);
-    plan.map(|p| p.changes).unwrap_or_default()
+    // Without any upstream that can own shards there is no plan.
+    let plan = Planner::new(objective(service)).plan(&input).ok()?;
+    (!plan.is_empty()).then_some(plan)
 }
--- /dev/null
+++ b/crates/daemon/src/report.rs
@@ -0,0 +1,274 @@
+//! The placement report of a host.
+//!
+//! Moves come from the log: each host compares the tables before and after each placement record
+//! that it replays, so all hosts that replayed the same records list the same moves with the same
+//! times and reasons. Load, unavailable time and what the objective traded are known only to the
+//! host that collects the load (see [`crate::planner::balance`]). [`report`] therefore asks that
+//! host, and answers with what this host knows if it does not reply: the moves, without load.
+//!
+//! A host that starts from a snapshot has no moves from before it. A first table is not listed,
+//! because no key changes its owner by it.
+
+mod replay;
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use trefoil_core::{DomainName, ServiceName};
+use trefoil_log::{Signed, View};
+use trefoil_placement::report::ServiceReport;
+use trefoil_placement::{
+    Load, Member, Plan, Profile, Reasoned, Recorder, Report, Sample, Table, Unit,
+};
+use trefoil_wire::codec::FRAME_MAX;
+use trefoil_wire::{Peers, encode};
+
+use crate::load::{Closed, Window, ask};
+use crate::message::{Message, Reply};
+use crate::planner::tables::{domains, objective, profiles};
+use crate::planner::{Cold, Loads, Observed};
+use crate::shared::Shared;
+
+/// Bytes of a reply besides the reports.
+const REPLY_BYTES: usize = 64;
+
+/// Tables by service.
+pub type Tables = BTreeMap<ServiceName, Arc<Table>>;
+
+/// Moves of one window that are not in the recorder yet.
+#[derive(Debug)]
+struct Pending {
+    window: Window,
+    moves: Vec<Reasoned>,
+    table: Arc<Table>,
+    members: Vec<Profile>,
+}
+
+#[derive(Debug)]
+struct History {
+    domains: Vec<DomainName>,
+    recorder: Recorder,
+    pending: Option<Pending>,
+    /// The last plan of this host. It has what the records do not tell: gains and costs.
+    plan: Option<Plan>,
+}
+
+/// What this host knows of the placement of each service over time.
+#[derive(Debug, Default)]
+pub struct Reports {
+    services: Mutex<BTreeMap<ServiceName, History>>,
+}
+
+impl Reports {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<ServiceName, History>> {
+        self.services.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in an accepted placement record. `before` are the tables before it, `view` is the
+    /// state after it.
+    pub fn placed(&self, before: &Tables, view: &View, record: &[u8], length: Duration) {
+        let envelope = Signed::decode(record).and_then(|s| s.envelope());
+        let Ok(envelope) = envelope else { return };
+        let window = Window::at(envelope.time, length);
+        let mut services = self.lock();
+        for service in view.services() {
+            let (old, new) = (before.get(&service.name), view.tables.get(&service.name));
+            let (Some(old), Some(new)) = (old, new) else {
+                continue;
+            };
+            if Arc::ptr_eq(old, new) {
+                continue;
+            }
+            let members = profiles(view, service, new, &Observed::default(), &Cold::new());
+            let moves = replay::moves(old, new, &members);
+            let Some(history) = history(&mut services, view, &service.name) else {
+                continue;
+            };
+            if history.pending.as_ref().is_some_and(|p| p.window != window) {
+                history.flush(length, None);
+            }
+            let pending = history.pending.get_or_insert_with(|| Pending {
+                window,
+                moves: Vec::new(),
+                table: Arc::clone(new),
+                members: Vec::new(),
+            });
+            pending.moves.extend(moves);
+            pending.table = Arc::clone(new);
+            pending.members = members;
+        }
+    }
+
+    /// Notes the plans of this host, before they are written.
+    pub fn planned(&self, view: &View, plans: &[(ServiceName, Plan)]) {
+        let mut services = self.lock();
+        for (service, plan) in plans {
+            if let Some(history) = history(&mut services, view, service) {
+                history.plan = Some(plan.clone());
+            }
+        }
+    }
+
+    /// Ends a window. `loads` has the services whose load this host collected.
+    pub fn close(&self, view: &View, window: Window, loads: &Loads, cold: &Cold, length: Duration) {
+        let mut services = self.lock();
+        services.retain(|name, _| view.tables.contains_key(name));
+        for service in view.services() {
+            let Some(table) = view.tables.get(&service.name) else {
+                continue;
+            };
+            let Some(history) = history(&mut services, view, &service.name) else {
+                continue;
+            };
+            history.recorder.set_objective(objective(service));
+            if history.pending.as_ref().is_some_and(|p| p.window < window) {
+                history.flush(length, None);
+            }
+            let Some(closed) = loads.get(&service.name) else {
+                history.flush(length, None);
+                continue;
+            };
+            let pending = history.pending.get_or_insert_with(|| Pending {
+                window,
+                moves: Vec::new(),
+                table: Arc::clone(table),
+                members: Vec::new(),
+            });
+            // Records of the next window may have been replayed already; they have its number.
+            if pending.window == window {
+                pending.table = Arc::clone(table);
+                pending.members = profiles(view, service, table, &Observed::default(), cold);
+                history.flush(length, Some(closed));
+            }
+        }
+    }
+
+    /// The report of each service, as this host knows it.
+    pub fn services(&self) -> Vec<ServiceReport> {
+        let services = self.lock();
+        services.values().map(|h| h.recorder.report()).collect()
+    }
+}
+
+/// The history of a service. It starts anew when the failure domains change, because the recorder
+/// counts them by position.
+fn history<'a>(
+    services: &'a mut BTreeMap<ServiceName, History>,
+    view: &View,
+    name: &ServiceName,
+) -> Option<&'a mut History> {
+    let (_, service) = view.service(name)?;
+    let domains = domains(view, name);
+    let fresh = || History {
+        recorder: Recorder::new(name.clone(), domains.clone(), objective(service)),
+        domains: domains.clone(),
+        pending: None,
+        plan: None,
+    };
+    let history = services.entry(name.clone()).or_insert_with(fresh);
+    if history.domains != domains {
+        *history = fresh();
+    }
+    Some(history)
+}
+
+impl History {
+    /// Gives the pending moves to the recorder, with the load of their window if it is known.
+    fn flush(&mut self, length: Duration, closed: Option<&Closed>) {
+        let Some(pending) = self.pending.take() else {
+            return;
+        };
+        let Pending {
+            window,
+            mut moves,
+            table,
+            members,
+        } = pending;
+        let plan = match self.plan.take_if(|p| explains(p, &mut moves)) {
+            Some(plan) => Plan { moves, ..plan },
+            None => Plan {
+                moves,
+                ..Plan::default()
+            },
+        };
+        let unknown = Load {
+            shards: vec![0.0; table.seats().len()],
+            hot: Vec::new(),
+        };
+        let unavailable = closed.map_or_else(Vec::new, |c| unavailable(&table, c));
+        self.recorder.record(&Sample {
+            at: window.end(length),
+            table: &table,
+            members: &members,
+            load: closed.map_or(&unknown, |c| &c.load),
+            plan: &plan,
+            unavailable: &unavailable,
+        });
+    }
+}
+
+/// Whether the moves are those of a plan. They get the plan's gains and costs then.
+fn explains(plan: &Plan, moves: &mut [Reasoned]) -> bool {
+    let planned: BTreeMap<Unit, &Reasoned> = plan.moves.iter().map(|m| (m.unit, m)).collect();
+    let same = |m: &Reasoned| planned.get(&m.unit).is_some_and(|p| p.to == m.to);
+    if moves.is_empty() || !moves.iter().all(same) {
+        return false;
+    }
+    for m in moves {
+        (m.gain, m.price) = planned
+            .get(&m.unit)
+            .map_or((0.0, 0.0), |p| (p.gain, p.price));
+    }
+    true
+}
+
+fn unavailable(table: &Table, closed: &Closed) -> Vec<(Member, f64)> {
+    let seconds = closed.unavailable.iter();
+    let of_member = seconds.filter_map(|(name, &seconds)| {
+        let index = table.members().iter().rposition(|m| m == name)?;
+        Some((Member(u16::try_from(index).ok()?), seconds))
+    });
+    of_member.collect()
+}
+
+/// Cuts the reports so that they fit a frame. The oldest rows are left out first.
+pub fn bounded(mut services: Vec<ServiceReport>) -> Vec<ServiceReport> {
+    let fits =
+        |list: &Vec<ServiceReport>| encode(list).is_ok_and(|b| b.len() <= FRAME_MAX - REPLY_BYTES);
+    while !fits(&services) {
+        let rows = |s: &ServiceReport| s.windows.len() + s.moves.len() + s.trades.len();
+        if services.iter().map(rows).sum::<usize>() == 0 {
+            return Vec::new();
+        }
+        for service in &mut services {
+            service.windows.drain(..service.windows.len().div_ceil(2));
+            service.trades.drain(..service.trades.len().div_ceil(2));
+            let cut = service.moves.len().div_ceil(2);
+            service.moves.drain(..cut);
+            service.omitted += cut as u64;
+        }
+    }
+    services
+}
+
+/// The report of the deployment.
+pub async fn report(shared: &Shared, peers: &Arc<dyn Peers>) -> Report {
+    let view = shared.view();
+    let collects = view.hosts.values().next();
+    let message = Message::Report {
+        sender: view.revision,
+    };
+    let asked = match collects.filter(|h| h.id != shared.host.id) {
+        Some(host) => ask(shared, peers, host, &message).await,
+        None => None,
+    };
+    let services = match asked {
+        Some(Reply::Report { services }) if !services.is_empty() => services,
+        _ => shared.reports.services(),
+    };
+    Report {
+        title: format!("region {}", shared.host.region),
+        services,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/report/replay.rs
@@ -0,0 +1,48 @@
+//! Moves and their reasons, from the tables before and after a placement record.
+//!
+//! A record has no reasons: it says what changes, and the state says why. Everything here depends
+//! on replayed state alone.
+
+use trefoil_core::Shard;
+use trefoil_placement::{Member, Profile, Reason, Reasoned, Seat, State, Table, Unit};
+
+/// The moves of shards that had an owner. Gains and costs depend on the load, which the log does
+/// not have; they are zero.
+pub(super) fn moves(old: &Table, new: &Table, members: &[Profile]) -> Vec<Reasoned> {
+    let seats = old.seats().iter().zip(new.seats());
+    let changed = (0..)
+        .map(Shard)
+        .zip(seats)
+        .filter_map(|(shard, (from, to))| {
+            let reason = reason(new, members, *from, *to)?;
+            Some(Reasoned {
+                unit: Unit::Shard(shard),
+                from: *from,
+                to: *to,
+                reason,
+                gain: 0.0,
+                price: 0.0,
+            })
+        });
+    changed.collect()
+}
+
+fn reason(table: &Table, members: &[Profile], from: Seat, to: Seat) -> Option<Reason> {
+    let profile = |m: Member| members.get(m.index());
+    let leaves = |m: Member| profile(m).is_some_and(|p| p.state == State::Leaving);
+    let domain = |m: Member| profile(m).map(|p| p.domain);
+    let reason = match () {
+        () if from == to || from.owner == Member::NONE => return None,
+        () if from.owner != to.owner => match from.owner {
+            old if table.is_lost(old) && to.owner == from.standby => Reason::Promoted,
+            old if table.is_lost(old) => Reason::Orphaned,
+            old if leaves(old) => Reason::Leaving,
+            _ => Reason::Balance,
+        },
+        () if from.standby == from.owner || table.is_lost(from.standby) => Reason::StandbyMissing,
+        () if leaves(from.standby) => Reason::StandbyLeaving,
+        () if domain(from.standby) == domain(from.owner) => Reason::StandbyDomain,
+        () => Reason::StandbyGroup,
+    };
+    Some(reason)
+}
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,6 +15,7 @@
 
 use crate::metrics::Metrics;
 use crate::planner::balance::Measured;
+use crate::report::Reports;
 
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
@@ -34,6 +35,8 @@
     pub metrics: Metrics,
     /// The load of the last measure window.
     pub measured: Measured,
+    /// What the placement report tells.
+    pub reports: Reports,
     /// Length of a measure window.
     pub window: Duration,
     signer: Signer,
@@ -63,6 +66,7 @@
             logger,
             metrics: Metrics::default(),
             measured: Measured::default(),
+            reports: Reports::default(),
             window: crate::load::WINDOW,
             signer,
             writer: WriterId::random(),
--- a/crates/daemon/src/tailer.rs
+++ b/crates/daemon/src/tailer.rs
@@ -74,7 +74,12 @@
     let mut view = View::clone(&shared.view());
     let mut verdicts = Vec::with_capacity(batch.records.len());
     for record in &batch.records {
+        let (tables, placement) = (view.tables.clone(), view.placement);
         let verdict = view.apply(record.offset, &record.data, keys)?;
+        if view.placement != placement {
+            let reports = &shared.reports;
+            reports.placed(&tables, &view, &record.data, shared.window);
+        }
         match &verdict {
             Verdict::Accepted { revision } => {
                 info!(shared.logger, "record accepted"; "offset" => %record.offset, "revision" => %revision);
--- a/tests/all/planning.rs
+++ b/tests/all/planning.rs
@@ -1,4 +1,6 @@
 //! Placement plans of the daemon: what is planned, how it is written and what is reported.
 
+mod load;
 mod needed;
+mod report;
 mod world;
--- a/tests/all/planning/needed.rs
+++ b/tests/all/planning/needed.rs
@@ -3,7 +3,7 @@
 use trefoil_core::Revision;
 use trefoil_daemon::load::Window;
 use trefoil_daemon::planner::balance::Ages;
-use trefoil_daemon::planner::{Cold, Observed, balanced, batches};
+use trefoil_daemon::planner::{Cold, Observed, balanced, batches, decision};
 use trefoil_log::Verdict;
 use trefoil_placement::{Change, Ramp};
 
@@ -37,7 +37,7 @@
         &loads(vec![5.0; 64]),
         &Cold::new(),
     );
-    assert_eq!(even, None);
+    assert_eq!(even, Vec::new());
 }
 
 /// Guards against a lost upstream that waits for load reports, and against a loss that moves more
@@ -107,7 +107,7 @@
     for window in 1..=6 {
         let cold = ages.cold(&world.view, Window(window), Ramp::default());
         let load = loads(vec![10.0; 64]);
-        if let Some(plan) = balanced(&world.view, &Observed::default(), &load, &cold) {
+        if let Some(plan) = decision(&balanced(&world.view, &Observed::default(), &load, &cold)) {
             world.submit(plan);
         }
         shares.push(world.owners().get("offers-4").copied().unwrap_or(0));
@@ -186,7 +186,12 @@
     let skewed = |s: &trefoil_placement::Seat| if s.owner == owner { 40.0 } else { 10.0 };
     let load = loads(world.table().seats().iter().map(skewed).collect());
     let mut plans = 0;
-    while let Some(plan) = balanced(&world.view, &Observed::default(), &load, &Cold::new()) {
+    while let Some(plan) = decision(&balanced(
+        &world.view,
+        &Observed::default(),
+        &load,
+        &Cold::new(),
+    )) {
         world.submit(plan);
         plans += 1;
         assert!(plans < 10, "plans without end");
--- a/tests/all/planning/world.rs
+++ b/tests/all/planning/world.rs
@@ -117,6 +117,12 @@
         self.apply(base, Body::Placement(placement), time)
     }
 
+    /// Writes one placement record at a time.
+    pub fn write_at(&mut self, time: UnixMillis, placement: Placement) {
+        let verdict = self.apply(self.view.placement, Body::Placement(placement), time);
+        assert!(matches!(verdict, Verdict::Accepted { .. }), "{verdict:?}");
+    }
+
     /// Writes a plan. Returns the number of its records.
     pub fn submit(&mut self, placement: Placement) -> usize {
         let batches = batches(placement);
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,6 +1,6 @@
 //! Whole paths over separate processes on loopback.
 
-mod deployment;
+pub mod deployment;
 mod stops;
 mod takeover;
 mod thin;
