--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -256,11 +256,7 @@
                 .await?;
             match decode::<Reply>(&reply).ok()? {
                 Reply::Revision { revision } => Some(revision),
-                Reply::Lease { .. }
-                | Reply::Load { .. }
-                | Reply::Releases { .. }
-                | Reply::Report { .. }
-                | Reply::Refused { .. } => None,
+                _ => None,
             }
         }
         .boxed()
--- a/crates/lease/src/witness.rs
+++ b/crates/lease/src/witness.rs
@@ -26,9 +26,9 @@
 //!
 //! The end of its own lease does not make a host a bad witness. If it restarted at once, the holders
 //! that it serves would lose its promises; and where three of a holder's five witnesses restart
-//! together, that holder ends and restarts as well, which takes promises from others in turn. Among
-//! few hosts the restarts would not come to an end. So the process stays as a witness, holders leave
-//! it out of their next generations, and it restarts when [`Witness::serving`] is zero.
+//! together, that holder ends and restarts as well, which takes promises from others in turn. So the
+//! process stays as a witness, holders leave it out of their next generations, and it restarts when
+//! [`Witness::serving`] is zero.
 //!
 //! # Memory
 //!
@@ -160,6 +160,10 @@
         self.tail = true;
     }
 
+    fn is_informed(&self) -> bool {
+        self.tail || self.switches.skip_tail || self.switches.skip_wait
+    }
+
     /// The state of the entry for one generation of a holder's lease.
     pub fn state(&self, holder: HostId, generation: Generation) -> Option<EntryState> {
         self.entries.get(&(holder, generation)).map(|e| e.state)
@@ -307,7 +311,7 @@
     pub fn next_wake(&self) -> Option<Tick> {
         let active = self.entries.values().filter(|e| match e.state {
             EntryState::Waiting | EntryState::Promised => true,
-            EntryState::Inherited => self.tail || self.switches.skip_wait,
+            EntryState::Inherited => self.is_informed(),
             _ => !e.pending.is_empty(),
         });
         active.map(|e| e.due).min()
@@ -316,9 +320,9 @@
     /// Attests the expiries that are due, and repeats verdicts that are not acknowledged.
     pub fn poll(&mut self, now: Tick) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let ready = self.tail || self.switches.skip_wait;
+        let informed = self.is_informed();
         for (&(holder, generation), entry) in &mut self.entries {
-            if now < entry.due || (entry.state == EntryState::Inherited && !ready) {
+            if now < entry.due || (entry.state == EntryState::Inherited && !informed) {
                 continue;
             }
             let outdated = entry.state == EntryState::Inherited && !entry.newest;
