Keep shards from two owners when they move between live upstreams

Moves of every window under load showed three faults of the dispatchers' handover. Two tasks of a driver took over views in any order, so an older one assigned a shard again that had been released, and the shard was stuck or could be served twice; views are now taken over under one lock and older ones have no effect. A shard that was moved on before it was received asked the wrong upstream for its release; each shard now remembers whom it waits for, and a release stays until the next one. A received shard was served up to 400 ms before a grant named it, and requests that are not idempotent were then refused and stayed not-run under their ids; the grant is now sent first.

--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -15,7 +15,7 @@
 use smol::Task;
 use trefoil_config::{Service, Upstream};
 use trefoil_core::chart::ChartError;
-use trefoil_core::{KeyHash, ServiceName, Shard, Slots, Tick, UpstreamName};
+use trefoil_core::{KeyHash, Revision, ServiceName, Shard, Slots, Tick, UpstreamName};
 use trefoil_dispatch::{
     Access, Actions, Admission, Cause, Dropped, Finished, Health, Probe, Proof, Release, Report,
     ShardState, State, Ticket, TicketId, WallClock,
@@ -60,11 +60,13 @@
     pub(super) health: Health,
     pub(super) table: Option<Arc<Table>>,
     pub(super) released: BTreeMap<Shard, Release>,
+    /// The upstream whose release a shard waits for, and the revision that moved it.
+    pub(super) awaited: BTreeMap<Shard, (UpstreamName, Revision)>,
     /// Released shards that a standby serves already.
     pub(super) taken: BTreeSet<Shard>,
     pub(super) provisional: Provisional,
     pub(super) waiters: BTreeMap<TicketId, Sender<Notice>>,
-    granted: Tick,
+    pub(super) granted: Tick,
 }
 
 /// The driver of one upstream.
@@ -79,6 +81,10 @@
     settings: Service,
     pub(super) pool: Pool,
     inner: Mutex<Inner>,
+    /// Locked while a grant is sent.
+    pub(super) granting: async_lock::Mutex<()>,
+    /// Revision of the newest placement that was taken over. Locked before `inner`.
+    pub(super) synced: Mutex<Revision>,
     pub(super) counter: Counter,
     woken: Event,
     stopped: AtomicBool,
@@ -171,6 +177,7 @@
             health: Health::new(now)?,
             table: None,
             released: BTreeMap::new(),
+            awaited: BTreeMap::new(),
             taken: BTreeSet::new(),
             provisional: Provisional::new(),
             waiters: BTreeMap::new(),
@@ -186,6 +193,8 @@
             settings: service.clone(),
             pool: Pool::new(upstream.address, keep),
             inner: Mutex::new(inner),
+            granting: async_lock::Mutex::default(),
+            synced: Mutex::default(),
             counter: Counter::new(wall.unix, shared.window),
             woken: Event::new(),
             stopped: AtomicBool::new(false),
@@ -332,8 +341,8 @@
             if let Some(probe) = probe {
                 smol::spawn(Arc::clone(&self).probe(probe)).detach();
             }
-            if let Some(shards) = grant {
-                smol::spawn(Arc::clone(&self).grant(shards)).detach();
+            if grant {
+                smol::spawn(Arc::clone(&self).grant()).detach();
             }
             let latest = now.after(ROUND_MAX);
             let until = wake
@@ -343,7 +352,7 @@
         }
     }
 
-    fn round(&self, view: &View, now: Tick) -> (Option<Probe>, Option<Vec<Shard>>, Option<Tick>) {
+    fn round(&self, view: &View, now: Tick) -> (Option<Probe>, bool, Option<Tick>) {
         let table = view.tables.get(&self.service);
         let owns = table.is_some_and(|t| t.member(self.name()).is_some());
         let times = (now, self.shared.clock.unix());
@@ -369,10 +378,9 @@
         let due = self.settings.fenced
             && now >= inner.granted.after(GRANT_EVERY)
             && inner.health.may_grant();
-        let grant = due.then(|| {
+        if due {
             inner.granted = now;
-            inner.admission.renew(now)
-        });
+        }
         let next_grant = self
             .settings
             .fenced
@@ -382,11 +390,7 @@
             inner.admission.next_wake(now),
             next_grant,
         ];
-        (
-            probe,
-            grant.filter(|g| !g.is_empty()),
-            wakes.into_iter().flatten().min(),
-        )
+        (probe, due, wakes.into_iter().flatten().min())
     }
 
     async fn probe(self: Arc<Self>, probe: Probe) {
@@ -404,15 +408,30 @@
         self.wake();
     }
 
-    async fn grant(self: Arc<Self>, shards: Vec<Shard>) {
+    async fn grant(self: Arc<Self>) {
+        let _turn = self.granting.lock().await;
+        let shards = self.lock().admission.renew(self.shared.clock.now());
+        if !shards.is_empty() {
+            self.send_grant(&shards).await;
+        }
+    }
+
+    /// Sends a grant, with `granting` locked: a grant that arrives after a newer one would take
+    /// shards away. Returns whether the upstream has it.
+    pub(super) async fn send_grant(&self, shards: &[Shard]) -> bool {
         let Some(token) = self.authority.token(self.name()) else {
-            return;
+            return false;
         };
-        if let Err(e) =
-            exchange::grant(self.address(), token, self.shared.clock.unix(), &shards).await
-        {
+        let sent = exchange::grant(self.address(), token, self.shared.clock.unix(), shards).await;
+        if let Err(e) = &sent {
             warn!(self.shared.logger, "grant not accepted"; "upstream" => %self.name(), "error" => %e);
         }
+        sent.is_ok()
+    }
+
+    /// Whether the upstream checks fences.
+    pub(super) fn is_fenced(&self) -> bool {
+        self.settings.fenced
     }
 
     /// Reports the end of an attempt. Returns the report if the request has ended.
--- a/crates/daemon/src/dispatcher/shards.rs
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -5,8 +5,8 @@
 //! works when either dispatcher was taken over in the meantime.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -53,7 +53,17 @@
 
 impl Driver {
     /// Takes over changes of the shard table.
+    ///
+    /// Several tasks call this, each with a view that it loaded before. A view older than one that
+    /// was taken over must have no effect: it would assign a shard again that was released, and two
+    /// upstreams would serve it. The lock is held throughout, so that no older call goes on beside
+    /// a newer one.
     pub(super) fn sync(&self, view: &View) {
+        let mut synced = self.synced.lock().unwrap_or_else(PoisonError::into_inner);
+        if view.placement < *synced {
+            return;
+        }
+        *synced = view.placement;
         let Some(table) = view.tables.get(self.service()) else {
             return;
         };
@@ -121,8 +131,15 @@
             _ => Origin::Predecessor(self.predecessor_end()),
         };
         let mut inner = self.lock();
-        inner.released.remove(&shard);
         inner.taken.remove(&shard);
+        // The release that this dispatcher gave stays until the next one replaces it: its receiver
+        // may not have asked yet, and has to receive the shard before it can give it back.
+        match (origin, from) {
+            (Origin::Owner(revision), Some(from)) => {
+                inner.awaited.insert(shard, (from.clone(), revision));
+            }
+            _ => inner.granted = Tick::default(),
+        }
         if let Err(e) = inner.admission.assign(now, shard, origin) {
             debug!(self.shared.logger, "shard not taken"; "upstream" => %self.name(), "error" => %e);
         }
@@ -135,7 +152,6 @@
         let moved = view.moved.get(self.service()).and_then(|m| m.get(&shard));
         let revision = moved.map_or(view.placement, |m| m.revision);
         let mut inner = self.lock();
-        inner.released.remove(&shard);
         match inner.admission.revoke(now, shard, to, revision) {
             Ok(dropped) => inner.drop_waiters(dropped),
             Err(e) => {
@@ -156,7 +172,10 @@
             let handover = match inner.released.get(&shard) {
                 // A failover without the log carries the placement's revision, not that of the
                 // record which confirms it later.
-                Some(release) if release.revision == revision || release.to == query.to => {
+                Some(release)
+                    if release.revision == revision
+                        || (release.to == query.to && hold == ShardState::Released) =>
+                {
                     release.handover.clone()
                 }
                 // This dispatcher never held the shard. Requests of an earlier dispatcher have
@@ -181,27 +200,20 @@
             .collect()
     }
 
-    /// The shards that wait for a release, by the upstream that must give it.
-    fn awaited(&self, view: &View) -> BTreeMap<UpstreamName, Vec<(Shard, Revision)>> {
+    /// The shards that wait for a release, by the upstream that must give it. A shard that was moved
+    /// on in the meantime still waits for the release of the upstream that it was to come from.
+    fn awaited(&self) -> BTreeMap<UpstreamName, Vec<(Shard, Revision)>> {
         let mut awaited = BTreeMap::<_, Vec<_>>::new();
-        let (Some(table), Some(moved)) = (
-            view.tables.get(self.service()),
-            view.moved.get(self.service()),
-        ) else {
-            return awaited;
-        };
-        let inner = self.lock();
-        for (&shard, moved) in moved.iter() {
-            let waits = matches!(
-                inner.admission.ownership().state(shard),
-                ShardState::Awaiting | ShardState::Relaying
-            );
-            if let Some(from) = table.name(moved.from).filter(|_| waits) {
-                awaited
-                    .entry(from.clone())
-                    .or_default()
-                    .push((shard, moved.revision));
-            }
+        let mut inner = self.lock();
+        let inner = &mut *inner;
+        let ownership = inner.admission.ownership();
+        inner.awaited.retain(|shard, _| {
+            let state = ownership.state(*shard);
+            matches!(state, ShardState::Awaiting | ShardState::Relaying)
+        });
+        for (&shard, (from, revision)) in &inner.awaited {
+            let shards = awaited.entry(from.clone()).or_default();
+            shards.push((shard, *revision));
         }
         awaited
     }
@@ -210,7 +222,7 @@
     pub(super) async fn collect_releases(self: Arc<Self>) {
         loop {
             let view = self.shared.view();
-            for (from, mut shards) in self.awaited(&view) {
+            for (from, mut shards) in self.awaited() {
                 shards.truncate(ASK_MAX);
                 self.ask(&view, from, shards).await;
             }
@@ -241,7 +253,7 @@
                 self.remote_releases(record.addresses.peer, &query).await
             };
             if !released.is_empty() {
-                self.take(released);
+                self.take(released).await;
                 return;
             }
         }
@@ -272,7 +284,17 @@
         }
     }
 
-    fn take(&self, released: Vec<Released>) {
+    /// Takes releases. An upstream that checks fences gets its grant first: it would refuse a request
+    /// that is sent before, and a request that is not idempotent is not sent again under its id.
+    async fn take(&self, released: Vec<Released>) {
+        let _turn = self.granting.lock().await;
+        if self.is_fenced() {
+            let mut shards = self.lock().admission.renew(self.shared.clock.now());
+            shards.extend(released.iter().map(|r| r.shard));
+            if !self.send_grant(&shards).await {
+                return;
+            }
+        }
         let now = self.shared.clock.now();
         let count = released.len();
         let mut actions = Vec::new();
@@ -287,6 +309,10 @@
                 actions.push(next);
             }
         }
+        if self.is_fenced() {
+            // The shards count as granted from now on, which is later than the sending.
+            inner.admission.renew(now);
+        }
         for next in actions {
             inner.perform(next);
         }
--- a/tests/all/planning.rs
+++ b/tests/all/planning.rs
@@ -1,5 +1,6 @@
 //! Placement plans of the daemon: what is planned, how it is written and what is reported.
 
+mod even;
 mod load;
 mod needed;
 mod report;
