--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,7 @@
 //! The process of an entry host.
 //!
 //! A [`Node`] puts the library crates together: a [log reader](tailer) that replays decisions into
-//! the [`Shared`] view, an [ingress] for callers, one [dispatcher](dispatcher::Dispatcher) for each
+//! the [`Shared`] view, an [ingress] for callers, one [dispatcher](dispatcher::Dispatchers) for each
 //! assigned upstream, a [planner] that any host may run, and the [operators' port](operator).
 //!
 //! All decisions read one immutable `View` behind an atomic pointer. A request loads it once per
