Take over every placement in its turn

A dispatcher that read two placements in one batch saw only the second. The log reader now keeps the views after placement records, and a driver takes over each of them, so that B receives the shard before it gives it away. In the new test requests take 300 ms.

--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -84,7 +84,7 @@
     /// Locked while a grant is sent.
     pub(super) granting: async_lock::Mutex<()>,
     /// Revision of the newest placement that was taken over. Locked before `inner`.
-    pub(super) synced: Mutex<Revision>,
+    pub(super) synced: Mutex<Option<Revision>>,
     pub(super) counter: Counter,
     woken: Event,
     stopped: AtomicBool,
--- a/crates/daemon/src/dispatcher/shards.rs
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -58,12 +58,28 @@
     /// was taken over must have no effect: it would assign a shard again that was released, and two
     /// upstreams would serve it. The lock is held throughout, so that no older call goes on beside
     /// a newer one.
+    ///
+    /// Views are read in batches, and a shard may have been moved twice within one. Each placement
+    /// is therefore taken over in its turn. A dispatcher that saw only the last one would not know
+    /// that it has to receive the shard before the next owner may, and would tell that owner that
+    /// nobody holds it.
     pub(super) fn sync(&self, view: &View) {
         let mut synced = self.synced.lock().unwrap_or_else(PoisonError::into_inner);
-        if view.placement < *synced {
-            return;
+        match *synced {
+            Some(last) if view.placement < last => return,
+            Some(last) => {
+                for between in self.shared.placed_between(last, view.placement) {
+                    self.follow(&between);
+                }
+            }
+            // A driver that starts has no earlier state.
+            None => {}
         }
-        *synced = view.placement;
+        *synced = Some(view.placement);
+        self.follow(view);
+    }
+
+    fn follow(&self, view: &View) {
         let Some(table) = view.tables.get(self.service()) else {
             return;
         };
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -20,6 +20,10 @@
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
 
+/// Views after placement records that are kept for the dispatchers. They take a view over within
+/// 500 ms, in which few placement records are written but after an outage of the log.
+const PLACED_MAX: usize = 64;
+
 /// State that all parts of the process share.
 #[derive(Debug)]
 pub struct Shared {
@@ -45,6 +49,7 @@
     view: ArcSwap<View>,
     changed: Event,
     verdicts: Mutex<VecDeque<(Offset, Verdict)>>,
+    placed: Mutex<VecDeque<Arc<View>>>,
     floor: AtomicU64,
     caught_up: AtomicBool,
     draining: AtomicBool,
@@ -74,6 +79,7 @@
             view: ArcSwap::default(),
             changed: Event::new(),
             verdicts: Mutex::default(),
+            placed: Mutex::default(),
             floor: AtomicU64::new(0),
             caught_up: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -87,6 +93,21 @@
         self
     }
 
+    /// Keeps the view after a placement record. Called before the view is published.
+    pub fn placed(&self, view: &View) {
+        let mut placed = self.placed.lock().unwrap_or_else(PoisonError::into_inner);
+        placed.push_back(Arc::new(view.clone()));
+        let excess = placed.len().saturating_sub(PLACED_MAX);
+        placed.drain(..excess);
+    }
+
+    /// The kept views whose placement is above `from` and below `to`, in order.
+    pub fn placed_between(&self, from: Revision, to: Revision) -> Vec<Arc<View>> {
+        let placed = self.placed.lock().unwrap_or_else(PoisonError::into_inner);
+        let between = |v: &&Arc<View>| v.placement > from && v.placement < to;
+        placed.iter().filter(between).map(Arc::clone).collect()
+    }
+
     /// The view in force.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/crates/daemon/src/tailer.rs
+++ b/crates/daemon/src/tailer.rs
@@ -77,6 +77,7 @@
         let (tables, placement) = (view.tables.clone(), view.placement);
         let verdict = view.apply(record.offset, &record.data, keys)?;
         if view.placement != placement {
+            shared.placed(&view);
             let reports = &shared.reports;
             reports.placed(&tables, &view, &record.data, shared.window);
         }
--- /dev/null
+++ b/tests/all/planning/chain.rs
@@ -0,0 +1,148 @@
+//! A shard that is moved twice before any dispatcher has seen the first move.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use trefoil_core::{Clock, Offset, Revision, SystemClock, WriterId};
+use trefoil_log::{Body, Envelope, FORMAT, Log, Placement, Signed};
+use trefoil_placement::{Change, Move, Seat, Table};
+use trefoil_standin::faults::Fault;
+
+use super::small::{Small, served_by, settle, start};
+use super::world::{service, upstream};
+use crate::process::deployment::{eventually, send};
+
+/// A window that does not end during the test, so that no plan moves shards.
+const WINDOW: Duration = Duration::from_hours(24);
+
+/// Time that an upstream works on a request.
+const WORK: Duration = Duration::from_millis(300);
+
+/// Difference between the end of the work and the moment at which the caller has the answer.
+const SLACK: Duration = Duration::from_millis(100);
+
+/// A read of the log that was begun before the outage ends within this time.
+const READ: Duration = Duration::from_millis(1200);
+
+/// Time for moves of all shards.
+const MOVES: Duration = Duration::from_secs(3);
+
+/// Moves all shards of one upstream to another.
+fn moves(table: &mut Table, from: &str, to: &str) -> Change {
+    let member = |name| table.member(&upstream(name)).expect("a member");
+    let (from, to) = (member(from), member(to));
+    let seats = (0..).zip(table.seats()).filter(|(_, s)| s.owner == from);
+    let seat = Seat {
+        owner: to,
+        standby: from,
+    };
+    let moves = seats.map(|(shard, _)| Move {
+        shard: trefoil_core::Shard(shard),
+        seat,
+    });
+    let change = Change::Moves {
+        moves: moves.collect(),
+    };
+    table.apply(&change).expect("it applies");
+    change
+}
+
+/// Appends moves behind the nodes' backs. Returns the revision of the placement.
+fn append(small: &Small, base: Revision, change: Change) -> Revision {
+    let envelope = Envelope {
+        format: FORMAT,
+        writer: WriterId::random(),
+        sequence: 1,
+        base,
+        time: SystemClock.unix(),
+        body: Body::Placement(Placement {
+            changes: vec![(service(), change)],
+            assignments: Vec::new(),
+        }),
+    };
+    let record = Signed::new(&envelope, &small.host).and_then(|s| s.encode());
+    let appended = smol::block_on(small.log.append(record.expect("the record encodes")));
+    let Offset(offset) = appended.expect("the log takes it");
+    Revision(offset + 1)
+}
+
+/// One request: when it was answered, and by whom.
+struct Served {
+    at: Instant,
+    upstream: String,
+}
+
+fn caller(address: SocketAddr, key: u64, stop: &AtomicBool) -> Vec<Served> {
+    let mut all = Vec::new();
+    while !stop.load(Ordering::SeqCst) {
+        let request = Request::post(format!("/offers/customer-{key}"));
+        let answer = send(address, request.body(Bytes::new()).expect("a request"));
+        assert_eq!(answer.outcome, "done", "{answer:?}");
+        all.push(Served {
+            at: Instant::now(),
+            upstream: answer
+                .field("upstream")
+                .as_str()
+                .unwrap_or_default()
+                .to_owned(),
+        });
+    }
+    all
+}
+
+/// Guards against a third upstream that serves a key while the first still works on it: the second,
+/// which never held the shard, must not be asked for it before it has received it.
+#[test]
+fn a_shard_that_is_moved_twice_at_once_has_one_owner() {
+    let small = smol::block_on(start(WINDOW, WORK));
+    settle(&small);
+    let addresses: Vec<_> = small.nodes.iter().map(|n| n.addresses().caller).collect();
+    let is_first = |key: &u64| served_by(addresses[0], *key) == "offers-1";
+    let key = (0..64)
+        .find(is_first)
+        .expect("the first upstream owns a key");
+    let stop = AtomicBool::new(false);
+    let served: Vec<Vec<Served>> = std::thread::scope(|scope| {
+        let stop = &stop;
+        let callers: Vec<_> = addresses
+            .iter()
+            .map(|&address| scope.spawn(move || caller(address, key, stop)))
+            .collect();
+        small.faults.set(Fault::Down);
+        std::thread::sleep(READ);
+        let view = small.nodes[0].shared().view();
+        let mut table = Table::clone(&view.tables[&service()]);
+        let first = moves(&mut table, "offers-1", "offers-2");
+        let second = moves(&mut table, "offers-2", "offers-3");
+        let base = append(&small, view.placement, first);
+        let last = append(&small, base, second);
+        small.faults.set(Fault::None);
+        eventually("the moves are in force", || {
+            let is_new = |n: &trefoil_daemon::Node| n.shared().view().placement >= last;
+            small.nodes.iter().all(is_new).then_some(())
+        });
+        std::thread::sleep(MOVES);
+        stop.store(true, Ordering::SeqCst);
+        let join = |t: std::thread::ScopedJoinHandle<'_, _>| t.join().expect("a caller");
+        callers.into_iter().map(join).collect()
+    });
+    let all = || served.iter().flatten();
+    let old = all()
+        .filter(|s| s.upstream == "offers-1")
+        .map(|s| s.at)
+        .max();
+    let new = all()
+        .filter(|s| s.upstream == "offers-3")
+        .map(|s| s.at)
+        .min();
+    let (old, new) = (old.expect("served before"), new.expect("served after"));
+    let gap = new.saturating_duration_since(old);
+    println!(
+        "first answer of the new owner {} ms after the last of the old",
+        gap.as_millis()
+    );
+    assert!(gap + SLACK >= WORK, "{gap:?}");
+}
--- /dev/null
+++ b/tests/all/planning/small.rs
@@ -0,0 +1,154 @@
+//! Two nodes and four sample upstreams in this process.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use smol::net::TcpListener;
+use trefoil_config::Routing;
+use trefoil_core::{Clock, Revision, SystemClock, WriterId};
+use trefoil_daemon::planner::{Loads, Observed, wanted};
+use trefoil_daemon::{Node, NodeConfig};
+use trefoil_dev::SampleUpstream;
+use trefoil_http::{Limits, Server};
+use trefoil_log::{Body, Envelope, FORMAT, Keyring, MemoryLog, Role, Signed, Signer};
+use trefoil_standin::faults::FaultyLog;
+use trefoil_wire::Authority;
+
+use crate::process::deployment::{Answer, eventually, send};
+
+/// Time in which dispatchers of earlier hosts finish.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Nodes and upstreams of one deployment.
+pub struct Small {
+    pub nodes: Vec<Node>,
+    pub upstreams: Vec<Arc<SampleUpstream>>,
+    /// The nodes' log.
+    pub faults: Arc<FaultyLog>,
+    /// The log behind the faults.
+    pub log: Arc<MemoryLog>,
+    /// The key that hosts sign with.
+    pub host: Signer,
+    _servers: Vec<Server>,
+}
+
+fn signer() -> Signer {
+    let key = Signer::generate().expect("a key pair");
+    Signer::from_pkcs8(&key).expect("the key pair reads back")
+}
+
+/// Starts two nodes with four upstreams that work on a request for some time.
+pub async fn start(window: Duration, work: Duration) -> Small {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let operator = signer();
+    let host = Signer::generate().expect("a key pair");
+    let host = || Signer::from_pkcs8(&host).expect("the key pair reads back");
+    let mut keys = Keyring::default();
+    keys.add(operator.key(), Role::Operator);
+    keys.add(host().key(), Role::Host);
+    let day = Duration::from_hours(24);
+    let authority = Authority::create("test", clock.unix(), day).expect("an authority");
+    let log = Arc::new(MemoryLog::new(Arc::clone(&clock), 10_000));
+    let faults = FaultyLog::new(Arc::<MemoryLog>::clone(&log), Arc::clone(&clock));
+    let faults = Arc::new(faults);
+    let through = || Arc::<FaultyLog>::clone(&faults);
+    let mut nodes = Vec::new();
+    for (name, domain) in [("host-1", "a"), ("host-2", "b")] {
+        let name = name.parse().expect("a name");
+        let identity = authority
+            .identity(&name, clock.unix(), day)
+            .expect("an identity");
+        let region = "r".parse().expect("a name");
+        let domain = domain.parse().expect("a name");
+        let config = NodeConfig::new(name, region, domain, identity, host(), through())
+            .keys(keys.clone())
+            .window(window);
+        nodes.push(Node::start(config).await.expect("the node starts"));
+    }
+    let (mut upstreams, mut servers, mut list) = (Vec::new(), Vec::new(), String::new());
+    for (i, domain) in (1..=4).zip(["a", "b", "a", "b"]) {
+        let name = format!("offers-{i}");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let parsed = name.parse().expect("a name");
+        let upstream = SampleUpstream::new(parsed, 4, true, work, Arc::clone(&clock));
+        let upstream = Arc::new(upstream);
+        let served = Arc::<SampleUpstream>::clone(&upstream);
+        servers.push(Server::serve(listener, Limits::default(), served));
+        upstreams.push(upstream);
+        // Writing to a string does not fail.
+        let _ = writeln!(
+            list,
+            "        - {{ name: {name}, address: \"{address}\", domain: {domain} }}"
+        );
+    }
+    let yaml = format!(
+        "kind: Routing\nname: test\nspec:\n  region: r\n  domains: [a, b]\n  services:\n    \
+         - name: offers\n      key: {{ path: 1 }}\n      \
+         methods: {{ idempotent: [GET], non-idempotent: [POST] }}\n      shards: 64\n      \
+         fenced: true\n      limits: {{ slots: 4, connections: 130 }}\n      \
+         deadlines: {{ default: 5000, max: 30000 }}\n      upstreams:\n{list}"
+    );
+    let routing = Routing::from_yaml(&yaml, "test").unwrap_or_else(|e| panic!("{e}"));
+    let envelope = Envelope {
+        format: FORMAT,
+        writer: WriterId::random(),
+        sequence: 1,
+        base: Revision(0),
+        time: clock.unix(),
+        body: Body::Config(Box::new(routing)),
+    };
+    let record = Signed::new(&envelope, &operator).and_then(|s| s.encode());
+    let until = clock.now().after(Duration::from_secs(5));
+    let record = record.expect("the record encodes");
+    let verdict = nodes[0].shared().submit(record, until).await;
+    verdict.expect("the resource is accepted");
+    Small {
+        nodes,
+        upstreams,
+        faults,
+        log,
+        host: host(),
+        _servers: servers,
+    }
+}
+
+/// Whether both hosts have a lease and no assignment is to change.
+fn is_settled(small: &Small) -> Option<()> {
+    let is_settled = |node: &Node| {
+        let view = node.shared().view();
+        let leases = view
+            .hosts
+            .keys()
+            .filter(|h| view.records.tenure(**h).is_some());
+        let complete = leases.count() == small.nodes.len() && !view.tables.is_empty();
+        complete && wanted(&view, &Observed::default(), &Loads::new()).is_none()
+    };
+    small.nodes.iter().all(is_settled).then_some(())
+}
+
+/// Waits until the dispatchers are assigned for good. A host that has just joined takes some over.
+pub fn settle(small: &Small) {
+    eventually("the dispatchers are assigned", || is_settled(small));
+    std::thread::sleep(SETTLE);
+    eventually("the dispatchers are assigned", || is_settled(small));
+}
+
+/// Gets a key.
+pub fn get(address: SocketAddr, key: u64) -> Answer {
+    let request = Request::get(format!("/offers/customer-{key}"));
+    send(address, request.body(Bytes::new()).expect("a request"))
+}
+
+/// The upstream that serves a key.
+pub fn served_by(address: SocketAddr, key: u64) -> String {
+    eventually("the key is served", || {
+        let answer = get(address, key);
+        let owner = answer.field("upstream").as_str().map(str::to_owned);
+        owner.filter(|_| answer.outcome == "done")
+    })
+}
