--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use event_listener::Event;
@@ -15,11 +16,16 @@
 use crate::catchup::Splits;
 use crate::journal::Journal;
 use crate::metrics::Metrics;
+use crate::planner::balance::Measured;
+use crate::report::Reports;
 use crate::trace::Tracing;
 
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
 
+/// Views after placement records that are kept for the dispatchers. They take a view over within
+/// 500 ms, in which few placement records are written but after an outage of the log.
+const PLACED_MAX: usize = 64;
 /// How far the log can be read.
 #[derive(Debug, Clone, Default, PartialEq, Eq, derive_more::Display)]
 pub enum Reading {
@@ -54,6 +60,12 @@
     pub logger: Logger,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// The load of the last measure window.
+    pub measured: Measured,
+    /// What the placement report tells.
+    pub reports: Reports,
+    /// Length of a measure window.
+    pub window: Duration,
     /// Views that were split for other hosts.
     pub splits: Splits,
     /// Source of trace spans; off unless the node sets it.
@@ -66,6 +78,7 @@
     view: ArcSwap<View>,
     changed: Event,
     verdicts: Mutex<VecDeque<(Offset, Verdict)>>,
+    placed: Mutex<VecDeque<Arc<View>>>,
     floor: AtomicU64,
     caught_up: AtomicBool,
     synced: AtomicBool,
@@ -89,6 +102,9 @@
             log,
             logger,
             metrics: Metrics::default(),
+            measured: Measured::default(),
+            reports: Reports::default(),
+            window: crate::load::WINDOW,
             splits: Splits::default(),
             tracing: Tracing::default(),
             journal: Journal::default(),
@@ -98,6 +114,7 @@
             view: ArcSwap::default(),
             changed: Event::new(),
             verdicts: Mutex::default(),
+            placed: Mutex::default(),
             floor: AtomicU64::new(0),
             caught_up: AtomicBool::new(false),
             synced: AtomicBool::new(false),
@@ -107,6 +124,28 @@
         }
     }
 
+    /// Sets the length of a measure window, which all hosts of a deployment must share.
+    #[must_use]
+    pub fn window(mut self, length: Duration) -> Self {
+        self.window = length;
+        self
+    }
+
+    /// Keeps the view after a placement record. Called before the view is published.
+    pub fn placed(&self, view: &View) {
+        let mut placed = self.placed.lock().unwrap_or_else(PoisonError::into_inner);
+        placed.push_back(Arc::new(view.clone()));
+        let excess = placed.len().saturating_sub(PLACED_MAX);
+        placed.drain(..excess);
+    }
+
+    /// The kept views whose placement is above `from` and below `to`, in order.
+    pub fn placed_between(&self, from: Revision, to: Revision) -> Vec<Arc<View>> {
+        let placed = self.placed.lock().unwrap_or_else(PoisonError::into_inner);
+        let between = |v: &&Arc<View>| v.placement > from && v.placement < to;
+        placed.iter().filter(between).map(Arc::clone).collect()
+    }
+
     /// The view in force.
     pub fn view(&self) -> Arc<View> {
         self.view.load_full()
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod lease;
 mod log;
 mod placement;
+mod planning;
 mod process;
 mod sessions;
 mod wire;
