Bound the wait after a fenced upstream's earlier dispatcher by its grant

In a rolling restart keys waited in the queue until their deadline: a new owner's dispatcher asked for a release that only an earlier dispatcher could have given, and the present one answered after the longest deadline and margin, 30.5 s. Where the upstream checks fences, what an earlier dispatcher had in flight ends with its last grant, so 1.9 s suffice. Shown by a log of the refused requests: 98 of 101 were shed as expired in the queue.

Upstreams that do not check fences still wait.

--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -184,7 +184,13 @@
             granted: Tick::default(),
         };
         let keep = usize::try_from(service.limits.slots).unwrap_or(1);
-        let longest = millis(service.deadlines.max) + margin;
+        // What an earlier dispatcher had in flight ends with its last grant where the upstream checks
+        // fences, and otherwise with the longest deadline and the margin.
+        let longest = if service.fenced {
+            exchange::GRANT_VALID + GRANT_EVERY
+        } else {
+            millis(service.deadlines.max) + margin
+        };
         let driver = Arc::new(Self {
             peers: dispatchers.peers(),
             siblings: Arc::downgrade(dispatchers),
