End a host that cannot start, and let SIGTERM end the wait for the log

A host that started on a log with a level above its build waited for ever without a word to its supervisor, and a host that waited for the log swallowed SIGTERM. Node::start now fails when the replay has stopped, and trefoild run ends on a signal while it starts.

--- a/crates/daemon/src/catchup.rs
+++ b/crates/daemon/src/catchup.rs
@@ -312,10 +312,18 @@
 }
 
 /// Waits until this host serves: it has joined, or its seeds answer for it.
-pub async fn serving(shared: &Shared) {
+///
+/// # Errors
+///
+/// Fails with the reason if the host's build cannot replay a record.
+pub async fn serving(shared: &Shared) -> Result<(), String> {
     let joined = |s: &Shared| s.view().hosts.contains_key(&s.host.id);
+    let serves = |s: &Shared| joined(s) || (s.is_current() && s.is_vouched());
+    let stopped = |s: &Shared| matches!(s.reading(), Reading::Stopped(_));
     let never = Tick(Duration::MAX);
-    shared
-        .wait_until(never, |s| joined(s) || (s.is_current() && s.is_vouched()))
-        .await;
+    shared.wait_until(never, |s| serves(s) || stopped(s)).await;
+    match shared.reading() {
+        Reading::Stopped(reason) => Err(reason),
+        _ => Ok(()),
+    }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -156,6 +156,12 @@
         /// What is missing.
         source: AuthorityError,
     },
+    /// The log has a record that this build cannot replay.
+    #[snafu(display("the log cannot be replayed: {reason}"))]
+    Stopped {
+        /// What the replay reported.
+        reason: String,
+    },
     /// A port cannot be opened.
     #[snafu(display("the {port} port {address}: {source}"))]
     Bind {
@@ -186,7 +192,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if a port cannot be opened.
+    /// Fails if a port cannot be opened, or if this build cannot replay the log.
     pub async fn start(config: NodeConfig) -> Result<Self, NodeError> {
         let NodeConfig {
             addresses, limits, ..
@@ -276,7 +282,8 @@
             dispatchers,
             _tasks: tasks,
         };
-        catchup::serving(&node.shared).await;
+        let serving = catchup::serving(&node.shared).await;
+        serving.map_err(|reason| NodeError::Stopped { reason })?;
         Ok(node)
     }
 
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -67,7 +67,15 @@
     .logger(logger);
     smol::block_on(async {
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-        let node = Node::start(config).await?;
+        // Without the log and without seeds the start takes as long as the outage.
+        let started = async { Node::start(config).await.map(Some) };
+        let stopped = async {
+            signals.next().await;
+            Ok(None)
+        };
+        let Some(node) = started.or(stopped).await? else {
+            return Ok(());
+        };
         let bound = node.addresses();
         println!(
             "ready caller={} peer={} operator={}",
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -31,6 +31,15 @@
 }
 
 impl Process {
+    /// Starts a process without waiting for its first line.
+    fn spawn(command: &mut Command) -> Self {
+        let child = command.stdout(Stdio::null()).spawn();
+        Self {
+            child: child.expect("the process starts"),
+            line: String::new(),
+        }
+    }
+
     fn start(command: &mut Command) -> Self {
         let mut child = command
             .stdout(Stdio::piped())
@@ -207,13 +216,7 @@
     /// Starts a daemon and waits until it has joined, or serves without. A daemon that is started
     /// again gets the ports that it had.
     pub fn daemon(&mut self, name: &str, domain: &str) {
-        let settings = self.settings(name, domain);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
-        command.args(["run", "--settings"]).arg(settings);
-        if std::env::var_os("DEPLOYMENT_LOGS").is_none() {
-            command.stderr(Stdio::null());
-        }
-        let process = Process::start(&mut command);
+        let process = Process::start(&mut self.command(name, domain));
         let [caller, peer, operator] =
             ["caller=", "peer=", "operator="].map(|p| process.address(p));
         self.ports.insert(name.to_owned(), [caller, peer, operator]);
@@ -228,6 +231,21 @@
         );
     }
 
+    /// Starts a daemon that is not expected to serve.
+    pub fn waiting(&self, name: &str, domain: &str) -> Process {
+        Process::spawn(&mut self.command(name, domain))
+    }
+
+    fn command(&self, name: &str, domain: &str) -> Command {
+        let settings = self.settings(name, domain);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
+        command.args(["run", "--settings"]).arg(settings);
+        if std::env::var_os("DEPLOYMENT_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        command
+    }
+
     fn settings(&self, name: &str, domain: &str) -> PathBuf {
         let dir = self.dir.path();
         let file = |suffix: &str| dir.join(format!("{name}.{suffix}"));
@@ -324,13 +342,19 @@
 
     /// A signed record with a resource, which may be invalid.
     pub fn record(&self, routing: Routing) -> Bytes {
+        let base = routing.revision;
+        self.signed(base, Body::Config(Box::new(routing)))
+    }
+
+    /// A record that an operator signed.
+    pub fn signed(&self, base: Revision, body: Body) -> Bytes {
         let envelope = Envelope {
             format: FORMAT,
             writer: WriterId::random(),
             sequence: 1,
-            base: routing.revision,
+            base,
             time: SystemClock.unix(),
-            body: Body::Config(Box::new(routing)),
+            body,
         };
         let record = Signed::new(&envelope, &self.operator).and_then(|s| s.encode());
         record.expect("the record encodes")
--- a/tests/all/process/recovery.rs
+++ b/tests/all/process/recovery.rs
@@ -4,6 +4,8 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 use trefoil_config::Routing;
+use trefoil_core::Revision;
+use trefoil_log::Body;
 
 use super::deployment::{Deployment, call, eventually};
 
@@ -171,3 +173,24 @@
     let answer = deployment.get("host-1", "/other/customer-1");
     assert_eq!(answer.outcome, "not-run", "{}", answer.body);
 }
+
+/// Guards against a host that hangs, or serves what it has, when the log needs a newer build: the
+/// process ends with an error.
+#[test]
+fn a_host_ends_at_a_level_that_it_does_not_know() {
+    let deployment = deployment(&[]);
+    deployment.append(deployment.signed(Revision(0), Body::Level { format: 2 }));
+    let mut process = deployment.waiting("host-1", "a");
+    assert_eq!(process.wait().code(), Some(1));
+}
+
+/// Guards against a process that cannot be stopped while it waits for the log.
+#[test]
+fn a_host_that_waits_for_the_log_can_be_stopped() {
+    let deployment = deployment(&[]);
+    deployment.fault("\"down\"");
+    let mut process = deployment.waiting("host-1", "a");
+    std::thread::sleep(std::time::Duration::from_secs(1));
+    process.signal(Signal::SIGTERM);
+    assert!(process.wait().success());
+}
