--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -41,19 +41,26 @@
     }
 
     fn start(command: &mut Command) -> Self {
-        let mut child = command
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the process starts");
-        let mut out = BufReader::new(child.stdout.take().expect("stdout is piped"));
-        let mut line = String::new();
-        out.read_line(&mut line).expect("the first line");
-        // A full pipe would block the process, so the rest is read and dropped.
-        std::thread::spawn(move || out.read_to_end(&mut Vec::new()));
-        Self {
-            child,
-            line: line.trim().to_owned(),
-        }
+        let child = command.stdout(Stdio::piped()).spawn();
+        let mut process = Self {
+            child: child.expect("the process starts"),
+            line: String::new(),
+        };
+        let out = process.child.stdout.take().expect("stdout is piped");
+        let (sender, first) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let (mut out, mut line) = (BufReader::new(out), String::new());
+            let read = out.read_line(&mut line).map(|_| line);
+            // The test may have given up.
+            let _ = sender.send(read);
+            // A full pipe would block the process, so the rest is read and dropped.
+            out.read_to_end(&mut Vec::new())
+        });
+        let line = first.recv_timeout(PATIENCE);
+        let line = line.unwrap_or_else(|_| panic!("no first line within {PATIENCE:?}"));
+        let line = line.expect("the first line");
+        line.trim().clone_into(&mut process.line);
+        process
     }
 
     fn address(&self, name: &str) -> SocketAddr {
