--- a/crates/daemon/src/dispatcher/job.rs
+++ b/crates/daemon/src/dispatcher/job.rs
@@ -3,22 +3,19 @@
 use std::sync::Arc;
 
 use async_channel::Receiver;
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use http::StatusCode;
 use trefoil_core::{Outcome, Shard, Tick};
 use trefoil_dispatch::{
-    Cause, Decision, Digest, Dropped, Record, Report, Request, ShedReason, Ticket, TicketId,
+    Cause, Decision, Dropped, Record, Report, Request, ShedReason, Ticket, TicketId,
 };
 use trefoil_log::View;
 use trefoil_wire::{AnswerHead, Body, ForwardHead};
-use xxhash_rust::xxh3::Xxh3;
 
 use super::driver::{Driver, Notice};
+use super::payload::Payload;
 use super::{Answer, exchange, failed, settled};
-
-/// Bodies up to this many bytes are read before the request is offered, so that it can be sent
-/// again and its digest covers the body.
-pub const REPLAY_MAX: usize = 64 * 1024;
+use crate::problem::Problem;
+use crate::request::forwarded;
 
 impl Driver {
     /// Answers a forwarded request.
@@ -113,13 +110,35 @@
                 );
             }
             Decision::Repeat(record) => return self.repeated(*record),
-            Decision::InFlight => "a request with this id is being executed".to_owned(),
-            Decision::Conflict => "another request was seen under this id".to_owned(),
+            Decision::InFlight => {
+                let detail = "a request with this id is being executed; repeat it later";
+                return self.problem(&Problem {
+                    outcome,
+                    ..Problem::not_run(StatusCode::CONFLICT, detail)
+                });
+            }
+            Decision::Conflict => {
+                let detail = "another request was seen under this id";
+                return self.problem(&Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, detail));
+            }
             Decision::Start(_) | Decision::Queued(_) => String::new(),
         };
         settled(&self.shared, outcome, &reason)
     }
 
+    /// Answers with a status of its own. The ingress does not forward such a request again, because
+    /// this is an answer and no failure.
+    fn problem(&self, problem: &Problem) -> Answer {
+        let (parts, document) = problem.document().into_parts();
+        let head = AnswerHead::Answer {
+            status: parts.status.as_u16(),
+            headers: forwarded(&parts.headers),
+            outcome: problem.outcome,
+            revision: self.shared.view().revision,
+        };
+        (head, trefoil_wire::body::full(document))
+    }
+
     /// Answers a repeat of a request that has finished. The body of the first answer is not kept.
     fn repeated(&self, record: Record) -> Answer {
         let revision = self.shared.view().revision;
@@ -137,59 +156,6 @@
     }
 }
 
-/// The body of a request.
-#[derive(Debug)]
-pub(super) enum Payload {
-    /// The whole body, which can be sent again.
-    Whole(Bytes),
-    /// A body that can be sent once.
-    Stream(Option<Body>),
-}
-
-impl Payload {
-    async fn read(head: &ForwardHead, body: Body) -> Result<Self, String> {
-        let length = head
-            .headers
-            .iter()
-            .find(|(name, _)| name == "content-length");
-        let length = length.and_then(|(_, v)| std::str::from_utf8(v).ok()?.parse::<u64>().ok());
-        let chunked = head
-            .headers
-            .iter()
-            .any(|(name, _)| name == "transfer-encoding");
-        match length {
-            Some(n) if n > REPLAY_MAX as u64 => Ok(Self::Stream(Some(body))),
-            None if chunked => Ok(Self::Stream(Some(body))),
-            _ => {
-                let body = http_body_util::Limited::new(body, REPLAY_MAX);
-                let whole = body.collect().await.map_err(|e| e.to_string())?;
-                Ok(Self::Whole(whole.to_bytes()))
-            }
-        }
-    }
-
-    /// The digest of a request. Of a body that can be sent once it covers only the length, because
-    /// the body is not read before the decision.
-    fn digest(&self, head: &ForwardHead) -> Digest {
-        let mut hash = Xxh3::new();
-        for part in [&head.method, &head.path] {
-            hash.update(&part.len().to_le_bytes());
-            hash.update(part.as_bytes());
-        }
-        match self {
-            Self::Whole(bytes) => hash.update(bytes),
-            Self::Stream(_) => {
-                let length = head
-                    .headers
-                    .iter()
-                    .find(|(name, _)| name == "content-length");
-                hash.update(length.map_or(b"", |(_, v)| v.as_slice()));
-            }
-        }
-        Digest(hash.digest128())
-    }
-}
-
 /// A started request. If it is dropped, because its caller has gone away, the slot is given back
 /// and the request counts as abandoned, or as not written if it was not.
 #[derive(Debug)]
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod catchup;
 pub mod dispatcher;
 pub mod ingress;
+pub mod journal;
 pub mod logging;
 pub mod member;
 pub mod message;
@@ -25,7 +26,9 @@
 pub mod shared;
 pub mod snapshots;
 pub mod tailer;
+pub mod trace;
 pub mod watchdog;
 
 pub use node::{Node, NodeConfig, NodeError};
 pub use shared::Shared;
+pub use trace::Tracing;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -19,6 +19,7 @@
 use crate::ingress::Ingress;
 use crate::operator::Operator;
 use crate::shared::{Reading, Shared};
+use crate::trace::Tracing;
 use crate::{member, planner, snapshots, tailer};
 
 /// Longest wait for other hosts to take over the upstreams of a host that stops.
@@ -45,6 +46,7 @@
     watchdog: bool,
     seeds: Vec<SocketAddr>,
     snapshots: snapshots::Policy,
+    tracing: Tracing,
 }
 
 impl NodeConfig {
@@ -80,6 +82,7 @@
             watchdog: false,
             seeds: Vec::new(),
             snapshots: snapshots::Policy::default(),
+            tracing: Tracing::default(),
         }
     }
 
@@ -133,6 +136,13 @@
         self
     }
 
+    /// Sets the source of trace spans.
+    #[must_use]
+    pub fn tracing(mut self, tracing: Tracing) -> Self {
+        self.tracing = tracing;
+        self
+    }
+
     /// Sets the bounds on what clients may send.
     #[must_use]
     pub fn limits(mut self, limits: Limits) -> Self {
@@ -219,13 +229,9 @@
         let logger = config.logger.new(o!("host" => host.name.to_string()));
         info!(logger, "starting"; "incarnation" => %host.id, "caller" => %addresses.caller,
             "peer" => %addresses.peer, "operator" => %addresses.operator);
-        let shared = Arc::new(Shared::new(
-            host,
-            config.clock,
-            config.log,
-            logger,
-            config.signer,
-        ));
+        let mut shared = Shared::new(host, config.clock, config.log, logger, config.signer);
+        shared.tracing = config.tracing;
+        let shared = Arc::new(shared);
         let (authority, changes) = Authority::new(
             Arc::clone(&shared),
             Arc::clone(&peers),
@@ -310,6 +316,17 @@
         self.shared.wait_until(Tick(Duration::MAX), stopped).await;
     }
 
+    /// Leaves the deployment after the lease has ended. The process serves nobody any more, but other
+    /// hosts' leases still count on it as a witness: if it ended at once, theirs could end as well.
+    pub async fn retire(self) {
+        info!(self.shared.logger, "retiring");
+        self.shared.start_drain();
+        self.authority.disarm();
+        member::announce_leave(&self.shared).await;
+        member::wait_replaced(&self.shared, &self.authority).await;
+        member::leave(&self.shared).await;
+    }
+
     /// Leaves the ready list, hands its upstreams over, finishes what is in flight and leaves the
     /// deployment.
     pub async fn drain(self) {
@@ -319,6 +336,7 @@
         // A host that replays no more would wait in vain to read its plan back; its record of having
         // left lets the successors act.
         if !matches!(self.shared.reading(), Reading::Stopped(_)) {
+            member::announce_leave(&self.shared).await;
             planner::hand_over(&self.shared).await;
         }
         let until = self.shared.clock.now().after(HAND_OVER_MAX);
@@ -331,10 +349,12 @@
         while !self.dispatchers.is_idle() {
             self.shared.clock.sleep(HAND_OVER_POLL).await;
         }
+        member::wait_replaced(&self.shared, &self.authority).await;
         member::leave(&self.shared).await;
         self.peers.drain().await;
         self.operator.stop().await;
         self.authority.disarm();
+        self.shared.tracing.flush();
         info!(self.shared.logger, "drained");
     }
 }
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -13,7 +13,9 @@
 use trefoil_log::{HostRecord, Log, Signer, SubmitError, Verdict, View, submit};
 
 use crate::catchup::Splits;
+use crate::journal::Journal;
 use crate::metrics::Metrics;
+use crate::trace::Tracing;
 
 /// Verdicts that are kept for those who wait for them.
 const VERDICTS_MAX: usize = 4096;
@@ -54,6 +56,10 @@
     pub metrics: Metrics,
     /// Views that were split for other hosts.
     pub splits: Splits,
+    /// Source of trace spans; off unless the node sets it.
+    pub tracing: Tracing,
+    /// Accepted changes of resources.
+    pub journal: Journal,
     signer: Signer,
     writer: WriterId,
     sequence: async_lock::Mutex<u64>,
@@ -84,6 +90,8 @@
             logger,
             metrics: Metrics::default(),
             splits: Splits::default(),
+            tracing: Tracing::default(),
+            journal: Journal::default(),
             signer,
             writer: WriterId::random(),
             sequence: async_lock::Mutex::new(0),
@@ -122,6 +130,7 @@
         let excess = kept.len().saturating_sub(VERDICTS_MAX);
         kept.drain(..excess);
         let revision = view.revision;
+        self.journal.published(revision);
         self.metrics
             .revision
             .set(i64::try_from(revision.0).unwrap_or(i64::MAX));
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -1,6 +1,7 @@
 //! `trefoild run`: runs an entry host until it is told to stop.
 
 use std::error::Error;
+use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use slog::Level;
 use trefoil_config::settings::LogLevel;
 use trefoil_daemon::snapshots::Policy;
-use trefoil_daemon::{Node, NodeConfig, logging};
+use trefoil_daemon::{Node, NodeConfig, Tracing, logging};
 use trefoil_platform::LogClient;
 
 use crate::settings;
@@ -27,16 +28,24 @@
     /// Its build cannot replay a record.
     Newer,
 }
+/// Exit code after the end of the lease (`EX_TEMPFAIL`): a new process can go on at once.
+const LEASE_ENDED: u8 = 75;
+
+const EXAMPLES: &str = "Examples:
+  trefoild run --settings trefoild.yaml
+  trefoild run --settings trefoild.yaml --name entry-02 --domain b
+  TREFOIL_LOG_LEVEL=debug trefoild run --settings trefoild.yaml --trace spans.jsonl";
 
 /// The subcommand.
 pub fn command() -> Command {
     Command::new("run")
-        .about("Runs an entry host; SIGTERM drains it")
-        .arg(settings::arg())
+        .about("Runs an entry host until SIGTERM or SIGINT drains it")
+        .after_help(format!("{EXAMPLES}\n\n{}", settings::EXIT_CODES))
+        .args(settings::args())
 }
 
 /// Runs the subcommand.
-pub fn execute(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+pub fn execute(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
     let loaded = settings::load(matches)?;
     let (addresses, limits) = (loaded.addresses(), loaded.limits());
     let settings::Loaded {
@@ -46,6 +55,11 @@
         keys,
     } = loaded;
     let (logger, _flush) = logging::stderr(level(settings.log_level));
+    let tracing = match &settings.trace {
+        Some(path) => Tracing::to_file(path, settings.name.as_str())
+            .map_err(|e| format!("{}: {e}", path.display()))?,
+        None => Tracing::default(),
+    };
     let log = Arc::new(LogClient::new(settings.platform.log));
     let config = NodeConfig::new(
         settings.name,
@@ -63,6 +77,7 @@
         records: settings.snapshots.records.into(),
         interval: Duration::from_secs(settings.snapshots.retention.into()) / SNAPSHOTS_RETAINED,
     })
+    .tracing(tracing)
     .watchdog()
     .logger(logger);
     smol::block_on(async {
@@ -74,7 +89,7 @@
             Ok(None)
         };
         let Some(node) = started.or(stopped).await? else {
-            return Ok(());
+            return Ok(ExitCode::SUCCESS);
         };
         let bound = node.addresses();
         println!(
@@ -96,11 +111,13 @@
         match signal.or(ended).or(stopped).await {
             End::Signal => {
                 node.drain().await;
-                Ok(())
+                Ok(ExitCode::SUCCESS)
+            }
+            End::Lease => {
+                node.retire().await;
+                eprintln!("the lease of this incarnation has ended; start the process again");
+                Ok(ExitCode::from(LEASE_ENDED))
             }
-            End::Lease => Err(Box::from(
-                "the lease of this incarnation has ended; start the process again",
-            )),
             End::Newer => {
                 node.drain().await;
                 Err(Box::from(
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,7 +1,12 @@
 //! Whole paths over separate processes on loopback.
 
+mod child;
 mod deployment;
+mod ended;
+mod history;
 mod recovery;
+mod scenario;
+mod settings;
 mod stops;
 mod takeover;
 mod thin;
