--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -44,6 +44,7 @@
     clock: Arc<dyn Clock>,
     timing: Timing,
     watchdog: bool,
+    window: Duration,
     seeds: Vec<SocketAddr>,
     snapshots: snapshots::Policy,
     tracing: Tracing,
@@ -80,6 +81,7 @@
             clock: Arc::new(SystemClock),
             timing: Timing::default(),
             watchdog: false,
+            window: crate::load::WINDOW,
             seeds: Vec::new(),
             snapshots: snapshots::Policy::default(),
             tracing: Tracing::default(),
@@ -114,6 +116,13 @@
         self
     }
 
+    /// Sets the length of a measure window of load, which all hosts of a deployment must share.
+    #[must_use]
+    pub fn window(mut self, length: Duration) -> Self {
+        self.window = length;
+        self
+    }
+
     /// Sets the hosts that are asked for the newest view while the log cannot be read.
     #[must_use]
     pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> Self {
@@ -231,7 +240,7 @@
             "peer" => %addresses.peer, "operator" => %addresses.operator);
         let mut shared = Shared::new(host, config.clock, config.log, logger, config.signer);
         shared.tracing = config.tracing;
-        let shared = Arc::new(shared);
+        let shared = Arc::new(shared.window(config.window));
         let (authority, changes) = Authority::new(
             Arc::clone(&shared),
             Arc::clone(&peers),
@@ -274,6 +283,10 @@
                 Arc::clone(&authority),
                 Arc::clone(&dispatchers),
             )),
+            smol::spawn(planner::balance::run(
+                Arc::clone(&shared),
+                Arc::clone(&dispatchers),
+            )),
             smol::spawn(member::keep_lease(
                 Arc::clone(&shared),
                 Arc::clone(&authority),
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -23,6 +23,7 @@
 use trefoil_wire::{Peers, decode, encode};
 
 use crate::message::{Message, Reply};
+use crate::report::report;
 use crate::shared::Shared;
 
 /// Time in which an operator's record must be read back.
@@ -128,6 +129,7 @@
                 let view = self.shared.view();
                 json(StatusCode::OK, &view.resources.values().collect::<Vec<_>>())
             }
+            (&Method::GET, "/v1/report") => self.report(request.uri().query()).await,
             (&Method::GET, "/v1/watch") => self.watch(request.uri().query()),
             (&Method::POST, "/v1/records") => self.record(request).await,
             (&Method::POST, "/v1/drain") => {
@@ -156,6 +158,26 @@
         }
     }
 
+    async fn report(&self, query: Option<&str>) -> Response<Body> {
+        let format = query.map_or(Some("text"), |q| q.strip_prefix("format="));
+        let report = match format {
+            Some("text" | "json" | "html") => report(&self.shared, &self.peers).await,
+            _ => return text(StatusCode::BAD_REQUEST, "format is text, json or html"),
+        };
+        let (kind, page) = match format {
+            Some("json") => match report.to_json() {
+                Ok(json) => ("application/json", json),
+                Err(e) => return text(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+            },
+            Some("html") => ("text/html; charset=utf-8", report.to_html()),
+            _ => ("text/plain; charset=utf-8", report.to_text()),
+        };
+        let mut response = Response::new(full(page));
+        let kind = HeaderValue::from_static(kind);
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+
     async fn record(&self, request: Request<Incoming>) -> Response<Body> {
         let body = match Limited::new(request.into_body(), RECORD_MAX)
             .collect()
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,7 +1,7 @@
 //! Whole paths over separate processes on loopback.
 
 mod child;
-mod deployment;
+pub mod deployment;
 mod ended;
 mod history;
 mod recovery;
