--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,5 +1,6 @@
 //! Whole paths over separate processes on loopback.
 
+mod child;
 pub mod deployment;
 mod ended;
 mod history;
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -2,17 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader, Read};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::{Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
 use serde_json::Value;
 use tempfile::TempDir;
 use trefoil_config::Routing;
@@ -20,6 +17,8 @@
 use trefoil_log::{Body, Envelope, FORMAT, Signed, Signer};
 use trefoil_wire::Authority;
 
+use super::child::Process;
+
 const CERTIFICATE_VALID: Duration = Duration::from_hours(24);
 
 /// Longest wait for a state that a test expects.
@@ -54,73 +53,6 @@
     }
 }
 
-/// A child process that is killed when it is dropped.
-pub struct Process {
-    child: Child,
-    line: String,
-}
-
-impl Process {
-    fn start(command: &mut Command) -> Self {
-        let mut child = command
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the process starts");
-        let mut out = BufReader::new(child.stdout.take().expect("stdout is piped"));
-        let mut line = String::new();
-        out.read_line(&mut line).expect("the first line");
-        // A full pipe would block the process, so the rest is read and dropped.
-        std::thread::spawn(move || out.read_to_end(&mut Vec::new()));
-        Self {
-            child,
-            line: line.trim().to_owned(),
-        }
-    }
-
-    fn address(&self, name: &str) -> SocketAddr {
-        let field = self.line.split(' ').find_map(|w| w.strip_prefix(name));
-        let field = field.unwrap_or_else(|| panic!("{name} in {:?}", self.line));
-        field.parse().expect("an address")
-    }
-
-    fn listening(&self) -> SocketAddr {
-        let address = self.line.strip_prefix("listening ").expect("a stand-in");
-        address.parse().expect("an address")
-    }
-
-    /// Sends a signal.
-    pub fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("pid"));
-        kill(pid, signal).expect("the process exists");
-    }
-
-    /// Whether the process has not ended.
-    pub fn is_running(&self) -> bool {
-        // A process that ended and was not waited for still takes signals, but its state says so.
-        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
-        stat.is_ok_and(|s| !s.contains(") Z "))
-    }
-
-    /// Waits for the process to end by itself.
-    pub fn wait(&mut self) -> ExitStatus {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            match self.child.try_wait().expect("the child can be waited for") {
-                Some(status) => return status,
-                None if Instant::now() > until => panic!("the process did not end: {}", self.line),
-                None => std::thread::sleep(Duration::from_millis(20)),
-            }
-        }
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// An upstream of a deployment.
 pub struct Upstream {
     /// The process.
@@ -248,13 +180,7 @@
     /// Starts a daemon and waits until it has joined, or serves without. A daemon that is started
     /// again gets the ports that it had.
     pub fn daemon(&mut self, name: &str, domain: &str) {
-        let settings = self.settings(name, domain);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
-        command.args(["run", "--settings"]).arg(settings);
-        if std::env::var_os("DEPLOYMENT_LOGS").is_none() {
-            command.stderr(Stdio::null());
-        }
-        let process = Process::start(&mut command);
+        let process = Process::start(&mut self.command(name, domain));
         let [caller, peer, operator] =
             ["caller=", "peer=", "operator="].map(|p| process.address(p));
         self.ports.insert(name.to_owned(), [caller, peer, operator]);
@@ -269,6 +195,21 @@
         );
     }
 
+    /// Starts a daemon that is not expected to serve.
+    pub fn waiting(&self, name: &str, domain: &str) -> Process {
+        Process::spawn(&mut self.command(name, domain))
+    }
+
+    fn command(&self, name: &str, domain: &str) -> Command {
+        let settings = self.settings(name, domain);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
+        command.args(["run", "--settings"]).arg(settings);
+        if std::env::var_os("DEPLOYMENT_LOGS").is_none() {
+            command.stderr(Stdio::null());
+        }
+        command
+    }
+
     /// Writes the settings of a daemon and the files that they name.
     pub fn settings(&self, name: &str, domain: &str) -> PathBuf {
         let dir = self.dir.path();
@@ -366,13 +307,19 @@
 
     /// A signed record with a resource, which may be invalid.
     pub fn record(&self, routing: Routing) -> Bytes {
+        let base = routing.revision;
+        self.signed(base, Body::Config(Box::new(routing)))
+    }
+
+    /// A record that an operator signed.
+    pub fn signed(&self, base: Revision, body: Body) -> Bytes {
         let envelope = Envelope {
             format: FORMAT,
             writer: WriterId::random(),
             sequence: 1,
-            base: routing.revision,
+            base,
             time: SystemClock.unix(),
-            body: Body::Config(Box::new(routing)),
+            body,
         };
         let record = Signed::new(&envelope, &self.operator).and_then(|s| s.encode());
         record.expect("the record encodes")
