Test the quick start and end a host that is alone at once

A drain waited 5 s for other hosts to take over even where there is none, so Ctrl-C on `trefoild dev` took that long, and the metric `trefoil_active` was registered and never set. A host that is alone in the view waits for nobody, and the dispatcher's driver sets the gauge in each round and removes it when it stops.

--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -289,6 +289,8 @@
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
         self.pool.close();
+        let labels = Metrics::upstream(self.name().as_str());
+        self.shared.metrics.active.remove(&labels);
         let now = self.shared.clock.now();
         let mut inner = self.lock();
         let actions = inner.admission.set_access(now, Access::Closed);
@@ -352,6 +354,12 @@
         inner.perform(actions);
         let actions = inner.admission.poll(now);
         inner.perform(actions);
+        let running = inner.admission.running();
+        self.shared
+            .metrics
+            .active
+            .get_or_create(&Metrics::upstream(self.name().as_str()))
+            .set(i64::try_from(running).unwrap_or(i64::MAX));
         let due = self.settings.fenced
             && now >= inner.granted.after(GRANT_EVERY)
             && inner.health.may_grant();
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -323,10 +323,13 @@
         }
         let until = self.shared.clock.now().after(HAND_OVER_MAX);
         let closed = |_: &Shared| self.dispatchers.is_empty();
-        while !closed(&self.shared) && self.shared.clock.now() < until {
+        // Without another host there is nobody to wait for.
+        let alone = |s: &Shared| s.view().hosts.keys().all(|id| *id == s.host.id);
+        let waits = |s: &Shared| !closed(s) && !alone(s) && s.clock.now() < until;
+        while waits(&self.shared) {
             self.shared.clock.sleep(HAND_OVER_POLL).await;
         }
-        // Without another host or without the log nobody takes over; the requests still finish.
+        // If nobody has taken over, for example without the log, the requests still finish.
         self.dispatchers.drain();
         while !self.dispatchers.is_idle() {
             self.shared.clock.sleep(HAND_OVER_POLL).await;
--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -1,6 +1,7 @@
 //! Whole paths over separate processes on loopback.
 
 mod deployment;
+mod dev;
 mod ended;
 mod history;
 mod recovery;
