--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -35,8 +35,10 @@
 use self::failover::Announcement;
 use crate::authority::{Authority, RoleChange};
 use crate::catchup;
+use crate::load::{self, UpstreamLoad, Window};
 use crate::message::{Message, Reply};
 use crate::planner::Observed;
+use crate::report;
 use crate::shared::Shared;
 
 /// Longest wait for a view that is as new as the ingress's.
@@ -108,6 +110,12 @@
         observed
     }
 
+    /// What this host's dispatchers counted in a closed measure window.
+    pub fn loads(&self, window: Window) -> Vec<UpstreamLoad> {
+        let closed = |d: Arc<Driver>| d.load(window);
+        load::bounded(self.all().into_iter().filter_map(closed).collect())
+    }
+
     /// Whether no dispatcher runs.
     pub fn is_empty(&self) -> bool {
         self.lock().is_empty()
@@ -261,6 +269,18 @@
                     messages,
                 }
             }
+            Ok(Message::Load { sender, window }) => {
+                self.shared.learn(sender);
+                Reply::Load {
+                    loads: self.loads(window),
+                }
+            }
+            Ok(Message::Report { sender }) => {
+                self.shared.learn(sender);
+                Reply::Report {
+                    services: report::bounded(self.shared.reports.services()),
+                }
+            }
             Ok(Message::Releases { query }) => self.releases(&query).await,
             Ok(Message::FailedOver { announcement }) => self.announced(&announcement),
             Ok(Message::Offer { offer }) => self.offered(&offer),
--- a/crates/daemon/src/tailer.rs
+++ b/crates/daemon/src/tailer.rs
@@ -112,6 +112,7 @@
     let mut verdicts = Vec::with_capacity(batch.records.len());
     let mut result = Ok(());
     for record in &batch.records {
+        let (tables, placement) = (view.tables.clone(), view.placement);
         let verdict = match view.apply(record.offset, &record.data, keys) {
             Ok(verdict) => verdict,
             Err(e) => {
@@ -119,6 +120,11 @@
                 break;
             }
         };
+        if view.placement != placement {
+            shared.placed(&view);
+            let reports = &shared.reports;
+            reports.placed(&tables, &view, &record.data, shared.window);
+        }
         match &verdict {
             Verdict::Accepted { revision } => {
                 shared.journal.note(*revision, &view);
