--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -5,6 +5,8 @@
 //! forwarded once. Small bodies are read first, so that a request which was not run, for example
 //! because the key's owner has just changed, can be forwarded again.
 
+mod answer;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -15,7 +17,7 @@
 use futures_lite::future::Boxed;
 use http::header::CONNECTION;
 use http::request::Parts;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::debug;
@@ -25,10 +27,11 @@
 use trefoil_wire::message::TEXT_MAX;
 use trefoil_wire::{AnswerHead, Body, BodyError, ForwardHead, Handler, PeerId, Peers, encode};
 
+use self::answer::{Answered, passed_on, unavailable};
 use crate::authority::Authority;
 use crate::dispatcher::{Dispatchers, owner};
 use crate::message::Message;
-use crate::problem::{OUTCOME_HEADER, Problem, outcome_value};
+use crate::problem::Problem;
 use crate::request::{ID_HEADER, Intent, forwarded};
 use crate::routes::Routes;
 use crate::shared::Shared;
@@ -77,9 +80,6 @@
     }
 }
 
-/// An answer for the caller.
-type Answered = (Outcome, Response<trefoil_http::Body>);
-
 /// How one attempt ended.
 enum Attempt {
     Answered(AnswerHead, Body),
@@ -500,35 +500,3 @@
         Problem::not_run(status, detail).document()
     }
 }
-
-fn unavailable(reason: &str) -> Problem {
-    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
-}
-
-fn passed_on(head: AnswerHead, body: Body) -> Answered {
-    let AnswerHead::Answer {
-        status,
-        headers,
-        outcome,
-        ..
-    } = head
-    else {
-        let problem = Problem::unknown("the dispatcher's answer has no head");
-        return (problem.outcome, problem.response());
-    };
-    let body = body
-        .map_err(|e| Box::new(e) as trefoil_http::BodyError)
-        .boxed();
-    let mut response = Response::new(body);
-    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-    for (name, value) in headers {
-        let name = HeaderName::from_bytes(name.as_bytes());
-        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
-        .headers_mut()
-        .insert(OUTCOME_HEADER, outcome_value(outcome));
-    (outcome, response)
-}
--- /dev/null
+++ b/crates/daemon/src/ingress/answer.rs
@@ -0,0 +1,45 @@
+//! Answers to callers.
+
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+use http_body_util::BodyExt;
+use trefoil_core::Outcome;
+use trefoil_wire::{AnswerHead, Body};
+
+use crate::problem::{OUTCOME_HEADER, Problem, outcome_value};
+
+/// An answer for the caller.
+pub(super) type Answered = (Outcome, Response<trefoil_http::Body>);
+
+/// A request that was not run because nothing could take it.
+pub(super) fn unavailable(reason: &str) -> Problem {
+    Problem::not_run(StatusCode::SERVICE_UNAVAILABLE, reason)
+}
+
+/// The upstream's answer with the outcome.
+pub(super) fn passed_on(head: AnswerHead, body: Body) -> Answered {
+    let AnswerHead::Answer {
+        status,
+        headers,
+        outcome,
+        ..
+    } = head
+    else {
+        let problem = Problem::unknown("the dispatcher's answer has no head");
+        return (problem.outcome, problem.response());
+    };
+    let body = body
+        .map_err(|e| Box::new(e) as trefoil_http::BodyError)
+        .boxed();
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    for (name, value) in headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+        .headers_mut()
+        .insert(OUTCOME_HEADER, outcome_value(outcome));
+    (outcome, response)
+}
