--- a/crates/daemon/src/ingress.rs
+++ b/crates/daemon/src/ingress.rs
@@ -186,10 +186,7 @@
             .is_some_and(|n| n <= REPLAY_MAX)
         {
             let late = self.shared.clock.sleep(PATIENCE);
-            let read = async {
-                let _ = body.collect().await;
-            };
-            read.or(late).await;
+            async { drop(body.collect().await) }.or(late).await;
         }
     }
 
