--- a/tests/all/process.rs
+++ b/tests/all/process.rs
@@ -2,6 +2,7 @@
 
 mod child;
 pub mod deployment;
+mod dev;
 mod ended;
 mod history;
 mod recovery;
