--- a/crates/daemon/src/operator/watch.rs
+++ b/crates/daemon/src/operator/watch.rs
@@ -15,7 +15,7 @@
 //! answers 410, and a client that falls so far behind that they are forgotten has its stream cut off
 //! without an end. Such a client reads the resources and starts again.
 //!
-//! A client costs one cursor and at most [`LINES_MAX`] lines that wait for it. All clients share
+//! A client costs one cursor and at most `LINES_MAX` lines that wait for it. All clients share
 //! the questions to the hosts, which are asked only while a revision is not in force everywhere.
 
 use std::collections::{BTreeMap, BTreeSet};
