Add a bench that measures the slopes of control work

The capacity of a host could not be worked out, because nothing said how replay, leases, lookups and heartbeats grow with the deployment. QuicPeers::traffic exposes the byte counters of QUIC for the heartbeats.

--- /dev/null
+++ b/crates/bench/src/lookup.rs
@@ -0,0 +1,131 @@
+//! The way from a request to the host that dispatches to the owner of its key.
+
+use http::Request;
+use trefoil_core::{KeyHash, Revision, ServiceName, Tick};
+use trefoil_daemon::dispatcher::owner;
+use trefoil_daemon::request::Intent;
+use trefoil_daemon::routes::Routes;
+use trefoil_placement::{Change, HOT_MAX, HotMove, Seat};
+
+use crate::fit::{Series, each};
+use crate::replay::table;
+use crate::world::{self, World};
+use crate::{Error, alloc};
+
+/// Repeats at each size.
+const REPEATS: usize = 7;
+
+/// Operations in one timed run.
+const COUNT: usize = 20_000;
+
+fn keys() -> Vec<KeyHash> {
+    (0..1_u64 << 16)
+        .map(|i| KeyHash::of(&i.to_le_bytes()))
+        .collect()
+}
+
+/// Measures and prints the lookups.
+pub fn run() -> Result<(), Error> {
+    shards()?;
+    upstreams()
+}
+
+fn shards() -> Result<(), Error> {
+    let keys = keys();
+    let mut series = Series::new(
+        "key to owner, 4,096 hot-key entries, one key in 16 hot",
+        "ns; n shards",
+    );
+    for count in [1_u32 << 10, 1 << 14, 1 << 17, 1 << 20] {
+        let mut table = table(count)?;
+        let seat = Seat {
+            owner: trefoil_placement::Member(3),
+            standby: trefoil_placement::Member(4),
+        };
+        let hot = keys.iter().step_by(16).take(HOT_MAX);
+        let moves = hot.map(|&key| HotMove { key, seat }).collect();
+        table.apply(&Change::HotMoves { moves })?;
+        let find = |(): &mut ()| {
+            let found = keys.iter().map(|&k| table.locate(k));
+            found
+                .map(|s| s.map_or(0, |s| u64::from(s.owner.0)))
+                .sum::<u64>()
+        };
+        let times = each(REPEATS, keys.len(), || (), find);
+        series.add(count as usize, times.iter().map(|t| t * 1e3).collect());
+    }
+    series.print();
+    Ok(())
+}
+
+fn upstreams() -> Result<(), Error> {
+    let keys = keys();
+    let mut read = Series::new("request head read", "ns; n upstreams of the service");
+    let mut find = Series::new("key to owner's name", "ns; n upstreams of the service");
+    let mut host = Series::new("owner to dispatcher host", "ns; n assignments");
+    for n in [10, 100, 1_000] {
+        let mut world = World::new()?;
+        world.grow(1_000)?;
+        world.view.resources.clear();
+        let body = trefoil_log::Body::Config(Box::new(world::routing(0, n, Revision(0))?));
+        let config = world.record(9, 9, body)?;
+        world.apply(&config)?;
+        let name: ServiceName = "service-0".parse()?;
+        world
+            .view
+            .tables
+            .insert(name.clone(), table(1 << 17)?.into());
+        let view = &world.view;
+        let request = Request::get("/service-0/customer-17").body(())?;
+        let (parts, ()) = request.into_parts();
+        let reads = |(): &mut ()| {
+            for _ in 0..COUNT / 10 {
+                let intent = Intent::read(&parts, view);
+                std::hint::black_box(intent.is_ok());
+            }
+        };
+        let before = alloc::calls();
+        let intent = Intent::read(&parts, view);
+        let calls = alloc::calls() - before;
+        println!("request head read with {n} upstreams: {calls} allocations");
+        drop(intent);
+        let nanos = |times: Vec<f64>| times.iter().map(|t| t * 1e3).collect();
+        read.add(n, nanos(each(REPEATS, COUNT / 10, || (), reads)));
+        let (_, service) = view.service(&name).ok_or("no service")?;
+        let owners = |(): &mut ()| {
+            let found = keys.iter().filter_map(|&k| owner(view, service, k));
+            found.map(|u| u.as_str().len()).sum::<usize>()
+        };
+        find.add(n, nanos(each(REPEATS, keys.len(), || (), owners)));
+    }
+    for n in [1_000, 5_000, 19_000] {
+        let mut world = World::new()?;
+        world.grow(n)?;
+        let view = &world.view;
+        let names: Result<Vec<_>, Error> = (0..n).map(world::upstream).collect();
+        let names = names?;
+        let routes = Routes::default();
+        for (i, name) in names.iter().enumerate() {
+            routes.answered(name, world::id(i));
+        }
+        let step = 7_919;
+        let hosts = |(): &mut ()| {
+            let order = (0..COUNT).map(|i| &names[i * step % n]);
+            order
+                .map(|u| routes.hosts(view, u, Tick::default()).len())
+                .sum::<usize>()
+        };
+        let before = alloc::calls();
+        std::hint::black_box(routes.hosts(view, &names[0], Tick::default()));
+        println!(
+            "owner to dispatcher host: {} allocations",
+            alloc::calls() - before
+        );
+        let times = each(REPEATS, COUNT, || (), hosts);
+        host.add(n, times.iter().map(|t| t * 1e3).collect());
+    }
+    for series in [read, find, host] {
+        series.print();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/bench/src/wire.rs
@@ -0,0 +1,188 @@
+//! Bytes of heartbeats on the wire, from the statistics of QUIC.
+//!
+//! Six endpoints send heartbeats to each other, so each is a holder with 5 witnesses and a witness
+//! of 5 holders, as a host of a large deployment is on average.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use smol::Timer;
+use trefoil_core::{Clock, HostId, Revision, SystemClock};
+use trefoil_daemon::message::{Message, Reply};
+use trefoil_lease::{Generation, Message as LeaseMessage};
+use trefoil_wire::{
+    AnswerHead, Authority, Body, BoxFuture, Builder, Endpoint, ForwardHead, Handler, PeerId, Peers,
+    QuicPeers, Traffic, body, decode, encode,
+};
+
+use crate::Error;
+use crate::fit::Series;
+
+/// Hosts: one and its 5 witnesses.
+const HOSTS: usize = 6;
+
+/// Heartbeats to each witness in one run.
+const BEATS: u32 = 12;
+
+/// Runs at each interval.
+const REPEATS: usize = 3;
+
+/// Bytes of the headers of UDP and IPv4.
+const HEADERS: u64 = 28;
+
+/// Validity of the certificates.
+const VALID: Duration = Duration::from_hours(1);
+
+/// Answers every heartbeat with a promise.
+#[derive(Debug)]
+struct Witness;
+
+impl Handler for Witness {
+    fn forward(
+        self: Arc<Self>,
+        _: PeerId,
+        _: ForwardHead,
+        _: Body,
+    ) -> BoxFuture<(AnswerHead, Body)> {
+        let head = AnswerHead::Failed {
+            outcome: trefoil_core::Outcome::NotRun,
+            reason: String::new(),
+            revision: Revision(0),
+            settled: true,
+        };
+        Box::pin(async { (head, body::empty()) })
+    }
+
+    fn call(self: Arc<Self>, _: PeerId, message: Bytes) -> BoxFuture<Bytes> {
+        let promise = |m: &LeaseMessage| match m {
+            LeaseMessage::Heartbeat {
+                generation, sent, ..
+            } => Some(LeaseMessage::Promise {
+                generation: *generation,
+                sent: *sent,
+            }),
+            _ => None,
+        };
+        let reply = match decode(&message) {
+            Ok(Message::Lease {
+                revision, messages, ..
+            }) => Reply::Lease {
+                revision,
+                messages: messages.iter().filter_map(promise).collect(),
+            },
+            _ => Reply::Announced,
+        };
+        Box::pin(async move { encode(&reply).unwrap_or_default() })
+    }
+}
+
+fn heartbeat() -> Result<Bytes, Error> {
+    let message = Message::Lease {
+        from: HostId::random(),
+        revision: Revision(1_000_000),
+        messages: vec![LeaseMessage::Heartbeat {
+            generation: Generation(1),
+            sent: SystemClock.now(),
+            relied: true,
+        }],
+    };
+    Ok(encode(&message)?)
+}
+
+/// Measures and prints the bytes per second of one host.
+pub fn run() -> Result<(), Error> {
+    let authority = Authority::create("bench", SystemClock.unix(), VALID)?;
+    let open = |i: usize| -> Result<Endpoint, Error> {
+        let name = format!("host-{i}").parse()?;
+        let identity = authority.identity(&name, SystemClock.unix(), VALID)?;
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Ok(Builder::new(identity).open(address)?)
+    };
+    let endpoints: Result<Vec<_>, Error> = (0..HOSTS).map(open).collect();
+    let endpoints = endpoints?;
+    let _servers: Vec<_> = endpoints
+        .iter()
+        .map(|e| e.serve(Arc::new(Witness)))
+        .collect();
+    let addresses: Vec<_> = endpoints.iter().map(Endpoint::local_addr).collect();
+    println!("heartbeat message: {} bytes", heartbeat()?.len());
+    let mut rate = Series::new(
+        "sent by a host, 5 witnesses and 5 holders, with headers of UDP and IPv4",
+        "B/s; n heartbeats a minute to each witness",
+    );
+    for millis in [1_000, 600, 450, 300, 150] {
+        let interval = Duration::from_millis(millis);
+        let mut repeats = Vec::new();
+        for _ in 0..REPEATS {
+            let (bytes, exchanges) = smol::block_on(beat(&endpoints, &addresses, interval))?;
+            println!("  {millis} ms: {bytes:.0} B/s sent, {exchanges}");
+            repeats.push(bytes);
+        }
+        rate.add(60_000 / millis as usize, repeats);
+    }
+    rate.print();
+    Ok(())
+}
+
+async fn beat(
+    endpoints: &[Endpoint],
+    addresses: &[SocketAddr],
+    interval: Duration,
+) -> Result<(f64, String), Error> {
+    let peers: Vec<QuicPeers> = endpoints.iter().map(Endpoint::peers).collect();
+    // The first exchange opens the connections and is not counted.
+    round(&peers, addresses).await?;
+    Timer::after(interval).await;
+    let before = total(&peers);
+    let start = Instant::now();
+    for _ in 0..BEATS {
+        round(&peers, addresses).await?;
+        Timer::after(interval).await;
+    }
+    let seconds = start.elapsed().as_secs_f64();
+    let after = total(&peers);
+    let datagrams = after.datagrams_sent + after.datagrams_received
+        - before.datagrams_sent
+        - before.datagrams_received;
+    let payload = after.sent + after.received - before.sent - before.received;
+    // Each byte on a connection is sent by one of its ends, and every connection has its holder's
+    // end here, so the sum of both directions is what all hosts together have sent.
+    let sent = payload + datagrams * HEADERS;
+    let exchanges = f64::from(BEATS) * (HOSTS * (HOSTS - 1)) as f64;
+    let text = format!(
+        "{:.1} B and {:.2} datagrams for each heartbeat and promise",
+        sent as f64 / exchanges,
+        datagrams as f64 / exchanges
+    );
+    Ok((sent as f64 / seconds / HOSTS as f64, text))
+}
+
+fn total(peers: &[QuicPeers]) -> Traffic {
+    let add = |sum: Traffic, one: Traffic| Traffic {
+        sent: sum.sent + one.sent,
+        received: sum.received + one.received,
+        datagrams_sent: sum.datagrams_sent + one.datagrams_sent,
+        datagrams_received: sum.datagrams_received + one.datagrams_received,
+    };
+    peers
+        .iter()
+        .map(QuicPeers::traffic)
+        .fold(Traffic::default(), add)
+}
+
+async fn round(peers: &[QuicPeers], addresses: &[SocketAddr]) -> Result<(), Error> {
+    let mut calls = Vec::new();
+    for (i, from) in peers.iter().enumerate() {
+        let others = addresses.iter().enumerate().filter(|(j, _)| *j != i);
+        for (_, &to) in others {
+            let (from, message) = (from.clone(), heartbeat()?);
+            calls.push(smol::spawn(async move { from.call(to, message).await }));
+        }
+    }
+    for call in calls {
+        call.await?;
+    }
+    Ok(())
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -95,4 +95,5 @@
 pub use keys::{Authority, Identity, KeyError, KeyPem, PeerId};
 pub use message::{AnswerHead, ForwardHead, Headers};
 pub use peers::{BoxFuture, Handler, Peers, QuicPeers};
+pub use pool::Traffic;
 pub use server::Server;
--- a/crates/wire/src/peers.rs
+++ b/crates/wire/src/peers.rs
@@ -19,7 +19,7 @@
 use crate::error::{PeerError, reason};
 use crate::keys::PeerId;
 use crate::message::{AnswerHead, ForwardHead};
-use crate::pool::Pool;
+use crate::pool::{Pool, Traffic};
 
 /// A boxed future.
 pub type BoxFuture<T> = Pin<Box<dyn Future<Output = T> + Send>>;
@@ -88,6 +88,12 @@
         self.pool.renew(config);
     }
 
+    /// What the open connections to peers have carried so far. Connections that peers opened are
+    /// not among them.
+    pub fn traffic(&self) -> Traffic {
+        self.pool.traffic()
+    }
+
     /// Number of open connections to peers.
     pub fn connections(&self) -> usize {
         self.pool.len()
--- a/crates/wire/src/pool.rs
+++ b/crates/wire/src/pool.rs
@@ -55,6 +55,20 @@
     }
 }
 
+/// What open connections have carried, acknowledgements included. Bytes are those of the UDP
+/// payload; each datagram has 28 more for the headers of UDP and IPv4.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent: u64,
+    /// Bytes received.
+    pub received: u64,
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Datagrams received.
+    pub datagrams_received: u64,
+}
+
 /// Connections by address.
 #[derive(Debug)]
 pub(crate) struct Pool {
@@ -103,6 +117,22 @@
         open.count()
     }
 
+    /// Sums the statistics of all open connections.
+    pub(crate) fn traffic(&self) -> Traffic {
+        let attempts = self.lock();
+        let mut traffic = Traffic::default();
+        for attempt in attempts.values() {
+            if let Some((_, Ok(conn))) = attempt.done.get() {
+                let stats = conn.stats();
+                traffic.sent += stats.udp_tx.bytes;
+                traffic.received += stats.udp_rx.bytes;
+                traffic.datagrams_sent += stats.udp_tx.datagrams;
+                traffic.datagrams_received += stats.udp_rx.datagrams;
+            }
+        }
+        traffic
+    }
+
     /// Opens a stream to `to`. Nothing has been sent when this fails.
     pub(crate) async fn stream(
         &self,
