--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,14 +1,17 @@
 //! The operators' port: health, metrics, resources and status.
 
+pub mod watch;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
-use http::header::{CONTENT_TYPE, HeaderValue};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -16,7 +19,7 @@
 use trefoil_core::{DomainName, HostName, ResourceName, Revision, ServiceName, UpstreamName};
 use trefoil_http::{Body, Service, full};
 use trefoil_log::log::RECORD_MAX;
-use trefoil_log::{HostRecord, Resource, SubmitError, Verdict, View};
+use trefoil_log::{Body as RecordBody, HostRecord, Resource, Signed, SubmitError, Verdict, View};
 use trefoil_wire::{Peers, decode, encode};
 
 use crate::message::{Message, Reply};
@@ -33,6 +36,8 @@
 pub struct Operator {
     shared: Arc<Shared>,
     peers: Arc<dyn Peers>,
+    asked: watch::Asked,
+    streams: Arc<AtomicUsize>,
 }
 
 /// What a failure domain serves.
@@ -66,6 +71,10 @@
     pub revision: Revision,
     /// Whether this host serves callers.
     pub ready: bool,
+    /// Whether this host reads the log, and why not.
+    pub log: String,
+    /// Record format in force.
+    pub level: u16,
     /// Live hosts by name.
     pub hosts: Vec<HostStatus>,
     /// Upstreams with their dispatchers and shards.
@@ -99,10 +108,15 @@
 impl Operator {
     /// The operators' port of a host.
     pub fn new(shared: Arc<Shared>, peers: Arc<dyn Peers>) -> Self {
-        Self { shared, peers }
+        Self {
+            shared,
+            peers,
+            asked: watch::Asked::default(),
+            streams: Arc::default(),
+        }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(self: &Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
             (&Method::GET, "/livez") => text(StatusCode::OK, "ok"),
@@ -114,6 +128,7 @@
                 let view = self.shared.view();
                 json(StatusCode::OK, &view.resources.values().collect::<Vec<_>>())
             }
+            (&Method::GET, "/v1/watch") => self.watch(request.uri().query()),
             (&Method::POST, "/v1/records") => self.record(request).await,
             (&Method::POST, "/v1/drain") => {
                 self.shared.start_drain();
@@ -147,8 +162,16 @@
             .await
         {
             Ok(body) => body.to_bytes(),
-            Err(e) => return text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()),
+            Err(e) => {
+                let mut response = text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string());
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+                return response;
+            }
         };
+        if let Some(refusal) = checked(&body) {
+            return refusal;
+        }
         let until = self.shared.clock.now().after(SUBMIT_TIMEOUT);
         match self.shared.submit(body, until).await {
             Ok(verdict @ Verdict::Conflict { .. }) => json(StatusCode::CONFLICT, &verdict),
@@ -249,6 +272,24 @@
     ) -> Boxed<Response<Body>> {
         async move { self.answer(request).await }.boxed()
     }
+
+    fn refusal(&self, status: StatusCode) -> Response<Bytes> {
+        let reason = status.canonical_reason().unwrap_or("bad request");
+        plain(status, reason)
+    }
+}
+
+/// Refuses a record with a resource that a file with the same contents would not pass for. Replay
+/// cannot check this: the rules differ between versions, and all hosts must reach the same view.
+fn checked(record: &[u8]) -> Option<Response<Body>> {
+    let envelope = Signed::decode(record).and_then(|s| s.envelope()).ok()?;
+    let RecordBody::Config(routing) = envelope.body else {
+        return None;
+    };
+    let findings = routing.check().err()?;
+    let reason = format!("the resource has {} mistakes:\n{findings}", findings.len());
+    let verdict = Verdict::Rejected { reason };
+    Some(json(StatusCode::UNPROCESSABLE_ENTITY, &verdict))
 }
 
 fn status(shared: &Shared) -> Status {
@@ -281,6 +322,8 @@
         host: shared.host.name.clone(),
         revision: view.revision,
         ready: shared.is_ready(),
+        log: shared.reading().to_string(),
+        level: view.level(),
         hosts: view.hosts.values().map(host).collect(),
         upstreams,
     }
@@ -305,7 +348,13 @@
 }
 
 fn text(status: StatusCode, message: &str) -> Response<Body> {
-    let mut response = Response::new(full(format!("{message}\n")));
+    plain(status, message).map(full)
+}
+
+fn plain(status: StatusCode, message: &str) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(format!("{message}\n")));
     *response.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
--- a/crates/daemon/src/planner.rs
+++ b/crates/daemon/src/planner.rs
@@ -165,7 +165,14 @@
         } else {
             staying
         };
-        return vec![initial(members, service.shards)];
+        // A resource that an older build published may have values that no table can have.
+        let fits = service.shards.is_power_of_two()
+            && service.shards <= trefoil_config::resource::SHARDS_MAX;
+        return if fits && !members.is_empty() {
+            vec![initial(members, service.shards)]
+        } else {
+            Vec::new()
+        };
     };
     let ends = |name: &UpstreamName| !staying.contains(name) || observed.lost.contains(name);
     let gone: SmallVec<[Member; 4]> = table
@@ -223,7 +230,8 @@
     let hosts: Vec<_> = view
         .hosts
         .values()
-        .filter(|h| view.records.tenure(h.id).is_some() && !excluded.contains(&h.id))
+        .filter(|h| view.stays(h.id) && view.records.tenure(h.id).is_some())
+        .filter(|h| !excluded.contains(&h.id))
         .collect();
     let live = |id: &HostId| hosts.iter().any(|h| h.id == *id);
     let mut load: BTreeMap<HostId, usize> = hosts.iter().map(|h| (h.id, 0)).collect();
--- a/crates/log/src/view.rs
+++ b/crates/log/src/view.rs
@@ -1,9 +1,11 @@
 //! The state that replay of the log leads to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use ring::digest::{SHA256, digest};
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use snafu::Snafu;
 use trefoil_config::{Routing, RoutingSpec, Service, Upstream};
 use trefoil_core::{
@@ -13,7 +15,7 @@
 use trefoil_placement::{Member, Table};
 
 use crate::host::HostRecord;
-use crate::record::{Body, Envelope, FORMAT, Placement, RecordError, Signed};
+use crate::record::{Body, Envelope, FORMAT, FORMAT_FIRST, Placement, RecordError, Signed};
 use crate::sign::{Keyring, Role};
 use crate::snapshot::Progress;
 
@@ -21,6 +23,10 @@
 /// append is resolved long before that many records have followed it.
 const WRITER_WINDOW: u64 = 200_000;
 
+/// First verdicts that are kept for each writer. An operator's run writes one record; a host has one
+/// record under way at a time.
+const VERDICTS_KEPT: usize = 4;
+
 /// Replay forgets old writers once in this many records.
 const PRUNE_EVERY: u64 = 1024;
 
@@ -83,10 +89,28 @@
     },
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// The newest records of a writer.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Written {
     sequence: u64,
     offset: Offset,
+    kept: SmallVec<[Kept; 1]>,
+}
+
+/// The first verdict on a record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct Kept {
+    sequence: u64,
+    /// Start of the SHA-256 digest of the signed bytes. A writer that uses a sequence twice must not
+    /// be told the verdict on the first record for the second.
+    digest: u64,
+    verdict: Verdict,
+}
+
+fn digest_of(signed: &[u8]) -> u64 {
+    let sum = digest(&SHA256, signed);
+    let start = sum.as_ref().first_chunk::<8>();
+    start.map_or(0, |b| u64::from_be_bytes(*b))
 }
 
 /// The state of the deployment at one revision.
@@ -99,8 +123,6 @@
     pub revision: Revision,
     /// Offset of the next record to replay.
     pub next: Offset,
-    /// Record format that may be written.
-    pub level: u16,
     /// Routing resources by name.
     pub resources: BTreeMap<ResourceName, Arc<Resource>>,
     /// Live incarnations of entry hosts.
@@ -109,16 +131,24 @@
     pub moved: BTreeMap<ServiceName, Arc<BTreeMap<Shard, Moved>>>,
     /// Leases of the hosts and dispatchers of the upstreams.
     pub records: Arc<Records>,
+    /// Live incarnations that are about to leave.
+    pub leaving: Arc<BTreeSet<HostId>>,
     /// Shard tables by service.
     pub tables: BTreeMap<ServiceName, Arc<Table>>,
     /// Revision of the newest placement decision.
     pub placement: Revision,
     /// Progress of the snapshots in the log.
     pub snapshots: Progress,
+    raised: u16,
     writers: Arc<BTreeMap<WriterId, Written>>,
 }
 
 impl View {
+    /// Whether a host is live and stays.
+    pub fn stays(&self, host: HostId) -> bool {
+        self.hosts.contains_key(&host) && !self.leaving.contains(&host)
+    }
+
     /// The declared service and the resource that declares it.
     pub fn service(&self, name: &ServiceName) -> Option<(&Resource, &Service)> {
         self.resources.values().find_map(|resource| {
@@ -149,11 +179,26 @@
         taken.map(|m| m.revision).max().unwrap_or_default()
     }
 
+    /// The record format in force: nothing above it may be written.
+    pub fn level(&self) -> u16 {
+        self.raised.max(FORMAT_FIRST)
+    }
+
+    /// What replay made of the record with this writer, sequence and signed bytes, if it is one of
+    /// the writer's newest and its writer is remembered.
+    pub fn verdict(&self, writer: WriterId, sequence: u64, signed: &[u8]) -> Option<Verdict> {
+        let written = self.writers.get(&writer)?;
+        let mut kept = written.kept.iter();
+        let kept = kept.find(|k| k.sequence == sequence && k.digest == digest_of(signed))?;
+        Some(kept.verdict.clone())
+    }
+
     /// Replays one stored record.
     ///
     /// # Errors
     ///
-    /// Fails if a record that was validly signed does not decode; the view is unchanged then.
+    /// Fails if a record that was validly signed does not decode, or raises the level above those
+    /// that this build knows; the view is unchanged then.
     pub fn apply(
         &mut self,
         offset: Offset,
@@ -186,22 +231,57 @@
         else {
             return Ok(rejected("unknown key or bad signature"));
         };
-        let envelope = signed
-            .envelope()
-            .map_err(|source| ReplayError::Newer { offset, source })?;
-        let last = self.writers.get(&envelope.writer);
-        if last.is_some_and(|w| envelope.sequence <= w.sequence) {
+        let newer = |source| ReplayError::Newer { offset, source };
+        let format = signed.format().map_err(newer)?;
+        if format > self.level() {
+            let level = self.level();
+            return Ok(rejected(&format!(
+                "format {format} is above the level {level}"
+            )));
+        }
+        let envelope = signed.envelope().map_err(newer)?;
+        let (writer, sequence) = (envelope.writer, envelope.sequence);
+        let last = self.writers.get(&writer);
+        if last.is_some_and(|w| sequence <= w.sequence) {
             return Ok(Verdict::Duplicate);
         }
-        let written = Written {
-            sequence: envelope.sequence,
-            offset,
+        if let Body::Level { format } = envelope.body
+            && format > FORMAT
+            && self.refuses_level(format).is_none()
+            && role == Role::Operator
+        {
+            return Err(newer(RecordError::NewerFormat { format }));
+        }
+        self.snapshots.begin(offset, envelope.time);
+        let verdict = self.decide(offset, envelope, role);
+        let kept = Kept {
+            sequence,
+            digest: digest_of(signed.signed_bytes()),
+            verdict: verdict.clone(),
         };
-        Arc::make_mut(&mut self.writers).insert(envelope.writer, written);
-        Ok(self.decide(offset.revision(), envelope, role))
+        let written = Arc::make_mut(&mut self.writers).entry(writer).or_default();
+        (written.sequence, written.offset) = (sequence, offset);
+        if written.kept.len() == VERDICTS_KEPT {
+            written.kept.remove(0);
+        }
+        written.kept.push(kept);
+        Ok(verdict)
+    }
+
+    /// Why the level cannot be raised to `format`, if it cannot.
+    fn refuses_level(&self, format: u16) -> Option<String> {
+        if format <= self.level() {
+            return Some(format!("the level is {} already", self.level()));
+        }
+        let old = self.hosts.values().find(|h| h.format < format)?;
+        Some(format!(
+            "host {} supports formats up to {}",
+            old.name, old.format
+        ))
     }
 
-    fn decide(&mut self, revision: Revision, envelope: Envelope, role: Role) -> Verdict {
+    fn decide(&mut self, offset: Offset, envelope: Envelope, role: Role) -> Verdict {
+        let revision = offset.revision();
         let accepted = Verdict::Accepted { revision };
         let needed = match envelope.body {
             Body::Config(_) | Body::Level { .. } => Role::Operator,
@@ -212,6 +292,13 @@
         }
         match envelope.body {
             Body::Config(routing) => self.configure(revision, envelope.time, *routing),
+            Body::Joined(host) if host.format < self.level() => {
+                rejected("the host does not support the level in force")
+            }
+            // A record that landed late, after the host had written it again, must not bury the host.
+            Body::Joined(host) if self.hosts.contains_key(&host.id) => {
+                rejected("the host has joined already")
+            }
             Body::Joined(host) => {
                 self.join(host);
                 accepted
@@ -220,7 +307,13 @@
                 self.expire(host);
                 accepted
             }
-            Body::Left { .. } | Body::Expired { .. } => rejected("the host is not live"),
+            Body::Leaving { host } if self.hosts.contains_key(&host) => {
+                Arc::make_mut(&mut self.leaving).insert(host);
+                accepted
+            }
+            Body::Left { .. } | Body::Expired { .. } | Body::Leaving { .. } => {
+                rejected("the host is not live")
+            }
             Body::Lease(lease) if !self.hosts.contains_key(&lease.holder) => {
                 rejected("the holder is not live")
             }
@@ -232,18 +325,21 @@
                 }
             }
             Body::Snapshot(part) => {
-                self.snapshots.note(envelope.writer, &part);
+                self.snapshots
+                    .note(envelope.writer, &part, offset, envelope.time);
                 Verdict::Noted
             }
             Body::Placement(_) if envelope.base != self.placement => Verdict::Conflict {
                 current: self.placement,
             },
             Body::Placement(placement) => self.place(revision, &placement),
-            Body::Level { format } if format > self.level && format <= FORMAT => {
-                self.level = format;
+            Body::Level { format } => {
+                if let Some(reason) = self.refuses_level(format) {
+                    return rejected(&reason);
+                }
+                self.raised = format;
                 accepted
             }
-            Body::Level { .. } => rejected("the level is not above the present one or not known"),
         }
     }
 
@@ -260,6 +356,9 @@
 
     fn expire(&mut self, host: HostId) {
         Arc::make_mut(&mut self.hosts).remove(&host);
+        if self.leaving.contains(&host) {
+            Arc::make_mut(&mut self.leaving).remove(&host);
+        }
         Arc::make_mut(&mut self.records).expire(host);
     }
 
@@ -300,19 +399,21 @@
         Verdict::Accepted { revision }
     }
 
-    /// Names a service or upstream that another resource declares already.
+    /// Names a service, upstream or address that another resource declares already. Two upstreams at
+    /// one address would have two dispatchers, each with the whole slot budget.
     fn clash(&self, routing: &Routing) -> Option<String> {
+        let meets = |u: &Upstream, v: &Upstream| u.name == v.name || u.address == v.address;
         let others = || self.resources.values().filter(|r| r.name != routing.name);
         routing.spec.services.iter().find_map(|service| {
             let same = |s: &&Service| {
                 s.name == service.name
                     || s.upstreams
                         .iter()
-                        .any(|u| service.upstreams.iter().any(|v| u.name == v.name))
+                        .any(|u| service.upstreams.iter().any(|v| meets(u, v)))
             };
             let other = others().find(|r| r.spec.services.iter().any(|s| same(&s)))?;
             Some(format!(
-                "service {} or one of its upstreams is declared by resource {}",
+                "service {}, or an upstream or address of it, is declared by resource {}",
                 service.name, other.name
             ))
         })
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,8 @@
 mod config;
 mod dispatch;
 mod lease;
+mod log;
 mod placement;
 mod process;
+mod sessions;
 mod wire;
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -24,6 +24,9 @@
 /// Longest wait for a state that a test expects.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Longest wait for the answer to a caller. A host that is stopped never answers.
+const ANSWER_MAX: Duration = Duration::from_secs(10);
+
 /// A child process that is killed when it is dropped.
 pub struct Process {
     child: Child,
@@ -64,6 +67,13 @@
         kill(pid, signal).expect("the process exists");
     }
 
+    /// Whether the process has not ended.
+    pub fn is_running(&self) -> bool {
+        // A process that ended and was not waited for still takes signals, but its state says so.
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        stat.is_ok_and(|s| !s.contains(") Z "))
+    }
+
     /// Waits for the process to end by itself.
     pub fn wait(&mut self) -> ExitStatus {
         let until = Instant::now() + PATIENCE;
@@ -99,6 +109,8 @@
     pub process: Process,
     /// Its callers' port.
     pub caller: SocketAddr,
+    /// Its port for other hosts.
+    pub peer: SocketAddr,
     /// Its operators' port.
     pub operator: SocketAddr,
 }
@@ -132,6 +144,12 @@
     pub upstreams: BTreeMap<String, Upstream>,
     /// Daemons by name.
     pub daemons: BTreeMap<String, Daemon>,
+    /// Seeds of the daemons that are started from now on.
+    pub seeds: Vec<SocketAddr>,
+    /// Records after which the daemons that are started from now on write a snapshot.
+    pub snapshot_records: u32,
+    /// Ports that a daemon gets again: for callers, hosts and operators.
+    ports: BTreeMap<String, [SocketAddr; 3]>,
 }
 
 fn standin() -> PathBuf {
@@ -152,13 +170,19 @@
 impl Deployment {
     /// A platform without daemons and upstreams.
     pub fn new() -> Self {
+        Self::with_platform(&[])
+    }
+
+    /// A platform with flags, without daemons and upstreams.
+    pub fn with_platform(flags: &[&str]) -> Self {
         let dir = tempfile::tempdir().expect("a directory");
         let now = SystemClock.unix();
         let authority = Authority::create("test", now, CERTIFICATE_VALID).expect("an authority");
         let operator = signer(&dir.path().join("operator.key"));
         let host = signer(&dir.path().join("host.key"));
-        let platform = Process::start(Command::new(standin()).arg("platform"));
+        let platform = Process::start(Command::new(standin()).arg("platform").args(flags));
         let (upstreams, daemons) = Default::default();
+        let (seeds, ports) = Default::default();
         Self {
             dir,
             authority,
@@ -167,6 +191,9 @@
             platform,
             upstreams,
             daemons,
+            seeds,
+            snapshot_records: 10_000,
+            ports,
         }
     }
 
@@ -187,7 +214,8 @@
         );
     }
 
-    /// Starts a daemon and waits until it has joined.
+    /// Starts a daemon and waits until it has joined, or serves without. A daemon that is started
+    /// again gets the ports that it had.
     pub fn daemon(&mut self, name: &str, domain: &str) {
         let settings = self.settings(name, domain);
         let mut command = Command::new(env!("CARGO_BIN_EXE_trefoild"));
@@ -196,18 +224,22 @@
             command.stderr(Stdio::null());
         }
         let process = Process::start(&mut command);
-        let (caller, operator) = (process.address("caller="), process.address("operator="));
+        let [caller, peer, operator] =
+            ["caller=", "peer=", "operator="].map(|p| process.address(p));
+        self.ports.insert(name.to_owned(), [caller, peer, operator]);
         self.daemons.insert(
             name.to_owned(),
             Daemon {
                 process,
                 caller,
+                peer,
                 operator,
             },
         );
     }
 
-    fn settings(&self, name: &str, domain: &str) -> PathBuf {
+    /// Writes the settings of a daemon and the files that they name.
+    pub fn settings(&self, name: &str, domain: &str) -> PathBuf {
         let dir = self.dir.path();
         let file = |suffix: &str| dir.join(format!("{name}.{suffix}"));
         let host = name.parse().expect("a host name");
@@ -220,13 +252,24 @@
         std::fs::write(dir.join("authority.pem"), &self.authority.pem().cert).expect("written");
         let at = dir.display();
         let platform = self.platform.listening();
+        let free = SocketAddr::from(([127, 0, 0, 1], 0));
+        let [caller, peer, operator] = self.ports.get(name).copied().unwrap_or([free; 3]);
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|s| format!("\"{s}\""))
+            .collect::<Vec<_>>()
+            .join(", ");
+        let records = self.snapshot_records;
         let text = format!(
             "name: {name}
 domain: {domain}
 region: test
-caller: 127.0.0.1:0
-peer: 127.0.0.1:0
-operator: 127.0.0.1:0
+caller: {caller}
+peer: {peer}
+operator: {operator}
+seeds: [{seeds}]
+snapshots: {{ records: {records} }}
 platform: {{ log: \"{platform}\", hosts: \"{platform}\" }}
 tls:
   authority: {at}/authority.pem
@@ -275,21 +318,48 @@
         )
     }
 
+    /// What a daemon says of itself.
+    pub fn status(&self, daemon: &str) -> Value {
+        let request = Request::get("/v1/status").body(Bytes::new());
+        let (_, status) = call(self.daemons[daemon].operator, request.expect("a request"));
+        serde_json::from_str(&status).expect("a status")
+    }
+
     /// Publishes a resource through a daemon and returns status and verdict.
     pub fn publish(&self, daemon: &str, yaml: &str, base: u64) -> (StatusCode, String) {
         let mut routing = Routing::from_yaml(yaml, "test").unwrap_or_else(|e| panic!("{e}"));
         routing.revision = Revision(base);
+        let request = Request::post("/v1/records").body(self.record(routing));
+        call(self.daemons[daemon].operator, request.expect("a request"))
+    }
+
+    /// A signed record with a resource, which may be invalid.
+    pub fn record(&self, routing: Routing) -> Bytes {
         let envelope = Envelope {
             format: FORMAT,
             writer: WriterId::random(),
             sequence: 1,
-            base: Revision(base),
+            base: routing.revision,
             time: SystemClock.unix(),
             body: Body::Config(Box::new(routing)),
         };
         let record = Signed::new(&envelope, &self.operator).and_then(|s| s.encode());
-        let request = Request::post("/v1/records").body(record.expect("the record encodes"));
-        call(self.daemons[daemon].operator, request.expect("a request"))
+        record.expect("the record encodes")
+    }
+
+    /// Number of records that were ever appended to the log.
+    pub fn appended(&self) -> u64 {
+        let request = Request::get("/v1/streams/trefoil?from=0&max=1").body(Bytes::new());
+        let (_, body) = call(self.platform.listening(), request.expect("a request"));
+        let batch: Value = serde_json::from_str(&body).expect("a batch");
+        batch["end"].as_u64().expect("an offset")
+    }
+
+    /// Appends a record to the log without a daemon.
+    pub fn append(&self, record: Bytes) {
+        let request = Request::post("/v1/streams/trefoil").body(record);
+        let (status, body) = call(self.platform.listening(), request.expect("a request"));
+        assert!(status.is_success(), "{body}");
     }
 
     /// Switches a fault of the platform on.
@@ -302,7 +372,7 @@
 
     /// Sends a caller's request through a daemon.
     pub fn send(&self, daemon: &str, request: Request<Bytes>) -> Answer {
-        send(self.daemons[daemon].caller, request)
+        send(self.daemons[daemon].caller, request).expect("a whole answer")
     }
 
     /// Gets a path through a daemon.
@@ -323,33 +393,36 @@
     }
 }
 
-/// Sends a caller's request.
-pub fn send(address: SocketAddr, request: Request<Bytes>) -> Answer {
-    smol::block_on(async {
+/// Sends a caller's request. Nothing is returned if there is no whole answer.
+pub fn send(address: SocketAddr, request: Request<Bytes>) -> Option<Answer> {
+    let answer = async {
         let mut connection = trefoil_http::Connection::open(address, PATIENCE)
             .await
-            .expect("the port is open");
+            .ok()?;
         let (mut parts, body) = request.into_parts();
         parts
             .headers
-            .insert("host", "test".parse().expect("a value"));
+            .insert("host", http::HeaderValue::from_static("test"));
         let request = Request::from_parts(parts, trefoil_http::full(body));
-        let response = connection.send(request).await.expect("an answer");
+        let response = connection.send(request).await.ok()?;
         let (parts, body) = response.into_parts();
-        let body = http_body_util::BodyExt::collect(body)
-            .await
-            .expect("a whole body");
+        let body = http_body_util::BodyExt::collect(body).await.ok()?;
         let outcome = parts
             .headers
             .get("trefoil-outcome")
             .and_then(|v| v.to_str().ok());
-        Answer {
+        Some(Answer {
             status: parts.status,
             outcome: outcome.unwrap_or_default().to_owned(),
             headers: parts.headers,
             body: String::from_utf8_lossy(&body.to_bytes()).into_owned(),
-        }
-    })
+        })
+    };
+    let late = async {
+        smol::Timer::after(ANSWER_MAX).await;
+        None
+    };
+    smol::block_on(futures_lite::future::or(answer, late))
 }
 
 /// Sends a control request and returns status and body.
