Adapt the bench to the host record with its format

The merged host record names the newest format that its incarnation reads, and a request in HTTP/1.1 without a Host header is refused. The bench now gives both. Without them it does not build, and its measurement of request heads would have timed the refusal.

--- a/crates/bench/src/lookup.rs
+++ b/crates/bench/src/lookup.rs
@@ -76,7 +76,8 @@
             .tables
             .insert(name.clone(), table(1 << 17)?.into());
         let view = &world.view;
-        let request = Request::get("/service-0/customer-17").body(())?;
+        let request = Request::get("/service-0/customer-17").header("host", "bench");
+        let request = request.body(())?;
         let (parts, ()) = request.into_parts();
         let reads = |(): &mut ()| {
             for _ in 0..COUNT / 10 {
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -61,6 +61,7 @@
             peer,
             operator: port(9_090),
         },
+        format: FORMAT,
     })
 }
 
