Hold the service of a request through its resource

Reading the head of a request copied the declared service with all of its upstreams, so each request paid for the size of the deployment: 80.9 us and 2,011 allocations at 1,000 upstreams. The intent now holds the shared resource and the index of the service in it, and dereferences to the service.

--- a/crates/daemon/src/request.rs
+++ b/crates/daemon/src/request.rs
@@ -1,6 +1,8 @@
 //! What an ingress reads from a caller's request.
 
 use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::header::{self, HeaderName};
@@ -8,7 +10,7 @@
 use http::{HeaderMap, StatusCode, Version};
 use trefoil_config::{Key, Service};
 use trefoil_core::{KeyHash, RequestId, ServiceName};
-use trefoil_log::View;
+use trefoil_log::{Resource, View};
 use trefoil_wire::Headers;
 
 use crate::problem::Problem;
@@ -37,11 +39,44 @@
 /// Prefixes of headers that only the router may set.
 const RESERVED: [&str; 2] = ["trefoil-", "fence-token"];
 
+/// A declared service, held through its resource.
+///
+/// A copy of the service would copy its upstreams, which took 81 us for each request at 1,000
+/// upstreams.
+#[derive(Debug, Clone)]
+pub struct Declared {
+    resource: Arc<Resource>,
+    /// Index of the service in the resource, below the number of its services.
+    index: usize,
+}
+
+impl Declared {
+    /// The service of that name in a view.
+    pub fn find(view: &View, name: &ServiceName) -> Option<Self> {
+        view.resources.values().find_map(|resource| {
+            let mut services = resource.spec.services.iter();
+            let index = services.position(|s| s.name == *name)?;
+            Some(Self {
+                resource: Arc::clone(resource),
+                index,
+            })
+        })
+    }
+}
+
+impl Deref for Declared {
+    type Target = Service;
+
+    fn deref(&self) -> &Service {
+        &self.resource.spec.services[self.index]
+    }
+}
+
 /// What a request asks for.
 #[derive(Debug, Clone)]
 pub struct Intent {
     /// The service.
-    pub service: Service,
+    pub service: Declared,
     /// Hash of the key.
     pub key: KeyHash,
     /// Whether the method is idempotent.
@@ -73,17 +108,17 @@
         let service = name
             .parse::<ServiceName>()
             .ok()
-            .and_then(|n| view.service(&n));
-        let Some((_, service)) = service else {
+            .and_then(|n| Declared::find(view, &n));
+        let Some(service) = service else {
             return refuse(
                 StatusCode::NOT_FOUND,
                 format!("no service is named {name:?}"),
             );
         };
         let key = read_key(&service.key, parts)?;
-        let idempotent = classify(service, parts.method.as_str())?;
+        let idempotent = classify(&service, parts.method.as_str())?;
         let id = read_id(&parts.headers)?;
-        let budget = read_budget(service, &parts.headers)?;
+        let budget = read_budget(&service, &parts.headers)?;
         let length = text(&parts.headers, header::CONTENT_LENGTH.as_str())?;
         let length = length.and_then(|l| l.parse::<u64>().ok()).unwrap_or(0);
         if length > service.limits.body {
@@ -94,7 +129,7 @@
             return refuse(StatusCode::PAYLOAD_TOO_LARGE, detail);
         }
         Ok(Self {
-            service: service.clone(),
+            service,
             key,
             idempotent,
             id,
