--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -4,9 +4,11 @@
 use trefoil_core::{HostId, Offset, Revision, Shard};
 use trefoil_lease::Message as LeaseMessage;
 use trefoil_log::Part;
+use trefoil_placement::report::ServiceReport;
 
 use crate::dispatcher::failover::{Announcement, Offer};
 use crate::dispatcher::shards::{Query, Released};
+use crate::load::{UpstreamLoad, Window};
 
 /// A question to another host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +27,18 @@
         /// The messages.
         messages: Vec<LeaseMessage>,
     },
+    /// Asks what the host's dispatchers counted in a closed measure window.
+    Load {
+        /// The sender's revision.
+        sender: Revision,
+        /// The window.
+        window: Window,
+    },
+    /// Asks for the placement report that the host has.
+    Report {
+        /// The sender's revision.
+        sender: Revision,
+    },
     /// Asks for the releases of shards.
     Releases {
         /// The question.
@@ -55,7 +69,7 @@
 }
 
 /// The answer to a [`Message`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// The revision that the host serves.
     Revision {
@@ -69,6 +83,16 @@
         /// The answers.
         messages: Vec<LeaseMessage>,
     },
+    /// What was counted.
+    Load {
+        /// One item for each upstream.
+        loads: Vec<UpstreamLoad>,
+    },
+    /// The placement report.
+    Report {
+        /// One part for each service.
+        services: Vec<ServiceReport>,
+    },
     /// The releases that exist.
     Releases {
         /// The releases.
