Do not claim to know the ids that an earlier dispatcher has run

In a run of the scenario with a stopped dispatcher an order ran twice: its caller was told unknown, then done. Reading shows how: a dispatcher that takes over asks again for the releases of shards that were moved to its upstream before its time, and got the release that its predecessor had got, with the claim to know all ids minted since the move. It did not know those that its predecessor had run. What a shard's release says of ids now ends where the dispatcher's own tenure begins, and a shard that was found at the start is passed on only when an earlier dispatcher's requests have ended.

--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -15,7 +15,7 @@
 use smol::Task;
 use trefoil_config::{Service, Upstream};
 use trefoil_core::chart::ChartError;
-use trefoil_core::{KeyHash, Revision, ServiceName, Shard, Slots, Tick, UpstreamName};
+use trefoil_core::{KeyHash, Revision, ServiceName, Shard, Slots, Tick, UnixMillis, UpstreamName};
 use trefoil_dispatch::{
     Access, Actions, Admission, Cause, Dropped, Finished, Health, Probe, Proof, Release, Report,
     ShardState, State, Ticket, TicketId, WallClock,
@@ -62,6 +62,8 @@
     pub(super) released: BTreeMap<Shard, Release>,
     /// The upstream whose release a shard waits for, and the revision that moved it.
     pub(super) awaited: BTreeMap<Shard, (UpstreamName, Revision)>,
+    /// Shards that this driver found itself to own when it started.
+    pub(super) inherited: BTreeSet<Shard>,
     /// Released shards that a standby serves already.
     pub(super) taken: BTreeSet<Shard>,
     pub(super) provisional: Provisional,
@@ -93,6 +95,8 @@
     pub(super) failed_over: AtomicBool,
     first: bool,
     predecessor_end: Tick,
+    /// Wall clock when this dispatcher began.
+    pub(super) began: UnixMillis,
     tasks: Mutex<Vec<Task<()>>>,
 }
 
@@ -178,6 +182,7 @@
             table: None,
             released: BTreeMap::new(),
             awaited: BTreeMap::new(),
+            inherited: BTreeSet::new(),
             taken: BTreeSet::new(),
             provisional: Provisional::new(),
             waiters: BTreeMap::new(),
@@ -208,6 +213,7 @@
             draining: AtomicBool::new(false),
             failed_over: AtomicBool::new(false),
             first,
+            began: wall.unix,
             predecessor_end: if first { now } else { now.after(longest) },
             tasks: Mutex::default(),
             shared,
--- a/crates/daemon/src/dispatcher/failover.rs
+++ b/crates/daemon/src/dispatcher/failover.rs
@@ -20,6 +20,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
 use trefoil_core::{HostId, Revision, Shard, Token, UpstreamName};
@@ -39,6 +40,9 @@
 /// Time between two attempts.
 const RETRY_EVERY: Duration = Duration::from_millis(100);
 
+/// Time for a host to answer.
+const TELL_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Shards offered in one message, so that it stays within a frame.
 const OFFER_MAX: usize = 128;
 
@@ -265,7 +269,12 @@
     async fn tell(&self, view: &View, host: HostId, message: &Message) -> Option<Reply> {
         let address = view.hosts.get(&host)?.addresses.peer;
         let data = encode(message).ok()?;
-        let reply = self.peers.call(address, data).await.ok()?;
+        let call = async { self.peers.call(address, data).await.ok() };
+        let late = async {
+            self.shared.clock.sleep(TELL_TIMEOUT).await;
+            None
+        };
+        let reply = call.or(late).await?;
         decode::<Reply>(&reply).ok()
     }
 
--- a/crates/daemon/src/dispatcher/shards.rs
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use slog::{debug, info};
 use trefoil_core::{HostId, Revision, ServiceName, Shard, Tick, UpstreamName};
@@ -24,6 +25,9 @@
 /// Time between two questions for releases.
 const ASK_EVERY: Duration = Duration::from_millis(100);
 
+/// Time for a host to answer a question.
+const ASK_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// Shards named in one question, so that it and its answer stay within a frame.
 const ASK_MAX: usize = 256;
 
@@ -72,8 +76,13 @@
                     self.follow(&between);
                 }
             }
-            // A driver that starts has no earlier state.
-            None => {}
+            // A driver that starts has no earlier state. An earlier dispatcher of this upstream may
+            // have received what it finds itself to own, and may have run requests since.
+            None => {
+                self.follow(view);
+                let mut inner = self.lock();
+                inner.inherited = inner.awaited.keys().copied().collect();
+            }
         }
         *synced = Some(view.placement);
         self.follow(view);
@@ -148,6 +157,7 @@
         };
         let mut inner = self.lock();
         inner.taken.remove(&shard);
+        inner.inherited.remove(&shard);
         // The release that this dispatcher gave stays until the next one replaces it: its receiver
         // may not have asked yet, and has to receive the shard before it can give it back.
         match (origin, from) {
@@ -185,6 +195,9 @@
         let settled = now >= self.predecessor_end();
         let answer = |&(shard, revision): &(Shard, Revision)| {
             let hold = inner.admission.ownership().state(shard);
+            if inner.inherited.contains(&shard) && !settled {
+                return None;
+            }
             let handover = match inner.released.get(&shard) {
                 // A failover without the log carries the placement's revision, not that of the
                 // record which confirms it later.
@@ -289,13 +302,14 @@
         }) else {
             return Vec::new();
         };
-        match self
-            .peers
-            .call(to, data)
-            .await
-            .map(|reply| decode::<Reply>(&reply))
-        {
-            Ok(Ok(Reply::Releases { shards })) => shards,
+        let call = async { self.peers.call(to, data).await.ok() };
+        let late = async {
+            self.shared.clock.sleep(ASK_TIMEOUT).await;
+            None
+        };
+        // A host that was lost a moment ago must not keep the next one from being asked.
+        match call.or(late).await.map(|reply| decode::<Reply>(&reply)) {
+            Some(Ok(Reply::Releases { shards })) => shards,
             _ => Vec::new(),
         }
     }
@@ -319,8 +333,13 @@
             let Released {
                 shard,
                 revision,
-                handover,
+                mut handover,
             } = release;
+            // The release was given once, to the dispatcher of that time. What it says of the ids
+            // that were seen ends where that dispatcher began to run requests of its own.
+            if inner.inherited.contains(&shard) {
+                handover.since = handover.since.max(self.began);
+            }
             if let Ok(next) = inner.admission.receive(now, shard, revision, handover) {
                 actions.push(next);
             }
--- a/tests/all/process/scenario.rs
+++ b/tests/all/process/scenario.rs
@@ -27,6 +27,8 @@
 struct World {
     deployment: Deployment,
     fenced: bool,
+    /// Milliseconds that an upstream works on a request.
+    work: String,
     load: Option<Load>,
     lost: Instant,
     verdict: String,
@@ -38,6 +40,7 @@
         Self {
             deployment: Deployment::new(),
             fenced: false,
+            work: "3".to_owned(),
             load: None,
             lost: Instant::now(),
             verdict: String::new(),
@@ -49,6 +52,7 @@
         let words: Vec<_> = line.split_whitespace().collect();
         match words[..] {
             ["upstreams", count, kind] => self.upstreams(number(count), kind == "fenced"),
+            ["work", millis] => millis.clone_into(&mut self.work),
             ["hosts", count] => self.hosts(number(count)),
             ["publish"] => self.publish(&[]),
             ["load", callers] => self.start_load(number(callers)),
@@ -87,7 +91,7 @@
 
     fn upstreams(&mut self, count: u64, fenced: bool) {
         self.fenced = fenced;
-        let mut flags = vec!["--work-ms", "3"];
+        let mut flags = vec!["--work-ms", self.work.as_str()];
         flags.extend(fenced.then_some("--fenced"));
         for (i, domain) in (1..=count).zip(DOMAINS.iter().cycle()) {
             self.deployment
@@ -280,6 +284,7 @@
     dispatcher_killed_log_down,
     dispatcher_stopped,
     dispatchers_killed_in_a_row,
+    moved_then_killed,
     upstream_frozen,
     upstream_frozen_unfenced,
     upstream_lost_log_down,
