Name an odd number of witnesses and relay shards without a grant

Answers about leases now name the incarnation that gives them. A shard that is only passed on needs no grant.

--- a/crates/bench/src/wire.rs
+++ b/crates/bench/src/wire.rs
@@ -69,6 +69,7 @@
             Ok(Message::Lease {
                 revision, messages, ..
             }) => Reply::Lease {
+                from: HostId::random(),
                 revision,
                 messages: messages.iter().filter_map(promise).collect(),
             },
--- a/crates/daemon/src/authority.rs
+++ b/crates/daemon/src/authority.rs
@@ -370,7 +370,16 @@
         let Some(reply) = call.or(late).await else {
             return;
         };
-        if let Ok(Reply::Lease { revision, messages }) = decode::<Reply>(&reply) {
+        if let Ok(Reply::Lease {
+            from,
+            revision,
+            messages,
+        }) = decode::<Reply>(&reply)
+        {
+            // A later process may have answered at the address. Its promises are its own.
+            if from != to {
+                return;
+            }
             self.shared.learn(revision);
             let now = self.shared.clock.now();
             let peer = Peer { host: to, address };
--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -265,6 +265,7 @@
                 self.shared.learn(revision);
                 let messages = self.authority.receive(&from, host, &messages);
                 Reply::Lease {
+                    from: self.shared.host.id,
                     revision: self.shared.view().revision,
                     messages,
                 }
--- a/crates/daemon/src/dispatcher/shards.rs
+++ b/crates/daemon/src/dispatcher/shards.rs
@@ -318,12 +318,22 @@
     /// that is sent before, and a request that is not idempotent is not sent again under its id.
     async fn take(&self, released: Vec<Released>) {
         let _turn = self.granting.lock().await;
-        if self.is_fenced() {
+        let relaying = |r: &Released| {
+            let inner = self.lock();
+            inner.admission.ownership().state(r.shard) == ShardState::Relaying
+        };
+        // A shard that was moved on in the meantime is only passed on. It needs no grant, and an
+        // upstream that is lost would never take one.
+        let (relayed, served): (Vec<_>, Vec<_>) = released.into_iter().partition(relaying);
+        let mut released = relayed;
+        if self.is_fenced() && !served.is_empty() {
             let mut shards = self.lock().admission.renew(self.shared.clock.now());
-            shards.extend(released.iter().map(|r| r.shard));
-            if !self.send_grant(&shards).await {
-                return;
+            shards.extend(served.iter().map(|r| r.shard));
+            if self.send_grant(&shards).await {
+                released.extend(served);
             }
+        } else {
+            released.extend(served);
         }
         let now = self.shared.clock.now();
         let count = released.len();
--- a/crates/daemon/src/member.rs
+++ b/crates/daemon/src/member.rs
@@ -155,10 +155,12 @@
 ) -> Option<Lease> {
     let stays = |h: &&HostRecord| h.id != host.id && view.stays(h.id);
     let others = view.hosts.values().filter(stays).count();
+    // An even number tolerates no more losses than the odd number below it, needs one answer more,
+    // and leaves no host over to replace a witness that is lost.
     let full = if others < WITNESSES_MIN {
         0
     } else {
-        others.min(SEATS_MAX)
+        (others.min(SEATS_MAX) - 1) | 1
     };
     let Some(tenure) = view.records.tenure(host.id) else {
         let seats = choose(view, host, &[], full);
--- a/crates/daemon/src/message.rs
+++ b/crates/daemon/src/message.rs
@@ -78,6 +78,8 @@
     },
     /// Answers to messages about leases.
     Lease {
+        /// The incarnation that answers.
+        from: HostId,
         /// The host's revision.
         revision: Revision,
         /// The answers.
