--- /dev/null
+++ b/crates/balance/src/balancer.rs
@@ -0,0 +1,266 @@
+//! Choosing an upstream.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use trefoil_core::{DomainName, HostId, ServiceName, Slots, Tick};
+use trefoil_directory::{Registration, Tag};
+
+use crate::estimate::Estimate;
+use crate::load::{Load, Outcome, Report};
+
+/// Requests at an upstream, as a multiple of its slots, beyond which none is sent. An upstream
+/// queues a few requests, and some never answer one that they cannot queue.
+const OPEN_MAX: u32 = 3;
+
+/// Assumed time of work at an upstream of a service of which no answer has been seen.
+const UNKNOWN_TIME: Duration = Duration::from_millis(150);
+
+/// Observations that the mean of the service counts for in the estimate of one upstream.
+const PRIOR: f64 = 3.0;
+
+/// How much slower an upstream is that has just started.
+const COLD: f64 = 2.0;
+
+/// How much later an answer from another failure domain may be predicted and still not be worth
+/// leaving this one, because bytes between domains are dear.
+const DOMAIN_COST: Duration = Duration::from_millis(40);
+
+/// Added to the prediction for an upstream whose requests all fail.
+const TROUBLE_COST: Duration = Duration::from_secs(2);
+
+/// What a request needs from an upstream.
+#[derive(Debug, Clone, Copy)]
+pub struct Need {
+    /// Longest time that an answer may be predicted to take.
+    pub within: Duration,
+}
+
+/// An upstream of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Member {
+    /// The upstream.
+    pub tag: Tag,
+    /// Whether it is in this host's failure domain.
+    pub near: bool,
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    /// To this upstream.
+    Upstream(Tag),
+    /// Nowhere now; there may be room after this time.
+    Full(Duration),
+    /// Nowhere: no upstream is known that takes requests.
+    Nobody,
+}
+
+#[derive(Debug, Default)]
+struct ServiceLoad {
+    members: Vec<Member>,
+    time: Estimate,
+}
+
+/// Chooses upstreams by predicted answer time.
+#[derive(Debug)]
+pub struct Balancer {
+    domain: DomainName,
+    loads: HashMap<Tag, Load>,
+    services: BTreeMap<ServiceName, ServiceLoad>,
+    of: HashMap<Tag, ServiceName>,
+}
+
+impl Balancer {
+    /// A balancer of a host in `domain`.
+    pub fn new(domain: DomainName) -> Self {
+        Self {
+            domain,
+            loads: HashMap::new(),
+            services: BTreeMap::new(),
+            of: HashMap::new(),
+        }
+    }
+
+    /// Takes in an upstream's registration. `ready` says whether it takes new work; one that does
+    /// not is not chosen any more, and its load is kept for the requests that it still has.
+    pub fn register(&mut self, now: Tick, registration: &Registration, ready: bool) {
+        let tag = Tag::of(&registration.life.name);
+        let cold = match registration.warmup {
+            Duration::ZERO => Tick::default(),
+            left => now.after(left),
+        };
+        let slots = Slots(registration.slots.0.max(1));
+        self.loads
+            .entry(tag)
+            .or_insert_with(|| Load::new(slots, cold))
+            .update(slots, cold);
+        self.leave(tag);
+        if ready {
+            let member = Member {
+                tag,
+                near: registration.domain == self.domain,
+            };
+            let service = registration.service.clone();
+            let of = self.services.entry(service.clone()).or_default();
+            of.members.push(member);
+            self.of.insert(tag, service);
+        }
+    }
+
+    /// A new life of an upstream: nothing of the one before holds.
+    pub fn renew(&mut self, tag: Tag) {
+        if let Some(load) = self.loads.get_mut(&tag) {
+            *load = Load::new(load.slots(), Tick::default());
+        }
+    }
+
+    /// Forgets an upstream.
+    pub fn remove(&mut self, tag: Tag) {
+        self.leave(tag);
+        self.loads.remove(&tag);
+    }
+
+    fn leave(&mut self, tag: Tag) {
+        if let Some(service) = self.of.remove(&tag)
+            && let Some(load) = self.services.get_mut(&service)
+        {
+            load.members.retain(|m| m.tag != tag);
+        }
+    }
+
+    /// Load of an upstream.
+    pub fn load(&self, tag: Tag) -> Option<&Load> {
+        self.loads.get(&tag)
+    }
+
+    /// All upstreams with their loads.
+    pub fn loads(&self) -> impl Iterator<Item = (Tag, &Load)> {
+        self.loads.iter().map(|(tag, load)| (*tag, load))
+    }
+
+    /// Another host has no requests open, until it reports some.
+    pub fn clear_open(&mut self, from: HostId) {
+        for load in self.loads.values_mut() {
+            load.clear_open(from);
+        }
+    }
+
+    /// Takes in another host's report about an upstream.
+    pub fn report(&mut self, now: Tick, from: HostId, tag: Tag, report: Report) {
+        if let Some(load) = self.loads.get_mut(&tag) {
+            load.report(now, from, report);
+        }
+    }
+
+    /// Expected time of work at an upstream, without waiting.
+    pub fn time(&self, now: Tick, tag: Tag) -> Duration {
+        let service = self.of.get(&tag).and_then(|s| self.services.get(s));
+        let usual = service.and_then(|s| s.time.mean()).unwrap_or(UNKNOWN_TIME);
+        let Some(load) = self.loads.get(&tag) else {
+            return usual;
+        };
+        let prior = Estimate::received(now, usual, PRIOR);
+        let time = load.time(now).plus(prior).mean().unwrap_or(usual);
+        if load.is_cold(now) && load.time(now).weight() < PRIOR {
+            time.mul_f64(COLD)
+        } else {
+            time
+        }
+    }
+
+    /// Predicted time until an upstream answers one more request.
+    pub fn prediction(&self, now: Tick, tag: Tag) -> Duration {
+        let time = self.time(now, tag);
+        let Some(load) = self.loads.get(&tag) else {
+            return time;
+        };
+        let queued = f64::from((load.open(now) + 1).saturating_sub(load.slots().0));
+        time.mul_f64(1.0 + queued / f64::from(load.slots().0))
+    }
+
+    /// Whether an upstream has room for one more request that is answered in time.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the time after which there may be room.
+    pub fn admits(&self, now: Tick, tag: Tag, need: Need) -> Result<(), Duration> {
+        let Some(load) = self.loads.get(&tag) else {
+            return Ok(());
+        };
+        let slots = load.slots().0;
+        let open = load.open(now);
+        let free = open < slots;
+        let late = self.prediction(now, tag) > need.within;
+        if open < slots * OPEN_MAX && (free || !late) {
+            return Ok(());
+        }
+        // Room for one appears after about one time of work shared by all slots.
+        Err(self.time(now, tag).div_f64(f64::from(slots)))
+    }
+
+    /// Chooses an upstream of a service that is not in `tried`.
+    pub fn choose(&self, now: Tick, service: &ServiceName, need: Need, tried: &[Tag]) -> Choice {
+        let Some(service) = self.services.get(service) else {
+            return Choice::Nobody;
+        };
+        let members = service.members.iter().filter(|m| !tried.contains(&m.tag));
+        let mut best: Option<(Duration, Tag)> = None;
+        let mut room: Option<Duration> = None;
+        for member in members {
+            let Some(load) = self.loads.get(&member.tag) else {
+                continue;
+            };
+            if let Err(wait) = self.admits(now, member.tag, need) {
+                room = Some(room.map_or(wait, |r| r.min(wait)));
+                continue;
+            }
+            let mut cost = self.prediction(now, member.tag);
+            if !member.near {
+                cost += DOMAIN_COST;
+            }
+            if load.is_paused(now) {
+                cost += TROUBLE_COST;
+            }
+            cost += TROUBLE_COST.mul_f64(load.trouble());
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, member.tag));
+            }
+        }
+        match (best, room) {
+            (Some((_, tag)), _) => Choice::Upstream(tag),
+            (None, Some(wait)) => Choice::Full(wait),
+            (None, None) => Choice::Nobody,
+        }
+    }
+
+    /// A request is sent to an upstream; returns how many were open before.
+    pub fn begin(&mut self, now: Tick, tag: Tag) -> u32 {
+        let Some(load) = self.loads.get_mut(&tag) else {
+            return 0;
+        };
+        let open = load.open(now);
+        load.begin();
+        open
+    }
+
+    /// A request at an upstream has ended; `open` is what [`begin`](Self::begin) returned.
+    pub fn end(&mut self, now: Tick, tag: Tag, outcome: Outcome, open: u32, took: Duration) {
+        let Some(load) = self.loads.get_mut(&tag) else {
+            return;
+        };
+        load.end(now, outcome, open, took);
+        if outcome == Outcome::Answered
+            && let Some(service) = self.of.get(&tag).and_then(|s| self.services.get_mut(s))
+        {
+            let queued = f64::from((open + 1).saturating_sub(load.slots().0));
+            let share = 1.0 + queued / f64::from(load.slots().0.max(1));
+            service.time.observe(now, took.div_f64(share));
+        }
+    }
+
+    /// Mean time of work at the upstreams of a service, if any answer has been seen.
+    pub fn usual_time(&self, service: &ServiceName) -> Option<Duration> {
+        self.services.get(service)?.time.mean()
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod path;
 mod read;
 pub mod resource;
+pub mod serve;
 pub mod settings;
 mod tree;
 
@@ -22,5 +23,6 @@
 pub use resource::{
     Deadlines, Key, Limits, Methods, Routing, RoutingSpec, Service, Upstream, Weights,
 };
+pub use serve::{BoundSettings, ServeSettings};
 pub use settings::{LogLevel, Overrides, Settings, SettingsBuilder};
 pub use tree::TEXT_MAX;
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -12,9 +12,14 @@
 
 use async_io::Timer;
 use derive_more::{Add, Display, From, Into};
+use event_listener::Event;
+use futures_lite::FutureExt;
 use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
+/// Shortest time for which [`QueueClock`] sets a timer of the runtime.
+const GRANULARITY: Duration = Duration::from_millis(1);
+
 /// A point in time on a [`Clock`], as the time since the clock's own origin.
 ///
 /// Ticks of different hosts cannot be compared.
@@ -120,11 +125,145 @@
     }
 }
 
+/// Sleepers by the tick for which they wait.
+#[derive(Debug, Default)]
+struct Sleepers {
+    next: u64,
+    wakers: BTreeMap<(Duration, u64), Waker>,
+}
+
+impl Sleepers {
+    fn register(&mut self, at: Tick, id: Option<u64>, waker: Waker) -> u64 {
+        let id = id.unwrap_or(self.next);
+        self.next = self.next.max(id + 1);
+        self.wakers.insert((at.0, id), waker);
+        id
+    }
+
+    fn remove(&mut self, at: Tick, id: u64) {
+        self.wakers.remove(&(at.0, id));
+    }
+
+    fn earliest(&self) -> Option<Tick> {
+        self.wakers.keys().next().map(|&(at, _)| Tick(at))
+    }
+
+    /// Takes out the sleepers whose tick has come, earliest first.
+    fn due(&mut self, now: Tick) -> Vec<Waker> {
+        let later = self.wakers.split_off(&(now.0, u64::MAX));
+        let due = std::mem::replace(&mut self.wakers, later);
+        due.into_values().collect()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    sleepers: Sleepers,
+    /// The tick at which the driver wakes next.
+    armed: Option<Tick>,
+}
+
+/// The clock of the host, with one timer of the runtime for all sleepers.
+///
+/// Every timer of the runtime costs a system call when it is set, and most timeouts of a request
+/// are set and never reached. Here setting one is an insertion into a map. Somebody must run
+/// [`drive`](Self::drive); without it no sleeper wakes.
+#[derive(Debug, Clone, Default)]
+pub struct QueueClock {
+    queue: Arc<Mutex<Queue>>,
+    earlier: Arc<Event>,
+}
+
+impl QueueClock {
+    fn lock(&self) -> MutexGuard<'_, Queue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes sleepers at their ticks. It does not return.
+    pub async fn drive(&self) {
+        loop {
+            let earlier = self.earlier.listen();
+            let next = {
+                let mut queue = self.lock();
+                queue.armed = queue.sleepers.earliest();
+                queue.armed
+            };
+            match next {
+                None => earlier.await,
+                Some(at) => {
+                    // Sleepers that are due within the granularity share one wake.
+                    let span = at.since(self.now()).max(GRANULARITY);
+                    let timer = async {
+                        Timer::after(span).await;
+                    };
+                    timer.or(earlier).await;
+                }
+            }
+            let due = self.lock().sleepers.due(self.now());
+            for waker in due {
+                waker.wake();
+            }
+        }
+    }
+}
+
+impl Clock for QueueClock {
+    fn now(&self) -> Tick {
+        SystemClock.now()
+    }
+
+    fn unix(&self) -> UnixMillis {
+        SystemClock.unix()
+    }
+
+    fn sleep_until(&self, at: Tick) -> Sleep {
+        Box::pin(QueueSleep {
+            clock: self.clone(),
+            at,
+            id: None,
+        })
+    }
+}
+
+struct QueueSleep {
+    clock: QueueClock,
+    at: Tick,
+    id: Option<u64>,
+}
+
+impl Future for QueueSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.clock.now() >= self.at {
+            return Poll::Ready(());
+        }
+        let clock = self.clock.clone();
+        let mut queue = clock.lock();
+        let id = queue
+            .sleepers
+            .register(self.at, self.id, cx.waker().clone());
+        if queue.armed.is_none_or(|armed| self.at < armed) {
+            queue.armed = Some(self.at);
+            clock.earlier.notify(1);
+        }
+        self.id = Some(id);
+        Poll::Pending
+    }
+}
+
+impl Drop for QueueSleep {
+    fn drop(&mut self) {
+        if let Some(id) = self.id {
+            self.clock.lock().sleepers.remove(self.at, id);
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Manual {
     now: Duration,
-    next: u64,
-    waiters: BTreeMap<(Duration, u64), Waker>,
+    sleepers: Sleepers,
 }
 
 /// A clock that moves only when a test advances it.
@@ -152,18 +291,17 @@
         let due = {
             let mut state = self.lock();
             state.now += span;
-            let end = (state.now, u64::MAX);
-            let later = state.waiters.split_off(&end);
-            std::mem::replace(&mut state.waiters, later)
+            let now = Tick(state.now);
+            state.sleepers.due(now)
         };
-        for waker in due.into_values() {
+        for waker in due {
             waker.wake();
         }
     }
 
     /// The earliest tick for which a sleeper waits.
     pub fn next_wake(&self) -> Option<Tick> {
-        self.lock().waiters.keys().next().map(|&(at, _)| Tick(at))
+        self.lock().sleepers.earliest()
     }
 }
 
@@ -201,12 +339,10 @@
         if state.now >= self.at.0 {
             return Poll::Ready(());
         }
-        let id = self.id.unwrap_or(state.next);
-        if self.id.is_none() {
-            state.next += 1;
-            self.id = Some(id);
-        }
-        state.waiters.insert((self.at.0, id), cx.waker().clone());
+        let id = state
+            .sleepers
+            .register(self.at, self.id, cx.waker().clone());
+        self.id = Some(id);
         Poll::Pending
     }
 }
@@ -214,7 +350,7 @@
 impl Drop for ManualSleep {
     fn drop(&mut self) {
         if let Some(id) = self.id {
-            self.clock.lock().waiters.remove(&(self.at.0, id));
+            self.clock.lock().sleepers.remove(self.at, id);
         }
     }
 }
--- /dev/null
+++ b/crates/core/src/keys.rs
@@ -0,0 +1,159 @@
+//! Numeric keys, ranges of them, and the fences that order their owners.
+
+use std::str::FromStr;
+
+use derive_more::{Display, From, FromStr, Into};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+/// A key of a service that is divided by ranges.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    FromStr,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Key(pub u16);
+
+/// Number of keys that a service has.
+pub const KEYS: u32 = 1 << 16;
+
+/// Why two keys are not a range.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum RangeError {
+    /// The first key is above the last.
+    #[snafu(display("the range begins at {first} and ends before it, at {last}"))]
+    Reversed {
+        /// First key.
+        first: Key,
+        /// Last key.
+        last: Key,
+    },
+    /// The text is not `FIRST-LAST`.
+    #[snafu(display("{text:?} is not a range such as 0-4095"))]
+    Syntax {
+        /// The text.
+        text: String,
+    },
+}
+
+/// A range of keys that contains both ends. It is never empty.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
+)]
+#[display("{first}-{last}")]
+pub struct KeyRange {
+    first: Key,
+    last: Key,
+}
+
+impl KeyRange {
+    /// All keys.
+    pub const ALL: Self = Self {
+        first: Key(0),
+        last: Key(u16::MAX),
+    };
+
+    /// The keys from `first` to `last`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `first` is above `last`.
+    pub fn new(first: Key, last: Key) -> Result<Self, RangeError> {
+        if first > last {
+            return Err(RangeError::Reversed { first, last });
+        }
+        Ok(Self { first, last })
+    }
+
+    /// First key.
+    pub fn first(self) -> Key {
+        self.first
+    }
+
+    /// Last key.
+    pub fn last(self) -> Key {
+        self.last
+    }
+
+    /// Number of keys.
+    pub fn len(self) -> u32 {
+        u32::from(self.last.0 - self.first.0) + 1
+    }
+
+    /// Always false; ranges have at least one key.
+    pub fn is_empty(self) -> bool {
+        false
+    }
+
+    /// Whether the key is in the range.
+    pub fn contains(self, key: Key) -> bool {
+        (self.first..=self.last).contains(&key)
+    }
+
+    /// The keys that both ranges have.
+    pub fn intersection(self, other: Self) -> Option<Self> {
+        let (first, last) = (self.first.max(other.first), self.last.min(other.last));
+        Self::new(first, last).ok()
+    }
+
+    /// Whether `next` begins right after this range ends.
+    pub fn meets(self, next: Self) -> bool {
+        self.last.0.checked_add(1) == Some(next.first.0)
+    }
+}
+
+impl FromStr for KeyRange {
+    type Err = RangeError;
+
+    fn from_str(text: &str) -> Result<Self, RangeError> {
+        let parsed = text
+            .split_once('-')
+            .and_then(|(first, last)| Some((first.parse().ok()?, last.parse().ok()?)));
+        let (first, last) = parsed.ok_or_else(|| RangeError::Syntax {
+            text: text.to_owned(),
+        })?;
+        Self::new(first, last)
+    }
+}
+
+/// Fencing token of a grant. An upstream refuses a grant below one that it has seen for a key.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    From,
+    FromStr,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+impl Fence {
+    /// The fence after this one.
+    #[must_use]
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,14 +11,16 @@
 pub mod chart;
 pub mod clock;
 pub mod ids;
+pub mod keys;
 pub mod outcome;
 pub mod units;
 
 pub use chart::StateChart;
-pub use clock::{Clock, ManualClock, SystemClock, Tick, UnixMillis};
+pub use clock::{Clock, ManualClock, QueueClock, SystemClock, Tick, UnixMillis};
 pub use ids::{
     DomainName, HostId, HostName, KeyHash, NameError, Offset, Rank, RegionName, RequestId,
     ResourceName, Revision, ServiceName, Shard, Term, Token, UpstreamName, WriterId,
 };
+pub use keys::{Fence, KEYS, Key, KeyRange, RangeError};
 pub use outcome::Outcome;
 pub use units::{Bytes, PerSecond, Slots};
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -73,7 +73,19 @@
 /// A logger to standard error. Writing happens on a thread of its own, so that a slow terminal or
 /// pipe does not stop the process; lines that do not fit its buffer are dropped and counted.
 pub fn stderr(level: Level) -> (Logger, Flush) {
-    let drain = slog::LevelFilter::new(KeyValue::new(std::io::stderr()), level).ignore_res();
+    logger(std::io::stderr(), level)
+}
+
+/// A logger to standard output, as [`stderr`].
+pub fn stdout(level: Level) -> (Logger, Flush) {
+    logger(std::io::stdout(), level)
+}
+
+fn logger<W>(out: W, level: Level) -> (Logger, Flush)
+where
+    W: Write + Send + 'static,
+{
+    let drain = slog::LevelFilter::new(KeyValue::new(out), level).ignore_res();
     let (drain, guard) = slog_async::Async::new(drain).build_with_guard();
     (Logger::root(drain.ignore_res(), o!()), Flush(guard))
 }
--- /dev/null
+++ b/crates/directory/src/directory.rs
@@ -0,0 +1,179 @@
+//! One host's view of the registry.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use trefoil_core::{ServiceName, Tick, UnixMillis, UpstreamName};
+
+use crate::{Registration, Tag};
+
+/// Time after the return of the registry in which live upstreams register again. One that is
+/// missing after it is gone.
+pub const RETURN_GRACE: Duration = Duration::from_secs(2);
+
+/// Time for which the counter of a vanished upstream is remembered, so that a late registration
+/// does not bring it back. Late writes arrive within seconds.
+const MEMORY: Duration = Duration::from_mins(1);
+
+/// What changed in the directory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// An upstream appeared, or a new life of it.
+    Joined(Rc<Registration>),
+    /// An upstream says something new of itself.
+    Updated(Rc<Registration>),
+    /// An upstream is gone.
+    Gone(Rc<Registration>),
+}
+
+#[derive(Debug)]
+struct Entry {
+    registration: Rc<Registration>,
+    /// Set if the upstream is not in the registry any more and is gone at this tick.
+    vanishes: Option<Tick>,
+}
+
+#[derive(Debug)]
+struct Forgotten {
+    order: (UnixMillis, u64),
+    until: Tick,
+}
+
+/// One host's view of the registry.
+#[derive(Debug, Default)]
+pub struct Directory {
+    entries: BTreeMap<UpstreamName, Entry>,
+    tags: HashMap<Tag, UpstreamName>,
+    forgotten: HashMap<UpstreamName, Forgotten>,
+    /// When the registry returned from its last outage.
+    returned: Option<Tick>,
+}
+
+impl Directory {
+    /// The registry answers again after an outage.
+    pub fn set_returned(&mut self, now: Tick) {
+        self.returned = Some(now);
+    }
+
+    /// Takes in a registration. One that is older than what is known changes nothing.
+    pub fn register(&mut self, registration: Registration) -> Option<Change> {
+        let name = registration.life.name.clone();
+        let order = registration.order();
+        let forgotten = self.forgotten.get(&name).map(|f| f.order);
+        if forgotten.is_some_and(|earlier| order <= earlier) {
+            return None;
+        }
+        self.forgotten.remove(&name);
+        let registration = Rc::new(registration);
+        let Some(entry) = self.entries.get_mut(&name) else {
+            self.tags.insert(Tag::of(&name), name.clone());
+            let entry = Entry {
+                registration: Rc::clone(&registration),
+                vanishes: None,
+            };
+            self.entries.insert(name, entry);
+            return Some(Change::Joined(registration));
+        };
+        if order < entry.registration.order() {
+            return None;
+        }
+        entry.vanishes = None;
+        let earlier = std::mem::replace(&mut entry.registration, Rc::clone(&registration));
+        match () {
+            () if earlier.life != registration.life => Some(Change::Joined(registration)),
+            () if registration.is_renewal_of(&earlier) => None,
+            () => Some(Change::Updated(registration)),
+        }
+    }
+
+    /// Takes in that an upstream is not in the registry any more.
+    pub fn vanish(&mut self, now: Tick, name: &UpstreamName) -> Option<Change> {
+        let grace = self.returned.map(|at| at.after(RETURN_GRACE));
+        let entry = self.entries.get_mut(name)?;
+        match grace {
+            Some(until) if now < until => {
+                entry.vanishes.get_or_insert(until);
+                None
+            }
+            _ => self.remove(now, name),
+        }
+    }
+
+    /// Takes in the whole registry: upstreams that it does not list have vanished. `unreadable` are
+    /// names under which it has something else than a registration, which says nothing about them.
+    pub fn replace(
+        &mut self,
+        now: Tick,
+        listed: Vec<Registration>,
+        unreadable: &[UpstreamName],
+    ) -> Vec<Change> {
+        let missing = self.entries.keys().filter(|name| {
+            let known = listed.iter().map(|r| &r.life.name).chain(unreadable);
+            !known.into_iter().any(|n| n == *name)
+        });
+        let missing: Vec<UpstreamName> = missing.cloned().collect();
+        let mut changes: Vec<Change> = listed
+            .into_iter()
+            .filter_map(|r| self.register(r))
+            .collect();
+        changes.extend(missing.iter().filter_map(|name| self.vanish(now, name)));
+        changes
+    }
+
+    /// Removes the upstreams whose grace has passed.
+    pub fn expire(&mut self, now: Tick) -> Vec<Change> {
+        self.forgotten.retain(|_, f| now < f.until);
+        let due = |e: &Entry| e.vanishes.is_some_and(|at| at <= now);
+        let names = self.entries.iter().filter(|(_, e)| due(e));
+        let names: Vec<UpstreamName> = names.map(|(name, _)| name.clone()).collect();
+        names
+            .iter()
+            .filter_map(|name| self.remove(now, name))
+            .collect()
+    }
+
+    fn remove(&mut self, now: Tick, name: &UpstreamName) -> Option<Change> {
+        let entry = self.entries.remove(name)?;
+        self.tags.remove(&Tag::of(name));
+        let forgotten = Forgotten {
+            order: entry.registration.order(),
+            until: now.after(MEMORY),
+        };
+        self.forgotten.insert(name.clone(), forgotten);
+        Some(Change::Gone(entry.registration))
+    }
+
+    /// An upstream by its name.
+    pub fn get(&self, name: &UpstreamName) -> Option<&Rc<Registration>> {
+        self.entries.get(name).map(|e| &e.registration)
+    }
+
+    /// An upstream by its tag.
+    pub fn tagged(&self, tag: Tag) -> Option<&Rc<Registration>> {
+        self.get(self.tags.get(&tag)?)
+    }
+
+    /// All upstreams, by name.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Registration>> {
+        self.entries.values().map(|e| &e.registration)
+    }
+
+    /// The upstreams of a service, by name.
+    pub fn of<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a Rc<Registration>> {
+        self.iter().filter(move |r| r.service == *service)
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/follow.rs
@@ -0,0 +1,242 @@
+//! Following the configuration and the registry in the store.
+//!
+//! Both are compacted topics. A follower reads the newest record of each key first and then the
+//! records after it. If those have been deleted, it begins anew.
+//!
+//! The configuration changes seldom and must be in force soon, so its follower waits in the store
+//! for the next record. The wait is short enough that a connection which has gone silent is noticed
+//! in time. The registry changes with every heartbeat of every upstream; waiting for the next record
+//! would return at once every time, so it is read at a fixed pace.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::{info, warn};
+use trefoil_core::{Offset, Tick, UpstreamName};
+use trefoil_directory::Registration;
+use trefoil_store::{Keyed, Newest, Place, Read, StoreError};
+
+use crate::host::Host;
+
+/// Longest wait in the store for a new configuration. A new one must be in force 2 s after it was
+/// accepted; a connection that has gone silent delays it by at most this time.
+const CONFIG_WAIT: Duration = Duration::from_secs(4);
+
+/// Time between two reads of the registry. An upstream that leaves must get no requests after 2 s.
+const REGISTRY_PACE: Duration = Duration::from_millis(700);
+
+/// Wait after a failed call; it doubles up to [`BACKOFF_MAX`]. Refused calls are paid for as well.
+const BACKOFF: Duration = Duration::from_millis(150);
+
+/// Longest wait after a failed call.
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
+
+/// Time without an answer after which the store counts as lost. Upstreams that cannot renew their
+/// registration vanish after a time that is longer.
+const LOST_AFTER: Duration = Duration::from_millis(1500);
+
+/// Follows the configuration. It does not return.
+pub async fn follow_config(host: Rc<Host>) {
+    let (place, key) = host.platform.config_place();
+    let key = key.to_owned();
+    let mut follower = Follower::new(&host, place, CONFIG_WAIT);
+    loop {
+        for (name, value) in follower.next().await {
+            match value {
+                Some(value) if name == key => read_config(&host, &value),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn read_config(host: &Host, value: &Bytes) {
+    match host.platform.read_config(value) {
+        Ok((config, rejected)) => {
+            for reason in rejected {
+                host.log_rejected("part of the configuration", &reason);
+            }
+            host.apply(config);
+        }
+        Err(reason) => host.log_rejected("configuration", &reason),
+    }
+}
+
+/// Follows the registry. It does not return.
+pub async fn follow_registry(host: Rc<Host>) {
+    let mut follower = Follower::new(&host, host.platform.registry_place(), Duration::ZERO);
+    loop {
+        let whole = follower.is_behind();
+        let records = follower.next().await;
+        let now = host.now();
+        if follower.take_returned() {
+            host.directory.borrow_mut().set_returned(now);
+        }
+        let changes = take_in(&host, now, whole, records);
+        host.apply_changes(changes);
+        host.listed.set(true);
+        let expired = host.directory.borrow_mut().expire(now);
+        host.apply_changes(expired);
+        host.clock.sleep(REGISTRY_PACE).await;
+    }
+}
+
+fn take_in(
+    host: &Host,
+    now: Tick,
+    whole: bool,
+    records: Vec<(String, Option<Bytes>)>,
+) -> Vec<trefoil_directory::Change> {
+    let mut directory = host.directory.borrow_mut();
+    if whole {
+        let mut listed = Vec::new();
+        let mut unreadable = Vec::new();
+        for (key, value) in records {
+            match value.and_then(|value| read_registration(host, &key, &value)) {
+                Some(registration) => listed.push(registration),
+                None => unreadable.extend(key.parse::<UpstreamName>()),
+            }
+        }
+        return directory.replace(now, listed, &unreadable);
+    }
+    // Of several records of one key only the newest matters.
+    let newest: HashMap<String, Option<Bytes>> = records.into_iter().collect();
+    let changes = newest.into_iter().filter_map(|(key, value)| match value {
+        Some(value) => directory.register(read_registration(host, &key, &value)?),
+        None => directory.vanish(now, &key.parse::<UpstreamName>().ok()?),
+    });
+    changes.collect()
+}
+
+fn read_registration(host: &Host, key: &str, value: &Bytes) -> Option<Registration> {
+    let read = host.platform.read_registration(key, value);
+    read.inspect_err(|reason| host.log_rejected("registration", reason))
+        .ok()
+}
+
+/// Reads the records of a compacted topic.
+#[derive(Debug)]
+struct Follower {
+    host: Rc<Host>,
+    place: Place,
+    wait: Duration,
+    /// Where to read on, or nothing if the newest record of each key is to be read first.
+    next: Option<Offset>,
+    backoff: Duration,
+    seen: Option<Tick>,
+    lost: bool,
+    returned: bool,
+}
+
+impl Follower {
+    fn new(host: &Rc<Host>, place: Place, wait: Duration) -> Self {
+        Self {
+            host: Rc::clone(host),
+            place,
+            wait,
+            next: None,
+            backoff: BACKOFF,
+            seen: None,
+            lost: false,
+            returned: false,
+        }
+    }
+
+    /// Whether the next records are the newest of each key.
+    fn is_behind(&self) -> bool {
+        self.next.is_none()
+    }
+
+    /// Whether the store has returned from an outage since the last call.
+    fn take_returned(&mut self) -> bool {
+        std::mem::take(&mut self.returned)
+    }
+
+    /// The next records; waits until the store answers. A read whose records have been deleted
+    /// makes the follower begin anew, and returns nothing.
+    async fn next(&mut self) -> Vec<(String, Option<Bytes>)> {
+        loop {
+            let sent = self.host.now();
+            let result = match self.next {
+                None => self.read_newest().await,
+                Some(from) => self.read_from(from).await,
+            };
+            match result {
+                Ok(records) => {
+                    self.answered(sent);
+                    return records;
+                }
+                Err(StoreError::Dropped { first }) => {
+                    info!(self.host.log, "records were deleted, reading anew";
+                        "place" => %self.place, "oldest" => first.0);
+                    self.answered(sent);
+                    self.next = None;
+                    return Vec::new();
+                }
+                Err(error) => self.failed(&error).await,
+            }
+        }
+    }
+
+    async fn read_newest(&mut self) -> Result<Vec<(String, Option<Bytes>)>, StoreError> {
+        let mut records = Vec::new();
+        let mut after = None;
+        // Pages are no snapshot: reading on from the end of the first page repeats what changed
+        // while the others were read.
+        let mut end = None;
+        loop {
+            let newest = Newest {
+                place: self.place.clone(),
+                after,
+            };
+            let page = self.host.store.newest(newest).await?;
+            end.get_or_insert(page.end);
+            after = page.items.last().map(|item| item.key.clone());
+            let items = page.items.into_iter();
+            records.extend(items.map(|item| (item.key, Some(item.value))));
+            if !page.more || after.is_none() {
+                self.next = end;
+                return Ok(records);
+            }
+        }
+    }
+
+    async fn read_from(
+        &mut self,
+        from: Offset,
+    ) -> Result<Vec<(String, Option<Bytes>)>, StoreError> {
+        let read = Read {
+            place: self.place.clone(),
+            from,
+            wait: self.wait,
+        };
+        let batch = self.host.store.read(read).await?;
+        self.next = Some(batch.next);
+        let keyed = batch.records.into_iter().filter_map(Keyed::decode);
+        Ok(keyed.map(|k| (k.key, k.value)).collect())
+    }
+
+    fn answered(&mut self, sent: Tick) {
+        self.host.store_answered(sent);
+        self.backoff = BACKOFF;
+        let now = self.host.now();
+        let away = self.seen.map(|seen| now.since(seen));
+        self.seen = Some(now);
+        if std::mem::take(&mut self.lost) {
+            info!(self.host.log, "store regained"; "place" => %self.place,
+                "away_ms" => away.unwrap_or_default().as_millis());
+        }
+        let span = self.wait + LOST_AFTER;
+        self.returned |= away.is_some_and(|away| away > span);
+    }
+
+    async fn failed(&mut self, error: &StoreError) {
+        if !std::mem::replace(&mut self.lost, true) {
+            warn!(self.host.log, "store lost"; "place" => %self.place, "reason" => %error);
+        }
+        self.host.clock.sleep(self.backoff).await;
+        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,536 @@
+//! Sending a request to upstreams until one has answered it.
+//!
+//! A request is sent again only if that cannot run it twice: its route says that it may run more
+//! than once, or there is proof that the attempt did not run. The caller is told "not run" (503)
+//! only with that proof for every attempt. Everything else that brings no answer is 502 or 504,
+//! which promise nothing.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::StatusCode;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
+use slog::info;
+use smallvec::SmallVec;
+use trefoil_balance::{Choice, Need, Outcome, RepeatBudget};
+use trefoil_core::{Key, ServiceName, Tick};
+use trefoil_directory::{Phase, Registration, Tag};
+use trefoil_http::h1::{
+    Answer, Content, Link, LinkError, Match, Reply, Request, Sent, encode_request,
+};
+use trefoil_ranges::{Answer as OrderAnswer, Order, OrderKind};
+use trefoil_route::{Repeat, Route};
+
+use crate::host::Host;
+use crate::pool::{self, UpstreamLink};
+
+/// Largest answer that is passed on.
+const ANSWER_MAX: usize = 16 * 1024 * 1024;
+
+/// Idle time of a connection up to which it carries requests that must not run twice. A request
+/// that meets the close of its connection can have run, so these use only connections that were
+/// busy a moment ago.
+const FRESH_IDLE: Duration = Duration::from_millis(1500);
+
+/// Longest wait for a key to get an owner, as a share of the time that is left.
+const MOVE_SHARE: u32 = 3;
+
+/// Wait after an upstream has refused a key that it should own: the routes are about to change.
+const MOVED_WAIT: Duration = Duration::from_millis(40);
+
+/// When a caller is told to come back at the earliest.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+
+/// When a caller is told to come back at the latest.
+const RETRY_MAX: Duration = Duration::from_secs(1);
+
+/// Time in which an upstream answers a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time in which an upstream answers a release, which includes the work that it has begun.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A request on its way.
+#[derive(Debug)]
+pub struct Job {
+    /// Its route.
+    pub route: Rc<Route>,
+    /// The service that it goes to.
+    pub service: ServiceName,
+    /// Its key, if the service is divided by keys.
+    pub key: Option<Key>,
+    /// What the caller sent.
+    pub request: Request,
+    /// The caller's identifier.
+    pub id: Option<HeaderValue>,
+    /// When it had arrived.
+    pub arrived: Tick,
+    /// When the caller is told that there is no answer.
+    pub deadline: Tick,
+    /// Set when the caller has gone.
+    pub gone: Rc<Cell<bool>>,
+}
+
+/// What became of one attempt.
+#[derive(Debug)]
+enum Attempt {
+    /// The upstream ran the request and answered.
+    Answered(Reply),
+    /// The upstream says that it did not run the request.
+    Refused(Reply),
+    /// The request did not reach the upstream.
+    Unsent(String),
+    /// The request may have run.
+    Unknown(String),
+    /// The deadline has passed without an answer.
+    Late,
+}
+
+/// Where a request goes next.
+enum Target {
+    Send(Rc<Registration>),
+    /// Something may change until then.
+    Wait(Duration, &'static str),
+    Refuse(Duration, &'static str),
+}
+
+/// How a request has ended.
+#[derive(Debug)]
+pub struct End {
+    /// What the caller is told.
+    pub answer: Answer,
+    /// Why.
+    pub cause: &'static str,
+}
+
+/// What has been tried for a request.
+#[derive(Debug, Default)]
+struct Tried {
+    /// Upstreams that a request reached.
+    sent: SmallVec<[Tag; 4]>,
+    /// Upstreams that refused it or could not be reached.
+    avoid: SmallVec<[Tag; 4]>,
+    /// Times that it reached an upstream.
+    arrivals: u32,
+    /// An attempt may have run.
+    doubt: bool,
+    /// What went wrong last.
+    reason: String,
+    waited: Duration,
+}
+
+/// Sends a request until it is answered, and returns what the caller is told.
+pub async fn forward(host: &Rc<Host>, job: &Job) -> End {
+    let mut tried = Tried::default();
+    loop {
+        let now = host.now();
+        if now >= job.deadline || (job.gone.get() && tried.arrivals == 0) {
+            return give_up(host, job, &tried, "deadline");
+        }
+        let left = job.deadline.since(now);
+        let target = match target(host, job, &tried, now, left) {
+            Target::Send(target) => target,
+            Target::Wait(span, _) if tried.waited < left / MOVE_SHARE => {
+                wait(host, span).await;
+                tried.waited += host.now().since(now);
+                continue;
+            }
+            Target::Wait(span, cause) | Target::Refuse(span, cause) => {
+                return refuse(host, job, &tried, span, cause);
+            }
+        };
+        if tried.arrivals > 0 && !may_repeat(host, job, &tried, &target, now) {
+            return give_up(host, job, &tried, "no repeat left");
+        }
+        match attempt(host, job, &target, &mut tried).await {
+            Attempt::Answered(reply) => return pass_on(reply),
+            Attempt::Late => return give_up(host, job, &tried, "no answer in time"),
+            Attempt::Refused(reply) => {
+                tried.reason = format!("refused with {}", reply.head.status);
+                if job.key.is_some() {
+                    wait(host, MOVED_WAIT).await;
+                } else {
+                    tried.avoid.push(Tag::of(&target.life.name));
+                }
+            }
+            Attempt::Unsent(reason) => {
+                tried.reason = reason;
+                tried.avoid.push(Tag::of(&target.life.name));
+                if job.key.is_some() {
+                    wait(host, MOVED_WAIT).await;
+                }
+            }
+            Attempt::Unknown(reason) => {
+                tried.reason = reason;
+                tried.doubt = true;
+                if job.route.repeat == Repeat::AtMostOnce {
+                    return give_up(host, job, &tried, "broken off");
+                }
+                if job.key.is_none() {
+                    tried.avoid.push(Tag::of(&target.life.name));
+                }
+            }
+        }
+    }
+}
+
+/// Waits until something may have changed, at most `span`.
+async fn wait(host: &Host, span: Duration) {
+    let routes = host.events.routes.listen();
+    let room = host.events.room.listen();
+    let slept = host.clock.sleep(span);
+    slept.or(async { routes.or(room).await }).await;
+}
+
+fn target(host: &Host, job: &Job, tried: &Tried, now: Tick, left: Duration) -> Target {
+    match job.key {
+        Some(key) => owner(host, job, key, now, left),
+        None => choose(host, job, tried, now, left),
+    }
+}
+
+/// Longest time that an answer may be predicted to take.
+fn need(job: &Job, now: Tick, left: Duration) -> Need {
+    let objective = job.arrived.after(job.route.objective).since(now);
+    Need {
+        within: objective.min(left),
+    }
+}
+
+fn choose(host: &Host, job: &Job, tried: &Tried, now: Tick, left: Duration) -> Target {
+    let balancer = host.balancer.borrow();
+    let choice = balancer.choose(now, &job.service, need(job, now, left), &tried.avoid);
+    match choice {
+        Choice::Upstream(tag) => match host.directory.borrow().tagged(tag) {
+            Some(registration) => Target::Send(Rc::clone(registration)),
+            None => Target::Wait(MOVED_WAIT, "no upstream"),
+        },
+        Choice::Full(wait) => Target::Refuse(wait, "upstreams are busy"),
+        Choice::Nobody if tried.avoid.is_empty() => Target::Wait(MOVED_WAIT, "no upstream"),
+        Choice::Nobody => Target::Refuse(RETRY_MIN, "no other upstream"),
+    }
+}
+
+fn owner(host: &Host, job: &Job, key: Key, now: Tick, left: Duration) -> Target {
+    let tables = host.tables.borrow();
+    let Some(routes) = tables.get(&job.service) else {
+        return Target::Wait(RETRY_MAX, "no table");
+    };
+    let directory = host.directory.borrow();
+    let Some(registration) = routes.owner(key).and_then(|name| directory.get(name)) else {
+        return Target::Wait(RETRY_MAX, "the key moves");
+    };
+    if registration.phase != Phase::Ready {
+        return Target::Wait(RETRY_MAX, "the owner leaves");
+    }
+    let tag = Tag::of(&registration.life.name);
+    match host
+        .balancer
+        .borrow()
+        .admits(now, tag, need(job, now, left))
+    {
+        Ok(()) => Target::Send(Rc::clone(registration)),
+        Err(wait) => Target::Refuse(wait, "the owner is busy"),
+    }
+}
+
+/// Whether the request may be sent once more.
+fn may_repeat(host: &Host, job: &Job, tried: &Tried, target: &Registration, now: Tick) -> bool {
+    let tag = Tag::of(&target.life.name);
+    let upstreams = u32::try_from(tried.sent.len()).unwrap_or(u32::MAX);
+    if !tried.sent.contains(&tag) && upstreams >= job.route.attempts {
+        return false;
+    }
+    let hosts = host.peers.borrow().live(now).count() + 1;
+    let mut budgets = host.budgets.borrow_mut();
+    let budget = budgets
+        .get_mut(&job.service)
+        .is_some_and(|b| b.withdraw(now, hosts));
+    if budget {
+        host.metrics.repeats.inc();
+    }
+    budget
+}
+
+/// Counts the load of one request at an upstream for as long as it lives.
+struct Permit<'a> {
+    host: &'a Host,
+    tag: Tag,
+    open: u32,
+    begun: Tick,
+    outcome: Outcome,
+}
+
+impl<'a> Permit<'a> {
+    fn new(host: &'a Host, tag: Tag, now: Tick) -> Self {
+        Self {
+            host,
+            tag,
+            open: host.balancer.borrow_mut().begin(now, tag),
+            begun: now,
+            outcome: Outcome::Dropped,
+        }
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let now = self.host.now();
+        let took = now.since(self.begun);
+        let mut balancer = self.host.balancer.borrow_mut();
+        balancer.end(now, self.tag, self.outcome, self.open, took);
+        self.host.events.room.notify(usize::MAX);
+    }
+}
+
+async fn attempt(host: &Host, job: &Job, target: &Registration, tried: &mut Tried) -> Attempt {
+    let now = host.now();
+    let tag = Tag::of(&target.life.name);
+    let mut permit = Permit::new(host, tag, now);
+    let (mut link, reused) = match open(host, job, target.address).await {
+        Ok(link) => link,
+        Err(reason) => {
+            permit.outcome = Outcome::Failed;
+            return Attempt::Unsent(reason);
+        }
+    };
+    let now = host.now();
+    if now >= job.deadline || job.gone.get() {
+        return Attempt::Unsent("the time had passed before it was sent".to_owned());
+    }
+    if tried.arrivals == 0 {
+        host.metrics
+            .queued
+            .observe(now.since(job.arrived).as_secs_f64());
+        count_first(host, &job.service, now);
+    }
+    let request = encode(host, job, target, now);
+    let id = job.id.clone();
+    let dialect = host.platform.dialect();
+    let belongs = |head: &trefoil_http::h1::ResponseHead| {
+        let answered = head.headers.get(&dialect.request_id);
+        match (answered, &id) {
+            (Some(answered), Some(id)) if answered == id => Match::Own,
+            // A refusal may come without an id; on a new connection it can only be ours.
+            (None, _) if !reused => Match::Own,
+            (_, None) => Match::Own,
+            _ => Match::Other,
+        }
+    };
+    let late = async {
+        host.clock.sleep_until(job.deadline).await;
+        None
+    };
+    let method = &job.request.head.method;
+    let exchange = async { Some(link.exchange(method, request, ANSWER_MAX, belongs).await) };
+    tried.arrivals += 1;
+    if !tried.sent.contains(&tag) {
+        tried.sent.push(tag);
+    }
+    let result = exchange.or(late).await;
+    judge(host, target.address, link, result, &mut permit, tried)
+}
+
+fn judge(
+    host: &Host,
+    address: SocketAddr,
+    link: UpstreamLink,
+    result: Option<Result<Reply, LinkError>>,
+    permit: &mut Permit<'_>,
+    tried: &mut Tried,
+) -> Attempt {
+    let dialect = host.platform.dialect();
+    match result {
+        None => {
+            permit.outcome = Outcome::Failed;
+            Attempt::Late
+        }
+        Some(Err(error)) => {
+            permit.outcome = Outcome::Failed;
+            if error.sent == Sent::Nothing {
+                tried.arrivals -= 1;
+                return Attempt::Unsent(error.reason);
+            }
+            Attempt::Unknown(error.reason)
+        }
+        Some(Ok(reply)) => {
+            let now = host.now();
+            let refused = reply.head.headers.contains_key(&dialect.refused)
+                || reply.head.status == StatusCode::MISDIRECTED_REQUEST;
+            let sealed = reply.head.headers.contains_key(&dialect.seal);
+            let encoded = reply.head.headers.contains_key(CONTENT_ENCODING);
+            if reply.head.status.is_success() && (!sealed || encoded) {
+                permit.outcome = Outcome::Failed;
+                return Attempt::Unknown("an answer without a seal".to_owned());
+            }
+            host.pool.borrow_mut().put(now, address, link);
+            if refused {
+                permit.outcome = Outcome::Refused;
+                Attempt::Refused(reply)
+            } else {
+                permit.outcome = Outcome::Answered;
+                Attempt::Answered(reply)
+            }
+        }
+    }
+}
+
+/// A connection to an upstream, and whether it has carried a request before.
+async fn open(host: &Host, job: &Job, address: SocketAddr) -> Result<(UpstreamLink, bool), String> {
+    let idle = match job.route.repeat {
+        Repeat::Idempotent => Duration::MAX,
+        Repeat::AtMostOnce => FRESH_IDLE,
+    };
+    let kept = host.pool.borrow_mut().take(host.now(), address, idle);
+    if let Some(link) = kept {
+        return Ok((link, true));
+    }
+    let opened = pool::connect(&*host.clock, address).await;
+    opened
+        .map(|link| (link, false))
+        .map_err(|e| format!("cannot connect to {address}: {e}"))
+}
+
+fn count_first(host: &Host, service: &ServiceName, now: Tick) {
+    let bounds = host.config.bounds;
+    let mut budgets = host.budgets.borrow_mut();
+    if !budgets.contains_key(service) {
+        let budget = RepeatBudget::new(
+            bounds.repeat_ratio,
+            bounds.repeat_fixed,
+            bounds.repeat_window,
+        );
+        budgets.insert(service.clone(), budget);
+    }
+    if let Some(budget) = budgets.get_mut(service) {
+        budget.count(now);
+    }
+}
+
+fn encode(host: &Host, job: &Job, target: &Registration, now: Tick) -> Bytes {
+    let dialect = host.platform.dialect();
+    let mut headers = job.request.head.headers.clone();
+    let left = u64::try_from(job.deadline.since(now).as_millis()).unwrap_or(u64::MAX);
+    headers.insert(dialect.deadline.clone(), HeaderValue::from(left));
+    if let Ok(name) = HeaderValue::from_str(target.life.name.as_str()) {
+        headers.insert(dialect.addressee.clone(), name);
+    }
+    let head = &job.request.head;
+    encode_request(&head.method, &head.target, &headers, &job.request.body)
+}
+
+fn pass_on(reply: Reply) -> End {
+    let mut headers = reply.head.headers;
+    headers.remove(CONTENT_LENGTH);
+    End {
+        answer: Answer {
+            status: reply.head.status,
+            headers,
+            content: Content::Whole(reply.body),
+        },
+        cause: "answered",
+    }
+}
+
+/// The request has not run: the caller may come back.
+fn refuse(host: &Host, job: &Job, tried: &Tried, span: Duration, cause: &'static str) -> End {
+    if tried.doubt {
+        return give_up(host, job, tried, cause);
+    }
+    log_end(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
+    End {
+        answer: unavailable(span),
+        cause,
+    }
+}
+
+/// An answer that says that the request has not run, and when to come back.
+pub(crate) fn unavailable(span: Duration) -> Answer {
+    let mut answer = Answer::empty(StatusCode::SERVICE_UNAVAILABLE);
+    let seconds = span.clamp(RETRY_MIN, RETRY_MAX).as_secs_f64();
+    if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
+        answer.headers.insert(RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// No answer can be had. If every attempt is proven not to have run, the caller is told so.
+fn give_up(host: &Host, job: &Job, tried: &Tried, cause: &'static str) -> End {
+    let now = host.now();
+    let ran = tried.doubt || (tried.arrivals > 0 && cause == "no answer in time");
+    if !ran {
+        log_end(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
+        return End {
+            answer: unavailable(RETRY_MIN),
+            cause,
+        };
+    }
+    let status = if now >= job.deadline {
+        StatusCode::GATEWAY_TIMEOUT
+    } else {
+        StatusCode::BAD_GATEWAY
+    };
+    log_end(host, job, tried, status, cause);
+    End {
+        answer: Answer::empty(status),
+        cause,
+    }
+}
+
+fn log_end(host: &Host, job: &Job, tried: &Tried, status: StatusCode, cause: &'static str) {
+    let id = job.id.as_ref().and_then(|id| id.to_str().ok());
+    let upstreams: Vec<String> = tried.sent.iter().map(ToString::to_string).collect();
+    info!(host.log, "request ended"; "id" => id.unwrap_or("-"), "route" => %job.route.name,
+        "service" => %job.service, "status" => status.as_u16(), "cause" => cause,
+        "after_ms" => host.now().since(job.arrived).as_millis(),
+        "arrivals" => tried.arrivals, "upstreams" => upstreams.join(","),
+        "last" => tried.reason.as_str(), "config" => host.version().0);
+}
+
+/// Sends an order to an upstream.
+pub(crate) async fn send_order(host: &Host, order: &Order) -> OrderAnswer {
+    let address = host
+        .directory
+        .borrow()
+        .get(&order.life.name)
+        .map(|r| r.address);
+    let Some(address) = address else {
+        return OrderAnswer::Unsent;
+    };
+    let span = match order.kind {
+        OrderKind::Grant { .. } => GRANT_TIMEOUT,
+        OrderKind::Release => RELEASE_TIMEOUT,
+    };
+    let call = host.platform.order_call(order);
+    let mut headers: HeaderMap = call.headers;
+    if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
+        headers.insert(http::header::HOST, value);
+    }
+    let bytes = encode_request(&call.method, &call.target, &headers, &call.body);
+    let kept = host.pool.borrow_mut().take(host.now(), address, FRESH_IDLE);
+    let mut link: Link<_> = match kept {
+        Some(link) => link,
+        None => match pool::connect(&*host.clock, address).await {
+            Ok(link) => link,
+            Err(_) => return OrderAnswer::Unsent,
+        },
+    };
+    let late = async {
+        host.clock.sleep(span).await;
+        None
+    };
+    let own = |_: &trefoil_http::h1::ResponseHead| Match::Own;
+    let exchange = async { Some(link.exchange(&call.method, bytes, ANSWER_MAX, own).await) };
+    match exchange.or(late).await {
+        Some(Ok(reply)) => {
+            host.pool.borrow_mut().put(host.now(), address, link);
+            host.platform.order_answer(order, &reply.head)
+        }
+        Some(Err(error)) if error.sent == Sent::Nothing => OrderAnswer::Unsent,
+        _ => OrderAnswer::Silent,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/host.rs
@@ -0,0 +1,240 @@
+//! State of the host, shared by its tasks.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::fmt::{self, Debug};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use event_listener::Event;
+use slog::{Logger, info, warn};
+use smol::{LocalExecutor, Task};
+use trefoil_balance::{Balancer, RepeatBudget};
+use trefoil_core::{Clock, HostId, ServiceName, Tick};
+use trefoil_directory::{Change, Directory, Phase, Registration, Tag};
+use trefoil_http::h1::Stop;
+use trefoil_route::{Config, Router, Version};
+use trefoil_store::Store;
+
+use crate::config::HostConfig;
+use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::platform::Platform;
+use crate::pool::Pool;
+use crate::steward::Terms;
+use crate::tables::{Routes, Tables};
+
+/// Things that tasks wait for.
+#[derive(Debug, Default)]
+pub struct Events {
+    /// The configuration has changed.
+    pub config: Event,
+    /// The directory has changed.
+    pub directory: Event,
+    /// Routes of a keyed service have changed.
+    pub routes: Event,
+    /// A request has ended, so an upstream has room.
+    pub room: Event,
+    /// Another host has a newer configuration.
+    pub newer: Event,
+    /// Datagrams wait to be sent.
+    pub outbox: Event,
+}
+
+/// State of the host, shared by its tasks.
+pub struct Host {
+    /// What the host was told at its start.
+    pub config: HostConfig,
+    /// This incarnation of the process.
+    pub id: HostId,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Names and encodings of the platform.
+    pub platform: Rc<dyn Platform>,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// Executor of all tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// Things that tasks wait for.
+    pub events: Events,
+    /// Tells connections that the process is stopping.
+    pub stop: Rc<Stop>,
+    /// The process was told to stop.
+    pub leaving: Cell<bool>,
+    /// The other hosts.
+    pub peers: RefCell<Peers>,
+    pub(crate) directory: RefCell<Directory>,
+    pub(crate) balancer: RefCell<Balancer>,
+    pub(crate) tables: RefCell<Tables>,
+    pub(crate) pool: RefCell<Pool>,
+    pub(crate) budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    pub(crate) terms: RefCell<Terms>,
+    /// Open connections of callers and operators.
+    pub(crate) connections: Cell<usize>,
+    /// When the directory last changed.
+    pub(crate) directory_changed: Cell<Tick>,
+    router: RefCell<Option<Rc<Router>>>,
+    /// The directory was read at least once.
+    pub(crate) listed: Cell<bool>,
+    /// When the store last answered.
+    pub(crate) store_seen: Cell<Option<Tick>>,
+}
+
+impl Debug for Host {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Host")
+            .field("name", &self.config.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Host {
+    /// A host that knows nothing yet.
+    pub fn new(
+        config: HostConfig,
+        clock: Arc<dyn Clock>,
+        log: Logger,
+        platform: Rc<dyn Platform>,
+        store: Arc<dyn Store>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            balancer: RefCell::new(Balancer::new(config.domain.clone())),
+            config,
+            id: HostId::random(),
+            clock,
+            log,
+            metrics: Metrics::default(),
+            platform,
+            store,
+            executor: Rc::default(),
+            events: Events::default(),
+            stop: Rc::default(),
+            leaving: Cell::new(false),
+            peers: RefCell::default(),
+            directory: RefCell::default(),
+            tables: RefCell::default(),
+            pool: RefCell::default(),
+            budgets: RefCell::default(),
+            terms: RefCell::default(),
+            connections: Cell::new(0),
+            directory_changed: Cell::default(),
+            router: RefCell::default(),
+            listed: Cell::new(false),
+            store_seen: Cell::new(None),
+        })
+    }
+
+    /// Starts a task on the host's thread. It ends when the handle is dropped, unless it is
+    /// detached.
+    pub fn spawn<F>(&self, future: F) -> Task<F::Output>
+    where
+        F: Future + 'static,
+        F::Output: 'static,
+    {
+        self.executor.spawn(future)
+    }
+
+    /// The present tick.
+    pub fn now(&self) -> Tick {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub fn router(&self) -> Option<Rc<Router>> {
+        self.router.borrow().clone()
+    }
+
+    /// Version of the configuration in force.
+    pub fn version(&self) -> Version {
+        self.router().map(|r| r.version()).unwrap_or_default()
+    }
+
+    /// Whether the host can answer requests and is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        !self.leaving.get() && self.listed.get() && self.router.borrow().is_some()
+    }
+
+    /// Puts a configuration in force unless a newer one is.
+    pub fn apply(&self, config: Config) {
+        let known = self.version();
+        if config.version <= known && self.router.borrow().is_some() {
+            return;
+        }
+        info!(self.log, "configuration in force"; "version" => config.version.0,
+            "before" => known.0, "routes" => config.routes.len(),
+            "services" => config.services.len());
+        self.metrics
+            .version
+            .set(i64::try_from(config.version.0).unwrap_or(i64::MAX));
+        let router = Rc::new(Router::new(config));
+        *self.router.borrow_mut() = Some(router);
+        self.events.config.notify(usize::MAX);
+    }
+
+    /// Takes in changes of the directory.
+    pub fn apply_changes(&self, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = self.now();
+        self.directory_changed.set(now);
+        for change in changes {
+            self.apply_change(now, &change);
+        }
+        let count = self.directory.borrow().len();
+        self.metrics
+            .upstreams
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.events.directory.notify(usize::MAX);
+    }
+
+    fn apply_change(&self, now: Tick, change: &Change) {
+        let mut balancer = self.balancer.borrow_mut();
+        match change {
+            Change::Joined(r) => {
+                self.log_upstream("upstream joined", r);
+                balancer.renew(Tag::of(&r.life.name));
+                balancer.register(now, r, r.phase == Phase::Ready);
+            }
+            Change::Updated(r) => {
+                self.log_upstream("upstream updated", r);
+                balancer.register(now, r, r.phase == Phase::Ready);
+            }
+            Change::Gone(r) => {
+                self.log_upstream("upstream gone", r);
+                balancer.remove(Tag::of(&r.life.name));
+                self.pool.borrow_mut().close(r.address);
+            }
+        }
+    }
+
+    fn log_upstream(&self, event: &'static str, r: &Registration) {
+        info!(self.log, "{}", event; "upstream" => %r.life.name, "born" => r.life.born.0,
+            "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
+            "phase" => %r.phase, "sequence" => r.sequence);
+    }
+
+    /// Takes in routes of a keyed service unless newer ones are known.
+    pub fn apply_routes(&self, service: &ServiceName, routes: Routes) {
+        let age = routes.age;
+        if self.tables.borrow_mut().update(service, routes) {
+            slog::debug!(self.log, "routes"; "service" => %service, "version" => age.version,
+                "term" => age.term, "serial" => age.serial);
+            self.events.routes.notify(usize::MAX);
+        }
+    }
+
+    /// The store has answered a call that was sent at `sent`.
+    pub(crate) fn store_answered(&self, sent: Tick) {
+        self.store_seen.set(self.store_seen.get().max(Some(sent)));
+    }
+
+    /// Logs that a configuration or registration cannot be used.
+    pub(crate) fn log_rejected(&self, what: &'static str, reason: &dyn fmt::Display) {
+        warn!(self.log, "rejected"; "what" => what, "reason" => %reason);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/ingress.rs
@@ -0,0 +1,218 @@
+//! Callers' requests.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use futures_lite::future::BoxedLocal;
+use http::StatusCode;
+use http::header::HOST;
+use slog::info;
+use smol::Task;
+use trefoil_core::Key;
+use trefoil_http::h1::{Answer, Handler, Limits, Reject, Request, RequestHead};
+use trefoil_route::{Repeat, Route, RouteName, Router, Spread};
+
+use crate::forward::{End, Job, forward, unavailable};
+use crate::host::Host;
+
+/// Bounds on callers before the first configuration is known.
+const EARLY: Limits = Limits {
+    head: 16 * 1024,
+    body: 1024 * 1024,
+    arrival: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
+
+/// When a caller is told to come back while the host has no configuration.
+const STARTING_RETRY: Duration = Duration::from_millis(500);
+
+/// Longest time for which a caller waits that does not state one.
+const WAIT_MAX: Duration = Duration::from_mins(1);
+
+/// Answers callers' requests.
+#[derive(Debug)]
+pub struct Ingress {
+    host: Rc<Host>,
+    spreads: RefCell<HashMap<RouteName, Spread>>,
+}
+
+/// Lets a request that must not be cut off go on when its caller has gone.
+struct Detached<T> {
+    task: Option<Task<T>>,
+    gone: Rc<Cell<bool>>,
+}
+
+impl<T> Drop for Detached<T> {
+    fn drop(&mut self) {
+        self.gone.set(true);
+        if let Some(task) = self.task.take() {
+            task.detach();
+        }
+    }
+}
+
+impl Ingress {
+    /// The ingress of a host.
+    pub fn new(host: Rc<Host>) -> Rc<Self> {
+        Rc::new(Self {
+            host,
+            spreads: RefCell::default(),
+        })
+    }
+
+    fn spread(&self, route: &Route) -> Option<trefoil_core::ServiceName> {
+        if let [only] = route.targets.as_slice() {
+            return Some(only.service.clone());
+        }
+        let mut spreads = self.spreads.borrow_mut();
+        let spread = spreads
+            .entry(route.name.clone())
+            .or_insert_with(|| Spread::new(rand::random()));
+        spread.next(&route.targets).map(|t| t.service.clone())
+    }
+
+    /// The job of a request, or the answer if there is none.
+    fn job(&self, request: Request) -> Result<Job, Box<End>> {
+        let host = &self.host;
+        let now = host.now();
+        let Some(router) = host.router() else {
+            return Err(Box::new(End {
+                answer: unavailable(STARTING_RETRY),
+                cause: "no configuration",
+            }));
+        };
+        if !request.head.headers.contains_key(HOST) {
+            return Err(Box::new(refusal(StatusCode::BAD_REQUEST, "no host named")));
+        }
+        let Some(route) = find(&router, &request.head) else {
+            return Err(Box::new(refusal(StatusCode::NOT_FOUND, "no route")));
+        };
+        let Some(service) = self.spread(&route) else {
+            return Err(Box::new(refusal(StatusCode::NOT_FOUND, "no service")));
+        };
+        let dialect = host.platform.dialect();
+        let text = |name| {
+            let value = request.head.headers.get(name);
+            value.and_then(|v: &http::HeaderValue| v.to_str().ok())
+        };
+        let waits = text(&dialect.deadline).and_then(|v| v.trim().parse::<f64>().ok());
+        let waits = waits.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+        let timeout = route.timeout.min(waits.unwrap_or(WAIT_MAX));
+        let keyed = router.service(&service).is_some_and(|s| s.keyed);
+        let key = text(&dialect.key).filter(|_| keyed);
+        let key = key.and_then(|v| v.trim().parse::<Key>().ok());
+        if keyed && key.is_none() {
+            return Err(Box::new(refusal(StatusCode::BAD_REQUEST, "no key")));
+        }
+        if let Some(key) = key {
+            host.peers.borrow_mut().count_key(&service, key);
+        }
+        let id = request.head.headers.get(&dialect.request_id).cloned();
+        Ok(Job {
+            route,
+            service,
+            key,
+            id,
+            request,
+            arrived: now,
+            deadline: now.after(timeout),
+            gone: Rc::default(),
+        })
+    }
+
+    async fn answer(self: Rc<Self>, request: Request) -> Answer {
+        let host = Rc::clone(&self.host);
+        let arrived = host.now();
+        let id = request
+            .head
+            .headers
+            .get(&host.platform.dialect().request_id);
+        let id = id.and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let job = match self.job(request) {
+            Ok(job) => job,
+            Err(end) => {
+                info!(host.log, "request refused"; "id" => id.as_deref().unwrap_or("-"),
+                    "status" => end.answer.status.as_u16(), "cause" => end.cause,
+                    "config" => host.version().0);
+                host.metrics.answered("-", end.cause, Duration::ZERO);
+                return end.answer;
+            }
+        };
+        let service = job.service.clone();
+        let end = match job.route.repeat {
+            Repeat::Idempotent => forward(&host, &job).await,
+            Repeat::AtMostOnce => detached(&host, job).await,
+        };
+        let span = host.now().since(arrived);
+        host.metrics.answered(service.as_str(), end.cause, span);
+        end.answer
+    }
+}
+
+/// Forwards a request that goes on when its caller has gone, so that it is not cut off half-way.
+async fn detached(host: &Rc<Host>, job: Job) -> End {
+    let gone = Rc::clone(&job.gone);
+    let forwarding = {
+        let host = Rc::clone(host);
+        async move { forward(&host, &job).await }
+    };
+    let task = host.spawn(forwarding);
+    let mut detached = Detached {
+        task: Some(task),
+        gone,
+    };
+    match detached.task.as_mut() {
+        Some(task) => {
+            let end = task.await;
+            detached.task = None;
+            end
+        }
+        None => refusal(StatusCode::BAD_GATEWAY, "not started"),
+    }
+}
+
+/// The route of a request.
+fn find(router: &Router, head: &RequestHead) -> Option<Rc<Route>> {
+    let host = head.headers.get(HOST)?.to_str().ok()?;
+    router.find(host, head.path()).cloned()
+}
+
+fn refusal(status: StatusCode, cause: &'static str) -> End {
+    End {
+        answer: Answer::empty(status),
+        cause,
+    }
+}
+
+impl Handler for Ingress {
+    fn limits(&self) -> Limits {
+        self.host.router().map_or(EARLY, |router| {
+            let limits = router.limits();
+            Limits {
+                head: usize::try_from(limits.head.0).unwrap_or(usize::MAX),
+                body: limits.body.0,
+                arrival: limits.arrival,
+                idle: limits.idle,
+            }
+        })
+    }
+
+    fn may_overlap(&self, head: &RequestHead) -> bool {
+        let router = self.host.router();
+        let route = router.and_then(|router| find(&router, head));
+        route.is_some_and(|route| route.repeat == Repeat::Idempotent)
+    }
+
+    fn handle(self: Rc<Self>, request: Request) -> BoxedLocal<Answer> {
+        self.answer(request).boxed_local()
+    }
+
+    fn reject(&self, reason: Reject) -> Answer {
+        info!(self.host.log, "request rejected"; "status" => reason.status().as_u16(),
+            "cause" => ?reason);
+        Answer::empty(reason.status())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,31 @@
+//! An entry host that sends requests directly to the upstreams.
+//!
+//! All state is in one [`Host`], and all tasks run on one thread, so no decision sees a state that
+//! another one is changing. The tasks are:
+//!
+//! - [`ingress`] takes callers' requests and [`forward`] sends them to upstreams over the
+//!   [`pool`] of connections;
+//! - [`follow`] keeps the configuration and the directory of upstreams up to date;
+//! - [`peers`] exchanges datagrams with the other hosts: load, versions, routes of keyed services;
+//! - [`steward`] gives out the keys of a service while this host is its steward.
+//!
+//! What is particular to a platform, its names and its encodings, stands behind [`Platform`].
+
+pub mod config;
+pub mod follow;
+pub mod forward;
+pub mod host;
+pub mod ingress;
+pub mod message;
+pub mod metrics;
+pub mod peers;
+pub mod platform;
+pub mod pool;
+pub mod serve;
+pub mod steward;
+pub mod tables;
+
+pub use config::{Bounds, HostConfig};
+pub use host::Host;
+pub use platform::{Call, DecodeError, Dialect, Platform};
+pub use serve::{ServeError, serve};
--- /dev/null
+++ b/crates/gateway/src/serve.rs
@@ -0,0 +1,193 @@
+//! Starting and stopping a host.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use futures_lite::future::BoxedLocal;
+use http::{HeaderValue, StatusCode};
+use slog::{info, warn};
+use smol::Async;
+use snafu::{ResultExt, Snafu};
+use trefoil_http::h1::{Answer, Content, Front, Handler, Limits, Reject, Request, RequestHead};
+
+use crate::host::Host;
+use crate::ingress::Ingress;
+use crate::{follow, peers, steward};
+
+/// Wait after a failed accept, for example because the process has no free file descriptor.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING: Duration = Duration::from_secs(1);
+
+/// Time for which new connections are accepted after the order to stop. The load balancer asks once
+/// a second and takes a host out after the second refusal.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2600);
+
+/// Part of the grace period that is kept in reserve for the end of the process.
+const RESERVE: Duration = Duration::from_millis(600);
+
+/// Why a host cannot start.
+#[derive(Debug, Snafu)]
+pub enum ServeError {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The error of the socket.
+        source: std::io::Error,
+    },
+}
+
+/// Answers the load balancer and operators.
+#[derive(Debug)]
+struct Probe {
+    host: Rc<Host>,
+}
+
+impl Handler for Probe {
+    fn limits(&self) -> Limits {
+        Limits {
+            head: 16 * 1024,
+            body: 0,
+            arrival: Duration::from_secs(3),
+            idle: Duration::from_secs(30),
+        }
+    }
+
+    fn may_overlap(&self, _head: &RequestHead) -> bool {
+        false
+    }
+
+    fn handle(self: Rc<Self>, request: Request) -> BoxedLocal<Answer> {
+        let answer = match request.head.path() {
+            "/metrics" => self.metrics(),
+            "/livez" => Answer::empty(StatusCode::OK),
+            _ if self.host.is_ready() => Answer::empty(StatusCode::OK),
+            _ => Answer::empty(StatusCode::SERVICE_UNAVAILABLE),
+        };
+        async { answer }.boxed_local()
+    }
+
+    fn reject(&self, reason: Reject) -> Answer {
+        Answer::empty(reason.status())
+    }
+}
+
+impl Probe {
+    fn metrics(&self) -> Answer {
+        let mut answer = Answer::empty(StatusCode::OK);
+        match self.host.metrics.encode() {
+            Ok(text) => {
+                let kind = HeaderValue::from_static(
+                    "application/openmetrics-text; version=1.0.0; charset=utf-8",
+                );
+                answer.headers.insert(http::header::CONTENT_TYPE, kind);
+                answer.content = Content::Whole(text.into());
+            }
+            Err(error) => {
+                warn!(self.host.log, "metrics not encoded"; "reason" => %error);
+                answer.status = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+        }
+        answer
+    }
+}
+
+/// Runs a host until `stop` completes and every request in flight has ended, or the grace period
+/// has.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn serve<F>(host: Rc<Host>, stop: F) -> Result<(), ServeError>
+where
+    F: Future<Output = ()>,
+{
+    let config = &host.config;
+    let callers = bind(config.caller)?;
+    let balancer = bind(config.ready)?;
+    let operators = bind(config.operator)?;
+    let socket = peers::bind(config.peer).context(BindSnafu {
+        address: config.peer,
+    })?;
+    info!(host.log, "started"; "host" => %config.name, "domain" => %config.domain,
+        "incarnation" => %host.id, "caller" => %config.caller, "peer" => %config.peer);
+    let probe: Rc<dyn Handler> = Rc::new(Probe {
+        host: Rc::clone(&host),
+    });
+    let ingress: Rc<dyn Handler> = Ingress::new(Rc::clone(&host));
+    let _probes = [
+        host.spawn(accept(Rc::clone(&host), balancer, Rc::clone(&probe))),
+        host.spawn(accept(Rc::clone(&host), operators, probe)),
+    ];
+    let accepting = host.spawn(accept(Rc::clone(&host), callers, ingress));
+    let _tasks = [
+        host.spawn(follow::follow_config(Rc::clone(&host))),
+        host.spawn(follow::follow_registry(Rc::clone(&host))),
+        host.spawn(peers::introduce(Rc::clone(&host))),
+        host.spawn(peers::receive(Rc::clone(&host), Rc::clone(&socket))),
+        host.spawn(peers::beat(Rc::clone(&host), Rc::clone(&socket))),
+        host.spawn(steward::watch_services(Rc::clone(&host))),
+        host.spawn(steward::follow_tables(Rc::clone(&host))),
+        host.spawn(keep_house(Rc::clone(&host))),
+    ];
+    stop.await;
+    let stopped = host.now();
+    info!(host.log, "stopping");
+    host.leaving.set(true);
+    host.stop.close_connections();
+    host.events.directory.notify(usize::MAX);
+    host.clock.sleep(ACCEPT_AFTER_STOP).await;
+    drop(accepting);
+    peers::leave(&host, &socket).await;
+    let end = stopped.after(config.bounds.grace.saturating_sub(RESERVE));
+    while host.connections.get() > 0 && host.now() < end {
+        host.clock.sleep(ACCEPT_RETRY).await;
+    }
+    info!(host.log, "stopped"; "connections" => host.connections.get(),
+        "after_ms" => host.now().since(stopped).as_millis());
+    Ok(())
+}
+
+fn bind(address: SocketAddr) -> Result<Async<TcpListener>, ServeError> {
+    Async::<TcpListener>::bind(address).context(BindSnafu { address })
+}
+
+async fn accept(host: Rc<Host>, listener: Async<TcpListener>, handler: Rc<dyn Handler>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task = connection(Rc::clone(&host), stream, Rc::clone(&handler));
+                host.spawn(task).detach();
+            }
+            Err(error) => {
+                warn!(host.log, "cannot accept"; "reason" => %error);
+                host.clock.sleep(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn connection(host: Rc<Host>, stream: Async<TcpStream>, handler: Rc<dyn Handler>) {
+    // An answer leaves in one write; waiting for more to send would only delay it.
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        info!(host.log, "connection lost"; "reason" => %error);
+        return;
+    }
+    host.connections.set(host.connections.get() + 1);
+    let (clock, stop) = (Arc::clone(&host.clock), Rc::clone(&host.stop));
+    Front::new(stream, handler, clock, stop).run().await;
+    host.connections.set(host.connections.get() - 1);
+}
+
+async fn keep_house(host: Rc<Host>) {
+    loop {
+        host.clock.sleep(HOUSEKEEPING).await;
+        host.pool.borrow_mut().expire(host.now());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/tables.rs
@@ -0,0 +1,78 @@
+//! Where requests for keys are sent, as far as this host knows.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use trefoil_core::{Key, KeyRange, ServiceName, UpstreamName};
+
+/// Age of routes: the table's version, the steward's term, and its count within the term.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Age {
+    /// Version of the table.
+    pub version: u64,
+    /// Term of the steward.
+    pub term: u64,
+    /// Number of the routes within the term.
+    pub serial: u64,
+}
+
+/// Who serves the keys of one service.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Routes {
+    /// How new this is.
+    pub age: Age,
+    /// First key of each range and its owner, in the order of the keys.
+    pub ranges: Vec<(Key, Option<UpstreamName>)>,
+}
+
+impl Routes {
+    /// Routes from ranges that cover every key once, in order.
+    pub fn new<'a, I>(age: Age, ranges: I) -> Self
+    where
+        I: IntoIterator<Item = (KeyRange, Option<&'a UpstreamName>)>,
+    {
+        let mut merged: Vec<(Key, Option<UpstreamName>)> = Vec::new();
+        for (range, owner) in ranges {
+            if merged.last().is_none_or(|(_, last)| last.as_ref() != owner) {
+                merged.push((range.first(), owner.cloned()));
+            }
+        }
+        Self {
+            age,
+            ranges: merged,
+        }
+    }
+
+    /// The owner of a key, or nothing while nobody serves it.
+    pub fn owner(&self, key: Key) -> Option<&UpstreamName> {
+        let after = self.ranges.partition_point(|(first, _)| *first <= key);
+        self.ranges[..after].last()?.1.as_ref()
+    }
+}
+
+/// Who serves the keys of all services.
+#[derive(Debug, Default)]
+pub struct Tables {
+    services: BTreeMap<ServiceName, Routes>,
+}
+
+impl Tables {
+    /// Routes of a service, if any are known.
+    pub fn get(&self, service: &ServiceName) -> Option<&Routes> {
+        self.services.get(service)
+    }
+
+    /// How new the routes of a service are.
+    pub fn age(&self, service: &ServiceName) -> Age {
+        self.get(service).map(|r| r.age).unwrap_or_default()
+    }
+
+    /// Takes in routes unless newer ones are known; says whether they were taken.
+    pub fn update(&mut self, service: &ServiceName, routes: Routes) -> bool {
+        let newer = self.get(service).is_none_or(|known| known.age < routes.age);
+        if newer {
+            self.services.insert(service.clone(), routes);
+        }
+        newer
+    }
+}
--- /dev/null
+++ b/crates/http/src/h1/front.rs
@@ -0,0 +1,593 @@
+//! Serving one connection of a caller.
+//!
+//! Answers leave in the order of their requests. A request that the handler allows to overlap is
+//! started while earlier ones are unanswered; all others wait until nothing is outstanding. So when
+//! an answer closes the connection, no request behind it that must not run twice has been started,
+//! and its caller may send it again.
+//!
+//! All work of a connection happens inside [`Front::run`]. When the caller closes the connection,
+//! the future returns, which drops the futures of the unanswered requests and cancels their work.
+
+use std::collections::VecDeque;
+use std::fmt::{self, Debug};
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures_lite::future::BoxedLocal;
+use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
+use http::header::{CONNECTION, EXPECT};
+use http::{HeaderMap, Method, StatusCode};
+use trefoil_core::Clock;
+use trefoil_core::clock::Sleep;
+
+use super::encode::{Extent, response_head};
+use super::framing::{Decoder, Framing, Step};
+use super::head::{HeadError, RequestHead, parse_request};
+use super::wire::Wire;
+
+/// Requests of one connection that may be unanswered. Callers that send more wait in their socket.
+const PIPELINE_MAX: usize = 16;
+
+/// Bytes of requests that wait to be started, beyond the limits of one request.
+const AHEAD_MAX: usize = 64 * 1024;
+
+/// Time for which a connection is read after its last answer.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Interim answer to a caller that asks before it sends a body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// End of a chunked body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Longest time in which a caller must take an answer that was written to its connection.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Bounds on what a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of a head.
+    pub head: usize,
+    /// Bytes of a body.
+    pub body: u64,
+    /// Time in which a request must arrive once its first byte has.
+    pub arrival: Duration,
+    /// Time for which a connection may be open without a request.
+    pub idle: Duration,
+}
+
+/// A request that has arrived whole.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Why a request is refused without its handler.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reject {
+    /// It is not valid.
+    Invalid,
+    /// Its head is too large.
+    HeadTooLarge,
+    /// Its body is too large.
+    BodyTooLarge,
+    /// It did not arrive in time.
+    Late,
+}
+
+impl Reject {
+    /// The status that says so.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::Invalid => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Late => StatusCode::REQUEST_TIMEOUT,
+        }
+    }
+}
+
+/// A body that arrives in pieces.
+pub trait PieceSource: Debug {
+    /// The next piece, or nothing at the end of the body. After an error the caller's connection
+    /// is closed, so that what it has received cannot look complete.
+    fn next(&mut self) -> BoxedLocal<io::Result<Option<Bytes>>>;
+}
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum Content {
+    /// All of it.
+    Whole(Bytes),
+    /// Pieces, and their total length if it is known.
+    Pieces(Option<u64>, Box<dyn PieceSource>),
+}
+
+/// An answer to a caller.
+#[derive(Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its fields. Those that concern one connection are left out.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub content: Content,
+}
+
+impl Answer {
+    /// An answer without a body.
+    pub fn empty(status: StatusCode) -> Self {
+        Self {
+            status,
+            headers: HeaderMap::new(),
+            content: Content::Whole(Bytes::new()),
+        }
+    }
+}
+
+/// Answers requests.
+pub trait Handler: Debug {
+    /// The bounds that hold for the next request.
+    fn limits(&self) -> Limits;
+
+    /// Whether a request may start while earlier ones of its connection are unanswered.
+    fn may_overlap(&self, head: &RequestHead) -> bool;
+
+    /// Answers a request. The future is dropped if the caller goes away.
+    fn handle(self: Rc<Self>, request: Request) -> BoxedLocal<Answer>;
+
+    /// The answer to a request that is refused before it is handled.
+    fn reject(&self, reason: Reject) -> Answer;
+}
+
+/// Tells the connections of a process that it is stopping.
+#[derive(Debug, Default)]
+pub struct Stop {
+    closing: std::cell::Cell<bool>,
+    event: event_listener::Event,
+}
+
+impl Stop {
+    /// From now on answers close their connections, and idle connections are closed.
+    pub fn close_connections(&self) {
+        self.closing.set(true);
+        self.event.notify(usize::MAX);
+    }
+
+    fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+}
+
+enum Pending {
+    Running(Method, BoxedLocal<Answer>),
+    Done(Method, Answer),
+}
+
+/// A request whose body has not arrived yet.
+struct Partial {
+    head: RequestHead,
+    decoder: Decoder,
+    body: BytesMut,
+}
+
+/// What happens next on a connection.
+enum Event {
+    Request(Request),
+    Reject(Reject),
+    Continue,
+    Closed,
+    Progress,
+    TimedOut(Wait),
+    Stopping,
+}
+
+/// What a connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Wait {
+    /// The handler.
+    Answer,
+    /// The caller reads an answer.
+    Write,
+    /// The rest of a request.
+    Arrival,
+    /// A request.
+    Idle,
+}
+
+/// One connection of a caller.
+pub struct Front<S> {
+    wire: Wire<S>,
+    handler: Rc<dyn Handler>,
+    clock: Arc<dyn Clock>,
+    stop: Rc<Stop>,
+    pending: VecDeque<Pending>,
+    /// A request that waits until nothing is outstanding.
+    held: Option<Request>,
+    partial: Option<Partial>,
+    out: Bytes,
+    pieces: Option<Body>,
+    /// No request is read any more; the connection ends when all answers have been written.
+    last: bool,
+    wait: Wait,
+    timer: Option<Sleep>,
+}
+
+/// A body that is being written in pieces.
+struct Body {
+    source: Box<dyn PieceSource>,
+    next: Option<BoxedLocal<io::Result<Option<Bytes>>>>,
+    chunked: bool,
+    ended: bool,
+}
+
+impl<S> Debug for Front<S> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Front")
+            .field("pending", &self.pending.len())
+            .finish_non_exhaustive()
+    }
+}
+
+impl<S> Front<S>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    /// A connection that was just accepted.
+    pub fn new(stream: S, handler: Rc<dyn Handler>, clock: Arc<dyn Clock>, stop: Rc<Stop>) -> Self {
+        Self {
+            wire: Wire::new(stream),
+            handler,
+            clock,
+            stop,
+            pending: VecDeque::new(),
+            held: None,
+            partial: None,
+            out: Bytes::new(),
+            pieces: None,
+            last: false,
+            wait: Wait::Answer,
+            timer: None,
+        }
+    }
+
+    /// Serves the connection until it ends.
+    pub async fn run(mut self) {
+        let stop = Rc::clone(&self.stop);
+        let mut stopping = stop.event.listen();
+        loop {
+            let event = poll_fn(|cx| match self.poll_event(cx) {
+                Poll::Pending if !stop.is_closing() => {
+                    Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping)
+                }
+                event => event,
+            })
+            .await;
+            match event {
+                Event::Request(request) => self.accept(request),
+                Event::Reject(reason) => self.refuse(reason),
+                Event::Continue => self.out = Bytes::from_static(CONTINUE),
+                Event::Progress => {}
+                Event::TimedOut(Wait::Arrival) => self.refuse(Reject::Late),
+                Event::Stopping if !self.is_idle() || self.has_begun() => {}
+                Event::TimedOut(_) | Event::Stopping | Event::Closed => return,
+            }
+            if self.last && self.is_idle() {
+                return self.linger().await;
+            }
+        }
+    }
+
+    /// Closes the sending side and reads what the caller still sends for a short time. A socket
+    /// that is closed with unread bytes is reset, and the caller would lose the last answer.
+    async fn linger(mut self) {
+        let late = self.clock.sleep(LINGER);
+        let drained = poll_fn(|cx| {
+            if self.wire.poll_close(cx).is_pending() {
+                return Poll::Pending;
+            }
+            while let Poll::Ready(read) = self.wire.poll_fill(cx) {
+                self.wire.input.clear();
+                if !matches!(read, Ok(1..)) {
+                    return Poll::Ready(());
+                }
+            }
+            Poll::Pending
+        });
+        drained.or(late).await;
+    }
+
+    /// Whether every request that was read has been answered.
+    fn is_idle(&self) -> bool {
+        self.pending.is_empty()
+            && self.held.is_none()
+            && self.out.is_empty()
+            && self.pieces.is_none()
+    }
+
+    /// Whether a part of a request has arrived.
+    fn has_begun(&self) -> bool {
+        self.partial.is_some() || !self.wire.input.is_empty()
+    }
+
+    /// Sets the timer for what the connection waits for now.
+    fn arm(&mut self) {
+        let wait = match () {
+            () if !self.out.is_empty() => Wait::Write,
+            () if !self.is_idle() => Wait::Answer,
+            () if self.has_begun() => Wait::Arrival,
+            () => Wait::Idle,
+        };
+        if self.wait == wait {
+            return;
+        }
+        let limits = self.handler.limits();
+        let span = match wait {
+            Wait::Answer => None,
+            Wait::Write => Some(WRITE_TIMEOUT),
+            Wait::Arrival => Some(limits.arrival),
+            Wait::Idle => Some(limits.idle),
+        };
+        self.wait = wait;
+        self.timer = span.map(|span| self.clock.sleep(span));
+    }
+
+    fn accept(&mut self, request: Request) {
+        let overlap = self.handler.may_overlap(&request.head);
+        if self.pending.is_empty() || overlap {
+            self.start(request);
+        } else {
+            self.held = Some(request);
+        }
+    }
+
+    fn start(&mut self, request: Request) {
+        // What follows a request that closes the connection is not read.
+        self.last |= closes(&request.head);
+        let method = request.head.method.clone();
+        let answer = Rc::clone(&self.handler).handle(request);
+        self.pending.push_back(Pending::Running(method, answer));
+    }
+
+    fn refuse(&mut self, reason: Reject) {
+        self.last = true;
+        self.partial = None;
+        let answer = self.handler.reject(reason);
+        self.pending.push_back(Pending::Done(Method::GET, answer));
+    }
+
+    fn poll_event(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
+        if let Poll::Ready(event) = self.poll_answers(cx) {
+            return Poll::Ready(event);
+        }
+        if let Some(request) = self.held.take() {
+            if self.pending.is_empty() && !self.last {
+                self.start(request);
+                return Poll::Ready(Event::Progress);
+            }
+            self.held = Some(request);
+        }
+        if let Poll::Ready(event) = self.poll_input(cx) {
+            return Poll::Ready(event);
+        }
+        self.arm();
+        match &mut self.timer {
+            Some(timer) => timer.poll(cx).map(|()| Event::TimedOut(self.wait)),
+            None => Poll::Pending,
+        }
+    }
+
+    /// Lets the handlers work and writes what is ready, in order.
+    fn poll_answers(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
+        for pending in &mut self.pending {
+            if let Pending::Running(method, future) = pending
+                && let Poll::Ready(answer) = future.poll(cx)
+            {
+                *pending = Pending::Done(method.clone(), answer);
+            }
+        }
+        loop {
+            while !self.out.is_empty() {
+                match self.wire.poll_write(cx, &self.out) {
+                    Poll::Ready(Ok(n)) => self.out.advance(n),
+                    Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
+                    Poll::Pending => return Poll::Pending,
+                }
+                if self.out.is_empty() && self.pieces.is_none() {
+                    return Poll::Ready(Event::Progress);
+                }
+            }
+            if let Some(body) = &mut self.pieces {
+                match body.poll_next(cx) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
+                    Poll::Ready(Ok(Some(bytes))) => self.out = bytes,
+                    Poll::Ready(Ok(None)) => {
+                        self.pieces = None;
+                        return Poll::Ready(Event::Progress);
+                    }
+                }
+                continue;
+            }
+            match self.pending.pop_front() {
+                Some(Pending::Done(method, answer)) => self.write(&method, answer),
+                Some(running) => {
+                    self.pending.push_front(running);
+                    return Poll::Pending;
+                }
+                None => return Poll::Pending,
+            }
+        }
+    }
+
+    fn write(&mut self, method: &Method, answer: Answer) {
+        if self.stop.is_closing() {
+            // A request that waits has not been started, so its caller may send it elsewhere.
+            self.last = true;
+            self.held = None;
+        }
+        let close = self.last && self.pending.is_empty();
+        let bodiless = method == Method::HEAD
+            || answer.status.is_informational()
+            || matches!(answer.status.as_u16(), 204 | 304);
+        let extent = match &answer.content {
+            _ if bodiless => Extent::Nothing,
+            Content::Whole(body) => Extent::Length(u64::try_from(body.len()).unwrap_or(u64::MAX)),
+            Content::Pieces(Some(length), _) => Extent::Length(*length),
+            Content::Pieces(None, _) => Extent::Chunked,
+        };
+        let mut out = response_head(answer.status, &answer.headers, extent, close);
+        match answer.content {
+            _ if bodiless => {}
+            Content::Whole(body) => out.extend_from_slice(&body),
+            Content::Pieces(length, source) => {
+                self.pieces = Some(Body {
+                    source,
+                    next: None,
+                    chunked: length.is_none(),
+                    ended: false,
+                });
+            }
+        }
+        self.out = out.freeze();
+    }
+
+    /// Reads requests, and notices that the caller has gone.
+    fn poll_input(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
+        loop {
+            if let Some(event) = self.take_request() {
+                return Poll::Ready(event);
+            }
+            if self.wire.input.len() > self.ahead_max() {
+                return Poll::Pending;
+            }
+            match self.wire.poll_fill(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(Event::Closed),
+                Poll::Ready(Ok(_)) => {}
+            }
+        }
+    }
+
+    /// Bytes that may be read ahead of what is being handled.
+    fn ahead_max(&self) -> usize {
+        match &self.partial {
+            Some(_) => AHEAD_MAX,
+            None => self.handler.limits().head + AHEAD_MAX,
+        }
+    }
+
+    /// Takes the next request out of the input, if it may be handled now and has arrived.
+    fn take_request(&mut self) -> Option<Event> {
+        if self.last {
+            // Bytes behind the last request are dropped; only the end of the connection matters.
+            self.wire.input.clear();
+            return None;
+        }
+        if self.held.is_some() || self.pending.len() >= PIPELINE_MAX {
+            return None;
+        }
+        let limits = self.handler.limits();
+        if self.partial.is_none() {
+            match parse_request(&mut self.wire.input, limits.head) {
+                Ok(None) => return None,
+                Ok(Some(head)) => match self.begin(head, limits.body) {
+                    Ok(Some(event)) => return Some(event),
+                    Ok(None) => {}
+                    Err(reason) => return Some(Event::Reject(reason)),
+                },
+                Err(HeadError::TooLarge) => return Some(Event::Reject(Reject::HeadTooLarge)),
+                Err(HeadError::Invalid { .. }) => return Some(Event::Reject(Reject::Invalid)),
+            }
+        }
+        self.continue_body(limits.body)
+    }
+
+    /// Begins to read a request's body. Returns an event if the caller waits for permission.
+    fn begin(&mut self, head: RequestHead, max: u64) -> Result<Option<Event>, Reject> {
+        let framing = Framing::of_request(&head).or(Err(Reject::Invalid))?;
+        if matches!(framing, Framing::Length(n) if n > max) {
+            return Err(Reject::BodyTooLarge);
+        }
+        let expects = head.headers.get(EXPECT).is_some();
+        self.partial = Some(Partial {
+            head,
+            decoder: Decoder::new(framing),
+            body: BytesMut::new(),
+        });
+        let waits = expects && framing != Framing::Empty && self.wire.input.is_empty();
+        Ok((waits && self.is_idle()).then_some(Event::Continue))
+    }
+
+    fn continue_body(&mut self, max: u64) -> Option<Event> {
+        let partial = self.partial.as_mut()?;
+        loop {
+            match partial.decoder.decode(&mut self.wire.input, false) {
+                Ok(Step::More) => return None,
+                Ok(Step::Data(piece)) => {
+                    let size = partial.body.len() + piece.len();
+                    if u64::try_from(size).unwrap_or(u64::MAX) > max {
+                        return Some(Event::Reject(Reject::BodyTooLarge));
+                    }
+                    partial.body.extend_from_slice(&piece);
+                }
+                Ok(Step::End) => {
+                    let whole = self.partial.take()?;
+                    return Some(Event::Request(Request {
+                        head: whole.head,
+                        body: whole.body.freeze(),
+                    }));
+                }
+                Err(_) => return Some(Event::Reject(Reject::Invalid)),
+            }
+        }
+    }
+}
+
+impl Body {
+    /// The next bytes to write, or nothing at the end.
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<Option<Bytes>>> {
+        if self.ended {
+            return Poll::Ready(Ok(None));
+        }
+        let next = self.next.get_or_insert_with(|| self.source.next());
+        let piece = ready!(next.poll(cx));
+        self.next = None;
+        let piece = piece?;
+        self.ended = piece.is_none();
+        Poll::Ready(Ok(match piece {
+            Some(piece) if self.chunked => Some(chunk(&piece)),
+            None if self.chunked => Some(Bytes::from_static(LAST_CHUNK)),
+            piece => piece,
+        }))
+    }
+}
+
+fn chunk(piece: &Bytes) -> Bytes {
+    let mut out = BytesMut::from(format!("{:x}\r\n", piece.len()).as_bytes());
+    out.extend_from_slice(piece);
+    out.extend_from_slice(b"\r\n");
+    out.freeze()
+}
+
+/// Whether the caller wants the connection to end after the answer.
+fn closes(head: &RequestHead) -> bool {
+    let says = |option: &str| {
+        head.headers
+            .get_all(CONNECTION)
+            .iter()
+            .filter_map(|v| v.to_str().ok())
+            .flat_map(|v| v.split(','))
+            .any(|o| o.trim().eq_ignore_ascii_case(option))
+    };
+    says("close") || (head.minor == 0 && !says("keep-alive"))
+}
--- /dev/null
+++ b/crates/http/src/h1/head.rs
@@ -0,0 +1,135 @@
+//! Heads of requests and responses.
+
+use bytes::{Buf, BytesMut};
+use http::header::{HeaderName, HeaderValue};
+use http::{HeaderMap, Method, StatusCode};
+use snafu::Snafu;
+
+/// Header fields of one head.
+const FIELDS_MAX: usize = 100;
+
+/// Why bytes are not a head.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(super)))]
+pub enum HeadError {
+    /// The head is longer than allowed or has too many fields.
+    #[snafu(display("the head is too large"))]
+    TooLarge,
+    /// The bytes do not follow the protocol.
+    #[snafu(display("the head is not HTTP/1.1: {reason}"))]
+    Invalid {
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Head of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: Method,
+    /// Path and query as they were sent. They are passed on unchanged, so they are not parsed.
+    pub target: String,
+    /// Minor version of HTTP/1.
+    pub minor: u8,
+    /// Header fields.
+    pub headers: HeaderMap,
+}
+
+impl RequestHead {
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.target
+            .split_once('?')
+            .map_or(self.target.as_str(), |(path, _)| path)
+    }
+}
+
+/// Head of a response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: StatusCode,
+    /// Minor version of HTTP/1.
+    pub minor: u8,
+    /// Header fields.
+    pub headers: HeaderMap,
+}
+
+/// Takes the head of a request out of `input`, or returns nothing if it is not complete.
+///
+/// # Errors
+///
+/// Fails if the head is longer than `max` bytes or invalid. The connection cannot be used further.
+pub fn parse_request(input: &mut BytesMut, max: usize) -> Result<Option<RequestHead>, HeadError> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut head = httparse::Request::new(&mut fields);
+    let Some(size) = status(head.parse(input), input.len(), max)? else {
+        return Ok(None);
+    };
+    let method = Method::from_bytes(head.method.unwrap_or_default().as_bytes());
+    let method = method.map_err(|e| invalid(&e))?;
+    let parsed = RequestHead {
+        method,
+        target: head.path.unwrap_or_default().to_owned(),
+        minor: head.version.unwrap_or_default(),
+        headers: headers(head.headers)?,
+    };
+    input.advance(size);
+    Ok(Some(parsed))
+}
+
+/// Takes the head of a response out of `input`, or returns nothing if it is not complete.
+///
+/// # Errors
+///
+/// Fails if the head is longer than `max` bytes or invalid. The connection cannot be used further.
+pub fn parse_response(input: &mut BytesMut, max: usize) -> Result<Option<ResponseHead>, HeadError> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut head = httparse::Response::new(&mut fields);
+    let Some(size) = status(head.parse(input), input.len(), max)? else {
+        return Ok(None);
+    };
+    let code = StatusCode::from_u16(head.code.unwrap_or_default()).map_err(|e| invalid(&e))?;
+    let parsed = ResponseHead {
+        status: code,
+        minor: head.version.unwrap_or_default(),
+        headers: headers(head.headers)?,
+    };
+    input.advance(size);
+    Ok(Some(parsed))
+}
+
+fn status(
+    parsed: httparse::Result<usize>,
+    available: usize,
+    max: usize,
+) -> Result<Option<usize>, HeadError> {
+    match parsed {
+        Ok(httparse::Status::Complete(size)) if size > max => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Complete(size)) => Ok(Some(size)),
+        Ok(httparse::Status::Partial) if available > max => Err(HeadError::TooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLarge),
+        Err(e) => Err(invalid(&e)),
+    }
+}
+
+fn headers(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, HeadError> {
+    let mut headers = HeaderMap::with_capacity(fields.len());
+    for field in fields {
+        let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|e| invalid(&e))?;
+        let value = HeaderValue::from_bytes(field.value).map_err(|e| invalid(&e))?;
+        headers.append(name, value);
+    }
+    Ok(headers)
+}
+
+fn invalid<E>(error: &E) -> HeadError
+where
+    E: ToString,
+{
+    HeadError::Invalid {
+        reason: error.to_string(),
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,9 +3,11 @@
 //! [`Server`] accepts connections with bounds on headers and connections and shuts down without
 //! cutting off a request in flight. [`Connection`] is one client connection that carries one
 //! request at a time; its user decides whether it may be reused. [`call`] sends one small request
-//! on a connection of its own and reads the whole answer, which control traffic uses.
+//! on a connection of its own and reads the whole answer, which control traffic uses. [`h1`] has
+//! what the path of requests needs beyond hyper.
 
 pub mod client;
+pub mod h1;
 mod refusal;
 pub mod server;
 
--- /dev/null
+++ b/crates/ranges/src/move_state.rs
@@ -0,0 +1,53 @@
+//! How far the orders for one entry of the table have got.
+
+use std::sync::LazyLock;
+
+use derive_more::Display;
+use serde::Deserialize;
+use trefoil_core::StateChart;
+
+/// How far the orders for one entry have got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[display(rename_all = "kebab-case")]
+pub enum Phase {
+    /// Former owners may hold grants.
+    Clearing,
+    /// No former owner can hold a grant; the owner has not confirmed its first one.
+    Granting,
+    /// The owner has confirmed a grant, which is renewed.
+    Held,
+    /// Nobody is to own the range, and nobody can hold a grant of it.
+    Free,
+}
+
+/// What happens to an entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Event {
+    /// No former owner can hold a grant any more, and there is an owner.
+    Cleared,
+    /// The same, and there is no owner.
+    Emptied,
+    /// The owner has confirmed a grant.
+    Granted,
+    /// The owner's last grant has run out without a renewal.
+    Lapsed,
+}
+
+static CHART: LazyLock<StateChart<Phase, Event>> = LazyLock::new(|| {
+    StateChart::parse(include_str!("move_state.yaml"))
+        .unwrap_or_else(|e| panic!("move_state.yaml: {e}"))
+});
+
+impl Phase {
+    /// The phase of an entry that was just written to the table.
+    pub(crate) fn initial() -> Self {
+        CHART.initial()
+    }
+
+    /// The phase after an event. An event that the chart does not name changes nothing.
+    pub(crate) fn after(self, event: Event) -> Self {
+        CHART.next(self, &event).unwrap_or(self)
+    }
+}
--- /dev/null
+++ b/crates/store/src/keyed.rs
@@ -0,0 +1,52 @@
+//! Records of keyed topics.
+
+use bytes::{BufMut, Bytes, BytesMut};
+
+/// Longest key in bytes; its length is stored in one byte.
+const KEY_MAX: usize = 255;
+
+/// A record of a keyed topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Keyed {
+    /// The key.
+    pub key: String,
+    /// The value, or nothing if the record removes the key.
+    pub value: Option<Bytes>,
+}
+
+impl Keyed {
+    /// A record that sets a key, or nothing if the key is empty, longer than 255 bytes or the value
+    /// is empty, which would remove the key.
+    pub fn set(key: &str, value: Bytes) -> Option<Self> {
+        let valid = (1..=KEY_MAX).contains(&key.len()) && !value.is_empty();
+        valid.then(|| Self {
+            key: key.to_owned(),
+            value: Some(value),
+        })
+    }
+
+    /// Encodes the record: one byte with the length of the key, the key, the value.
+    pub fn encode(&self) -> Bytes {
+        let value = self.value.as_deref().unwrap_or_default();
+        let mut bytes = BytesMut::with_capacity(1 + self.key.len() + value.len());
+        // `set` and `decode` are the only sources of keys, and both bound the length.
+        bytes.put_u8(u8::try_from(self.key.len()).unwrap_or_default());
+        bytes.put_slice(self.key.as_bytes());
+        bytes.put_slice(value);
+        bytes.freeze()
+    }
+
+    /// Decodes a record, or nothing if the bytes are not a record of a keyed topic.
+    pub fn decode(mut bytes: Bytes) -> Option<Self> {
+        let len = usize::from(*bytes.first()?);
+        if bytes.len() < 1 + len {
+            return None;
+        }
+        let value = bytes.split_off(1 + len);
+        let key = std::str::from_utf8(&bytes[1..]).ok()?.to_owned();
+        Some(Self {
+            key,
+            value: (!value.is_empty()).then_some(value),
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/src/memory.rs
@@ -0,0 +1,241 @@
+//! A store in memory.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use event_listener::Event;
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use trefoil_core::{Clock, Offset};
+
+use crate::{
+    Append, Appended, Batch, Epoch, Item, Keyed, Newest, Page, Place, Producer, Read, Store,
+    StoreError,
+};
+
+/// Prefix of the names of topics that keep the newest record of each key.
+const KEYED: &str = "keyed.";
+
+/// Keys in one page of [`Store::newest`].
+const PAGE_MAX: usize = 500;
+
+/// Appends of a producer whose answers are remembered.
+const REPEATS: usize = 5;
+
+#[derive(Debug, Default)]
+struct Writer {
+    epoch: Epoch,
+    next: Option<u64>,
+    recent: VecDeque<(u64, Appended)>,
+}
+
+#[derive(Debug, Default)]
+struct Partition {
+    first: u64,
+    records: VecDeque<Bytes>,
+    newest: BTreeMap<String, (Bytes, Offset)>,
+    writers: HashMap<String, Writer>,
+}
+
+impl Partition {
+    fn end(&self) -> Offset {
+        Offset(self.first + u64::try_from(self.records.len()).unwrap_or(u64::MAX))
+    }
+
+    fn append(&mut self, append: Append) -> Result<Appended, StoreError> {
+        if let Some(producer) = &append.producer
+            && let Some(appended) = self.admit(producer, append.records.is_empty())?
+        {
+            return Ok(appended);
+        }
+        let end = self.end();
+        if append.at.is_some_and(|at| at != end) {
+            return Err(StoreError::Conflict { end });
+        }
+        let keyed = append.place.topic.as_str().starts_with(KEYED);
+        let appended = Appended {
+            offset: end,
+            end: Offset(end.0 + u64::try_from(append.records.len()).unwrap_or_default()),
+        };
+        if let Some(producer) = &append.producer {
+            self.remember(producer, append.records.is_empty(), appended);
+        }
+        for record in append.records {
+            if keyed {
+                self.compact(record.clone());
+            }
+            self.records.push_back(record);
+        }
+        Ok(appended)
+    }
+
+    fn compact(&mut self, record: Bytes) {
+        let offset = self.end();
+        match Keyed::decode(record) {
+            Some(Keyed {
+                key,
+                value: Some(value),
+            }) => {
+                self.newest.insert(key, (value, offset));
+            }
+            Some(Keyed { key, value: None }) => {
+                self.newest.remove(&key);
+            }
+            None => {}
+        }
+    }
+
+    /// Checks epoch and sequence; a repeat gets its first answer.
+    fn admit(&self, producer: &Producer, empty: bool) -> Result<Option<Appended>, StoreError> {
+        let Some(writer) = self.writers.get(&producer.name) else {
+            return Ok(None);
+        };
+        if producer.epoch < writer.epoch {
+            return Err(StoreError::Fenced);
+        }
+        if producer.epoch > writer.epoch || empty {
+            return Ok(None);
+        }
+        let repeat = writer.recent.iter().find(|(n, _)| *n == producer.sequence);
+        match (repeat, writer.next) {
+            (Some((_, appended)), _) => Ok(Some(*appended)),
+            (None, Some(next)) if next != producer.sequence => Err(StoreError::Sequence {
+                expected: Some(next),
+            }),
+            _ => Ok(None),
+        }
+    }
+
+    fn remember(&mut self, producer: &Producer, empty: bool, appended: Appended) {
+        let writer = self.writers.entry(producer.name.clone()).or_default();
+        if producer.epoch > writer.epoch {
+            *writer = Writer {
+                epoch: producer.epoch,
+                ..Writer::default()
+            };
+        }
+        if empty {
+            return;
+        }
+        writer.next = Some(producer.sequence + 1);
+        writer.recent.push_back((producer.sequence, appended));
+        if writer.recent.len() > REPEATS {
+            writer.recent.pop_front();
+        }
+    }
+
+    fn read(&self, from: Offset) -> Result<Batch, StoreError> {
+        let Some(skip) = from.0.checked_sub(self.first) else {
+            return Err(StoreError::Dropped {
+                first: Offset(self.first),
+            });
+        };
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let records: Vec<_> = self.records.iter().skip(skip).cloned().collect();
+        let end = self.end();
+        Ok(Batch {
+            next: end.max(from),
+            end,
+            records,
+        })
+    }
+
+    fn page(&self, after: Option<&str>) -> Page {
+        let rest = self
+            .newest
+            .iter()
+            .filter(|(key, _)| after.is_none_or(|a| key.as_str() > a));
+        let mut items: Vec<_> = rest
+            .take(PAGE_MAX + 1)
+            .map(|(key, (value, offset))| Item {
+                key: key.clone(),
+                value: value.clone(),
+                offset: *offset,
+            })
+            .collect();
+        let more = items.len() > PAGE_MAX;
+        items.truncate(PAGE_MAX);
+        Page {
+            items,
+            more,
+            end: self.end(),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    partitions: Mutex<HashMap<Place, Partition>>,
+    appended: Event,
+}
+
+/// A store in memory. Clones share their content.
+#[derive(Debug, Clone)]
+pub struct MemoryStore {
+    state: Arc<State>,
+    clock: Arc<dyn Clock>,
+}
+
+impl MemoryStore {
+    /// An empty store whose reads wait on `clock`.
+    pub fn new(clock: Arc<dyn Clock>) -> Self {
+        Self {
+            state: Arc::default(),
+            clock,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Place, Partition>> {
+        let partitions = &self.state.partitions;
+        partitions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Deletes the records of a partition before `offset`, as retention does. The newest record of
+    /// each key stays.
+    pub fn trim(&self, place: &Place, offset: Offset) {
+        if let Some(partition) = self.lock().get_mut(place) {
+            while partition.first < offset.0 && partition.records.pop_front().is_some() {
+                partition.first += 1;
+            }
+        }
+    }
+}
+
+impl Store for MemoryStore {
+    fn append(&self, append: Append) -> Boxed<Result<Appended, StoreError>> {
+        let place = append.place.clone();
+        let result = self.lock().entry(place).or_default().append(append);
+        self.state.appended.notify(usize::MAX);
+        async move { result }.boxed()
+    }
+
+    fn read(&self, read: Read) -> Boxed<Result<Batch, StoreError>> {
+        let store = self.clone();
+        let until = self.clock.now().after(read.wait);
+        async move {
+            loop {
+                let listener = store.state.appended.listen();
+                let batch = store
+                    .lock()
+                    .entry(read.place.clone())
+                    .or_default()
+                    .read(read.from)?;
+                if !batch.records.is_empty() || store.clock.now() >= until {
+                    return Ok(batch);
+                }
+                listener.or(store.clock.sleep_until(until)).await;
+            }
+        }
+        .boxed()
+    }
+
+    fn newest(&self, newest: Newest) -> Boxed<Result<Page, StoreError>> {
+        let page = self
+            .lock()
+            .entry(newest.place)
+            .or_default()
+            .page(newest.after.as_deref());
+        async move { Ok(page) }.boxed()
+    }
+}
--- a/src/bin/trefoild.rs
+++ b/src/bin/trefoild.rs
@@ -10,6 +10,8 @@
 mod dev;
 #[path = "../commands/run.rs"]
 mod run;
+#[path = "../commands/serve.rs"]
+mod serve;
 #[path = "../commands/settings.rs"]
 mod settings;
 
@@ -20,6 +22,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(run::command())
+        .subcommand(serve::command())
         .subcommand(check::command())
         .subcommand(dev::command())
 }
@@ -28,6 +31,7 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("run", matches)) => run::execute(matches),
+        Some(("serve", matches)) => serve::execute(matches),
         Some(("check", matches)) => check::execute(matches),
         _ => dev::execute(),
     };
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -8,8 +8,6 @@
 use async_signal::{Signal, Signals};
 use clap::{ArgMatches, Command};
 use futures_lite::{FutureExt, StreamExt};
-use slog::Level;
-use trefoil_config::settings::LogLevel;
 use trefoil_daemon::snapshots::Policy;
 use trefoil_daemon::{Node, NodeConfig, Tracing, logging};
 use trefoil_platform::LogClient;
@@ -54,7 +52,7 @@
         signer,
         keys,
     } = loaded;
-    let (logger, _flush) = logging::stderr(level(settings.log_level));
+    let (logger, _flush) = logging::stderr(settings::level(settings.log_level));
     let tracing = match &settings.trace {
         Some(path) => Tracing::to_file(path, settings.name.as_str())
             .map_err(|e| format!("{}: {e}", path.display()))?,
@@ -127,14 +125,3 @@
         }
     })
 }
-
-fn level(level: LogLevel) -> Level {
-    match level {
-        LogLevel::Critical => Level::Critical,
-        LogLevel::Error => Level::Error,
-        LogLevel::Warning => Level::Warning,
-        LogLevel::Info => Level::Info,
-        LogLevel::Debug => Level::Debug,
-        LogLevel::Trace => Level::Trace,
-    }
-}
--- /dev/null
+++ b/src/commands/serve.rs
@@ -0,0 +1,96 @@
+//! `trefoild serve`: runs an entry host on the users' platform until it is told to stop.
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_signal::{Signal, Signals};
+use clap::{Arg, ArgMatches, Command, value_parser};
+use futures_lite::StreamExt;
+use trefoil_adapter::{StoreClient, UsersPlatform};
+use trefoil_config::{BoundSettings, ServeSettings};
+use trefoil_core::QueueClock;
+use trefoil_daemon::logging;
+use trefoil_gateway::{Bounds, Host, HostConfig, serve};
+
+use crate::settings;
+
+/// The subcommand.
+pub fn command() -> Command {
+    let file = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .env("TREFOILCART_NODE_FILE")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help("Settings in YAML");
+    Command::new("serve")
+        .about("Runs an entry host that sends requests directly to the upstreams")
+        .arg(file)
+}
+
+/// Runs the subcommand.
+pub fn execute(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
+    let path = matches.get_one::<PathBuf>("settings");
+    let settings = load(path.map_or(Path::new(""), PathBuf::as_path))?;
+    let (logger, _flush) = logging::stdout(settings::level(settings.log_level));
+    let clock = QueueClock::default();
+    let store = StoreClient::new(settings.store, Arc::new(clock.clone()));
+    let platform = Rc::new(UsersPlatform::new()?);
+    let config = host_config(settings);
+    let host = Host::new(
+        config,
+        Arc::new(clock.clone()),
+        logger,
+        platform,
+        Arc::new(store),
+    );
+    let executor = Rc::clone(&host.executor);
+    let _timers = host.spawn(async move { clock.drive().await });
+    smol::block_on(executor.run(async {
+        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let stop = async {
+            signals.next().await;
+        };
+        serve(host, stop).await?;
+        Ok(ExitCode::SUCCESS)
+    }))
+}
+
+fn load(path: &Path) -> Result<ServeSettings, Box<dyn Error>> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let settings = ServeSettings::from_yaml(&text, &path.display().to_string());
+    Ok(settings?)
+}
+
+fn host_config(settings: ServeSettings) -> HostConfig {
+    HostConfig {
+        name: settings.name,
+        domain: settings.domain,
+        cores: settings.cores,
+        caller: settings.caller,
+        ready: settings.ready,
+        peer: settings.peer,
+        operator: settings.operator,
+        bounds: bounds(&settings.bounds),
+    }
+}
+
+fn bounds(settings: &BoundSettings) -> Bounds {
+    let usual = Bounds::default();
+    let span = |value: Option<f64>, unit: f64, usual: Duration| {
+        let span = value.map(|v| Duration::try_from_secs_f64(v * unit));
+        span.and_then(Result::ok).unwrap_or(usual)
+    };
+    Bounds {
+        drain: span(settings.drain_ms, 0.001, usual.drain),
+        grace: span(settings.grace_s, 1.0, usual.grace),
+        repeat_ratio: settings.repeat_ratio.unwrap_or(usual.repeat_ratio),
+        repeat_fixed: settings.repeat_fixed.unwrap_or(usual.repeat_fixed),
+        repeat_window: span(settings.repeat_window_s, 1.0, usual.repeat_window),
+        hold_max: span(settings.hold_max_ms, 0.001, usual.hold_max),
+    }
+}
--- a/src/commands/settings.rs
+++ b/src/commands/settings.rs
@@ -3,8 +3,9 @@
 use std::path::{Path, PathBuf};
 
 use clap::{Arg, ArgMatches, value_parser};
+use slog::Level;
 use snafu::{ResultExt, Snafu};
-use trefoil_config::settings::{Overrides, SETTINGS, flag};
+use trefoil_config::settings::{LogLevel, Overrides, SETTINGS, flag};
 use trefoil_config::{Findings, Settings};
 use trefoil_http::Limits;
 use trefoil_log::{Addresses, KeyId, Keyring, Role, Signer};
@@ -212,6 +213,18 @@
     }
 }
 
+/// The level of the logger for a setting.
+pub fn level(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Critical => Level::Critical,
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Trace => Level::Trace,
+    }
+}
+
 fn read(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).context(ReadSnafu { path })
 }
