--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use trefoil_core::{ServiceName, Tick, UnixMillis, UpstreamName};
+use trefoil_core::{ServiceName, Tick, UpstreamName};
 
 use crate::{Registration, Tag};
 
@@ -36,7 +36,7 @@
 
 #[derive(Debug)]
 struct Forgotten {
-    order: (UnixMillis, u64),
+    registration: Rc<Registration>,
     until: Tick,
 }
 
@@ -60,7 +60,7 @@
     pub fn register(&mut self, registration: Registration) -> Option<Change> {
         let name = registration.life.name.clone();
         let order = registration.order();
-        let forgotten = self.forgotten.get(&name).map(|f| f.order);
+        let forgotten = self.forgotten.get(&name).map(|f| f.registration.order());
         if forgotten.is_some_and(|earlier| order <= earlier) {
             return None;
         }
@@ -137,7 +137,7 @@
         let entry = self.entries.remove(name)?;
         self.tags.remove(&Tag::of(name));
         let forgotten = Forgotten {
-            order: entry.registration.order(),
+            registration: Rc::clone(&entry.registration),
             until: now.after(MEMORY),
         };
         self.forgotten.insert(name.clone(), forgotten);
@@ -149,6 +149,17 @@
         self.entries.get(name).map(|e| &e.registration)
     }
 
+    /// An upstream by its name, also for a while after it is gone.
+    pub fn recall(&self, name: &UpstreamName) -> Option<&Rc<Registration>> {
+        let gone = || self.forgotten.get(name).map(|f| &f.registration);
+        self.get(name).or_else(gone)
+    }
+
+    /// When the next upstream counts as gone that has vanished.
+    pub fn next_expiry(&self) -> Option<Tick> {
+        self.entries.values().filter_map(|e| e.vanishes).min()
+    }
+
     /// An upstream by its tag.
     pub fn tagged(&self, tag: Tag) -> Option<&Rc<Registration>> {
         self.get(self.tags.get(&tag)?)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,10 +27,11 @@
 /// Time between two reads of the registry. An upstream that leaves must get no requests after 2 s.
 const REGISTRY_PACE: Duration = Duration::from_millis(700);
 
-/// Wait after a failed call; it doubles up to [`BACKOFF_MAX`]. Refused calls are paid for as well.
+/// Wait after a failed call; it doubles up to [`BACKOFF_MAX`] if the store refused the call, because
+/// refused calls are paid for. A call that did not reach the store costs nothing.
 const BACKOFF: Duration = Duration::from_millis(150);
 
-/// Longest wait after a failed call.
+/// Longest wait after a refused call.
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 
 /// Time without an answer after which the store counts as lost. Upstreams that cannot renew their
@@ -77,9 +78,22 @@
         let changes = take_in(&host, now, whole, records);
         host.apply_changes(changes);
         host.listed.set(true);
+        expire_until(&host, now.after(REGISTRY_PACE)).await;
+    }
+}
+
+/// Waits until `until`, and removes the upstreams that count as gone in the meantime.
+async fn expire_until(host: &Host, until: Tick) {
+    loop {
+        let now = host.now();
         let expired = host.directory.borrow_mut().expire(now);
         host.apply_changes(expired);
-        host.clock.sleep(REGISTRY_PACE).await;
+        if now >= until {
+            return;
+        }
+        let expiry = host.directory.borrow().next_expiry();
+        let wake = expiry.map_or(until, |at| at.min(until));
+        host.clock.sleep_until(wake).await;
     }
 }
 
@@ -237,6 +251,8 @@
             warn!(self.host.log, "store lost"; "place" => %self.place, "reason" => %error);
         }
         self.host.clock.sleep(self.backoff).await;
-        self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+        if matches!(error, StoreError::Refused { .. }) {
+            self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
+        }
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -48,6 +48,10 @@
 /// When a caller is told to come back at the latest.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
+/// Age up to which an order is sent. The proof of ownership counts from the moment at which it was
+/// decided, with a margin for its travel.
+const ORDER_AGE: Duration = Duration::from_millis(200);
+
 /// Time in which an upstream answers a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -227,6 +231,9 @@
     if registration.phase != Phase::Ready {
         return Target::Wait(RETRY_MAX, "the owner leaves");
     }
+    if host.is_displaced(&registration.life) {
+        return Target::Wait(RETRY_MAX, "the owner has ended");
+    }
     let tag = Tag::of(&registration.life.name);
     match host
         .balancer
@@ -332,7 +339,15 @@
         tried.sent.push(tag);
     }
     let result = exchange.or(late).await;
-    judge(host, target.address, link, result, &mut permit, tried)
+    let attempt = judge(host, target.address, link, result, &mut permit, tried);
+    if let Attempt::Refused(reply) = &attempt {
+        let answerer = reply.head.headers.get(&dialect.answerer);
+        let name = target.life.name.as_str().as_bytes();
+        if answerer.is_some_and(|other| other.as_bytes() != name) {
+            host.displace(target);
+        }
+    }
+    attempt
 }
 
 fn judge(
@@ -396,7 +411,7 @@
 }
 
 fn count_first(host: &Host, service: &ServiceName, now: Tick) {
-    let bounds = host.config.bounds;
+    let bounds = host.bounds.get();
     let mut budgets = host.budgets.borrow_mut();
     if !budgets.contains_key(service) {
         let budget = RepeatBudget::new(
@@ -493,10 +508,11 @@
 
 /// Sends an order to an upstream.
 pub(crate) async fn send_order(host: &Host, order: &Order) -> OrderAnswer {
+    let decided = host.now();
     let address = host
         .directory
         .borrow()
-        .get(&order.life.name)
+        .recall(&order.life.name)
         .map(|r| r.address);
     let Some(address) = address else {
         return OrderAnswer::Unsent;
@@ -519,6 +535,9 @@
             Err(_) => return OrderAnswer::Unsent,
         },
     };
+    if host.now().since(decided) > ORDER_AGE {
+        return OrderAnswer::Unsent;
+    }
     let late = async {
         host.clock.sleep(span).await;
         None
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,7 +1,7 @@
 //! State of the host, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt::{self, Debug};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,17 +11,17 @@
 use smol::{LocalExecutor, Task};
 use trefoil_balance::{Balancer, RepeatBudget};
 use trefoil_core::{Clock, HostId, ServiceName, Tick};
-use trefoil_directory::{Change, Directory, Phase, Registration, Tag};
+use trefoil_directory::{Change, Directory, Life, Phase, Registration, Tag};
 use trefoil_http::h1::Stop;
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
-use crate::config::HostConfig;
+use crate::config::{Bounds, HostConfig};
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::platform::Platform;
 use crate::pool::Pool;
-use crate::steward::Terms;
+use crate::steward::{EndedTerms, Terms};
 use crate::tables::{Routes, Tables};
 
 /// Things that tasks wait for.
@@ -45,6 +45,8 @@
 pub struct Host {
     /// What the host was told at its start.
     pub config: HostConfig,
+    /// Bounds of the deployment, which may change while the process runs.
+    pub bounds: Cell<Bounds>,
     /// This incarnation of the process.
     pub id: HostId,
     /// Time.
@@ -73,8 +75,12 @@
     pub(crate) pool: RefCell<Pool>,
     pub(crate) budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     pub(crate) terms: RefCell<Terms>,
+    /// Terms of this host that have ended.
+    pub(crate) ended: RefCell<EndedTerms>,
     /// Open connections of callers and operators.
     pub(crate) connections: Cell<usize>,
+    /// Upstreams in the directory whose address another one has taken.
+    displaced: RefCell<HashSet<Life>>,
     /// When the directory last changed.
     pub(crate) directory_changed: Cell<Tick>,
     router: RefCell<Option<Rc<Router>>>,
@@ -102,6 +108,7 @@
         store: Arc<dyn Store>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            bounds: Cell::new(config.bounds),
             balancer: RefCell::new(Balancer::new(config.domain.clone())),
             config,
             id: HostId::random(),
@@ -120,7 +127,9 @@
             pool: RefCell::default(),
             budgets: RefCell::default(),
             terms: RefCell::default(),
+            ended: RefCell::default(),
             connections: Cell::new(0),
+            displaced: RefCell::default(),
             directory_changed: Cell::default(),
             router: RefCell::default(),
             listed: Cell::new(false),
@@ -153,6 +162,14 @@
         self.router().map(|r| r.version()).unwrap_or_default()
     }
 
+    /// Services of the configuration that are divided by keys.
+    pub(crate) fn keyed_services(&self) -> Vec<ServiceName> {
+        self.router().map_or_else(Vec::new, |router| {
+            let keyed = router.services().filter(|(_, s)| s.keyed);
+            keyed.map(|(name, _)| name.clone()).collect()
+        })
+    }
+
     /// Whether the host can answer requests and is not about to stop.
     pub fn is_ready(&self) -> bool {
         !self.leaving.get() && self.listed.get() && self.router.borrow().is_some()
@@ -202,10 +219,12 @@
             }
             Change::Updated(r) => {
                 self.log_upstream("upstream updated", r);
-                balancer.register(now, r, r.phase == Phase::Ready);
+                let ready = r.phase == Phase::Ready && !self.is_displaced(&r.life);
+                balancer.register(now, r, ready);
             }
             Change::Gone(r) => {
                 self.log_upstream("upstream gone", r);
+                self.displaced.borrow_mut().remove(&r.life);
                 balancer.remove(Tag::of(&r.life.name));
                 self.pool.borrow_mut().close(r.address);
             }
@@ -218,6 +237,28 @@
             "phase" => %r.phase, "sequence" => r.sequence);
     }
 
+    /// Another upstream has answered at the address of this one, so it has ended, although the
+    /// directory still has it.
+    pub(crate) fn displace(&self, registration: &Registration) {
+        if self
+            .displaced
+            .borrow_mut()
+            .insert(registration.life.clone())
+        {
+            self.log_upstream("upstream displaced", registration);
+            let now = self.now();
+            self.balancer
+                .borrow_mut()
+                .register(now, registration, false);
+            self.events.directory.notify(usize::MAX);
+        }
+    }
+
+    /// Whether another upstream has taken the address of this one.
+    pub(crate) fn is_displaced(&self, life: &Life) -> bool {
+        self.displaced.borrow().contains(life)
+    }
+
     /// Takes in routes of a keyed service unless newer ones are known.
     pub fn apply_routes(&self, service: &ServiceName, routes: Routes) {
         let age = routes.age;
@@ -233,6 +274,22 @@
         self.store_seen.set(self.store_seen.get().max(Some(sent)));
     }
 
+    /// Takes in settings that were read again. Only bounds can change while the process runs.
+    pub fn reload(&self, config: &HostConfig) {
+        let bounds = self.bounds.replace(config.bounds);
+        let fixed = HostConfig {
+            bounds,
+            ..config.clone()
+        };
+        info!(self.log, "settings reloaded"; "bounds_changed" => bounds != config.bounds,
+            "needs_restart" => fixed != HostConfig { bounds, ..self.config.clone() });
+    }
+
+    /// Logs that settings cannot be read again.
+    pub fn log_reload_failed(&self, reason: &dyn fmt::Display) {
+        warn!(self.log, "settings not reloaded"; "reason" => %reason);
+    }
+
     /// Logs that a configuration or registration cannot be used.
     pub(crate) fn log_rejected(&self, what: &'static str, reason: &dyn fmt::Display) {
         warn!(self.log, "rejected"; "what" => what, "reason" => %reason);
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,6 +4,7 @@
 //! proven elsewhere, in the store or at the upstreams.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
@@ -79,6 +80,21 @@
     pub age: Age,
     /// Milliseconds since the store confirmed the term.
     pub confirmed: u32,
+    /// The term before, while its grants can be valid.
+    pub waits_for: Option<u64>,
+}
+
+/// A steward has ended its term and sends no more orders.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Resigned {
+    /// The sender.
+    pub from: HostId,
+    /// The service.
+    pub service: ServiceName,
+    /// The term.
+    pub term: u64,
+    /// Time in which its grants and earlier ones can be valid.
+    pub left: Duration,
 }
 
 /// What a host says several times a second.
@@ -130,6 +146,8 @@
     Routes(RoutesPart),
     /// The sender lacks the newest routes of a service.
     Ask(ServiceName),
+    /// A steward has ended its term.
+    Resigned(Resigned),
     /// The sender is about to end.
     Bye(HostId),
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 //! does not know asks who it is. A host that has fallen silent is sent fewer datagrams, but is not
 //! forgotten for a while, because a cut can end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -39,6 +39,9 @@
 /// Time after which a silent host is forgotten. Cuts end after seconds.
 const FORGET: Duration = Duration::from_mins(1);
 
+/// Age up to which a host's last answer of the store shows that the store can be reached.
+const STORE_SEEN: Duration = Duration::from_millis(1500);
+
 /// Wait after a failed call of the store.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -81,6 +84,8 @@
 pub struct Peers {
     hosts: BTreeMap<HostId, Peer>,
     stewards: BTreeMap<ServiceName, Seen>,
+    /// Processes that have ended.
+    ended: HashSet<HostId>,
     assemblies: BTreeMap<ServiceName, Assembly>,
     /// Keys that were asked for at this host and not reported yet.
     keys: BTreeMap<ServiceName, Vec<Key>>,
@@ -142,20 +147,48 @@
         self.outbox.extend(queued);
     }
 
-    fn add(&mut self, card: Card) -> bool {
+    /// Adds a host; says whether it was unknown, and which processes have ended since another one
+    /// has taken their address.
+    fn add(&mut self, card: Card) -> (bool, Vec<HostId>) {
         let id = card.id;
-        if self.hosts.contains_key(&id) {
-            return false;
+        if self.hosts.contains_key(&id) || self.ended.contains(&id) {
+            return (false, Vec::new());
+        }
+        let replaced = self.hosts.iter();
+        let replaced = replaced.filter(|(_, p)| p.card.address == card.address);
+        let replaced: Vec<HostId> = replaced.map(|(id, _)| *id).collect();
+        for id in &replaced {
+            self.hosts.remove(id);
+            self.ended.insert(*id);
+            self.end_terms(*id, &[]);
         }
-        // Another process has taken the address, so the one before has ended.
-        self.hosts.retain(|_, p| p.card.address != card.address);
         let peer = Peer {
             card,
             heard: None,
             store: None,
         };
         self.hosts.insert(id, peer);
-        true
+        (true, replaced)
+    }
+
+    /// Whether the process of a host is known to have ended.
+    pub fn has_ended(&self, id: HostId) -> bool {
+        self.ended.contains(&id)
+    }
+
+    /// Where a host takes datagrams.
+    pub fn address(&self, id: HostId) -> Option<SocketAddr> {
+        self.hosts.get(&id).map(|p| p.card.address)
+    }
+
+    /// Whether the store has answered another host within the last second, as far as is known.
+    pub fn anyone_reaches_store(&self, now: Tick) -> bool {
+        self.hosts.values().any(|peer| {
+            let (Some(heard), Some(age)) = (peer.heard, peer.store) else {
+                return false;
+            };
+            now.since(heard) + Duration::from_millis(age.into()) < STORE_SEEN
+        })
     }
 
     /// The term of a steward that has ended, or that its host does not claim any more.
@@ -297,7 +330,8 @@
                 return;
             }
             let name = card.name.clone();
-            if peers.add(card) {
+            let (joined, replaced) = peers.add(card);
+            if joined {
                 info!(host.log, "host joined"; "host" => %name, "address" => %address);
             }
             if let Some(peer) = peers.hosts.get_mut(&id) {
@@ -306,6 +340,11 @@
             if asks {
                 peers.send(address, &Message::Hello(own_card(host), false));
             }
+            drop(peers);
+            for ended in replaced {
+                info!(host.log, "host ended"; "incarnation" => %ended, "host" => %name);
+                crate::steward::heard_ended(host, ended);
+            }
         }
         Message::Beat(beat) => handle_beat(host, from, beat),
         Message::Keys(service, keys) => crate::steward::take_keys(host, &service, keys),
@@ -316,10 +355,14 @@
             }
         }
         Message::Ask(service) => crate::steward::send_routes(host, &service, from),
+        Message::Resigned(resigned) => crate::steward::heard_resigned(host, &resigned),
         Message::Bye(id) => {
             let mut peers = host.peers.borrow_mut();
             peers.hosts.remove(&id);
+            peers.ended.insert(id);
             peers.end_terms(id, &[]);
+            drop(peers);
+            crate::steward::heard_ended(host, id);
         }
     }
 }
@@ -334,7 +377,7 @@
     peer.heard = Some(now);
     peer.store = beat.store;
     peers.end_terms(beat.from, &beat.terms);
-    let mut asks = Vec::new();
+    let (mut asks, mut terms) = (Vec::new(), Vec::new());
     for term in beat.terms {
         let seen = Seen {
             host: beat.from,
@@ -342,6 +385,7 @@
             confirmed: Duration::from_millis(term.confirmed.into()),
             at: now,
         };
+        terms.push(term.clone());
         let known = peers.stewards.get(&term.service);
         if known.is_some_and(|k| k.age.term > term.age.term && now.since(k.at) < SILENT) {
             continue;
@@ -355,6 +399,9 @@
         peers.send(from, &Message::Ask(service));
     }
     drop(peers);
+    for term in terms {
+        crate::steward::heard_of_term(host, beat.from, &term);
+    }
     let mut balancer = host.balancer.borrow_mut();
     balancer.clear_open(beat.from);
     for item in beat.open {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -37,6 +37,8 @@
     pub refused: HeaderName,
     /// Key of a request to a keyed service.
     pub key: HeaderName,
+    /// Name of the upstream that refuses a request because it is meant for another one.
+    pub answerer: HeaderName,
 }
 
 /// An HTTP call.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -144,8 +144,9 @@
     host.events.directory.notify(usize::MAX);
     host.clock.sleep(ACCEPT_AFTER_STOP).await;
     drop(accepting);
+    host.stop.close_connections();
     peers::leave(&host, &socket).await;
-    let end = stopped.after(config.bounds.grace.saturating_sub(RESERVE));
+    let end = stopped.after(host.bounds.get().grace.saturating_sub(RESERVE));
     while host.connections.get() > 0 && host.now() < end {
         host.clock.sleep(ACCEPT_RETRY).await;
     }
--- /dev/null
+++ b/crates/gateway/src/steward/record.rs
@@ -0,0 +1,221 @@
+//! Tables in the store.
+//!
+//! The tables of all services are records of one compacted topic, each under the name of its
+//! service. The steward appends as the producer of that name, with its term as the epoch: once a
+//! higher term has been set, the store refuses the writes of all lower ones.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use bytes::Bytes;
+use slog::warn;
+use trefoil_core::{ServiceName, Tick};
+use trefoil_ranges::{Author, Steward, Table, Timing};
+use trefoil_store::{Append, Epoch, Keyed, Newest, Place, Producer, StoreError};
+
+use super::term::{Note, Predecessor, Term};
+use crate::host::Host;
+
+/// Topic with the tables of all keyed services.
+const RANGES_TOPIC: &str = "keyed.trefoil-ranges";
+
+/// Time between two confirmations of a term. A few can fail before the term runs out.
+const CONFIRM: Duration = Duration::from_millis(600);
+
+/// Wait after a failed write.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Bits of a term's number that are drawn at random.
+const TERM_BITS: u32 = 10;
+
+fn rejected<T>(reason: &T) -> StoreError
+where
+    T: ToString + ?Sized,
+{
+    StoreError::Rejected {
+        reason: reason.to_string(),
+    }
+}
+
+fn place() -> Result<Place, StoreError> {
+    let topic = RANGES_TOPIC.parse().map_err(|e| rejected(&e))?;
+    Ok(Place::first(topic))
+}
+
+/// Spans of the proof of ownership, within the bounds of the deployment.
+fn timing(host: &Host) -> Timing {
+    let timing = Timing::default();
+    let most = host.bounds.get().hold_max;
+    Timing {
+        hold: timing.hold.min(most),
+        long_hold: timing.long_hold.min(most),
+        ..timing
+    }
+}
+
+fn producer(service: &ServiceName, number: u64, sequence: u64) -> Producer {
+    Producer {
+        name: service.to_string(),
+        epoch: Epoch(number),
+        sequence,
+    }
+}
+
+/// Name of a result in metrics.
+pub(super) fn result_name<T>(result: &Result<T, StoreError>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(StoreError::Unreachable { .. }) => "unreachable",
+        Err(StoreError::Refused { .. }) => "refused",
+        Err(StoreError::Ambiguous { .. }) => "lost",
+        Err(StoreError::Conflict { .. }) => "conflict",
+        Err(StoreError::Fenced) => "fenced",
+        Err(StoreError::Sequence { .. }) => "sequence",
+        Err(StoreError::Dropped { .. }) => "dropped",
+        Err(StoreError::Rejected { .. }) => "rejected",
+    }
+}
+
+/// Takes over a service: sets a higher epoch, reads the table and writes it under the new term. No
+/// order is sent before that write, so the author of a table is the only steward that may have sent
+/// orders since.
+pub(super) async fn take_over(host: &Rc<Host>, service: &ServiceName) -> Result<Term, StoreError> {
+    let place = place()?;
+    let number = next_number(host, service);
+    let sent = host.now();
+    let epoch = Append::epoch(place, producer(service, number, 0));
+    let taken = host.store.append(epoch).await;
+    host.metrics.called("take-over", result_name(&taken));
+    taken?;
+    let table = read_table(host, service).await?;
+    let now = host.now();
+    let timing = timing(host);
+    let mut table = table.unwrap_or_else(|| Table::new(service.clone()));
+    let predecessor = table.author.map(|author| Predecessor::new(now, author));
+    let earlier = earlier_end(host, now, &timing, table.author);
+    table.refence_moves();
+    sign(host, &mut table, number, now, earlier);
+    let written = host.store.append(table_append(&table, number, 1)?).await;
+    host.metrics.called("write-table", result_name(&written));
+    written?;
+    let now = host.now();
+    let mut steward = Steward::new(now, table, timing, earlier);
+    steward.confirm_term(sent);
+    Ok(Term::new(now, number, steward, predecessor, sent))
+}
+
+/// A number above those of all earlier terms. The time of day is above them even if nobody
+/// remembers them; the low bits keep two hosts apart that stand at the same moment.
+fn next_number(host: &Host, service: &ServiceName) -> u64 {
+    let known = host.peers.borrow().last_steward(service);
+    let known = known.map_or(0, |seen| seen.age.term);
+    let time = host.clock.unix().0.max((known >> TERM_BITS) + 1);
+    (time << TERM_BITS) | (rand::random::<u64>() & ((1 << TERM_BITS) - 1))
+}
+
+/// The tick from which no grant of an earlier steward can be valid.
+fn earlier_end(host: &Host, now: Tick, timing: &Timing, author: Option<Author>) -> Tick {
+    // Without an author nobody has ever granted anything.
+    let Some(author) = author else { return now };
+    let before = now.after(author.earlier);
+    let own = match () {
+        () if author.resigned => now,
+        () if host.peers.borrow().has_ended(author.host) => timing.end_of_stopped(now),
+        () => timing.end_of_earlier(now),
+    };
+    own.max(before)
+}
+
+/// Names this host as the author of a table that is about to be written.
+pub(super) fn sign(host: &Host, table: &mut Table, number: u64, now: Tick, earlier: Tick) {
+    table.version += 1;
+    table.author = Some(Author {
+        host: host.id,
+        term: number,
+        earlier: earlier.since(now),
+        resigned: false,
+    });
+}
+
+/// The append that writes a table. Sequence numbers begin at 1.
+pub(super) fn table_append(
+    table: &Table,
+    number: u64,
+    sequence: u64,
+) -> Result<Append, StoreError> {
+    let bytes = table.encode().map_err(|e| rejected(&e))?;
+    let record = Keyed::set(table.service.as_str(), Bytes::from(bytes));
+    let record = record.ok_or_else(|| rejected("the name of the service is too long"))?;
+    let append = Append::new(place()?, record.encode());
+    Ok(append.by(producer(&table.service, number, sequence)))
+}
+
+/// Repeats a write until the store says what became of it. The store recognises a repeat by its
+/// sequence number.
+pub(super) async fn write(host: Rc<Host>, append: Append, notes: Sender<Note>) {
+    loop {
+        let result = host.store.append(append.clone()).await.map(|_| ());
+        host.metrics.called("write-table", result_name(&result));
+        if let Err(error) = &result {
+            warn!(host.log, "table not written"; "reason" => %error);
+        }
+        let answered = !result.as_ref().is_err_and(StoreError::is_outage);
+        if answered || notes.is_closed() {
+            // The channel is closed only when the term has ended.
+            let _ = notes.send(Note::Written(result)).await;
+            return;
+        }
+        host.clock.sleep(RETRY).await;
+    }
+}
+
+/// Confirms a term with the store again and again. A confirmation is not waited for before the next
+/// one, because its answer may be lost.
+pub(super) async fn confirm(
+    host: Rc<Host>,
+    service: ServiceName,
+    number: u64,
+    notes: Sender<Note>,
+) {
+    loop {
+        host.clock.sleep(CONFIRM).await;
+        let Ok(place) = place() else { return };
+        let append = Append::epoch(place, producer(&service, number, 0));
+        let (host, notes) = (Rc::clone(&host), notes.clone());
+        let spawner = Rc::clone(&host);
+        let confirming = async move {
+            let sent = host.now();
+            let result = host.store.append(append).await.map(|_| ());
+            host.metrics.called("confirm", result_name(&result));
+            // The channel is closed only when the term has ended.
+            let _ = notes.send(Note::Confirmed(sent, result)).await;
+        };
+        spawner.spawn(confirming).detach();
+    }
+}
+
+/// Reads the newest table of a service.
+pub(super) async fn read_table(
+    host: &Host,
+    service: &ServiceName,
+) -> Result<Option<Table>, StoreError> {
+    let place = place()?;
+    let mut after = None;
+    loop {
+        let newest = Newest {
+            place: place.clone(),
+            after,
+        };
+        let page = host.store.newest(newest).await?;
+        let mut items = page.items.iter();
+        if let Some(item) = items.find(|item| item.key == service.as_str()) {
+            let table = Table::decode(&item.value);
+            return table.map(Some).map_err(|e| rejected(&e));
+        }
+        after = page.items.last().map(|item| item.key.clone());
+        if !page.more || after.is_none() {
+            return Ok(None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/steward/term.rs
@@ -0,0 +1,371 @@
+//! One term of this host as steward of one service.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use derive_more::Display;
+use slog::{debug, info, warn};
+use trefoil_core::{HostId, ServiceName, Tick};
+use trefoil_directory::{Life, Phase, Registration, Tag};
+use trefoil_ranges::{
+    Answer, Author, Candidate, Demand, Order, OrderId, OrderKind, Planner, Reason, Steward, Table,
+    Trace,
+};
+use trefoil_store::StoreError;
+
+use super::{record, routes};
+use crate::host::Host;
+
+/// Time between two checks of the load.
+const EVEN: Duration = Duration::from_millis(500);
+
+/// Requests that the load is judged by: those of this time.
+const WINDOW: Duration = Duration::from_millis(2500);
+
+/// Time for which the directory must not change before keys are given out for the first time.
+const SETTLE: Duration = Duration::from_millis(800);
+
+/// Orders without an answer, in a row, after which an upstream is not given keys.
+const SILENT_ORDERS: u32 = 2;
+
+/// Time for which an upstream that did not answer is not given keys.
+const SUSPECT: Duration = Duration::from_secs(3);
+
+/// Time without a confirmation after which the store counts as away.
+const STORE_AWAY: Duration = Duration::from_millis(1200);
+
+/// Time without a confirmation after which a steward gives up its term if other hosts reach the
+/// store.
+const CUT_OFF: Duration = Duration::from_secs(2);
+
+/// Something that has happened to a term.
+#[derive(Debug)]
+pub(super) enum Note {
+    /// An order was answered.
+    Ordered(OrderId, Answer),
+    /// The store has said what became of a table.
+    Written(Result<(), StoreError>),
+    /// A confirmation that was sent at the tick has ended.
+    Confirmed(Tick, Result<(), StoreError>),
+    /// Something else may have changed.
+    Changed,
+}
+
+/// Why a term has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub(super) enum End {
+    #[display("another host has a later term")]
+    Deposed,
+    #[display("most upstreams cannot be reached")]
+    Isolated,
+    #[display("other hosts reach the store, this one does not")]
+    CutOff,
+    #[display("the host is leaving")]
+    Leaving,
+    #[display("the store does not take the table")]
+    Unwritten,
+}
+
+/// The steward before this one.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Predecessor {
+    pub(crate) host: HostId,
+    pub(crate) term: u64,
+    /// Grants of stewards before it can be valid until this tick.
+    earlier: Tick,
+}
+
+impl Predecessor {
+    pub(super) fn new(now: Tick, author: Author) -> Self {
+        Self {
+            host: author.host,
+            term: author.term,
+            earlier: now.after(author.earlier),
+        }
+    }
+}
+
+/// The term of this host as steward of one service.
+#[derive(Debug)]
+pub struct Term {
+    pub(crate) number: u64,
+    pub(crate) steward: Steward,
+    pub(crate) trace: Trace,
+    /// When the last call was sent by which the store confirmed the term.
+    pub(crate) confirmed: Tick,
+    /// Serial of the routes that were published last.
+    pub(crate) published: Option<u64>,
+    /// A later term of another host was heard of.
+    pub(crate) superseded: bool,
+    predecessor: Option<Predecessor>,
+    sequence: u64,
+    /// The table that is being written, and why.
+    writing: Option<(Table, Reason)>,
+    evened: Tick,
+    suspects: HashMap<Life, Tick>,
+    started: Tick,
+}
+
+impl Term {
+    pub(super) fn new(
+        now: Tick,
+        number: u64,
+        steward: Steward,
+        predecessor: Option<Predecessor>,
+        confirmed: Tick,
+    ) -> Self {
+        Self {
+            number,
+            steward,
+            trace: Trace::new(WINDOW),
+            confirmed,
+            published: None,
+            superseded: false,
+            predecessor,
+            // The table was written once when the term began.
+            sequence: 1,
+            writing: None,
+            evened: now,
+            suspects: HashMap::new(),
+            started: now,
+        }
+    }
+
+    /// The steward before this one sends no orders any more; its grants can be valid until `until`.
+    pub(crate) fn predecessor_ended(&mut self, until: Tick) {
+        if let Some(predecessor) = self.predecessor {
+            self.steward.limit_earlier(until.max(predecessor.earlier));
+        }
+    }
+
+    /// The steward before this one, while its grants can be valid.
+    pub(crate) fn predecessor(&self, now: Tick) -> Option<Predecessor> {
+        self.predecessor
+            .filter(|_| now < self.steward.earlier_until())
+    }
+
+    /// The table that tells a successor that this term has ended.
+    pub(super) fn last_table(&self, now: Tick) -> Table {
+        let mut table = self.steward.table().clone();
+        table.version += 1;
+        if let Some(author) = &mut table.author {
+            author.earlier = self.steward.grants_until().since(now);
+            author.resigned = true;
+        }
+        table
+    }
+
+    /// Number of the next write.
+    pub(super) fn next_sequence(&self) -> u64 {
+        self.sequence + 1
+    }
+
+    /// Whether a table is being written.
+    pub(super) fn is_writing(&self) -> bool {
+        self.writing.is_some()
+    }
+
+    /// Takes in what has happened.
+    pub(super) fn take(
+        &mut self,
+        host: &Host,
+        service: &ServiceName,
+        now: Tick,
+        note: Note,
+    ) -> Result<(), End> {
+        match note {
+            Note::Confirmed(_, Err(StoreError::Fenced))
+            | Note::Written(Err(StoreError::Fenced)) => return Err(End::Deposed),
+            // A term that is not confirmed runs out by itself.
+            Note::Changed | Note::Confirmed(_, Err(_)) => {}
+            Note::Ordered(id, answer) => self.steward.answered(now, id, answer),
+            Note::Confirmed(sent, Ok(())) => {
+                host.store_answered(sent);
+                self.confirmed = self.confirmed.max(sent);
+                self.steward.confirm_term(sent);
+            }
+            Note::Written(Ok(())) => {
+                if let Some((table, reason)) = self.writing.take() {
+                    info!(host.log, "table written"; "service" => %service,
+                        "term" => self.number, "version" => table.version,
+                        "reason" => %reason, "ranges" => table.entries().len());
+                    self.sequence += 1;
+                    self.steward.adopt(now, table);
+                }
+            }
+            Note::Written(Err(_)) => return Err(End::Unwritten),
+        }
+        Ok(())
+    }
+
+    /// Plans, sends orders and tells the other hosts.
+    pub(super) fn step(
+        &mut self,
+        host: &Rc<Host>,
+        service: &ServiceName,
+        notes: &Sender<Note>,
+    ) -> Result<(), End> {
+        let now = host.now();
+        self.check(host, now)?;
+        let candidates = self.candidates(host, service, now)?;
+        if self.writing.is_none() && self.settled(host, now) {
+            let demand = self.trace.demand(now);
+            if let Some((table, reason)) = self.plan(now, &candidates, &demand) {
+                self.write(host, table, reason, now, notes)?;
+            }
+        }
+        for order in self.steward.poll(now) {
+            debug!(host.log, "order"; "service" => %service, "upstream" => %order.life,
+                "range" => %order.range, "fence" => order.fence.0, "order" => name(&order));
+            send(host, order, notes);
+        }
+        let serial = self.steward.serial();
+        if self.published != Some(serial) {
+            self.published = Some(serial);
+            routes::publish(host, service, self, now);
+        }
+        Ok(())
+    }
+
+    /// Whether the term goes on.
+    fn check(&mut self, host: &Host, now: Tick) -> Result<(), End> {
+        let unconfirmed = now.since(self.confirmed);
+        let others = || host.peers.borrow().anyone_reaches_store(now);
+        match () {
+            () if host.leaving.get() => Err(End::Leaving),
+            () if self.superseded || self.steward.is_deposed() => Err(End::Deposed),
+            () if unconfirmed >= CUT_OFF && others() => Err(End::CutOff),
+            () => {
+                let away = unconfirmed >= STORE_AWAY && !others();
+                self.steward.set_store_away(away);
+                Ok(())
+            }
+        }
+    }
+
+    /// Whether the directory is complete enough for the first table.
+    fn settled(&self, host: &Host, now: Tick) -> bool {
+        let unowned = self.steward.table().entries().iter();
+        let first = unowned.clone().all(|e| e.owner.is_none());
+        !first || now.since(host.directory_changed.get().max(self.started)) >= SETTLE
+    }
+
+    /// The upstreams that may own keys, or an error if this host cannot reach most of them.
+    fn candidates(
+        &mut self,
+        host: &Host,
+        service: &ServiceName,
+        now: Tick,
+    ) -> Result<Vec<Candidate>, End> {
+        let directory = host.directory.borrow();
+        let balancer = host.balancer.borrow();
+        let lives = directory.of(service).map(|r| r.life.clone());
+        self.steward.set_lives(lives);
+        let ready = directory.of(service).filter(|r| r.phase == Phase::Ready);
+        let ready: Vec<&Rc<Registration>> = ready.collect();
+        for registration in &ready {
+            let life = &registration.life;
+            let silent = self.steward.failures(life) >= SILENT_ORDERS;
+            if silent || host.is_displaced(life) {
+                let until = now.after(SUSPECT);
+                if self.suspects.insert(life.clone(), until).is_none() {
+                    warn!(host.log, "upstream does not answer orders"; "service" => %service,
+                        "upstream" => %life);
+                }
+            }
+        }
+        self.suspects.retain(|_, until| now < *until);
+        let suspected = |life: &Life| self.suspects.contains_key(life);
+        let lost = ready.iter().filter(|r| suspected(&r.life)).count();
+        if lost > 1 && lost * 2 > ready.len() {
+            return Err(End::Isolated);
+        }
+        let able = ready.iter().filter(|r| !suspected(&r.life));
+        let candidate = |r: &&Rc<Registration>| {
+            let time = balancer.time(now, Tag::of(&r.life.name));
+            Candidate {
+                life: r.life.clone(),
+                capacity: f64::from(r.slots.0.max(1)) / time.as_secs_f64().max(0.001),
+            }
+        };
+        Ok(able.map(candidate).collect())
+    }
+
+    fn plan(
+        &mut self,
+        now: Tick,
+        candidates: &[Candidate],
+        demand: &Demand,
+    ) -> Option<(Table, Reason)> {
+        // What is known to hold nothing is left out before anything is moved, because a move makes
+        // the present owner the former one.
+        let mut table = self.steward.table().clone();
+        for first in self.steward.cleared() {
+            table.clear_former(first);
+        }
+        let cleared = table != *self.steward.table();
+        if let Some(needed) = Planner.needed(&table, candidates, demand) {
+            return Some(needed);
+        }
+        if now.since(self.evened) >= EVEN {
+            self.evened = now;
+            if let Some(even) = Planner.even(&table, candidates, demand) {
+                return Some((even, Reason::Uneven));
+            }
+        }
+        cleared.then_some((table, Reason::Cleared))
+    }
+
+    fn write(
+        &mut self,
+        host: &Rc<Host>,
+        mut table: Table,
+        reason: Reason,
+        now: Tick,
+        notes: &Sender<Note>,
+    ) -> Result<(), End> {
+        let earlier = self.steward.earlier_until();
+        record::sign(host, &mut table, self.number, now, earlier);
+        let append = record::table_append(&table, self.number, self.next_sequence());
+        let append = append.map_err(|reason| {
+            warn!(host.log, "table not encoded"; "reason" => %reason);
+            End::Unwritten
+        })?;
+        self.writing = Some((table, reason));
+        let writing = record::write(Rc::clone(host), append, notes.clone());
+        host.spawn(writing).detach();
+        Ok(())
+    }
+}
+
+fn name(order: &Order) -> &'static str {
+    match order.kind {
+        OrderKind::Grant { .. } => "grant",
+        OrderKind::Release => "release",
+    }
+}
+
+fn send(host: &Rc<Host>, order: Order, notes: &Sender<Note>) {
+    let (sender, notes) = (Rc::clone(host), notes.clone());
+    let sending = async move {
+        let answer = crate::forward::send_order(&sender, &order).await;
+        let result = match &answer {
+            Answer::Done(_) => "done",
+            Answer::Fenced => "fenced",
+            Answer::Silent => "silent",
+            Answer::Unsent => "unsent",
+            Answer::Ended => "ended",
+        };
+        sender.metrics.ordered(name(&order), result);
+        if !matches!(answer, Answer::Done(_)) {
+            info!(sender.log, "order failed"; "order" => name(&order),
+                "upstream" => %order.life, "range" => %order.range, "fence" => order.fence.0,
+                "result" => result);
+        }
+        // The channel is closed only when the term has ended.
+        let _ = notes.send(Note::Ordered(order.id, answer)).await;
+    };
+    host.spawn(sending).detach();
+}
--- a/crates/http/src/h1/front.rs
+++ b/crates/http/src/h1/front.rs
@@ -157,7 +157,8 @@
 }
 
 impl Stop {
-    /// From now on answers close their connections, and idle connections are closed.
+    /// From now on answers close their connections. Connections that are idle now are closed; this
+    /// can be called again for those that were opened in between.
     pub fn close_connections(&self) {
         self.closing.set(true);
         self.event.notify(usize::MAX);
@@ -266,12 +267,13 @@
         let mut stopping = stop.event.listen();
         loop {
             let event = poll_fn(|cx| match self.poll_event(cx) {
-                Poll::Pending if !stop.is_closing() => {
-                    Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping)
-                }
-                event => event,
+                Poll::Pending => Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping),
+                event @ Poll::Ready(_) => event,
             })
             .await;
+            if matches!(event, Event::Stopping) {
+                stopping = stop.event.listen();
+            }
             match event {
                 Event::Request(request) => self.accept(request),
                 Event::Reject(reason) => self.refuse(reason),
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -23,6 +23,6 @@
 pub use move_state::Phase;
 pub use planner::{Candidate, Planner, Reason};
 pub use steward::{Answer, Handover, Order, OrderId, OrderKind, Steward};
-pub use table::{Entry, Owner, Table, TableError};
+pub use table::{Author, Entry, Owner, Table, TableError};
 pub use timing::Timing;
 pub use trace::{Demand, Trace};
--- a/crates/ranges/src/move_state.rs
+++ b/crates/ranges/src/move_state.rs
@@ -11,24 +11,24 @@
 #[serde(rename_all = "kebab-case")]
 #[display(rename_all = "kebab-case")]
 pub enum Phase {
-    /// Former owners may hold grants.
+    /// The former owner may hold a grant.
     Clearing,
-    /// No former owner can hold a grant; the owner has not confirmed its first one.
+    /// The former owner holds no grant, which is not in the store yet.
+    Recording,
+    /// The owner has not confirmed its first grant.
     Granting,
     /// The owner has confirmed a grant, which is renewed.
     Held,
-    /// Nobody is to own the range, and nobody can hold a grant of it.
-    Free,
 }
 
 /// What happens to an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum Event {
-    /// No former owner can hold a grant any more, and there is an owner.
+    /// The former owner cannot hold a grant any more, or there is none.
     Cleared,
-    /// The same, and there is no owner.
-    Emptied,
+    /// The store has a table without the former owner.
+    Recorded,
     /// The owner has confirmed a grant.
     Granted,
     /// The owner's last grant has run out without a renewal.
--- a/crates/ranges/src/planner.rs
+++ b/crates/ranges/src/planner.rs
@@ -52,6 +52,9 @@
     /// An upstream had more load than others.
     #[display("uneven")]
     Uneven,
+    /// Former owners hold nothing any more.
+    #[display("cleared")]
+    Cleared,
 }
 
 #[derive(Debug)]
@@ -162,7 +165,7 @@
             most if most <= 0.0 => range,
             most => demand.prefix(range, most),
         };
-        table.assign(piece, Some(best.life));
+        table.assign(piece, best.life);
         best.rate += demand.rate(piece);
         if let Some(after) = piece.last().0.checked_add(1)
             && let Ok(left) = KeyRange::new(trefoil_core::Key(after), range.last())
@@ -188,7 +191,7 @@
         let Some(piece) = cut(table, &life, wanted.min(spare.max(0.0)), demand) else {
             return;
         };
-        table.assign(piece, Some(&joined.life));
+        table.assign(piece, &joined.life);
         wanted -= demand.rate(piece);
         if wanted <= 0.0 {
             return;
@@ -223,7 +226,7 @@
     let (donor, receiver) = (from.life.clone(), to.life.clone());
     match cut(table, &donor, wanted, demand) {
         Some(piece) if wanted > 0.0 => {
-            table.assign(piece, Some(&receiver));
+            table.assign(piece, &receiver);
             true
         }
         _ => false,
--- a/crates/ranges/src/steward.rs
+++ b/crates/ranges/src/steward.rs
@@ -1,22 +1,30 @@
 //! Turning a table into orders.
 //!
 //! Only the steward of a service changes its table, and its orders follow from a table that is in
-//! the store. An entry's range goes to its owner in two steps. First every former owner is cleared:
-//! it has confirmed a release, is known to have ended, or the last grant that can have reached it
-//! has run out. Then the owner is granted the range, and the grant is renewed.
+//! the store. A range changes its owner in these steps:
+//!
+//! 1. The table is written with the new owner and the former one.
+//! 2. The former owner is cleared: it has confirmed a release, is known to have ended, or the last
+//!    grant that can have reached it has run out.
+//! 3. The table is written without the former owner.
+//! 4. The owner is granted the range, and the grant is renewed.
+//!
+//! A steward that takes over in between finds the former owner in the table, or does not. In the
+//! first case nobody has granted the range to the owner, and it goes on with step 2 under new
+//! fences. In the second case nobody else holds it, and it goes on with step 4.
 //!
 //! A release alone is no proof if an older grant can still be on its way, because the upstream would
 //! apply it afterwards. That is the case while an unanswered grant of this steward can be valid, and
 //! while grants of an earlier steward can be. The former owner is then granted the range under a
 //! higher fence first, for a short time; once it has confirmed that, it refuses the older grant.
 //!
-//! Until a former owner has confirmed the release, it serves the range if its grant is known to be
+//! Until the former owner is sent the release it serves the range, if its grant is known to be
 //! valid, so requests are sent to it for that long.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use derive_more::{Display, From};
-use smallvec::SmallVec;
 use trefoil_core::{Fence, Key, KeyRange, Tick, UnixMillis, UpstreamName};
 use trefoil_directory::Life;
 
@@ -25,7 +33,7 @@
 use crate::timing::Timing;
 
 /// Wait after a failed order before it is sent again.
-const RETRY: std::time::Duration = std::time::Duration::from_millis(250);
+const RETRY: Duration = Duration::from_millis(250);
 
 /// Proof of a release that the next owner needs in order to take over what the former one held.
 #[derive(Debug, Clone, PartialEq, Eq, Display, From)]
@@ -41,7 +49,7 @@
     /// The upstream may serve the range.
     Grant {
         /// For how long, from the arrival of the order.
-        hold: std::time::Duration,
+        hold: Duration,
         /// Proof of the release by the former owner.
         handover: Option<Handover>,
     },
@@ -75,6 +83,8 @@
     Silent,
     /// The order did not reach the upstream.
     Unsent,
+    /// Another upstream has the address, so this one has ended.
+    Ended,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,64 +101,82 @@
     Cleared,
 }
 
-/// What is known of a former owner of an entry.
+/// What is known of the grants of one upstream for one entry.
+#[derive(Debug, Clone, Copy, Default)]
+struct Grants {
+    /// An earlier steward may have sent some, and may do so until it knows that it is deposed.
+    earlier: bool,
+    /// None of this steward's can be valid from this tick.
+    until: Tick,
+    /// One of this steward's without an answer can be applied until this tick.
+    unanswered: Tick,
+    /// One is known to be valid until this tick, unless it is released before.
+    serves: Tick,
+}
+
+/// What is known of the former owner of an entry.
 #[derive(Debug, Clone)]
 struct Clearing {
     owner: Owner,
+    /// Fence of its newest grant: its own, or that of the bar.
+    fence: Fence,
     step: Step,
-    /// No grant to it can be valid from this tick.
-    until: Tick,
-    /// An unanswered grant can be applied until this tick.
-    unanswered: Tick,
-    /// Its grant is known to be valid until this tick, unless it is released before.
-    serves: Tick,
-    handover: Option<Handover>,
+    grants: Grants,
+}
+
+impl Clearing {
+    fn new(now: Tick, owner: &Owner, grants: Grants) -> Self {
+        Self {
+            owner: owner.clone(),
+            fence: owner.fence,
+            step: Step::Ready(now),
+            grants,
+        }
+    }
 }
 
 /// What is known of an entry of the table.
 #[derive(Debug, Clone)]
 struct Progress {
     phase: Phase,
-    former: SmallVec<[Clearing; 1]>,
-    /// Grants to the owner can be valid until this tick.
-    until: Tick,
-    /// An unanswered grant to the owner can be applied until this tick.
-    unanswered: Tick,
-    /// The owner's grant is known to be valid until this tick.
-    serves: Tick,
+    former: Option<Clearing>,
+    /// Proof of the former owner's release.
+    handover: Option<Handover>,
+    grants: Grants,
     /// When the next grant is due.
     due: Tick,
     in_flight: bool,
+    /// The owner's fence is from this term, so an earlier steward cannot have used it.
+    own_fence: bool,
     /// Orders to the owner without an answer, in a row.
     failures: u32,
 }
 
-impl Clearing {
-    /// What holds if both are true of parts of a range.
-    #[expect(
-        clippy::needless_pass_by_value,
-        reason = "both parts are replaced by what holds for them together"
-    )]
-    fn or_later(self, other: Self) -> Self {
-        let step = match self.step {
-            Step::Cleared => other.step,
-            step => step,
-        };
+#[derive(Debug, Clone)]
+struct Pending {
+    first: Key,
+    to: Owner,
+    sent: Tick,
+    hold: Duration,
+    role: Role,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Role {
+    Grant,
+    Bar,
+    Release,
+}
+
+impl Grants {
+    /// What holds for a range of which both are true of a part.
+    fn or(self, other: Self) -> Self {
         Self {
-            step,
+            earlier: self.earlier || other.earlier,
             until: self.until.max(other.until),
             unanswered: self.unanswered.max(other.unanswered),
             serves: self.serves.min(other.serves),
-            ..self
-        }
-    }
-
-    /// The same, with orders to be sent anew.
-    fn reordered(mut self, now: Tick) -> Self {
-        if self.step != Step::Cleared {
-            self.step = Step::Ready(now);
         }
-        self
     }
 }
 
@@ -156,57 +184,43 @@
     fn new(now: Tick, phase: Phase) -> Self {
         Self {
             phase,
-            former: SmallVec::new(),
-            until: Tick::default(),
-            unanswered: Tick::default(),
-            serves: Tick::default(),
+            former: None,
+            handover: None,
+            grants: Grants::default(),
             due: now,
             in_flight: false,
+            own_fence: false,
             failures: 0,
         }
     }
 
-    /// The same, with orders to be sent anew.
-    fn reordered(self, now: Tick) -> Self {
-        let former = self.former.into_iter();
+    /// What is assumed of an entry that an earlier steward has dealt with.
+    fn unknown(now: Tick, entry: &Entry) -> Self {
+        let grants = Grants {
+            earlier: true,
+            ..Grants::default()
+        };
+        let former = entry.former.as_ref();
+        let former = former.map(|owner| Clearing::new(now, owner, grants));
+        let phase = match former {
+            Some(_) => Phase::initial(),
+            None => Phase::Granting,
+        };
         Self {
-            former: former.map(|c| c.reordered(now)).collect(),
-            in_flight: false,
-            ..self
+            former,
+            grants,
+            ..Self::new(now, phase)
         }
     }
-}
 
-/// What the progress of an earlier entry says about `owner` as a former owner.
-fn clearing_of(now: Tick, owner: &Owner, earlier: &Entry, known: &Progress) -> Option<Clearing> {
-    if earlier.owner.as_ref() == Some(owner) {
-        return Some(Clearing {
-            owner: owner.clone(),
-            step: Step::Ready(now),
-            until: known.until,
-            unanswered: known.unanswered,
-            serves: known.serves,
-            handover: None,
-        });
+    /// The same, with orders to be sent anew.
+    fn reordered(mut self, now: Tick) -> Self {
+        if let Some(former) = self.former.as_mut().filter(|f| f.step != Step::Cleared) {
+            former.step = Step::Ready(now);
+        }
+        self.in_flight = false;
+        self
     }
-    let before = known.former.iter().find(|c| c.owner == *owner)?;
-    Some(before.clone().reordered(now))
-}
-
-#[derive(Debug, Clone)]
-struct Pending {
-    first: Key,
-    to: Owner,
-    sent: Tick,
-    hold: std::time::Duration,
-    role: Role,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Role {
-    Grant,
-    Bar,
-    Release,
 }
 
 /// Turns a table into orders.
@@ -214,9 +228,10 @@
 pub struct Steward {
     timing: Timing,
     table: Table,
+    /// One for each entry of the table.
     progress: Vec<Progress>,
     /// Grants of earlier stewards can be valid until this tick.
-    former_until: Tick,
+    earlier_until: Tick,
     /// Grants may be sent until this tick.
     term_until: Tick,
     /// Newest life of each upstream that is registered.
@@ -226,59 +241,42 @@
     /// Changes whenever [`Steward::routes`] does.
     serial: u64,
     deposed: bool,
+    store_away: bool,
 }
 
 impl Steward {
-    /// A steward that has just taken over with `table`.
+    /// A steward that has just taken over with `table`, whose moves have got new fences.
     ///
-    /// `former` is the tick from which no grant of an earlier steward can be valid.
-    pub fn new(now: Tick, table: Table, timing: Timing, former: Tick) -> Self {
+    /// `earlier` is the tick from which no grant of an earlier steward can be valid.
+    pub fn new(now: Tick, table: Table, timing: Timing, earlier: Tick) -> Self {
         let mut steward = Self {
             timing,
             progress: Vec::new(),
-            former_until: former,
+            earlier_until: earlier,
             term_until: now.after(timing.term),
             lives: HashMap::new(),
             pending: BTreeMap::new(),
             next_order: 0,
             serial: 0,
             deposed: false,
+            store_away: false,
             table,
         };
-        let entries = steward.table.entries();
-        steward.progress = entries
-            .iter()
-            .map(|entry| Progress {
-                former: entry
-                    .former
-                    .iter()
-                    .map(|owner| steward.unknown(now, owner))
-                    .collect(),
-                until: former,
-                unanswered: former,
-                ..Progress::new(now, Phase::initial())
-            })
-            .collect();
+        let entries = steward.table.entries().iter();
+        steward.progress = entries.map(|entry| Progress::unknown(now, entry)).collect();
         steward
     }
 
-    /// What is assumed of a former owner that an earlier steward has granted the range.
-    fn unknown(&self, now: Tick, owner: &Owner) -> Clearing {
-        Clearing {
-            owner: owner.clone(),
-            step: Step::Ready(now),
-            until: self.former_until,
-            unanswered: self.former_until,
-            serves: Tick::default(),
-            handover: None,
-        }
-    }
-
     /// The table from which orders follow.
     pub fn table(&self) -> &Table {
         &self.table
     }
 
+    /// Spans of the proof of ownership.
+    pub fn timing(&self) -> Timing {
+        self.timing
+    }
+
     /// Number of the present [`routes`](Self::routes).
     pub fn serial(&self) -> u64 {
         self.serial
@@ -289,6 +287,32 @@
         self.deposed
     }
 
+    /// No grant of an earlier steward can be valid from `until`. A later tick than is known changes
+    /// nothing.
+    pub fn limit_earlier(&mut self, until: Tick) {
+        self.earlier_until = self.earlier_until.min(until);
+    }
+
+    /// The tick from which no grant of an earlier steward can be valid.
+    pub fn earlier_until(&self) -> Tick {
+        self.earlier_until
+    }
+
+    /// The tick from which no grant of this steward or an earlier one can be valid if it sends none
+    /// from now on.
+    pub fn grants_until(&self) -> Tick {
+        let own = self.progress.iter().flat_map(|p| {
+            let former = p.former.as_ref().map(|f| f.grants.until);
+            former.into_iter().chain([p.grants.until])
+        });
+        own.max().unwrap_or_default().max(self.earlier_until)
+    }
+
+    /// Whether grants hold for longer from now on, because the store is away.
+    pub fn set_store_away(&mut self, away: bool) {
+        self.store_away = away;
+    }
+
     /// The store has confirmed the term by a call that was sent at `sent`.
     pub fn confirm_term(&mut self, sent: Tick) {
         self.term_until = self.term_until.max(sent.after(self.timing.term));
@@ -311,53 +335,12 @@
         let renewed = self.table.entries().iter().map(|entry| {
             let from = known.partition_point(|(e, _)| e.range.last() < entry.range.first());
             let to = known.partition_point(|(e, _)| e.range.first() <= entry.range.last());
-            self.carry(now, entry, &known[from..to])
+            carry(now, entry, &known[from..to])
         });
         self.progress = renewed.collect();
         self.serial += 1;
     }
 
-    /// What is known of an entry that has taken the place of those in `earlier`, which cover it.
-    fn carry(&self, now: Tick, entry: &Entry, earlier: &[(&Entry, &Progress)]) -> Progress {
-        let life = |e: &Entry| e.owner.as_ref().map(|o| o.life.clone());
-        let same = |(e, _): &(&Entry, &Progress)| entry.owner.is_some() && e.owner == entry.owner;
-        if let [only] = earlier
-            && same(only)
-        {
-            let known = only.1.clone();
-            return if only.0.range == entry.range {
-                known
-            } else {
-                // Orders for the whole range are under way; they cover this part as well, but
-                // their answers are counted for its first part only.
-                known.reordered(now)
-            };
-        }
-        let kept = |(e, p): &(&Entry, &Progress)| life(e) == life(entry) && p.phase == Phase::Held;
-        if entry.owner.is_some() && earlier.iter().all(kept) {
-            // Only the fence differs: the owner serves under the old ones until it has the new one.
-            let parts = || earlier.iter().map(|(_, p)| p);
-            return Progress {
-                until: parts().map(|p| p.until).max().unwrap_or_default(),
-                unanswered: parts().map(|p| p.unanswered).max().unwrap_or_default(),
-                serves: parts().map(|p| p.serves).min().unwrap_or_default(),
-                ..Progress::new(now, Phase::Held)
-            };
-        }
-        let clearing = |owner: &Owner| {
-            let known = earlier
-                .iter()
-                .filter_map(|(e, p)| clearing_of(now, owner, e, p));
-            known
-                .reduce(Clearing::or_later)
-                .unwrap_or_else(|| self.unknown(now, owner))
-        };
-        Progress {
-            former: entry.former.iter().map(clearing).collect(),
-            ..Progress::new(now, Phase::initial())
-        }
-    }
-
     /// Advances all entries and returns the orders to be sent now.
     pub fn poll(&mut self, now: Tick) -> Vec<Order> {
         let mut orders = Vec::new();
@@ -372,84 +355,91 @@
 
     fn advance(&mut self, now: Tick, entry: &Entry, state: &mut Progress, orders: &mut Vec<Order>) {
         if state.phase == Phase::Clearing {
-            for index in 0..state.former.len() {
-                self.clear(now, entry, &mut state.former[index], orders);
+            if let Some(former) = &mut state.former {
+                self.clear(now, entry, former, orders);
             }
-            if state.former.iter().all(|c| c.step == Step::Cleared) {
-                let event = match entry.owner {
-                    Some(_) => Event::Cleared,
-                    None => Event::Emptied,
-                };
-                state.phase = state.phase.after(event);
-                self.serial += 1;
+            if state
+                .former
+                .as_ref()
+                .is_none_or(|f| f.step == Step::Cleared)
+            {
+                self.enter(state, Event::Cleared);
             }
         }
-        if state.phase == Phase::Held && now >= state.serves {
-            state.phase = state.phase.after(Event::Lapsed);
-            self.serial += 1;
+        if state.phase == Phase::Held && now >= state.grants.serves {
+            self.enter(state, Event::Lapsed);
         }
         let granted = matches!(state.phase, Phase::Granting | Phase::Held);
-        if let Some(owner) = entry.owner.as_ref().filter(|_| granted)
-            && !state.in_flight
-            && now >= state.due
-            && now < self.term_until
-        {
-            let hold = self.timing.hold;
+        let due = !state.in_flight && now >= state.due && now < self.term_until;
+        if let Some(owner) = entry.owner.as_ref().filter(|_| granted && due) {
+            let hold = if self.store_away {
+                self.timing.long_hold
+            } else {
+                self.timing.hold
+            };
             let handover = match state.phase {
-                Phase::Granting => state.former.iter().rev().find_map(|c| c.handover.clone()),
+                Phase::Granting => state.handover.clone(),
                 _ => None,
             };
             let kind = OrderKind::Grant { hold, handover };
             orders.push(self.order(now, entry, owner.clone(), kind, Role::Grant));
             state.in_flight = true;
-            state.until = self.timing.end_of(now, hold);
-            state.unanswered = state.until;
+            let end = self.timing.end_of(now, hold);
+            state.grants.until = state.grants.until.max(end);
+            state.grants.unanswered = state.grants.unanswered.max(end);
         }
     }
 
+    fn enter(&mut self, state: &mut Progress, event: Event) {
+        let before = state.phase;
+        state.phase = before.after(event);
+        self.serial += u64::from(state.phase != before);
+    }
+
     fn clear(&mut self, now: Tick, entry: &Entry, former: &mut Clearing, orders: &mut Vec<Order>) {
         let life = &former.owner.life;
         let ended = self
             .lives
             .get(&life.name)
             .is_some_and(|born| *born > life.born);
-        if ended || now >= former.until {
-            if former.step != Step::Cleared {
-                former.step = Step::Cleared;
-                self.serial += 1;
-            }
+        let earlier = if former.grants.earlier {
+            self.earlier_until
+        } else {
+            Tick::default()
+        };
+        // A bar that is under way can still be applied, so its answer is awaited.
+        let run_out = now >= former.grants.until.max(earlier) && former.step != Step::Barring;
+        if ended || run_out {
+            former.step = Step::Cleared;
             return;
         }
         let bar = Owner {
             life: life.clone(),
             fence: entry.bar,
         };
-        let unbarred = now < former.unanswered;
-        // A bar is sent under the term as any grant is.
-        let may_bar = now < self.term_until && entry.owner.is_some();
+        let unbarred = now < former.grants.unanswered.max(earlier);
         match former.step {
             Step::Ready(at) if now < at => {}
-            Step::Ready(_) if unbarred && may_bar => {
+            // A bar is sent under the term as any grant is.
+            Step::Ready(_) if unbarred && now < self.term_until => {
                 let kind = OrderKind::Grant {
                     hold: self.timing.bar,
                     handover: None,
                 };
                 orders.push(self.order(now, entry, bar, kind, Role::Bar));
                 former.step = Step::Barring;
-                let end = self.timing.end_of(now, self.timing.bar);
-                former.until = former.until.max(end);
             }
             Step::Ready(_) if unbarred => {}
-            Step::Ready(_) => {
-                let owner = former.owner.clone();
-                orders.push(self.order(now, entry, owner, OrderKind::Release, Role::Release));
-                former.step = Step::Releasing;
-            }
-            Step::Barred => {
-                orders.push(self.order(now, entry, bar, OrderKind::Release, Role::Release));
+            Step::Ready(_) | Step::Barred => {
+                let to = Owner {
+                    life: life.clone(),
+                    fence: former.fence,
+                };
+                orders.push(self.order(now, entry, to, OrderKind::Release, Role::Release));
                 former.step = Step::Releasing;
+                self.serial += 1;
             }
-            _ => {}
+            Step::Barring | Step::Releasing | Step::Cleared => {}
         }
     }
 
@@ -458,7 +448,7 @@
         self.next_order += 1;
         let hold = match kind {
             OrderKind::Grant { hold, .. } => hold,
-            OrderKind::Release => std::time::Duration::ZERO,
+            OrderKind::Release => Duration::ZERO,
         };
         let pending = Pending {
             first: entry.range.first(),
@@ -482,18 +472,18 @@
         let Some(pending) = self.pending.remove(&id) else {
             return;
         };
-        let index = self
+        let after = self
             .table
             .entries()
-            .partition_point(|e| e.range.first() <= pending.first)
-            .saturating_sub(1);
+            .partition_point(|e| e.range.first() <= pending.first);
+        let index = after.saturating_sub(1);
         let entry = self.table.entries()[index].clone();
         if entry.range.first() != pending.first {
             return;
         }
         match pending.role {
             Role::Grant => self.grant_answered(now, index, &entry, &pending, &answer),
-            Role::Bar | Role::Release => self.clearing_answered(now, index, &pending, answer),
+            Role::Bar | Role::Release => self.former_answered(now, index, &pending, answer),
         }
     }
 
@@ -505,20 +495,22 @@
         pending: &Pending,
         answer: &Answer,
     ) {
-        let state = &mut self.progress[index];
         // The entry may have been given to another owner, or got a new fence, since the order was
         // sent.
         if entry.owner.as_ref() != Some(&pending.to) {
             return;
         }
+        let state = &mut self.progress[index];
         state.in_flight = false;
         match answer {
             Answer::Done(_) => {
                 state.failures = 0;
                 state.due = pending.sent.after(self.timing.renew);
-                state.unanswered = Tick::default();
-                state.serves = state.serves.max(pending.sent.after(pending.hold));
-                if state.phase != Phase::Held {
+                state.grants.unanswered = Tick::default();
+                state.grants.earlier &= !state.own_fence;
+                let valid = pending.sent.after(pending.hold);
+                state.grants.serves = state.grants.serves.max(valid);
+                if state.phase == Phase::Granting {
                     state.phase = state.phase.after(Event::Granted);
                     self.serial += 1;
                 }
@@ -528,44 +520,53 @@
                 state.due = now.after(RETRY);
                 self.deposed = true;
             }
-            Answer::Silent | Answer::Unsent => {
+            Answer::Silent | Answer::Unsent | Answer::Ended => {
                 state.failures += 1;
                 state.due = now.after(RETRY);
             }
         }
     }
 
-    fn clearing_answered(&mut self, now: Tick, index: usize, pending: &Pending, answer: Answer) {
-        let former = &mut self.progress[index].former;
-        let Some(clearing) = former.iter_mut().find(|c| c.owner.life == pending.to.life) else {
+    fn former_answered(&mut self, now: Tick, index: usize, pending: &Pending, answer: Answer) {
+        let state = &mut self.progress[index];
+        let Some(former) = &mut state.former else {
             return;
         };
-        clearing.step = match (pending.role, answer) {
-            (_, _) if clearing.step == Step::Cleared => Step::Cleared,
-            (Role::Bar, Answer::Done(_)) => Step::Barred,
+        if former.owner.life != pending.to.life || former.step == Step::Cleared {
+            return;
+        }
+        if pending.role == Role::Bar && matches!(answer, Answer::Done(_) | Answer::Silent) {
+            let end = self.timing.end_of(pending.sent, pending.hold);
+            former.grants.until = former.grants.until.max(end);
+        }
+        former.step = match (pending.role, answer) {
+            (Role::Bar, Answer::Done(_)) => {
+                former.grants.unanswered = Tick::default();
+                former.grants.earlier = false;
+                former.fence = pending.to.fence;
+                Step::Barred
+            }
             (Role::Bar, Answer::Fenced) => {
                 self.deposed = true;
                 Step::Ready(now.after(RETRY))
             }
+            (_, Answer::Ended) => Step::Cleared,
             (_, Answer::Done(handover)) => {
-                clearing.handover = handover;
-                self.serial += 1;
+                state.handover = handover;
                 Step::Cleared
             }
             _ => Step::Ready(now.after(RETRY)),
         };
+        self.serial += 1;
     }
 
-    /// Entries whose former owners have been cleared and whose owner has been granted the range, so
-    /// that the table in the store may forget the former owners.
+    /// First keys of the entries whose former owner holds nothing, which is to be written to the
+    /// table.
     pub fn cleared(&self) -> impl Iterator<Item = Key> {
-        let pairs = self.table.entries().iter().zip(&self.progress);
-        pairs
-            .filter(|(entry, state)| {
-                let done = matches!(state.phase, Phase::Held | Phase::Free);
-                done && !entry.former.is_empty()
-            })
-            .map(|(entry, _)| entry.range.first())
+        let recording = self
+            .phases()
+            .filter(|(_, phase)| *phase == Phase::Recording);
+        recording.map(|(entry, _)| entry.range.first())
     }
 
     /// The phase of each entry, in the order of the table.
@@ -590,34 +591,92 @@
 
     /// The earliest tick at which [`Steward::poll`] has something to do.
     pub fn next_wake(&self) -> Option<Tick> {
-        let entries = self.table.entries().iter().zip(&self.progress);
-        let wakes = entries.flat_map(|(entry, state)| {
-            let grants = matches!(state.phase, Phase::Granting | Phase::Held);
-            let due = (grants && !state.in_flight && entry.owner.is_some()).then_some(state.due);
-            let lapse = (state.phase == Phase::Held).then_some(state.serves);
-            let clearing = state.phase == Phase::Clearing;
-            let former = state.former.iter().filter(move |_| clearing);
-            let former = former.flat_map(|c| match c.step {
-                Step::Cleared => [None, None],
-                Step::Ready(at) => [Some(at), Some(c.until)],
-                _ => [None, Some(c.until)],
-            });
-            let former: SmallVec<[Option<Tick>; 4]> = former.collect();
-            [due, lapse].into_iter().chain(former).flatten()
-        });
-        wakes.min()
+        let pairs = self.table.entries().iter().zip(&self.progress);
+        pairs.filter_map(|(e, p)| self.wake(e, p)).min()
+    }
+
+    /// When an entry has something to do next.
+    fn wake(&self, entry: &Entry, state: &Progress) -> Option<Tick> {
+        let grants = entry.owner.is_some() && !state.in_flight && state.due < self.term_until;
+        let due = grants.then_some(state.due);
+        match (state.phase, &state.former) {
+            (Phase::Clearing, Some(former)) => Some(match former.step {
+                Step::Ready(at) => at,
+                _ => former.grants.until.max(self.earlier_until),
+            }),
+            (Phase::Clearing, None) => Some(state.due),
+            (Phase::Recording, _) => None,
+            (Phase::Granting, _) => due,
+            (Phase::Held, _) => due.into_iter().chain([state.grants.serves]).min(),
+        }
+    }
+}
+
+/// What is known of an entry that has taken the place of those in `earlier`, which cover it.
+fn carry(now: Tick, entry: &Entry, earlier: &[(&Entry, &Progress)]) -> Progress {
+    let life = |owner: &Option<Owner>| owner.as_ref().map(|o| o.life.clone());
+    if let [(before, known)] = earlier {
+        let same_range = before.range == entry.range;
+        let known = (*known).clone();
+        // Orders for a whole range that was divided cover this part as well, but their answers
+        // are counted for its first part only.
+        let known = if same_range {
+            known
+        } else {
+            known.reordered(now)
+        };
+        if before.owner == entry.owner && before.former == entry.former {
+            return known;
+        }
+        if before.owner == entry.owner && entry.former.is_none() {
+            return Progress {
+                phase: known.phase.after(Event::Recorded),
+                former: None,
+                due: now,
+                ..known
+            };
+        }
+        if before.former.is_some() && before.former == entry.former {
+            // Another owner was chosen while the former one is being cleared.
+            return Progress {
+                former: known.former,
+                handover: known.handover,
+                ..Progress::new(now, Phase::initial())
+            };
+        }
+    }
+    let kept = |(e, p): &(&Entry, &Progress)| {
+        life(&e.owner) == life(&entry.owner) && p.phase == Phase::Held
+    };
+    let parts = earlier.iter().map(|(_, p)| p.grants);
+    let grants = parts.reduce(Grants::or).unwrap_or_default();
+    if entry.former.is_none() && entry.owner.is_some() && earlier.iter().all(kept) {
+        // Only the fence differs: the owner serves under the old ones until it has the new one.
+        return Progress {
+            grants,
+            own_fence: true,
+            ..Progress::new(now, Phase::Held)
+        };
+    }
+    match (&entry.former, earlier) {
+        (Some(former), [(before, _)]) if before.owner.as_ref() == Some(former) => Progress {
+            former: Some(Clearing::new(now, former, grants)),
+            ..Progress::new(now, Phase::initial())
+        },
+        _ => Progress::unknown(now, entry),
     }
 }
 
 /// Who serves an entry.
 fn holder<'a>(now: Tick, entry: &'a Entry, state: &'a Progress) -> Option<&'a UpstreamName> {
-    match state.phase {
-        Phase::Held => entry.owner.as_ref().map(|o| &o.life.name),
-        Phase::Clearing => state
-            .former
-            .iter()
-            .find(|c| matches!(c.step, Step::Ready(_)) && now < c.serves)
-            .map(|c| &c.owner.life.name),
-        Phase::Granting | Phase::Free => None,
+    let owner = entry.owner.as_ref().map(|o| &o.life.name);
+    match (state.phase, &state.former) {
+        (Phase::Held, _) => owner,
+        (Phase::Clearing, Some(former)) => {
+            let untouched = !matches!(former.step, Step::Releasing | Step::Cleared);
+            let serves = untouched && now < former.grants.serves;
+            serves.then_some(&former.owner.life.name)
+        }
+        _ => None,
     }
 }
--- a/crates/ranges/src/table.rs
+++ b/crates/ranges/src/table.rs
@@ -1,10 +1,11 @@
 //! Who is to own which range.
 
+use std::time::Duration;
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
 use snafu::{ResultExt, Snafu, ensure};
-use trefoil_core::{Fence, Key, KeyRange, ServiceName, UpstreamName};
+use trefoil_core::{Fence, HostId, Key, KeyRange, ServiceName, UpstreamName};
 use trefoil_directory::Life;
 
 /// Format of an encoded table. A process refuses a table of another format.
@@ -40,6 +41,19 @@
     pub fence: Fence,
 }
 
+/// The steward who wrote a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Author {
+    /// Its host's process.
+    pub host: HostId,
+    /// Its term.
+    pub term: u64,
+    /// Time from the writing on in which grants of stewards before it can be valid.
+    pub earlier: Duration,
+    /// It has ended its term and sends no more orders.
+    pub resigned: bool,
+}
+
 /// A range and its owner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -47,10 +61,10 @@
     pub range: KeyRange,
     /// Who is to own it.
     pub owner: Option<Owner>,
-    /// Upstreams that may still hold grants of it. The owner is granted the range only when none
-    /// of these can be valid any more.
-    pub former: SmallVec<[Owner; 1]>,
-    /// Fence for barring older grants at the former owners, below the owner's own.
+    /// The upstream that may still hold a grant of it. Nobody has granted the range to the owner
+    /// while there is a former one; it is left out only when none of its grants can be valid.
+    pub former: Option<Owner>,
+    /// Fence for barring older grants at the former owner, below the owner's own.
     pub bar: Fence,
 }
 
@@ -60,6 +74,16 @@
     }
 }
 
+/// Gives an entry the next two fences.
+fn fence(entry: &mut Entry, next: &mut Fence) {
+    entry.bar = *next;
+    let own = next.next();
+    if let Some(owner) = &mut entry.owner {
+        owner.fence = own;
+    }
+    *next = own.next();
+}
+
 /// Who is to own which range of a service. Entries cover every key once, in order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Table {
@@ -67,6 +91,8 @@
     pub service: ServiceName,
     /// Number of changes so far.
     pub version: u64,
+    /// The steward who wrote the table, which is the only one that may have sent orders since.
+    pub author: Option<Author>,
     /// Lowest fence that no grant has had.
     next_fence: Fence,
     entries: Vec<Entry>,
@@ -78,12 +104,13 @@
         let entry = Entry {
             range: KeyRange::ALL,
             owner: None,
-            former: SmallVec::new(),
+            former: None,
             bar: Fence(0),
         };
         Self {
             service,
             version: 0,
+            author: None,
             next_fence: Fence(1),
             entries: vec![entry],
         }
@@ -131,52 +158,53 @@
         }
     }
 
-    /// Gives a range to an upstream, or to nobody. The owners before become former owners, unless
-    /// it is the same upstream.
-    pub fn assign(&mut self, range: KeyRange, life: Option<&Life>) {
+    /// Gives a range to an upstream. The owner before becomes the former one, unless it was never
+    /// granted the range, which is so as long as there is a former owner already.
+    pub fn assign(&mut self, range: KeyRange, life: &Life) {
         self.split(range.first());
         if let Some(after) = range.last().0.checked_add(1) {
             self.split(Key(after));
         }
         for entry in &mut self.entries {
-            let inside = range.contains(entry.range.first());
-            if !inside || life.is_some_and(|life| entry.owned_by(life)) {
+            if !range.contains(entry.range.first()) || entry.owned_by(life) {
                 continue;
             }
-            if let Some(owner) = entry.owner.take() {
-                entry.former.push(owner);
-            }
-            if let Some(life) = life {
-                entry.former.retain(|f| f.life != *life);
-                entry.bar = self.next_fence;
-                let owner = Owner {
-                    life: life.clone(),
-                    fence: self.next_fence.next(),
-                };
-                self.next_fence = owner.fence.next();
-                entry.owner = Some(owner);
-            }
+            let before = entry.owner.take();
+            let former = entry.former.take().or(before);
+            entry.former = former.filter(|f| f.life != *life);
+            entry.owner = Some(Owner {
+                life: life.clone(),
+                fence: Fence::default(),
+            });
+            fence(entry, &mut self.next_fence);
         }
     }
 
-    /// Gives the entry of `key` a new fence under the same owner, because an upstream has seen a
-    /// higher one.
+    /// Gives the entry of `key` new fences under the same owner, because others have been seen.
     pub fn refence(&mut self, key: Key) {
         let index = self.index(key);
-        let entry = &mut self.entries[index];
-        if let Some(owner) = &mut entry.owner {
-            entry.bar = self.next_fence;
-            owner.fence = self.next_fence.next();
-            self.next_fence = owner.fence.next();
+        fence(&mut self.entries[index], &mut self.next_fence);
+    }
+
+    /// Gives new fences to all entries with a former owner; says whether there are any. Whoever
+    /// takes over a table does this first: another steward may have used their fences for orders
+    /// that are still on their way.
+    pub fn refence_moves(&mut self) -> bool {
+        let moving = self.entries.iter_mut().filter(|e| e.former.is_some());
+        let mut any = false;
+        for entry in moving {
+            fence(entry, &mut self.next_fence);
+            any = true;
         }
+        any
     }
 
-    /// Forgets the former owners of the entry that begins at `first`.
+    /// Records that the former owner of the entry that begins at `first` holds nothing.
     pub fn clear_former(&mut self, first: Key) {
         let index = self.index(first);
         let entry = &mut self.entries[index];
         if entry.range.first() == first {
-            entry.former.clear();
+            entry.former = None;
         }
     }
 
@@ -189,7 +217,7 @@
         let mut merged: Vec<Entry> = Vec::with_capacity(self.entries.len());
         let mut joined = Vec::new();
         for entry in std::mem::take(&mut self.entries) {
-            let mergeable = |e: &Entry| e.former.is_empty() && settled(e);
+            let mergeable = |e: &Entry| e.former.is_none() && settled(e);
             match merged.last_mut() {
                 Some(last)
                     if last.owner.is_some()
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -7,11 +7,16 @@
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
 pub enum StoreError {
-    /// The store refused the call or could not be reached. The call has had no effect and will
-    /// have none.
-    #[snafu(display("the store is unavailable: {reason}"))]
-    Unavailable {
-        /// What the store or the connection reported.
+    /// The store could not be reached. The call has had no effect and will have none.
+    #[snafu(display("the store cannot be reached: {reason}"))]
+    Unreachable {
+        /// What the connection reported.
+        reason: String,
+    },
+    /// The store refused the call for now. The call has had no effect and will have none.
+    #[snafu(display("the store refused the call: {reason}"))]
+    Refused {
+        /// What the store reported.
         reason: String,
     },
     /// The answer was lost. The call may have taken effect, or may take effect seconds later.
@@ -53,6 +58,9 @@
     /// Whether the store could not be reached or could not serve the call. The other errors are
     /// answers of a store that works.
     pub fn is_outage(&self) -> bool {
-        matches!(self, Self::Unavailable { .. } | Self::Ambiguous { .. })
+        matches!(
+            self,
+            Self::Unreachable { .. } | Self::Refused { .. } | Self::Ambiguous { .. }
+        )
     }
 }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -34,8 +34,9 @@
 
 /// Runs the subcommand.
 pub fn execute(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
-    let path = matches.get_one::<PathBuf>("settings");
-    let settings = load(path.map_or(Path::new(""), PathBuf::as_path))?;
+    let path = matches.get_one::<PathBuf>("settings").cloned();
+    let path = path.unwrap_or_default();
+    let settings = load(&path)?;
     let (logger, _flush) = logging::stdout(settings::level(settings.log_level));
     let clock = QueueClock::default();
     let store = StoreClient::new(settings.store, Arc::new(clock.clone()));
@@ -51,15 +52,31 @@
     let executor = Rc::clone(&host.executor);
     let _timers = host.spawn(async move { clock.drive().await });
     smol::block_on(executor.run(async {
-        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
-        let stop = async {
-            signals.next().await;
-        };
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        let stop = wait_for_stop(Rc::clone(&host), path, signals);
         serve(host, stop).await?;
         Ok(ExitCode::SUCCESS)
     }))
 }
 
+/// Reloads the settings on SIGHUP, and returns on SIGTERM or SIGINT.
+async fn wait_for_stop(host: Rc<Host>, path: PathBuf, mut signals: Signals) {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Hup) => reload(&host, &path),
+            _ => return,
+        }
+    }
+}
+
+fn reload(host: &Host, path: &Path) {
+    match load(path) {
+        Ok(settings) => host.reload(&host_config(settings)),
+        // The host goes on with the settings that it has.
+        Err(reason) => host.log_reload_failed(&reason),
+    }
+}
+
 fn load(path: &Path) -> Result<ServeSettings, Box<dyn Error>> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
     let settings = ServeSettings::from_yaml(&text, &path.display().to_string());
