Give up a waiting read of the store when it is reached again

Cause: after a silent cut the follower of the configuration waited for the answer of a call that had been sent into the cut, for up to 5.5 s, while the follower of the registry had reached the store again. Change: while the store is lost, calls do not wait for a record; a follower that reaches it again wakes the others; a host that hears of a newer configuration repeats a call that should have brought it. Ruled out: a shorter wait in general, which costs calls.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::FutureExt;
 use slog::{info, warn};
 use trefoil_core::{Offset, Tick, UpstreamName};
 use trefoil_directory::Registration;
@@ -34,15 +35,22 @@
 /// Longest wait after a refused call.
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 
+/// Age of a call from which on it is repeated if another host has a newer configuration.
+const OVERTAKEN: Duration = Duration::from_millis(500);
+
 /// Time without an answer after which the store counts as lost. Upstreams that cannot renew their
 /// registration vanish after a time that is longer.
 const LOST_AFTER: Duration = Duration::from_millis(1500);
 
+/// Keys with their new values, or nothing for keys that were removed.
+type Records = Vec<(String, Option<Bytes>)>;
+
 /// Follows the configuration. It does not return.
 pub async fn follow_config(host: Rc<Host>) {
     let (place, key) = host.platform.config_place();
     let key = key.to_owned();
     let mut follower = Follower::new(&host, place, CONFIG_WAIT);
+    follower.hears_versions = true;
     loop {
         for (name, value) in follower.next().await {
             match value {
@@ -101,7 +109,7 @@
     host: &Host,
     now: Tick,
     whole: bool,
-    records: Vec<(String, Option<Bytes>)>,
+    records: Records,
 ) -> Vec<trefoil_directory::Change> {
     let mut directory = host.directory.borrow_mut();
     if whole {
@@ -142,6 +150,8 @@
     seen: Option<Tick>,
     lost: bool,
     returned: bool,
+    /// Beats of other hosts tell whether there is something newer.
+    hears_versions: bool,
 }
 
 impl Follower {
@@ -155,6 +165,7 @@
             seen: None,
             lost: false,
             returned: false,
+            hears_versions: false,
         }
     }
 
@@ -170,15 +181,29 @@
 
     /// The next records; waits until the store answers. A read whose records have been deleted
     /// makes the follower begin anew, and returns nothing.
-    async fn next(&mut self) -> Vec<(String, Option<Bytes>)> {
+    async fn next(&mut self) -> Records {
         loop {
             let sent = self.host.now();
-            let result = match self.next {
-                None => self.read_newest().await,
-                Some(from) => self.read_from(from).await,
+            let host = Rc::clone(&self.host);
+            let regained = host.events.store.listen();
+            let read = async {
+                Some(match self.next {
+                    None => self.read_newest().await,
+                    Some(from) => self.read_from(from).await,
+                })
+            };
+            // Another follower has reached the store again, and this call may be waiting on a
+            // connection that leads nowhere.
+            let overtaken = async {
+                regained.or(self.outdated(sent)).await;
+                None
+            };
+            let Some(result) = read.or(overtaken).await else {
+                continue;
             };
             match result {
-                Ok(records) => {
+                Ok((records, next)) => {
+                    self.next = Some(next);
                     self.answered(sent);
                     return records;
                 }
@@ -194,42 +219,50 @@
         }
     }
 
-    async fn read_newest(&mut self) -> Result<Vec<(String, Option<Bytes>)>, StoreError> {
+    /// Completes when another host has had a newer configuration for a while, although this
+    /// host's call should have brought it.
+    async fn outdated(&self, sent: Tick) {
+        loop {
+            self.host.events.newer.listen().await;
+            if self.hears_versions && self.host.now().since(sent) > OVERTAKEN {
+                return;
+            }
+        }
+    }
+
+    async fn read_newest(&self) -> Result<(Records, Offset), StoreError> {
         let mut records = Vec::new();
         let mut after = None;
         // Pages are no snapshot: reading on from the end of the first page repeats what changed
         // while the others were read.
-        let mut end = None;
+        let mut next = None;
         loop {
             let newest = Newest {
                 place: self.place.clone(),
                 after,
             };
             let page = self.host.store.newest(newest).await?;
-            end.get_or_insert(page.end);
+            let next = *next.get_or_insert(page.end);
             after = page.items.last().map(|item| item.key.clone());
             let items = page.items.into_iter();
             records.extend(items.map(|item| (item.key, Some(item.value))));
             if !page.more || after.is_none() {
-                self.next = end;
-                return Ok(records);
+                return Ok((records, next));
             }
         }
     }
 
-    async fn read_from(
-        &mut self,
-        from: Offset,
-    ) -> Result<Vec<(String, Option<Bytes>)>, StoreError> {
+    async fn read_from(&self, from: Offset) -> Result<(Records, Offset), StoreError> {
         let read = Read {
             place: self.place.clone(),
             from,
-            wait: self.wait,
+            // While the store is lost, the first answer matters more than the next record.
+            wait: if self.lost { Duration::ZERO } else { self.wait },
         };
         let batch = self.host.store.read(read).await?;
-        self.next = Some(batch.next);
         let keyed = batch.records.into_iter().filter_map(Keyed::decode);
-        Ok(keyed.map(|k| (k.key, k.value)).collect())
+        let records = keyed.map(|k| (k.key, k.value)).collect();
+        Ok((records, batch.next))
     }
 
     fn answered(&mut self, sent: Tick) {
@@ -241,6 +274,7 @@
         if std::mem::take(&mut self.lost) {
             info!(self.host.log, "store regained"; "place" => %self.place,
                 "away_ms" => away.unwrap_or_default().as_millis());
+            self.host.events.store.notify(usize::MAX);
         }
         let span = self.wait + LOST_AFTER;
         self.returned |= away.is_some_and(|away| away > span);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -37,6 +37,8 @@
     pub room: Event,
     /// Another host has a newer configuration.
     pub newer: Event,
+    /// The store was lost and answers again.
+    pub store: Event,
     /// Datagrams wait to be sent.
     pub outbox: Event,
 }
