--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use trefoil_core::{DomainName, HostId, ServiceName, Slots, Tick};
+use trefoil_core::{DomainName, ServiceName, Slots, Tick};
 use trefoil_directory::{Registration, Tag};
 
 use crate::estimate::Estimate;
-use crate::load::{Load, Outcome, Report};
+use crate::load::{Load, Outcome};
 
 /// Requests at an upstream, as a multiple of its slots, beyond which none is sent. An upstream
 /// queues a few requests, and some never answer one that they cannot queue.
@@ -29,6 +29,10 @@
 /// Added to the prediction for an upstream whose requests all fail.
 const TROUBLE_COST: Duration = Duration::from_secs(2);
 
+/// Random part of a prediction, as a share of the time of work. Hosts that know the same of all
+/// upstreams would otherwise send to the same one until they hear of each other's requests.
+const JITTER: f64 = 1.0;
+
 /// What a request needs from an upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct Need {
@@ -56,6 +60,16 @@
     Nobody,
 }
 
+/// An upstream that could get a request.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    tag: Tag,
+    /// Predicted time until it answers, and what its failures are worth.
+    cost: Duration,
+    /// The same with a random part.
+    drawn: Duration,
+}
+
 #[derive(Debug, Default)]
 struct ServiceLoad {
     members: Vec<Member>,
@@ -139,18 +153,9 @@
         self.loads.iter().map(|(tag, load)| (*tag, load))
     }
 
-    /// Another host has no requests open, until it reports some.
-    pub fn clear_open(&mut self, from: HostId) {
-        for load in self.loads.values_mut() {
-            load.clear_open(from);
-        }
-    }
-
-    /// Takes in another host's report about an upstream.
-    pub fn report(&mut self, now: Tick, from: HostId, tag: Tag, report: Report) {
-        if let Some(load) = self.loads.get_mut(&tag) {
-            load.report(now, from, report);
-        }
+    /// Load of an upstream, to take in what other hosts say.
+    pub fn load_mut(&mut self, tag: Tag) -> Option<&mut Load> {
+        self.loads.get_mut(&tag)
     }
 
     /// Expected time of work at an upstream, without waiting.
@@ -179,6 +184,19 @@
         time.mul_f64(1.0 + queued / f64::from(load.slots().0))
     }
 
+    /// What choosing an upstream costs.
+    fn option(&self, now: Tick, tag: Tag) -> Candidate {
+        let mut cost = self.prediction(now, tag);
+        if let Some(load) = self.loads.get(&tag) {
+            if load.is_paused(now) {
+                cost += TROUBLE_COST;
+            }
+            cost += TROUBLE_COST.mul_f64(load.trouble());
+        }
+        let drawn = cost + self.time(now, tag).mul_f64(JITTER * rand::random::<f64>());
+        Candidate { tag, cost, drawn }
+    }
+
     /// Whether an upstream has room for one more request that is answered in time.
     ///
     /// # Errors
@@ -205,30 +223,26 @@
             return Choice::Nobody;
         };
         let members = service.members.iter().filter(|m| !tried.contains(&m.tag));
-        let mut best: Option<(Duration, Tag)> = None;
+        let (mut near, mut far) = (None, None);
         let mut room: Option<Duration> = None;
         for member in members {
-            let Some(load) = self.loads.get(&member.tag) else {
-                continue;
-            };
             if let Err(wait) = self.admits(now, member.tag, need) {
                 room = Some(room.map_or(wait, |r| r.min(wait)));
                 continue;
             }
-            let mut cost = self.prediction(now, member.tag);
-            if !member.near {
-                cost += DOMAIN_COST;
-            }
-            if load.is_paused(now) {
-                cost += TROUBLE_COST;
-            }
-            cost += TROUBLE_COST.mul_f64(load.trouble());
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, member.tag));
+            let option = self.option(now, member.tag);
+            let best = if member.near { &mut near } else { &mut far };
+            if best.is_none_or(|b: Candidate| option.drawn < b.drawn) {
+                *best = Some(option);
             }
         }
+        let best = match (near, far) {
+            (Some(near), Some(far)) if far.cost + DOMAIN_COST < near.cost => Some(far),
+            (Some(near), _) => Some(near),
+            (None, far) => far,
+        };
         match (best, room) {
-            (Some((_, tag)), _) => Choice::Upstream(tag),
+            (Some(option), _) => Choice::Upstream(option.tag),
             (None, Some(wait)) => Choice::Full(wait),
             (None, None) => Choice::Nobody,
         }
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use smallvec::SmallVec;
-use trefoil_core::{HostId, Slots, Tick};
+use trefoil_core::{Slots, Tick};
 
 use crate::estimate::Estimate;
 
-/// Time after which what another host has said counts no longer. Reports come several times a
-/// second.
-const REPORT_AGE: Duration = Duration::from_millis(1500);
+/// Time after which a number that was told counts no longer. Each is repeated several times a second
+/// for as long as it is not zero.
+const TOLD_AGE: Duration = Duration::from_millis(700);
 
 /// Failures in a row after which an upstream is passed over.
 const FAILURES: u32 = 2;
@@ -20,23 +19,23 @@
 /// Longest time for which an upstream is passed over.
 const PAUSE_MAX: Duration = Duration::from_secs(4);
 
-/// What another host says of its own requests at an upstream.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Report {
-    /// Requests that it has open.
-    Open(u32),
-    /// Time that the upstream worked on its requests.
-    Time(Estimate),
-}
-
-/// What another host has said last.
+/// Requests of other hosts at an upstream, as far as this host was told.
 #[derive(Debug, Clone, Copy, Default)]
-struct Heard {
+struct Told {
     open: u32,
-    time: Estimate,
     at: Tick,
 }
 
+impl Told {
+    fn fresh(self, now: Tick) -> u32 {
+        if now.since(self.at) < TOLD_AGE {
+            self.open
+        } else {
+            0
+        }
+    }
+}
+
 /// How a request at an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -56,7 +55,12 @@
     slots: Slots,
     own: u32,
     time: Estimate,
-    reports: SmallVec<[(HostId, Heard); 4]>,
+    /// Requests of the other hosts of this failure domain.
+    near: Told,
+    /// Requests of the hosts of other failure domains.
+    far: Told,
+    /// The estimate of all hosts together.
+    shared: Estimate,
     failures: u32,
     paused: Tick,
     /// Share of recent requests that failed or were refused.
@@ -75,7 +79,9 @@
             slots,
             own: 0,
             time: Estimate::default(),
-            reports: SmallVec::new(),
+            near: Told::default(),
+            far: Told::default(),
+            shared: Estimate::default(),
             failures: 0,
             paused: Tick::default(),
             trouble: 0.0,
@@ -101,8 +107,7 @@
 
     /// Requests that all hosts have open.
     pub fn open(&self, now: Tick) -> u32 {
-        let fresh = self.reports.iter().filter(|(_, r)| is_fresh(now, r));
-        self.own + fresh.map(|(_, r)| r.open).sum::<u32>()
+        self.own + self.near.fresh(now) + self.far.fresh(now)
     }
 
     /// Whether the upstream has just started.
@@ -125,35 +130,29 @@
         self.time.at(now)
     }
 
-    /// The estimate of all hosts.
+    /// The estimate of all hosts, or this host's own if it is worth more.
     pub fn time(&self, now: Tick) -> Estimate {
-        let reports = self.reports.iter().filter(|(_, r)| is_fresh(now, r));
-        reports.fold(self.time.at(now), |sum, (_, r)| sum.plus(r.time.at(now)))
+        let (own, shared) = (self.time.at(now), self.shared.at(now));
+        if shared.weight() > own.weight() {
+            shared
+        } else {
+            own
+        }
     }
 
-    /// Another host has no requests open here, until it reports some.
-    pub fn clear_open(&mut self, from: HostId) {
-        for (host, heard) in &mut self.reports {
-            if *host == from {
-                heard.open = 0;
-            }
-        }
+    /// Requests that the other hosts of this failure domain have open.
+    pub fn set_near(&mut self, now: Tick, open: u32) {
+        self.near = Told { open, at: now };
     }
 
-    /// Takes in what another host says.
-    pub fn report(&mut self, now: Tick, from: HostId, report: Report) {
-        self.reports.retain(|(_, heard)| is_fresh(now, heard));
-        let index = self.reports.iter().position(|(host, _)| *host == from);
-        let index = index.unwrap_or_else(|| {
-            self.reports.push((from, Heard::default()));
-            self.reports.len() - 1
-        });
-        let heard = &mut self.reports[index].1;
-        heard.at = now;
-        match report {
-            Report::Open(open) => heard.open = open,
-            Report::Time(time) => heard.time = time,
-        }
+    /// Requests that the hosts of other failure domains have open.
+    pub fn set_far(&mut self, now: Tick, open: u32) {
+        self.far = Told { open, at: now };
+    }
+
+    /// The estimate of all hosts, this one included.
+    pub fn set_shared(&mut self, time: Estimate) {
+        self.shared = time;
     }
 
     /// A request is sent.
@@ -188,7 +187,3 @@
         }
     }
 }
-
-fn is_fresh(now: Tick, heard: &Heard) -> bool {
-    now.since(heard.at) < REPORT_AGE
-}
--- a/crates/balance/src/repeat.rs
+++ b/crates/balance/src/repeat.rs
@@ -42,12 +42,11 @@
     }
 
     /// Takes a repeat out of the budget, if there is one; `hosts` is the number of hosts.
-    pub fn withdraw(&mut self, now: Tick, hosts: usize) -> bool {
+    pub fn withdraw(&mut self, now: Tick, hosts: u32) -> bool {
         self.forget(now);
-        let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
         let count = |ticks: &VecDeque<Tick>| u32::try_from(ticks.len()).unwrap_or(u32::MAX);
         let requests = f64::from(count(&self.requests));
-        let most = USED * (self.ratio * requests + self.fixed / f64::from(hosts));
+        let most = USED * (self.ratio * requests + self.fixed / f64::from(hosts.max(1)));
         let allowed = f64::from(count(&self.repeats)) + 1.0 <= most;
         if allowed {
             self.repeats.push_back(now);
--- /dev/null
+++ b/crates/balance/src/tally.rs
@@ -0,0 +1,79 @@
+//! Adding up what several hosts say.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use trefoil_core::Tick;
+use trefoil_directory::Tag;
+
+use crate::estimate::Estimate;
+
+/// Time after which a source that has said nothing counts no longer. Sources speak several times a
+/// second.
+const SOURCE_AGE: Duration = Duration::from_millis(1500);
+
+#[derive(Debug, Default)]
+struct Source {
+    at: Tick,
+    open: Vec<(Tag, u32)>,
+    times: Vec<(Tag, Estimate)>,
+}
+
+/// Sum of the requests and estimates of several sources, each named by a `K`.
+#[derive(Debug)]
+pub struct Tally<K> {
+    sources: BTreeMap<K, Source>,
+}
+
+impl<K> Default for Tally<K> {
+    fn default() -> Self {
+        Self {
+            sources: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K> Tally<K>
+where
+    K: Ord,
+{
+    /// A source has these requests open, and no others.
+    pub fn set_open(&mut self, now: Tick, source: K, open: Vec<(Tag, u32)>) {
+        let source = self.sources.entry(source).or_default();
+        source.at = now;
+        source.open = open;
+    }
+
+    /// Estimates of a source.
+    pub fn set_times(&mut self, now: Tick, source: K, times: Vec<(Tag, Estimate)>) {
+        let source = self.sources.entry(source).or_default();
+        source.at = now;
+        source.times = times;
+    }
+
+    /// Forgets the sources that have said nothing for a while.
+    pub fn expire(&mut self, now: Tick) {
+        self.sources.retain(|_, s| now.since(s.at) < SOURCE_AGE);
+    }
+
+    /// Requests of all sources.
+    pub fn open(&self) -> BTreeMap<Tag, u32> {
+        let mut sums = BTreeMap::new();
+        for (tag, open) in self.sources.values().flat_map(|s| &s.open) {
+            *sums.entry(*tag).or_default() += open;
+        }
+        sums
+    }
+
+    /// Estimates of all sources.
+    pub fn times(&self, now: Tick) -> BTreeMap<Tag, Estimate> {
+        let mut sums: BTreeMap<Tag, Estimate> = BTreeMap::new();
+        for (tag, time) in self.sources.values().flat_map(|s| &s.times) {
+            let sum = sums
+                .entry(*tag)
+                .or_insert_with(|| Estimate::default().at(now));
+            *sum = sum.plus(time.at(now));
+        }
+        sums
+    }
+}
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 struct Entry {
     registration: Rc<Registration>,
+    digest: u64,
     /// Set if the upstream is not in the registry any more and is gone at this tick.
     vanishes: Option<Tick>,
 }
@@ -48,6 +49,8 @@
     forgotten: HashMap<UpstreamName, Forgotten>,
     /// When the registry returned from its last outage.
     returned: Option<Tick>,
+    /// Digest of all entries.
+    digest: u64,
 }
 
 impl Directory {
@@ -69,9 +72,11 @@
         let Some(entry) = self.entries.get_mut(&name) else {
             self.tags.insert(Tag::of(&name), name.clone());
             let entry = Entry {
+                digest: registration.digest(),
                 registration: Rc::clone(&registration),
                 vanishes: None,
             };
+            self.digest ^= entry.digest;
             self.entries.insert(name, entry);
             return Some(Change::Joined(registration));
         };
@@ -81,9 +86,16 @@
         entry.vanishes = None;
         let earlier = std::mem::replace(&mut entry.registration, Rc::clone(&registration));
         match () {
-            () if earlier.life != registration.life => Some(Change::Joined(registration)),
             () if registration.is_renewal_of(&earlier) => None,
-            () => Some(Change::Updated(registration)),
+            () => {
+                let before = std::mem::replace(&mut entry.digest, registration.digest());
+                self.digest ^= before ^ entry.digest;
+                Some(if earlier.life == registration.life {
+                    Change::Updated(registration)
+                } else {
+                    Change::Joined(registration)
+                })
+            }
         }
     }
 
@@ -135,6 +147,7 @@
 
     fn remove(&mut self, now: Tick, name: &UpstreamName) -> Option<Change> {
         let entry = self.entries.remove(name)?;
+        self.digest ^= entry.digest;
         self.tags.remove(&Tag::of(name));
         let forgotten = Forgotten {
             registration: Rc::clone(&entry.registration),
@@ -144,6 +157,12 @@
         Some(Change::Gone(entry.registration))
     }
 
+    /// Digest of all upstreams. Two directories with the same one are the same but for counters
+    /// and the rest of warmups.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// An upstream by its name.
     pub fn get(&self, name: &UpstreamName) -> Option<&Rc<Registration>> {
         self.entries.get(name).map(|e| &e.registration)
--- a/crates/directory/src/registration.rs
+++ b/crates/directory/src/registration.rs
@@ -46,7 +46,7 @@
 }
 
 /// Whether an upstream takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum Phase {
     /// It does.
     #[display("ready")]
@@ -57,7 +57,7 @@
 }
 
 /// What an upstream says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
     /// The upstream and when it started.
     pub life: Life,
@@ -90,6 +90,21 @@
             && cold(self) == cold(earlier)
     }
 
+    /// Digest of what [`is_renewal_of`](Self::is_renewal_of) compares.
+    pub(crate) fn digest(&self) -> u64 {
+        let text = format!(
+            "{} {} {} {} {} {} {}",
+            self.life,
+            self.service,
+            self.address,
+            self.domain,
+            self.slots,
+            self.phase,
+            self.warmup.is_zero()
+        );
+        xxh3_64(text.as_bytes())
+    }
+
     /// Position in the order of this upstream's registrations.
     pub(crate) fn order(&self) -> (UnixMillis, u64) {
         (self.life.born, self.sequence)
--- /dev/null
+++ b/crates/gateway/src/fetch.rs
@@ -0,0 +1,183 @@
+//! Fetching configuration and directory from another host.
+//!
+//! Datagrams say only that a host has something newer. What it has is fetched over a connection to
+//! its address for other hosts, which costs the store nothing.
+
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future::BoxedLocal;
+use http::header::{HOST, HeaderValue};
+use http::{HeaderMap, Method, StatusCode};
+use slog::{debug, info};
+use smol::Async;
+use trefoil_core::{HostId, Tick};
+use trefoil_directory::Registration;
+use trefoil_http::h1::{
+    Answer, Content, Handler, Limits, Link, Match, Reject, Request, RequestHead, encode_request,
+};
+
+use crate::follow;
+use crate::host::Host;
+
+const CONFIG_PATH: &str = "/v1/config";
+const DIRECTORY_PATH: &str = "/v1/directory";
+
+/// Time in which another host answers.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Largest answer in bytes: a configuration with many routes.
+const ANSWER_MAX: usize = 8 * 1024 * 1024;
+
+/// Time for which the directory of a relay may differ before it is fetched: changes are on their
+/// way in its digests.
+const DIFFERS: Duration = Duration::from_millis(400);
+
+/// Answers other hosts.
+#[derive(Debug)]
+pub struct Inner {
+    host: Rc<Host>,
+}
+
+impl Inner {
+    /// Answers for a host.
+    pub fn new(host: Rc<Host>) -> Rc<Self> {
+        Rc::new(Self { host })
+    }
+}
+
+impl Handler for Inner {
+    fn limits(&self) -> Limits {
+        Limits {
+            head: 4096,
+            body: 0,
+            arrival: TIMEOUT,
+            idle: TIMEOUT,
+        }
+    }
+
+    fn may_overlap(&self, _head: &RequestHead) -> bool {
+        false
+    }
+
+    fn handle(self: Rc<Self>, request: Request) -> BoxedLocal<Answer> {
+        let body = match request.head.path() {
+            CONFIG_PATH => self.host.raw_config.borrow().clone(),
+            DIRECTORY_PATH => listing(&self.host),
+            _ => None,
+        };
+        let mut answer = Answer::empty(StatusCode::OK);
+        match body {
+            Some(body) => answer.content = Content::Whole(body),
+            None => answer.status = StatusCode::NOT_FOUND,
+        }
+        async { answer }.boxed_local()
+    }
+
+    fn reject(&self, reason: Reject) -> Answer {
+        Answer::empty(reason.status())
+    }
+}
+
+fn listing(host: &Host) -> Option<Bytes> {
+    let directory = host.directory.borrow();
+    let all: Vec<&Registration> = directory.iter().map(Rc::as_ref).collect();
+    let listing = (directory.digest(), all);
+    postcard::to_allocvec(&listing).ok().map(Bytes::from)
+}
+
+/// Fetches the configuration of another host, unless that is under way.
+pub(crate) fn config(host: &Host, from: HostId, now: Tick) {
+    let Some((shared, address)) = begin(host, from, now, &host.fetching_config) else {
+        return;
+    };
+    let task = async move {
+        match get(&shared, address, CONFIG_PATH).await {
+            Ok(body) => follow::read_config(&shared, &body),
+            Err(reason) => debug!(shared.log, "configuration not fetched"; "from" => %address,
+                "reason" => reason),
+        }
+        shared.fetching_config.set(None);
+    };
+    host.spawn(task).detach();
+}
+
+/// Fetches the directory of another host if it has differed from this host's for a while.
+pub(crate) fn directory(host: &Host, from: HostId, now: Tick, same: bool) {
+    if same {
+        host.differs.set(None);
+        return;
+    }
+    let since = host.differs.get().unwrap_or(now);
+    host.differs.set(Some(since));
+    if now.since(since) < DIFFERS {
+        return;
+    }
+    let Some((shared, address)) = begin(host, from, now, &host.fetching_directory) else {
+        return;
+    };
+    let task = async move {
+        match get(&shared, address, DIRECTORY_PATH).await {
+            Ok(body) => take_listing(&shared, &body),
+            Err(reason) => debug!(shared.log, "directory not fetched"; "from" => %address,
+                "reason" => reason),
+        }
+        shared.fetching_directory.set(None);
+    };
+    host.spawn(task).detach();
+}
+
+fn take_listing(host: &Host, body: &Bytes) {
+    match postcard::from_bytes::<(u64, Vec<Registration>)>(body) {
+        Ok((digest, listed)) => {
+            let now = host.now();
+            let changes = host.directory.borrow_mut().replace(now, listed, &[]);
+            let own = host.directory.borrow().digest();
+            info!(host.log, "directory fetched"; "changes" => changes.len(),
+                "same" => own == digest);
+            host.apply_changes(changes);
+        }
+        Err(reason) => host.log_rejected("directory of a host", &reason),
+    }
+}
+
+/// Marks a fetch as under way; nothing if one is already, or if the host is not known.
+fn begin(
+    host: &Host,
+    from: HostId,
+    now: Tick,
+    mark: &std::cell::Cell<Option<Tick>>,
+) -> Option<(Rc<Host>, SocketAddr)> {
+    let busy = mark.get().is_some_and(|at| now.since(at) < 2 * TIMEOUT);
+    let address = host.peers.borrow().address(from).filter(|_| !busy)?;
+    mark.set(Some(now));
+    Some((host.shared()?, address))
+}
+
+async fn get(host: &Host, address: SocketAddr, path: &str) -> Result<Bytes, String> {
+    let late = async {
+        host.clock.sleep(TIMEOUT).await;
+        Err("no answer in time".to_owned())
+    };
+    let exchange = async {
+        let stream = Async::<TcpStream>::connect(address).await;
+        let mut link = Link::new(stream.map_err(|e| e.to_string())?);
+        let mut headers = HeaderMap::new();
+        if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
+            headers.insert(HOST, value);
+        }
+        let request = encode_request(&Method::GET, path, &headers, &Bytes::new());
+        let reply = link
+            .exchange(&Method::GET, request, ANSWER_MAX, |_| Match::Own)
+            .await;
+        let reply = reply.map_err(|e| e.to_string())?;
+        match reply.head.status {
+            StatusCode::OK => Ok(reply.body),
+            status => Err(status.to_string()),
+        }
+    };
+    exchange.or(late).await
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,8 +25,15 @@
 /// accepted; a connection that has gone silent delays it by at most this time.
 const CONFIG_WAIT: Duration = Duration::from_secs(4);
 
-/// Time between two reads of the registry. An upstream that leaves must get no requests after 2 s.
-const REGISTRY_PACE: Duration = Duration::from_millis(700);
+/// Time between two reads of the registry by the first host of a domain that reads it. An upstream
+/// that leaves must get no requests after 2 s.
+const REGISTRY_PACE: Duration = Duration::from_millis(600);
+
+/// The same of the second host, which bridges the loss of the first.
+const SECOND_PACE: Duration = Duration::from_millis(1400);
+
+/// Time between two checks whether this host is to read the store.
+const ROLE: Duration = Duration::from_millis(150);
 
 /// Wait after a failed call; it doubles up to [`BACKOFF_MAX`] if the store refused the call, because
 /// refused calls are paid for. A call that did not reach the store costs nothing.
@@ -52,6 +59,11 @@
     let mut follower = Follower::new(&host, place, CONFIG_WAIT);
     follower.hears_versions = true;
     loop {
+        if host.router().is_some() && !host.reads_store(host.now()) {
+            follower.rest();
+            host.clock.sleep(ROLE).await;
+            continue;
+        }
         for (name, value) in follower.next().await {
             match value {
                 Some(value) if name == key => read_config(&host, &value),
@@ -61,13 +73,16 @@
     }
 }
 
-fn read_config(host: &Host, value: &Bytes) {
+/// Takes in a configuration as the platform encodes it.
+pub(crate) fn read_config(host: &Host, value: &Bytes) {
     match host.platform.read_config(value) {
         Ok((config, rejected)) => {
             for reason in rejected {
                 host.log_rejected("part of the configuration", &reason);
             }
-            host.apply(config);
+            if host.apply(config) {
+                host.raw_config.replace(Some(value.clone()));
+            }
         }
         Err(reason) => host.log_rejected("configuration", &reason),
     }
@@ -77,6 +92,11 @@
 pub async fn follow_registry(host: Rc<Host>) {
     let mut follower = Follower::new(&host, host.platform.registry_place(), Duration::ZERO);
     loop {
+        if host.listed.get() && !host.reads_store(host.now()) {
+            follower.rest();
+            host.clock.sleep(ROLE).await;
+            continue;
+        }
         let whole = follower.is_behind();
         let records = follower.next().await;
         let now = host.now();
@@ -86,7 +106,11 @@
         let changes = take_in(&host, now, whole, records);
         host.apply_changes(changes);
         host.listed.set(true);
-        expire_until(&host, now.after(REGISTRY_PACE)).await;
+        let pace = match host.peers.borrow().readers_before(now) {
+            0 => REGISTRY_PACE,
+            _ => SECOND_PACE,
+        };
+        expire_until(&host, now.after(pace)).await;
     }
 }
 
@@ -169,6 +193,14 @@
         }
     }
 
+    /// Another host reads instead of this one. What was read is outdated when this host reads again,
+    /// and what counts then as the last answer of the store is what others have heard.
+    fn rest(&mut self) {
+        self.next = None;
+        self.seen = None;
+        self.lost = false;
+    }
+
     /// Whether the next records are the newest of each key.
     fn is_behind(&self) -> bool {
         self.next.is_none()
@@ -269,7 +301,9 @@
         self.host.store_answered(sent);
         self.backoff = BACKOFF;
         let now = self.host.now();
-        let away = self.seen.map(|seen| now.since(seen));
+        let others = self.host.peers.borrow().store_seen(sent);
+        let seen = self.seen.max(others);
+        let away = seen.map(|seen| now.since(seen));
         self.seen = Some(now);
         if std::mem::take(&mut self.lost) {
             info!(self.host.log, "store regained"; "place" => %self.place,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -252,7 +252,7 @@
     if !tried.sent.contains(&tag) && upstreams >= job.route.attempts {
         return false;
     }
-    let hosts = host.peers.borrow().live(now).count() + 1;
+    let hosts = host.peers.borrow().all_hosts(now);
     let mut budgets = host.budgets.borrow_mut();
     let budget = budgets
         .get_mut(&job.service)
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,29 +1,36 @@
 //! State of the host, shared by its tasks.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt::{self, Debug};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
+use std::time::Duration;
 
+use bytes::Bytes;
 use event_listener::Event;
 use slog::{Logger, info, warn};
 use smol::{LocalExecutor, Task};
-use trefoil_balance::{Balancer, RepeatBudget};
-use trefoil_core::{Clock, HostId, ServiceName, Tick};
+use trefoil_balance::{Balancer, RepeatBudget, Tally};
+use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
 use trefoil_directory::{Change, Directory, Life, Phase, Registration, Tag};
 use trefoil_http::h1::Stop;
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
 use crate::config::{Bounds, HostConfig};
+use crate::introduce;
+use crate::message::ChangeItem;
 use crate::metrics::Metrics;
-use crate::peers::Peers;
+use crate::peers::{Peers, RELAYS};
 use crate::platform::Platform;
 use crate::pool::Pool;
-use crate::steward::{EndedTerms, Terms};
+use crate::steward::{Assemblies, EndedTerms, Terms};
 use crate::tables::{Routes, Tables};
 
+/// Wait of each further host of a domain before it tries whether it reaches the store.
+const PROBE_STEP: Duration = Duration::from_millis(700);
+
 /// Things that tasks wait for.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -71,6 +78,26 @@
     pub leaving: Cell<bool>,
     /// The other hosts.
     pub peers: RefCell<Peers>,
+    /// What the other hosts of this domain have open, while this host is a relay.
+    pub(crate) near: RefCell<Tally<HostId>>,
+    /// What the other domains have open, while this host is a relay.
+    pub(crate) far: RefCell<Tally<DomainName>>,
+    /// Open requests that this host has reported last.
+    pub(crate) reported: RefCell<BTreeMap<Tag, u32>>,
+    /// Recent changes of the directory.
+    changes: RefCell<VecDeque<(Tick, ChangeItem)>>,
+    /// The configuration in force, as the platform encodes it.
+    pub(crate) raw_config: RefCell<Option<Bytes>>,
+    /// A configuration is being fetched since then.
+    pub(crate) fetching_config: Cell<Option<Tick>>,
+    /// A directory is being fetched since then.
+    pub(crate) fetching_directory: Cell<Option<Tick>>,
+    /// The directory differs from that of a relay since then.
+    pub(crate) differs: Cell<Option<Tick>>,
+    /// Parts of routes that have arrived.
+    pub(crate) assemblies: RefCell<Assemblies>,
+    started: Tick,
+    shared: RefCell<Weak<Self>>,
     pub(crate) directory: RefCell<Directory>,
     pub(crate) balancer: RefCell<Balancer>,
     pub(crate) tables: RefCell<Tables>,
@@ -109,11 +136,25 @@
         platform: Rc<dyn Platform>,
         store: Arc<dyn Store>,
     ) -> Rc<Self> {
-        Rc::new(Self {
+        let id = HostId::random();
+        let started = clock.now();
+        let host = Rc::new(Self {
+            peers: RefCell::new(Peers::new(introduce::card(id, &config))),
+            near: RefCell::default(),
+            far: RefCell::default(),
+            reported: RefCell::default(),
+            changes: RefCell::default(),
+            raw_config: RefCell::default(),
+            fetching_config: Cell::default(),
+            fetching_directory: Cell::default(),
+            differs: Cell::default(),
+            assemblies: RefCell::default(),
+            started,
+            shared: RefCell::default(),
             bounds: Cell::new(config.bounds),
             balancer: RefCell::new(Balancer::new(config.domain.clone())),
             config,
-            id: HostId::random(),
+            id,
             clock,
             log,
             metrics: Metrics::default(),
@@ -123,7 +164,6 @@
             events: Events::default(),
             stop: Rc::default(),
             leaving: Cell::new(false),
-            peers: RefCell::default(),
             directory: RefCell::default(),
             tables: RefCell::default(),
             pool: RefCell::default(),
@@ -136,7 +176,36 @@
             router: RefCell::default(),
             listed: Cell::new(false),
             store_seen: Cell::new(None),
-        })
+        });
+        *host.shared.borrow_mut() = Rc::downgrade(&host);
+        host
+    }
+
+    /// A handle for tasks that outlive the present call.
+    pub(crate) fn shared(&self) -> Option<Rc<Self>> {
+        self.shared.borrow().upgrade()
+    }
+
+    /// Whether this host reads the store itself: fewer than two hosts before it in its domain do.
+    /// If none does any more, the next ones try one after the other.
+    pub(crate) fn reads_store(&self, now: Tick) -> bool {
+        let peers = self.peers.borrow();
+        let (position, readers) = (peers.position(now), peers.readers_before(now));
+        if readers >= RELAYS || position < RELAYS {
+            return readers < RELAYS;
+        }
+        let seen = peers.store_seen(now).unwrap_or(self.started);
+        let step = u32::try_from(position - RELAYS + 1).unwrap_or(u32::MAX);
+        now.since(seen) > PROBE_STEP.saturating_mul(step)
+    }
+
+    /// Changes of the directory within the last `span`, oldest first.
+    pub(crate) fn recent_changes(&self, now: Tick, span: Duration) -> Vec<ChangeItem> {
+        let mut changes = self.changes.borrow_mut();
+        while changes.front().is_some_and(|(at, _)| now.since(*at) > span) {
+            changes.pop_front();
+        }
+        changes.iter().map(|(_, item)| item.clone()).collect()
     }
 
     /// Starts a task on the host's thread. It ends when the handle is dropped, unless it is
@@ -177,11 +246,11 @@
         !self.leaving.get() && self.listed.get() && self.router.borrow().is_some()
     }
 
-    /// Puts a configuration in force unless a newer one is.
-    pub fn apply(&self, config: Config) {
+    /// Puts a configuration in force unless a newer one is; says whether it did.
+    pub fn apply(&self, config: Config) -> bool {
         let known = self.version();
         if config.version <= known && self.router.borrow().is_some() {
-            return;
+            return false;
         }
         info!(self.log, "configuration in force"; "version" => config.version.0,
             "before" => known.0, "routes" => config.routes.len(),
@@ -192,6 +261,7 @@
         let router = Rc::new(Router::new(config));
         *self.router.borrow_mut() = Some(router);
         self.events.config.notify(usize::MAX);
+        true
     }
 
     /// Takes in changes of the directory.
@@ -203,6 +273,11 @@
         self.directory_changed.set(now);
         for change in changes {
             self.apply_change(now, &change);
+            let item = match &change {
+                Change::Joined(r) | Change::Updated(r) => ChangeItem::Set(r.as_ref().clone()),
+                Change::Gone(r) => ChangeItem::Gone(r.life.clone()),
+            };
+            self.changes.borrow_mut().push_back((now, item));
         }
         let count = self.directory.borrow().len();
         self.metrics
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -108,7 +108,7 @@
             return Err(Box::new(refusal(StatusCode::BAD_REQUEST, "no key")));
         }
         if let Some(key) = key {
-            host.peers.borrow_mut().count_key(&service, key);
+            host.peers.borrow_mut().count_keys(&service, [key]);
         }
         let id = request.head.headers.get(&dialect.request_id).cloned();
         Ok(Job {
--- /dev/null
+++ b/crates/gateway/src/introduce.rs
@@ -0,0 +1,104 @@
+//! Getting to know the other hosts.
+//!
+//! A host writes its [`Card`] into a compacted topic at its start, reads the cards of the others and
+//! greets them. A host whose greeting was lost is known all the same to whoever starts later, and
+//! asks who the sender is when it hears from a host that it does not know.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use slog::{info, warn};
+use trefoil_core::{HostId, Tick};
+use trefoil_store::{Append, Keyed, Newest, Place, StoreError};
+
+use crate::config::HostConfig;
+use crate::host::Host;
+use crate::message::{Card, Message};
+
+/// Topic with the cards of all hosts.
+const HOSTS_TOPIC: &str = "keyed.trefoil-hosts";
+
+/// Wait after a failed call of the store.
+const RETRY: Duration = Duration::from_millis(500);
+
+fn place() -> Result<Place, StoreError> {
+    let topic = HOSTS_TOPIC.parse();
+    let topic = topic.map_err(|e: trefoil_store::TopicError| StoreError::Rejected {
+        reason: e.to_string(),
+    });
+    topic.map(Place::first)
+}
+
+/// The card of a host.
+pub(crate) fn card(id: HostId, config: &HostConfig) -> Card {
+    let millicores = (config.cores * 1000.0).clamp(1.0, 1e9);
+    Card {
+        id,
+        name: config.name.clone(),
+        domain: config.domain.clone(),
+        address: config.peer,
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the value is clamped to the range of the type"
+        )]
+        millicores: millicores as u32,
+    }
+}
+
+/// Writes this host's card into the store and greets the hosts whose cards are there.
+pub async fn introduce(host: Rc<Host>) {
+    loop {
+        match try_introduce(&host).await {
+            Ok(count) => {
+                info!(host.log, "introduced"; "hosts" => count);
+                return;
+            }
+            Err(error) => warn!(host.log, "not introduced yet"; "reason" => %error),
+        }
+        host.clock.sleep(RETRY).await;
+    }
+}
+
+async fn try_introduce(host: &Host) -> Result<usize, StoreError> {
+    let place = place()?;
+    let own = host.peers.borrow().own().clone();
+    let value = postcard::to_allocvec(&own).unwrap_or_default();
+    if let Some(record) = Keyed::set(own.name.as_str(), Bytes::from(value)) {
+        // Whether an answer was lost does not matter: a repeat writes the same.
+        let append = Append::new(place.clone(), record.encode());
+        host.store.append(append).await?;
+    }
+    let (mut after, mut count) = (None, 0);
+    loop {
+        let newest = Newest {
+            place: place.clone(),
+            after,
+        };
+        let sent = host.now();
+        let page = host.store.newest(newest).await?;
+        host.store_answered(sent);
+        after = page.items.last().map(|item| item.key.clone());
+        for item in &page.items {
+            match postcard::from_bytes::<Card>(&item.value) {
+                Ok(other) if other.id != host.id => {
+                    greet(host, sent, &own, other);
+                    count += 1;
+                }
+                Ok(_) => {}
+                Err(reason) => host.log_rejected("card of a host", &reason),
+            }
+        }
+        if !page.more || after.is_none() {
+            return Ok(count);
+        }
+    }
+}
+
+fn greet(host: &Host, now: Tick, own: &Card, other: Card) {
+    let mut peers = host.peers.borrow_mut();
+    let address = other.address;
+    peers.add(now, other);
+    peers.send([address], &Message::Hello(own.clone(), true));
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,21 +6,25 @@
 //! - [`ingress`] takes callers' requests and [`forward`] sends them to upstreams over the
 //!   [`pool`] of connections;
 //! - [`follow`] keeps the configuration and the directory of upstreams up to date;
-//! - [`peers`] exchanges datagrams with the other hosts: load, versions, routes of keyed services;
+//! - [`relay`] exchanges load, versions and routes of keyed services with the other hosts, which
+//!   [`introduce`] gets to know and [`peers`] remembers; [`fetch`] brings what another host has;
 //! - [`steward`] gives out the keys of a service while this host is its steward.
 //!
 //! What is particular to a platform, its names and its encodings, stands behind [`Platform`].
 
 pub mod config;
+pub mod fetch;
 pub mod follow;
 pub mod forward;
 pub mod host;
 pub mod ingress;
+pub mod introduce;
 pub mod message;
 pub mod metrics;
 pub mod peers;
 pub mod platform;
 pub mod pool;
+pub mod relay;
 pub mod serve;
 pub mod steward;
 pub mod tables;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -2,14 +2,18 @@
 //!
 //! They are hints: each can be lost, and what they announce about configuration and ownership is
 //! proven elsewhere, in the store or at the upstreams.
+//!
+//! A host speaks to the two relays of its failure domain only, and the relays of all domains to each
+//! other, so the number of datagrams that a host sends and receives does not grow with the number of
+//! hosts. See [`crate::relay`].
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
-use trefoil_core::{DomainName, HostId, HostName, Key, ServiceName, UpstreamName};
-use trefoil_directory::Tag;
+use trefoil_core::{DomainName, HostId, HostName, Key, KeyRange, ServiceName, UpstreamName};
+use trefoil_directory::{Life, Registration, Tag};
 
 use crate::tables::Age;
 
@@ -51,7 +55,7 @@
     pub millicores: u32,
 }
 
-/// A host's open requests at one upstream.
+/// Open requests at one upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenItem {
     /// The upstream.
@@ -60,7 +64,7 @@
     pub open: u32,
 }
 
-/// A host's estimate of the time that an upstream works on a request.
+/// An estimate of the time that an upstream works on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TimeItem {
     /// The upstream.
@@ -71,17 +75,32 @@
     pub weight: u32,
 }
 
-/// A service of which the sender is the steward.
+/// How up to date a host is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Version of its configuration.
+    pub version: u64,
+    /// Digest of its directory.
+    pub directory: u64,
+    /// Milliseconds since the store answered it, if it ever did.
+    pub store: Option<u32>,
+}
+
+/// A steward of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermItem {
     /// The service.
     pub service: ServiceName,
+    /// The steward.
+    pub host: HostId,
     /// How new its routes are.
     pub age: Age,
     /// Milliseconds since the store confirmed the term.
     pub confirmed: u32,
     /// The term before, while its grants can be valid.
     pub waits_for: Option<u64>,
+    /// Milliseconds since the sender heard this from the steward.
+    pub heard: u32,
 }
 
 /// A steward has ended its term and sends no more orders.
@@ -97,30 +116,82 @@
     pub left: Duration,
 }
 
-/// What a host says several times a second.
+/// What a host says to the relays of its failure domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Report {
     /// The sender.
     pub from: HostId,
-    /// Version of its configuration.
-    pub version: u64,
-    /// Milliseconds since the store answered it, if it ever did.
-    pub store: Option<u32>,
-    /// Its open requests. Upstreams that are not named have none.
+    /// How up to date it is.
+    pub standing: Standing,
+    /// All its open requests.
     pub open: Vec<OpenItem>,
-    /// Its estimates. Upstreams that are not named keep theirs.
+    /// Its estimates; upstreams that are not named keep theirs.
     pub times: Vec<TimeItem>,
+    /// Keys that were asked for since its last report.
+    pub keys: Vec<(ServiceName, Vec<Key>)>,
     /// Services of which it is the steward.
     pub terms: Vec<TermItem>,
 }
 
-/// A part of the routes of a keyed service.
+/// What a relay says to the hosts of its failure domain. A long one is sent in several datagrams,
+/// each complete in itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RoutesPart {
+pub struct Digest {
+    /// The sender.
+    pub from: HostId,
+    /// How up to date it is.
+    pub standing: Standing,
+    /// Hosts of the domain from which it has heard, by the start of their ids.
+    pub live: Vec<u32>,
+    /// Hosts of all domains that are live.
+    pub hosts: u32,
+    /// Open requests of all hosts of the domain.
+    pub near: Vec<OpenItem>,
+    /// Open requests of the other domains.
+    pub far: Vec<OpenItem>,
+    /// Estimates of all hosts.
+    pub times: Vec<TimeItem>,
+    /// Stewards.
+    pub terms: Vec<TermItem>,
+    /// Recent changes of the directory.
+    pub changes: Vec<ChangeItem>,
+}
+
+/// What a relay says to the relays of the other failure domains.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
     /// The sender.
     pub from: HostId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// How up to date it is.
+    pub standing: Standing,
+    /// Hosts of its domain that are live.
+    pub hosts: u32,
+    /// Open requests of all hosts of its domain.
+    pub open: Vec<OpenItem>,
+    /// Estimates of all hosts of its domain.
+    pub times: Vec<TimeItem>,
+    /// Stewards in its domain.
+    pub terms: Vec<TermItem>,
+}
+
+/// A change of the directory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ChangeItem {
+    /// An upstream says this of itself.
+    Set(Registration),
+    /// This life of an upstream is gone.
+    Gone(Life),
+}
+
+/// A part of the routes of a keyed service, or of what has changed in them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutesPart {
     /// The service.
     pub service: ServiceName,
+    /// Routes that these change; nothing if they are whole.
+    pub base: Option<Age>,
     /// How new the routes are.
     pub age: Age,
     /// Number of this part.
@@ -129,8 +200,8 @@
     pub parts: u16,
     /// Upstreams that the ranges refer to.
     pub owners: Vec<UpstreamName>,
-    /// First key of each range and the index of its owner.
-    pub ranges: Vec<(Key, Option<u16>)>,
+    /// Ranges and the index of their owner.
+    pub ranges: Vec<(KeyRange, Option<u16>)>,
 }
 
 /// A datagram between hosts.
@@ -138,11 +209,15 @@
 pub enum Message {
     /// Who the sender is; with `true`, it asks the receiver for the same.
     Hello(Card, bool),
-    /// What a host says several times a second.
-    Beat(Beat),
-    /// Keys that were asked for at the sender since its last report, for the steward.
+    /// What a host says to the relays of its domain.
+    Report(Report),
+    /// What a relay says to the hosts of its domain.
+    Digest(Digest),
+    /// What a relay says to other domains.
+    Exchange(Exchange),
+    /// Keys that were asked for, for the steward.
     Keys(ServiceName, Vec<Key>),
-    /// A part of the routes of a keyed service.
+    /// Routes of a keyed service.
     Routes(RoutesPart),
     /// The sender lacks the newest routes of a service.
     Ask(ServiceName),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -61,8 +61,8 @@
     pub version: Gauge,
     /// Upstreams in the directory.
     pub upstreams: Gauge,
-    /// Other hosts that were heard within the last second.
-    pub peers: Gauge,
+    /// Live hosts, this one included.
+    pub hosts: Gauge,
 }
 
 impl Default for Metrics {
@@ -79,7 +79,7 @@
             orders: Family::default(),
             version: Gauge::default(),
             upstreams: Gauge::default(),
-            peers: Gauge::default(),
+            hosts: Gauge::default(),
         };
         registry.register("requests", "Requests answered", metrics.requests.clone());
         registry.register_with_unit(
@@ -108,9 +108,9 @@
             metrics.upstreams.clone(),
         );
         registry.register(
-            "peers",
-            "Other hosts heard within the last second",
-            metrics.peers.clone(),
+            "hosts",
+            "Live hosts, this one included",
+            metrics.hosts.clone(),
         );
         Self {
             registry,
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,574 @@
+//! Sharing load and news between hosts.
+//!
+//! The hosts of a failure domain report to its two relays. The first relay adds the reports up and
+//! sends a digest to all hosts of its domain, and what its domain has to the relays of the other
+//! domains. So a host sends and receives a few datagrams in each interval however many hosts there
+//! are, and a relay as many as its domain has hosts. The second relay does the same less often, and
+//! takes over when the first one falls silent.
+//!
+//! A host reads the store itself only if fewer than two hosts ranked before it in its domain reach
+//! it. The others learn of changes from digests: changes of the directory are in them, and a newer
+//! configuration or a directory with another digest is fetched from the relay.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use slog::{debug, info, warn};
+use smol::Async;
+use trefoil_balance::Estimate;
+use trefoil_core::{HostId, Tick};
+use trefoil_directory::Tag;
+
+use crate::host::Host;
+use crate::message::{
+    ChangeItem, DATAGRAM_MAX, Digest, Exchange, Message, OpenItem, Report, Standing, TermItem,
+    TimeItem,
+};
+use crate::peers::whole_millis;
+use crate::{fetch, steward};
+
+/// Time between two reports or digests.
+const INTERVAL: Duration = Duration::from_millis(75);
+
+/// Every so many intervals the second relay is served as well, and estimates of time are sent.
+const SLOW: u32 = 8;
+
+/// Every so many intervals silent hosts are tried, and silent ones forgotten.
+const RARE: u32 = 16;
+
+/// Every so many intervals relays of different domains speak.
+const FAR: u32 = 4;
+
+/// Items in one datagram, so that it stays below its largest size.
+const ITEMS: usize = 110;
+
+/// Weight below which an estimate is not worth sending, in observations.
+const WEIGHT_MIN: f64 = 0.2;
+
+/// Wait after the socket failed.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Time for which a change of the directory is repeated in digests.
+const REPEAT: Duration = Duration::from_millis(900);
+
+/// Changes of the directory in one digest.
+const CHANGES: usize = 6;
+
+/// Receives datagrams. It does not return.
+pub async fn receive(host: Rc<Host>, socket: Rc<Async<UdpSocket>>) {
+    let mut buffer = vec![0; 2 * DATAGRAM_MAX];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((size, from)) => match Message::decode(&buffer[..size]) {
+                Ok(message) => handle(&host, from, message),
+                Err(reason) => debug!(host.log, "datagram dropped"; "from" => %from,
+                    "reason" => %reason),
+            },
+            Err(error) => {
+                warn!(host.log, "cannot receive datagrams"; "reason" => %error);
+                host.clock.sleep(RETRY).await;
+            }
+        }
+        flush(&host, &socket).await;
+    }
+}
+
+/// Sends reports and digests. It does not return.
+pub async fn send(host: Rc<Host>, socket: Rc<Async<UdpSocket>>) {
+    let mut count = 0;
+    let mut reported = BTreeMap::new();
+    loop {
+        let now = host.now();
+        post(&host, now, count, &mut reported);
+        count += 1;
+        flush(&host, &socket).await;
+        let next = host.clock.sleep(INTERVAL);
+        let posted = async {
+            loop {
+                host.events.outbox.listen().await;
+                flush(&host, &socket).await;
+            }
+        };
+        next.or(posted).await;
+    }
+}
+
+/// Sends the queued datagrams. What the socket does not take is dropped: datagrams may be lost.
+pub async fn flush(host: &Host, socket: &Async<UdpSocket>) {
+    let outbox = host.peers.borrow_mut().take_outbox();
+    for (to, bytes) in outbox {
+        if let Err(error) = socket.send_to(&bytes, to).await {
+            debug!(host.log, "datagram not sent"; "to" => %to, "reason" => %error);
+        }
+    }
+}
+
+/// How up to date this host is.
+pub(crate) fn standing(host: &Host, now: Tick) -> Standing {
+    Standing {
+        version: host.version().0,
+        directory: host.directory.borrow().digest(),
+        store: host.store_seen.get().map(|at| whole_millis(now.since(at))),
+    }
+}
+
+fn post(host: &Host, now: Tick, count: u32, reported: &mut BTreeMap<Tag, u32>) {
+    let (slow, rare) = (count.is_multiple_of(SLOW), count.is_multiple_of(RARE));
+    if rare {
+        host.peers.borrow_mut().expire(now);
+    }
+    let position = host.peers.borrow().position(now);
+    steward::hear_own_terms(host, now);
+    match position {
+        0 => post_digest(host, now, count, slow, rare),
+        1 if slow => post_digest(host, now, count, slow, rare),
+        _ => {}
+    }
+    if position > 0 {
+        post_report(host, now, slow, reported);
+    }
+    pass_keys(host, now, position);
+    let peers = host.peers.borrow();
+    let hosts = i64::from(peers.all_hosts(now));
+    host.metrics.hosts.set(hosts);
+}
+
+fn own_open(host: &Host) -> BTreeMap<Tag, u32> {
+    let balancer = host.balancer.borrow();
+    let open = balancer.loads().filter(|(_, load)| load.own() > 0);
+    open.map(|(tag, load)| (tag, load.own())).collect()
+}
+
+fn own_times(host: &Host, now: Tick) -> Vec<(Tag, Estimate)> {
+    let balancer = host.balancer.borrow();
+    let times = balancer
+        .loads()
+        .map(|(tag, load)| (tag, load.own_time(now)));
+    times
+        .filter(|(_, time)| time.weight() > WEIGHT_MIN)
+        .collect()
+}
+
+fn open_items(open: &BTreeMap<Tag, u32>) -> Vec<OpenItem> {
+    let items = open.iter();
+    let item = |(tag, open): (&Tag, &u32)| OpenItem {
+        tag: *tag,
+        open: *open,
+    };
+    items.map(item).collect()
+}
+
+fn time_items<I>(times: I) -> Vec<TimeItem>
+where
+    I: IntoIterator<Item = (Tag, Estimate)>,
+{
+    let item = |(tag, time): (Tag, Estimate)| {
+        let mean = time.mean()?;
+        Some(TimeItem {
+            tag,
+            mean: u32::try_from(mean.as_micros() / 100).unwrap_or(u32::MAX),
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "weights are sums of a few seconds of requests"
+            )]
+            weight: (time.weight() * 10.0) as u32,
+        })
+    };
+    times.into_iter().filter_map(item).collect()
+}
+
+fn estimates(now: Tick, items: &[TimeItem]) -> Vec<(Tag, Estimate)> {
+    let estimate = |item: &TimeItem| {
+        let mean = Duration::from_micros(u64::from(item.mean) * 100);
+        let weight = f64::from(item.weight) / 10.0;
+        (item.tag, Estimate::received(now, mean, weight))
+    };
+    items.iter().map(estimate).collect()
+}
+
+fn pairs(items: &[OpenItem]) -> Vec<(Tag, u32)> {
+    items.iter().map(|item| (item.tag, item.open)).collect()
+}
+
+/// Reports to the first relay, and now and then to the second.
+fn post_report(host: &Host, now: Tick, slow: bool, reported: &mut BTreeMap<Tag, u32>) {
+    let open = own_open(host);
+    let times = if slow {
+        time_items(own_times(host, now))
+    } else {
+        Vec::new()
+    };
+    let mut peers = host.peers.borrow_mut();
+    let relays = peers.relays(now);
+    let Some(first) = relays.first().copied() else {
+        return;
+    };
+    let keys = peers.take_keys().into_iter().collect();
+    let mut report = Report {
+        from: host.id,
+        standing: standing(host, now),
+        open: open_items(&open),
+        times,
+        keys,
+        terms: steward::terms(host, now),
+    };
+    // A report that does not fit one datagram leaves out estimates first.
+    report.open.truncate(ITEMS);
+    report.times.truncate(ITEMS - report.open.len());
+    peers.send([first], &Message::Report(report.clone()));
+    if slow && let Some(second) = relays.get(1) {
+        // Keys count once.
+        report.keys.clear();
+        peers.send([*second], &Message::Report(report));
+    }
+    drop(peers);
+    *reported = open;
+    host.reported.replace(reported.clone());
+}
+
+/// Tells the hosts of this domain, and the relays of the others.
+fn post_digest(host: &Host, now: Tick, count: u32, slow: bool, rare: bool) {
+    let (mut near, times) = {
+        let mut tally = host.near.borrow_mut();
+        tally.expire(now);
+        (tally.open(), tally.times(now))
+    };
+    let (far, far_times) = {
+        let mut tally = host.far.borrow_mut();
+        tally.expire(now);
+        (tally.open(), tally.times(now))
+    };
+    use_loads(host, now, &near, &far);
+    for (tag, open) in own_open(host) {
+        *near.entry(tag).or_default() += open;
+    }
+    let domain_times = merged(now, times, own_times(host, now));
+    let all_times = merged(now, domain_times.clone(), far_times);
+    for (tag, time) in &all_times {
+        if let Some(load) = host.balancer.borrow_mut().load_mut(*tag) {
+            load.set_shared(*time);
+        }
+    }
+    let times = if slow {
+        time_items(all_times)
+    } else {
+        Vec::new()
+    };
+    let speaks_far = count.is_multiple_of(FAR) || slow;
+    let far = if speaks_far {
+        open_items(&far)
+    } else {
+        Vec::new()
+    };
+    let digests = digests(host, now, &open_items(&near), &far, &times);
+    let mut peers = host.peers.borrow_mut();
+    let to = peers.neighbours(now, rare);
+    for digest in digests {
+        peers.send(to.iter().copied(), &Message::Digest(digest));
+    }
+    if speaks_far {
+        let exchange = Exchange {
+            from: host.id,
+            domain: host.config.domain.clone(),
+            standing: standing(host, now),
+            hosts: peers.domain_hosts(now),
+            open: open_items(&near),
+            times: if slow {
+                time_items(domain_times)
+            } else {
+                Vec::new()
+            },
+            terms: peers.terms(now),
+        };
+        let to = peers.counterparts(now, rare);
+        for part in exchange_parts(&exchange) {
+            peers.send(to.iter().copied(), &Message::Exchange(part));
+        }
+    }
+}
+
+fn merged<I>(now: Tick, mut sums: BTreeMap<Tag, Estimate>, more: I) -> BTreeMap<Tag, Estimate>
+where
+    I: IntoIterator<Item = (Tag, Estimate)>,
+{
+    for (tag, time) in more {
+        let sum = sums
+            .entry(tag)
+            .or_insert_with(|| Estimate::default().at(now));
+        *sum = sum.plus(time.at(now));
+    }
+    sums
+}
+
+/// Uses what other hosts have open in this host's own decisions.
+fn use_loads(host: &Host, now: Tick, near: &BTreeMap<Tag, u32>, far: &BTreeMap<Tag, u32>) {
+    let mut balancer = host.balancer.borrow_mut();
+    for (tag, open) in near {
+        if let Some(load) = balancer.load_mut(*tag) {
+            load.set_near(now, *open);
+        }
+    }
+    for (tag, open) in far {
+        if let Some(load) = balancer.load_mut(*tag) {
+            load.set_far(now, *open);
+        }
+    }
+}
+
+fn digests(
+    host: &Host,
+    now: Tick,
+    near: &[OpenItem],
+    far: &[OpenItem],
+    times: &[TimeItem],
+) -> Vec<Digest> {
+    let peers = host.peers.borrow();
+    let empty = Digest {
+        from: host.id,
+        standing: standing(host, now),
+        live: peers.heard_neighbours(now),
+        hosts: peers.all_hosts(now),
+        near: Vec::new(),
+        far: Vec::new(),
+        times: Vec::new(),
+        terms: peers.terms(now),
+        changes: Vec::new(),
+    };
+    drop(peers);
+    let changes = host.recent_changes(now, REPEAT);
+    let mut digests: Vec<Digest> = changes
+        .chunks(CHANGES)
+        .map(|chunk| Digest {
+            changes: chunk.to_vec(),
+            ..empty.clone()
+        })
+        .collect();
+    digests.extend(near.chunks(ITEMS).map(|chunk| Digest {
+        near: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    digests.extend(far.chunks(ITEMS).map(|chunk| Digest {
+        far: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    digests.extend(times.chunks(ITEMS).map(|chunk| Digest {
+        times: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    if digests.is_empty() {
+        digests.push(empty);
+    }
+    digests
+}
+
+fn exchange_parts(exchange: &Exchange) -> Vec<Exchange> {
+    // The open requests of a domain replace those before, so they stay together as long as they
+    // fit; estimates follow in datagrams of their own.
+    let mut parts = vec![Exchange {
+        times: Vec::new(),
+        ..exchange.clone()
+    }];
+    parts.extend(exchange.times.chunks(ITEMS).map(|chunk| Exchange {
+        open: Vec::new(),
+        times: chunk.to_vec(),
+        ..exchange.clone()
+    }));
+    parts
+}
+
+/// Passes keys that were asked for on to the stewards of their services.
+fn pass_keys(host: &Host, now: Tick, position: usize) {
+    if position > 0 && !host.peers.borrow().relays(now).is_empty() {
+        // They are in the report.
+        return;
+    }
+    let keys = host.peers.borrow_mut().take_keys();
+    for (service, keys) in keys {
+        if host.terms.borrow().contains_key(&service) {
+            steward::take_keys(host, &service, keys);
+            continue;
+        }
+        let mut peers = host.peers.borrow_mut();
+        let steward = peers.steward(now, &service);
+        if let Some(address) = steward.and_then(|s| peers.address(s.host)) {
+            peers.send([address], &Message::Keys(service, keys));
+        }
+    }
+}
+
+fn handle(host: &Host, from: SocketAddr, message: Message) {
+    match message {
+        Message::Hello(card, asks) => {
+            let (id, address) = (card.id, card.address);
+            let name = card.name.clone();
+            let now = host.now();
+            let (joined, replaced) = host.peers.borrow_mut().add(now, card);
+            if joined {
+                info!(host.log, "host joined"; "host" => %name, "address" => %address);
+            }
+            let mut peers = host.peers.borrow_mut();
+            peers.heard(now, id, None);
+            if asks && id != host.id {
+                let hello = Message::Hello(peers.own().clone(), false);
+                peers.send([address], &hello);
+            }
+            drop(peers);
+            for ended in replaced {
+                info!(host.log, "host ended"; "incarnation" => %ended, "host" => %name);
+                steward::heard_ended(host, ended);
+            }
+        }
+        Message::Report(report) => take_report(host, from, report),
+        Message::Digest(digest) => take_digest(host, from, digest),
+        Message::Exchange(exchange) => take_exchange(host, from, exchange),
+        Message::Keys(service, keys) => steward::take_keys(host, &service, keys),
+        Message::Routes(part) => steward::take_routes(host, from, part),
+        Message::Ask(service) => steward::send_routes(host, &service, from),
+        Message::Resigned(resigned) => steward::heard_resigned(host, &resigned),
+        Message::Bye(id) => {
+            host.peers.borrow_mut().end(id);
+            steward::heard_ended(host, id);
+        }
+    }
+}
+
+/// Notes that a host was heard, or asks who it is.
+fn heard(host: &Host, from: SocketAddr, id: HostId, standing: Standing) -> bool {
+    let mut peers = host.peers.borrow_mut();
+    let known = peers.heard(host.now(), id, Some(standing));
+    if !known && !peers.has_ended(id) {
+        let hello = Message::Hello(peers.own().clone(), true);
+        peers.send([from], &hello);
+    }
+    known
+}
+
+fn hear_terms(host: &Host, from: SocketAddr, terms: &[TermItem]) {
+    let now = host.now();
+    for item in terms {
+        let news = host.peers.borrow_mut().hear_term(now, item);
+        if news && host.tables.borrow().age(&item.service) < item.age {
+            let ask = Message::Ask(item.service.clone());
+            host.peers.borrow_mut().send([from], &ask);
+        }
+        steward::heard_of_term(host, item);
+    }
+}
+
+fn take_report(host: &Host, from: SocketAddr, report: Report) {
+    if !heard(host, from, report.from, report.standing) {
+        return;
+    }
+    let now = host.now();
+    {
+        let mut tally = host.near.borrow_mut();
+        tally.set_open(now, report.from, pairs(&report.open));
+        if !report.times.is_empty() {
+            tally.set_times(now, report.from, estimates(now, &report.times));
+        }
+    }
+    for (service, keys) in report.keys {
+        host.peers.borrow_mut().count_keys(&service, keys);
+    }
+    hear_terms(host, from, &report.terms);
+    catch_up(host, report.from, report.standing);
+}
+
+fn take_digest(host: &Host, from: SocketAddr, digest: Digest) {
+    if !heard(host, from, digest.from, digest.standing) {
+        return;
+    }
+    let now = host.now();
+    host.peers
+        .borrow_mut()
+        .relayed(now, digest.from, &digest.live, digest.hosts);
+    let reported = host.reported.borrow();
+    let mut balancer = host.balancer.borrow_mut();
+    for item in &digest.near {
+        if let Some(load) = balancer.load_mut(item.tag) {
+            // The sum contains what this host has reported itself.
+            let own = reported.get(&item.tag).copied().unwrap_or(0);
+            load.set_near(now, item.open.saturating_sub(own));
+        }
+    }
+    for item in &digest.far {
+        if let Some(load) = balancer.load_mut(item.tag) {
+            load.set_far(now, item.open);
+        }
+    }
+    for (tag, time) in estimates(now, &digest.times) {
+        if let Some(load) = balancer.load_mut(tag) {
+            load.set_shared(time);
+        }
+    }
+    drop(balancer);
+    drop(reported);
+    hear_terms(host, from, &digest.terms);
+    take_changes(host, now, digest.changes);
+    catch_up(host, digest.from, digest.standing);
+}
+
+fn take_changes(host: &Host, now: Tick, items: Vec<ChangeItem>) {
+    if items.is_empty() || host.reads_store(now) {
+        return;
+    }
+    let mut directory = host.directory.borrow_mut();
+    let changes = items.into_iter().filter_map(|item| match item {
+        ChangeItem::Set(registration) => directory.register(registration),
+        ChangeItem::Gone(life) => {
+            let present = directory.get(&life.name).is_some_and(|r| r.life == life);
+            present.then(|| directory.vanish(now, &life.name))?
+        }
+    });
+    let changes: Vec<_> = changes.collect();
+    drop(directory);
+    host.apply_changes(changes);
+}
+
+fn take_exchange(host: &Host, from: SocketAddr, exchange: Exchange) {
+    if !heard(host, from, exchange.from, exchange.standing) {
+        return;
+    }
+    let now = host.now();
+    let domain = exchange.domain;
+    host.peers
+        .borrow_mut()
+        .heard_domain(now, &domain, exchange.hosts);
+    {
+        let mut tally = host.far.borrow_mut();
+        if exchange.times.is_empty() {
+            tally.set_open(now, domain, pairs(&exchange.open));
+        } else {
+            tally.set_times(now, domain, estimates(now, &exchange.times));
+        }
+    }
+    hear_terms(host, from, &exchange.terms);
+    catch_up(host, exchange.from, exchange.standing);
+}
+
+/// Fetches what another host has that is newer.
+fn catch_up(host: &Host, from: HostId, standing: Standing) {
+    let now = host.now();
+    if standing.version > host.version().0 {
+        host.events.newer.notify(usize::MAX);
+        fetch::config(host, from, now);
+    }
+    let same = standing.directory == host.directory.borrow().digest();
+    let neighbour = host.peers.borrow().is_neighbour(from);
+    if neighbour && !host.reads_store(now) {
+        fetch::directory(host, from, now, same);
+    }
+}
+
+/// Tells the other hosts that this one ends.
+pub async fn leave(host: &Host, socket: &Async<UdpSocket>) {
+    let now = host.now();
+    host.peers
+        .borrow_mut()
+        .broadcast(now, &Message::Bye(host.id));
+    flush(host, socket).await;
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,6 @@
 //! Starting and stopping a host.
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,9 +13,10 @@
 use snafu::{ResultExt, Snafu};
 use trefoil_http::h1::{Answer, Content, Front, Handler, Limits, Reject, Request, RequestHead};
 
+use crate::fetch::Inner;
 use crate::host::Host;
 use crate::ingress::Ingress;
-use crate::{follow, peers, steward};
+use crate::{follow, introduce, relay, steward};
 
 /// Wait after a failed accept, for example because the process has no free file descriptor.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -112,9 +113,11 @@
     let callers = bind(config.caller)?;
     let balancer = bind(config.ready)?;
     let operators = bind(config.operator)?;
-    let socket = peers::bind(config.peer).context(BindSnafu {
+    let neighbours = bind(config.peer)?;
+    let socket = Async::<UdpSocket>::bind(config.peer).context(BindSnafu {
         address: config.peer,
     })?;
+    let socket = Rc::new(socket);
     info!(host.log, "started"; "host" => %config.name, "domain" => %config.domain,
         "incarnation" => %host.id, "caller" => %config.caller, "peer" => %config.peer);
     let probe: Rc<dyn Handler> = Rc::new(Probe {
@@ -124,14 +127,19 @@
     let _probes = [
         host.spawn(accept(Rc::clone(&host), balancer, Rc::clone(&probe))),
         host.spawn(accept(Rc::clone(&host), operators, probe)),
+        host.spawn(accept(
+            Rc::clone(&host),
+            neighbours,
+            Inner::new(Rc::clone(&host)),
+        )),
     ];
     let accepting = host.spawn(accept(Rc::clone(&host), callers, ingress));
     let _tasks = [
         host.spawn(follow::follow_config(Rc::clone(&host))),
         host.spawn(follow::follow_registry(Rc::clone(&host))),
-        host.spawn(peers::introduce(Rc::clone(&host))),
-        host.spawn(peers::receive(Rc::clone(&host), Rc::clone(&socket))),
-        host.spawn(peers::beat(Rc::clone(&host), Rc::clone(&socket))),
+        host.spawn(introduce::introduce(Rc::clone(&host))),
+        host.spawn(relay::receive(Rc::clone(&host), Rc::clone(&socket))),
+        host.spawn(relay::send(Rc::clone(&host), Rc::clone(&socket))),
         host.spawn(steward::watch_services(Rc::clone(&host))),
         host.spawn(steward::follow_tables(Rc::clone(&host))),
         host.spawn(keep_house(Rc::clone(&host))),
@@ -145,7 +153,7 @@
     host.clock.sleep(ACCEPT_AFTER_STOP).await;
     drop(accepting);
     host.stop.close_connections();
-    peers::leave(&host, &socket).await;
+    relay::leave(&host, &socket).await;
     let end = stopped.after(host.bounds.get().grace.saturating_sub(RESERVE));
     while host.connections.get() > 0 && host.now() < end {
         host.clock.sleep(ACCEPT_RETRY).await;
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -1,7 +1,7 @@
 //! Giving out the keys of a service.
 //!
-//! One host is the steward of a keyed service. A host stands for it if no steward is heard whose
-//! term the store has confirmed lately, and hosts stand one after the other, the one with most
+//! One host is the steward of a keyed service. A relay stands for it if no steward is heard whose
+//! term the store has confirmed lately, and relays stand one after the other, the one with most
 //! processor first. Whoever stands takes a higher epoch as producer of the service's table; the
 //! store refuses the writes of all earlier ones. What a steward that does not know this yet may
 //! still do is bounded in time, see [`trefoil_ranges::Timing`]; a steward that learns it says so to
@@ -24,8 +24,9 @@
 use crate::message::{Message, Resigned, TermItem};
 use term::{End, Note};
 
+pub use routes::Assemblies;
 pub use routes::follow_tables;
-pub(crate) use routes::send_routes;
+pub(crate) use routes::{send_routes, take_routes};
 pub use term::Term;
 
 /// Time after its start in which a host does not stand, so that it hears of a steward first.
@@ -111,21 +112,14 @@
     let fresh = |seen: Option<Tick>| seen.is_some_and(|at| now.since(at) < STORE_FRESH);
     let steward = host.peers.borrow().steward(now, service);
     let served = steward.is_some_and(|s| s.confirmed < DOUBT);
-    host.is_ready() && fresh(host.store_seen.get()) && !served
+    let relay = host.peers.borrow().is_relay(now);
+    relay && host.is_ready() && fresh(host.store_seen.get()) && !served
 }
 
-/// How many live hosts stand before this one.
+/// How many hosts stand before this one.
 fn rank(host: &Host, now: Tick) -> u32 {
-    let peers = host.peers.borrow();
-    let able = |store: Option<u32>| {
-        store.is_some_and(|age| Duration::from_millis(age.into()) < STORE_FRESH)
-    };
-    let own = (host.config.cores * 1000.0, &host.config.name);
-    let before = peers.live(now).filter(|p| able(p.store)).filter(|p| {
-        let cores = f64::from(p.card.millicores);
-        cores > own.0 || (cores >= own.0 && p.card.name < *own.1)
-    });
-    u32::try_from(before.count()).unwrap_or(u32::MAX)
+    let before = host.peers.borrow().able_before(now);
+    u32::try_from(before).unwrap_or(u32::MAX)
 }
 
 /// Takes over a service and serves it until the term ends. Returns nothing if it was not taken
@@ -164,7 +158,7 @@
     loop {
         let next = match with_term(host, service, |term| {
             term.step(host, service, notes)?;
-            Ok(term.steward.next_wake())
+            Ok(term.next_wake())
         }) {
             Ok(next) => next,
             Err(end) => return end,
@@ -214,7 +208,8 @@
     };
     host.ended.borrow_mut().insert(service.clone(), ended);
     let message = Message::Resigned(resigned(host, service, ended, now));
-    host.peers.borrow_mut().send_all(now, &message);
+    host.peers.borrow_mut().end_term(service, term.number);
+    host.peers.borrow_mut().broadcast(now, &message);
     host.events.outbox.notify(usize::MAX);
     // A table that is still being written may follow, and would undo the mark.
     if !matches!(end, End::Leaving | End::Isolated) || term.is_writing() {
@@ -240,8 +235,8 @@
     }
 }
 
-/// A steward has a term of which the sender of a beat knows.
-pub(crate) fn heard_of_term(host: &Host, from: HostId, item: &TermItem) {
+/// Another host has a term.
+pub(crate) fn heard_of_term(host: &Host, item: &TermItem) {
     let now = host.now();
     let mut terms = host.terms.borrow_mut();
     if let Some(term) = terms.get_mut(&item.service)
@@ -257,8 +252,8 @@
     {
         let message = Message::Resigned(resigned(host, &item.service, *ended, now));
         let mut peers = host.peers.borrow_mut();
-        if let Some(address) = peers.address(from) {
-            peers.send(address, &message);
+        if let Some(address) = peers.address(item.host) {
+            peers.send([address], &message);
         }
     }
 }
@@ -293,6 +288,8 @@
     let terms = host.terms.borrow();
     let item = |(service, term): (&ServiceName, &Term)| TermItem {
         service: service.clone(),
+        host: host.id,
+        heard: 0,
         age: routes::age(term),
         confirmed: u32::try_from(now.since(term.confirmed).as_millis()).unwrap_or(u32::MAX),
         waits_for: term.predecessor(now).map(|p| p.term),
@@ -300,6 +297,13 @@
     terms.iter().map(item).collect()
 }
 
+/// Takes in this host's own terms, so that they are passed on with those of others.
+pub(crate) fn hear_own_terms(host: &Host, now: Tick) {
+    for item in terms(host, now) {
+        host.peers.borrow_mut().hear_term(now, &item);
+    }
+}
+
 /// Keys that were asked for at another host.
 pub(crate) fn take_keys(host: &Host, service: &ServiceName, keys: Vec<Key>) {
     let now = host.now();
--- a/crates/gateway/src/steward/routes.rs
+++ b/crates/gateway/src/steward/routes.rs
@@ -1,15 +1,17 @@
 //! Telling the other hosts who serves which keys.
 //!
-//! The steward sends its routes to all hosts whenever they change. A host that hears of newer ones
-//! asks for them, and one that hears no steward reads the table from the store. Routes need no
-//! proof: an upstream refuses a request for a key that it does not own.
+//! The steward sends what has changed in its routes to the hosts of its domain and to the relays of
+//! the others, which pass it on. A host that has missed something asks for all routes, and one that
+//! hears of no steward reads the table from the store. Routes need no proof: an upstream refuses a
+//! request for a key that it does not own.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use slog::debug;
-use trefoil_core::{Key, ServiceName, Tick, UpstreamName};
+use trefoil_core::{KeyRange, ServiceName, Tick, UpstreamName};
 
 use super::record::{read_table, result_name};
 use super::term::Term;
@@ -23,15 +25,36 @@
 /// Ranges in one datagram.
 const PART_RANGES: usize = 50;
 
-/// Uses the routes of a term here, and sends them to the other hosts.
-pub(super) fn publish(host: &Host, service: &ServiceName, term: &Term, now: Tick) {
-    let routes = routes(term, now);
-    for part in parts(host, service, &routes) {
-        host.peers
-            .borrow_mut()
-            .send_all(now, &Message::Routes(part));
+/// Parts of routes that have arrived.
+#[derive(Debug, Default)]
+pub struct Assembly {
+    age: Age,
+    parts: BTreeMap<u16, RoutesPart>,
+}
+
+/// Parts of the routes of each service that have arrived.
+pub type Assemblies = BTreeMap<ServiceName, Assembly>;
+
+/// Ranges with their owners.
+type Ranges = Vec<(KeyRange, Option<UpstreamName>)>;
+
+/// Uses the routes of a term here, and sends what has changed to the other hosts.
+pub(super) fn publish(host: &Host, service: &ServiceName, term: &mut Term, now: Tick) {
+    let routes = Routes::new(age(term), term.steward.routes(now));
+    let parts = match &term.routes {
+        Some(before) => {
+            let changes = routes.changes_since(before);
+            parts(service, Some(before.age), routes.age, &changes)
+        }
+        None => whole(service, &routes),
+    };
+    let mut peers = host.peers.borrow_mut();
+    for part in parts {
+        peers.broadcast(now, &Message::Routes(part));
     }
+    drop(peers);
     host.events.outbox.notify(usize::MAX);
+    term.routes = Some(routes.clone());
     host.apply_routes(service, routes);
 }
 
@@ -44,14 +67,29 @@
     }
 }
 
-fn routes(term: &Term, now: Tick) -> Routes {
-    Routes::new(age(term), term.steward.routes(now))
+fn whole(service: &ServiceName, routes: &Routes) -> Vec<RoutesPart> {
+    let ranges = routes.iter();
+    let ranges: Ranges = ranges
+        .map(|(range, owner)| (range, owner.cloned()))
+        .collect();
+    parts(service, None, routes.age, &ranges)
 }
 
-fn parts(host: &Host, service: &ServiceName, routes: &Routes) -> Vec<RoutesPart> {
-    let chunks: Vec<_> = routes.ranges.chunks(PART_RANGES).collect();
+fn parts(
+    service: &ServiceName,
+    base: Option<Age>,
+    age: Age,
+    ranges: &[(KeyRange, Option<UpstreamName>)],
+) -> Vec<RoutesPart> {
+    // A change of the age alone is a part without ranges.
+    let chunks: Vec<_> = ranges.chunks(PART_RANGES).collect();
+    let chunks = if chunks.is_empty() {
+        vec![ranges]
+    } else {
+        chunks
+    };
     let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
-    let part = |(number, chunk): (u16, &&[(Key, Option<UpstreamName>)])| {
+    let part = |(number, chunk): (u16, &[(KeyRange, Option<UpstreamName>)])| {
         let mut owners: Vec<UpstreamName> = Vec::new();
         let mut index = |name: &UpstreamName| {
             let known = owners.iter().position(|o| o == name);
@@ -63,30 +101,97 @@
         };
         let ranges = chunk
             .iter()
-            .map(|(first, owner)| (*first, owner.as_ref().map(&mut index)))
+            .map(|(range, owner)| (*range, owner.as_ref().map(&mut index)))
             .collect();
         RoutesPart {
-            from: host.id,
             service: service.clone(),
-            age: routes.age,
+            base,
+            age,
             part: number,
             parts: count,
             owners,
             ranges,
         }
     };
-    (0..).zip(&chunks).map(part).collect()
+    (0..).zip(chunks).map(part).collect()
 }
 
-/// Sends the routes of a service to a host that lacks them.
+/// Sends all routes of a service to a host that lacks them.
 pub(crate) fn send_routes(host: &Host, service: &ServiceName, to: SocketAddr) {
+    let tables = host.tables.borrow();
+    let Some(routes) = tables.get(service) else {
+        return;
+    };
+    let mut peers = host.peers.borrow_mut();
+    for part in whole(service, routes) {
+        peers.send([to], &Message::Routes(part));
+    }
+}
+
+/// Takes in a part of the routes of a service. The first relay of a domain passes what comes from
+/// another domain on to its own.
+pub(crate) fn take_routes(host: &Host, from: SocketAddr, part: RoutesPart) {
+    let service = part.service.clone();
+    let known = host.tables.borrow().age(&service);
     let now = host.now();
-    let terms = host.terms.borrow();
-    let Some(term) = terms.get(service).filter(|t| t.published.is_some()) else {
+    if part.age <= known {
         return;
+    }
+    {
+        let mut peers = host.peers.borrow_mut();
+        if peers.position(now) == 0 && !peers.is_neighbour_at(from) {
+            let to = peers.neighbours(now, false);
+            peers.send(to, &Message::Routes(part.clone()));
+        }
+        if part.base.is_some_and(|base| base != known) {
+            // Something before this was lost.
+            peers.send([from], &Message::Ask(service));
+            return;
+        }
+    }
+    let assembled = host.assemblies.borrow_mut().assemble(part);
+    let Some((base, age, ranges)) = assembled else {
+        return;
+    };
+    let routes = match (base, host.tables.borrow().get(&service)) {
+        (Some(_), Some(before)) => before.changed(age, &ranges),
+        _ => Routes::new(age, ranges.iter().map(|(r, owner)| (*r, owner.as_ref()))),
     };
-    for part in parts(host, service, &routes(term, now)) {
-        host.peers.borrow_mut().send(to, &Message::Routes(part));
+    host.apply_routes(&service, routes);
+}
+
+trait Assemble {
+    fn assemble(&mut self, part: RoutesPart) -> Option<(Option<Age>, Age, Ranges)>;
+}
+
+impl Assemble for Assemblies {
+    /// Adds a part; returns the whole if it was the last one.
+    fn assemble(&mut self, part: RoutesPart) -> Option<(Option<Age>, Age, Ranges)> {
+        let assembly = self.entry(part.service.clone()).or_default();
+        if part.age < assembly.age {
+            return None;
+        }
+        if part.age > assembly.age {
+            assembly.age = part.age;
+            assembly.parts.clear();
+        }
+        let (count, base, age) = (usize::from(part.parts), part.base, part.age);
+        assembly.parts.insert(part.part, part);
+        if assembly.parts.len() < count {
+            return None;
+        }
+        let parts = std::mem::take(&mut assembly.parts);
+        let ranges = parts.into_values().flat_map(|part| {
+            let owners = part.owners;
+            let ranges = part.ranges.into_iter();
+            ranges.map(move |(range, owner)| {
+                (
+                    range,
+                    owner.and_then(|i| owners.get(usize::from(i)).cloned()),
+                )
+            })
+        });
+        Some((base, age, ranges.collect()))
     }
 }
 
--- a/crates/gateway/src/steward/term.rs
+++ b/crates/gateway/src/steward/term.rs
@@ -17,6 +17,7 @@
 
 use super::{record, routes};
 use crate::host::Host;
+use crate::tables::Routes;
 
 /// Time between two checks of the load.
 const EVEN: Duration = Duration::from_millis(500);
@@ -24,6 +25,9 @@
 /// Requests that the load is judged by: those of this time.
 const WINDOW: Duration = Duration::from_millis(2500);
 
+/// Shortest time between two publications of routes. Moves change them several times at once.
+const PUBLISH_GAP: Duration = Duration::from_millis(30);
+
 /// Time for which the directory must not change before keys are given out for the first time.
 const SETTLE: Duration = Duration::from_millis(800);
 
@@ -97,6 +101,9 @@
     pub(crate) confirmed: Tick,
     /// Serial of the routes that were published last.
     pub(crate) published: Option<u64>,
+    /// The routes that were published last.
+    pub(super) routes: Option<Routes>,
+    published_at: Tick,
     /// A later term of another host was heard of.
     pub(crate) superseded: bool,
     predecessor: Option<Predecessor>,
@@ -122,6 +129,8 @@
             trace: Trace::new(WINDOW),
             confirmed,
             published: None,
+            routes: None,
+            published_at: Tick::default(),
             superseded: false,
             predecessor,
             // The table was written once when the term began.
@@ -221,14 +230,22 @@
                 "range" => %order.range, "fence" => order.fence.0, "order" => name(&order));
             send(host, order, notes);
         }
-        let serial = self.steward.serial();
-        if self.published != Some(serial) {
-            self.published = Some(serial);
+        let unpublished = self.published != Some(self.steward.serial());
+        if unpublished && now.since(self.published_at) >= PUBLISH_GAP {
+            self.published = Some(self.steward.serial());
+            self.published_at = now;
             routes::publish(host, service, self, now);
         }
         Ok(())
     }
 
+    /// When [`step`](Self::step) has something to do next.
+    pub(super) fn next_wake(&self) -> Option<Tick> {
+        let unpublished = self.published != Some(self.steward.serial());
+        let publish = unpublished.then(|| self.published_at.after(PUBLISH_GAP));
+        self.steward.next_wake().into_iter().chain(publish).min()
+    }
+
     /// Whether the term goes on.
     fn check(&mut self, host: &Host, now: Tick) -> Result<(), End> {
         let unconfirmed = now.since(self.confirmed);
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -43,6 +43,58 @@
         }
     }
 
+    /// The ranges with their ends, in the order of the keys.
+    pub fn iter(&self) -> impl Iterator<Item = (KeyRange, Option<&UpstreamName>)> {
+        let lasts = self.ranges.iter().skip(1).map(|(first, _)| first.0 - 1);
+        let lasts = lasts.chain([u16::MAX]);
+        let ranges = self.ranges.iter().zip(lasts);
+        ranges.filter_map(|((first, owner), last)| {
+            let range = KeyRange::new(*first, Key(last)).ok()?;
+            Some((range, owner.as_ref()))
+        })
+    }
+
+    /// What differs from `before`.
+    pub fn changes_since(&self, before: &Self) -> Vec<(KeyRange, Option<UpstreamName>)> {
+        let firsts = |r: &Self| r.ranges.iter().map(|(first, _)| *first).collect::<Vec<_>>();
+        let mut firsts = [firsts(self), firsts(before)].concat();
+        firsts.sort_unstable();
+        firsts.dedup();
+        let lasts = firsts.iter().skip(1).map(|first| first.0 - 1);
+        let lasts: Vec<u16> = lasts.chain([u16::MAX]).collect();
+        let pieces = firsts.iter().zip(lasts);
+        let changed = pieces.filter_map(|(first, last)| {
+            let range = KeyRange::new(*first, Key(last)).ok()?;
+            let owner = self.owner(*first);
+            (owner != before.owner(*first)).then(|| (range, owner.cloned()))
+        });
+        changed.collect()
+    }
+
+    /// The routes after a change.
+    #[must_use]
+    pub fn changed(&self, age: Age, changes: &[(KeyRange, Option<UpstreamName>)]) -> Self {
+        let mut pieces: Vec<(KeyRange, Option<&UpstreamName>)> = Vec::new();
+        for (range, owner) in self.iter() {
+            let mut rest = Some(range);
+            for (changed, new) in changes {
+                let (Some(left), Some(part)) = (rest, range.intersection(*changed)) else {
+                    continue;
+                };
+                if let Some(before) = part.first().0.checked_sub(1).map(Key)
+                    && let Ok(untouched) = KeyRange::new(left.first(), before)
+                {
+                    pieces.push((untouched, owner));
+                }
+                pieces.push((part, new.as_ref()));
+                let after = part.last().0.checked_add(1).map(Key);
+                rest = after.and_then(|after| KeyRange::new(after, range.last()).ok());
+            }
+            pieces.extend(rest.map(|rest| (rest, owner)));
+        }
+        Self::new(age, pieces)
+    }
+
     /// The owner of a key, or nothing while nobody serves it.
     pub fn owner(&self, key: Key) -> Option<&UpstreamName> {
         let after = self.ranges.partition_point(|(first, _)| *first <= key);
