Ignore answers of superseded orders, and spread hot groups at once

Causes, each from a trace: - While a former owner was being barred, its range was divided for two new owners. All moves are planned at once, by the newest 700 ms first. Change besides: lasting differences between keys are evened out by 8 s of requests; fast upstreams are used more, because their queues stay in time; hosts that start leave the first reads of the store to their relays; writes of cleared owners are joined; loads of other domains come every 150 ms.

--- a/crates/balance/src/tally.rs
+++ b/crates/balance/src/tally.rs
@@ -1,6 +1,6 @@
 //! Adding up what several hosts say.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use trefoil_core::Tick;
@@ -16,7 +16,7 @@
 struct Source {
     at: Tick,
     open: Vec<(Tag, u32)>,
-    times: Vec<(Tag, Estimate)>,
+    times: HashMap<Tag, Estimate>,
 }
 
 /// Sum of the requests and estimates of several sources, each named by a `K`.
@@ -44,11 +44,19 @@
         source.open = open;
     }
 
-    /// Estimates of a source.
-    pub fn set_times(&mut self, now: Tick, source: K, times: Vec<(Tag, Estimate)>) {
+    /// Estimates of a source, which replace those that it had given of the same upstreams.
+    pub fn add_times(&mut self, now: Tick, source: K, times: Vec<(Tag, Estimate)>) {
         let source = self.sources.entry(source).or_default();
         source.at = now;
-        source.times = times;
+        source.times.extend(times);
+    }
+
+    /// Forgets sources.
+    pub fn forget<F>(&mut self, gone: F)
+    where
+        F: Fn(&K) -> bool,
+    {
+        self.sources.retain(|source, _| !gone(source));
     }
 
     /// Forgets the sources that have said nothing for a while.
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -106,14 +106,20 @@
 }
 
 /// Fetches the directory of another host if it has differed from this host's for a while.
-pub(crate) fn directory(host: &Host, from: HostId, now: Tick, same: bool) {
+pub(crate) fn directory(host: &Host, from: HostId, now: Tick, digest: u64) {
+    // A host that has not read the registry yet has no upstreams either.
+    if digest == 0 {
+        return;
+    }
+    let same = digest == host.directory.borrow().digest();
     if same {
         host.differs.set(None);
+        host.set_listed();
         return;
     }
     let since = host.differs.get().unwrap_or(now);
     host.differs.set(Some(since));
-    if now.since(since) < DIFFERS {
+    if host.is_listed() && now.since(since) < DIFFERS {
         return;
     }
     let Some((shared, address)) = begin(host, from, now, &host.fetching_directory) else {
@@ -139,6 +145,7 @@
             info!(host.log, "directory fetched"; "changes" => changes.len(),
                 "same" => own == digest);
             host.apply_changes(changes);
+            host.set_listed();
         }
         Err(reason) => host.log_rejected("directory of a host", &reason),
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,7 +33,7 @@
 const SECOND_PACE: Duration = Duration::from_millis(1400);
 
 /// Time between two checks whether this host is to read the store.
-const ROLE: Duration = Duration::from_millis(150);
+const ROLE: Duration = Duration::from_millis(50);
 
 /// Wait after a failed call; it doubles up to [`BACKOFF_MAX`] if the store refused the call, because
 /// refused calls are paid for. A call that did not reach the store costs nothing.
@@ -59,7 +59,8 @@
     let mut follower = Follower::new(&host, place, CONFIG_WAIT);
     follower.hears_versions = true;
     loop {
-        if host.router().is_some() && !host.reads_store(host.now()) {
+        let now = host.now();
+        if host.waits_for_others(now) || (host.router().is_some() && !host.reads_store(now)) {
             follower.rest();
             host.clock.sleep(ROLE).await;
             continue;
@@ -92,7 +93,8 @@
 pub async fn follow_registry(host: Rc<Host>) {
     let mut follower = Follower::new(&host, host.platform.registry_place(), Duration::ZERO);
     loop {
-        if host.listed.get() && !host.reads_store(host.now()) {
+        let now = host.now();
+        if host.waits_for_others(now) || (host.is_listed() && !host.reads_store(now)) {
             follower.rest();
             host.clock.sleep(ROLE).await;
             continue;
@@ -105,7 +107,7 @@
         }
         let changes = take_in(&host, now, whole, records);
         host.apply_changes(changes);
-        host.listed.set(true);
+        host.set_listed();
         let pace = match host.peers.borrow().readers_before(now) {
             0 => REGISTRY_PACE,
             _ => SECOND_PACE,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -26,11 +26,15 @@
 use crate::platform::Platform;
 use crate::pool::Pool;
 use crate::steward::{Assemblies, EndedTerms, Terms};
-use crate::tables::{Routes, Tables};
+use crate::tables::{Age, Routes, Tables};
 
 /// Wait of each further host of a domain before it tries whether it reaches the store.
 const PROBE_STEP: Duration = Duration::from_millis(700);
 
+/// Time for which a host that has just started leaves the first reads of the store to the hosts
+/// ranked before it.
+const START_WAIT: Duration = Duration::from_millis(400);
+
 /// Things that tasks wait for.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -81,7 +85,7 @@
     /// What the other hosts of this domain have open, while this host is a relay.
     pub(crate) near: RefCell<Tally<HostId>>,
     /// What the other domains have open, while this host is a relay.
-    pub(crate) far: RefCell<Tally<DomainName>>,
+    pub(crate) far: RefCell<Tally<(DomainName, u16)>>,
     /// Open requests that this host has reported last.
     pub(crate) reported: RefCell<BTreeMap<Tag, u32>>,
     /// Recent changes of the directory.
@@ -96,6 +100,10 @@
     pub(crate) differs: Cell<Option<Tick>>,
     /// Parts of routes that have arrived.
     pub(crate) assemblies: RefCell<Assemblies>,
+    /// Routes that another host has and this one has not, and since when.
+    pub(crate) behind: RefCell<BTreeMap<ServiceName, (Age, Tick)>>,
+    /// When this host had read the cards of the others.
+    pub(crate) introduced: Cell<Option<Tick>>,
     started: Tick,
     shared: RefCell<Weak<Self>>,
     pub(crate) directory: RefCell<Directory>,
@@ -114,7 +122,7 @@
     pub(crate) directory_changed: Cell<Tick>,
     router: RefCell<Option<Rc<Router>>>,
     /// The directory was read at least once.
-    pub(crate) listed: Cell<bool>,
+    listed: Cell<bool>,
     /// When the store last answered.
     pub(crate) store_seen: Cell<Option<Tick>>,
 }
@@ -149,6 +157,8 @@
             fetching_directory: Cell::default(),
             differs: Cell::default(),
             assemblies: RefCell::default(),
+            behind: RefCell::default(),
+            introduced: Cell::default(),
             started,
             shared: RefCell::default(),
             bounds: Cell::new(config.bounds),
@@ -199,6 +209,16 @@
         now.since(seen) > PROBE_STEP.saturating_mul(step)
     }
 
+    /// Whether this host, which has just started, leaves the first reads of the store to others and
+    /// waits for what they have.
+    pub(crate) fn waits_for_others(&self, now: Tick) -> bool {
+        let Some(introduced) = self.introduced.get() else {
+            return now.since(self.started) < START_WAIT;
+        };
+        let known = self.peers.borrow().known_before();
+        known >= RELAYS && now.since(introduced) < START_WAIT
+    }
+
     /// Changes of the directory within the last `span`, oldest first.
     pub(crate) fn recent_changes(&self, now: Tick, span: Duration) -> Vec<ChangeItem> {
         let mut changes = self.changes.borrow_mut();
@@ -241,6 +261,24 @@
         })
     }
 
+    /// The longest objective of the routes to a service, or a second if there is none.
+    pub(crate) fn objective(&self, service: &ServiceName) -> Duration {
+        let router = self.router();
+        let routes = router.iter().flat_map(|router| router.routes());
+        let own = routes.filter(|r| r.targets.iter().any(|t| t.service == *service));
+        let longest = own.map(|r| r.objective).max();
+        longest.unwrap_or(Duration::from_secs(1))
+    }
+
+    /// Whether the registry was read, here or by the relay that told this host.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    pub(crate) fn set_listed(&self) {
+        self.listed.set(true);
+    }
+
     /// Whether the host can answer requests and is not about to stop.
     pub fn is_ready(&self) -> bool {
         !self.leaving.get() && self.listed.get() && self.router.borrow().is_some()
--- a/crates/gateway/src/introduce.rs
+++ b/crates/gateway/src/introduce.rs
@@ -1,8 +1,8 @@
 //! Getting to know the other hosts.
 //!
-//! A host writes its [`Card`] into a compacted topic at its start, reads the cards of the others and
-//! greets them. A host whose greeting was lost is known all the same to whoever starts later, and
-//! asks who the sender is when it hears from a host that it does not know.
+//! A host reads the cards of all hosts from a compacted topic at its start, greets them, and adds its
+//! own [`Card`] if it is not there. After that it reads once more: of two hosts that start at the
+//! same time, at least the one whose card was written last finds the other.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,6 +53,7 @@
         match try_introduce(&host).await {
             Ok(count) => {
                 info!(host.log, "introduced"; "hosts" => count);
+                host.introduced.set(Some(host.now()));
                 return;
             }
             Err(error) => warn!(host.log, "not introduced yet"; "reason" => %error),
@@ -64,13 +65,18 @@
 async fn try_introduce(host: &Host) -> Result<usize, StoreError> {
     let place = place()?;
     let own = host.peers.borrow().own().clone();
-    let value = postcard::to_allocvec(&own).unwrap_or_default();
-    if let Some(record) = Keyed::set(own.name.as_str(), Bytes::from(value)) {
-        // Whether an answer was lost does not matter: a repeat writes the same.
-        let append = Append::new(place.clone(), record.encode());
-        host.store.append(append).await?;
+    let (mut count, listed) = read(host, &place, &own).await?;
+    if !listed {
+        list(host, place.clone(), &own).await?;
+        // Hosts that have added themselves in the meantime may not have seen this one.
+        (count, _) = read(host, &place, &own).await?;
     }
-    let (mut after, mut count) = (None, 0);
+    Ok(count)
+}
+
+/// Greets the hosts whose cards are listed; returns how many, and whether this host is among them.
+async fn read(host: &Host, place: &Place, own: &Card) -> Result<(usize, bool), StoreError> {
+    let (mut after, mut count, mut listed) = (None, 0, false);
     loop {
         let newest = Newest {
             place: place.clone(),
@@ -82,23 +88,44 @@
         after = page.items.last().map(|item| item.key.clone());
         for item in &page.items {
             match postcard::from_bytes::<Card>(&item.value) {
-                Ok(other) if other.id != host.id => {
-                    greet(host, sent, &own, other);
+                // The card of an earlier process of this host serves as well: its address is what
+                // others need, and the greeting tells them who is there now.
+                Ok(other) if is_same(&other, own) => listed = true,
+                Ok(other) => {
+                    greet(host, sent, own, other);
                     count += 1;
                 }
-                Ok(_) => {}
                 Err(reason) => host.log_rejected("card of a host", &reason),
             }
         }
         if !page.more || after.is_none() {
-            return Ok(count);
+            return Ok((count, listed));
         }
     }
 }
 
+fn is_same(listed: &Card, own: &Card) -> bool {
+    let listed = Card {
+        id: own.id,
+        ..listed.clone()
+    };
+    listed == *own
+}
+
+async fn list(host: &Host, place: Place, own: &Card) -> Result<(), StoreError> {
+    let value = postcard::to_allocvec(own).unwrap_or_default();
+    if let Some(record) = Keyed::set(own.name.as_str(), Bytes::from(value)) {
+        // Whether an answer was lost does not matter: a repeat writes the same.
+        host.store
+            .append(Append::new(place, record.encode()))
+            .await?;
+    }
+    Ok(())
+}
+
 fn greet(host: &Host, now: Tick, own: &Card, other: Card) {
     let mut peers = host.peers.borrow_mut();
     let address = other.address;
-    peers.add(now, other);
+    peers.add_listed(now, other);
     peers.send([address], &Message::Hello(own.clone(), true));
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -168,8 +168,12 @@
     pub standing: Standing,
     /// Hosts of its domain that are live.
     pub hosts: u32,
-    /// Open requests of all hosts of its domain.
+    /// Open requests of all hosts of its domain, or a part of them.
     pub open: Vec<OpenItem>,
+    /// Number of this part.
+    pub part: u16,
+    /// Number of parts.
+    pub parts: u16,
     /// Estimates of all hosts of its domain.
     pub times: Vec<TimeItem>,
     /// Stewards in its domain.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -118,7 +118,15 @@
         &self.own
     }
 
-    /// Adds a host; says whether it was unknown, and which processes have ended because this one
+    /// Adds a host from its card in the store. The card can be that of an earlier process, so a host
+    /// that has been heard at its address stays.
+    pub fn add_listed(&mut self, now: Tick, card: Card) {
+        if self.hosts.values().all(|p| p.card.address != card.address) {
+            self.add(now, card);
+        }
+    }
+
+    /// Adds a host that was heard; says whether it was unknown, and which processes have ended because this one
     /// has taken their address.
     pub fn add(&mut self, now: Tick, card: Card) -> (bool, Vec<HostId>) {
         let id = card.id;
@@ -214,6 +222,15 @@
         neighbours.filter(move |p| Self::is_live(now, p) && rank(&p.card) < rank(&self.own))
     }
 
+    /// How many hosts of this domain that are known, live or not, are ranked before this host.
+    pub fn known_before(&self) -> usize {
+        let neighbours = self.hosts.values();
+        let neighbours = neighbours.filter(|p| p.card.domain == self.own.domain);
+        neighbours
+            .filter(|p| rank(&p.card) < rank(&self.own))
+            .count()
+    }
+
     /// How many live hosts of this domain are ranked before this host.
     pub fn position(&self, now: Tick) -> usize {
         self.before(now).count()
@@ -248,9 +265,10 @@
         heard.collect()
     }
 
-    /// Addresses of the relays of the other domains: the first ones that were heard lately. With
-    /// `all`, also the first ones whether they were heard or not, because they may have returned.
-    pub fn counterparts(&self, now: Tick, all: bool) -> Vec<SocketAddr> {
+    /// Addresses of the relays of the other domains that were heard lately, at most `most` of each.
+    /// With `all`, also the first ones whether they were heard or not, because they may have
+    /// returned.
+    pub fn counterparts(&self, now: Tick, most: usize, all: bool) -> Vec<SocketAddr> {
         let domains = self.hosts.values().map(|p| &p.card.domain);
         let mut domains: Vec<&DomainName> = domains.filter(|d| **d != self.own.domain).collect();
         domains.sort_unstable();
@@ -259,7 +277,7 @@
         for domain in domains {
             let ranked = self.ranked(domain);
             let heard = ranked.iter().filter(|p| Self::is_heard(now, p));
-            let heard: Vec<SocketAddr> = heard.take(RELAYS).map(|p| p.card.address).collect();
+            let heard: Vec<SocketAddr> = heard.take(most).map(|p| p.card.address).collect();
             let probed = ranked.iter().filter(|p| !Self::is_heard(now, p));
             let tries = if all || heard.is_empty() { RELAYS } else { 0 };
             addresses.extend(probed.take(tries).map(|p| p.card.address));
@@ -430,7 +448,7 @@
     /// Queues a datagram to the live hosts of this domain and to the relays of the others.
     pub fn broadcast(&mut self, now: Tick, message: &Message) {
         let mut to = self.neighbours(now, false);
-        to.extend(self.counterparts(now, false));
+        to.extend(self.counterparts(now, RELAYS, false));
         self.send(to, message);
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -27,7 +27,7 @@
     ChangeItem, DATAGRAM_MAX, Digest, Exchange, Message, OpenItem, Report, Standing, TermItem,
     TimeItem,
 };
-use crate::peers::whole_millis;
+use crate::peers::{RELAYS, whole_millis};
 use crate::{fetch, steward};
 
 /// Time between two reports or digests.
@@ -40,7 +40,7 @@
 const RARE: u32 = 16;
 
 /// Every so many intervals relays of different domains speak.
-const FAR: u32 = 4;
+const FAR: u32 = 2;
 
 /// Items in one datagram, so that it stays below its largest size.
 const ITEMS: usize = 110;
@@ -283,8 +283,11 @@
                 Vec::new()
             },
             terms: peers.terms(now),
+            part: 0,
+            parts: 1,
         };
-        let to = peers.counterparts(now, rare);
+        let most = if slow { RELAYS } else { 1 };
+        let to = peers.counterparts(now, most, rare);
         for part in exchange_parts(&exchange) {
             peers.send(to.iter().copied(), &Message::Exchange(part));
         }
@@ -366,18 +369,26 @@
 }
 
 fn exchange_parts(exchange: &Exchange) -> Vec<Exchange> {
-    // The open requests of a domain replace those before, so they stay together as long as they
-    // fit; estimates follow in datagrams of their own.
-    let mut parts = vec![Exchange {
+    let chunks: Vec<&[OpenItem]> = exchange.open.chunks(ITEMS).collect();
+    let chunks = if chunks.is_empty() {
+        vec![&[][..]]
+    } else {
+        chunks
+    };
+    let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
+    let open = (0..).zip(&chunks).map(|(part, chunk)| Exchange {
+        open: chunk.to_vec(),
         times: Vec::new(),
+        part,
+        parts: count,
         ..exchange.clone()
-    }];
-    parts.extend(exchange.times.chunks(ITEMS).map(|chunk| Exchange {
+    });
+    let times = exchange.times.chunks(ITEMS).map(|chunk| Exchange {
         open: Vec::new(),
         times: chunk.to_vec(),
         ..exchange.clone()
-    }));
-    parts
+    });
+    open.chain(times).collect()
 }
 
 /// Passes keys that were asked for on to the stewards of their services.
@@ -450,11 +461,8 @@
 fn hear_terms(host: &Host, from: SocketAddr, terms: &[TermItem]) {
     let now = host.now();
     for item in terms {
-        let news = host.peers.borrow_mut().hear_term(now, item);
-        if news && host.tables.borrow().age(&item.service) < item.age {
-            let ask = Message::Ask(item.service.clone());
-            host.peers.borrow_mut().send([from], &ask);
-        }
+        host.peers.borrow_mut().hear_term(now, item);
+        steward::heard_of_routes(host, from, &item.service, item.age);
         steward::heard_of_term(host, item);
     }
 }
@@ -468,7 +476,7 @@
         let mut tally = host.near.borrow_mut();
         tally.set_open(now, report.from, pairs(&report.open));
         if !report.times.is_empty() {
-            tally.set_times(now, report.from, estimates(now, &report.times));
+            tally.add_times(now, report.from, estimates(now, &report.times));
         }
     }
     for (service, keys) in report.keys {
@@ -541,9 +549,10 @@
     {
         let mut tally = host.far.borrow_mut();
         if exchange.times.is_empty() {
-            tally.set_open(now, domain, pairs(&exchange.open));
+            tally.forget(|(known, part)| *known == domain && *part >= exchange.parts);
+            tally.set_open(now, (domain, exchange.part), pairs(&exchange.open));
         } else {
-            tally.set_times(now, domain, estimates(now, &exchange.times));
+            tally.add_times(now, (domain, 0), estimates(now, &exchange.times));
         }
     }
     hear_terms(host, from, &exchange.terms);
@@ -557,10 +566,9 @@
         host.events.newer.notify(usize::MAX);
         fetch::config(host, from, now);
     }
-    let same = standing.directory == host.directory.borrow().digest();
     let neighbour = host.peers.borrow().is_neighbour(from);
     if neighbour && !host.reads_store(now) {
-        fetch::directory(host, from, now, same);
+        fetch::directory(host, from, now, standing.directory);
     }
 }
 
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -26,7 +26,7 @@
 
 pub use routes::Assemblies;
 pub use routes::follow_tables;
-pub(crate) use routes::{send_routes, take_routes};
+pub(crate) use routes::{heard_of_routes, send_routes, take_routes};
 pub use term::Term;
 
 /// Time after its start in which a host does not stand, so that it hears of a steward first.
--- a/crates/gateway/src/steward/routes.rs
+++ b/crates/gateway/src/steward/routes.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use slog::debug;
 use trefoil_core::{KeyRange, ServiceName, Tick, UpstreamName};
 
@@ -20,7 +21,10 @@
 use crate::tables::{Age, Routes};
 
 /// Time between two reads of a table whose steward is not heard.
-const FOLLOW: Duration = Duration::from_secs(1);
+const FOLLOW: Duration = Duration::from_millis(700);
+
+/// Time after which routes that another host has should have arrived here.
+const LATE: Duration = Duration::from_millis(120);
 
 /// Ranges in one datagram.
 const PART_RANGES: usize = 50;
@@ -128,6 +132,24 @@
     }
 }
 
+/// Another host has these routes of a service. If this one has not got them a while later, it asks.
+pub(crate) fn heard_of_routes(host: &Host, from: SocketAddr, service: &ServiceName, age: Age) {
+    let now = host.now();
+    let known = host.tables.borrow().age(service);
+    let mut behind = host.behind.borrow_mut();
+    if age <= known {
+        return;
+    }
+    let (missed, since) = *behind.entry(service.clone()).or_insert((age, now));
+    if missed <= known {
+        behind.insert(service.clone(), (age, now));
+    } else if now.since(since) >= LATE {
+        behind.insert(service.clone(), (age, now));
+        let ask = Message::Ask(service.clone());
+        host.peers.borrow_mut().send([from], &ask);
+    }
+}
+
 /// Takes in a part of the routes of a service. The first relay of a domain passes what comes from
 /// another domain on to its own.
 pub(crate) fn take_routes(host: &Host, from: SocketAddr, part: RoutesPart) {
@@ -143,11 +165,11 @@
             let to = peers.neighbours(now, false);
             peers.send(to, &Message::Routes(part.clone()));
         }
-        if part.base.is_some_and(|base| base != known) {
-            // Something before this was lost.
-            peers.send([from], &Message::Ask(service));
-            return;
-        }
+    }
+    if part.base.is_some_and(|base| base != known) {
+        // Something before this was lost or is late.
+        heard_of_routes(host, from, &service, part.age);
+        return;
     }
     let assembled = host.assemblies.borrow_mut().assemble(part);
     let Some((base, age, ranges)) = assembled else {
@@ -199,12 +221,26 @@
 pub async fn follow_tables(host: Rc<Host>) {
     loop {
         for service in host.keyed_services() {
-            let heard = host.peers.borrow().steward(host.now(), &service).is_some();
-            if !heard && !host.terms.borrow().contains_key(&service) {
+            let now = host.now();
+            let heard = host.peers.borrow().steward(now, &service).is_some();
+            let known = host.tables.borrow().get(&service).is_some();
+            let own = host.terms.borrow().contains_key(&service);
+            if own || (heard && known) {
+                continue;
+            }
+            if host.reads_store(now) {
                 read_routes(&host, &service).await;
+            } else {
+                let mut peers = host.peers.borrow_mut();
+                let relays = peers.relays(now);
+                peers.send(relays, &Message::Ask(service));
             }
         }
-        host.clock.sleep(FOLLOW).await;
+        let configured = host.events.config.listen();
+        host.clock
+            .sleep(FOLLOW)
+            .or(async { configured.await })
+            .await;
     }
 }
 
--- a/crates/gateway/src/steward/term.rs
+++ b/crates/gateway/src/steward/term.rs
@@ -7,11 +7,10 @@
 use async_channel::Sender;
 use derive_more::Display;
 use slog::{debug, info, warn};
-use trefoil_core::{HostId, ServiceName, Tick};
+use trefoil_core::{HostId, ServiceName, Slots, Tick};
 use trefoil_directory::{Life, Phase, Registration, Tag};
 use trefoil_ranges::{
-    Answer, Author, Candidate, Demand, Order, OrderId, OrderKind, Planner, Reason, Steward, Table,
-    Trace,
+    Answer, Author, Candidate, Order, OrderId, OrderKind, Planner, Reason, Steward, Table, Trace,
 };
 use trefoil_store::StoreError;
 
@@ -20,14 +19,32 @@
 use crate::tables::Routes;
 
 /// Time between two checks of the load.
-const EVEN: Duration = Duration::from_millis(500);
+const EVEN: Duration = Duration::from_millis(250);
 
-/// Requests that the load is judged by: those of this time.
+/// The newest requests, by which a sudden change is noticed.
+const NEWEST: Duration = Duration::from_millis(700);
+
+/// Requests by which the load of the present is judged.
 const WINDOW: Duration = Duration::from_millis(2500);
 
+/// Requests by which lasting differences between keys are judged. A longer time shows smaller ones.
+const LASTING: Duration = Duration::from_secs(8);
+
+/// Time for which further former owners are awaited before the table is written without them.
+const CLEAR_GAP: Duration = Duration::from_millis(40);
+
 /// Shortest time between two publications of routes. Moves change them several times at once.
 const PUBLISH_GAP: Duration = Duration::from_millis(30);
 
+/// How much more of its capacity an upstream is given than others if its work takes no time, and how
+/// much less for each part of the objective that it takes. Worked out for two to four slots at 0.6 of
+/// their capacity: queues stay within the objective with equal likelihood.
+const USE_MOST: f64 = 1.6;
+const USE_SLOPE: f64 = 1.5;
+
+/// Least share of its capacity that an upstream is given, relative to the others.
+const USE_LEAST: f64 = 0.4;
+
 /// Time for which the directory must not change before keys are given out for the first time.
 const SETTLE: Duration = Duration::from_millis(800);
 
@@ -111,6 +128,8 @@
     /// The table that is being written, and why.
     writing: Option<(Table, Reason)>,
     evened: Tick,
+    /// A former owner was cleared since the last write.
+    clearing: Option<Tick>,
     suspects: HashMap<Life, Tick>,
     started: Tick,
 }
@@ -126,7 +145,7 @@
         Self {
             number,
             steward,
-            trace: Trace::new(WINDOW),
+            trace: Trace::new(LASTING),
             confirmed,
             published: None,
             routes: None,
@@ -137,6 +156,7 @@
             sequence: 1,
             writing: None,
             evened: now,
+            clearing: None,
             suspects: HashMap::new(),
             started: now,
         }
@@ -220,8 +240,7 @@
         self.check(host, now)?;
         let candidates = self.candidates(host, service, now)?;
         if self.writing.is_none() && self.settled(host, now) {
-            let demand = self.trace.demand(now);
-            if let Some((table, reason)) = self.plan(now, &candidates, &demand) {
+            if let Some((table, reason)) = self.plan(now, &candidates) {
                 self.write(host, table, reason, now, notes)?;
             }
         }
@@ -243,7 +262,9 @@
     pub(super) fn next_wake(&self) -> Option<Tick> {
         let unpublished = self.published != Some(self.steward.serial());
         let publish = unpublished.then(|| self.published_at.after(PUBLISH_GAP));
-        self.steward.next_wake().into_iter().chain(publish).min()
+        let clear = self.clearing.map(|since| since.after(CLEAR_GAP));
+        let wakes = [self.steward.next_wake(), publish, clear];
+        wakes.into_iter().flatten().min()
     }
 
     /// Whether the term goes on.
@@ -300,22 +321,18 @@
             return Err(End::Isolated);
         }
         let able = ready.iter().filter(|r| !suspected(&r.life));
+        let objective = host.objective(service);
         let candidate = |r: &&Rc<Registration>| {
             let time = balancer.time(now, Tag::of(&r.life.name));
             Candidate {
                 life: r.life.clone(),
-                capacity: f64::from(r.slots.0.max(1)) / time.as_secs_f64().max(0.001),
+                capacity: capacity(r.slots, time, objective),
             }
         };
         Ok(able.map(candidate).collect())
     }
 
-    fn plan(
-        &mut self,
-        now: Tick,
-        candidates: &[Candidate],
-        demand: &Demand,
-    ) -> Option<(Table, Reason)> {
+    fn plan(&mut self, now: Tick, candidates: &[Candidate]) -> Option<(Table, Reason)> {
         // What is known to hold nothing is left out before anything is moved, because a move makes
         // the present owner the former one.
         let mut table = self.steward.table().clone();
@@ -323,16 +340,31 @@
             table.clear_former(first);
         }
         let cleared = table != *self.steward.table();
-        if let Some(needed) = Planner.needed(&table, candidates, demand) {
+        self.trace.expire(now);
+        let demand = self.trace.demand(now, WINDOW);
+        if let Some(needed) = Planner.needed(&table, candidates, &demand) {
             return Some(needed);
         }
         if now.since(self.evened) >= EVEN {
             self.evened = now;
-            if let Some(even) = Planner.even(&table, candidates, demand) {
+            // The newest requests show a group of hot keys before the others do; the others show
+            // what lasts.
+            let newest = self.trace.demand(now, NEWEST);
+            let lasting = self.trace.demand(now, LASTING);
+            let even = Planner.even(&table, candidates, &newest, true);
+            let even = even.or_else(|| Planner.even(&table, candidates, &demand, true));
+            let even = even.or_else(|| Planner.even(&table, candidates, &lasting, false));
+            if let Some(even) = even {
                 return Some((even, Reason::Uneven));
             }
         }
-        cleared.then_some((table, Reason::Cleared))
+        // Former owners are cleared one after the other within a short time; one write serves all.
+        if !cleared {
+            self.clearing = None;
+            return None;
+        }
+        let since = *self.clearing.get_or_insert(now);
+        (now.since(since) >= CLEAR_GAP).then_some((table, Reason::Cleared))
     }
 
     fn write(
@@ -351,12 +383,24 @@
             End::Unwritten
         })?;
         self.writing = Some((table, reason));
+        self.clearing = None;
         let writing = record::write(Rc::clone(host), append, notes.clone());
         host.spawn(writing).detach();
         Ok(())
     }
 }
 
+/// Requests a second that an upstream can be given so that they are answered in time.
+///
+/// An upstream that needs half of the objective for its work alone must have short queues, while a
+/// fast one is in time even if a request waits for others, so it can be used more.
+fn capacity(slots: Slots, time: Duration, objective: Duration) -> f64 {
+    let time = time.as_secs_f64().max(0.001);
+    let share = time / objective.as_secs_f64().max(0.001);
+    let use_share = (USE_MOST - USE_SLOPE * share).clamp(USE_LEAST, USE_MOST);
+    use_share * f64::from(slots.0.max(1)) / time
+}
+
 fn name(order: &Order) -> &'static str {
     match order.kind {
         OrderKind::Grant { .. } => "grant",
--- a/crates/ranges/src/planner.rs
+++ b/crates/ranges/src/planner.rs
@@ -12,8 +12,10 @@
 //! The part that moves is cut from the end of a range, so ranges stay few. A single key that is more
 //! than an upstream can take stays where it is, and the keys around it move away.
 
+use std::collections::HashMap;
+
 use derive_more::Display;
-use trefoil_core::KeyRange;
+use trefoil_core::{Key, KeyRange};
 use trefoil_directory::Life;
 
 use crate::table::Table;
@@ -25,11 +27,27 @@
 /// How far above the mean utilization an upstream is before keys are moved away from it.
 const ABOVE: f64 = 1.25;
 
-/// Standard deviations by which a count must exceed its expectation.
-const SIGNIFICANT: f64 = 2.5;
+/// Standard deviations by which a count must exceed its expectation to be likely more than chance.
+const LIKELY: f64 = 2.0;
+
+/// How often chance may make a count look too high in one check, over all upstreams.
+const CHANCE: f64 = 0.1;
+
+/// Moves of one change that evens out load. A group of hot keys is spread over many upstreams at
+/// once, because it lasts for seconds only.
+const MOVES_MAX: usize = 128;
+
+/// Owners from which a candidate that owns nothing is given keys.
+const DONORS_MAX: usize = 8;
+
+/// How far above the wanted rate a part may be that is moved.
+const OVERSHOOT: f64 = 1.5;
+
+/// How far below the wanted rate a part may be that is moved.
+const UNDERSHOOT: f64 = 0.1;
 
-/// Moves of one change that evens out load. The rest follows in the next one, with newer counts.
-const MOVES_MAX: usize = 8;
+/// Least part of an excess that is worth a move.
+const LEAST_MOVE: f64 = 0.02;
 
 /// An upstream that may own keys.
 #[derive(Debug, Clone, PartialEq)]
@@ -57,19 +75,6 @@
     Cleared,
 }
 
-#[derive(Debug)]
-struct Share<'a> {
-    life: &'a Life,
-    capacity: f64,
-    rate: f64,
-}
-
-impl Share<'_> {
-    fn utilization(&self) -> f64 {
-        self.rate / self.capacity
-    }
-}
-
 /// Changes tables.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Planner;
@@ -115,14 +120,31 @@
     }
 
     /// The table with load evened out, or nothing if no move is worth it.
-    pub fn even(self, table: &Table, candidates: &[Candidate], demand: &Demand) -> Option<Table> {
+    ///
+    /// With `sure`, an upstream must be so far above the others that chance would hardly explain it
+    /// for any of them.
+    pub fn even(
+        self,
+        table: &Table,
+        candidates: &[Candidate],
+        demand: &Demand,
+        sure: bool,
+    ) -> Option<Table> {
+        let mut shares = shares(table, candidates, demand);
+        let deviations = if sure {
+            significant(shares.len())
+        } else {
+            LIKELY
+        };
+        let moves = relieve(&mut shares, demand, deviations);
+        if moves.is_empty() {
+            return None;
+        }
         let mut changed = table.clone();
-        for _ in 0..MOVES_MAX {
-            if !relieve(&mut changed, candidates, demand) {
-                break;
-            }
+        for (range, life) in moves {
+            changed.assign(range, life);
         }
-        (changed != *table).then_some(changed)
+        Some(changed)
     }
 }
 
@@ -133,18 +155,60 @@
         .any(|o| o.life == *life)
 }
 
+/// An upstream with its load.
+#[derive(Debug)]
+struct Share<'a> {
+    life: &'a Life,
+    capacity: f64,
+    rate: f64,
+    /// Its ranges with their rates.
+    ranges: Vec<(KeyRange, f64)>,
+}
+
+impl Share<'_> {
+    fn utilization(&self) -> f64 {
+        self.rate / self.capacity
+    }
+
+    /// Rate that is missing to the mean utilization `mean`.
+    fn room(&self, mean: f64) -> f64 {
+        mean * self.capacity - self.rate
+    }
+}
+
 fn shares<'a>(table: &Table, candidates: &'a [Candidate], demand: &Demand) -> Vec<Share<'a>> {
-    let rate = |life: &Life| {
-        let entries = table.entries().iter();
-        let own = entries.filter(|e| e.owner.as_ref().is_some_and(|o| o.life == *life));
-        own.map(|e| demand.rate(e.range)).sum()
-    };
     let share = |c: &'a Candidate| Share {
         life: &c.life,
         capacity: c.capacity,
-        rate: rate(&c.life),
+        rate: 0.0,
+        ranges: Vec::new(),
     };
-    candidates.iter().map(share).collect()
+    let mut shares: Vec<Share<'a>> = candidates.iter().map(share).collect();
+    let index: HashMap<&Life, usize> = candidates
+        .iter()
+        .enumerate()
+        .map(|(i, c)| (&c.life, i))
+        .collect();
+    for entry in table.entries() {
+        let owner = entry.owner.as_ref().and_then(|o| index.get(&o.life));
+        if let Some(share) = owner.map(|i| &mut shares[*i]) {
+            let rate = demand.rate(entry.range);
+            share.rate += rate;
+            share.ranges.push((entry.range, rate));
+        }
+    }
+    shares
+}
+
+fn mean_utilization(shares: &[Share<'_>]) -> f64 {
+    let capacity: f64 = shares.iter().map(|s| s.capacity).sum();
+    shares.iter().map(|s| s.rate).sum::<f64>() / capacity
+}
+
+/// Index of the upstream with most room.
+fn roomiest(shares: &[Share<'_>], mean: f64) -> Option<usize> {
+    let indices = 0..shares.len();
+    indices.max_by(|a, b| shares[*a].room(mean).total_cmp(&shares[*b].room(mean)))
 }
 
 /// Deals ranges out to the candidates that are furthest below their share.
@@ -152,98 +216,172 @@
     let mut shares = shares(table, candidates, demand);
     let capacity: f64 = shares.iter().map(|s| s.capacity).sum();
     let orphaned: f64 = ranges.iter().map(|r| demand.rate(*r)).sum();
-    let total = shares.iter().map(|s| s.rate).sum::<f64>() + orphaned;
-    let room = |s: &Share<'_>| total * s.capacity / capacity - s.rate;
+    let mean = (shares.iter().map(|s| s.rate).sum::<f64>() + orphaned) / capacity;
     let mut rest: Vec<KeyRange> = ranges.to_vec();
     rest.reverse();
     while let Some(range) = rest.pop() {
-        let Some(best) = shares.iter_mut().max_by(|a, b| room(a).total_cmp(&room(b))) else {
+        let Some(best) = roomiest(&shares, mean) else {
             return;
         };
-        let piece = match room(best) {
-            // Everybody has its share: what is left goes to the last one with room.
-            most if most <= 0.0 => range,
-            most => demand.prefix(range, most),
+        let room = shares[best].room(mean);
+        // If everybody has its share, what is left goes to the last one with room.
+        let piece = if room > 0.0 {
+            demand.prefix(range, room)
+        } else {
+            range
         };
-        table.assign(piece, best.life);
-        best.rate += demand.rate(piece);
-        if let Some(after) = piece.last().0.checked_add(1)
-            && let Ok(left) = KeyRange::new(trefoil_core::Key(after), range.last())
-        {
-            rest.push(left);
-        }
+        table.assign(piece, shares[best].life);
+        shares[best].rate += demand.rate(piece);
+        rest.extend(after(range, piece));
     }
 }
 
+/// What is left of a range behind a piece at its start.
+fn after(range: KeyRange, piece: KeyRange) -> Option<KeyRange> {
+    let next = piece.last().0.checked_add(1)?;
+    KeyRange::new(Key(next), range.last()).ok()
+}
+
+/// What is left of a range before a piece at its end.
+fn before(range: KeyRange, piece: KeyRange) -> Option<KeyRange> {
+    let last = piece.first().0.checked_sub(1)?;
+    KeyRange::new(range.first(), Key(last)).ok()
+}
+
 /// Gives a candidate that owns nothing its share, from the owners with the highest utilization.
 fn welcome(table: &mut Table, joined: &Candidate, candidates: &[Candidate], demand: &Demand) {
-    let capacity: f64 = candidates.iter().map(|c| c.capacity).sum();
-    let mut wanted = demand.total() * joined.capacity / capacity;
-    for _ in 0..candidates.len() {
-        let shares = shares(table, candidates, demand);
-        let donors = shares.iter().filter(|s| *s.life != joined.life);
-        let Some(donor) = donors.max_by(|a, b| a.utilization().total_cmp(&b.utilization())) else {
-            return;
+    let mut shares = shares(table, candidates, demand);
+    let mean = mean_utilization(&shares);
+    let mut wanted = mean * joined.capacity;
+    let mut moves = Vec::new();
+    for _ in 0..DONORS_MAX {
+        let donors = (0..shares.len()).filter(|i| shares[*i].life != &joined.life);
+        let by_utilization = |a: &usize, b: &usize| {
+            shares[*a]
+                .utilization()
+                .total_cmp(&shares[*b].utilization())
+        };
+        let Some(donor) = donors.max_by(by_utilization) else {
+            break;
         };
         // Taking more would leave the donor below the mean.
-        let spare = donor.rate - demand.total() * donor.capacity / capacity;
-        let life = donor.life.clone();
-        let Some(piece) = cut(table, &life, wanted.min(spare.max(0.0)), demand) else {
-            return;
+        let spare = -shares[donor].room(mean);
+        let Some((piece, rate)) = cut(&mut shares[donor], wanted.min(spare), demand) else {
+            break;
         };
-        table.assign(piece, &joined.life);
-        wanted -= demand.rate(piece);
+        moves.push(piece);
+        wanted -= rate;
         if wanted <= 0.0 {
-            return;
+            break;
         }
     }
+    if moves.is_empty() {
+        // Nobody has anything to spare; a range of a few keys lets the candidate begin.
+        moves.extend(smallest_share(&shares, joined));
+    }
+    for piece in moves {
+        table.assign(piece, &joined.life);
+    }
 }
 
-/// Moves a part of the keys of the most loaded upstream; false if there is nothing to move.
-fn relieve(table: &mut Table, candidates: &[Candidate], demand: &Demand) -> bool {
-    let shares = shares(table, candidates, demand);
-    let capacity: f64 = shares.iter().map(|s| s.capacity).sum();
-    let mean = demand.total() / capacity;
-    let highest = shares
-        .iter()
-        .max_by(|a, b| a.utilization().total_cmp(&b.utilization()));
-    let lowest = shares
-        .iter()
-        .min_by(|a, b| a.utilization().total_cmp(&b.utilization()));
-    let (Some(from), Some(to)) = (highest, lowest) else {
-        return false;
-    };
-    let expected = mean * from.capacity;
-    let excess = from.rate - expected;
-    let uneven = from.utilization() > CALM && from.utilization() > ABOVE * mean;
-    // Rates are counts over a window, so their deviation is that of a count.
-    let chance = SIGNIFICANT * (expected * demand.rate_of_one()).sqrt();
-    if !uneven || excess <= chance || from.life == to.life {
-        return false;
+/// Half of the widest range, for a candidate that would own nothing otherwise.
+fn smallest_share(shares: &[Share<'_>], joined: &Candidate) -> Option<KeyRange> {
+    let others = shares.iter().filter(|s| s.life != &joined.life);
+    let ranges = others.flat_map(|s| &s.ranges).map(|(range, _)| *range);
+    let widest = ranges.max_by_key(|r| r.len()).filter(|r| r.len() > 1)?;
+    let middle = widest.first().0 + (widest.last().0 - widest.first().0) / 2;
+    KeyRange::new(Key(middle + 1), widest.last()).ok()
+}
+
+/// Takes a part of an upstream's keys with about this rate, or nothing if no part is near to it.
+fn cut(share: &mut Share<'_>, rate: f64, demand: &Demand) -> Option<(KeyRange, f64)> {
+    if rate <= 0.0 {
+        return None;
     }
-    let room = mean * to.capacity - to.rate;
-    let wanted = excess.min(room);
-    let (donor, receiver) = (from.life.clone(), to.life.clone());
-    match cut(table, &donor, wanted, demand) {
-        Some(piece) if wanted > 0.0 => {
-            table.assign(piece, &receiver);
-            true
+    let pieces = share
+        .ranges
+        .iter()
+        .enumerate()
+        .flat_map(|(index, (range, _))| {
+            let prefix = demand.prefix(*range, rate);
+            let suffix = demand.suffix(*range, rate);
+            // A key that is hotter than what is wanted stays, and what is beside it moves.
+            let shorter = [shortened_end(prefix), shortened_start(suffix)];
+            [Some(prefix), Some(suffix)]
+                .into_iter()
+                .chain(shorter)
+                .flatten()
+                .map(move |piece| (index, piece, demand.rate(piece)))
+        });
+    let near = pieces.filter(|(_, _, found)| *found <= rate * OVERSHOOT);
+    let distance = |found: f64| (found - rate).abs();
+    let best = near.min_by(|a, b| distance(a.2).total_cmp(&distance(b.2)));
+    let (index, piece, found) = best.filter(|(_, _, found)| *found >= rate * UNDERSHOOT)?;
+    let (range, _) = share.ranges.swap_remove(index);
+    let rest = [before(range, piece), after(range, piece)];
+    let rest = rest.into_iter().flatten();
+    share.ranges.extend(rest.map(|r| (r, demand.rate(r))));
+    share.rate -= found;
+    Some((piece, found))
+}
+
+fn shortened_end(range: KeyRange) -> Option<KeyRange> {
+    let last = range.last().0.checked_sub(1)?;
+    KeyRange::new(range.first(), Key(last)).ok()
+}
+
+fn shortened_start(range: KeyRange) -> Option<KeyRange> {
+    let first = range.first().0.checked_add(1)?;
+    KeyRange::new(Key(first), range.last()).ok()
+}
+
+/// Moves that bring the most loaded upstreams to the mean.
+fn relieve<'a>(
+    shares: &mut [Share<'a>],
+    demand: &Demand,
+    deviations: f64,
+) -> Vec<(KeyRange, &'a Life)> {
+    let mean = mean_utilization(shares);
+    let mut donors: Vec<usize> = (0..shares.len())
+        .filter(|i| is_overloaded(&shares[*i], mean, deviations, demand))
+        .collect();
+    donors.sort_by(|a, b| {
+        let excess = |i: &usize| shares[*i].room(mean);
+        excess(a).total_cmp(&excess(b))
+    });
+    let mut moves = Vec::new();
+    for donor in donors {
+        while moves.len() < MOVES_MAX {
+            let Some(receiver) = roomiest(shares, mean).filter(|r| *r != donor) else {
+                break;
+            };
+            let excess = -shares[donor].room(mean);
+            let wanted = excess.min(shares[receiver].room(mean));
+            if wanted < excess * LEAST_MOVE {
+                break;
+            }
+            let Some((piece, rate)) = cut(&mut shares[donor], wanted, demand) else {
+                break;
+            };
+            shares[receiver].rate += rate;
+            moves.push((piece, shares[receiver].life));
         }
-        _ => false,
     }
+    moves
 }
 
-/// A part of an upstream's keys with about this rate, or nothing if no part is near to it.
-fn cut(table: &Table, life: &Life, rate: f64, demand: &Demand) -> Option<KeyRange> {
-    let entries = table.entries().iter();
-    let own = entries.filter(|e| e.owner.as_ref().is_some_and(|o| o.life == *life));
-    let pieces = own.flat_map(|e| {
-        [demand.prefix(e.range, rate), demand.suffix(e.range, rate)].map(|piece| (piece, e.range))
-    });
-    // A part that is a single hot key can be far above the wanted rate; moving it helps nobody.
-    let near = pieces.filter(|(piece, whole)| piece != whole || demand.rate(*whole) <= rate * 1.5);
-    let distance = |piece: KeyRange| (demand.rate(piece) - rate).abs();
-    near.map(|(piece, _)| piece)
-        .filter(|piece| demand.rate(*piece) <= rate * 2.0)
-        .min_by(|a, b| distance(*a).total_cmp(&distance(*b)))
+/// Standard deviations by which a count must exceed its expectation. The highest of many counts is
+/// further above by chance than one alone.
+fn significant(count: usize) -> f64 {
+    let count = f64::from(u32::try_from(count).unwrap_or(u32::MAX));
+    (2.0 * (count.max(1.0) / CHANCE).ln()).sqrt()
+}
+
+/// Whether an upstream has more load than chance explains.
+fn is_overloaded(share: &Share<'_>, mean: f64, deviations: f64, demand: &Demand) -> bool {
+    let expected = mean * share.capacity;
+    // Rates are counts over a window, so their deviation is that of a count.
+    let chance = deviations * (expected * demand.rate_of_one()).sqrt();
+    let utilization = share.utilization();
+    utilization > CALM && utilization > ABOVE * mean && share.rate - expected > chance
 }
--- a/crates/ranges/src/steward.rs
+++ b/crates/ranges/src/steward.rs
@@ -92,11 +92,11 @@
     /// Nothing is under way; the next order may be sent at this tick.
     Ready(Tick),
     /// A grant that bars older ones is under way.
-    Barring,
+    Barring(OrderId),
     /// No older grant can be applied any more.
     Barred,
     /// A release is under way.
-    Releasing,
+    Releasing(OrderId),
     /// It cannot hold a grant.
     Cleared,
 }
@@ -145,7 +145,8 @@
     grants: Grants,
     /// When the next grant is due.
     due: Tick,
-    in_flight: bool,
+    /// The grant that is under way.
+    in_flight: Option<OrderId>,
     /// The owner's fence is from this term, so an earlier steward cannot have used it.
     own_fence: bool,
     /// Orders to the owner without an answer, in a row.
@@ -188,7 +189,7 @@
             handover: None,
             grants: Grants::default(),
             due: now,
-            in_flight: false,
+            in_flight: None,
             own_fence: false,
             failures: 0,
         }
@@ -213,12 +214,17 @@
         }
     }
 
-    /// The same, with orders to be sent anew.
-    fn reordered(mut self, now: Tick) -> Self {
-        if let Some(former) = self.former.as_mut().filter(|f| f.step != Step::Cleared) {
-            former.step = Step::Ready(now);
+    /// The same, with orders to be sent anew. What is under way is not awaited any more, but a bar
+    /// may still be applied, so nothing else is sent until it would have run out.
+    fn reordered(mut self, now: Tick, timing: &Timing) -> Self {
+        if let Some(former) = &mut self.former {
+            former.step = match former.step {
+                Step::Cleared => Step::Cleared,
+                Step::Barring(_) => Step::Ready(timing.end_of(now, timing.bar)),
+                _ => Step::Ready(now),
+            };
         }
-        self.in_flight = false;
+        self.in_flight = None;
         self
     }
 }
@@ -335,7 +341,7 @@
         let renewed = self.table.entries().iter().map(|entry| {
             let from = known.partition_point(|(e, _)| e.range.last() < entry.range.first());
             let to = known.partition_point(|(e, _)| e.range.first() <= entry.range.last());
-            carry(now, entry, &known[from..to])
+            carry(now, &self.timing, entry, &known[from..to])
         });
         self.progress = renewed.collect();
         self.serial += 1;
@@ -370,7 +376,7 @@
             self.enter(state, Event::Lapsed);
         }
         let granted = matches!(state.phase, Phase::Granting | Phase::Held);
-        let due = !state.in_flight && now >= state.due && now < self.term_until;
+        let due = state.in_flight.is_none() && now >= state.due && now < self.term_until;
         if let Some(owner) = entry.owner.as_ref().filter(|_| granted && due) {
             let hold = if self.store_away {
                 self.timing.long_hold
@@ -382,8 +388,9 @@
                 _ => None,
             };
             let kind = OrderKind::Grant { hold, handover };
-            orders.push(self.order(now, entry, owner.clone(), kind, Role::Grant));
-            state.in_flight = true;
+            let order = self.order(now, entry, owner.clone(), kind, Role::Grant);
+            state.in_flight = Some(order.id);
+            orders.push(order);
             let end = self.timing.end_of(now, hold);
             state.grants.until = state.grants.until.max(end);
             state.grants.unanswered = state.grants.unanswered.max(end);
@@ -408,7 +415,8 @@
             Tick::default()
         };
         // A bar that is under way can still be applied, so its answer is awaited.
-        let run_out = now >= former.grants.until.max(earlier) && former.step != Step::Barring;
+        let run_out =
+            now >= former.grants.until.max(earlier) && !matches!(former.step, Step::Barring(_));
         if ended || run_out {
             former.step = Step::Cleared;
             return;
@@ -426,8 +434,9 @@
                     hold: self.timing.bar,
                     handover: None,
                 };
-                orders.push(self.order(now, entry, bar, kind, Role::Bar));
-                former.step = Step::Barring;
+                let order = self.order(now, entry, bar, kind, Role::Bar);
+                former.step = Step::Barring(order.id);
+                orders.push(order);
             }
             Step::Ready(_) if unbarred => {}
             Step::Ready(_) | Step::Barred => {
@@ -435,11 +444,12 @@
                     life: life.clone(),
                     fence: former.fence,
                 };
-                orders.push(self.order(now, entry, to, OrderKind::Release, Role::Release));
-                former.step = Step::Releasing;
+                let order = self.order(now, entry, to, OrderKind::Release, Role::Release);
+                former.step = Step::Releasing(order.id);
+                orders.push(order);
                 self.serial += 1;
             }
-            Step::Barring | Step::Releasing | Step::Cleared => {}
+            Step::Barring(_) | Step::Releasing(_) | Step::Cleared => {}
         }
     }
 
@@ -482,8 +492,8 @@
             return;
         }
         match pending.role {
-            Role::Grant => self.grant_answered(now, index, &entry, &pending, &answer),
-            Role::Bar | Role::Release => self.former_answered(now, index, &pending, answer),
+            Role::Grant => self.grant_answered(now, index, &entry, id, &pending, &answer),
+            Role::Bar | Role::Release => self.former_answered(now, index, id, &pending, answer),
         }
     }
 
@@ -492,6 +502,7 @@
         now: Tick,
         index: usize,
         entry: &Entry,
+        id: OrderId,
         pending: &Pending,
         answer: &Answer,
     ) {
@@ -501,7 +512,9 @@
             return;
         }
         let state = &mut self.progress[index];
-        state.in_flight = false;
+        if state.in_flight == Some(id) {
+            state.in_flight = None;
+        }
         match answer {
             Answer::Done(_) => {
                 state.failures = 0;
@@ -527,12 +540,21 @@
         }
     }
 
-    fn former_answered(&mut self, now: Tick, index: usize, pending: &Pending, answer: Answer) {
+    fn former_answered(
+        &mut self,
+        now: Tick,
+        index: usize,
+        id: OrderId,
+        pending: &Pending,
+        answer: Answer,
+    ) {
         let state = &mut self.progress[index];
         let Some(former) = &mut state.former else {
             return;
         };
-        if former.owner.life != pending.to.life || former.step == Step::Cleared {
+        // The answer to an order that was sent before the range was divided or given to another
+        // owner says nothing about the orders that have followed it.
+        if ![Step::Barring(id), Step::Releasing(id)].contains(&former.step) {
             return;
         }
         if pending.role == Role::Bar && matches!(answer, Answer::Done(_) | Answer::Silent) {
@@ -597,7 +619,8 @@
 
     /// When an entry has something to do next.
     fn wake(&self, entry: &Entry, state: &Progress) -> Option<Tick> {
-        let grants = entry.owner.is_some() && !state.in_flight && state.due < self.term_until;
+        let grants =
+            entry.owner.is_some() && state.in_flight.is_none() && state.due < self.term_until;
         let due = grants.then_some(state.due);
         match (state.phase, &state.former) {
             (Phase::Clearing, Some(former)) => Some(match former.step {
@@ -613,7 +636,7 @@
 }
 
 /// What is known of an entry that has taken the place of those in `earlier`, which cover it.
-fn carry(now: Tick, entry: &Entry, earlier: &[(&Entry, &Progress)]) -> Progress {
+fn carry(now: Tick, timing: &Timing, entry: &Entry, earlier: &[(&Entry, &Progress)]) -> Progress {
     let life = |owner: &Option<Owner>| owner.as_ref().map(|o| o.life.clone());
     if let [(before, known)] = earlier {
         let same_range = before.range == entry.range;
@@ -623,7 +646,7 @@
         let known = if same_range {
             known
         } else {
-            known.reordered(now)
+            known.reordered(now, timing)
         };
         if before.owner == entry.owner && before.former == entry.former {
             return known;
@@ -673,7 +696,7 @@
     match (state.phase, &state.former) {
         (Phase::Held, _) => owner,
         (Phase::Clearing, Some(former)) => {
-            let untouched = !matches!(former.step, Step::Releasing | Step::Cleared);
+            let untouched = !matches!(former.step, Step::Releasing(_) | Step::Cleared);
             let serves = untouched && now < former.grants.serves;
             serves.then_some(&former.owner.life.name)
         }
--- a/crates/ranges/src/trace.rs
+++ b/crates/ranges/src/trace.rs
@@ -29,18 +29,24 @@
         self.requests.extend(keys.into_iter().map(|key| (now, key)));
     }
 
-    /// Forgets what is older than the window, and counts the rest.
-    pub fn demand(&mut self, now: Tick) -> Demand {
+    /// Forgets what is older than the window.
+    pub fn expire(&mut self, now: Tick) {
         while let Some((at, _)) = self.requests.front()
             && now.since(*at) > self.window
         {
             self.requests.pop_front();
         }
-        let mut keys: Vec<Key> = self.requests.iter().map(|(_, key)| *key).collect();
+    }
+
+    /// Counts the requests of the last `span`, which is at most the window.
+    pub fn demand(&self, now: Tick, span: Duration) -> Demand {
+        let recent = self.requests.iter().rev();
+        let recent = recent.take_while(|(at, _)| now.since(*at) <= span);
+        let mut keys: Vec<Key> = recent.map(|(_, key)| *key).collect();
         keys.sort_unstable();
         Demand {
             keys,
-            per_request: self.window.as_secs_f64().recip(),
+            per_request: span.as_secs_f64().recip(),
         }
     }
 }
