Use one client of the platform's store for both programs

The daemon's log had a client of a protocol of our own beside the store's client in platform/. The log is now a topic of the store (TopicLog), and the stand-in platform speaks the published protocol. MemoryLog is the same topic on the store in memory.

Ruled out: a second client kept for the daemon, because each of the two had its own rules for lost answers.

--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -14,9 +14,8 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use trefoil_core::{Outcome, Shard, Tick, Token, UnixMillis};
-use trefoil_dispatch::{Cause, Refusal, Report, Status};
+use trefoil_dispatch::{Cause, GRANT_PATH, Grant, Refusal, Report, Status};
 use trefoil_http::{CallError, Connection, ConnectionError};
-use trefoil_platform::protocol::{GRANT_PATH, Grant};
 use trefoil_wire::{AnswerHead, BodyError};
 
 use super::Answer;
--- a/crates/dev/src/upstream.rs
+++ b/crates/dev/src/upstream.rs
@@ -12,8 +12,8 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use trefoil_core::{Clock, Shard, Tick, Token, UnixMillis, UpstreamName};
+use trefoil_dispatch::{GRANT_PATH, Grant};
 use trefoil_http::{Body, Service, full};
-use trefoil_platform::protocol::{GRANT_PATH, Grant};
 
 /// Header that marks an answer as a refusal before execution.
 pub const REFUSED_HEADER: &str = "trefoil-refused";
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -51,6 +51,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod grant;
 pub mod health;
 pub mod limit;
 #[doc(hidden)]
@@ -64,6 +65,7 @@
 
 pub use admission::{Access, Admission, AdmissionBuilder};
 pub use budget::{Connection, ConnectionBudget, RetryBudget};
+pub use grant::{GRANT_PATH, Grant};
 pub use health::{Health, Probe, State};
 pub use limit::{Limit, ServiceTime};
 pub use memory::{Handover, OutcomeMemory, WallClock};
--- a/crates/gateway/src/introduce.rs
+++ b/crates/gateway/src/introduce.rs
@@ -10,26 +10,18 @@
 use bytes::Bytes;
 use slog::{info, warn};
 use trefoil_core::{HostId, Tick};
-use trefoil_store::{Append, Keyed, Newest, Place, StoreError};
+use trefoil_store::{Append, Keyed, Newest, Place, StoreError, Topic};
 
 use crate::config::HostConfig;
 use crate::host::Host;
 use crate::message::{Card, Message};
 
-/// Topic with the cards of all hosts.
-const HOSTS_TOPIC: &str = "keyed.trefoil-hosts";
+/// Partition with the cards of all hosts.
+const PLACE: Place = Place::first(Topic::fixed("keyed.trefoil-hosts"));
 
 /// Wait after a failed call of the store.
 const RETRY: Duration = Duration::from_millis(500);
 
-fn place() -> Result<Place, StoreError> {
-    let topic = HOSTS_TOPIC.parse();
-    let topic = topic.map_err(|e: trefoil_store::TopicError| StoreError::Rejected {
-        reason: e.to_string(),
-    });
-    topic.map(Place::first)
-}
-
 /// The card of a host.
 pub(crate) fn card(id: HostId, config: &HostConfig) -> Card {
     let millicores = (config.cores * 1000.0).clamp(1.0, 1e9);
@@ -63,7 +55,7 @@
 }
 
 async fn try_introduce(host: &Host) -> Result<usize, StoreError> {
-    let place = place()?;
+    let place = PLACE;
     let own = host.peers.borrow().own().clone();
     let (mut count, listed) = read(host, &place, &own).await?;
     if !listed {
--- a/crates/gateway/src/steward/record.rs
+++ b/crates/gateway/src/steward/record.rs
@@ -12,13 +12,13 @@
 use slog::warn;
 use trefoil_core::{ServiceName, Tick};
 use trefoil_ranges::{Author, Steward, Table, Timing};
-use trefoil_store::{Append, Epoch, Keyed, Newest, Place, Producer, StoreError};
+use trefoil_store::{Append, Epoch, Keyed, Newest, Place, Producer, StoreError, Topic};
 
 use super::term::{Note, Predecessor, Term};
 use crate::host::Host;
 
-/// Topic with the tables of all keyed services.
-const RANGES_TOPIC: &str = "keyed.trefoil-ranges";
+/// Partition with the tables of all keyed services.
+const PLACE: Place = Place::first(Topic::fixed("keyed.trefoil-ranges"));
 
 /// Time between two confirmations of a term. A few can fail before the term runs out.
 const CONFIRM: Duration = Duration::from_millis(600);
@@ -38,11 +38,6 @@
     }
 }
 
-fn place() -> Result<Place, StoreError> {
-    let topic = RANGES_TOPIC.parse().map_err(|e| rejected(&e))?;
-    Ok(Place::first(topic))
-}
-
 /// Spans of the proof of ownership, within the bounds of the deployment.
 fn timing(host: &Host) -> Timing {
     let timing = Timing::default();
@@ -81,7 +76,7 @@
 /// order is sent before that write, so the author of a table is the only steward that may have sent
 /// orders since.
 pub(super) async fn take_over(host: &Rc<Host>, service: &ServiceName) -> Result<Term, StoreError> {
-    let place = place()?;
+    let place = PLACE;
     let number = next_number(host, service);
     let sent = host.now();
     let epoch = Append::epoch(place, producer(service, number, 0));
@@ -147,7 +142,7 @@
     let bytes = table.encode().map_err(|e| rejected(&e))?;
     let record = Keyed::set(table.service.as_str(), Bytes::from(bytes));
     let record = record.ok_or_else(|| rejected("the name of the service is too long"))?;
-    let append = Append::new(place()?, record.encode());
+    let append = Append::new(PLACE, record.encode());
     Ok(append.by(producer(&table.service, number, sequence)))
 }
 
@@ -180,7 +175,7 @@
 ) {
     loop {
         host.clock.sleep(CONFIRM).await;
-        let Ok(place) = place() else { return };
+        let place = PLACE;
         let append = Append::epoch(place, producer(&service, number, 0));
         let (host, notes) = (Rc::clone(&host), notes.clone());
         let spawner = Rc::clone(&host);
@@ -200,7 +195,7 @@
     host: &Host,
     service: &ServiceName,
 ) -> Result<Option<Table>, StoreError> {
-    let place = place()?;
+    let place = PLACE;
     let mut after = None;
     loop {
         let newest = Newest {
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod recover;
 pub mod sign;
 pub mod snapshot;
+pub mod topic;
 pub mod view;
 
 pub use append::{SubmitError, submit};
@@ -41,4 +42,5 @@
 pub use record::{Body, Envelope, FORMAT, FORMAT_FIRST, Placement, Ranking, RecordError, Signed};
 pub use sign::{KeyError, KeyId, Keyring, Role, Signer};
 pub use snapshot::{Assembler, Part, SnapshotError};
+pub use topic::TopicLog;
 pub use view::{Moved, Resource, Verdict, View};
--- /dev/null
+++ b/crates/log/src/topic.rs
@@ -0,0 +1,76 @@
+//! The log as a topic of the platform's store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use snafu::ensure;
+use trefoil_core::Offset;
+use trefoil_store::{Append, Place, Read, Store, StoreError, Topic};
+
+use crate::log::{Batch, Log, LogError, RECORD_MAX, Stored, TooLargeSnafu};
+
+/// The partition with the records.
+pub(crate) const PLACE: Place = Place::first(Topic::fixed("trefoil"));
+
+/// A log that is one partition of a topic.
+#[derive(Debug, Clone)]
+pub struct TopicLog {
+    store: Arc<dyn Store>,
+    place: Place,
+}
+
+impl TopicLog {
+    /// The log of a deployment in `store`.
+    pub fn new(store: Arc<dyn Store>) -> Self {
+        let place = PLACE;
+        Self { store, place }
+    }
+
+    async fn push(self, data: Bytes) -> Result<Offset, LogError> {
+        let size = data.len();
+        ensure!(size <= RECORD_MAX, TooLargeSnafu { size });
+        let appended = self.store.append(Append::new(self.place, data)).await;
+        appended.map(|a| a.offset).map_err(|e| error(&e, Offset(0)))
+    }
+
+    async fn batch(self, from: Offset, max: usize, wait: Duration) -> Result<Batch, LogError> {
+        let place = self.place;
+        let batch = self.store.read(Read { place, from, wait }).await;
+        let batch = batch.map_err(|e| error(&e, from))?;
+        let records = (from.0..).zip(batch.records).take(max);
+        let records: Vec<Stored> = records
+            .map(|(offset, data)| Stored {
+                offset: Offset(offset),
+                data,
+            })
+            .collect();
+        let next = records.last().map_or(from, |r| r.offset.next());
+        let end = batch.end;
+        Ok(Batch { records, next, end })
+    }
+}
+
+impl Log for TopicLog {
+    fn append(&self, data: Bytes) -> Boxed<Result<Offset, LogError>> {
+        self.clone().push(data).boxed()
+    }
+
+    fn read(&self, from: Offset, max: usize, wait: Duration) -> Boxed<Result<Batch, LogError>> {
+        self.clone().batch(from, max, wait).boxed()
+    }
+}
+
+fn error(error: &StoreError, from: Offset) -> LogError {
+    let reason = error.to_string();
+    match error {
+        StoreError::Dropped { first } => LogError::Truncated {
+            from,
+            first: *first,
+        },
+        StoreError::Ambiguous { .. } => LogError::Ambiguous { reason },
+        _ => LogError::Unavailable { reason },
+    }
+}
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,21 +1,20 @@
-//! A log with faults that a test switches on, and the HTTP call that switches them.
+//! A store with faults that a test switches on, and the HTTP call that switches them.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
-use futures_lite::future::Boxed;
+use futures_lite::future::{self, Boxed};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use trefoil_core::{Clock, Offset};
+use trefoil_core::Clock;
 use trefoil_http::{Body, Service, full};
-use trefoil_log::{Batch, Log, LogError};
+use trefoil_store::{Append, Appended, Batch, Newest, Page, Read, Store, StoreError};
 
-/// What the log does wrong.
+/// What the store does wrong.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Fault {
@@ -24,6 +23,8 @@
     None,
     /// Every call fails without effect.
     Down,
+    /// No call is answered or has an effect.
+    Silent,
     /// Appends take effect, but the answer is an error.
     AnswerLost,
     /// Appends land twice.
@@ -32,19 +33,19 @@
     Slow(u64),
 }
 
-/// A log with faults.
+/// A store with faults.
 #[derive(Debug)]
-pub struct FaultyLog {
-    log: Arc<dyn Log>,
+pub struct FaultyStore {
+    store: Arc<dyn Store>,
     clock: Arc<dyn Clock>,
     fault: Mutex<Fault>,
 }
 
-impl FaultyLog {
-    /// Puts faults in front of `log`, at first none.
-    pub fn new(log: Arc<dyn Log>, clock: Arc<dyn Clock>) -> Self {
+impl FaultyStore {
+    /// Puts faults in front of `store`, at first none.
+    pub fn new(store: Arc<dyn Store>, clock: Arc<dyn Clock>) -> Self {
         Self {
-            log,
+            store,
             clock,
             fault: Mutex::default(),
         }
@@ -59,54 +60,58 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn delay(&self) -> Boxed<()> {
+    /// Waits as long as the fault demands, and fails if it is an outage.
+    fn pass(&self) -> Boxed<Result<(), StoreError>> {
         match self.fault() {
-            Fault::Slow(millis) => self.clock.sleep(Duration::from_millis(millis)),
-            _ => async {}.boxed(),
+            Fault::Slow(millis) => {
+                let slept = self.clock.sleep(Duration::from_millis(millis));
+                async move {
+                    slept.await;
+                    Ok(())
+                }
+                .boxed()
+            }
+            Fault::Silent => future::pending().boxed(),
+            Fault::Down => {
+                let reason = "fault: down".to_owned();
+                future::ready(Err(StoreError::Refused { reason })).boxed()
+            }
+            Fault::None | Fault::AnswerLost | Fault::Twice => future::ready(Ok(())).boxed(),
         }
     }
 }
 
-fn down<T>() -> Boxed<Result<T, LogError>>
-where
-    T: Send + 'static,
-{
-    async {
-        Err(LogError::Unavailable {
-            reason: "fault: down".to_owned(),
-        })
-    }
-    .boxed()
-}
-
-impl Log for FaultyLog {
-    fn append(&self, data: Bytes) -> Boxed<Result<Offset, LogError>> {
-        let (delay, log, fault) = (self.delay(), Arc::clone(&self.log), self.fault());
-        if fault == Fault::Down {
-            return down();
-        }
+impl Store for FaultyStore {
+    fn append(&self, append: Append) -> Boxed<Result<Appended, StoreError>> {
+        let (pass, store, fault) = (self.pass(), Arc::clone(&self.store), self.fault());
         async move {
-            delay.await;
-            let offset = log.append(data.clone()).await?;
+            pass.await?;
+            let appended = store.append(append.clone()).await?;
             match fault {
-                Fault::Twice => log.append(data).await.map(|_| offset),
-                Fault::AnswerLost => Err(LogError::Ambiguous {
+                Fault::Twice => store.append(append).await.map(|_| appended),
+                Fault::AnswerLost => Err(StoreError::Ambiguous {
                     reason: "fault: answer lost".to_owned(),
                 }),
-                _ => Ok(offset),
+                _ => Ok(appended),
             }
         }
         .boxed()
     }
 
-    fn read(&self, from: Offset, max: usize, wait: Duration) -> Boxed<Result<Batch, LogError>> {
-        let (delay, log) = (self.delay(), Arc::clone(&self.log));
-        if self.fault() == Fault::Down {
-            return down();
+    fn read(&self, read: Read) -> Boxed<Result<Batch, StoreError>> {
+        let (pass, store) = (self.pass(), Arc::clone(&self.store));
+        async move {
+            pass.await?;
+            store.read(read).await
         }
+        .boxed()
+    }
+
+    fn newest(&self, newest: Newest) -> Boxed<Result<Page, StoreError>> {
+        let (pass, store) = (self.pass(), Arc::clone(&self.store));
         async move {
-            delay.await;
-            log.read(from, max, wait).await
+            pass.await?;
+            store.newest(newest).await
         }
         .boxed()
     }
@@ -115,14 +120,14 @@
 /// Serves `POST /-/fault` and passes everything else on.
 #[derive(Debug)]
 pub struct FaultControl {
-    log: Arc<FaultyLog>,
+    store: Arc<FaultyStore>,
     inner: Arc<dyn Service>,
 }
 
 impl FaultControl {
-    /// Controls the faults of `log` in front of `inner`.
-    pub fn new(log: Arc<FaultyLog>, inner: Arc<dyn Service>) -> Self {
-        Self { log, inner }
+    /// Controls the faults of `store` in front of `inner`.
+    pub fn new(store: Arc<FaultyStore>, inner: Arc<dyn Service>) -> Self {
+        Self { store, inner }
     }
 
     async fn switch(&self, request: Request<Incoming>) -> Response<Body> {
@@ -134,7 +139,7 @@
             .unwrap_or_default();
         let mut response = Response::new(full("ok\n"));
         match serde_json::from_slice::<Fault>(&body) {
-            Ok(fault) => self.log.set(fault),
+            Ok(fault) => self.store.set(fault),
             Err(e) => {
                 *response.body_mut() = full(format!("{e}\n"));
                 *response.status_mut() = StatusCode::BAD_REQUEST;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,7 @@
-//! Faults of the stand-in platform.
+//! Stand-ins of the platform's store and of upstreams, with faults.
 
 pub mod faults;
+pub mod store;
 
-pub use faults::{Fault, FaultControl, FaultyLog};
+pub use faults::{Fault, FaultControl, FaultyStore};
+pub use store::StoreServer;
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,6 @@
 //! Stand-in processes for tests: a platform and upstreams, with faults that a test switches on.
 //!
-//! `trefoil-standin platform --listen ADDR` serves the log and the host list;
+//! `trefoil-standin platform --listen ADDR` serves the platform's store;
 //! `trefoil-standin upstream --listen ADDR --name NAME` serves a sample upstream. Each prints
 //! `listening ADDR` when it is ready. `POST /-/fault` with a [`Fault`](faults::Fault) as JSON
 //! switches a fault of the platform on.
@@ -10,13 +10,13 @@
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
-use trefoil_core::{HostName, SystemClock, UpstreamName};
-use trefoil_dev::{PlatformServer, SampleUpstream};
+use trefoil_core::{SystemClock, UpstreamName};
+use trefoil_dev::SampleUpstream;
 use trefoil_http::{Limits, Server, Service};
-use trefoil_log::MemoryLog;
-use trefoil_standin::{FaultControl, FaultyLog};
+use trefoil_standin::{FaultControl, FaultyStore, StoreServer};
+use trefoil_store::MemoryStore;
 
-/// Records that the stand-in log keeps, unless `--retain` says otherwise.
+/// Records that a partition of the stand-in store keeps, unless `--retain` says otherwise.
 const RETAIN: &str = "100000";
 
 fn command() -> Command {
@@ -35,13 +35,7 @@
         .subcommand(
             Command::new("platform")
                 .arg(listen.clone())
-                .arg(number("retain", RETAIN))
-                .arg(
-                    Arg::new("host")
-                        .long("host")
-                        .value_parser(value_parser!(HostName))
-                        .action(ArgAction::Append),
-                ),
+                .arg(number("retain", RETAIN)),
         )
         .subcommand(
             Command::new("upstream")
@@ -62,20 +56,11 @@
     let clock = Arc::new(SystemClock);
     let retain = matches.get_one::<u32>("retain").copied();
     let retain = retain.and_then(|n| usize::try_from(n).ok());
-    let log = Arc::new(FaultyLog::new(
-        Arc::new(MemoryLog::new(
-            Arc::<SystemClock>::clone(&clock),
-            retain.unwrap_or(1),
-        )),
-        clock,
-    ));
-    let hosts = matches
-        .get_many::<HostName>("host")
-        .unwrap_or_default()
-        .cloned()
-        .collect();
-    let server = Arc::new(PlatformServer::new(Arc::<FaultyLog>::clone(&log), hosts));
-    Arc::new(FaultControl::new(log, server))
+    let store = MemoryStore::new(Arc::<SystemClock>::clone(&clock));
+    let store = store.retaining(retain.unwrap_or(1));
+    let store = Arc::new(FaultyStore::new(Arc::new(store), clock));
+    let server = Arc::new(StoreServer::new(Arc::<FaultyStore>::clone(&store)));
+    Arc::new(FaultControl::new(store, server))
 }
 
 fn upstream(matches: &ArgMatches) -> Option<Arc<dyn Service>> {
--- /dev/null
+++ b/crates/standin/src/store.rs
@@ -0,0 +1,206 @@
+//! A store behind the platform's protocol.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_lite::FutureExt;
+use futures_lite::future::Boxed;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use trefoil_core::Offset;
+use trefoil_http::{Body, Service, full};
+use trefoil_store::{Append, Epoch, Newest, Part, Place, Producer, Read, Store, StoreError, Topic};
+
+/// Largest body of a call in bytes.
+const BODY_MAX: usize = 2 * 1024 * 1024;
+
+/// Longest wait that a reader may ask for.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+
+/// Serves a store.
+#[derive(Debug)]
+pub struct StoreServer {
+    store: Arc<dyn Store>,
+}
+
+/// The query of a call.
+struct Query(HashMap<String, String>);
+
+impl Query {
+    fn of(request: &Request<Incoming>) -> Self {
+        let query = request.uri().query().unwrap_or_default();
+        let pairs = query.split('&').filter_map(|p| p.split_once('='));
+        Self(pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect())
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.0.get(name)?.parse().ok()
+    }
+
+    fn place(&self) -> Option<Place> {
+        let topic: Topic = self.0.get("topic")?.parse().ok()?;
+        let part = Part(u16::try_from(self.number("part").unwrap_or(0)).ok()?);
+        Some(Place { topic, part })
+    }
+
+    fn producer(&self) -> Option<Producer> {
+        Some(Producer {
+            name: self.0.get("producer")?.clone(),
+            epoch: Epoch(self.number("epoch").unwrap_or(0)),
+            sequence: self.number("sequence").unwrap_or(0),
+        })
+    }
+}
+
+impl StoreServer {
+    /// Serves `store`.
+    pub fn new(store: Arc<dyn Store>) -> Self {
+        Self { store }
+    }
+
+    async fn append(&self, request: Request<Incoming>) -> Response<Body> {
+        let query = Query::of(&request);
+        let Some(place) = query.place() else {
+            return answer(StatusCode::BAD_REQUEST, "no topic");
+        };
+        let Ok(body) = Limited::new(request.into_body(), BODY_MAX).collect().await else {
+            return answer(StatusCode::PAYLOAD_TOO_LARGE, "the call is too large");
+        };
+        let Some(records) = records(body.to_bytes()) else {
+            return answer(StatusCode::BAD_REQUEST, "the records are cut off");
+        };
+        let append = Append {
+            place,
+            records,
+            at: query.number("at").map(Offset),
+            producer: query.producer(),
+        };
+        match self.store.append(append).await {
+            Ok(done) => document(
+                StatusCode::OK,
+                &json!({ "offset": done.offset, "end": done.end }),
+            ),
+            Err(e) => refusal(&e),
+        }
+    }
+
+    async fn read(&self, request: &Request<Incoming>) -> Response<Body> {
+        let query = Query::of(request);
+        let Some(place) = query.place() else {
+            return answer(StatusCode::BAD_REQUEST, "no topic");
+        };
+        let wait = Duration::from_millis(query.number("waitMs").unwrap_or(0));
+        let read = Read {
+            place,
+            from: Offset(query.number("from").unwrap_or(0)),
+            wait: wait.min(WAIT_MAX),
+        };
+        let from = read.from;
+        match self.store.read(read).await {
+            Ok(batch) => {
+                let mut body = BytesMut::new();
+                body.put_u64(batch.end.0);
+                body.put_u64(from.0);
+                for record in &batch.records {
+                    body.put_u32(u32::try_from(record.len()).unwrap_or(u32::MAX));
+                    body.put_slice(record);
+                }
+                Response::new(full(body.freeze()))
+            }
+            Err(e) => refusal(&e),
+        }
+    }
+
+    async fn newest(&self, request: &Request<Incoming>) -> Response<Body> {
+        let query = Query::of(request);
+        let Some(place) = query.place() else {
+            return answer(StatusCode::BAD_REQUEST, "no topic");
+        };
+        let newest = Newest {
+            place,
+            after: query.0.get("after").cloned(),
+        };
+        match self.store.newest(newest).await {
+            Ok(page) => {
+                let items = page.items.iter().map(|item| {
+                    json!({
+                        "key": item.key,
+                        "value": BASE64_STANDARD.encode(&item.value),
+                        "offset": item.offset,
+                    })
+                });
+                let items: Vec<Value> = items.collect();
+                let page = json!({ "items": items, "hasMore": page.more, "end": page.end });
+                document(StatusCode::OK, &page)
+            }
+            Err(e) => refusal(&e),
+        }
+    }
+}
+
+impl Service for StoreServer {
+    fn handle(
+        self: Arc<Self>,
+        _peer: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Boxed<Response<Body>> {
+        async move {
+            match (request.method(), request.uri().path()) {
+                (&Method::POST, "/log-append") => self.append(request).await,
+                (&Method::GET, "/log-read") => self.read(&request).await,
+                (&Method::GET, "/log-newest") => self.newest(&request).await,
+                _ => answer(StatusCode::NOT_FOUND, "no such call"),
+            }
+        }
+        .boxed()
+    }
+}
+
+/// The records of a body, each after its length in four bytes.
+fn records(mut body: Bytes) -> Option<Vec<Bytes>> {
+    let mut records = Vec::new();
+    while body.has_remaining() {
+        let len = usize::try_from(body.try_get_u32().ok()?).ok()?;
+        if body.len() < len {
+            return None;
+        }
+        records.push(body.split_to(len));
+    }
+    Some(records)
+}
+
+fn refusal(error: &StoreError) -> Response<Body> {
+    match error {
+        StoreError::Conflict { end } => {
+            document(StatusCode::PRECONDITION_FAILED, &json!({ "end": end }))
+        }
+        StoreError::Fenced => document(StatusCode::CONFLICT, &json!({ "why": "fenced" })),
+        StoreError::Sequence { expected } => {
+            let why = json!({ "why": "seq", "sequence": expected });
+            document(StatusCode::CONFLICT, &why)
+        }
+        StoreError::Dropped { first } => document(StatusCode::GONE, &json!({ "first": first })),
+        StoreError::Unreachable { reason } | StoreError::Refused { reason } => {
+            answer(StatusCode::SERVICE_UNAVAILABLE, reason)
+        }
+        StoreError::Ambiguous { reason } => answer(StatusCode::BAD_GATEWAY, reason),
+        StoreError::Rejected { reason } => answer(StatusCode::BAD_REQUEST, reason),
+    }
+}
+
+fn document(status: StatusCode, value: &Value) -> Response<Body> {
+    let mut response = Response::new(full(value.to_string()));
+    *response.status_mut() = status;
+    response
+}
+
+fn answer(status: StatusCode, message: &str) -> Response<Body> {
+    document(status, &json!({ "error": message }))
+}
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -1,16 +1,17 @@
-//! The stand-in platform keeps the protocol that the clients of `trefoil-platform` speak.
+//! The stand-in platform keeps the protocol that the client of `trefoil-platform` speaks.
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
-use trefoil_core::Offset;
+use trefoil_core::{Offset, SystemClock};
 use trefoil_http::call;
-use trefoil_log::{Log, LogError};
-use trefoil_platform::LogClient;
+use trefoil_log::{Log, LogError, TopicLog};
+use trefoil_platform::StoreClient;
 
 struct Process(Child);
 
@@ -52,7 +53,8 @@
 #[test]
 fn faults_do_what_they_say() {
     let (_process, address) = platform();
-    let log = LogClient::new(address);
+    let store = StoreClient::new(address, Arc::new(SystemClock));
+    let log = TopicLog::new(Arc::new(store));
     smol::block_on(async {
         assert_eq!(log.append(Bytes::from_static(b"a")).await, Ok(Offset(0)));
         fault(address, "\"answer-lost\"").await;
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -175,6 +175,8 @@
 pub struct MemoryStore {
     state: Arc<State>,
     clock: Arc<dyn Clock>,
+    /// Records that a partition keeps.
+    retain: usize,
 }
 
 impl MemoryStore {
@@ -183,9 +185,18 @@
         Self {
             state: Arc::default(),
             clock,
+            retain: usize::MAX,
         }
     }
 
+    /// The same store, which keeps the newest `count` records of each partition and the newest one
+    /// of each key.
+    #[must_use]
+    pub fn retaining(mut self, count: usize) -> Self {
+        self.retain = count;
+        self
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Place, Partition>> {
         let partitions = &self.state.partitions;
         partitions.lock().unwrap_or_else(PoisonError::into_inner)
@@ -205,7 +216,15 @@
 impl Store for MemoryStore {
     fn append(&self, append: Append) -> Boxed<Result<Appended, StoreError>> {
         let place = append.place.clone();
-        let result = self.lock().entry(place).or_default().append(append);
+        let result = {
+            let mut partitions = self.lock();
+            let partition = partitions.entry(place).or_default();
+            let result = partition.append(append);
+            while partition.records.len() > self.retain && partition.records.pop_front().is_some() {
+                partition.first += 1;
+            }
+            result
+        };
         self.state.appended.notify(usize::MAX);
         async move { result }.boxed()
     }
--- a/crates/store/src/types.rs
+++ b/crates/store/src/types.rs
@@ -1,5 +1,6 @@
 //! Arguments and answers of the store's calls.
 
+use std::borrow::Cow;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -21,25 +22,44 @@
 
 /// Name of a topic: 1 to 100 characters of `a-z`, `0-9`, `.` and `-`, so that it can stand in a
 /// query string as it is.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Into)]
-pub struct Topic(String);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+pub struct Topic(Cow<'static, str>);
 
 impl Topic {
+    /// A name that the program fixes.
+    ///
+    /// # Panics
+    ///
+    /// Panics, in a constant at compile time, if the name is not valid.
+    pub const fn fixed(name: &'static str) -> Self {
+        assert!(valid(name), "the topic's name is not valid");
+        Self(Cow::Borrowed(name))
+    }
+
     /// The name as text.
     pub fn as_str(&self) -> &str {
         &self.0
     }
 }
 
+const fn valid(name: &str) -> bool {
+    let bytes = name.as_bytes();
+    let mut i = 0;
+    while i < bytes.len() {
+        if !matches!(bytes[i], b'a'..=b'z' | b'0'..=b'9' | b'.' | b'-') {
+            return false;
+        }
+        i += 1;
+    }
+    matches!(bytes.len(), 1..=TOPIC_MAX)
+}
+
 impl FromStr for Topic {
     type Err = TopicError;
 
     fn from_str(text: &str) -> Result<Self, TopicError> {
-        let allowed =
-            |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || matches!(c, '.' | '-');
-        let valid = (1..=TOPIC_MAX).contains(&text.len()) && text.chars().all(allowed);
-        ensure!(valid, TopicSnafu { text });
-        Ok(Self(text.to_owned()))
+        ensure!(valid(text), TopicSnafu { text });
+        Ok(Self(Cow::Owned(text.to_owned())))
     }
 }
 
@@ -61,10 +81,10 @@
 
 impl Place {
     /// Partition 0 of a topic.
-    pub fn first(topic: Topic) -> Self {
+    pub const fn first(topic: Topic) -> Self {
         Self {
             topic,
-            part: Part::default(),
+            part: Part(0),
         }
     }
 }
--- a/src/commands/run.rs
+++ b/src/commands/run.rs
@@ -8,9 +8,11 @@
 use async_signal::{Signal, Signals};
 use clap::{ArgMatches, Command};
 use futures_lite::{FutureExt, StreamExt};
+use trefoil_core::SystemClock;
 use trefoil_daemon::snapshots::Policy;
 use trefoil_daemon::{Node, NodeConfig, Tracing, logging};
-use trefoil_platform::LogClient;
+use trefoil_log::TopicLog;
+use trefoil_platform::StoreClient;
 
 use crate::settings;
 
@@ -58,7 +60,8 @@
             .map_err(|e| format!("{}: {e}", path.display()))?,
         None => Tracing::default(),
     };
-    let log = Arc::new(LogClient::new(settings.platform.log));
+    let store = StoreClient::new(settings.platform.log, Arc::new(SystemClock));
+    let log = Arc::new(TopicLog::new(Arc::new(store)));
     let config = NodeConfig::new(
         settings.name,
         settings.region,
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -10,11 +10,11 @@
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgMatches, Command, value_parser};
 use futures_lite::StreamExt;
-use trefoil_adapter::{StoreClient, UsersPlatform};
 use trefoil_config::{BoundSettings, ServeSettings};
 use trefoil_core::QueueClock;
 use trefoil_daemon::logging;
 use trefoil_gateway::{Bounds, Host, HostConfig, serve};
+use trefoil_platform::{StoreClient, UsersPlatform};
 
 use crate::settings;
 
@@ -40,7 +40,7 @@
     let (logger, _flush) = logging::stdout(settings::level(settings.log_level));
     let clock = QueueClock::default();
     let store = StoreClient::new(settings.store, Arc::new(clock.clone()));
-    let platform = Rc::new(UsersPlatform::new()?);
+    let platform = Rc::new(UsersPlatform::new());
     let config = host_config(settings);
     let host = Host::new(
         config,
--- a/tests/all/log/daemon.rs
+++ b/tests/all/log/daemon.rs
@@ -10,8 +10,8 @@
 use smol::Executor;
 use trefoil_core::{Clock, ManualClock, Offset, Revision, UnixMillis};
 use trefoil_daemon::{Shared, tailer};
-use trefoil_log::{Body, FORMAT, HostRecord, Log, MemoryLog, View};
-use trefoil_standin::{Fault, FaultyLog};
+use trefoil_log::{Body, FORMAT, HostRecord, Log, MemoryLog, TopicLog, View};
+use trefoil_standin::{Fault, FaultyStore};
 
 use super::script::host;
 use super::{Keys, envelope, routing, signed};
@@ -26,8 +26,11 @@
 struct World {
     executor: Executor<'static>,
     clock: Arc<ManualClock>,
+    /// The log without the faults.
     log: MemoryLog,
-    faults: Arc<FaultyLog>,
+    /// What the hosts read.
+    shown: TopicLog,
+    faults: Arc<FaultyStore>,
     keys: Keys,
     sequence: u128,
 }
@@ -36,12 +39,15 @@
     fn new() -> Self {
         let clock = Arc::new(ManualClock::new(UnixMillis(1_000)));
         let log = MemoryLog::new(Arc::<ManualClock>::clone(&clock), 10_000);
-        let faults = FaultyLog::new(Arc::new(log.clone()), Arc::<ManualClock>::clone(&clock));
+        let store = Arc::new(log.store().clone());
+        let faults = Arc::new(FaultyStore::new(store, Arc::<ManualClock>::clone(&clock)));
+        let shown = TopicLog::new(Arc::<FaultyStore>::clone(&faults));
         Self {
             executor: Executor::new(),
             clock,
             log,
-            faults: Arc::new(faults),
+            shown,
+            faults,
             keys: Keys::new(),
             sequence: 100,
         }
@@ -52,7 +58,7 @@
         Arc::new(Shared::new(
             record(number),
             Arc::<ManualClock>::clone(&self.clock),
-            Arc::<FaultyLog>::clone(&self.faults),
+            Arc::new(self.shown.clone()),
             Logger::root(Discard, o!()),
             self.keys.host_signer(),
         ))
--- a/tests/all/planning/small.rs
+++ b/tests/all/planning/small.rs
@@ -14,8 +14,8 @@
 use trefoil_daemon::{Node, NodeConfig};
 use trefoil_dev::SampleUpstream;
 use trefoil_http::{Limits, Server};
-use trefoil_log::{Body, Envelope, FORMAT, Keyring, MemoryLog, Role, Signed, Signer};
-use trefoil_standin::faults::FaultyLog;
+use trefoil_log::{Body, Envelope, FORMAT, Keyring, MemoryLog, Role, Signed, Signer, TopicLog};
+use trefoil_standin::FaultyStore;
 use trefoil_wire::Authority;
 
 use crate::process::deployment::{Answer, eventually, send};
@@ -27,10 +27,10 @@
 pub struct Small {
     pub nodes: Vec<Node>,
     pub upstreams: Vec<Arc<SampleUpstream>>,
-    /// The nodes' log.
-    pub faults: Arc<FaultyLog>,
+    /// The store behind the nodes' log.
+    pub faults: Arc<FaultyStore>,
     /// The log behind the faults.
-    pub log: Arc<MemoryLog>,
+    pub log: MemoryLog,
     /// The key that hosts sign with.
     pub host: Signer,
     _servers: Vec<Server>,
@@ -52,10 +52,11 @@
     keys.add(host().key(), Role::Host);
     let day = Duration::from_hours(24);
     let authority = Authority::create("test", clock.unix(), day).expect("an authority");
-    let log = Arc::new(MemoryLog::new(Arc::clone(&clock), 10_000));
-    let faults = FaultyLog::new(Arc::<MemoryLog>::clone(&log), Arc::clone(&clock));
-    let faults = Arc::new(faults);
-    let through = || Arc::<FaultyLog>::clone(&faults);
+    let log = MemoryLog::new(Arc::clone(&clock), 10_000);
+    let store = Arc::new(log.store().clone());
+    let faults = Arc::new(FaultyStore::new(store, Arc::clone(&clock)));
+    let shown = TopicLog::new(Arc::<FaultyStore>::clone(&faults));
+    let through = || Arc::new(shown.clone());
     let mut nodes = Vec::new();
     for (name, domain) in [("host-1", "a"), ("host-2", "b")] {
         let name = name.parse().expect("a name");
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
-use std::sync::{Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,8 +13,9 @@
 use serde_json::Value;
 use tempfile::TempDir;
 use trefoil_config::Routing;
-use trefoil_core::{Clock, Revision, SystemClock, WriterId};
-use trefoil_log::{Body, Envelope, FORMAT, Signed, Signer};
+use trefoil_core::{Clock, Offset, Revision, SystemClock, WriterId};
+use trefoil_log::{Body, Envelope, FORMAT, Log, Signed, Signer, TopicLog};
+use trefoil_platform::StoreClient;
 use trefoil_wire::Authority;
 
 use super::child::Process;
@@ -325,19 +326,20 @@
         record.expect("the record encodes")
     }
 
+    fn log(&self) -> TopicLog {
+        let store = StoreClient::new(self.platform.listening(), Arc::new(SystemClock));
+        TopicLog::new(Arc::new(store))
+    }
+
     /// Number of records that were ever appended to the log.
     pub fn appended(&self) -> u64 {
-        let request = Request::get("/v1/streams/trefoil?from=0&max=1").body(Bytes::new());
-        let (_, body) = call(self.platform.listening(), request.expect("a request"));
-        let batch: Value = serde_json::from_str(&body).expect("a batch");
-        batch["end"].as_u64().expect("an offset")
+        let read = self.log().read(Offset(0), 1, Duration::ZERO);
+        smol::block_on(read).expect("a batch").end.0
     }
 
     /// Appends a record to the log without a daemon.
     pub fn append(&self, record: Bytes) {
-        let request = Request::post("/v1/streams/trefoil").body(record);
-        let (status, body) = call(self.platform.listening(), request.expect("a request"));
-        assert!(status.is_success(), "{body}");
+        smol::block_on(self.log().append(record)).expect("appended");
     }
 
     /// Switches a fault of the platform on.
