Let the first request of a shard wait for its first grant

An attempt now waits until a grant with its shard has been accepted, at most for the time that a grant may take.

--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -85,6 +85,10 @@
     inner: Mutex<Inner>,
     /// Locked while a grant is sent.
     pub(super) granting: async_lock::Mutex<()>,
+    /// Shards of the newest grant that the upstream has accepted.
+    confirmed: Mutex<BTreeSet<Shard>>,
+    /// A grant was accepted.
+    confirm: Event,
     /// Revision of the newest placement that was taken over. Locked before `inner`.
     pub(super) synced: Mutex<Option<Revision>>,
     pub(super) counter: Counter,
@@ -205,6 +209,8 @@
             pool: Pool::new(upstream.address, keep),
             inner: Mutex::new(inner),
             granting: async_lock::Mutex::default(),
+            confirmed: Mutex::default(),
+            confirm: Event::new(),
             synced: Mutex::default(),
             counter: Counter::new(wall.unix, shared.window),
             woken: Event::new(),
@@ -443,12 +449,40 @@
             return false;
         };
         let sent = exchange::grant(self.address(), token, self.shared.clock.unix(), shards).await;
-        if let Err(e) = &sent {
-            warn!(self.shared.logger, "grant not accepted"; "upstream" => %self.name(), "error" => %e);
+        match &sent {
+            Ok(()) => {
+                *self.confirmed() = shards.iter().copied().collect();
+                self.confirm.notify(usize::MAX);
+            }
+            Err(e) => {
+                warn!(self.shared.logger, "grant not accepted"; "upstream" => %self.name(), "error" => %e);
+            }
         }
         sent.is_ok()
     }
 
+    fn confirmed(&self) -> MutexGuard<'_, BTreeSet<Shard>> {
+        self.confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the upstream has accepted a grant of the shard, at most for the time that a grant
+    /// may take. The upstream refuses requests that arrive before.
+    pub(super) async fn await_grant(&self, shard: Shard) {
+        let accepted = async {
+            loop {
+                let listener = self.confirm.listen();
+                if !self.is_fenced() || self.confirmed().contains(&shard) {
+                    return;
+                }
+                listener.await;
+            }
+        };
+        let late = self.shared.clock.sleep(exchange::GRANT_TIMEOUT);
+        accepted.or(late).await;
+    }
+
     /// Whether the upstream checks fences.
     pub(super) fn is_fenced(&self) -> bool {
         self.settings.fenced
--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -38,7 +38,7 @@
 pub const GRANT_VALID: Duration = Duration::from_millis(1500);
 
 /// Time for an upstream to accept a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const GRANT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// How an attempt ended.
 pub(super) enum Attempt {
@@ -92,7 +92,11 @@
             driver.stopping().await;
             Err(ConnectionError::NotWritten)
         };
-        let Ok(mut connection) = driver.pool.take().or(stop).await else {
+        let connection = async {
+            driver.await_grant(self.shard).await;
+            driver.pool.take().await
+        };
+        let Ok(mut connection) = connection.or(stop).await else {
             return end(held, Cause::NotConnected);
         };
         // The last look before the write. A process that is stopped from here to the end of its
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -3,6 +3,7 @@
 //! The golden files hold every byte that the host answers, except times, ids and ports.
 
 mod caller;
+mod grants;
 mod host;
 mod operator;
 mod streams;
