--- a/crates/balance/src/repeat.rs
+++ b/crates/balance/src/repeat.rs
@@ -41,17 +41,18 @@
         self.requests.push_back(now);
     }
 
-    /// Takes a repeat out of the budget, if there is one; `hosts` is the number of hosts.
-    pub fn withdraw(&mut self, now: Tick, hosts: u32) -> bool {
+    /// Repeats that this host may still send in the present window; `hosts` is the number of hosts.
+    pub fn left(&mut self, now: Tick, hosts: u32) -> f64 {
         self.forget(now);
         let count = |ticks: &VecDeque<Tick>| u32::try_from(ticks.len()).unwrap_or(u32::MAX);
         let requests = f64::from(count(&self.requests));
         let most = USED * (self.ratio * requests + self.fixed / f64::from(hosts.max(1)));
-        let allowed = f64::from(count(&self.repeats)) + 1.0 <= most;
-        if allowed {
-            self.repeats.push_back(now);
-        }
-        allowed
+        most - f64::from(count(&self.repeats))
+    }
+
+    /// Takes a repeat out of the budget. At least one must be [`left`](Self::left).
+    pub fn withdraw(&mut self, now: Tick) {
+        self.repeats.push_back(now);
     }
 
     fn forget(&mut self, now: Tick) {
--- a/crates/config/src/serve.rs
+++ b/crates/config/src/serve.rs
@@ -46,6 +46,16 @@
     #[serde(default)]
     #[garde(skip)]
     pub log_level: LogLevel,
+    /// Most log lines a second of each event. Further ones are counted.
+    #[serde(default = "log_lines")]
+    #[garde(range(min = 1, max = 100_000))]
+    pub log_lines: u32,
+}
+
+/// Default of [`ServeSettings::log_lines`]. A host of the users' sites has some 100 requests a second,
+/// so this covers every second one of them if all fail.
+fn log_lines() -> u32 {
+    50
 }
 
 /// Bounds that the deployment states. Those that are left out have the values of
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,12 +1,18 @@
 //! Log lines of key=value pairs, one line an event.
 
+mod limit;
+
 use std::fmt::{self, Write as _};
 use std::io::Write;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError, mpsc};
+use std::thread;
+use std::time::Duration;
 
 use slog::{Drain, KV, Key, Level, Logger, OwnedKVList, Record, Serializer, o};
 use trefoil_core::{Clock, SystemClock};
 
+pub use limit::{Limited, Lost};
+
 /// A drain that writes lines of key=value pairs.
 #[derive(Debug)]
 pub struct KeyValue<W> {
@@ -67,31 +73,62 @@
     }
 }
 
-/// Writes outstanding lines when it is dropped.
-pub struct Flush(#[expect(dead_code, reason = "held for its drop")] slog_async::AsyncGuard);
+/// Lines that wait for the writer.
+const QUEUE: usize = 512;
+
+/// Longest wait for the writer at the end of the process. A reader that has stopped reading its pipe
+/// must not keep the process from ending.
+const FLUSH_MAX: Duration = Duration::from_millis(300);
+
+/// Writes outstanding lines when it is dropped, unless that takes too long.
+pub struct Flush(Option<slog_async::AsyncGuard>);
+
+impl Drop for Flush {
+    fn drop(&mut self) {
+        let Some(guard) = self.0.take() else { return };
+        let (done, flushed) = mpsc::channel();
+        let flushing = thread::Builder::new().spawn(move || {
+            drop(guard);
+            // Nobody waits any more if this took too long.
+            let _ = done.send(());
+        });
+        if flushing.is_ok() {
+            // Lines that are not written by then are lost with the process.
+            let _ = flushed.recv_timeout(FLUSH_MAX);
+        }
+    }
+}
+
+impl fmt::Debug for Flush {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Flush")
+    }
+}
 
 /// A logger to standard error. Writing happens on a thread of its own, so that a slow terminal or
 /// pipe does not stop the process; lines that do not fit its buffer are dropped and counted.
 pub fn stderr(level: Level) -> (Logger, Flush) {
-    logger(std::io::stderr(), level)
+    let (logger, flush, _) = logger(std::io::stderr(), level, u32::MAX);
+    (logger, flush)
 }
 
-/// A logger to standard output, as [`stderr`].
-pub fn stdout(level: Level) -> (Logger, Flush) {
-    logger(std::io::stdout(), level)
+/// A logger to standard output, as [`stderr`], with at most `most` lines a second of each event.
+/// Also returns the counts of lines that are not written.
+pub fn stdout(level: Level, most: u32) -> (Logger, Flush, Lost) {
+    logger(std::io::stdout(), level, most)
 }
 
-fn logger<W>(out: W, level: Level) -> (Logger, Flush)
+fn logger<W>(out: W, level: Level, most: u32) -> (Logger, Flush, Lost)
 where
     W: Write + Send + 'static,
 {
-    let drain = slog::LevelFilter::new(KeyValue::new(out), level).ignore_res();
-    let (drain, guard) = slog_async::Async::new(drain).build_with_guard();
-    (Logger::root(drain.ignore_res(), o!()), Flush(guard))
-}
-
-impl fmt::Debug for Flush {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Flush")
-    }
+    let writer = KeyValue::new(out).ignore_res();
+    let (queue, guard) = slog_async::AsyncCore::custom(writer)
+        .chan_size(QUEUE)
+        .build_with_guard();
+    let lost = Lost::default();
+    let limited = Limited::new(queue, most, SystemClock, lost.clone());
+    let drain = slog::LevelFilter::new(limited, level).ignore_res();
+    let logger = Logger::root(drain, o!());
+    (logger, Flush(Some(guard)), lost)
 }
--- /dev/null
+++ b/crates/daemon/src/logging/limit.rs
@@ -0,0 +1,147 @@
+//! A bound on the log lines of each event, and on the wait for the writer.
+//!
+//! A host that refuses a thousand requests a second must not write a thousand lines a second: they
+//! cost processor time and bury the others. Lines above the limit of their event are counted, and
+//! the first line of a later second is followed by one that says how many there were.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Debug};
+use std::sync::{Mutex, PoisonError};
+
+use prometheus_client::metrics::counter::Counter;
+use slog::{Drain, Level, OwnedKVList, Record, b, record};
+use trefoil_core::{Clock, Tick};
+
+/// Length of the time in which lines are counted, in milliseconds.
+const SPAN_MS: u128 = 1000;
+
+/// Name of an event that is not written down in the program as a whole.
+const OTHER: &str = "other";
+
+/// Lines of one event.
+#[derive(Debug, Default, Clone, Copy)]
+struct Lines {
+    passed: u32,
+    limited: u64,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    since: Tick,
+    lines: BTreeMap<&'static str, Lines>,
+    dropped: u64,
+}
+
+/// Log lines that were not written.
+#[derive(Debug, Clone, Default)]
+pub struct Lost {
+    /// Lines above the limit of their event.
+    pub limited: Counter,
+    /// Lines that did not fit the queue.
+    pub dropped: Counter,
+}
+
+/// Passes on a limited number of lines a second of each event, and counts those that the inner
+/// drain does not take.
+pub struct Limited<D, C> {
+    inner: D,
+    most: u32,
+    clock: C,
+    counts: Mutex<Counts>,
+    lost: Lost,
+}
+
+impl<D, C> Debug for Limited<D, C> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Limited")
+            .field("most", &self.most)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<D, C> Limited<D, C>
+where
+    D: Drain,
+    C: Clock,
+{
+    /// Passes on at most `most` lines of each event a second.
+    pub fn new(inner: D, most: u32, clock: C, lost: Lost) -> Self {
+        Self {
+            inner,
+            most,
+            clock,
+            counts: Mutex::default(),
+            lost,
+        }
+    }
+
+    /// Counts a line; says whether it may be written, and returns the counts of a span that has
+    /// ended.
+    fn count(&self, event: &'static str) -> (bool, Option<Counts>) {
+        let now = self.clock.now();
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let over = now.since(counts.since).as_millis() >= SPAN_MS;
+        let ended = over.then(|| {
+            std::mem::replace(
+                &mut *counts,
+                Counts {
+                    since: now,
+                    ..Counts::default()
+                },
+            )
+        });
+        let lines = counts.lines.entry(event).or_default();
+        let passes = lines.passed < self.most;
+        if passes {
+            lines.passed += 1;
+        } else {
+            lines.limited += 1;
+            self.lost.limited.inc();
+        }
+        (passes, ended)
+    }
+
+    fn pass(&self, record: &Record<'_>, values: &OwnedKVList) {
+        if self.inner.log(record, values).is_err() {
+            self.lost.dropped.inc();
+            let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+            counts.dropped += 1;
+        }
+    }
+
+    fn report(&self, ended: &Counts, values: &OwnedKVList) {
+        for (event, lines) in &ended.lines {
+            if lines.limited > 0 {
+                let kv = b!("of" => *event, "count" => lines.limited, "limit" => self.most);
+                let args = format_args!("lines left out");
+                self.pass(&record!(Level::Warning, "", &args, kv), values);
+            }
+        }
+        if ended.dropped > 0 {
+            let kv = b!("count" => ended.dropped);
+            let args = format_args!("lines dropped");
+            self.pass(&record!(Level::Warning, "", &args, kv), values);
+        }
+    }
+}
+
+impl<D, C> Drain for Limited<D, C>
+where
+    D: Drain,
+    C: Clock,
+{
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), slog::Never> {
+        let event = record.msg().as_str().unwrap_or(OTHER);
+        let (passes, ended) = self.count(event);
+        if passes {
+            self.pass(record, values);
+        }
+        if let Some(ended) = ended {
+            self.report(&ended, values);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/account.rs
@@ -0,0 +1,156 @@
+//! What is logged and counted of a request.
+//!
+//! A request that an upstream answers at its first attempt is only counted. Every other decision is
+//! one line with the request's id, what decided it, and how old that was, so that the lines of one
+//! id tell its story: `attempt failed`, `request sent again`, and `request ended`, `request refused`
+//! or `request cancelled` at last.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderValue, StatusCode};
+use slog::info;
+use trefoil_core::Tick;
+use trefoil_directory::Registration;
+
+use crate::cause::{Cause, Ending};
+use crate::forward::{Job, Tried};
+use crate::host::Host;
+
+/// Text that stands for what is not known.
+const NONE: &str = "-";
+
+/// The identifier of a request as text.
+pub(crate) fn text(id: Option<&HeaderValue>) -> &str {
+    id.and_then(|id| id.to_str().ok()).unwrap_or(NONE)
+}
+
+fn age(now: Tick, since: Option<Tick>) -> String {
+    since.map_or_else(
+        || NONE.to_owned(),
+        |at| now.since(at).as_millis().to_string(),
+    )
+}
+
+/// Version of the routes by which the owner of the job's key was found.
+fn table(host: &Host, job: &Job) -> String {
+    let tables = host.tables.borrow();
+    let routes = job.key.and_then(|_| tables.get(&job.service));
+    routes.map_or_else(|| NONE.to_owned(), |routes| routes.age.to_string())
+}
+
+/// Logs a request that ends without an upstream's answer.
+pub(crate) fn ended(host: &Host, job: &Job, tried: &Tried, status: StatusCode, cause: Cause) {
+    let now = host.now();
+    let upstreams: Vec<String> = tried.sent.iter().map(ToString::to_string).collect();
+    info!(host.log, "request ended"; "id" => text(job.id.as_ref()), "route" => %job.route.name,
+        "service" => %job.service, "status" => status.as_u16(), "cause" => %cause,
+        "key" => job.key.map_or_else(|| NONE.to_owned(), |key| key.to_string()),
+        "after_ms" => now.since(job.arrived).as_millis(),
+        "waited_ms" => tried.waited.as_millis(),
+        "arrivals" => tried.arrivals, "upstreams" => upstreams.join(","),
+        "last" => tried.reason.as_str(), "config" => host.version().0, "table" => table(host, job),
+        "directory_age_ms" => age(now, Some(host.directory_changed.get())),
+        "store_age_ms" => age(now, host.store_seen.get()));
+}
+
+/// Counts an attempt, and logs it unless the upstream answered.
+pub(crate) fn attempted(
+    host: &Host,
+    job: &Job,
+    target: &Registration,
+    result: &'static str,
+    reason: &str,
+    begun: Tick,
+) {
+    let span = host.now().since(begun);
+    host.metrics.attempted(&job.service, result);
+    if reason.is_empty() {
+        host.metrics.hop("upstream", span);
+        return;
+    }
+    info!(host.log, "attempt failed"; "id" => text(job.id.as_ref()), "service" => %job.service,
+        "upstream" => %target.life.name, "address" => %target.address, "result" => result,
+        "reason" => reason, "after_ms" => span.as_millis(), "sequence" => target.sequence,
+        "config" => host.version().0, "table" => table(host, job));
+}
+
+/// Counts and logs a decision on sending a request again.
+pub(crate) fn repeated(
+    host: &Host,
+    job: &Job,
+    tried: &Tried,
+    target: &Registration,
+    result: &'static str,
+    left: f64,
+) {
+    host.metrics.repeated(&job.service, result);
+    info!(host.log, "request sent again"; "id" => text(job.id.as_ref()),
+        "service" => %job.service, "upstream" => %target.life.name, "result" => result,
+        "because" => tried.reason.as_str(), "arrivals" => tried.arrivals,
+        "attempts" => job.route.attempts, "budget_left" => format!("{left:.1}"));
+}
+
+/// Logs a request that was not taken on.
+pub(crate) fn refused(host: &Host, id: &str, status: StatusCode, cause: Cause) {
+    info!(host.log, "request refused"; "id" => id, "status" => status.as_u16(),
+        "cause" => %cause, "config" => host.version().0);
+    let outcome = ending(status);
+    host.metrics.ended(NONE, outcome, cause, Duration::ZERO);
+}
+
+/// What a caller is told by a status of the host's own.
+fn ending(status: StatusCode) -> Ending {
+    match status {
+        StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => Ending::Unknown,
+        _ => Ending::Refused,
+    }
+}
+
+/// Counts the end of a request; a request whose task is dropped before has lost its caller.
+pub(crate) struct Account {
+    host: Rc<Host>,
+    id: Option<HeaderValue>,
+    service: String,
+    arrived: Tick,
+    /// The request goes on without its caller.
+    detached: bool,
+    done: bool,
+}
+
+impl Account {
+    pub(crate) fn new(host: &Rc<Host>, job: &Job, detached: bool) -> Self {
+        Self {
+            host: Rc::clone(host),
+            id: job.id.clone(),
+            service: job.service.as_str().to_owned(),
+            arrived: job.arrived,
+            detached,
+            done: false,
+        }
+    }
+
+    pub(crate) fn close(mut self, status: StatusCode, cause: Cause) {
+        self.done = true;
+        let outcome = match cause {
+            Cause::Answered => Ending::Answered,
+            _ => ending(status),
+        };
+        let span = self.host.now().since(self.arrived);
+        self.host.metrics.ended(&self.service, outcome, cause, span);
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        if self.done {
+            return;
+        }
+        let span = self.host.now().since(self.arrived);
+        let (outcome, cause) = (Ending::Cancelled, Cause::CallerGone);
+        self.host.metrics.ended(&self.service, outcome, cause, span);
+        info!(self.host.log, "request cancelled"; "id" => text(self.id.as_ref()),
+            "service" => self.service.as_str(), "cause" => %cause,
+            "after_ms" => span.as_millis(), "goes_on" => self.detached);
+    }
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,28 +13,26 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::StatusCode;
-use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
-use slog::info;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use smallvec::SmallVec;
 use trefoil_balance::{Choice, Need, Outcome, RepeatBudget};
 use trefoil_core::{Key, ServiceName, Tick};
 use trefoil_directory::{Phase, Registration, Tag};
-use trefoil_http::h1::{
-    Answer, Content, Link, LinkError, Match, Reply, Request, Sent, encode_request,
-};
-use trefoil_ranges::{Answer as OrderAnswer, Order, OrderKind};
+use trefoil_http::h1::{Answer, Content, LinkError, Match, Reply, Request, Sent, encode_request};
 use trefoil_route::{Repeat, Route};
 
+use crate::account;
+use crate::cause::Cause;
 use crate::host::Host;
 use crate::pool::{self, UpstreamLink};
 
 /// Largest answer that is passed on.
-const ANSWER_MAX: usize = 16 * 1024 * 1024;
+pub(crate) const ANSWER_MAX: usize = 16 * 1024 * 1024;
 
 /// Idle time of a connection up to which it carries requests that must not run twice. A request
 /// that meets the close of its connection can have run, so these use only connections that were
 /// busy a moment ago.
-const FRESH_IDLE: Duration = Duration::from_millis(1500);
+pub(crate) const FRESH_IDLE: Duration = Duration::from_millis(1500);
 
 /// Longest wait for a key to get an owner, as a share of the time that is left.
 const MOVE_SHARE: u32 = 3;
@@ -48,16 +46,6 @@
 /// When a caller is told to come back at the latest.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
-/// Age up to which an order is sent. The proof of ownership counts from the moment at which it was
-/// decided, with a margin for its travel.
-const ORDER_AGE: Duration = Duration::from_millis(200);
-
-/// Time in which an upstream answers a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
-
-/// Time in which an upstream answers a release, which includes the work that it has begun.
-const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// A request on its way.
 #[derive(Debug)]
 pub struct Job {
@@ -94,12 +82,25 @@
     Late,
 }
 
+impl Attempt {
+    /// Its name in metrics, and the reason why it brought no answer, empty if it did.
+    fn describe(&self) -> (&'static str, String) {
+        match self {
+            Self::Answered(_) => ("answered", String::new()),
+            Self::Refused(reply) => ("refused", format!("refused with {}", reply.head.status)),
+            Self::Unsent(reason) => ("unsent", reason.clone()),
+            Self::Unknown(reason) => ("unknown", reason.clone()),
+            Self::Late => ("late", "no answer in time".to_owned()),
+        }
+    }
+}
+
 /// Where a request goes next.
 enum Target {
     Send(Rc<Registration>),
     /// Something may change until then.
-    Wait(Duration, &'static str),
-    Refuse(Duration, &'static str),
+    Wait(Duration, Cause),
+    Refuse(Duration, Cause),
 }
 
 /// How a request has ended.
@@ -108,23 +109,24 @@
     /// What the caller is told.
     pub answer: Answer,
     /// Why.
-    pub cause: &'static str,
+    pub cause: Cause,
 }
 
 /// What has been tried for a request.
 #[derive(Debug, Default)]
-struct Tried {
+pub(crate) struct Tried {
     /// Upstreams that a request reached.
-    sent: SmallVec<[Tag; 4]>,
+    pub(crate) sent: SmallVec<[Tag; 4]>,
     /// Upstreams that refused it or could not be reached.
     avoid: SmallVec<[Tag; 4]>,
     /// Times that it reached an upstream.
-    arrivals: u32,
+    pub(crate) arrivals: u32,
     /// An attempt may have run.
     doubt: bool,
     /// What went wrong last.
-    reason: String,
-    waited: Duration,
+    pub(crate) reason: String,
+    /// Time spent waiting for something to change.
+    pub(crate) waited: Duration,
 }
 
 /// Sends a request until it is answered, and returns what the caller is told.
@@ -133,7 +135,7 @@
     loop {
         let now = host.now();
         if now >= job.deadline || (job.gone.get() && tried.arrivals == 0) {
-            return give_up(host, job, &tried, "deadline");
+            return give_up(host, job, &tried, Cause::Deadline);
         }
         let left = job.deadline.since(now);
         let target = match target(host, job, &tried, now, left) {
@@ -148,31 +150,35 @@
             }
         };
         if tried.arrivals > 0 && !may_repeat(host, job, &tried, &target, now) {
-            return give_up(host, job, &tried, "no repeat left");
+            return give_up(host, job, &tried, Cause::NoRepeat);
         }
-        match attempt(host, job, &target, &mut tried).await {
+        let begun = host.now();
+        let attempt = attempt(host, job, &target, &mut tried).await;
+        let (result, reason) = attempt.describe();
+        account::attempted(host, job, &target, result, &reason, begun);
+        match attempt {
             Attempt::Answered(reply) => return pass_on(reply),
-            Attempt::Late => return give_up(host, job, &tried, "no answer in time"),
-            Attempt::Refused(reply) => {
-                tried.reason = format!("refused with {}", reply.head.status);
+            Attempt::Late => return give_up(host, job, &tried, Cause::NoAnswer),
+            Attempt::Refused(_) => {
+                tried.reason = reason;
                 if job.key.is_some() {
                     wait(host, MOVED_WAIT).await;
                 } else {
                     tried.avoid.push(Tag::of(&target.life.name));
                 }
             }
-            Attempt::Unsent(reason) => {
+            Attempt::Unsent(_) => {
                 tried.reason = reason;
                 tried.avoid.push(Tag::of(&target.life.name));
                 if job.key.is_some() {
                     wait(host, MOVED_WAIT).await;
                 }
             }
-            Attempt::Unknown(reason) => {
+            Attempt::Unknown(_) => {
                 tried.reason = reason;
                 tried.doubt = true;
                 if job.route.repeat == Repeat::AtMostOnce {
-                    return give_up(host, job, &tried, "broken off");
+                    return give_up(host, job, &tried, Cause::BrokenOff);
                 }
                 if job.key.is_none() {
                     tried.avoid.push(Tag::of(&target.life.name));
@@ -211,28 +217,28 @@
     match choice {
         Choice::Upstream(tag) => match host.directory.borrow().tagged(tag) {
             Some(registration) => Target::Send(Rc::clone(registration)),
-            None => Target::Wait(MOVED_WAIT, "no upstream"),
+            None => Target::Wait(MOVED_WAIT, Cause::NoUpstream),
         },
-        Choice::Full(wait) => Target::Refuse(wait, "upstreams are busy"),
-        Choice::Nobody if tried.avoid.is_empty() => Target::Wait(MOVED_WAIT, "no upstream"),
-        Choice::Nobody => Target::Refuse(RETRY_MIN, "no other upstream"),
+        Choice::Full(wait) => Target::Refuse(wait, Cause::Busy),
+        Choice::Nobody if tried.avoid.is_empty() => Target::Wait(MOVED_WAIT, Cause::NoUpstream),
+        Choice::Nobody => Target::Refuse(RETRY_MIN, Cause::NoOther),
     }
 }
 
 fn owner(host: &Host, job: &Job, key: Key, now: Tick, left: Duration) -> Target {
     let tables = host.tables.borrow();
     let Some(routes) = tables.get(&job.service) else {
-        return Target::Wait(RETRY_MAX, "no table");
+        return Target::Wait(RETRY_MAX, Cause::NoTable);
     };
     let directory = host.directory.borrow();
     let Some(registration) = routes.owner(key).and_then(|name| directory.get(name)) else {
-        return Target::Wait(RETRY_MAX, "the key moves");
+        return Target::Wait(RETRY_MAX, Cause::KeyMoves);
     };
     if registration.phase != Phase::Ready {
-        return Target::Wait(RETRY_MAX, "the owner leaves");
+        return Target::Wait(RETRY_MAX, Cause::OwnerLeaves);
     }
     if host.is_displaced(&registration.life) {
-        return Target::Wait(RETRY_MAX, "the owner has ended");
+        return Target::Wait(RETRY_MAX, Cause::OwnerEnded);
     }
     let tag = Tag::of(&registration.life.name);
     match host
@@ -241,7 +247,7 @@
         .admits(now, tag, need(job, now, left))
     {
         Ok(()) => Target::Send(Rc::clone(registration)),
-        Err(wait) => Target::Refuse(wait, "the owner is busy"),
+        Err(wait) => Target::Refuse(wait, Cause::OwnerBusy),
     }
 }
 
@@ -249,18 +255,22 @@
 fn may_repeat(host: &Host, job: &Job, tried: &Tried, target: &Registration, now: Tick) -> bool {
     let tag = Tag::of(&target.life.name);
     let upstreams = u32::try_from(tried.sent.len()).unwrap_or(u32::MAX);
-    if !tried.sent.contains(&tag) && upstreams >= job.route.attempts {
-        return false;
-    }
+    let fresh = !tried.sent.contains(&tag);
     let hosts = host.peers.borrow().all_hosts(now);
     let mut budgets = host.budgets.borrow_mut();
-    let budget = budgets
-        .get_mut(&job.service)
-        .is_some_and(|b| b.withdraw(now, hosts));
-    if budget {
-        host.metrics.repeats.inc();
+    let budget = budgets.get_mut(&job.service);
+    let left = budget.map_or(0.0, |b| b.left(now, hosts));
+    let result = match () {
+        () if fresh && upstreams >= job.route.attempts => "no attempt left",
+        () if left < 1.0 => "no budget left",
+        () => "sent",
+    };
+    let allowed = result == "sent";
+    if allowed && let Some(budget) = budgets.get_mut(&job.service) {
+        budget.withdraw(now);
     }
-    budget
+    account::repeated(host, job, tried, target, result, left);
+    allowed
 }
 
 /// Counts the load of one request at an upstream for as long as it lives.
@@ -310,9 +320,7 @@
         return Attempt::Unsent("the time had passed before it was sent".to_owned());
     }
     if tried.arrivals == 0 {
-        host.metrics
-            .queued
-            .observe(now.since(job.arrived).as_secs_f64());
+        host.metrics.waited(&job.service, now.since(job.arrived));
         count_first(host, &job.service, now);
     }
     let request = encode(host, job, target, now);
@@ -404,7 +412,9 @@
     if let Some(link) = kept {
         return Ok((link, true));
     }
+    let begun = host.now();
     let opened = pool::connect(&*host.clock, address).await;
+    host.metrics.hop("connect", host.now().since(begun));
     opened
         .map(|link| (link, false))
         .map_err(|e| format!("cannot connect to {address}: {e}"))
@@ -447,16 +457,16 @@
             headers,
             content: Content::Whole(reply.body),
         },
-        cause: "answered",
+        cause: Cause::Answered,
     }
 }
 
 /// The request has not run: the caller may come back.
-fn refuse(host: &Host, job: &Job, tried: &Tried, span: Duration, cause: &'static str) -> End {
+fn refuse(host: &Host, job: &Job, tried: &Tried, span: Duration, cause: Cause) -> End {
     if tried.doubt {
         return give_up(host, job, tried, cause);
     }
-    log_end(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
+    account::ended(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
     End {
         answer: unavailable(span),
         cause,
@@ -474,11 +484,11 @@
 }
 
 /// No answer can be had. If every attempt is proven not to have run, the caller is told so.
-fn give_up(host: &Host, job: &Job, tried: &Tried, cause: &'static str) -> End {
+fn give_up(host: &Host, job: &Job, tried: &Tried, cause: Cause) -> End {
     let now = host.now();
-    let ran = tried.doubt || (tried.arrivals > 0 && cause == "no answer in time");
+    let ran = tried.doubt || (tried.arrivals > 0 && cause == Cause::NoAnswer);
     if !ran {
-        log_end(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
+        account::ended(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
         return End {
             answer: unavailable(RETRY_MIN),
             cause,
@@ -489,67 +499,9 @@
     } else {
         StatusCode::BAD_GATEWAY
     };
-    log_end(host, job, tried, status, cause);
+    account::ended(host, job, tried, status, cause);
     End {
         answer: Answer::empty(status),
         cause,
     }
 }
-
-fn log_end(host: &Host, job: &Job, tried: &Tried, status: StatusCode, cause: &'static str) {
-    let id = job.id.as_ref().and_then(|id| id.to_str().ok());
-    let upstreams: Vec<String> = tried.sent.iter().map(ToString::to_string).collect();
-    info!(host.log, "request ended"; "id" => id.unwrap_or("-"), "route" => %job.route.name,
-        "service" => %job.service, "status" => status.as_u16(), "cause" => cause,
-        "after_ms" => host.now().since(job.arrived).as_millis(),
-        "arrivals" => tried.arrivals, "upstreams" => upstreams.join(","),
-        "last" => tried.reason.as_str(), "config" => host.version().0);
-}
-
-/// Sends an order to an upstream.
-pub(crate) async fn send_order(host: &Host, order: &Order) -> OrderAnswer {
-    let decided = host.now();
-    let address = host
-        .directory
-        .borrow()
-        .recall(&order.life.name)
-        .map(|r| r.address);
-    let Some(address) = address else {
-        return OrderAnswer::Unsent;
-    };
-    let span = match order.kind {
-        OrderKind::Grant { .. } => GRANT_TIMEOUT,
-        OrderKind::Release => RELEASE_TIMEOUT,
-    };
-    let call = host.platform.order_call(order);
-    let mut headers: HeaderMap = call.headers;
-    if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
-        headers.insert(http::header::HOST, value);
-    }
-    let bytes = encode_request(&call.method, &call.target, &headers, &call.body);
-    let kept = host.pool.borrow_mut().take(host.now(), address, FRESH_IDLE);
-    let mut link: Link<_> = match kept {
-        Some(link) => link,
-        None => match pool::connect(&*host.clock, address).await {
-            Ok(link) => link,
-            Err(_) => return OrderAnswer::Unsent,
-        },
-    };
-    if host.now().since(decided) > ORDER_AGE {
-        return OrderAnswer::Unsent;
-    }
-    let late = async {
-        host.clock.sleep(span).await;
-        None
-    };
-    let own = |_: &trefoil_http::h1::ResponseHead| Match::Own;
-    let exchange = async { Some(link.exchange(&call.method, bytes, ANSWER_MAX, own).await) };
-    match exchange.or(late).await {
-        Some(Ok(reply)) => {
-            host.pool.borrow_mut().put(host.now(), address, link);
-            host.platform.order_answer(order, &reply.head)
-        }
-        Some(Err(error)) if error.sent == Sent::Nothing => OrderAnswer::Unsent,
-        _ => OrderAnswer::Silent,
-    }
-}
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -21,6 +21,7 @@
 use crate::config::{Bounds, HostConfig};
 use crate::introduce;
 use crate::message::ChangeItem;
+use crate::metered::Metered;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAYS};
 use crate::platform::Platform;
@@ -54,6 +55,15 @@
     pub outbox: Event,
 }
 
+/// What a host tells its operators by.
+#[derive(Debug)]
+pub struct Telemetry {
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
 /// State of the host, shared by its tasks.
 pub struct Host {
     /// What the host was told at its start.
@@ -67,7 +77,7 @@
     /// Log.
     pub log: Logger,
     /// Metrics.
-    pub metrics: Metrics,
+    pub metrics: Arc<Metrics>,
     /// Names and encodings of the platform.
     pub platform: Rc<dyn Platform>,
     /// The store.
@@ -121,6 +131,10 @@
     /// When the directory last changed.
     pub(crate) directory_changed: Cell<Tick>,
     router: RefCell<Option<Rc<Router>>>,
+    /// When the configuration came into force.
+    config_changed: Cell<Tick>,
+    /// The host was ready when this was last looked at.
+    was_ready: Cell<bool>,
     /// The directory was read at least once.
     listed: Cell<bool>,
     /// When the store last answered.
@@ -140,10 +154,13 @@
     pub fn new(
         config: HostConfig,
         clock: Arc<dyn Clock>,
-        log: Logger,
+        telemetry: Telemetry,
         platform: Rc<dyn Platform>,
         store: Arc<dyn Store>,
     ) -> Rc<Self> {
+        let Telemetry { log, metrics } = telemetry;
+        let metrics = Arc::new(metrics);
+        let store = Metered::new(store, Arc::clone(&metrics), Arc::clone(&clock));
         let id = HostId::random();
         let started = clock.now();
         let host = Rc::new(Self {
@@ -167,9 +184,9 @@
             id,
             clock,
             log,
-            metrics: Metrics::default(),
+            metrics,
             platform,
-            store,
+            store: Arc::new(store),
             executor: Rc::default(),
             events: Events::default(),
             stop: Rc::default(),
@@ -184,6 +201,8 @@
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
             router: RefCell::default(),
+            config_changed: Cell::default(),
+            was_ready: Cell::default(),
             listed: Cell::new(false),
             store_seen: Cell::new(None),
         });
@@ -277,6 +296,65 @@
 
     pub(crate) fn set_listed(&self) {
         self.listed.set(true);
+        self.check_ready();
+    }
+
+    /// The process was told to stop.
+    pub(crate) fn leave(&self) {
+        self.leaving.set(true);
+        self.check_ready();
+    }
+
+    /// Logs a change of readiness.
+    fn check_ready(&self) {
+        let ready = self.is_ready();
+        if self.was_ready.replace(ready) != ready {
+            info!(self.log, "readiness changed"; "ready" => ready, "leaving" => self.leaving.get(),
+                "listed" => self.listed.get(), "config" => self.version().0,
+                "upstreams" => self.directory.borrow().len());
+        }
+    }
+
+    /// Sets the metrics that are only worked out when someone asks for them.
+    pub(crate) fn measure(&self) {
+        let now = self.now();
+        let millis = |since| i64::try_from(now.since(since).as_millis()).unwrap_or(i64::MAX);
+        let m = &self.metrics;
+        m.ready.set(self.is_ready().into());
+        m.config_age.set(millis(self.config_changed.get()));
+        m.directory_age.set(millis(self.directory_changed.get()));
+        m.store_age
+            .set(millis(self.store_seen.get().unwrap_or(self.started)));
+        m.connections
+            .set(i64::try_from(self.connections.get()).unwrap_or(i64::MAX));
+        m.terms
+            .set(i64::try_from(self.terms.borrow().len()).unwrap_or(i64::MAX));
+        let hosts = self.peers.borrow().all_hosts(now);
+        for (service, budget) in self.budgets.borrow_mut().iter_mut() {
+            #[expect(
+                clippy::cast_possible_truncation,
+                reason = "a budget is far below the range of the type"
+            )]
+            let left = budget.left(now, hosts) as i64;
+            Metrics::set(&m.budget, service, left);
+        }
+        self.measure_open();
+    }
+
+    fn measure_open(&self) {
+        let directory = self.directory.borrow();
+        let mut open: BTreeMap<&ServiceName, i64> = BTreeMap::new();
+        for (tag, load) in self.balancer.borrow().loads() {
+            if let Some(registration) = directory.tagged(tag) {
+                *open.entry(&registration.service).or_default() += i64::from(load.own());
+            }
+        }
+        let router = self.router();
+        let services = router.iter().flat_map(|router| router.services());
+        for (service, _) in services {
+            let count = open.get(service).copied().unwrap_or_default();
+            Metrics::set(&self.metrics.open, service, count);
+        }
     }
 
     /// Whether the host can answer requests and is not about to stop.
@@ -298,6 +376,8 @@
             .set(i64::try_from(config.version.0).unwrap_or(i64::MAX));
         let router = Rc::new(Router::new(config));
         *self.router.borrow_mut() = Some(router);
+        self.config_changed.set(self.now());
+        self.check_ready();
         self.events.config.notify(usize::MAX);
         true
     }
@@ -328,17 +408,17 @@
         let mut balancer = self.balancer.borrow_mut();
         match change {
             Change::Joined(r) => {
-                self.log_upstream("upstream joined", r);
+                self.log_upstream("joined", r);
                 balancer.renew(Tag::of(&r.life.name));
                 balancer.register(now, r, r.phase == Phase::Ready);
             }
             Change::Updated(r) => {
-                self.log_upstream("upstream updated", r);
+                self.log_upstream("updated", r);
                 let ready = r.phase == Phase::Ready && !self.is_displaced(&r.life);
                 balancer.register(now, r, ready);
             }
             Change::Gone(r) => {
-                self.log_upstream("upstream gone", r);
+                self.log_upstream("gone", r);
                 self.displaced.borrow_mut().remove(&r.life);
                 balancer.remove(Tag::of(&r.life.name));
                 self.pool.borrow_mut().close(r.address);
@@ -347,7 +427,7 @@
     }
 
     fn log_upstream(&self, event: &'static str, r: &Registration) {
-        info!(self.log, "{}", event; "upstream" => %r.life.name, "born" => r.life.born.0,
+        info!(self.log, "upstream changed"; "change" => event, "upstream" => %r.life.name, "born" => r.life.born.0,
             "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
             "phase" => %r.phase, "sequence" => r.sequence);
     }
@@ -360,7 +440,7 @@
             .borrow_mut()
             .insert(registration.life.clone())
         {
-            self.log_upstream("upstream displaced", registration);
+            self.log_upstream("displaced", registration);
             let now = self.now();
             self.balancer
                 .borrow_mut()
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -15,6 +15,8 @@
 use trefoil_http::h1::{Answer, Handler, Limits, Reject, Request, RequestHead};
 use trefoil_route::{Repeat, Route, RouteName, Router, Spread};
 
+use crate::account::{self, Account};
+use crate::cause::Cause;
 use crate::forward::{End, Job, forward, unavailable};
 use crate::host::Host;
 
@@ -81,17 +83,17 @@
         let Some(router) = host.router() else {
             return Err(Box::new(End {
                 answer: unavailable(STARTING_RETRY),
-                cause: "no configuration",
+                cause: Cause::NoConfig,
             }));
         };
         if !request.head.headers.contains_key(HOST) {
-            return Err(Box::new(refusal(StatusCode::BAD_REQUEST, "no host named")));
+            return Err(Box::new(refusal(StatusCode::BAD_REQUEST, Cause::NoHost)));
         }
         let Some(route) = find(&router, &request.head) else {
-            return Err(Box::new(refusal(StatusCode::NOT_FOUND, "no route")));
+            return Err(Box::new(refusal(StatusCode::NOT_FOUND, Cause::NoRoute)));
         };
         let Some(service) = self.spread(&route) else {
-            return Err(Box::new(refusal(StatusCode::NOT_FOUND, "no service")));
+            return Err(Box::new(refusal(StatusCode::NOT_FOUND, Cause::NoService)));
         };
         let dialect = host.platform.dialect();
         let text = |name| {
@@ -105,7 +107,7 @@
         let key = text(&dialect.key).filter(|_| keyed);
         let key = key.and_then(|v| v.trim().parse::<Key>().ok());
         if keyed && key.is_none() {
-            return Err(Box::new(refusal(StatusCode::BAD_REQUEST, "no key")));
+            return Err(Box::new(refusal(StatusCode::BAD_REQUEST, Cause::NoKey)));
         }
         if let Some(key) = key {
             host.peers.borrow_mut().count_keys(&service, [key]);
@@ -125,7 +127,6 @@
 
     async fn answer(self: Rc<Self>, request: Request) -> Answer {
         let host = Rc::clone(&self.host);
-        let arrived = host.now();
         let id = request
             .head
             .headers
@@ -134,20 +135,18 @@
         let job = match self.job(request) {
             Ok(job) => job,
             Err(end) => {
-                info!(host.log, "request refused"; "id" => id.as_deref().unwrap_or("-"),
-                    "status" => end.answer.status.as_u16(), "cause" => end.cause,
-                    "config" => host.version().0);
-                host.metrics.answered("-", end.cause, Duration::ZERO);
+                let id = id.as_deref().unwrap_or("-");
+                account::refused(&host, id, end.answer.status, end.cause);
                 return end.answer;
             }
         };
-        let service = job.service.clone();
+        let detaches = job.route.repeat == Repeat::AtMostOnce;
+        let account = Account::new(&host, &job, detaches);
         let end = match job.route.repeat {
             Repeat::Idempotent => forward(&host, &job).await,
             Repeat::AtMostOnce => detached(&host, job).await,
         };
-        let span = host.now().since(arrived);
-        host.metrics.answered(service.as_str(), end.cause, span);
+        account.close(end.answer.status, end.cause);
         end.answer
     }
 }
@@ -170,7 +169,7 @@
             detached.task = None;
             end
         }
-        None => refusal(StatusCode::BAD_GATEWAY, "not started"),
+        None => refusal(StatusCode::BAD_GATEWAY, Cause::NotStarted),
     }
 }
 
@@ -180,7 +179,7 @@
     router.find(host, head.path()).cloned()
 }
 
-fn refusal(status: StatusCode, cause: &'static str) -> End {
+fn refusal(status: StatusCode, cause: Cause) -> End {
     End {
         answer: Answer::empty(status),
         cause,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! another one is changing. The tasks are:
 //!
 //! - [`ingress`] takes callers' requests and [`forward`] sends them to upstreams over the
-//!   [`pool`] of connections;
+//!   [`pool`] of connections; what becomes of each is logged and counted in one place, `account`;
 //! - [`follow`] keeps the configuration and the directory of upstreams up to date;
 //! - [`relay`] exchanges load, versions and routes of keyed services with the other hosts, which
 //!   [`introduce`] gets to know and [`peers`] remembers; [`fetch`] brings what another host has;
@@ -12,6 +12,8 @@
 //!
 //! What is particular to a platform, its names and its encodings, stands behind [`Platform`].
 
+mod account;
+pub mod cause;
 pub mod config;
 pub mod fetch;
 pub mod follow;
@@ -20,7 +22,9 @@
 pub mod ingress;
 pub mod introduce;
 pub mod message;
+mod metered;
 pub mod metrics;
+mod order;
 pub mod peers;
 pub mod platform;
 pub mod pool;
@@ -30,6 +34,7 @@
 pub mod tables;
 
 pub use config::{Bounds, HostConfig};
-pub use host::Host;
+pub use host::{Host, Telemetry};
+pub use metrics::{LostLines, Metrics};
 pub use platform::{Call, DecodeError, Dialect, Platform};
 pub use serve::{ServeError, serve};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,4 +1,6 @@
 //! Metrics of the host, in the `OpenMetrics` text format.
+//!
+//! Docs/OPERATIONS.md lists every metric; a test compares that list with the registry.
 
 use std::time::Duration;
 
@@ -8,19 +10,50 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
-use prometheus_client::registry::{Registry, Unit};
+use prometheus_client::registry::{Metric, Registry, Unit};
+use trefoil_core::ServiceName;
+
+use crate::cause::{Cause, Ending};
 
 /// Smallest latency bucket in seconds; buckets double from here to about 8 s.
 const SMALLEST_BUCKET: f64 = 0.004;
 const BUCKETS: u16 = 12;
 
+/// Histograms with labels.
+type Histograms<L> = Family<L, Histogram, fn() -> Histogram>;
+
 /// Labels of a request.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct RequestLabels {
+    /// The service, or `-` if the request led to none.
+    pub service: String,
+    /// What the caller was told.
+    pub outcome: Ending,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// Labels of what belongs to a service.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServiceLabels {
+    /// The service.
+    pub service: String,
+}
+
+/// Labels of something with a result.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ResultLabels {
     /// The service.
     pub service: String,
-    /// Why the request ended as it did.
-    pub cause: &'static str,
+    /// What became of it.
+    pub result: &'static str,
+}
+
+/// Labels of a hop.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct HopLabels {
+    /// `connect`, `upstream`, `order` or `store`.
+    pub hop: &'static str,
 }
 
 /// Labels of a call of the store.
@@ -28,6 +61,8 @@
 pub struct CallLabels {
     /// The call.
     pub call: &'static str,
+    /// The topic.
+    pub topic: String,
     /// What became of it.
     pub result: &'static str,
 }
@@ -41,104 +76,235 @@
     pub result: &'static str,
 }
 
+/// Labels of a change of ownership.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MoveLabels {
+    /// The service.
+    pub service: String,
+    /// Why its keys were given out anew.
+    pub reason: String,
+}
+
+/// Log lines that were not written.
+#[derive(Debug, Clone, Default)]
+pub struct LostLines {
+    /// Lines above the limit of their event.
+    pub limited: Counter,
+    /// Lines that did not fit the queue.
+    pub dropped: Counter,
+}
+
 /// Metrics of the host.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    /// Requests that were answered, by service and cause.
-    pub requests: Family<RequestLabels, Counter>,
-    /// Time from the arrival of a request to its answer.
-    pub latency: Histogram,
-    /// Time from the arrival of a request to its first sending.
-    pub queued: Histogram,
-    /// Requests that were sent again.
-    pub repeats: Counter,
-    /// Calls of the store.
-    pub calls: Family<CallLabels, Counter>,
-    /// Orders to upstreams.
-    pub orders: Family<OrderLabels, Counter>,
+    requests: Family<RequestLabels, Counter>,
+    latency: Histograms<ServiceLabels>,
+    queued: Histograms<ServiceLabels>,
+    hops: Histograms<HopLabels>,
+    attempts: Family<ResultLabels, Counter>,
+    repeats: Family<ResultLabels, Counter>,
+    calls: Family<CallLabels, Counter>,
+    orders: Family<OrderLabels, Counter>,
+    moves: Family<MoveLabels, Counter>,
+    /// Requests of this host that are open at upstreams.
+    pub(crate) open: Family<ServiceLabels, Gauge>,
+    /// Repeats that the budget still allows this host.
+    pub(crate) budget: Family<ServiceLabels, Gauge>,
+    /// Services whose steward this host is.
+    pub(crate) terms: Gauge,
     /// Version of the configuration.
-    pub version: Gauge,
+    pub(crate) version: Gauge,
+    /// Milliseconds since the configuration came into force.
+    pub(crate) config_age: Gauge,
+    /// Milliseconds since the directory last changed.
+    pub(crate) directory_age: Gauge,
+    /// Milliseconds since the store last answered this host.
+    pub(crate) store_age: Gauge,
     /// Upstreams in the directory.
-    pub upstreams: Gauge,
+    pub(crate) upstreams: Gauge,
     /// Live hosts, this one included.
-    pub hosts: Gauge,
+    pub(crate) hosts: Gauge,
+    /// Open connections of callers and operators.
+    pub(crate) connections: Gauge,
+    /// 1 while the host is ready.
+    pub(crate) ready: Gauge,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
-        let mut registry = Registry::with_prefix("trefoil");
-        let histogram = || Histogram::new(exponential_buckets(SMALLEST_BUCKET, 2.0, BUCKETS));
-        let metrics = Self {
-            registry: Registry::default(),
-            requests: Family::default(),
-            latency: histogram(),
-            queued: histogram(),
-            repeats: Counter::default(),
-            calls: Family::default(),
-            orders: Family::default(),
-            version: Gauge::default(),
-            upstreams: Gauge::default(),
-            hosts: Gauge::default(),
-        };
-        registry.register("requests", "Requests answered", metrics.requests.clone());
-        registry.register_with_unit(
-            "latency",
-            "Time from the arrival of a request to its answer",
-            Unit::Seconds,
-            metrics.latency.clone(),
-        );
-        registry.register_with_unit(
-            "queued",
-            "Time from the arrival of a request to its first sending",
-            Unit::Seconds,
-            metrics.queued.clone(),
-        );
-        registry.register("repeats", "Requests sent again", metrics.repeats.clone());
-        registry.register("store_calls", "Calls of the store", metrics.calls.clone());
-        registry.register("orders", "Orders to upstreams", metrics.orders.clone());
-        registry.register(
-            "config_version",
-            "Version of the configuration in force",
-            metrics.version.clone(),
-        );
-        registry.register(
-            "upstreams",
-            "Upstreams in the directory",
-            metrics.upstreams.clone(),
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(SMALLEST_BUCKET, 2.0, BUCKETS))
+}
+
+fn histograms<L>() -> Histograms<L>
+where
+    L: Clone + std::hash::Hash + Eq,
+{
+    Family::new_with_constructor(histogram)
+}
+
+fn per_service(service: &ServiceName) -> ServiceLabels {
+    ServiceLabels {
+        service: service.as_str().to_owned(),
+    }
+}
+
+/// A registry that hands its metrics back.
+struct Builder(Registry);
+
+impl Builder {
+    fn add<M>(&mut self, name: &'static str, help: &'static str, metric: M) -> M
+    where
+        M: Metric + Clone,
+    {
+        self.0.register(name, help, metric.clone());
+        metric
+    }
+
+    fn seconds<M>(&mut self, name: &'static str, help: &'static str, metric: M) -> M
+    where
+        M: Metric + Clone,
+    {
+        let unit = Unit::Seconds;
+        self.0.register_with_unit(name, help, unit, metric.clone());
+        metric
+    }
+}
+
+impl Metrics {
+    /// Metrics that also show the log lines that were not written.
+    pub fn new(lost: LostLines) -> Self {
+        let mut b = Builder(Registry::with_prefix("trefoil"));
+        b.add(
+            "log_lines_limited",
+            "Log lines above the limit of their event",
+            lost.limited,
         );
-        registry.register(
-            "hosts",
-            "Live hosts, this one included",
-            metrics.hosts.clone(),
+        b.add(
+            "log_lines_dropped",
+            "Log lines that did not fit the queue",
+            lost.dropped,
         );
         Self {
-            registry,
-            ..metrics
+            requests: b.add("requests", "Requests that ended", Family::default()),
+            latency: b.seconds(
+                "latency",
+                "Time from the arrival of a request to its answer",
+                histograms(),
+            ),
+            queued: b.seconds(
+                "queued",
+                "Time from the arrival of a request to its first sending",
+                histograms(),
+            ),
+            hops: b.seconds("hop", "Time of one hop", histograms()),
+            attempts: b.add("attempts", "Attempts by result", Family::default()),
+            repeats: b.add("repeats", "Wishes to send again", Family::default()),
+            calls: b.add("store_calls", "Calls of the store", Family::default()),
+            orders: b.add("orders", "Orders to upstreams", Family::default()),
+            moves: b.add("moves", "Tables written", Family::default()),
+            open: b.add("open_requests", "Requests at upstreams", Family::default()),
+            budget: b.add("budget_left", "Repeats that are left", Family::default()),
+            terms: b.add(
+                "terms",
+                "Services that this host stewards",
+                Gauge::default(),
+            ),
+            version: b.add(
+                "config_version",
+                "Version of the configuration in force",
+                Gauge::default(),
+            ),
+            config_age: b.add(
+                "config_age_milliseconds",
+                "Time since the configuration came into force",
+                Gauge::default(),
+            ),
+            directory_age: b.add(
+                "directory_age_milliseconds",
+                "Time since the directory changed",
+                Gauge::default(),
+            ),
+            store_age: b.add(
+                "store_age_milliseconds",
+                "Time since the store answered this host",
+                Gauge::default(),
+            ),
+            upstreams: b.add("upstreams", "Upstreams in the directory", Gauge::default()),
+            hosts: b.add("hosts", "Live hosts, this one included", Gauge::default()),
+            connections: b.add("connections", "Accepted connections", Gauge::default()),
+            ready: b.add("ready", "1 while the host is ready", Gauge::default()),
+            registry: b.0,
         }
     }
-}
 
-impl Metrics {
-    /// Counts an answered request.
-    pub fn answered(&self, service: &str, cause: &'static str, span: Duration) {
+    /// Counts a request that ended. `service` is `-` if it led to none.
+    pub fn ended(&self, service: &str, outcome: Ending, cause: Cause, span: Duration) {
+        let service = service.to_owned();
         let labels = RequestLabels {
-            service: service.to_owned(),
+            service: service.clone(),
+            outcome,
             cause,
         };
         self.requests.get_or_create(&labels).inc();
-        self.latency.observe(span.as_secs_f64());
+        let latency = self.latency.get_or_create(&ServiceLabels { service });
+        latency.observe(span.as_secs_f64());
+    }
+
+    /// Counts the time that a request waited before it was sent.
+    pub fn waited(&self, service: &ServiceName, span: Duration) {
+        let queued = self.queued.get_or_create(&per_service(service));
+        queued.observe(span.as_secs_f64());
+    }
+
+    /// Counts the time of a hop.
+    pub fn hop(&self, hop: &'static str, span: Duration) {
+        let hops = self.hops.get_or_create(&HopLabels { hop });
+        hops.observe(span.as_secs_f64());
+    }
+
+    /// Counts an attempt.
+    pub fn attempted(&self, service: &ServiceName, result: &'static str) {
+        let service = service.as_str().to_owned();
+        let labels = ResultLabels { service, result };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
+    /// Counts a wish to send a request again.
+    pub fn repeated(&self, service: &ServiceName, result: &'static str) {
+        let service = service.as_str().to_owned();
+        let labels = ResultLabels { service, result };
+        self.repeats.get_or_create(&labels).inc();
     }
 
     /// Counts a call of the store.
-    pub fn called(&self, call: &'static str, result: &'static str) {
-        self.calls.get_or_create(&CallLabels { call, result }).inc();
+    pub fn called(&self, call: &'static str, topic: &str, result: &'static str, span: Duration) {
+        let topic = topic.to_owned();
+        let labels = CallLabels {
+            call,
+            topic,
+            result,
+        };
+        self.calls.get_or_create(&labels).inc();
+        self.hop("store", span);
     }
 
     /// Counts an order to an upstream.
-    pub fn ordered(&self, order: &'static str, result: &'static str) {
+    pub fn ordered(&self, order: &'static str, result: &'static str, span: Duration) {
         let labels = OrderLabels { order, result };
         self.orders.get_or_create(&labels).inc();
+        self.hop("order", span);
+    }
+
+    /// Counts a change of ownership.
+    pub fn moved(&self, service: &ServiceName, reason: String) {
+        let service = service.as_str().to_owned();
+        let labels = MoveLabels { service, reason };
+        self.moves.get_or_create(&labels).inc();
+    }
+
+    /// Sets a gauge of a service.
+    pub(crate) fn set(family: &Family<ServiceLabels, Gauge>, service: &ServiceName, value: i64) {
+        family.get_or_create(&per_service(service)).set(value);
     }
 
     /// The metrics as text.
--- /dev/null
+++ b/crates/gateway/src/order.rs
@@ -0,0 +1,70 @@
+//! Sending orders to upstreams that own keys.
+
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use http::header::{HeaderMap, HeaderValue};
+use trefoil_http::h1::{Link, Match, Sent, encode_request};
+use trefoil_ranges::{Answer as OrderAnswer, Order, OrderKind};
+
+use crate::forward::{ANSWER_MAX, FRESH_IDLE};
+use crate::host::Host;
+use crate::pool;
+
+/// Age up to which an order is sent. The proof of ownership counts from the moment at which it was
+/// decided, with a margin for its travel.
+const ORDER_AGE: Duration = Duration::from_millis(200);
+
+/// Time in which an upstream answers a grant.
+const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Time in which an upstream answers a release, which includes the work that it has begun.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Sends an order to an upstream.
+pub(crate) async fn send_order(host: &Host, order: &Order) -> OrderAnswer {
+    let decided = host.now();
+    let address = host
+        .directory
+        .borrow()
+        .recall(&order.life.name)
+        .map(|r| r.address);
+    let Some(address) = address else {
+        return OrderAnswer::Unsent;
+    };
+    let span = match order.kind {
+        OrderKind::Grant { .. } => GRANT_TIMEOUT,
+        OrderKind::Release => RELEASE_TIMEOUT,
+    };
+    let call = host.platform.order_call(order);
+    let mut headers: HeaderMap = call.headers;
+    if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
+        headers.insert(http::header::HOST, value);
+    }
+    let bytes = encode_request(&call.method, &call.target, &headers, &call.body);
+    let kept = host.pool.borrow_mut().take(host.now(), address, FRESH_IDLE);
+    let mut link: Link<_> = match kept {
+        Some(link) => link,
+        None => match pool::connect(&*host.clock, address).await {
+            Ok(link) => link,
+            Err(_) => return OrderAnswer::Unsent,
+        },
+    };
+    if host.now().since(decided) > ORDER_AGE {
+        return OrderAnswer::Unsent;
+    }
+    let late = async {
+        host.clock.sleep(span).await;
+        None
+    };
+    let own = |_: &trefoil_http::h1::ResponseHead| Match::Own;
+    let exchange = async { Some(link.exchange(&call.method, bytes, ANSWER_MAX, own).await) };
+    match exchange.or(late).await {
+        Some(Ok(reply)) => {
+            host.pool.borrow_mut().put(host.now(), address, link);
+            host.platform.order_answer(order, &reply.head)
+        }
+        Some(Err(error)) if error.sent == Sent::Nothing => OrderAnswer::Unsent,
+        _ => OrderAnswer::Silent,
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -133,7 +133,11 @@
     pass_keys(host, now, position);
     let peers = host.peers.borrow();
     let hosts = i64::from(peers.all_hosts(now));
-    host.metrics.hosts.set(hosts);
+    let before = host.metrics.hosts.set(hosts);
+    if before != hosts {
+        info!(host.log, "hosts changed"; "hosts" => hosts, "before" => before,
+            "position" => position);
+    }
 }
 
 fn own_open(host: &Host) -> BTreeMap<Tag, u32> {
@@ -461,7 +465,13 @@
 fn hear_terms(host: &Host, from: SocketAddr, terms: &[TermItem]) {
     let now = host.now();
     for item in terms {
-        host.peers.borrow_mut().hear_term(now, item);
+        let known = host.peers.borrow().last_steward(&item.service);
+        let news = host.peers.borrow_mut().hear_term(now, item);
+        if news && known.is_none_or(|known| known.age.term != item.age.term) {
+            info!(host.log, "steward heard"; "service" => %item.service, "host" => %item.host,
+                "term" => item.age.term, "from" => %from, "heard_ms" => item.heard,
+                "confirmed_ms" => item.confirmed);
+        }
         steward::heard_of_routes(host, from, &item.service, item.age);
         steward::heard_of_term(host, item);
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -82,6 +82,7 @@
 impl Probe {
     fn metrics(&self) -> Answer {
         let mut answer = Answer::empty(StatusCode::OK);
+        self.host.measure();
         match self.host.metrics.encode() {
             Ok(text) => {
                 let kind = HeaderValue::from_static(
@@ -147,7 +148,7 @@
     stop.await;
     let stopped = host.now();
     info!(host.log, "stopping");
-    host.leaving.set(true);
+    host.leave();
     host.stop.close_connections();
     host.events.directory.notify(usize::MAX);
     host.clock.sleep(ACCEPT_AFTER_STOP).await;
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -218,9 +218,11 @@
     let table = term.last_table(now);
     match record::table_append(&table, term.number, term.next_sequence()) {
         Ok(append) => {
-            let written = host.store.append(append).await;
-            host.metrics
-                .called("write-table", record::result_name(&written));
+            // A successor that does not see the mark waits for the end of the grants instead.
+            if let Err(reason) = host.store.append(append).await {
+                warn!(host.log, "last table not written"; "service" => %service,
+                    "term" => term.number, "reason" => %reason);
+            }
         }
         Err(reason) => warn!(host.log, "table not encoded"; "reason" => %reason),
     }
--- a/crates/gateway/src/steward/record.rs
+++ b/crates/gateway/src/steward/record.rs
@@ -57,21 +57,6 @@
     }
 }
 
-/// Name of a result in metrics.
-pub(super) fn result_name<T>(result: &Result<T, StoreError>) -> &'static str {
-    match result {
-        Ok(_) => "ok",
-        Err(StoreError::Unreachable { .. }) => "unreachable",
-        Err(StoreError::Refused { .. }) => "refused",
-        Err(StoreError::Ambiguous { .. }) => "lost",
-        Err(StoreError::Conflict { .. }) => "conflict",
-        Err(StoreError::Fenced) => "fenced",
-        Err(StoreError::Sequence { .. }) => "sequence",
-        Err(StoreError::Dropped { .. }) => "dropped",
-        Err(StoreError::Rejected { .. }) => "rejected",
-    }
-}
-
 /// Takes over a service: sets a higher epoch, reads the table and writes it under the new term. No
 /// order is sent before that write, so the author of a table is the only steward that may have sent
 /// orders since.
@@ -80,9 +65,7 @@
     let number = next_number(host, service);
     let sent = host.now();
     let epoch = Append::epoch(place, producer(service, number, 0));
-    let taken = host.store.append(epoch).await;
-    host.metrics.called("take-over", result_name(&taken));
-    taken?;
+    host.store.append(epoch).await?;
     let table = read_table(host, service).await?;
     let now = host.now();
     let timing = timing(host);
@@ -91,9 +74,7 @@
     let earlier = earlier_end(host, now, &timing, table.author);
     table.refence_moves();
     sign(host, &mut table, number, now, earlier);
-    let written = host.store.append(table_append(&table, number, 1)?).await;
-    host.metrics.called("write-table", result_name(&written));
-    written?;
+    host.store.append(table_append(&table, number, 1)?).await?;
     let now = host.now();
     let mut steward = Steward::new(now, table, timing, earlier);
     steward.confirm_term(sent);
@@ -151,7 +132,6 @@
 pub(super) async fn write(host: Rc<Host>, append: Append, notes: Sender<Note>) {
     loop {
         let result = host.store.append(append.clone()).await.map(|_| ());
-        host.metrics.called("write-table", result_name(&result));
         if let Err(error) = &result {
             warn!(host.log, "table not written"; "reason" => %error);
         }
@@ -182,7 +162,6 @@
         let confirming = async move {
             let sent = host.now();
             let result = host.store.append(append).await.map(|_| ());
-            host.metrics.called("confirm", result_name(&result));
             // The channel is closed only when the term has ended.
             let _ = notes.send(Note::Confirmed(sent, result)).await;
         };
--- a/crates/gateway/src/steward/routes.rs
+++ b/crates/gateway/src/steward/routes.rs
@@ -14,7 +14,7 @@
 use slog::debug;
 use trefoil_core::{KeyRange, ServiceName, Tick, UpstreamName};
 
-use super::record::{read_table, result_name};
+use super::record::read_table;
 use super::term::Term;
 use crate::host::Host;
 use crate::message::{Message, RoutesPart};
@@ -242,9 +242,7 @@
 }
 
 async fn read_routes(host: &Host, service: &ServiceName) {
-    let result = read_table(host, service).await;
-    host.metrics.called("read-table", result_name(&result));
-    match result {
+    match read_table(host, service).await {
         Ok(Some(table)) => {
             let age = Age {
                 version: table.version,
--- a/crates/gateway/src/steward/term.rs
+++ b/crates/gateway/src/steward/term.rs
@@ -217,6 +217,7 @@
             }
             Note::Written(Ok(())) => {
                 if let Some((table, reason)) = self.writing.take() {
+                    host.metrics.moved(service, reason.to_string());
                     info!(host.log, "table written"; "service" => %service,
                         "term" => self.number, "version" => table.version,
                         "reason" => %reason, "ranges" => table.entries().len());
@@ -410,7 +411,8 @@
 fn send(host: &Rc<Host>, order: Order, notes: &Sender<Note>) {
     let (sender, notes) = (Rc::clone(host), notes.clone());
     let sending = async move {
-        let answer = crate::forward::send_order(&sender, &order).await;
+        let begun = sender.now();
+        let answer = crate::order::send_order(&sender, &order).await;
         let result = match &answer {
             Answer::Done(_) => "done",
             Answer::Fenced => "fenced",
@@ -418,7 +420,8 @@
             Answer::Unsent => "unsent",
             Answer::Ended => "ended",
         };
-        sender.metrics.ordered(name(&order), result);
+        let span = sender.now().since(begun);
+        sender.metrics.ordered(name(&order), result, span);
         if !matches!(answer, Answer::Done(_)) {
             info!(sender.log, "order failed"; "order" => name(&order),
                 "upstream" => %order.life, "range" => %order.range, "fence" => order.fence.0,
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -2,11 +2,15 @@
 
 use std::collections::BTreeMap;
 
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use trefoil_core::{Key, KeyRange, ServiceName, UpstreamName};
 
 /// Age of routes: the table's version, the steward's term, and its count within the term.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[display("{version}/{term}/{serial}")]
 pub struct Age {
     /// Version of the table.
     pub version: u64,
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -13,7 +13,7 @@
 use trefoil_config::{BoundSettings, ServeSettings};
 use trefoil_core::QueueClock;
 use trefoil_daemon::logging;
-use trefoil_gateway::{Bounds, Host, HostConfig, serve};
+use trefoil_gateway::{Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, serve};
 use trefoil_platform::{StoreClient, UsersPlatform};
 
 use crate::settings;
@@ -37,7 +37,12 @@
     let path = matches.get_one::<PathBuf>("settings").cloned();
     let path = path.unwrap_or_default();
     let settings = load(&path)?;
-    let (logger, _flush) = logging::stdout(settings::level(settings.log_level));
+    let level = settings::level(settings.log_level);
+    let (log, _flush, lost) = logging::stdout(level, settings.log_lines);
+    let metrics = Metrics::new(LostLines {
+        limited: lost.limited,
+        dropped: lost.dropped,
+    });
     let clock = QueueClock::default();
     let store = StoreClient::new(settings.store, Arc::new(clock.clone()));
     let platform = Rc::new(UsersPlatform::new());
@@ -45,7 +50,7 @@
     let host = Host::new(
         config,
         Arc::new(clock.clone()),
-        logger,
+        Telemetry { log, metrics },
         platform,
         Arc::new(store),
     );
