--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -2,7 +2,7 @@
 
 mod limit;
 
-use std::fmt::{self, Write as _};
+use std::fmt;
 use std::io::Write;
 use std::sync::{Mutex, PoisonError, mpsc};
 use std::thread;
@@ -28,20 +28,20 @@
     }
 }
 
-struct Line(String);
+/// Pairs of a line, each as it is written.
+#[derive(Default)]
+struct Line(Vec<String>);
 
 impl Line {
     fn pair(&mut self, key: &str, value: &str) {
         let plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
-        let separator = if self.0.is_empty() { "" } else { " " };
-        // Writing to a string cannot fail.
-        let _ = match value {
-            "" => write!(self.0, "{separator}{key}=\"\""),
-            _ if value.chars().all(plain) => write!(self.0, "{separator}{key}={value}"),
+        self.0.push(match value {
+            "" => format!("{key}=\"\""),
+            _ if value.chars().all(plain) => format!("{key}={value}"),
             // Debug escapes quotes and control characters, so that a value from outside cannot
             // begin a line of its own.
-            _ => write!(self.0, "{separator}{key}={value:?}"),
-        };
+            _ => format!("{key}={value:?}"),
+        });
     }
 }
 
@@ -60,16 +60,19 @@
     type Err = std::io::Error;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Self::Err> {
-        let mut line = Line(String::new());
+        let mut line = Line::default();
         line.pair("ts", &SystemClock.unix().to_string());
         line.pair("level", &record.level().as_str().to_ascii_lowercase());
         line.pair("event", &record.msg().to_string());
-        let failed = record.kv().serialize(record, &mut line).is_err();
-        if failed || values.serialize(record, &mut line).is_err() {
-            line.pair("incomplete", "true");
+        // slog hands the pairs over from the last to the first.
+        let mut pairs = Line::default();
+        let failed = record.kv().serialize(record, &mut pairs).is_err();
+        if failed || values.serialize(record, &mut pairs).is_err() {
+            pairs.0.insert(0, "incomplete=true".to_owned());
         }
+        line.0.extend(pairs.0.into_iter().rev());
         let mut out = self.out.lock().unwrap_or_else(PoisonError::into_inner);
-        writeln!(out, "{}", line.0)
+        writeln!(out, "{}", line.0.join(" "))
     }
 }
 
--- a/crates/gateway/src/account.rs
+++ b/crates/gateway/src/account.rs
@@ -2,7 +2,7 @@
 //!
 //! A request that an upstream answers at its first attempt is only counted. Every other decision is
 //! one line with the request's id, what decided it, and how old that was, so that the lines of one
-//! id tell its story: `attempt failed`, `request sent again`, and `request ended`, `request refused`
+//! id tell its story: `attempt failed`, `repeat decided`, and `request ended`, `request refused`
 //! or `request cancelled` at last.
 
 use std::rc::Rc;
@@ -85,7 +85,7 @@
     left: f64,
 ) {
     host.metrics.repeated(&job.service, result);
-    info!(host.log, "request sent again"; "id" => text(job.id.as_ref()),
+    info!(host.log, "repeat decided"; "id" => text(job.id.as_ref()),
         "service" => %job.service, "upstream" => %target.life.name, "result" => result,
         "because" => tried.reason.as_str(), "arrivals" => tried.arrivals,
         "attempts" => job.route.attempts, "budget_left" => format!("{left:.1}"));
