Announce a candidacy before taking over a service

Twelve terms were not begun before one was. A candidate now tells the hosts that may stand, and they wait for it; the store still decides.

--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -116,6 +116,17 @@
     pub left: Duration,
 }
 
+/// A host is about to take over a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stand {
+    /// The sender.
+    pub from: HostId,
+    /// The service.
+    pub service: ServiceName,
+    /// It did not succeed, so others may try.
+    pub over: bool,
+}
+
 /// What a host says to the relays of its failure domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -229,6 +240,8 @@
     Resigned(Resigned),
     /// The sender is about to end.
     Bye(HostId),
+    /// A host is about to take over a service.
+    Stand(Stand),
 }
 
 impl Message {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,7 +14,7 @@
 use smallvec::SmallVec;
 use trefoil_core::{DomainName, HostId, HostName, Key, ServiceName, Tick};
 
-use crate::message::{Card, Message, Standing, TermItem};
+use crate::message::{Card, Message, Stand, Standing, TermItem};
 use crate::tables::Age;
 
 /// Relays of a failure domain. With two, the loss of one is bridged by the other.
@@ -33,6 +33,10 @@
 /// Age up to which a host's last answer of the store shows that the store can be reached.
 const STORE_SEEN: Duration = Duration::from_millis(1500);
 
+/// Time for which a candidate holds the others back. It takes over with three calls of the store,
+/// which last 0.4 s each when the store takes a hundred times its usual 4 ms.
+const CLAIM: Duration = Duration::from_millis(1800);
+
 /// What is known of another host.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -77,6 +81,8 @@
     hosts: BTreeMap<HostId, Peer>,
     domains: BTreeMap<DomainName, Domain>,
     stewards: BTreeMap<ServiceName, Seen>,
+    /// Hosts that are about to take over a service, and since when.
+    claims: BTreeMap<ServiceName, (HostId, Tick)>,
     /// The latest term of each service that is known to have ended.
     ended_terms: BTreeMap<ServiceName, u64>,
     /// Processes that have ended.
@@ -108,6 +114,7 @@
             hosts: BTreeMap::new(),
             domains: BTreeMap::new(),
             stewards: BTreeMap::new(),
+            claims: BTreeMap::new(),
             ended_terms: BTreeMap::new(),
             ended: HashSet::new(),
             told_hosts: 0,
@@ -160,6 +167,7 @@
         self.hosts.remove(&id);
         self.ended.insert(id);
         self.stewards.retain(|_, seen| seen.host != id);
+        self.claims.retain(|_, (host, _)| *host != id);
     }
 
     /// Forgets hosts that have been silent for long.
@@ -397,6 +405,23 @@
         }
     }
 
+    /// A host is about to take over a service, or has failed to.
+    pub fn hear_stand(&mut self, now: Tick, stand: &Stand) {
+        if stand.over {
+            self.claims.remove(&stand.service);
+        } else {
+            let claim = (stand.from, now);
+            self.claims.insert(stand.service.clone(), claim);
+        }
+    }
+
+    /// Whether another host is taking over a service. The store decides who succeeds; this only
+    /// keeps candidates from fencing each other.
+    pub fn is_claimed(&self, now: Tick, service: &ServiceName) -> bool {
+        let claim = self.claims.get(service);
+        claim.is_some_and(|(_, since)| now.since(*since) < CLAIM)
+    }
+
     /// The steward of a service that was heard of lately.
     pub fn steward(&self, now: Tick, service: &ServiceName) -> Option<Seen> {
         let seen = self.stewards.get(service).copied();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -444,6 +444,10 @@
         Message::Routes(part) => steward::take_routes(host, from, part),
         Message::Ask(service) => steward::send_routes(host, &service, from),
         Message::Resigned(resigned) => steward::heard_resigned(host, &resigned),
+        Message::Stand(stand) => {
+            let now = host.now();
+            host.peers.borrow_mut().hear_stand(now, &stand);
+        }
         Message::Bye(id) => {
             host.peers.borrow_mut().end(id);
             steward::heard_ended(host, id);
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -21,7 +21,7 @@
 use trefoil_core::{HostId, Key, ServiceName, Tick};
 
 use crate::host::Host;
-use crate::message::{Message, Resigned, TermItem};
+use crate::message::{Message, Resigned, Stand, TermItem};
 use term::{End, Note};
 
 pub use routes::Assemblies;
@@ -112,8 +112,9 @@
     let fresh = |seen: Option<Tick>| seen.is_some_and(|at| now.since(at) < STORE_FRESH);
     let steward = host.peers.borrow().steward(now, service);
     let served = steward.is_some_and(|s| s.confirmed < DOUBT);
+    let claimed = host.peers.borrow().is_claimed(now, service);
     let relay = host.peers.borrow().is_relay(now);
-    relay && host.is_ready() && fresh(host.store_seen.get()) && !served
+    relay && !claimed && host.is_ready() && fresh(host.store_seen.get()) && !served
 }
 
 /// How many hosts stand before this one.
@@ -122,10 +123,25 @@
     u32::try_from(before).unwrap_or(u32::MAX)
 }
 
+/// Tells the hosts that may stand that this one does, or has failed to.
+fn claim(host: &Host, service: &ServiceName, over: bool) {
+    let stand = Stand {
+        from: host.id,
+        service: service.clone(),
+        over,
+    };
+    let now = host.now();
+    host.peers
+        .borrow_mut()
+        .broadcast(now, &Message::Stand(stand));
+    host.events.outbox.notify(usize::MAX);
+}
+
 /// Takes over a service and serves it until the term ends. Returns nothing if it was not taken
 /// over.
 async fn serve_term(host: &Rc<Host>, service: &ServiceName) -> Option<End> {
     let (notes, inbox) = async_channel::unbounded();
+    claim(host, service, false);
     let number = match record::take_over(host, service).await {
         Ok(term) => {
             let number = term.number;
@@ -137,6 +153,7 @@
         }
         Err(error) => {
             warn!(host.log, "term not begun"; "service" => %service, "reason" => %error);
+            claim(host, service, true);
             host.clock.sleep(RETRY).await;
             return None;
         }
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use trefoil_core::{HostId, ServiceName, Tick};
-use trefoil_gateway::message::{Card, TermItem};
+use trefoil_gateway::message::{Card, Stand, TermItem};
 use trefoil_gateway::peers::Peers;
 use trefoil_gateway::tables::Age;
 
@@ -114,3 +114,29 @@
     assert_eq!(replaced, [first.id], "one process of a host at a time");
     assert!(peers.has_ended(first.id));
 }
+
+/// Guards against a candidate that keeps the others from standing although it has given up or ended,
+/// and against one that hinders itself.
+#[test]
+fn a_candidate_holds_the_others_back_for_a_while() {
+    let mut peers = Peers::new(card("entry-1", "a"));
+    let candidate = HostId::random();
+    let stand = |over| Stand {
+        from: candidate,
+        service: service(),
+        over,
+    };
+    assert!(!peers.is_claimed(at(0), &service()));
+    peers.hear_stand(at(0), &stand(false));
+    assert!(peers.is_claimed(at(1_000), &service()));
+    assert!(!peers.is_claimed(at(3_000), &service()), "it fell silent");
+    peers.hear_stand(at(3_000), &stand(false));
+    peers.hear_stand(at(3_100), &stand(true));
+    assert!(!peers.is_claimed(at(3_200), &service()), "it gave up");
+    peers.hear_stand(at(4_000), &stand(false));
+    peers.end(candidate);
+    assert!(
+        !peers.is_claimed(at(4_100), &service()),
+        "its process ended"
+    );
+}
--- a/tests/all/platform/fleet.rs
+++ b/tests/all/platform/fleet.rs
@@ -175,20 +175,25 @@
 
     /// Starts one more host and waits until it is ready.
     pub fn host(&mut self) -> usize {
-        self.start("", true)
+        self.start("a", "", true)
+    }
+
+    /// Starts one more host in another failure domain.
+    pub fn host_in(&mut self, domain: &str) -> usize {
+        self.start(domain, "", true)
     }
 
     /// Starts a host whose output nobody reads, with further settings.
     pub fn host_unread(&mut self, settings: &str) -> usize {
-        self.start(settings, false)
+        self.start("a", settings, false)
     }
 
-    fn start(&mut self, further: &str, heard: bool) -> usize {
+    fn start(&mut self, domain: &str, further: &str, heard: bool) -> usize {
         let number = self.hosts.len() + 1;
         let [caller, ready, peer, operator] = [free(), free(), free(), free()];
         let settings = self.folder.path().join(format!("host-{number}.yaml"));
         let text = format!(
-            "name: entry-{number}\ndomain: a\ncores: 1\ncaller: \"{caller}\"\nready: \"{ready}\"\n\
+            "name: entry-{number}\ndomain: {domain}\ncores: 1\ncaller: \"{caller}\"\nready: \"{ready}\"\n\
              peer: \"{peer}\"\noperator: \"{operator}\"\nstore: \"{}\"\n\
              bounds: {{ drain-ms: 2000, grace-s: 4, repeat-ratio: 0.2, repeat-fixed: 20 }}\n{further}",
             self.address
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -8,7 +8,7 @@
 use nix::sys::signal::Signal;
 use trefoil_standin::{Fault, Manner};
 
-use super::fleet::{Fleet, config, eventually, read_answer, spec};
+use super::fleet::{Fleet, Host, config, eventually, read_answer, spec};
 
 /// One host in front of two plain upstreams.
 fn plain() -> Fleet {
@@ -346,3 +346,29 @@
     assert!(begun - stopping < 1_500, "{} ms", begun - stopping);
     assert_eq!(fleet.witness.broken(), Vec::<String>::new());
 }
+
+/// Guards against hosts that take a service from each other again and again while the store is slow:
+/// taking over needs three calls, which then last longer than the wait of the next host.
+#[test]
+fn hosts_do_not_fence_each_other_while_the_store_is_slow() {
+    let mut fleet = keyed();
+    for domain in ["b", "b", "c"] {
+        fleet.host_in(domain);
+    }
+    fleet.hosts[0].event("event", "term begun");
+    for host in &fleet.hosts[1..] {
+        host.event("event", "steward heard");
+    }
+    // The users' store takes up to a hundred times its usual 4 ms.
+    fleet.store.set(Fault::Slow(400));
+    fleet.hosts[0].signal(Signal::SIGTERM);
+    eventually("a term begins", || {
+        let begun = |host: &Host| !host.events("event", "term begun").is_empty();
+        fleet.hosts[1..].iter().any(begun).then_some(())
+    });
+    for host in &fleet.hosts[1..] {
+        let failed = host.events("event", "term not begun");
+        assert_eq!(failed, Vec::new(), "{}", host.lines().join("\n"));
+    }
+    assert_eq!(fleet.witness.broken(), Vec::<String>::new());
+}
