Add a randomized fault soak over real processes

trefoil-soak runs hosts as processes between stand-in upstreams and a store, each behind a loopback proxy that delays, resets, silences or cuts one way. Seeds choose kills, SIGTERM, pauses, SIGHUP, crashes, drains, spoiled answers, faults of the store and configurations, which overlap; callers keep their connections. Judged: at most once, true refusals, whole answers of the own request, one owner and rising fences, the route's upstreams, service within 15 s after the last fault.

Each host now has a loopback address of its own.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -46,6 +46,11 @@
 /// When a caller is told to come back at the latest.
 const RETRY_MAX: Duration = Duration::from_secs(1);
 
+/// Attempts of one request that may have run, after which it is not sent again. If an upstream loses
+/// three answers of five, a request still gets one with a likelihood of 0.87; more attempts would
+/// take the shared budget of repeats from other requests.
+const DOUBTS_MAX: u32 = 4;
+
 /// A request on its way.
 #[derive(Debug)]
 pub struct Job {
@@ -121,8 +126,8 @@
     avoid: SmallVec<[Tag; 4]>,
     /// Times that it reached an upstream.
     pub(crate) arrivals: u32,
-    /// An attempt may have run.
-    doubt: bool,
+    /// Attempts that may have run.
+    doubts: u32,
     /// What went wrong last.
     pub(crate) reason: String,
     /// Time spent waiting for something to change.
@@ -182,7 +187,7 @@
             }
             Attempt::Unknown(_) => {
                 tried.reason = reason;
-                tried.doubt = true;
+                tried.doubts += 1;
                 if job.route.repeat == Repeat::AtMostOnce {
                     return give_up(host, job, &tried, Cause::BrokenOff);
                 }
@@ -268,6 +273,7 @@
     let left = budget.map_or(0.0, |b| b.left(now, hosts));
     let result = match () {
         () if fresh && upstreams >= job.route.attempts => "no attempt left",
+        () if tried.doubts >= DOUBTS_MAX => "no attempt left",
         () if left < 1.0 => "no budget left",
         () => "sent",
     };
@@ -469,7 +475,7 @@
 
 /// The request has not run: the caller may come back.
 fn refuse(host: &Host, job: &Job, tried: &Tried, span: Duration, cause: Cause) -> End {
-    if tried.doubt {
+    if tried.doubts > 0 {
         return give_up(host, job, tried, cause);
     }
     account::ended(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
@@ -492,7 +498,7 @@
 /// No answer can be had. If every attempt is proven not to have run, the caller is told so.
 fn give_up(host: &Host, job: &Job, tried: &Tried, cause: Cause) -> End {
     let now = host.now();
-    let ran = tried.doubt || (tried.arrivals > 0 && cause == Cause::NoAnswer);
+    let ran = tried.doubts > 0 || (tried.arrivals > 0 && cause == Cause::NoAnswer);
     if !ran {
         account::ended(host, job, tried, StatusCode::SERVICE_UNAVAILABLE, cause);
         return End {
--- a/tests/all/platform/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -1,12 +1,15 @@
 //! A small deployment: the store and the upstreams in this process, the hosts as processes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use crate::proxy::Proxy;
 use bytes::Bytes;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -27,35 +30,53 @@
 const REGISTRY: Topic = Topic::fixed("keyed.servers");
 
 /// The deployment.
+#[derive(Debug)]
 pub struct Fleet {
+    /// The store, whose faults can be switched.
     pub store: Arc<FaultyStore>,
+    /// What upstreams have run.
     pub witness: Arc<Witness>,
+    /// Upstreams that were started.
     pub upstreams: Vec<Arc<Upstream>>,
+    /// Hosts that were started.
     pub hosts: Vec<Host>,
+    /// The store behind the faults; operators and the registry write to it.
+    memory: Arc<MemoryStore>,
+    program: PathBuf,
+    links: HashMap<String, Proxy>,
     address: SocketAddr,
     folder: TempDir,
     _server: Server,
 }
 
 /// One host.
+#[derive(Debug)]
 pub struct Host {
     child: Child,
     lines: Arc<Mutex<Vec<String>>>,
+    /// Where it takes requests.
     pub caller: SocketAddr,
+    /// Where it says whether it is ready.
     pub ready: SocketAddr,
+    /// Where it serves metrics.
     pub operator: SocketAddr,
-    settings: std::path::PathBuf,
+    store: Proxy,
+    settings: PathBuf,
 }
 
 /// An answer to a caller.
 #[derive(Debug, Clone)]
 pub struct Answer {
+    /// The status code.
     pub status: u16,
+    /// Status line and headers.
     pub head: String,
+    /// The body.
     pub body: String,
 }
 
 impl Answer {
+    /// The value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.head.lines().find_map(|line| {
             let (key, value) = line.split_once(':')?;
@@ -103,17 +124,23 @@
     }
 }
 
-fn free() -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    listener.local_addr().expect("an address")
+/// An address of the loopback network that no other host of this or another process uses, so that
+/// fixed ports are free there. Ports that the system picks could be taken before the host binds
+/// them.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    // 127.0 is left to everything else.
+    Ipv4Addr::new(127, high | 0x80, low, NEXT.fetch_add(1, Ordering::SeqCst))
 }
 
 impl Fleet {
     /// A store with the first configuration, and upstreams; no host runs yet.
-    pub fn new(specs: Vec<Spec>) -> Self {
+    pub fn new(program: &Path, specs: Vec<Spec>) -> Self {
         let clock = Arc::new(SystemClock);
-        let memory = MemoryStore::new(Arc::<SystemClock>::clone(&clock));
-        let store = Arc::new(FaultyStore::new(Arc::new(memory), clock));
+        let memory = Arc::new(MemoryStore::new(Arc::<SystemClock>::clone(&clock)));
+        let inner: Arc<dyn Store> = Arc::<MemoryStore>::clone(&memory);
+        let store = Arc::new(FaultyStore::new(inner, clock));
         let service = Arc::new(StoreServer::new(Arc::<FaultyStore>::clone(&store)));
         let (server, address) = smol::block_on(async {
             let listener = smol::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
@@ -123,9 +150,12 @@
         });
         let mut fleet = Self {
             store,
+            memory,
             witness: Arc::default(),
             upstreams: Vec::new(),
             hosts: Vec::new(),
+            program: program.to_owned(),
+            links: HashMap::new(),
             address,
             folder: TempDir::new().expect("a folder"),
             _server: server,
@@ -139,7 +169,7 @@
 
     fn write(&self, topic: Topic, record: Bytes) {
         let append = Append::new(Place::first(topic), record);
-        smol::block_on(self.store.append(append)).expect("the store takes it");
+        smol::block_on(self.memory.append(append)).expect("the store takes it");
     }
 
     /// Writes a configuration, as operators do.
@@ -160,16 +190,41 @@
         self.write(REGISTRY, Bytes::from(key));
     }
 
-    /// Starts one more upstream.
+    /// Starts one more upstream, behind a proxy.
     pub fn join(&mut self, spec: Spec) -> Arc<Upstream> {
         let store: Arc<dyn Store> = Arc::<FaultyStore>::clone(&self.store);
-        let upstream = Upstream::start(spec, store, &self.witness).expect("it starts");
+        let name = spec.name.clone();
+        let links = &mut self.links;
+        let publish = |address| {
+            let proxy = Proxy::start(address)?;
+            let public = proxy.address();
+            links.insert(name, proxy);
+            Ok(public)
+        };
+        let upstream = Upstream::start(spec, store, &self.witness, publish).expect("it starts");
         self.upstreams.push(Arc::clone(&upstream));
         upstream
     }
 
+    /// Whether an upstream with this name runs.
+    pub fn has(&self, name: &str) -> bool {
+        self.upstreams.iter().any(|u| u.name() == name)
+    }
+
+    /// Takes an upstream that has ended off the list.
+    pub fn remove(&mut self, name: &str) {
+        self.upstreams.retain(|u| u.name() != name);
+        self.links.remove(name);
+    }
+
+    /// The proxy in front of an upstream.
+    pub fn link(&self, name: &str) -> &Proxy {
+        self.links.get(name).expect("the upstream has a proxy")
+    }
+
+    /// The latest upstream with a name.
     pub fn upstream(&self, name: &str) -> &Arc<Upstream> {
-        let found = self.upstreams.iter().find(|u| u.name() == name);
+        let found = self.upstreams.iter().rfind(|u| u.name() == name);
         found.expect("the upstream exists")
     }
 
@@ -190,37 +245,27 @@
 
     fn start(&mut self, domain: &str, further: &str, heard: bool) -> usize {
         let number = self.hosts.len() + 1;
-        let [caller, ready, peer, operator] = [free(), free(), free(), free()];
+        let ip = own_address();
+        let [caller, ready, peer, operator] =
+            [7001, 7002, 7003, 7004].map(|port| SocketAddr::from((ip, port)));
+        let store = Proxy::start(self.address).expect("a port");
         let settings = self.folder.path().join(format!("host-{number}.yaml"));
         let text = format!(
             "name: entry-{number}\ndomain: {domain}\ncores: 1\ncaller: \"{caller}\"\nready: \"{ready}\"\n\
              peer: \"{peer}\"\noperator: \"{operator}\"\nstore: \"{}\"\n\
              bounds: {{ drain-ms: 2000, grace-s: 4, repeat-ratio: 0.2, repeat-fixed: 20 }}\n{further}",
-            self.address
+            store.address()
         );
         std::fs::write(&settings, text).expect("the settings are written");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_trefoild"))
-            .arg("serve")
-            .env("TREFOILCART_NODE_FILE", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("trefoild runs");
         let lines = Arc::<Mutex<Vec<String>>>::default();
-        if heard {
-            let (out, kept) = (child.stdout.take().expect("a pipe"), Arc::clone(&lines));
-            std::thread::spawn(move || {
-                for line in BufReader::new(out).lines().map_while(Result::ok) {
-                    let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
-                    kept.push(line);
-                }
-            });
-        }
+        let child = spawn(&self.program, &settings, heard.then_some(&lines));
         let host = Host {
             child,
             lines,
             caller,
             ready,
             operator,
+            store,
             settings,
         };
         eventually("the host is ready", || host.is_ready().then_some(()));
@@ -228,6 +273,14 @@
         number - 1
     }
 
+    /// Starts a host again whose process has ended.
+    pub fn restart(&mut self, host: usize) {
+        let host = &mut self.hosts[host];
+        let child = spawn(&self.program, &host.settings, Some(&host.lines));
+        let mut ended = std::mem::replace(&mut host.child, child);
+        ended.wait().expect("the process has ended");
+    }
+
     /// Waits until a host answers a path with 200.
     pub fn served(&self, host: usize, path: &str, headers: &str) -> Answer {
         eventually(path, || {
@@ -237,7 +290,38 @@
     }
 }
 
+/// Starts a process; keeps its lines if somebody wants them.
+fn spawn(program: &Path, settings: &Path, lines: Option<&Arc<Mutex<Vec<String>>>>) -> Child {
+    let mut child = Command::new(program)
+        .arg("serve")
+        .env("TREFOILCART_NODE_FILE", settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("trefoild runs");
+    if let Some(lines) = lines {
+        let (out, kept) = (child.stdout.take().expect("a pipe"), Arc::clone(lines));
+        std::thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+                kept.push(line);
+            }
+        });
+    }
+    child
+}
+
 impl Host {
+    /// Whether its process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child").is_none()
+    }
+
+    /// The proxy between it and the store.
+    pub fn store_link(&self) -> &Proxy {
+        &self.store
+    }
+
+    /// Whether it says that it is ready.
     pub fn is_ready(&self) -> bool {
         let answer = ask(self.ready, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
         answer.is_some_and(|a| a.status == 200)
@@ -301,6 +385,7 @@
         eventually(value, || self.events(key, value).pop())
     }
 
+    /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("a pid"));
         kill(pid, signal).expect("the process exists");
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -75,6 +75,8 @@
     /// Start of this life in milliseconds since the Unix epoch.
     born: u64,
     address: SocketAddr,
+    /// Where callers reach it; something may stand in between.
+    public: SocketAddr,
     sequence: AtomicU64,
     state: Mutex<State>,
     store: Arc<dyn Store>,
@@ -82,21 +84,28 @@
 }
 
 impl Upstream {
-    /// Starts an upstream and registers it in the store.
+    /// Starts an upstream and registers it in the store, at the address that `publish` returns for
+    /// the one that it listens on.
     ///
     /// # Errors
     ///
     /// Fails if no port can be bound.
-    pub fn start(
+    pub fn start<F>(
         spec: Spec,
         store: Arc<dyn Store>,
         witness: &Arc<Witness>,
-    ) -> std::io::Result<Arc<Self>> {
+        publish: F,
+    ) -> std::io::Result<Arc<Self>>
+    where
+        F: FnOnce(SocketAddr) -> std::io::Result<SocketAddr>,
+    {
         let listener = Async::<TcpListener>::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.get_ref().local_addr()?;
         let upstream = Arc::new(Self {
             spec,
             born: SystemClock.unix().0,
-            address: listener.get_ref().local_addr()?,
+            address,
+            public: publish(address)?,
             sequence: AtomicU64::new(0),
             state: Mutex::default(),
             store,
@@ -123,11 +132,6 @@
         &self.spec
     }
 
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
     /// Changes how it treats requests.
     pub fn set(&self, manner: Manner) {
         self.lock().manner = manner;
--- a/crates/standin/src/upstream/registrar.rs
+++ b/crates/standin/src/upstream/registrar.rs
@@ -24,7 +24,7 @@
         let spec = &upstream.spec;
         let entry = json!({
             "service": spec.service,
-            "address": upstream.address,
+            "address": upstream.public,
             "zone": spec.domain,
             "version": "v1",
             "slots": spec.slots,
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -1,6 +1,13 @@
 //! `trefoild serve` as processes, between callers, upstreams and the store of a stand-in platform.
 
-mod fleet;
 mod output;
 mod promises;
+mod soak;
 mod telemetry;
+
+use std::path::Path;
+
+/// The program under test.
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_trefoild"))
+}
--- a/tests/all/platform/output.rs
+++ b/tests/all/platform/output.rs
@@ -9,7 +9,7 @@
 use trefoil_core::{ManualClock, UnixMillis};
 use trefoil_daemon::logging::{KeyValue, Limited, Lost};
 
-use super::fleet::{Fleet, spec};
+use trefoil_soak::{Fleet, spec};
 
 /// A place for lines, which takes none while it is full.
 #[derive(Debug, Clone, Default)]
@@ -81,7 +81,7 @@
 /// serving, counts what it drops, and ends when it is told to.
 #[test]
 fn a_reader_that_stops_reading_slows_nothing() {
-    let mut fleet = Fleet::new(vec![spec("p1", "plain")]);
+    let mut fleet = Fleet::new(super::program(), vec![spec("p1", "plain")]);
     let host = fleet.host_unread("log-lines: 100000\n");
     fleet.served(host, "/read/x", "");
     // A pipe takes 64 KiB and the queue 512 lines; these lines need several times that.
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -8,11 +8,14 @@
 use nix::sys::signal::Signal;
 use trefoil_standin::{Fault, Manner};
 
-use super::fleet::{Fleet, Host, config, eventually, read_answer, spec};
+use trefoil_soak::{Fleet, Host, config, eventually, read_answer, spec};
 
 /// One host in front of two plain upstreams.
 fn plain() -> Fleet {
-    let mut fleet = Fleet::new(vec![spec("p1", "plain"), spec("p2", "plain")]);
+    let mut fleet = Fleet::new(
+        super::program(),
+        vec![spec("p1", "plain"), spec("p2", "plain")],
+    );
     fleet.host();
     fleet.served(0, "/read/x", "");
     fleet
@@ -20,7 +23,10 @@
 
 /// One host in front of two upstreams that own keys.
 fn keyed() -> Fleet {
-    let mut fleet = Fleet::new(vec![spec("k1", "keys"), spec("k2", "keys")]);
+    let mut fleet = Fleet::new(
+        super::program(),
+        vec![spec("k1", "keys"), spec("k2", "keys")],
+    );
     fleet.host();
     // Keys at both ends and in the middle have owners, so all have.
     for key in ["0", "32768", "65535"] {
@@ -89,6 +95,18 @@
     assert!(runs["last"] <= 2);
 }
 
+/// Guards against a request that is sent to the owner of its key until the budget of all hosts is
+/// used up, as long as the owner loses its answers.
+#[test]
+fn a_request_is_sent_four_times_at_most() {
+    let fleet = keyed();
+    all(&fleet, Manner::Reset);
+    let answer = fleet.hosts[0].get("often", "/keyed/x", "X-Shard-Key: 5\r\n");
+    assert_eq!(answer.map(|a| a.status), Some(502));
+    let runs = fleet.witness.counts()["often"];
+    assert!(runs <= 4, "{runs} runs");
+}
+
 /// Guards against repeats that multiply the load of upstreams in trouble: all together stay within
 /// the budget.
 #[test]
--- a/tests/all/platform/telemetry.rs
+++ b/tests/all/platform/telemetry.rs
@@ -4,10 +4,10 @@
 
 use trefoil_standin::{Fault, Manner, Spec};
 
-use super::fleet::{Fleet, eventually, spec};
+use trefoil_soak::{Fleet, eventually, spec};
 
 fn fleet(specs: Vec<Spec>) -> Fleet {
-    let mut fleet = Fleet::new(specs);
+    let mut fleet = Fleet::new(super::program(), specs);
     fleet.host();
     fleet
 }
