Read the registry as often as the deployment's bound asks, and remove what nothing uses

The pace of reads follows the stated time within which a leaving upstream gets no requests (0.3 and 0.7 of it; the same 600 ms and 1.4 s as before where it is 2 s).

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -22,6 +22,27 @@
     pub hold_max: Duration,
 }
 
+/// Time between two reads of the registry by the first host of a domain that reads it, as a share of
+/// the time within which an upstream that leaves must get no new requests. The rest is for the read
+/// itself and for telling the other hosts.
+const FIRST_PACE: f64 = 0.3;
+
+/// The same of the second host, which bridges the loss of the first.
+const SECOND_PACE: f64 = 0.7;
+
+/// Shortest time between two reads of the registry. Each read costs, and upstreams write about twice
+/// a second.
+const PACE_MIN: Duration = Duration::from_millis(100);
+
+impl Bounds {
+    /// Time between two reads of the registry by a host before which `before` others of its domain
+    /// read it.
+    pub fn registry_pace(&self, before: usize) -> Duration {
+        let share = if before == 0 { FIRST_PACE } else { SECOND_PACE };
+        self.drain.mul_f64(share).max(PACE_MIN)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -17,7 +17,7 @@
 use trefoil_core::{HostId, Tick};
 use trefoil_directory::Registration;
 use trefoil_http::h1::{
-    Answer, Content, Handler, Limits, Link, Match, Reject, Request, RequestHead, encode_request,
+    Answer, Handler, Limits, Link, Match, Reject, Request, RequestHead, encode_request,
 };
 
 use crate::follow;
@@ -71,7 +71,7 @@
         };
         let mut answer = Answer::empty(StatusCode::OK);
         match body {
-            Some(body) => answer.content = Content::Whole(body),
+            Some(body) => answer.body = body,
             None => answer.status = StatusCode::NOT_FOUND,
         }
         async { answer }.boxed_local()
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,13 +25,6 @@
 /// accepted; a connection that has gone silent delays it by at most this time.
 const CONFIG_WAIT: Duration = Duration::from_secs(4);
 
-/// Time between two reads of the registry by the first host of a domain that reads it. An upstream
-/// that leaves must get no requests after 2 s.
-const REGISTRY_PACE: Duration = Duration::from_millis(600);
-
-/// The same of the second host, which bridges the loss of the first.
-const SECOND_PACE: Duration = Duration::from_millis(1400);
-
 /// Time between two checks whether this host is to read the store.
 const ROLE: Duration = Duration::from_millis(50);
 
@@ -108,10 +101,8 @@
         let changes = take_in(&host, now, whole, records);
         host.apply_changes(changes);
         host.set_listed();
-        let pace = match host.peers.borrow().readers_before(now) {
-            0 => REGISTRY_PACE,
-            _ => SECOND_PACE,
-        };
+        let before = host.peers.borrow().readers_before(now);
+        let pace = host.bounds.get().registry_pace(before);
         expire_until(&host, now.after(pace)).await;
     }
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -18,7 +18,7 @@
 use trefoil_balance::{Choice, Need, Outcome, RepeatBudget};
 use trefoil_core::{Key, ServiceName, Tick};
 use trefoil_directory::{Phase, Registration, Tag};
-use trefoil_http::h1::{Answer, Content, LinkError, Match, Reply, Request, Sent, encode_request};
+use trefoil_http::h1::{Answer, LinkError, Match, Reply, Request, Sent, encode_request};
 use trefoil_route::{Repeat, Route};
 
 use crate::account;
@@ -467,7 +467,7 @@
         answer: Answer {
             status: reply.head.status,
             headers,
-            content: Content::Whole(reply.body),
+            body: reply.body,
         },
         cause: Cause::Answered,
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use smol::Async;
 use snafu::{ResultExt, Snafu};
-use trefoil_http::h1::{Answer, Content, Front, Handler, Limits, Reject, Request, RequestHead};
+use trefoil_http::h1::{Answer, Front, Handler, Limits, Reject, Request, RequestHead};
 
 use crate::fetch::Inner;
 use crate::host::Host;
@@ -89,7 +89,7 @@
                     "application/openmetrics-text; version=1.0.0; charset=utf-8",
                 );
                 answer.headers.insert(http::header::CONTENT_TYPE, kind);
-                answer.content = Content::Whole(text.into());
+                answer.body = text.into();
             }
             Err(error) => {
                 warn!(self.host.log, "metrics not encoded"; "reason" => %error);
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -20,7 +20,7 @@
 
 pub use encode::{encode_request, encode_response};
 pub use framing::{BodyError, Decoder, Framing, Step};
-pub use front::{Answer, Content, Front, Handler, Limits, PieceSource, Reject, Request, Stop};
+pub use front::{Answer, Front, Handler, Limits, Reject, Request, Stop};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use link::{Link, LinkError, Match, Reply, Sent};
 pub use wire::Wire;
--- a/crates/http/src/h1/encode.rs
+++ b/crates/http/src/h1/encode.rs
@@ -90,8 +90,6 @@
 pub(super) enum Extent {
     /// This many bytes follow.
     Length(u64),
-    /// Chunks follow.
-    Chunked,
     /// Nothing follows, and the head says nothing about it.
     Nothing,
 }
@@ -112,7 +110,6 @@
     fields(&mut out, headers);
     match extent {
         Extent::Length(n) => field(&mut out, "content-length", n.to_string().as_bytes()),
-        Extent::Chunked => field(&mut out, "transfer-encoding", b"chunked"),
         Extent::Nothing => {}
     }
     if close {
--- a/crates/http/src/h1/front.rs
+++ b/crates/http/src/h1/front.rs
@@ -11,11 +11,10 @@
 use std::collections::VecDeque;
 use std::fmt::{self, Debug};
 use std::future::poll_fn;
-use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -43,9 +42,6 @@
 /// Interim answer to a caller that asks before it sends a body.
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
-/// End of a chunked body.
-const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-
 /// Longest time in which a caller must take an answer that was written to its connection.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -96,22 +92,6 @@
     }
 }
 
-/// A body that arrives in pieces.
-pub trait PieceSource: Debug {
-    /// The next piece, or nothing at the end of the body. After an error the caller's connection
-    /// is closed, so that what it has received cannot look complete.
-    fn next(&mut self) -> BoxedLocal<io::Result<Option<Bytes>>>;
-}
-
-/// Body of an answer.
-#[derive(Debug)]
-pub enum Content {
-    /// All of it.
-    Whole(Bytes),
-    /// Pieces, and their total length if it is known.
-    Pieces(Option<u64>, Box<dyn PieceSource>),
-}
-
 /// An answer to a caller.
 #[derive(Debug)]
 pub struct Answer {
@@ -120,7 +100,7 @@
     /// Its fields. Those that concern one connection are left out.
     pub headers: HeaderMap,
     /// Its body.
-    pub content: Content,
+    pub body: Bytes,
 }
 
 impl Answer {
@@ -129,7 +109,7 @@
         Self {
             status,
             headers: HeaderMap::new(),
-            content: Content::Whole(Bytes::new()),
+            body: Bytes::new(),
         }
     }
 }
@@ -216,21 +196,12 @@
     held: Option<Request>,
     partial: Option<Partial>,
     out: Bytes,
-    pieces: Option<Body>,
     /// No request is read any more; the connection ends when all answers have been written.
     last: bool,
     wait: Wait,
     timer: Option<Sleep>,
 }
 
-/// A body that is being written in pieces.
-struct Body {
-    source: Box<dyn PieceSource>,
-    next: Option<BoxedLocal<io::Result<Option<Bytes>>>>,
-    chunked: bool,
-    ended: bool,
-}
-
 impl<S> Debug for Front<S> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Front")
@@ -254,7 +225,6 @@
             held: None,
             partial: None,
             out: Bytes::new(),
-            pieces: None,
             last: false,
             wait: Wait::Answer,
             timer: None,
@@ -310,10 +280,7 @@
 
     /// Whether every request that was read has been answered.
     fn is_idle(&self) -> bool {
-        self.pending.is_empty()
-            && self.held.is_none()
-            && self.out.is_empty()
-            && self.pieces.is_none()
+        self.pending.is_empty() && self.held.is_none() && self.out.is_empty()
     }
 
     /// Whether a part of a request has arrived.
@@ -404,24 +371,12 @@
                     Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
                     Poll::Pending => return Poll::Pending,
                 }
-                if self.out.is_empty() && self.pieces.is_none() {
+                if self.out.is_empty() {
                     return Poll::Ready(Event::Progress);
                 }
             }
-            if let Some(body) = &mut self.pieces {
-                match body.poll_next(cx) {
-                    Poll::Pending => return Poll::Pending,
-                    Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
-                    Poll::Ready(Ok(Some(bytes))) => self.out = bytes,
-                    Poll::Ready(Ok(None)) => {
-                        self.pieces = None;
-                        return Poll::Ready(Event::Progress);
-                    }
-                }
-                continue;
-            }
             match self.pending.pop_front() {
-                Some(Pending::Done(method, answer)) => self.write(&method, answer),
+                Some(Pending::Done(method, answer)) => self.write(&method, &answer),
                 Some(running) => {
                     self.pending.push_front(running);
                     return Poll::Pending;
@@ -431,7 +386,7 @@
         }
     }
 
-    fn write(&mut self, method: &Method, answer: Answer) {
+    fn write(&mut self, method: &Method, answer: &Answer) {
         if self.stop.is_closing() {
             // A request that waits has not been started, so its caller may send it elsewhere.
             self.last = true;
@@ -441,24 +396,14 @@
         let bodiless = method == Method::HEAD
             || answer.status.is_informational()
             || matches!(answer.status.as_u16(), 204 | 304);
-        let extent = match &answer.content {
-            _ if bodiless => Extent::Nothing,
-            Content::Whole(body) => Extent::Length(u64::try_from(body.len()).unwrap_or(u64::MAX)),
-            Content::Pieces(Some(length), _) => Extent::Length(*length),
-            Content::Pieces(None, _) => Extent::Chunked,
+        let extent = if bodiless {
+            Extent::Nothing
+        } else {
+            Extent::Length(u64::try_from(answer.body.len()).unwrap_or(u64::MAX))
         };
         let mut out = response_head(answer.status, &answer.headers, extent, close);
-        match answer.content {
-            _ if bodiless => {}
-            Content::Whole(body) => out.extend_from_slice(&body),
-            Content::Pieces(length, source) => {
-                self.pieces = Some(Body {
-                    source,
-                    next: None,
-                    chunked: length.is_none(),
-                    ended: false,
-                });
-            }
+        if !bodiless {
+            out.extend_from_slice(&answer.body);
         }
         self.out = out.freeze();
     }
@@ -555,32 +500,6 @@
     }
 }
 
-impl Body {
-    /// The next bytes to write, or nothing at the end.
-    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<Option<Bytes>>> {
-        if self.ended {
-            return Poll::Ready(Ok(None));
-        }
-        let next = self.next.get_or_insert_with(|| self.source.next());
-        let piece = ready!(next.poll(cx));
-        self.next = None;
-        let piece = piece?;
-        self.ended = piece.is_none();
-        Poll::Ready(Ok(match piece {
-            Some(piece) if self.chunked => Some(chunk(&piece)),
-            None if self.chunked => Some(Bytes::from_static(LAST_CHUNK)),
-            piece => piece,
-        }))
-    }
-}
-
-fn chunk(piece: &Bytes) -> Bytes {
-    let mut out = BytesMut::from(format!("{:x}\r\n", piece.len()).as_bytes());
-    out.extend_from_slice(piece);
-    out.extend_from_slice(b"\r\n");
-    out.freeze()
-}
-
 /// Whether the caller wants the connection to end after the answer.
 fn closes(head: &RequestHead) -> bool {
     let says = |option: &str| {
--- a/crates/ranges/src/table.rs
+++ b/crates/ranges/src/table.rs
@@ -208,40 +208,6 @@
         }
     }
 
-    /// Joins neighbours with the same owner and nothing left to be cleared, under a new fence.
-    /// `settled` says whether an entry may be joined.
-    pub fn merge<F>(&mut self, settled: F)
-    where
-        F: Fn(&Entry) -> bool,
-    {
-        let mut merged: Vec<Entry> = Vec::with_capacity(self.entries.len());
-        let mut joined = Vec::new();
-        for entry in std::mem::take(&mut self.entries) {
-            let mergeable = |e: &Entry| e.former.is_none() && settled(e);
-            match merged.last_mut() {
-                Some(last)
-                    if last.owner.is_some()
-                        && last.owner.as_ref().map(|o| &o.life)
-                            == entry.owner.as_ref().map(|o| &o.life)
-                        && (mergeable(last) || joined.contains(&last.range.first()))
-                        && mergeable(&entry) =>
-                {
-                    // Both ranges are valid and adjacent, so their union is valid.
-                    if let Ok(range) = KeyRange::new(last.range.first(), entry.range.last()) {
-                        last.range = range;
-                        joined.push(range.first());
-                    }
-                }
-                _ => merged.push(entry),
-            }
-        }
-        self.entries = merged;
-        joined.dedup();
-        for first in joined {
-            self.refence(first);
-        }
-    }
-
     /// Encodes the table.
     ///
     /// # Errors
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -1,5 +1,6 @@
 //! A deployment under faults that a seed chooses.
 
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -43,6 +44,8 @@
 struct Soak {
     fleet: Fleet,
     random: StdRng,
+    /// Hosts that were told to end and are not started again yet.
+    ending: BTreeSet<usize>,
     /// What is to be done, and when.
     due: Vec<(Instant, Undo)>,
     version: u64,
@@ -67,6 +70,7 @@
     let mut soak = Soak {
         fleet,
         random: StdRng::seed_from_u64(options.seed),
+        ending: BTreeSet::new(),
         due: Vec::new(),
         version: 1,
         joined: 0,
@@ -172,7 +176,10 @@
         self.tell(&format!("{signal} to host {}", host + 1));
         self.fleet.hosts[host].signal(signal);
         let millis = self.random.random_range(100..2500);
-        self.later(millis, move |soak| soak.restart(host));
+        // A second signal may come before the process has ended; it is started again once.
+        if self.ending.insert(host) {
+            self.later(millis, move |soak| soak.restart(host));
+        }
     }
 
     fn restart(&mut self, host: usize) {
@@ -182,6 +189,7 @@
             return;
         }
         self.tell(&format!("start of host {}", host + 1));
+        self.ending.remove(&host);
         self.fleet.restart(host);
     }
 
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -1,3 +1,4 @@
 //! What hosts know of each other and of the keys, without a network.
 
+mod bounds;
 mod peers;
--- a/tests/all/h1/front.rs
+++ b/tests/all/h1/front.rs
@@ -12,9 +12,7 @@
 use http::StatusCode;
 use smol::{LocalExecutor, Task};
 use trefoil_core::ManualClock;
-use trefoil_http::h1::{
-    Answer, Content, Front, Handler, Limits, Reject, Request, RequestHead, Stop,
-};
+use trefoil_http::h1::{Answer, Front, Handler, Limits, Reject, Request, RequestHead, Stop};
 
 use super::pipe::{Peer, connection, settle};
 
@@ -89,7 +87,7 @@
             receiver.recv().await.expect("the test answers");
             guard.done = true;
             let mut answer = Answer::empty(StatusCode::OK);
-            answer.content = Content::Whole(path.into());
+            answer.body = path.into();
             answer
         }
         .boxed_local()
