Take an outage of the store for a cut only if others reached it later

Ruled out: a cut of the steward (all 89 hosts lost the store within 0.3 s). Now only an answer to a call sent after the steward's missed one shows a cut.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,6 +33,10 @@
 /// Age up to which a host's last answer of the store shows that the store can be reached.
 const STORE_SEEN: Duration = Duration::from_millis(1500);
 
+/// Error of the age of another host's last answer of the store: what a datagram takes on its way, and
+/// the steps in which it is told.
+const AGE_ERROR: Duration = Duration::from_millis(150);
+
 /// Time for which a candidate holds the others back. It takes over with three calls of the store,
 /// which last 0.4 s each when the store takes a hundred times its usual 4 ms.
 const CLAIM: Duration = Duration::from_millis(1800);
@@ -326,9 +330,12 @@
         ages.min().map(|age| Tick(now.0.saturating_sub(age)))
     }
 
-    /// Whether the store has answered another host lately, as far as is known.
-    pub fn anyone_reaches_store(&self, now: Tick) -> bool {
-        self.hosts.values().any(|p| reaches_store(now, p))
+    /// Whether the store has answered a call that another host sent after `since`, as far as is
+    /// known.
+    pub fn anyone_reached_store(&self, now: Tick, since: Tick) -> bool {
+        let span = now.since(since);
+        let ages = self.hosts.values().filter_map(|p| store_age(now, p));
+        ages.into_iter().any(|age| age + AGE_ERROR < span)
     }
 
     /// Hosts that reach the store and whose rank among all hosts is before this one's.
--- a/crates/gateway/src/steward/record.rs
+++ b/crates/gateway/src/steward/record.rs
@@ -21,7 +21,7 @@
 const PLACE: Place = Place::first(Topic::fixed("keyed.trefoil-ranges"));
 
 /// Time between two confirmations of a term. A few can fail before the term runs out.
-const CONFIRM: Duration = Duration::from_millis(600);
+pub(super) const CONFIRM: Duration = Duration::from_millis(600);
 
 /// Wait after a failed write.
 const RETRY: Duration = Duration::from_millis(300);
--- a/crates/gateway/src/steward/term.rs
+++ b/crates/gateway/src/steward/term.rs
@@ -270,7 +270,10 @@
     /// Whether the term goes on.
     fn check(&mut self, host: &Host, now: Tick) -> Result<(), End> {
         let unconfirmed = now.since(self.confirmed);
-        let others = || host.peers.borrow().anyone_reaches_store(now);
+        // The call that should have confirmed the term next. If nobody else's later call was
+        // answered either, the store is away for all.
+        let missed = self.confirmed.after(record::CONFIRM);
+        let others = || host.peers.borrow().anyone_reached_store(now, missed);
         match () {
             () if host.leaving.get() => Err(End::Leaving),
             () if self.superseded || self.steward.is_deposed() => Err(End::Deposed),
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -87,6 +87,9 @@
         .filter(|c| c.answer.as_ref().is_some_and(|a| a.status == 200));
     soak.story
         .push(format!("{} calls, {} served", calls.len(), served.count()));
+    if !broken.is_empty() {
+        soak.keep_logs(options.seed);
+    }
     (broken, soak.story)
 }
 
@@ -316,6 +319,17 @@
         self.fleet.configure(&next);
     }
 
+    /// Writes the log of each host to a folder, which the story names.
+    fn keep_logs(&mut self, seed: u64) {
+        let folder = std::env::temp_dir().join(format!("trefoil-soak-{seed}"));
+        std::fs::create_dir_all(&folder).expect("a folder for the logs");
+        for (number, host) in self.fleet.hosts.iter().enumerate() {
+            let file = folder.join(format!("host-{}.log", number + 1));
+            std::fs::write(file, host.lines().join("\n")).expect("the log is written");
+        }
+        self.tell(&format!("logs of the hosts: {}", folder.display()));
+    }
+
     /// Waits until every host serves every kind of request again.
     fn recover(&mut self) -> Vec<String> {
         let until = Instant::now() + RECOVERY;
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -11,7 +11,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::{Async, Task};
 use trefoil_core::{Clock, SystemClock};
@@ -152,11 +152,6 @@
         drop(tasks);
         self.witness.ended(self);
     }
-
-    /// Whether it holds a key.
-    pub fn holds(&self, key: u16) -> bool {
-        self.lock().holdings.holds(Instant::now(), key)
-    }
 }
 
 async fn accept(upstream: Arc<Upstream>, listener: Async<TcpListener>) {
--- a/crates/standin/src/upstream/holdings.rs
+++ b/crates/standin/src/upstream/holdings.rs
@@ -52,6 +52,13 @@
         self.until[usize::from(key)].is_some_and(|until| now < until)
     }
 
+    /// How long it still holds a key, and the fencing token.
+    pub(super) fn left(&self, now: Instant, key: u16) -> Option<(Duration, u64)> {
+        let key = usize::from(key);
+        let left = self.until[key]?.checked_duration_since(now)?;
+        Some((left, self.fences[key]))
+    }
+
     /// The highest fencing token seen in a range.
     pub(super) fn highest(&self, keys: (u16, u16)) -> u64 {
         let range = usize::from(keys.0)..=usize::from(keys.1);
--- a/crates/standin/src/upstream/witness.rs
+++ b/crates/standin/src/upstream/witness.rs
@@ -64,16 +64,17 @@
         key: Option<u16>,
     ) -> usize {
         if let Some(key) = key {
-            for other in self
-                .others(upstream)
-                .iter()
-                .filter(|other| other.holds(key))
-            {
-                let names = (upstream.name(), other.name());
-                self.lock().broken.push(format!(
-                    "{} runs {id} while {} holds key {key}",
-                    names.0, names.1
-                ));
+            let now = Instant::now();
+            let own = upstream.lock().holdings.left(now, key);
+            for other in self.others(upstream) {
+                if let Some(left) = other.lock().holdings.left(now, key) {
+                    let names = (upstream.name(), other.name());
+                    let text = format!(
+                        "{} runs {id} with {own:?} while {} holds key {key} with {left:?} (time left, fence)",
+                        names.0, names.1
+                    );
+                    self.lock().broken.push(text);
+                }
             }
         }
         let mut seen = self.lock();
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use trefoil_core::{HostId, ServiceName, Tick};
-use trefoil_gateway::message::{Card, Stand, TermItem};
+use trefoil_gateway::message::{Card, Stand, Standing, TermItem};
 use trefoil_gateway::peers::Peers;
 use trefoil_gateway::tables::Age;
 
@@ -140,3 +140,33 @@
         "its process ended"
     );
 }
+
+/// Guards against a steward that takes an outage of the store for a cut of its own because another
+/// host had an answer shortly before the outage, and against one that does not notice its own cut.
+#[test]
+fn only_later_answers_show_that_others_reach_the_store() {
+    let mut peers = Peers::new(card("entry-1", "a"));
+    let other = card("entry-2", "b");
+    peers.add(at(0), other.clone());
+    let standing = |store| Standing {
+        version: 1,
+        directory: 0,
+        store: Some(store),
+    };
+    // Heard at 3.0 s, it had sent its last answered call at 2.0 s.
+    peers.heard(at(3_000), other.id, Some(standing(1_000)));
+    assert!(peers.anyone_reached_store(at(3_100), at(1_500)));
+    assert!(
+        !peers.anyone_reached_store(at(3_100), at(2_000)),
+        "the same moment"
+    );
+    assert!(
+        !peers.anyone_reached_store(at(3_100), at(2_400)),
+        "an earlier call"
+    );
+    peers.heard(at(3_200), other.id, Some(standing(100)));
+    assert!(
+        peers.anyone_reached_store(at(3_200), at(2_400)),
+        "a later call"
+    );
+}
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -390,3 +390,25 @@
     }
     assert_eq!(fleet.witness.broken(), Vec::<String>::new());
 }
+
+/// Guards against a steward that takes an outage of the store for a cut of its own, because another
+/// host has had an answer a moment before the outage. Its keys would lapse until the store is back.
+/// The outages begin at three points of the second between two confirmations.
+#[test]
+fn an_outage_of_the_store_ends_no_term() {
+    let mut fleet = keyed();
+    for domain in ["b", "c"] {
+        fleet.host_in(domain);
+    }
+    for _ in 0..3 {
+        fleet.store.set(Fault::Down);
+        std::thread::sleep(Duration::from_millis(2_700));
+        fleet.store.set(Fault::None);
+        std::thread::sleep(Duration::from_millis(1_630));
+    }
+    for host in &fleet.hosts {
+        let ended = host.events("event", "term ended");
+        assert_eq!(ended, Vec::new());
+    }
+    fleet.served(0, "/keyed/x", "X-Shard-Key: 9\r\n");
+}
