--- a/crates/daemon/src/dispatcher.rs
+++ b/crates/daemon/src/dispatcher.rs
@@ -12,6 +12,7 @@
 pub mod driver;
 pub mod exchange;
 pub mod failover;
+mod grants;
 pub mod job;
 mod payload;
 pub mod shards;
--- a/crates/daemon/src/dispatcher/driver.rs
+++ b/crates/daemon/src/dispatcher/driver.rs
@@ -11,7 +11,7 @@
 use event_listener::Event;
 use futures_lite::FutureExt;
 use http::Request as HttpRequest;
-use slog::{info, warn};
+use slog::info;
 use smol::Task;
 use trefoil_config::{Service, Upstream};
 use trefoil_core::chart::ChartError;
@@ -80,15 +80,15 @@
     pub(super) siblings: Weak<Dispatchers>,
     pub(super) service: ServiceName,
     declared: Upstream,
-    settings: Service,
+    pub(super) settings: Service,
     pub(super) pool: Pool,
     inner: Mutex<Inner>,
     /// Locked while a grant is sent.
     pub(super) granting: async_lock::Mutex<()>,
     /// Shards of the newest grant that the upstream has accepted.
-    confirmed: Mutex<BTreeSet<Shard>>,
+    pub(super) confirmed: Mutex<BTreeSet<Shard>>,
     /// A grant was accepted.
-    confirm: Event,
+    pub(super) confirm: Event,
     /// Revision of the newest placement that was taken over. Locked before `inner`.
     pub(super) synced: Mutex<Option<Revision>>,
     pub(super) counter: Counter,
@@ -434,60 +434,6 @@
         self.wake();
     }
 
-    async fn grant(self: Arc<Self>) {
-        let _turn = self.granting.lock().await;
-        let shards = self.lock().admission.renew(self.shared.clock.now());
-        if !shards.is_empty() {
-            self.send_grant(&shards).await;
-        }
-    }
-
-    /// Sends a grant, with `granting` locked: a grant that arrives after a newer one would take
-    /// shards away. Returns whether the upstream has it.
-    pub(super) async fn send_grant(&self, shards: &[Shard]) -> bool {
-        let Some(token) = self.authority.token(self.name()) else {
-            return false;
-        };
-        let sent = exchange::grant(self.address(), token, self.shared.clock.unix(), shards).await;
-        match &sent {
-            Ok(()) => {
-                *self.confirmed() = shards.iter().copied().collect();
-                self.confirm.notify(usize::MAX);
-            }
-            Err(e) => {
-                warn!(self.shared.logger, "grant not accepted"; "upstream" => %self.name(), "error" => %e);
-            }
-        }
-        sent.is_ok()
-    }
-
-    fn confirmed(&self) -> MutexGuard<'_, BTreeSet<Shard>> {
-        self.confirmed
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Waits until the upstream has accepted a grant of the shard, at most for the time that a grant
-    /// may take. The upstream refuses requests that arrive before.
-    pub(super) async fn await_grant(&self, shard: Shard) {
-        let accepted = async {
-            loop {
-                let listener = self.confirm.listen();
-                if !self.is_fenced() || self.confirmed().contains(&shard) {
-                    return;
-                }
-                listener.await;
-            }
-        };
-        let late = self.shared.clock.sleep(exchange::GRANT_TIMEOUT);
-        accepted.or(late).await;
-    }
-
-    /// Whether the upstream checks fences.
-    pub(super) fn is_fenced(&self) -> bool {
-        self.settings.fenced
-    }
-
     /// Reports the end of an attempt. Returns the report if the request has ended.
     pub(super) fn finish(&self, ticket: Ticket, cause: Cause) -> Option<Report> {
         let now = self.shared.clock.now();
--- /dev/null
+++ b/crates/daemon/src/dispatcher/grants.rs
@@ -0,0 +1,67 @@
+//! Grants to an upstream that checks fences.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, MutexGuard, PoisonError};
+
+use futures_lite::FutureExt;
+use slog::warn;
+use trefoil_core::Shard;
+
+use super::driver::Driver;
+use super::exchange;
+
+impl Driver {
+    pub(super) async fn grant(self: Arc<Self>) {
+        let _turn = self.granting.lock().await;
+        let shards = self.lock().admission.renew(self.shared.clock.now());
+        if !shards.is_empty() {
+            self.send_grant(&shards).await;
+        }
+    }
+
+    /// Sends a grant, with `granting` locked: a grant that arrives after a newer one would take
+    /// shards away. Returns whether the upstream has it.
+    pub(super) async fn send_grant(&self, shards: &[Shard]) -> bool {
+        let Some(token) = self.authority.token(self.name()) else {
+            return false;
+        };
+        let sent = exchange::grant(self.address(), token, self.shared.clock.unix(), shards).await;
+        match &sent {
+            Ok(()) => {
+                *self.confirmed() = shards.iter().copied().collect();
+                self.confirm.notify(usize::MAX);
+            }
+            Err(e) => {
+                warn!(self.shared.logger, "grant not accepted"; "upstream" => %self.name(), "error" => %e);
+            }
+        }
+        sent.is_ok()
+    }
+
+    fn confirmed(&self) -> MutexGuard<'_, BTreeSet<Shard>> {
+        self.confirmed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits until the upstream has accepted a grant of the shard, at most for the time that a grant
+    /// may take. The upstream refuses requests that arrive before.
+    pub(super) async fn await_grant(&self, shard: Shard) {
+        let accepted = async {
+            loop {
+                let listener = self.confirm.listen();
+                if !self.is_fenced() || self.confirmed().contains(&shard) {
+                    return;
+                }
+                listener.await;
+            }
+        };
+        let late = self.shared.clock.sleep(exchange::GRANT_TIMEOUT);
+        accepted.or(late).await;
+    }
+
+    /// Whether the upstream checks fences.
+    pub(super) fn is_fenced(&self) -> bool {
+        self.settings.fenced
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward/attempt.rs
@@ -0,0 +1,199 @@
+//! One attempt at an upstream.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use http::StatusCode;
+use http::header::{CONTENT_ENCODING, HeaderValue};
+use trefoil_balance::{Outcome, RepeatBudget};
+use trefoil_core::{ServiceName, Tick};
+use trefoil_directory::{Registration, Tag};
+use trefoil_http::h1::{LinkError, Match, Reply, Sent, encode_request};
+use trefoil_route::Repeat;
+
+use super::{ANSWER_MAX, Attempt, FRESH_IDLE, Job, Tried};
+use crate::host::Host;
+use crate::pool::{self, UpstreamLink};
+
+/// Counts the load of one request at an upstream for as long as it lives.
+struct Permit<'a> {
+    host: &'a Host,
+    tag: Tag,
+    open: u32,
+    begun: Tick,
+    outcome: Outcome,
+}
+
+impl<'a> Permit<'a> {
+    fn new(host: &'a Host, tag: Tag, now: Tick) -> Self {
+        Self {
+            host,
+            tag,
+            open: host.balancer.borrow_mut().begin(now, tag),
+            begun: now,
+            outcome: Outcome::Dropped,
+        }
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        let now = self.host.now();
+        let took = now.since(self.begun);
+        let mut balancer = self.host.balancer.borrow_mut();
+        balancer.end(now, self.tag, self.outcome, self.open, took);
+        self.host.events.room.notify(usize::MAX);
+    }
+}
+
+/// Sends a request to an upstream once.
+pub(super) async fn attempt(
+    host: &Host,
+    job: &Job,
+    target: &Registration,
+    tried: &mut Tried,
+) -> Attempt {
+    let now = host.now();
+    let tag = Tag::of(&target.life.name);
+    let mut permit = Permit::new(host, tag, now);
+    let (mut link, reused) = match open(host, job, target.address).await {
+        Ok(link) => link,
+        Err(reason) => {
+            permit.outcome = Outcome::Failed;
+            return Attempt::Unsent(reason);
+        }
+    };
+    let now = host.now();
+    if now >= job.deadline || job.gone.get() {
+        return Attempt::Unsent("the time had passed before it was sent".to_owned());
+    }
+    if tried.arrivals == 0 {
+        host.metrics.waited(&job.service, now.since(job.arrived));
+        count_first(host, &job.service, now);
+    }
+    let request = encode(host, job, target, now);
+    let id = job.id.clone();
+    let dialect = host.platform.dialect();
+    let belongs = |head: &trefoil_http::h1::ResponseHead| {
+        let answered = head.headers.get(&dialect.request_id);
+        match (answered, &id) {
+            (Some(answered), Some(id)) if answered == id => Match::Own,
+            // A refusal may come without an id; on a new connection it can only be ours.
+            (None, _) if !reused => Match::Own,
+            (_, None) => Match::Own,
+            _ => Match::Other,
+        }
+    };
+    let late = async {
+        host.clock.sleep_until(job.deadline).await;
+        None
+    };
+    let method = &job.request.head.method;
+    let exchange = async { Some(link.exchange(method, request, ANSWER_MAX, belongs).await) };
+    tried.arrivals += 1;
+    if !tried.sent.contains(&tag) {
+        tried.sent.push(tag);
+    }
+    let result = exchange.or(late).await;
+    let attempt = judge(host, target.address, link, result, &mut permit, tried);
+    if let Attempt::Refused(reply) = &attempt {
+        let answerer = reply.head.headers.get(&dialect.answerer);
+        let name = target.life.name.as_str().as_bytes();
+        if answerer.is_some_and(|other| other.as_bytes() != name) {
+            host.displace(target);
+        }
+    }
+    attempt
+}
+
+fn judge(
+    host: &Host,
+    address: SocketAddr,
+    link: UpstreamLink,
+    result: Option<Result<Reply, LinkError>>,
+    permit: &mut Permit<'_>,
+    tried: &mut Tried,
+) -> Attempt {
+    let dialect = host.platform.dialect();
+    match result {
+        None => {
+            permit.outcome = Outcome::Failed;
+            Attempt::Late
+        }
+        Some(Err(error)) => {
+            permit.outcome = Outcome::Failed;
+            if error.sent == Sent::Nothing {
+                tried.arrivals -= 1;
+                return Attempt::Unsent(error.reason);
+            }
+            Attempt::Unknown(error.reason)
+        }
+        Some(Ok(reply)) => {
+            let now = host.now();
+            let refused = reply.head.headers.contains_key(&dialect.refused)
+                || reply.head.status == StatusCode::MISDIRECTED_REQUEST;
+            let sealed = reply.head.headers.contains_key(&dialect.seal);
+            let encoded = reply.head.headers.contains_key(CONTENT_ENCODING);
+            if reply.head.status.is_success() && (!sealed || encoded) {
+                permit.outcome = Outcome::Failed;
+                return Attempt::Unknown("an answer without a seal".to_owned());
+            }
+            host.pool.borrow_mut().put(now, address, link);
+            if refused {
+                permit.outcome = Outcome::Refused;
+                Attempt::Refused(reply)
+            } else {
+                permit.outcome = Outcome::Answered;
+                Attempt::Answered(reply)
+            }
+        }
+    }
+}
+
+/// A connection to an upstream, and whether it has carried a request before.
+async fn open(host: &Host, job: &Job, address: SocketAddr) -> Result<(UpstreamLink, bool), String> {
+    let idle = match job.route.repeat {
+        Repeat::Idempotent => Duration::MAX,
+        Repeat::AtMostOnce => FRESH_IDLE,
+    };
+    let kept = host.pool.borrow_mut().take(host.now(), address, idle);
+    if let Some(link) = kept {
+        return Ok((link, true));
+    }
+    let begun = host.now();
+    let opened = pool::connect(&*host.clock, address).await;
+    host.metrics.hop("connect", host.now().since(begun));
+    opened
+        .map(|link| (link, false))
+        .map_err(|e| format!("cannot connect to {address}: {e}"))
+}
+
+fn count_first(host: &Host, service: &ServiceName, now: Tick) {
+    let bounds = host.bounds.get();
+    let mut budgets = host.budgets.borrow_mut();
+    if !budgets.contains_key(service) {
+        let budget = RepeatBudget::new(
+            bounds.repeat_ratio,
+            bounds.repeat_fixed,
+            bounds.repeat_window,
+        );
+        budgets.insert(service.clone(), budget);
+    }
+    if let Some(budget) = budgets.get_mut(service) {
+        budget.count(now);
+    }
+}
+
+fn encode(host: &Host, job: &Job, target: &Registration, now: Tick) -> Bytes {
+    let dialect = host.platform.dialect();
+    let mut headers = job.request.head.headers.clone();
+    let left = u64::try_from(job.deadline.since(now).as_millis()).unwrap_or(u64::MAX);
+    headers.insert(dialect.deadline.clone(), HeaderValue::from(left));
+    if let Ok(name) = HeaderValue::from_str(target.life.name.as_str()) {
+        headers.insert(dialect.addressee.clone(), name);
+    }
+    let head = &job.request.head;
+    encode_request(&head.method, &head.target, &headers, &job.request.body)
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,8 @@
 //! the store, and which hosts of its domain are live from its relays, so all agree on who the relays
 //! are as soon as they have heard the same.
 
+mod stewards;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -14,7 +16,7 @@
 use smallvec::SmallVec;
 use trefoil_core::{DomainName, HostId, HostName, Key, ServiceName, Tick};
 
-use crate::message::{Card, Message, Stand, Standing, TermItem};
+use crate::message::{Card, Message, Standing};
 use crate::tables::Age;
 
 /// Relays of a failure domain. With two, the loss of one is bridged by the other.
@@ -23,10 +25,6 @@
 /// Time after which a host that was not heard of counts as silent.
 pub const SILENT: Duration = Duration::from_millis(1200);
 
-/// Time after which a steward that was not heard of counts as silent. It is heard through relays,
-/// several times a second.
-const STEWARD_SILENT: Duration = Duration::from_secs(1);
-
 /// Time after which a silent host is forgotten. Cuts end after seconds.
 const FORGET: Duration = Duration::from_mins(1);
 
@@ -37,10 +35,6 @@
 /// the steps in which it is told.
 const AGE_ERROR: Duration = Duration::from_millis(150);
 
-/// Time for which a candidate holds the others back. It takes over with three calls of the store,
-/// which last 0.4 s each when the store takes a hundred times its usual 4 ms.
-const CLAIM: Duration = Duration::from_millis(1800);
-
 /// What is known of another host.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -367,96 +361,6 @@
         self.hosts.get(&id).map(|p| p.card.address)
     }
 
-    /// Takes in what was said of a steward; says whether it is news.
-    pub fn hear_term(&mut self, now: Tick, item: &TermItem) -> bool {
-        let at = Tick(now.0.saturating_sub(millis(item.heard)));
-        let seen = Seen {
-            host: item.host,
-            age: item.age,
-            confirmed: millis(item.confirmed),
-            waits_for: item.waits_for,
-            at,
-        };
-        if self.ended.contains(&item.host) {
-            return false;
-        }
-        // Hosts that have not heard of the end go on telling of the term.
-        let ended = self.ended_terms.get(&item.service);
-        if ended.is_some_and(|ended| item.age.term <= *ended) {
-            return false;
-        }
-        let known = self.stewards.get(&item.service);
-        let older = known.is_some_and(|k| {
-            if k.age.term == item.age.term {
-                k.at >= at
-            } else {
-                k.age.term > item.age.term
-            }
-        });
-        if !older {
-            self.stewards.insert(item.service.clone(), seen);
-        }
-        !older
-    }
-
-    /// A host has ended its term.
-    pub fn end_term(&mut self, service: &ServiceName, term: u64) {
-        let ended = self.ended_terms.entry(service.clone()).or_default();
-        *ended = term.max(*ended);
-        if self
-            .stewards
-            .get(service)
-            .is_some_and(|s| s.age.term == term)
-        {
-            self.stewards.remove(service);
-        }
-    }
-
-    /// A host is about to take over a service, or has failed to.
-    pub fn hear_stand(&mut self, now: Tick, stand: &Stand) {
-        if stand.over {
-            self.claims.remove(&stand.service);
-        } else {
-            let claim = (stand.from, now);
-            self.claims.insert(stand.service.clone(), claim);
-        }
-    }
-
-    /// Whether another host is taking over a service. The store decides who succeeds; this only
-    /// keeps candidates from fencing each other.
-    pub fn is_claimed(&self, now: Tick, service: &ServiceName) -> bool {
-        let claim = self.claims.get(service);
-        claim.is_some_and(|(_, since)| now.since(*since) < CLAIM)
-    }
-
-    /// The steward of a service that was heard of lately.
-    pub fn steward(&self, now: Tick, service: &ServiceName) -> Option<Seen> {
-        let seen = self.stewards.get(service).copied();
-        seen.filter(|s| now.since(s.at) < STEWARD_SILENT)
-    }
-
-    /// The steward of a service that was heard of last, however long ago.
-    pub fn last_steward(&self, service: &ServiceName) -> Option<Seen> {
-        self.stewards.get(service).copied()
-    }
-
-    /// Stewards that were heard of lately.
-    pub fn terms(&self, now: Tick) -> Vec<TermItem> {
-        let fresh = self
-            .stewards
-            .iter()
-            .filter(|(_, s)| now.since(s.at) < STEWARD_SILENT);
-        let item = |(service, seen): (&ServiceName, &Seen)| TermItem {
-            service: service.clone(),
-            host: seen.host,
-            age: seen.age,
-            confirmed: whole_millis(seen.confirmed),
-            waits_for: seen.waits_for,
-            heard: whole_millis(now.since(seen.at)),
-        };
-        fresh.map(item).collect()
-    }
-
     /// Keys were asked for.
     pub fn count_keys<I>(&mut self, service: &ServiceName, keys: I)
     where
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,8 +10,10 @@
 //! it. The others learn of changes from digests: changes of the directory are in them, and a newer
 //! configuration or a directory with another digest is fetched from the relay.
 
+mod handle;
+
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,8 +26,7 @@
 
 use crate::host::Host;
 use crate::message::{
-    ChangeItem, DATAGRAM_MAX, Digest, Exchange, Message, OpenItem, Report, Standing, TermItem,
-    TimeItem,
+    ChangeItem, DATAGRAM_MAX, Digest, Exchange, Message, OpenItem, Report, Standing, TimeItem,
 };
 use crate::peers::{RELAYS, whole_millis};
 use crate::{fetch, steward};
@@ -63,7 +64,7 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) => match Message::decode(&buffer[..size]) {
-                Ok(message) => handle(&host, from, message),
+                Ok(message) => handle::handle(&host, from, message),
                 Err(reason) => debug!(host.log, "datagram dropped"; "from" => %from,
                     "reason" => %reason),
             },
@@ -415,125 +416,6 @@
     }
 }
 
-fn handle(host: &Host, from: SocketAddr, message: Message) {
-    match message {
-        Message::Hello(card, asks) => {
-            let (id, address) = (card.id, card.address);
-            let name = card.name.clone();
-            let now = host.now();
-            let (joined, replaced) = host.peers.borrow_mut().add(now, card);
-            if joined {
-                info!(host.log, "host joined"; "host" => %name, "address" => %address);
-            }
-            let mut peers = host.peers.borrow_mut();
-            peers.heard(now, id, None);
-            if asks && id != host.id {
-                let hello = Message::Hello(peers.own().clone(), false);
-                peers.send([address], &hello);
-            }
-            drop(peers);
-            for ended in replaced {
-                info!(host.log, "host ended"; "incarnation" => %ended, "host" => %name);
-                steward::heard_ended(host, ended);
-            }
-        }
-        Message::Report(report) => take_report(host, from, report),
-        Message::Digest(digest) => take_digest(host, from, digest),
-        Message::Exchange(exchange) => take_exchange(host, from, exchange),
-        Message::Keys(service, keys) => steward::take_keys(host, &service, keys),
-        Message::Routes(part) => steward::take_routes(host, from, part),
-        Message::Ask(service) => steward::send_routes(host, &service, from),
-        Message::Resigned(resigned) => steward::heard_resigned(host, &resigned),
-        Message::Stand(stand) => {
-            let now = host.now();
-            host.peers.borrow_mut().hear_stand(now, &stand);
-        }
-        Message::Bye(id) => {
-            host.peers.borrow_mut().end(id);
-            steward::heard_ended(host, id);
-        }
-    }
-}
-
-/// Notes that a host was heard, or asks who it is.
-fn heard(host: &Host, from: SocketAddr, id: HostId, standing: Standing) -> bool {
-    let mut peers = host.peers.borrow_mut();
-    let known = peers.heard(host.now(), id, Some(standing));
-    if !known && !peers.has_ended(id) {
-        let hello = Message::Hello(peers.own().clone(), true);
-        peers.send([from], &hello);
-    }
-    known
-}
-
-fn hear_terms(host: &Host, from: SocketAddr, terms: &[TermItem]) {
-    let now = host.now();
-    for item in terms {
-        let known = host.peers.borrow().last_steward(&item.service);
-        let news = host.peers.borrow_mut().hear_term(now, item);
-        if news && known.is_none_or(|known| known.age.term != item.age.term) {
-            info!(host.log, "steward heard"; "service" => %item.service, "host" => %item.host,
-                "term" => item.age.term, "from" => %from, "heard_ms" => item.heard,
-                "confirmed_ms" => item.confirmed);
-        }
-        steward::heard_of_routes(host, from, &item.service, item.age);
-        steward::heard_of_term(host, item);
-    }
-}
-
-fn take_report(host: &Host, from: SocketAddr, report: Report) {
-    if !heard(host, from, report.from, report.standing) {
-        return;
-    }
-    let now = host.now();
-    {
-        let mut tally = host.near.borrow_mut();
-        tally.set_open(now, report.from, pairs(&report.open));
-        if !report.times.is_empty() {
-            tally.add_times(now, report.from, estimates(now, &report.times));
-        }
-    }
-    for (service, keys) in report.keys {
-        host.peers.borrow_mut().count_keys(&service, keys);
-    }
-    hear_terms(host, from, &report.terms);
-    catch_up(host, report.from, report.standing);
-}
-
-fn take_digest(host: &Host, from: SocketAddr, digest: Digest) {
-    if !heard(host, from, digest.from, digest.standing) {
-        return;
-    }
-    let now = host.now();
-    host.peers
-        .borrow_mut()
-        .relayed(now, digest.from, &digest.live, digest.hosts);
-    let reported = host.reported.borrow();
-    let mut balancer = host.balancer.borrow_mut();
-    for item in &digest.near {
-        if let Some(load) = balancer.load_mut(item.tag) {
-            // The sum contains what this host has reported itself.
-            let own = reported.get(&item.tag).copied().unwrap_or(0);
-            load.set_near(now, item.open.saturating_sub(own));
-        }
-    }
-    for item in &digest.far {
-        if let Some(load) = balancer.load_mut(item.tag) {
-            load.set_far(now, item.open);
-        }
-    }
-    for (tag, time) in estimates(now, &digest.times) {
-        if let Some(load) = balancer.load_mut(tag) {
-            load.set_shared(time);
-        }
-    }
-    drop(balancer);
-    drop(reported);
-    hear_terms(host, from, &digest.terms);
-    take_changes(host, now, digest.changes);
-    catch_up(host, digest.from, digest.standing);
-}
-
 fn take_changes(host: &Host, now: Tick, items: Vec<ChangeItem>) {
     if items.is_empty() || host.reads_store(now) {
         return;
@@ -551,28 +433,6 @@
     host.apply_changes(changes);
 }
 
-fn take_exchange(host: &Host, from: SocketAddr, exchange: Exchange) {
-    if !heard(host, from, exchange.from, exchange.standing) {
-        return;
-    }
-    let now = host.now();
-    let domain = exchange.domain;
-    host.peers
-        .borrow_mut()
-        .heard_domain(now, &domain, exchange.hosts);
-    {
-        let mut tally = host.far.borrow_mut();
-        if exchange.times.is_empty() {
-            tally.forget(|(known, part)| *known == domain && *part >= exchange.parts);
-            tally.set_open(now, (domain, exchange.part), pairs(&exchange.open));
-        } else {
-            tally.add_times(now, (domain, 0), estimates(now, &exchange.times));
-        }
-    }
-    hear_terms(host, from, &exchange.terms);
-    catch_up(host, exchange.from, exchange.standing);
-}
-
 /// Fetches what another host has that is newer.
 fn catch_up(host: &Host, from: HostId, standing: Standing) {
     let now = host.now();
--- a/crates/ranges/src/steward.rs
+++ b/crates/ranges/src/steward.rs
@@ -21,6 +21,9 @@
 //! Until the former owner is sent the release it serves the range, if its grant is known to be
 //! valid, so requests are sent to it for that long.
 
+mod answers;
+mod carry;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -361,7 +364,7 @@
         let renewed = self.table.entries().iter().map(|entry| {
             let from = known.partition_point(|(e, _)| e.range.last() < entry.range.first());
             let to = known.partition_point(|(e, _)| e.range.first() <= entry.range.last());
-            carry(now, &self.timing, entry, &known[from..to])
+            carry::carry(now, &self.timing, entry, &known[from..to])
         });
         self.progress = renewed.collect();
         self.serial += 1;
@@ -509,123 +512,6 @@
         }
     }
 
-    /// Takes in what became of an order.
-    pub fn answered(&mut self, now: Tick, id: OrderId, answer: Answer) {
-        let Some(pending) = self.pending.remove(&id) else {
-            return;
-        };
-        let after = self
-            .table
-            .entries()
-            .partition_point(|e| e.range.first() <= pending.first);
-        let index = after.saturating_sub(1);
-        let entry = self.table.entries()[index].clone();
-        if entry.range.first() != pending.first {
-            return;
-        }
-        match pending.role {
-            Role::Grant => self.grant_answered(now, index, &entry, id, &pending, &answer),
-            Role::Bar | Role::Release => self.former_answered(now, index, id, &pending, answer),
-        }
-    }
-
-    fn grant_answered(
-        &mut self,
-        now: Tick,
-        index: usize,
-        entry: &Entry,
-        id: OrderId,
-        pending: &Pending,
-        answer: &Answer,
-    ) {
-        // The entry may have been given to another owner, or got a new fence, since the order was
-        // sent.
-        if entry.owner.as_ref() != Some(&pending.to) {
-            return;
-        }
-        let state = &mut self.progress[index];
-        if state.in_flight == Some(id) {
-            state.in_flight = None;
-        }
-        match answer {
-            Answer::Done(_) => {
-                state.failures = 0;
-                // A grant after the longest travel of the release repairs what it has undone.
-                let next = if std::mem::take(&mut state.release_late) {
-                    self.timing.travel
-                } else {
-                    self.timing.renew
-                };
-                state.due = pending.sent.after(next);
-                state.grants.earlier &= !state.own_fence;
-                let valid = pending.sent.after(pending.hold);
-                state.grants.serves = state.grants.serves.max(valid);
-                if state.phase == Phase::Granting {
-                    state.phase = state.phase.after(Event::Granted);
-                    self.serial += 1;
-                }
-            }
-            Answer::Fenced => {
-                state.failures += 1;
-                state.due = now.after(RETRY);
-                self.deposed = true;
-            }
-            Answer::Silent => {
-                // It may still be applied, also after later ones have been answered.
-                let end = self.timing.end_of(pending.sent, pending.hold);
-                state.grants.unanswered = state.grants.unanswered.max(end);
-                state.failures += 1;
-                state.due = now.after(RETRY);
-            }
-            Answer::Unsent | Answer::Ended => {
-                state.failures += 1;
-                state.due = now.after(RETRY);
-            }
-        }
-    }
-
-    fn former_answered(
-        &mut self,
-        now: Tick,
-        index: usize,
-        id: OrderId,
-        pending: &Pending,
-        answer: Answer,
-    ) {
-        let state = &mut self.progress[index];
-        let Some(former) = &mut state.former else {
-            return;
-        };
-        // The answer to an order that was sent before the range was divided or given to another
-        // owner says nothing about the orders that have followed it.
-        if ![Step::Barring(id), Step::Releasing(id)].contains(&former.step) {
-            return;
-        }
-        if pending.role == Role::Bar && matches!(answer, Answer::Done(_) | Answer::Silent) {
-            let end = self.timing.end_of(pending.sent, pending.hold);
-            former.grants.until = former.grants.until.max(end);
-        }
-        former.step = match (pending.role, answer) {
-            (Role::Bar, Answer::Done(_)) => {
-                former.grants.unanswered = Tick::default();
-                former.grants.earlier = false;
-                former.fence = pending.to.fence;
-                Step::Barred
-            }
-            (Role::Bar, Answer::Fenced) => {
-                self.deposed = true;
-                Step::Ready(now.after(RETRY))
-            }
-            (_, Answer::Ended) => Step::Cleared,
-            (_, Answer::Done(handover)) => {
-                state.handover = handover;
-                Step::Cleared
-            }
-            _ => Step::Ready(now.after(RETRY)),
-        };
-        self.serial += 1;
-    }
-
     /// First keys of the entries whose former owner holds nothing, which is to be written to the
     /// table.
     pub fn cleared(&self) -> impl Iterator<Item = Key> {
@@ -679,92 +565,6 @@
     }
 }
 
-/// What is known of an entry that has taken the place of those in `earlier`, which cover it.
-fn carry(now: Tick, timing: &Timing, entry: &Entry, earlier: &[(&Entry, &Progress)]) -> Progress {
-    let [(before, known)] = earlier else {
-        return joined(now, entry, earlier);
-    };
-    let known = if before.range == entry.range {
-        (*known).clone()
-    } else {
-        // Orders for a whole range that was divided cover this part as well, but their answers are
-        // counted for its first part only.
-        (*known).clone().reordered(now, timing)
-    };
-    let same_owner = before.owner == entry.owner;
-    match (&entry.former, &before.former) {
-        (former, same) if former == same && same_owner => known,
-        (None, Some(_)) if same_owner => Progress {
-            phase: known.phase.after(Event::Recorded),
-            former: None,
-            due: now,
-            ..known
-        },
-        // Another owner was chosen while the former one is being cleared. Former owners are known by
-        // their lives: within one change a range may have returned to one, which gives it another
-        // fence, and left it again.
-        (Some(former), Some(same)) if former.life == same.life => Progress {
-            former: known.former,
-            handover: known.handover,
-            ..Progress::new(now, Phase::initial())
-        },
-        (Some(former), _) => {
-            let owner = before.owner.as_ref().filter(|o| o.life == former.life);
-            let grants = known.known_grants();
-            let former = Clearing::new(now, owner.unwrap_or(former), grants);
-            Progress {
-                former: Some(former),
-                ..Progress::new(now, Phase::initial())
-            }
-        }
-        (None, _) => refenced(now, entry, before, &known),
-    }
-}
-
-/// What is known of an entry without a former owner whose owner has a new fence.
-fn refenced(now: Tick, entry: &Entry, before: &Entry, known: &Progress) -> Progress {
-    let life = |owner: &Option<Owner>| owner.as_ref().map(|o| o.life.clone());
-    let stays = life(&before.owner) == life(&entry.owner);
-    let phase = match known.phase {
-        // The owner serves under the old fence until it has the new one.
-        Phase::Held if stays => Phase::Held,
-        _ => Phase::Granting,
-    };
-    let former = known.former.as_ref();
-    let returned = former.filter(|f| Some(&f.owner.life) == life(&entry.owner).as_ref());
-    let grants = match returned {
-        _ if stays && before.former.is_none() => known.known_grants(),
-        Some(former) => former.grants,
-        None => Grants::default(),
-    };
-    let release_late = returned.is_some_and(|f| matches!(f.step, Step::Releasing(_)));
-    Progress {
-        grants,
-        own_fence: true,
-        release_late,
-        ..Progress::new(now, phase)
-    }
-}
-
-/// What is known of an entry that neighbours with the same owner were joined to.
-fn joined(now: Tick, entry: &Entry, earlier: &[(&Entry, &Progress)]) -> Progress {
-    let life = |owner: &Option<Owner>| owner.as_ref().map(|o| o.life.clone());
-    let kept = |(before, known): &(&Entry, &Progress)| {
-        life(&before.owner) == life(&entry.owner) && known.phase == Phase::Held
-    };
-    let phase = if earlier.iter().all(kept) {
-        Phase::Held
-    } else {
-        Phase::Granting
-    };
-    let parts = earlier.iter().map(|(_, known)| known.known_grants());
-    Progress {
-        grants: parts.reduce(Grants::or).unwrap_or_default(),
-        own_fence: true,
-        ..Progress::new(now, phase)
-    }
-}
-
 /// Who serves an entry.
 fn holder<'a>(now: Tick, entry: &'a Entry, state: &'a Progress) -> Option<&'a UpstreamName> {
     let owner = entry.owner.as_ref().map(|o| &o.life.name);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,7 +1,7 @@
 //! Small deployments of real processes, and a randomized fault soak over them.
 //!
 //! [`Fleet`] starts `trefoild serve` processes between a stand-in store, stand-in upstreams and
-//! callers. Tests of single promises use it directly. [`soak`] drives one for some seconds while it
+//! callers. Tests of single promises use it directly. [`soak()`] drives one for some seconds while it
 //! injects faults from outside the processes, and judges what callers and upstreams have seen.
 
 #![expect(
--- a/tests/all/planning/chain.rs
+++ b/tests/all/planning/chain.rs
@@ -13,7 +13,8 @@
 
 use super::small::{Small, served_by, settle, start};
 use super::world::{service, upstream};
-use crate::process::deployment::{eventually, send};
+use crate::process::deployment::send;
+use trefoil_soak::eventually;
 
 /// A window that does not end during the test, so that no plan moves shards.
 const WINDOW: Duration = Duration::from_hours(24);
--- a/tests/all/planning/even.rs
+++ b/tests/all/planning/even.rs
@@ -14,7 +14,8 @@
 
 use super::small::{Small, served_by, settle, start};
 use super::world::upstream;
-use crate::process::deployment::{Answer, call, eventually, send};
+use crate::process::deployment::{Answer, call, send};
+use trefoil_soak::eventually;
 
 /// Short windows, so that the test takes seconds.
 const WINDOW: Duration = Duration::from_millis(500);
--- a/tests/all/planning/small.rs
+++ b/tests/all/planning/small.rs
@@ -18,7 +18,8 @@
 use trefoil_standin::FaultyStore;
 use trefoil_wire::Authority;
 
-use crate::process::deployment::{Answer, eventually, send};
+use crate::process::deployment::{Answer, send};
+use trefoil_soak::eventually;
 
 /// Time in which dispatchers of earlier hosts finish.
 const SETTLE: Duration = Duration::from_secs(1);
--- a/tests/all/platform/soak.rs
+++ b/tests/all/platform/soak.rs
@@ -1,10 +1,15 @@
 //! The randomized fault soak, with seeds that are fixed.
 
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use trefoil_soak::{Options, soak};
 
+/// One soak at a time: each has a dozen processes, and other tests measure times beside it.
+static TURN: Mutex<()> = Mutex::new(());
+
 fn run(seed: u64, hosts: usize, seconds: u64) {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
     let options = Options {
         program: super::program().to_owned(),
         seed,
--- a/tests/all/process/deployment.rs
+++ b/tests/all/process/deployment.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
@@ -411,18 +411,3 @@
     let (status, body) = answer.expect("an answer");
     (status, String::from_utf8_lossy(&body).into_owned())
 }
-
-/// Waits until `done` gives a value.
-pub fn eventually<T, F>(what: &str, mut done: F) -> T
-where
-    F: FnMut() -> Option<T>,
-{
-    let until = Instant::now() + PATIENCE;
-    loop {
-        match done() {
-            Some(value) => return value,
-            None if Instant::now() > until => panic!("not within {PATIENCE:?}: {what}"),
-            None => std::thread::sleep(Duration::from_millis(20)),
-        }
-    }
-}
--- a/tests/all/process/ended.rs
+++ b/tests/all/process/ended.rs
@@ -1,6 +1,7 @@
 //! The end of a process whose lease has ended.
 
-use super::deployment::{Deployment, eventually};
+use super::deployment::Deployment;
+use trefoil_soak::eventually;
 
 /// Guards against another exit code after the end of a lease: the supervisor must tell it from
 /// settings that cannot be used, because only then a new process can go on.
--- a/tests/all/process/recovery.rs
+++ b/tests/all/process/recovery.rs
@@ -7,7 +7,8 @@
 use trefoil_core::Revision;
 use trefoil_log::Body;
 
-use super::deployment::{Deployment, call, eventually};
+use super::deployment::{Deployment, call};
+use trefoil_soak::eventually;
 
 fn deployment(flags: &[&str]) -> Deployment {
     let mut deployment = Deployment::with_platform(flags);
--- a/tests/all/process/scenario.rs
+++ b/tests/all/process/scenario.rs
@@ -13,8 +13,9 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
-use super::deployment::{Daemon, Deployment, call, eventually};
+use super::deployment::{Daemon, Deployment, call};
 use super::history::{Load, check};
+use trefoil_soak::eventually;
 
 /// A key must be served again within this time of a loss.
 const TARGET: Duration = Duration::from_secs(4);
--- a/tests/all/process/stops.rs
+++ b/tests/all/process/stops.rs
@@ -6,7 +6,8 @@
 use http::{Request, StatusCode};
 use nix::sys::signal::Signal;
 
-use super::deployment::{Deployment, eventually, send};
+use super::deployment::{Deployment, send};
+use trefoil_soak::eventually;
 
 fn two_hosts(flags: &[&str]) -> Deployment {
     let mut deployment = Deployment::new();
--- a/tests/all/process/takeover.rs
+++ b/tests/all/process/takeover.rs
@@ -7,7 +7,8 @@
 use nix::sys::signal::Signal;
 use serde_json::Value;
 
-use super::deployment::{Deployment, call, eventually};
+use super::deployment::{Deployment, call};
+use trefoil_soak::eventually;
 
 /// A key must be served again within this time of a loss.
 const TARGET: Duration = Duration::from_secs(4);
--- a/tests/all/process/thin.rs
+++ b/tests/all/process/thin.rs
@@ -6,7 +6,8 @@
 use http::{Request, StatusCode};
 use serde_json::Value;
 
-use super::deployment::{Deployment, call, eventually};
+use super::deployment::{Deployment, call};
+use trefoil_soak::eventually;
 
 fn owner(deployment: &Deployment, daemon: &str, key: &str) -> Option<String> {
     let answer = deployment.get(daemon, &format!("/offers/{key}"));
--- a/tests/all/sessions/grants.rs
+++ b/tests/all/sessions/grants.rs
@@ -15,7 +15,8 @@
 use trefoil_http::{Body, Limits, Server, Service};
 use trefoil_log::Verdict;
 
-use super::host::{Hosts, eventually};
+use super::host::Hosts;
+use trefoil_soak::eventually;
 
 /// Time by which each grant arrives late.
 const LATE: Duration = Duration::from_millis(300);
--- a/tests/all/sessions/host.rs
+++ b/tests/all/sessions/host.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use trefoil_config::Routing;
 use trefoil_core::{Clock, Revision, SystemClock, WriterId};
@@ -14,6 +14,7 @@
 
 use super::upstream::Upstream;
 use super::wire::Connection;
+use trefoil_soak::eventually;
 
 const DAY: Duration = Duration::from_hours(24);
 
@@ -166,18 +167,3 @@
         Connection::open(self.nodes[host].addresses().operator)
     }
 }
-
-/// Waits until `done` gives a value.
-pub fn eventually<T, F>(what: &str, mut done: F) -> T
-where
-    F: FnMut() -> Option<T>,
-{
-    let until = Instant::now() + PATIENCE;
-    loop {
-        match done() {
-            Some(value) => return value,
-            None if Instant::now() > until => panic!("not within {PATIENCE:?}: {what}"),
-            None => std::thread::sleep(Duration::from_millis(10)),
-        }
-    }
-}
--- a/tests/all/sessions/streams.rs
+++ b/tests/all/sessions/streams.rs
@@ -3,7 +3,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::host::{Hosts, eventually};
+use super::host::Hosts;
+use trefoil_soak::eventually;
 
 /// Index of the host that is not the upstream's dispatcher.
 const FAR: usize = 1;
--- a/tests/all/sessions/traces.rs
+++ b/tests/all/sessions/traces.rs
@@ -5,7 +5,8 @@
 use serde_json::Value;
 use trefoil_daemon::Tracing;
 
-use super::host::{Hosts, eventually};
+use super::host::Hosts;
+use trefoil_soak::eventually;
 
 const PARENT: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
 
--- a/tests/all/sessions/watch.rs
+++ b/tests/all/sessions/watch.rs
@@ -144,7 +144,7 @@
     more.send(b"GET /v1/watch HTTP/1.1\r\nHost: h\r\n\r\n");
     assert_eq!(more.answer().status(), 503);
     drop(streams.drain(1..));
-    super::host::eventually("a stream is free", || {
+    trefoil_soak::eventually("a stream is free", || {
         let mut more = hosts.operator(0);
         more.send(b"GET /v1/watch HTTP/1.1\r\nHost: h\r\n\r\n");
         (more.head().status() == 200).then_some(())
