--- /dev/null
+++ b/tests/all/platform/decoding.rs
@@ -0,0 +1,117 @@
+//! What the adapter makes of the platform's documents.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use trefoil_directory::Phase;
+use trefoil_gateway::Platform;
+use trefoil_platform::UsersPlatform;
+use trefoil_route::Repeat;
+
+fn registration() -> Value {
+    json!({
+        "service": "plain", "address": "192.0.2.1:80", "zone": "a", "version": "v3", "slots": 4,
+        "state": "ready", "warmupLeftMs": 1500.5, "sequence": 7, "born": 1_700_000_000_123_u64,
+    })
+}
+
+fn read(entry: &Value) -> Result<trefoil_directory::Registration, String> {
+    let platform = UsersPlatform::new();
+    let bytes = entry.to_string();
+    let read = platform.read_registration("i-1", bytes.as_bytes());
+    read.map_err(|e| e.to_string())
+}
+
+/// Guards against fields of an entry that are taken for others.
+#[test]
+fn a_registration_says_what_the_upstream_is() {
+    let read = read(&registration()).expect("a registration");
+    assert_eq!(read.life.name.as_str(), "i-1");
+    assert_eq!(read.life.born.0, 1_700_000_000_123);
+    assert_eq!(
+        (read.service.as_str(), read.domain.as_str()),
+        ("plain", "a")
+    );
+    assert_eq!((read.slots.0, read.sequence), (4, 7));
+    assert_eq!(read.phase, Phase::Ready);
+    assert_eq!(read.warmup, Duration::from_micros(1_500_500));
+    let mut leaving = registration();
+    leaving["state"] = "draining".into();
+    assert_eq!(self::read(&leaving).expect("valid").phase, Phase::Draining);
+}
+
+/// Guards against entries of other writers that name an upstream to use: a field is missing, has
+/// another type or an unknown value, or the bytes are no entry at all.
+#[test]
+fn an_entry_of_another_writer_names_no_upstream() {
+    let whole = registration();
+    for field in whole.as_object().expect("an object").keys() {
+        let mut without = whole.clone();
+        without.as_object_mut().expect("an object").remove(field);
+        let error = read(&without).expect_err(field);
+        assert!(error.contains("i-1"), "{field}: {error}");
+    }
+    let wrong = [
+        ("state", json!("odd")),
+        ("address", json!("nowhere")),
+        ("slots", json!("4")),
+        ("slots", json!(-1)),
+        ("born", json!(1.5)),
+        ("warmupLeftMs", json!(-1)),
+        ("service", json!(["plain"])),
+        ("zone", json!("")),
+    ];
+    for (field, value) in wrong {
+        let mut changed = whole.clone();
+        changed[field] = value;
+        read(&changed).expect_err(field);
+    }
+    for bytes in [&b"\xff\xfe"[..], b"", b"null", b"{}"] {
+        let platform = UsersPlatform::new();
+        platform
+            .read_registration("i-1", bytes)
+            .expect_err("no entry");
+    }
+}
+
+/// Guards against one route or service that cannot be read and takes the others with it, and
+/// against a kind of route that is not known and is taken for one that may run twice.
+#[test]
+fn a_configuration_is_read_part_by_part() {
+    let mut document = trefoil_soak::config(9);
+    document["routes"]["odd"] = json!({ "host": 1 });
+    document["routes"]["none"] = document["routes"]["read"].clone();
+    document["routes"]["none"]["service"] = Value::Null;
+    document["routes"]["new"] = document["routes"]["read"].clone();
+    document["routes"]["new"]["routeType"] = "streaming".into();
+    document["routes"]["split"] = document["routes"]["read"].clone();
+    document["routes"]["split"]["service"] = Value::Null;
+    document["routes"]["split"]["trafficSplit"] =
+        json!([{ "service": "plain", "weight": 3 }, { "service": "keys", "weight": 1 }]);
+    document["services"]["odd"] = json!({ "maxConnections": "many" });
+    document["later"] = json!({ "field": true });
+    let platform = UsersPlatform::new();
+    let text = document.to_string();
+    let (config, rejected) = platform.read_config(text.as_bytes()).expect("a document");
+    assert_eq!(config.version.0, 9);
+    let mut places: Vec<&str> = rejected.iter().map(|e| e.place.as_str()).collect();
+    places.sort_unstable();
+    assert_eq!(places, ["routes.none", "routes.odd", "services.odd"]);
+    let route = |name: &str| config.routes.iter().find(|r| r.name.0 == name);
+    let read = route("read").expect("kept");
+    assert_eq!(read.repeat, Repeat::Idempotent);
+    assert_eq!(read.timeout, Duration::from_millis(1500));
+    assert_eq!(read.objective, Duration::from_millis(800));
+    assert_eq!(route("write").expect("kept").repeat, Repeat::AtMostOnce);
+    assert_eq!(route("new").expect("kept").repeat, Repeat::AtMostOnce);
+    let split = &route("split").expect("kept").targets;
+    let weights: Vec<_> = split
+        .iter()
+        .map(|t| (t.service.as_str(), t.weight))
+        .collect();
+    assert_eq!(weights, [("plain", 3), ("keys", 1)]);
+    let keyed = config.services.iter().filter(|(_, s)| s.keyed);
+    let keyed: Vec<_> = keyed.map(|(name, _)| name.as_str()).collect();
+    assert_eq!(keyed, ["keys"]);
+    platform.read_config(b"[]").expect_err("no document");
+}
