--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -1,4 +1,7 @@
 //! What hosts know of each other and of the keys, without a network.
 
 mod bounds;
+mod budget;
+mod directory;
 mod peers;
+mod routes;
--- /dev/null
+++ b/tests/all/gateway/budget.rs
@@ -0,0 +1,46 @@
+//! The budget of repeats.
+
+use std::time::Duration;
+
+use trefoil_balance::RepeatBudget;
+use trefoil_core::Tick;
+
+fn at(ms: u64) -> Tick {
+    Tick::default().after(Duration::from_millis(ms))
+}
+
+/// Guards against repeats of all hosts together above the bound in any window: ten hosts that repeat
+/// whenever they may stay below a fifth of the requests and twenty on top.
+#[test]
+fn all_hosts_together_keep_the_bound() {
+    let window = Duration::from_secs(10);
+    let mut budgets: Vec<RepeatBudget> = (0..10)
+        .map(|_| RepeatBudget::new(0.2, 20.0, window))
+        .collect();
+    let mut repeats: Vec<u64> = Vec::new();
+    for ms in (0..40_000).step_by(20) {
+        for budget in &mut budgets {
+            budget.count(at(ms));
+            if budget.left(at(ms), 10) >= 1.0 {
+                budget.withdraw(at(ms));
+                repeats.push(ms);
+            }
+        }
+        let within = repeats.iter().filter(|r| **r + 10_000 > ms).count();
+        let requests = (ms.min(10_000) / 20 + 1) * 10;
+        let most = requests / 5 + 20;
+        assert!(within as u64 <= most, "{within} of {most} at {ms} ms");
+    }
+    assert!(repeats.len() > 500, "the budget is used: {}", repeats.len());
+}
+
+/// Guards against a host that has just started and may not repeat anything, and against one that
+/// takes the whole fixed part.
+#[test]
+fn the_fixed_part_is_divided_by_the_hosts() {
+    let window = Duration::from_secs(10);
+    let alone = RepeatBudget::new(0.2, 20.0, window).left(at(0), 1);
+    let shared = RepeatBudget::new(0.2, 20.0, window).left(at(0), 10);
+    assert!(alone > 10.0 && alone <= 20.0, "{alone}");
+    assert!((1.0..=2.0).contains(&shared), "{shared}");
+}
--- /dev/null
+++ b/tests/all/gateway/directory.rs
@@ -0,0 +1,117 @@
+//! The directory of upstreams.
+
+use std::time::Duration;
+
+use trefoil_core::{Slots, Tick, UnixMillis};
+use trefoil_directory::{Change, Directory, Life, Phase, RETURN_GRACE, Registration};
+
+fn at(ms: u64) -> Tick {
+    Tick::default().after(Duration::from_millis(ms))
+}
+
+fn entry(name: &str, born: u64, sequence: u64) -> Registration {
+    Registration {
+        life: Life {
+            name: name.parse().expect("a name"),
+            born: UnixMillis(born),
+        },
+        sequence,
+        service: "plain".parse().expect("a name"),
+        address: "192.0.2.1:80".parse().expect("an address"),
+        domain: "a".parse().expect("a name"),
+        slots: Slots(4),
+        phase: Phase::Ready,
+        warmup: Duration::ZERO,
+    }
+}
+
+fn text(change: Option<Change>) -> String {
+    match change {
+        None => "-".to_owned(),
+        Some(Change::Joined(r)) => format!("joined {} {}", r.life, r.phase),
+        Some(Change::Updated(r)) => format!("updated {} {}", r.life, r.phase),
+        Some(Change::Gone(r)) => format!("gone {}", r.life),
+    }
+}
+
+/// Guards against an entry that arrives late and undoes a newer one, or brings back an upstream that
+/// is gone.
+#[test]
+fn older_entries_change_nothing() {
+    let mut directory = Directory::default();
+    let leaving = Registration {
+        phase: Phase::Draining,
+        ..entry("u1", 5, 9)
+    };
+    assert_eq!(
+        text(directory.register(entry("u1", 5, 8))),
+        "joined u1@5 ready"
+    );
+    assert_eq!(
+        text(directory.register(entry("u1", 5, 8))),
+        "-",
+        "a heartbeat"
+    );
+    assert_eq!(text(directory.register(leaving)), "updated u1@5 draining");
+    assert_eq!(text(directory.register(entry("u1", 5, 8))), "-");
+    assert_eq!(
+        text(directory.register(entry("u1", 4, 99))),
+        "-",
+        "an earlier life"
+    );
+    let name = "u1".parse().expect("a name");
+    assert_eq!(text(directory.vanish(at(0), &name)), "gone u1@5");
+    assert_eq!(
+        text(directory.register(entry("u1", 5, 9))),
+        "-",
+        "it is gone"
+    );
+    assert!(directory.get(&name).is_none() && directory.recall(&name).is_some());
+    assert_eq!(
+        text(directory.register(entry("u1", 6, 1))),
+        "joined u1@6 ready"
+    );
+}
+
+/// Guards against upstreams that are dropped because they could not renew their entries while the
+/// store was away, and against ones that are kept although they do not return.
+#[test]
+fn entries_that_lapsed_in_an_outage_have_time_to_return() {
+    let mut directory = Directory::default();
+    for name in ["u1", "u2"] {
+        directory.register(entry(name, 5, 1));
+    }
+    directory.set_returned(at(1_000));
+    let changes = directory.replace(at(1_000), Vec::new(), &[]);
+    assert!(changes.is_empty() && directory.len() == 2);
+    assert_eq!(
+        text(directory.register(entry("u1", 5, 2))),
+        "-",
+        "it is back"
+    );
+    let end = at(1_000).after(RETURN_GRACE);
+    assert_eq!(directory.next_expiry(), Some(end));
+    assert!(directory.expire(at(2_900)).is_empty());
+    let gone: Vec<String> = directory
+        .expire(end)
+        .into_iter()
+        .map(|c| text(Some(c)))
+        .collect();
+    assert_eq!(gone, ["gone u2@5"]);
+    // After that time, what vanishes is gone at once.
+    let name = "u1".parse().expect("a name");
+    assert_eq!(text(directory.vanish(end, &name)), "gone u1@5");
+}
+
+/// Guards against an entry that cannot be read and counts as one that has vanished.
+#[test]
+fn an_unreadable_entry_says_nothing() {
+    let mut directory = Directory::default();
+    directory.register(entry("u1", 5, 1));
+    directory.register(entry("u2", 5, 1));
+    let name = "u1".parse().expect("a name");
+    let changes = directory.replace(at(0), Vec::new(), &[name]);
+    assert_eq!(changes.len(), 1);
+    assert!(directory.get(&"u1".parse().expect("a name")).is_some());
+    assert!(directory.get(&"u2".parse().expect("a name")).is_none());
+}
