--- a/tests/all/platform/telemetry.rs
+++ b/tests/all/platform/telemetry.rs
@@ -1,5 +1,7 @@
 //! What operators find out afterwards, from logs and metrics alone.
 
+use std::collections::BTreeSet;
+use std::path::Path;
 use std::time::Duration;
 
 use trefoil_standin::{Fault, Manner, Spec};
@@ -156,3 +158,39 @@
     listed.sort_unstable();
     assert_eq!(listed, served);
 }
+
+/// Names of all events in the sources below a folder: the text after the logger in a macro of slog.
+fn events(folder: &Path, found: &mut BTreeSet<String>) {
+    for entry in std::fs::read_dir(folder).expect("a folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            events(&path, found);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("a source");
+        let quoted = text.split(".log, \"").skip(1);
+        found.extend(quoted.filter_map(|rest| rest.split('"').next().map(str::to_owned)));
+    }
+}
+
+/// Guards against a page that lists other log lines than the program writes.
+#[test]
+fn the_page_lists_the_events_of_the_program() {
+    let mut written = BTreeSet::new();
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("crates/gateway/src");
+    events(&sources, &mut written);
+    let page = include_str!("../../../docs/OPERATIONS.md");
+    let table = page.split("| event | when |").nth(1).expect("the table");
+    let rows = table
+        .lines()
+        .skip(2)
+        .take_while(|line| line.starts_with('|'));
+    let names = rows.filter_map(|row| row.split('|').nth(1));
+    let quoted = names.flat_map(|cell| cell.split('`').skip(1).step_by(2));
+    let mut listed: BTreeSet<String> = quoted.map(str::to_owned).collect();
+    // These two are written by the limit of lines, not by the host.
+    for own in ["lines left out", "lines dropped"] {
+        assert!(listed.remove(own), "{own}");
+    }
+    assert_eq!(listed, written);
+}
