--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,25 +10,17 @@
 use std::time::{Duration, Instant};
 
 use crate::proxy::Proxy;
-use bytes::Bytes;
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use serde_json::{Value, json};
 use tempfile::TempDir;
 use trefoil_core::SystemClock;
 use trefoil_http::{Limits, Server};
-use trefoil_standin::{FaultyStore, Spec, StoreServer, Upstream, Witness};
-use trefoil_store::{Append, Keyed, MemoryStore, Place, Store, Topic};
+use trefoil_standin::{FaultyStore, Operators, Spec, StoreServer, Upstream, Witness, config};
+use trefoil_store::{MemoryStore, Store};
 
 /// Longest wait for a state that a test expects.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Topic of the operators' configuration.
-const OPERATORS: Topic = Topic::fixed("keyed.op");
-
-/// Topic in which upstreams register.
-const REGISTRY: Topic = Topic::fixed("keyed.servers");
-
 /// The deployment.
 #[derive(Debug)]
 pub struct Fleet {
@@ -40,8 +32,8 @@
     pub upstreams: Vec<Arc<Upstream>>,
     /// Hosts that were started.
     pub hosts: Vec<Host>,
-    /// The store behind the faults; operators and the registry write to it.
-    memory: Arc<MemoryStore>,
+    /// Operators and the registry, who write behind the faults.
+    pub operators: Operators,
     program: PathBuf,
     links: HashMap<String, Proxy>,
     address: SocketAddr,
@@ -85,33 +77,6 @@
     }
 }
 
-/// The configuration of the tests: `/read/` may be repeated, `/write/` must not be, and `/keyed/`
-/// leads to a service that is divided by keys.
-pub fn config(version: u64) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str| {
-        json!({
-            "host": "shop.example", "pathPrefix": prefix, "routeType": kind, "service": service,
-            "timeoutMs": 1500, "targetLatencyMs": 800, "attempts": 2, "priority": 0,
-        })
-    };
-    json!({
-        "version": version,
-        "routes": {
-            "read": route("/read/", "idempotent", "plain"),
-            "write": route("/write/", "non_idempotent", "plain"),
-            "keyed": route("/keyed/", "idempotent", "keys"),
-        },
-        "services": {
-            "plain": { "healthCheckPath": "/healthz", "maxConnections": 100 },
-            "keys": { "healthCheckPath": "/healthz", "maxConnections": 100, "sharded": true },
-        },
-        "limits": {
-            "maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 10000,
-        },
-    })
-}
-
 /// An upstream of a service; the service `keys` is divided by keys.
 pub fn spec(name: &str, service: &str) -> Spec {
     Spec {
@@ -139,8 +104,8 @@
     pub fn new(program: &Path, specs: Vec<Spec>) -> Self {
         let clock = Arc::new(SystemClock);
         let memory = Arc::new(MemoryStore::new(Arc::<SystemClock>::clone(&clock)));
-        let inner: Arc<dyn Store> = Arc::<MemoryStore>::clone(&memory);
-        let store = Arc::new(FaultyStore::new(inner, clock));
+        let operators = Operators::new(Arc::<MemoryStore>::clone(&memory));
+        let store = Arc::new(FaultyStore::new(memory, clock));
         let service = Arc::new(StoreServer::new(Arc::<FaultyStore>::clone(&store)));
         let (server, address) = smol::block_on(async {
             let listener = smol::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
@@ -150,7 +115,7 @@
         });
         let mut fleet = Self {
             store,
-            memory,
+            operators,
             witness: Arc::default(),
             upstreams: Vec::new(),
             hosts: Vec::new(),
@@ -160,36 +125,14 @@
             folder: TempDir::new().expect("a folder"),
             _server: server,
         };
-        fleet.configure(&config(1));
+        let first = fleet.operators.configure(&config(1));
+        first.expect("the store takes it");
         for spec in specs {
             fleet.join(spec);
         }
         fleet
     }
 
-    fn write(&self, topic: Topic, record: Bytes) {
-        let append = Append::new(Place::first(topic), record);
-        smol::block_on(self.memory.append(append)).expect("the store takes it");
-    }
-
-    /// Writes a configuration, as operators do.
-    pub fn configure(&self, config: &Value) {
-        let record = Keyed::set("config", Bytes::from(config.to_string()));
-        self.write(OPERATORS, record.expect("a record").encode());
-    }
-
-    /// Writes an entry of the registry as it is.
-    pub fn register(&self, key: &str, entry: &str) {
-        let record = Keyed::set(key, Bytes::from(entry.to_owned()));
-        self.write(REGISTRY, record.expect("a record").encode());
-    }
-
-    /// Removes an entry of the registry, as the platform does after three missed heartbeats.
-    pub fn forget(&self, name: &str) {
-        let key = [&[u8::try_from(name.len()).expect("short")], name.as_bytes()].concat();
-        self.write(REGISTRY, Bytes::from(key));
-    }
-
     /// Starts one more upstream, behind a proxy.
     pub fn join(&mut self, spec: Spec) -> Arc<Upstream> {
         let store: Arc<dyn Store> = Arc::<FaultyStore>::clone(&self.store);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,5 +15,5 @@
 pub mod proxy;
 pub mod soak;
 
-pub use fleet::{Answer, Fleet, Host, ask, config, eventually, read_answer, spec};
+pub use fleet::{Answer, Fleet, Host, ask, eventually, read_answer, spec};
 pub use soak::{Options, soak};
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -8,10 +8,10 @@
 use nix::sys::signal::Signal;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use trefoil_standin::{Fault, Manner};
+use trefoil_standin::{Fault, Manner, config};
 
 use crate::callers::Callers;
-use crate::fleet::{Fleet, config, spec};
+use crate::fleet::{Fleet, spec};
 use crate::judge::judge;
 use crate::proxy::Mode;
 
@@ -236,7 +236,10 @@
         }
         self.fleet.remove(&name);
         if span > lapse || !returns {
-            self.later(lapse, move |soak| soak.fleet.forget(&name));
+            self.later(lapse, move |soak| {
+                let forgotten = soak.fleet.operators.forget(&name);
+                forgotten.expect("the store takes it");
+            });
         }
         self.later(span.max(if returns { 0 } else { lapse }), move |soak| {
             soak.fleet.join(next);
@@ -316,7 +319,8 @@
         let timeout: u64 = self.random.random_range(800..1500);
         next["routes"]["read"]["timeoutMs"] = timeout.into();
         self.tell(&format!("configuration {}", self.version));
-        self.fleet.configure(&next);
+        let written = self.fleet.operators.configure(&next);
+        written.expect("the store takes it");
     }
 
     /// Writes the log of each host to a folder, which the story names.
--- /dev/null
+++ b/crates/standin/src/operators.rs
@@ -0,0 +1,103 @@
+//! What operators and the platform itself write into the store.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+use trefoil_store::{Append, Keyed, Place, Store, StoreError, Topic};
+
+/// Topic of the operators' configuration.
+const OPERATORS: Topic = Topic::fixed("keyed.op");
+
+/// Topic in which upstreams register.
+pub(crate) const REGISTRY: Topic = Topic::fixed("keyed.servers");
+
+/// Writes as operators and the platform do.
+#[derive(Debug, Clone)]
+pub struct Operators {
+    store: Arc<dyn Store>,
+}
+
+impl Operators {
+    /// Writes into `store`, which should have no faults: the platform's own writes meet none.
+    pub fn new(store: Arc<dyn Store>) -> Self {
+        Self { store }
+    }
+
+    /// Writes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not take it.
+    pub fn configure(&self, config: &Value) -> Result<(), StoreError> {
+        self.set(OPERATORS, "config", &config.to_string())
+    }
+
+    /// Writes an entry of the registry as it is.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not take it.
+    pub fn register(&self, key: &str, entry: &str) -> Result<(), StoreError> {
+        self.set(REGISTRY, key, entry)
+    }
+
+    /// Removes an entry of the registry, as the platform does after three missed heartbeats.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not take it.
+    pub fn forget(&self, name: &str) -> Result<(), StoreError> {
+        // A record without a value removes its key.
+        let length = u8::try_from(name.len()).map_err(|e| rejected(&e))?;
+        let key = [&[length], name.as_bytes()].concat();
+        self.write(REGISTRY, Bytes::from(key))
+    }
+
+    fn set(&self, topic: Topic, key: &str, value: &str) -> Result<(), StoreError> {
+        let record = Keyed::set(key, Bytes::from(value.to_owned()));
+        let record = record.ok_or_else(|| rejected(&"no key or no value"))?;
+        self.write(topic, record.encode())
+    }
+
+    fn write(&self, topic: Topic, record: Bytes) -> Result<(), StoreError> {
+        let append = Append::new(Place::first(topic), record);
+        smol::block_on(self.store.append(append)).map(|_| ())
+    }
+}
+
+fn rejected<E>(reason: &E) -> StoreError
+where
+    E: ToString,
+{
+    StoreError::Rejected {
+        reason: reason.to_string(),
+    }
+}
+
+/// The configuration of the tests: `/read/` may be repeated, `/write/` must not be, and `/keyed/`
+/// leads to a service that is divided by keys.
+pub fn config(version: u64) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str| {
+        json!({
+            "host": "shop.example", "pathPrefix": prefix, "routeType": kind, "service": service,
+            "timeoutMs": 1500, "targetLatencyMs": 800, "attempts": 2, "priority": 0,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": {
+            "read": route("/read/", "idempotent", "plain"),
+            "write": route("/write/", "non_idempotent", "plain"),
+            "keyed": route("/keyed/", "idempotent", "keys"),
+        },
+        "services": {
+            "plain": { "healthCheckPath": "/healthz", "maxConnections": 100 },
+            "keys": { "healthCheckPath": "/healthz", "maxConnections": 100, "sharded": true },
+        },
+        "limits": {
+            "maxHeaderBytes": 8192, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 10000,
+        },
+    })
+}
--- a/crates/standin/src/upstream/registrar.rs
+++ b/crates/standin/src/upstream/registrar.rs
@@ -6,12 +6,10 @@
 
 use bytes::Bytes;
 use serde_json::json;
-use trefoil_store::{Append, Keyed, Place, Topic};
+use trefoil_store::{Append, Keyed, Place};
 
 use super::Upstream;
-
-/// Topic in which upstreams register.
-pub(crate) const REGISTRY: Topic = Topic::fixed("keyed.servers");
+use crate::operators::REGISTRY;
 
 /// Time between two heartbeats.
 pub(crate) const HEARTBEAT: Duration = Duration::from_millis(300);
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
-use trefoil_standin::{Fault, Manner};
+use trefoil_standin::{Fault, Manner, config};
 
-use trefoil_soak::{Fleet, Host, config, eventually, read_answer, spec};
+use trefoil_soak::{Fleet, Host, eventually, read_answer, spec};
 
 /// One host in front of two plain upstreams.
 fn plain() -> Fleet {
@@ -177,7 +177,10 @@
     let mut fleet = plain();
     let foreign = [r#"{"service":"plain"}"#, "not JSON", r#"{"state":"odd"}"#];
     for (number, entry) in foreign.iter().enumerate() {
-        fleet.register(&format!("foreign-{number}"), entry);
+        fleet
+            .operators
+            .register(&format!("foreign-{number}"), entry)
+            .expect("written");
     }
     fleet.upstream("p1").drain();
     fleet.hosts[0].event("phase", "draining");
@@ -191,7 +194,7 @@
     fleet.join(spec("p3", "plain"));
     fleet.hosts[0].event("upstream", "p3");
     fleet.upstream("p2").crash();
-    fleet.forget("p2");
+    fleet.operators.forget("p2").expect("written");
     eventually("p2 is gone", || {
         let events = fleet.hosts[0].events("upstream", "p2");
         events.iter().any(|e| e["change"] == "gone").then_some(())
@@ -210,7 +213,7 @@
     let mut next = config(7);
     next["routes"]["extra"] = next["routes"]["read"].clone();
     next["routes"]["extra"]["pathPrefix"] = "/extra/".into();
-    fleet.configure(&next);
+    fleet.operators.configure(&next).expect("written");
     let since = Instant::now();
     fleet.served(0, "/extra/x", "");
     // The users' bound is 2.5 s; this one is tighter because the store is next door.
@@ -219,7 +222,7 @@
         "{:?}",
         since.elapsed()
     );
-    fleet.configure(&config(5));
+    fleet.operators.configure(&config(5)).expect("written");
     std::thread::sleep(Duration::from_millis(500));
     let answer = fleet.hosts[0]
         .get("kept", "/extra/x", "")
@@ -241,7 +244,7 @@
     });
     for name in ["p1", "p2"] {
         fleet.upstream(name).crash();
-        fleet.forget(name);
+        fleet.operators.forget(name).expect("written");
     }
     let host = &fleet.hosts[0];
     host.event("upstream", slow.name());
@@ -300,7 +303,7 @@
         fleet.hosts[0].get(&format!("j{key}"), "/keyed/x", &headers(key));
     }
     fleet.upstream("k1").crash();
-    fleet.forget("k1");
+    fleet.operators.forget("k1").expect("written");
     // The same name again, as a new life that holds nothing.
     fleet.join(spec("k1", "keys"));
     for key in [0, 90, 170, 250] {
@@ -340,7 +343,7 @@
     fleet.hosts[0].event("event", "term begun");
     fleet.hosts[0].signal(Signal::SIGKILL);
     fleet.upstream("k1").crash();
-    fleet.forget("k1");
+    fleet.operators.forget("k1").expect("written");
     for key in [1, 32768, 65535] {
         fleet.served(1, "/keyed/x", &format!("X-Shard-Key: {key}\r\n"));
     }
