--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -22,9 +22,11 @@
 /// How much slower an upstream is that has just started.
 const COLD: f64 = 2.0;
 
-/// How much later an answer from another failure domain may be predicted and still not be worth
-/// leaving this one, because bytes between domains are dear.
-const DOMAIN_COST: Duration = Duration::from_millis(40);
+/// How much earlier an answer from another failure domain must be predicted to be worth leaving this
+/// one, as a share of the longest time that the answer may take. At the prices of both users the
+/// bytes of a request and its answer cost 5% to 10% of what the request is worth, and a prediction
+/// that is later by this share makes a late answer about that much likelier.
+const DOMAIN_SHARE: f64 = 0.25;
 
 /// Added to the prediction for an upstream whose requests all fail.
 const TROUBLE_COST: Duration = Duration::from_secs(2);
@@ -236,8 +238,9 @@
                 *best = Some(option);
             }
         }
+        let domain_cost = need.within.mul_f64(DOMAIN_SHARE);
         let best = match (near, far) {
-            (Some(near), Some(far)) if far.cost + DOMAIN_COST < near.cost => Some(far),
+            (Some(near), Some(far)) if far.cost + domain_cost < near.cost => Some(far),
             (Some(near), _) => Some(near),
             (None, far) => far,
         };
