Read the registry with two hosts of a domain, and even out lasting load seldom

Its digest was 0 because no upstream had registered yet, and 0 was taken for "not read". - The third host of three domains read the whole registry every 2 s.

Ruled out: the configuration's readers (one call in 4 s each) and the confirmations of terms (70 calls).

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -34,6 +34,10 @@
 /// a second.
 const PACE_MIN: Duration = Duration::from_millis(100);
 
+/// Time beyond the pace of a reader after which it counts as cut off from the store: a slow answer,
+/// and the way of the datagram that tells of it.
+const READ_SLACK: Duration = Duration::from_millis(500);
+
 impl Bounds {
     /// Time between two reads of the registry by a host before which `before` others of its domain
     /// read it.
@@ -41,6 +45,12 @@
         let share = if before == 0 { FIRST_PACE } else { SECOND_PACE };
         self.drain.mul_f64(share).max(PACE_MIN)
     }
+
+    /// Time without an answer of the store after which a host that reads the registry counts as cut
+    /// off. The second reader of a domain has an answer only once in its pace.
+    pub fn reader_silence(&self) -> Duration {
+        self.registry_pace(1) + READ_SLACK
+    }
 }
 
 impl Default for Bounds {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -107,10 +107,6 @@
 
 /// Fetches the directory of another host if it has differed from this host's for a while.
 pub(crate) fn directory(host: &Host, from: HostId, now: Tick, digest: u64) {
-    // A host that has not read the registry yet has no upstreams either.
-    if digest == 0 {
-        return;
-    }
     let same = digest == host.directory.borrow().digest();
     if same {
         host.differs.set(None);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -101,8 +101,12 @@
         let changes = take_in(&host, now, whole, records);
         host.apply_changes(changes);
         host.set_listed();
-        let before = host.peers.borrow().readers_before(now);
-        let pace = host.bounds.get().registry_pace(before);
+        let bounds = host.bounds.get();
+        let before = host
+            .peers
+            .borrow()
+            .readers_before(now, bounds.reader_silence());
+        let pace = bounds.registry_pace(before);
         expire_until(&host, now.after(pace)).await;
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -219,7 +219,8 @@
     /// If none does any more, the next ones try one after the other.
     pub(crate) fn reads_store(&self, now: Tick) -> bool {
         let peers = self.peers.borrow();
-        let (position, readers) = (peers.position(now), peers.readers_before(now));
+        let silence = self.bounds.get().reader_silence();
+        let (position, readers) = (peers.position(now), peers.readers_before(now, silence));
         if readers >= RELAYS || position < RELAYS {
             return readers < RELAYS;
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -18,7 +18,7 @@
 use crate::tables::Age;
 
 /// Version of the encoding. A host drops datagrams of another version.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// Largest datagram in bytes, so that none is split into packets.
 pub const DATAGRAM_MAX: usize = 1400;
@@ -80,8 +80,9 @@
 pub struct Standing {
     /// Version of its configuration.
     pub version: u64,
-    /// Digest of its directory.
-    pub directory: u64,
+    /// Digest of its directory, or nothing if it has not read the registry yet. The registry may be
+    /// empty, whose digest is 0.
+    pub directory: Option<u64>,
     /// Milliseconds since the store answered it, if it ever did.
     pub store: Option<u32>,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -28,7 +28,7 @@
 /// Time after which a silent host is forgotten. Cuts end after seconds.
 const FORGET: Duration = Duration::from_mins(1);
 
-/// Age up to which a host's last answer of the store shows that the store can be reached.
+/// Age up to which a host's last answer of the store shows that it can stand for a service.
 const STORE_SEEN: Duration = Duration::from_millis(1500);
 
 /// Error of the age of another host's last answer of the store: what a datagram takes on its way, and
@@ -311,9 +311,10 @@
         own.max(self.told_hosts)
     }
 
-    /// How many live hosts of this domain before this one have heard from the store lately.
-    pub fn readers_before(&self, now: Tick) -> usize {
-        self.before(now).filter(|p| reaches_store(now, p)).count()
+    /// How many live hosts of this domain before this one have heard from the store within `span`.
+    pub fn readers_before(&self, now: Tick, span: Duration) -> usize {
+        let readers = self.before(now);
+        readers.filter(|p| reaches_store(now, p, span)).count()
     }
 
     /// When the store last answered a host of this domain, as far as is known.
@@ -335,7 +336,7 @@
     /// Hosts that reach the store and whose rank among all hosts is before this one's.
     pub fn able_before(&self, now: Tick) -> usize {
         let able = self.hosts.values();
-        let able = able.filter(|p| Self::is_heard(now, p) && reaches_store(now, p));
+        let able = able.filter(|p| Self::is_heard(now, p) && reaches_store(now, p, STORE_SEEN));
         able.filter(|p| rank(&p.card) < rank(&self.own)).count()
     }
 
@@ -419,6 +420,6 @@
     Some(now.since(at) + millis(standing.store?))
 }
 
-fn reaches_store(now: Tick, peer: &Peer) -> bool {
-    store_age(now, peer).is_some_and(|age| age < STORE_SEEN)
+fn reaches_store(now: Tick, peer: &Peer, span: Duration) -> bool {
+    store_age(now, peer).is_some_and(|age| age < span)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -111,7 +111,7 @@
 pub(crate) fn standing(host: &Host, now: Tick) -> Standing {
     Standing {
         version: host.version().0,
-        directory: host.directory.borrow().digest(),
+        directory: host.is_listed().then(|| host.directory.borrow().digest()),
         store: host.store_seen.get().map(|at| whole_millis(now.since(at))),
     }
 }
@@ -441,8 +441,10 @@
         fetch::config(host, from, now);
     }
     let neighbour = host.peers.borrow().is_neighbour(from);
-    if neighbour && !host.reads_store(now) {
-        fetch::directory(host, from, now, standing.directory);
+    if let Some(digest) = standing.directory.filter(|_| neighbour)
+        && !host.reads_store(now)
+    {
+        fetch::directory(host, from, now, digest);
     }
 }
 
--- a/crates/gateway/src/steward/term.rs
+++ b/crates/gateway/src/steward/term.rs
@@ -30,6 +30,10 @@
 /// Requests by which lasting differences between keys are judged. A longer time shows smaller ones.
 const LASTING: Duration = Duration::from_secs(8);
 
+/// Time between two checks for lasting differences. Every check finds some by chance, and each move
+/// costs three writes, so they are as far apart as a quarter of what they look at.
+const LASTING_EVEN: Duration = Duration::from_secs(2);
+
 /// Time for which further former owners are awaited before the table is written without them.
 const CLEAR_GAP: Duration = Duration::from_millis(40);
 
@@ -128,6 +132,8 @@
     /// The table that is being written, and why.
     writing: Option<(Table, Reason)>,
     evened: Tick,
+    /// The last check for lasting differences.
+    lasting: Tick,
     /// A former owner was cleared since the last write.
     clearing: Option<Tick>,
     suspects: HashMap<Life, Tick>,
@@ -156,6 +162,7 @@
             sequence: 1,
             writing: None,
             evened: now,
+            lasting: now,
             clearing: None,
             suspects: HashMap::new(),
             started: now,
@@ -353,10 +360,9 @@
             // The newest requests show a group of hot keys before the others do; the others show
             // what lasts.
             let newest = self.trace.demand(now, NEWEST);
-            let lasting = self.trace.demand(now, LASTING);
             let even = Planner.even(&table, candidates, &newest, true);
             let even = even.or_else(|| Planner.even(&table, candidates, &demand, true));
-            let even = even.or_else(|| Planner.even(&table, candidates, &lasting, false));
+            let even = even.or_else(|| self.even_lasting(now, &table, candidates));
             if let Some(even) = even {
                 return Some((even, Reason::Uneven));
             }
@@ -370,6 +376,21 @@
         (now.since(since) >= CLEAR_GAP).then_some((table, Reason::Cleared))
     }
 
+    /// The table with lasting differences evened out, now and then.
+    fn even_lasting(
+        &mut self,
+        now: Tick,
+        table: &Table,
+        candidates: &[Candidate],
+    ) -> Option<Table> {
+        if now.since(self.lasting) < LASTING_EVEN {
+            return None;
+        }
+        self.lasting = now;
+        let lasting = self.trace.demand(now, LASTING);
+        Planner.even(table, candidates, &lasting, false)
+    }
+
     fn write(
         &mut self,
         host: &Rc<Host>,
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use trefoil_core::{HostId, ServiceName, Tick};
+use trefoil_gateway::Bounds;
 use trefoil_gateway::message::{Card, Stand, Standing, TermItem};
 use trefoil_gateway::peers::Peers;
 use trefoil_gateway::tables::Age;
@@ -150,7 +151,7 @@
     peers.add(at(0), other.clone());
     let standing = |store| Standing {
         version: 1,
-        directory: 0,
+        directory: Some(0),
         store: Some(store),
     };
     // Heard at 3.0 s, it had sent its last answered call at 2.0 s.
@@ -170,3 +171,29 @@
         "a later call"
     );
 }
+
+/// Guards against a third host that reads the registry beside two readers, because the second one has
+/// had no answer of the store for as long as it waits between two reads.
+#[test]
+fn a_reader_counts_between_two_reads() {
+    for drain in [500, 2_000, 2_500, 5_000] {
+        let bounds = Bounds {
+            drain: Duration::from_millis(drain),
+            ..Bounds::default()
+        };
+        let mut peers = Peers::new(card("entry-2", "a"));
+        let reader = card("entry-1", "a");
+        peers.add(at(0), reader.clone());
+        let pace = bounds.registry_pace(1);
+        let standing = |span: Duration| Standing {
+            version: 1,
+            directory: Some(0),
+            store: Some(u32::try_from(span.as_millis()).expect("a short span")),
+        };
+        let silence = bounds.reader_silence();
+        peers.heard(at(10_000), reader.id, Some(standing(pace)));
+        assert_eq!(peers.readers_before(at(10_100), silence), 1, "{drain}");
+        peers.heard(at(10_000), reader.id, Some(standing(pace * 2 + silence)));
+        assert_eq!(peers.readers_before(at(10_100), silence), 0, "{drain}: cut");
+    }
+}
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -1,5 +1,6 @@
 //! `trefoild serve` as processes, between callers, upstreams and the store of a stand-in platform.
 
+mod calls;
 mod decoding;
 mod output;
 mod promises;
--- a/tests/all/wire/cancel.rs
+++ b/tests/all/wire/cancel.rs
@@ -95,6 +95,8 @@
         let mut hang = head("/hang");
         hang.budget = Duration::from_millis(100);
         let peers = pair.asking.peers();
+        // A request that finds no connection within its budget is not sent, which is another case.
+        peers.call(pair.to, Bytes::new()).await.unwrap();
         let error = peers.forward(pair.to, hang, body::empty()).await;
         let error = error.unwrap_err();
         assert!(
