Copy the directory of one relay, and let upstreams return that it has missed

A host copied the directory of whichever relay differed. The second relay reads the registry less often, so its older view dropped upstreams that the first one had told of; these counted as gone with proof, and the first relay's next listing could not bring them back, because their counter had not changed.

Ruled out: lost digests (the listing was fetched every 0.1 s and did not help); unreadable entries (a second trial printed what differed: only upstreams that the relay listed with the same counter).

Change: the directory comes from one relay, the first that reaches the store; what another host does not list is no proof that an upstream is gone; a fetch waits before the next one. Requests for a key whose owner is missing in the directory have a cause of their own, `the owner is not listed`.

gateway::directory::what_another_host_has_missed_returns and gateway::peers::the_directory_comes_from_one_relay are new; they use new calls, so they do not compile before.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -1,12 +1,12 @@
 //! One host's view of the registry.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use trefoil_core::{ServiceName, Tick, UpstreamName};
 
-use crate::{Registration, Tag};
+use crate::{Life, Registration, Tag};
 
 /// Time after the return of the registry in which live upstreams register again. One that is
 /// missing after it is gone.
@@ -35,12 +35,31 @@
     vanishes: Option<Tick>,
 }
 
+/// What says that an upstream is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Proof {
+    /// The registry, which this host has read.
+    Registry,
+    /// Another host, whose view can be older than this one's.
+    Hearsay,
+}
+
 #[derive(Debug)]
 struct Forgotten {
     registration: Rc<Registration>,
+    proof: Proof,
     until: Tick,
 }
 
+impl Forgotten {
+    /// Whether a registration is from before the upstream was gone. The one that was known last
+    /// counts again if only another host has missed it.
+    fn outdates(&self, registration: &Registration) -> bool {
+        let (known, found) = (self.registration.order(), registration.order());
+        found < known || (found == known && self.proof == Proof::Registry)
+    }
+}
+
 /// One host's view of the registry.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -63,8 +82,8 @@
     pub fn register(&mut self, registration: Registration) -> Option<Change> {
         let name = registration.life.name.clone();
         let order = registration.order();
-        let forgotten = self.forgotten.get(&name).map(|f| f.registration.order());
-        if forgotten.is_some_and(|earlier| order <= earlier) {
+        let forgotten = self.forgotten.get(&name);
+        if forgotten.is_some_and(|f| f.outdates(&registration)) {
             return None;
         }
         self.forgotten.remove(&name);
@@ -108,8 +127,17 @@
                 entry.vanishes.get_or_insert(until);
                 None
             }
-            _ => self.remove(now, name),
+            _ => self.remove(now, name, Proof::Registry),
+        }
+    }
+
+    /// Another host says that an upstream is gone.
+    pub fn heard_gone(&mut self, now: Tick, life: &Life) -> Option<Change> {
+        let known = self.get(&life.name)?;
+        if known.life != *life {
+            return None;
         }
+        self.remove(now, &life.name, Proof::Hearsay)
     }
 
     /// Takes in the whole registry: upstreams that it does not list have vanished. `unreadable` are
@@ -120,19 +148,34 @@
         listed: Vec<Registration>,
         unreadable: &[UpstreamName],
     ) -> Vec<Change> {
-        let missing = self.entries.keys().filter(|name| {
-            let known = listed.iter().map(|r| &r.life.name).chain(unreadable);
-            !known.into_iter().any(|n| n == *name)
-        });
-        let missing: Vec<UpstreamName> = missing.cloned().collect();
-        let mut changes: Vec<Change> = listed
-            .into_iter()
-            .filter_map(|r| self.register(r))
-            .collect();
+        let missing = self.missing(&listed, unreadable);
+        let mut changes = self.register_all(listed);
         changes.extend(missing.iter().filter_map(|name| self.vanish(now, name)));
         changes
     }
 
+    /// Takes over the directory of another host.
+    pub fn copy(&mut self, now: Tick, listed: Vec<Registration>) -> Vec<Change> {
+        let missing = self.missing(&listed, &[]);
+        let mut changes = self.register_all(listed);
+        let gone = missing.iter();
+        changes.extend(gone.filter_map(|name| self.remove(now, name, Proof::Hearsay)));
+        changes
+    }
+
+    fn register_all(&mut self, listed: Vec<Registration>) -> Vec<Change> {
+        let changes = listed.into_iter().filter_map(|r| self.register(r));
+        changes.collect()
+    }
+
+    /// Upstreams that are not listed.
+    fn missing(&self, listed: &[Registration], unreadable: &[UpstreamName]) -> Vec<UpstreamName> {
+        let listed = listed.iter().map(|r| &r.life.name);
+        let known: HashSet<&UpstreamName> = listed.chain(unreadable).collect();
+        let missing = self.entries.keys().filter(|name| !known.contains(name));
+        missing.cloned().collect()
+    }
+
     /// Removes the upstreams whose grace has passed.
     pub fn expire(&mut self, now: Tick) -> Vec<Change> {
         self.forgotten.retain(|_, f| now < f.until);
@@ -141,16 +184,17 @@
         let names: Vec<UpstreamName> = names.map(|(name, _)| name.clone()).collect();
         names
             .iter()
-            .filter_map(|name| self.remove(now, name))
+            .filter_map(|name| self.remove(now, name, Proof::Registry))
             .collect()
     }
 
-    fn remove(&mut self, now: Tick, name: &UpstreamName) -> Option<Change> {
+    fn remove(&mut self, now: Tick, name: &UpstreamName, proof: Proof) -> Option<Change> {
         let entry = self.entries.remove(name)?;
         self.digest ^= entry.digest;
         self.tags.remove(&Tag::of(name));
         let forgotten = Forgotten {
             registration: Rc::clone(&entry.registration),
+            proof,
             until: now.after(MEMORY),
         };
         self.forgotten.insert(name.clone(), forgotten);
--- a/crates/gateway/src/cause.rs
+++ b/crates/gateway/src/cause.rs
@@ -44,6 +44,9 @@
     /// The key has no owner at present.
     #[display("the key moves")]
     KeyMoves,
+    /// The owner of the key is not in this host's directory.
+    #[display("the owner is not listed")]
+    OwnerUnlisted,
     /// The owner of the key is leaving.
     #[display("the owner leaves")]
     OwnerLeaves,
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -136,12 +136,14 @@
     match postcard::from_bytes::<(u64, Vec<Registration>)>(body) {
         Ok((digest, listed)) => {
             let now = host.now();
-            let changes = host.directory.borrow_mut().replace(now, listed, &[]);
+            let changes = host.directory.borrow_mut().copy(now, listed);
             let own = host.directory.borrow().digest();
             info!(host.log, "directory fetched"; "changes" => changes.len(),
                 "same" => own == digest);
             host.apply_changes(changes);
             host.set_listed();
+            // What is different still has time to arrive in digests again.
+            host.differs.set(None);
         }
         Err(reason) => host.log_rejected("directory of a host", &reason),
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -241,9 +241,12 @@
         return Target::Wait(RETRY_MAX, Cause::NoTable);
     };
     let directory = host.directory.borrow();
-    let Some(registration) = routes.owner(key).and_then(|name| directory.get(name)) else {
+    let Some(name) = routes.owner(key) else {
         return Target::Wait(RETRY_MAX, Cause::KeyMoves);
     };
+    let Some(registration) = directory.get(name) else {
+        return Target::Wait(RETRY_MAX, Cause::OwnerUnlisted);
+    };
     if registration.phase != Phase::Ready {
         return Target::Wait(RETRY_MAX, Cause::OwnerLeaves);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -317,6 +317,15 @@
         readers.filter(|p| reaches_store(now, p, span)).count()
     }
 
+    /// The host whose directory this one copies: the first of this domain that has heard from the
+    /// store within `span`, or the first of all if none has.
+    pub fn source(&self, now: Tick, span: Duration) -> Option<HostId> {
+        let mut before: SmallVec<[&Peer; 8]> = self.before(now).collect();
+        before.sort_by(|a, b| rank(&a.card).cmp(&rank(&b.card)));
+        let reader = before.iter().find(|p| reaches_store(now, p, span));
+        reader.or(before.first()).map(|p| p.card.id)
+    }
+
     /// When the store last answered a host of this domain, as far as is known.
     pub fn store_seen(&self, now: Tick) -> Option<Tick> {
         let neighbours = self.hosts.values();
@@ -340,12 +349,6 @@
         able.filter(|p| rank(&p.card) < rank(&self.own)).count()
     }
 
-    /// Whether a host is in this failure domain.
-    pub fn is_neighbour(&self, id: HostId) -> bool {
-        let peer = self.hosts.get(&id);
-        peer.is_some_and(|p| p.card.domain == self.own.domain)
-    }
-
     /// Whether a host at this address is in this failure domain.
     pub fn is_neighbour_at(&self, address: SocketAddr) -> bool {
         let peer = self.hosts.values().find(|p| p.card.address == address);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -423,10 +423,7 @@
     let mut directory = host.directory.borrow_mut();
     let changes = items.into_iter().filter_map(|item| match item {
         ChangeItem::Set(registration) => directory.register(registration),
-        ChangeItem::Gone(life) => {
-            let present = directory.get(&life.name).is_some_and(|r| r.life == life);
-            present.then(|| directory.vanish(now, &life.name))?
-        }
+        ChangeItem::Gone(life) => directory.heard_gone(now, &life),
     });
     let changes: Vec<_> = changes.collect();
     drop(directory);
@@ -440,8 +437,11 @@
         host.events.newer.notify(usize::MAX);
         fetch::config(host, from, now);
     }
-    let neighbour = host.peers.borrow().is_neighbour(from);
-    if let Some(digest) = standing.directory.filter(|_| neighbour)
+    // The two relays read the registry at different times, so a host that copied both would change
+    // from one view to the other and back.
+    let silence = host.bounds.get().reader_silence();
+    let source = host.peers.borrow().source(now, silence) == Some(from);
+    if let Some(digest) = standing.directory.filter(|_| source)
         && !host.reads_store(now)
     {
         fetch::directory(host, from, now, digest);
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -115,3 +115,23 @@
     assert!(directory.get(&"u1".parse().expect("a name")).is_some());
     assert!(directory.get(&"u2".parse().expect("a name")).is_none());
 }
+
+/// Guards against an upstream that stays missing because another host, whose view was older, had not
+/// listed it yet: the next listing brings it back. What the registry itself has dropped stays gone.
+#[test]
+fn what_another_host_has_missed_returns() {
+    let mut directory = Directory::default();
+    directory.register(entry("u1", 5, 1));
+    assert_eq!(directory.copy(at(0), Vec::new()).len(), 1);
+    assert_eq!(directory.copy(at(100), vec![entry("u1", 5, 1)]).len(), 1);
+    let life = entry("u1", 5, 1).life;
+    assert_eq!(text(directory.heard_gone(at(200), &life)), "gone u1@5");
+    assert_eq!(
+        text(directory.register(entry("u1", 5, 1))),
+        "joined u1@5 ready"
+    );
+    let earlier = entry("u1", 4, 1).life;
+    assert_eq!(text(directory.heard_gone(at(300), &earlier)), "-");
+    assert_eq!(text(directory.vanish(at(300), &life.name)), "gone u1@5");
+    assert!(directory.copy(at(400), vec![entry("u1", 5, 1)]).is_empty());
+}
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -197,3 +197,36 @@
         assert_eq!(peers.readers_before(at(10_100), silence), 0, "{drain}: cut");
     }
 }
+
+/// Guards against a host that takes its directory from one relay and then from the other, whose views
+/// differ, and back.
+#[test]
+fn the_directory_comes_from_one_relay() {
+    let mut peers = Peers::new(card("entry-3", "a"));
+    let silence = Bounds::default().reader_silence();
+    assert_eq!(peers.source(at(0), silence), None);
+    let relays = ["entry-2", "entry-1"].map(|name| card(name, "a"));
+    let reader = |store| Standing {
+        version: 1,
+        directory: Some(7),
+        store,
+    };
+    for (relay, address) in relays.iter().zip(["192.0.2.2:1", "192.0.2.3:1"]) {
+        let mut card = relay.clone();
+        card.address = address.parse().expect("an address");
+        peers.add(at(0), card);
+        peers.heard(at(0), relay.id, Some(reader(Some(0))));
+    }
+    let [second, first] = relays;
+    assert_eq!(peers.source(at(100), silence), Some(first.id));
+    peers.heard(at(1_000), first.id, Some(reader(None)));
+    peers.heard(at(1_000), second.id, Some(reader(Some(0))));
+    assert_eq!(peers.source(at(1_100), silence), Some(second.id), "a cut");
+    peers.heard(at(2_000), second.id, Some(reader(None)));
+    peers.heard(at(2_000), first.id, Some(reader(None)));
+    assert_eq!(
+        peers.source(at(2_100), silence),
+        Some(first.id),
+        "an outage"
+    );
+}
