Keep a steward when the store returns, and do not wait for unsent grants

The successor cannot know what its predecessor has granted to upstreams that are gone, so it waits 11 s for each. Renewals to an upstream that has ended also counted as grants that can be valid, although none of them was sent.

Ruled out: the hold itself (shorter holds lose all keys in longer outages); clearing after a confirmed release (those were done within 0.1 s).

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -139,6 +139,8 @@
     listed: Cell<bool>,
     /// When the store last answered.
     pub(crate) store_seen: Cell<Option<Tick>>,
+    /// When the store last answered after it had not for a while.
+    pub(crate) store_regained: Cell<Option<Tick>>,
 }
 
 impl Debug for Host {
@@ -205,6 +207,7 @@
             was_ready: Cell::default(),
             listed: Cell::new(false),
             store_seen: Cell::new(None),
+            store_regained: Cell::new(None),
         });
         *host.shared.borrow_mut() = Rc::downgrade(&host);
         host
@@ -467,7 +470,12 @@
 
     /// The store has answered a call that was sent at `sent`.
     pub(crate) fn store_answered(&self, sent: Tick) {
-        self.store_seen.set(self.store_seen.get().max(Some(sent)));
+        let before = self.store_seen.get();
+        let silence = self.bounds.get().reader_silence();
+        if before.is_some_and(|before| sent.since(before) > silence) {
+            self.store_regained.set(Some(sent));
+        }
+        self.store_seen.set(before.max(Some(sent)));
     }
 
     /// Takes in settings that were read again. Only bounds can change while the process runs.
--- a/crates/gateway/src/steward.rs
+++ b/crates/gateway/src/steward.rs
@@ -38,6 +38,10 @@
 /// Time since the last confirmation after which a term is doubted by other hosts.
 const DOUBT: Duration = Duration::from_millis(2500);
 
+/// Time after the return of the store in which a steward that is heard is left to confirm its term.
+/// It tries twice in that time.
+const RETURN_WAIT: Duration = record::CONFIRM.saturating_mul(2);
+
 /// Time since the store's last answer after which a host does not stand.
 const STORE_FRESH: Duration = Duration::from_secs(2);
 
@@ -111,7 +115,9 @@
 fn may_stand(host: &Host, service: &ServiceName, now: Tick) -> bool {
     let fresh = |seen: Option<Tick>| seen.is_some_and(|at| now.since(at) < STORE_FRESH);
     let steward = host.peers.borrow().steward(now, service);
-    let served = steward.is_some_and(|s| s.confirmed < DOUBT);
+    let regained = host.store_regained.get();
+    let returning = regained.is_some_and(|at| now.since(at) < RETURN_WAIT);
+    let served = steward.is_some_and(|s| returning || s.confirmed < DOUBT);
     let claimed = host.peers.borrow().is_claimed(now, service);
     let relay = host.peers.borrow().is_relay(now);
     relay && !claimed && host.is_ready() && fresh(host.store_seen.get()) && !served
--- a/crates/gateway/src/steward/term.rs
+++ b/crates/gateway/src/steward/term.rs
@@ -65,6 +65,10 @@
 /// store.
 const CUT_OFF: Duration = Duration::from_secs(2);
 
+/// Time for which other hosts must reach the store alone. When the store returns, one of them
+/// reaches it first; the steward tries twice in this time.
+const ALONE: Duration = record::CONFIRM.saturating_mul(2);
+
 /// Something that has happened to a term.
 #[derive(Debug)]
 pub(super) enum Note {
@@ -125,6 +129,8 @@
     /// The routes that were published last.
     pub(super) routes: Option<Routes>,
     published_at: Tick,
+    /// Since when other hosts have reached the store and this one has not.
+    outrun: Option<Tick>,
     /// A later term of another host was heard of.
     pub(crate) superseded: bool,
     predecessor: Option<Predecessor>,
@@ -155,6 +161,7 @@
             confirmed,
             published: None,
             routes: None,
+            outrun: None,
             published_at: Tick::default(),
             superseded: false,
             predecessor,
@@ -280,13 +287,20 @@
         // The call that should have confirmed the term next. If nobody else's later call was
         // answered either, the store is away for all.
         let missed = self.confirmed.after(record::CONFIRM);
-        let others = || host.peers.borrow().anyone_reached_store(now, missed);
+        let others =
+            unconfirmed >= record::CONFIRM && host.peers.borrow().anyone_reached_store(now, missed);
+        if !others {
+            self.outrun = None;
+        } else if self.outrun.is_none() {
+            self.outrun = Some(now);
+        }
+        let alone = self.outrun.is_some_and(|since| now.since(since) >= ALONE);
         match () {
             () if host.leaving.get() => Err(End::Leaving),
             () if self.superseded || self.steward.is_deposed() => Err(End::Deposed),
-            () if unconfirmed >= CUT_OFF && others() => Err(End::CutOff),
+            () if unconfirmed >= CUT_OFF && alone => Err(End::CutOff),
             () => {
-                let away = unconfirmed >= STORE_AWAY && !others();
+                let away = unconfirmed >= STORE_AWAY && !others;
                 self.steward.set_store_away(away);
                 Ok(())
             }
--- a/crates/ranges/src/steward.rs
+++ b/crates/ranges/src/steward.rs
@@ -165,6 +165,8 @@
     sent: Tick,
     hold: Duration,
     role: Role,
+    /// Until when grants before this one can be valid.
+    before: Tick,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -415,6 +417,9 @@
             };
             let kind = OrderKind::Grant { hold, handover };
             let order = self.order(now, entry, owner.clone(), kind, Role::Grant);
+            if let Some(pending) = self.pending.get_mut(&order.id) {
+                pending.before = state.grants.until;
+            }
             state.in_flight = Some(order.id);
             orders.push(order);
             let end = self.timing.end_of(now, hold);
@@ -501,6 +506,7 @@
             sent: now,
             hold,
             role,
+            before: Tick::default(),
         };
         self.pending.insert(id, pending);
         Order {
--- a/crates/ranges/src/steward/answers.rs
+++ b/crates/ranges/src/steward/answers.rs
@@ -42,7 +42,9 @@
             return;
         }
         let state = &mut self.progress[index];
-        if state.in_flight == Some(id) {
+        // Otherwise the range was divided or joined since, and other parts count on this order too.
+        let whole = state.in_flight == Some(id);
+        if whole {
             state.in_flight = None;
         }
         match answer {
@@ -76,6 +78,10 @@
                 state.due = now.after(RETRY);
             }
             Answer::Unsent | Answer::Ended => {
+                // It was not sent, so only the grants before it can be valid.
+                if whole {
+                    state.grants.until = pending.before;
+                }
                 state.failures += 1;
                 state.due = now.after(RETRY);
             }
