--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,5 +1,7 @@
 //! State of the host, shared by its tasks.
 
+mod measure;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::fmt::{self, Debug};
@@ -319,48 +321,6 @@
         }
     }
 
-    /// Sets the metrics that are only worked out when someone asks for them.
-    pub(crate) fn measure(&self) {
-        let now = self.now();
-        let age = |since| now.since(since).as_secs_f64();
-        let m = &self.metrics;
-        m.ready.set(self.is_ready().into());
-        m.config_age.set(age(self.config_changed.get()));
-        m.directory_age.set(age(self.directory_changed.get()));
-        m.store_age
-            .set(age(self.store_seen.get().unwrap_or(self.started)));
-        m.connections
-            .set(i64::try_from(self.connections.get()).unwrap_or(i64::MAX));
-        m.terms
-            .set(i64::try_from(self.terms.borrow().len()).unwrap_or(i64::MAX));
-        let hosts = self.peers.borrow().all_hosts(now);
-        for (service, budget) in self.budgets.borrow_mut().iter_mut() {
-            #[expect(
-                clippy::cast_possible_truncation,
-                reason = "a budget is far below the range of the type"
-            )]
-            let left = budget.left(now, hosts) as i64;
-            Metrics::set(&m.budget, service, left);
-        }
-        self.measure_open();
-    }
-
-    fn measure_open(&self) {
-        let directory = self.directory.borrow();
-        let mut open: BTreeMap<&ServiceName, i64> = BTreeMap::new();
-        for (tag, load) in self.balancer.borrow().loads() {
-            if let Some(registration) = directory.tagged(tag) {
-                *open.entry(&registration.service).or_default() += i64::from(load.own());
-            }
-        }
-        let router = self.router();
-        let services = router.iter().flat_map(|router| router.services());
-        for (service, _) in services {
-            let count = open.get(service).copied().unwrap_or_default();
-            Metrics::set(&self.metrics.open, service, count);
-        }
-    }
-
     /// Whether the host can answer requests and is not about to stop.
     pub fn is_ready(&self) -> bool {
         !self.leaving.get() && self.listed.get() && self.router.borrow().is_some()
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -463,7 +463,7 @@
         fleet.store.set(Fault::Down);
         std::thread::sleep(Duration::from_millis(4_130));
         fleet.store.set(Fault::None);
-        std::thread::sleep(Duration::from_millis(2_000));
+        std::thread::sleep(Duration::from_secs(2));
     }
     for host in &fleet.hosts {
         let ended = host.events("event", "term ended");
