Count takeovers before the planner's first look

The planner looks once a window, 10 s; a dispatcher that was taken over before its first look counted as settled, and its shards were moved.

Ruled out: a host that cannot reach the dispatcher (the others were asked before the move).

--- a/crates/daemon/src/planner/balance.rs
+++ b/crates/daemon/src/planner/balance.rs
@@ -10,17 +10,20 @@
 use std::time::Duration;
 
 use slog::debug;
-use trefoil_core::{ServiceName, Tick};
+use trefoil_core::{ServiceName, Term, Tick};
 use trefoil_log::View;
 use trefoil_placement::{Member, Ramp};
 
-use super::takeovers::Takeovers;
+use super::takeovers::{Dispatched, Takeovers};
 use super::{Cold, Loads, balanced, decision, submit};
 use crate::dispatcher::Dispatchers;
 use crate::dispatcher::driver::longest_work;
 use crate::load::{Collector, GRACE, Window, collect};
 use crate::shared::Shared;
 
+/// Term of an upstream's first assignment.
+const FIRST: Term = Term(1);
+
 /// The load of the last window, if this host collected it.
 #[derive(Debug, Default)]
 pub struct Measured {
@@ -81,9 +84,7 @@
             .sleep(Duration::from_millis(wait) + grace)
             .await;
         let view = shared.view();
-        let first = view.records.assignments();
-        let first = first.filter_map(|a| Some((a.upstream.clone(), *a.hosts.first()?)));
-        takeovers.note(shared.clock.now(), first);
+        takeovers.note(shared.clock.now(), dispatched(&view));
         if !shared.is_current() || view.hosts.keys().next() != Some(&shared.host.id) {
             (collector, ages) = Default::default();
             shared.measured.set(Arc::default());
@@ -123,3 +124,14 @@
     let mut upstreams = services.flat_map(|s| s.upstreams.iter().map(move |u| (s, u)));
     upstreams.any(|(s, u)| takeovers.is_recent(now, &u.name, longest_work(s)))
 }
+
+/// The dispatchers of all upstreams, as the log assigns them.
+fn dispatched(view: &View) -> impl Iterator<Item = Dispatched> {
+    view.records.assignments().filter_map(|assignment| {
+        Some(Dispatched {
+            upstream: assignment.upstream.clone(),
+            host: *assignment.hosts.first()?,
+            replaced: assignment.term > FIRST,
+        })
+    })
+}
--- a/crates/daemon/src/planner/takeovers.rs
+++ b/crates/daemon/src/planner/takeovers.rs
@@ -10,6 +10,17 @@
 
 use trefoil_core::{HostId, Tick, UpstreamName};
 
+/// Who dispatches an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatched {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The host of its dispatcher.
+    pub host: HostId,
+    /// Whether another host was assigned before.
+    pub replaced: bool,
+}
+
 /// Dispatchers of upstreams, and when each took over.
 #[derive(Debug, Default)]
 pub struct Takeovers {
@@ -17,14 +28,17 @@
 }
 
 impl Takeovers {
-    /// Notes which host dispatches each upstream at `now`. The first one that is seen of an upstream
-    /// counts as its dispatcher since long ago.
+    /// Notes which host dispatches each upstream at `now`. One that is seen for the first time and
+    /// has replaced another may have done so a moment ago.
     pub fn note<I>(&mut self, now: Tick, dispatchers: I)
     where
-        I: IntoIterator<Item = (UpstreamName, HostId)>,
+        I: IntoIterator<Item = Dispatched>,
     {
-        for (upstream, host) in dispatchers {
-            let known = self.seen.entry(upstream).or_insert((host, None));
+        for dispatched in dispatchers {
+            let host = dispatched.host;
+            let since = dispatched.replaced.then_some(now);
+            let known = self.seen.entry(dispatched.upstream);
+            let known = known.or_insert((host, since));
             if known.0 != host {
                 *known = (host, Some(now));
             }
