Say in full what the silence of a reader is a share of

A comment named 'the same time' without saying which, and the header of the relay did not say whose directory is copied. Comments only; no behaviour changes.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -34,9 +34,10 @@
 /// a second.
 const PACE_MIN: Duration = Duration::from_millis(100);
 
-/// Time without an answer of the store after which a reader counts as cut off, as a share of the
-/// same time. Another host must read the registry and tell the others in the rest of it. The second
-/// reader has answers less often and counts as cut off now and then, which costs some reads.
+/// Time without an answer of the store after which a host that reads the registry counts as cut off,
+/// as a share of the time within which an upstream that leaves must get no new requests. Another host
+/// must read the registry and tell the others in the rest of it. The second reader has answers less
+/// often and counts as cut off now and then, which costs some reads.
 const SILENCE: f64 = 0.6;
 
 impl Bounds {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,8 +7,9 @@
 //! takes over when the first one falls silent.
 //!
 //! A host reads the store itself only if fewer than two hosts ranked before it in its domain reach
-//! it. The others learn of changes from digests: changes of the directory are in them, and a newer
-//! configuration or a directory with another digest is fetched from the relay.
+//! it. The others learn of changes from digests: changes of the directory are in them, a newer
+//! configuration is fetched from whoever has it, and a directory with another digest from the first
+//! relay that reaches the store.
 
 mod handle;
 
