Wait for every grant again, whatever became of it

The steward had taken the renewal for not sent. Only a failed connection proves that, but the adapter also says so of every answer with a status that it does not know, and such an order can be carried out later.

Ruled out: the release (it was not waited for at all, so the hold must have counted as run out); the directory of one relay (the steward reads the registry itself).

--- a/crates/ranges/src/steward.rs
+++ b/crates/ranges/src/steward.rs
@@ -165,8 +165,6 @@
     sent: Tick,
     hold: Duration,
     role: Role,
-    /// Until when grants before this one can be valid.
-    before: Tick,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -417,9 +415,6 @@
             };
             let kind = OrderKind::Grant { hold, handover };
             let order = self.order(now, entry, owner.clone(), kind, Role::Grant);
-            if let Some(pending) = self.pending.get_mut(&order.id) {
-                pending.before = state.grants.until;
-            }
             state.in_flight = Some(order.id);
             orders.push(order);
             let end = self.timing.end_of(now, hold);
@@ -506,7 +501,6 @@
             sent: now,
             hold,
             role,
-            before: Tick::default(),
         };
         self.pending.insert(id, pending);
         Order {
--- a/crates/ranges/src/steward/answers.rs
+++ b/crates/ranges/src/steward/answers.rs
@@ -42,9 +42,7 @@
             return;
         }
         let state = &mut self.progress[index];
-        // Otherwise the range was divided or joined since, and other parts count on this order too.
-        let whole = state.in_flight == Some(id);
-        if whole {
+        if state.in_flight == Some(id) {
             state.in_flight = None;
         }
         match answer {
@@ -78,10 +76,6 @@
                 state.due = now.after(RETRY);
             }
             Answer::Unsent | Answer::Ended => {
-                // It was not sent, so only the grants before it can be valid.
-                if whole {
-                    state.grants.until = pending.before;
-                }
                 state.failures += 1;
                 state.due = now.after(RETRY);
             }
--- a/tests/all/ranges/steward.rs
+++ b/tests/all/ranges/steward.rs
@@ -105,23 +105,6 @@
     assert_eq!(phase(&steward, 0), Some(Phase::Recording));
 }
 
-/// Guards against keys that wait for grants which never reached their former owner: an upstream that
-/// has ended cannot be sent renewals, and what it was sent last has run out.
-#[test]
-fn a_grant_that_was_not_sent_is_not_waited_for() {
-    let mut steward = holding();
-    let mut now = at(1200);
-    while now < at(6000) {
-        for order in steward.poll(now) {
-            steward.answered(now, order.id, Answer::Unsent);
-        }
-        now = now.after(Duration::from_millis(50));
-    }
-    moved(&mut steward, now, range(0, 15), "b");
-    assert_eq!(text(&steward.poll(now)), [""; 0]);
-    assert_eq!(phase(&steward, 0), Some(Phase::Recording));
-}
-
 /// Guards against a release that an older grant overtakes: an unanswered grant may still be applied,
 /// so the former owner is barred first.
 #[test]
