Take an order with an unknown answer for one that may be carried out

Cause: the adapter called every answer to an order that it does not know "not sent".

Ruled out: 400 and 421, and answers that say that nothing was done; these stay proof.

Change: any other answer counts as none. platform::decoding:: an_unknown_answer_to_an_order_proves_nothing fails before.

--- a/tests/all/platform/decoding.rs
+++ b/tests/all/platform/decoding.rs
@@ -2,10 +2,14 @@
 
 use std::time::Duration;
 
+use http::header::{HeaderMap, HeaderName, HeaderValue};
 use serde_json::{Value, json};
-use trefoil_directory::Phase;
+use trefoil_core::{KeyRange, Tick, UnixMillis};
+use trefoil_directory::{Life, Phase};
 use trefoil_gateway::Platform;
+use trefoil_http::h1::ResponseHead;
 use trefoil_platform::UsersPlatform;
+use trefoil_ranges::{Answer, Steward, Table, Timing};
 use trefoil_route::Repeat;
 
 fn registration() -> Value {
@@ -115,3 +119,36 @@
     assert_eq!(keyed, ["keys"]);
     platform.read_config(b"[]").expect_err("no document");
 }
+
+/// Guards against an order that counts as not sent although the upstream may still carry it out:
+/// only a refusal proves that it was not.
+#[test]
+fn an_unknown_answer_to_an_order_proves_nothing() {
+    let mut table = Table::new("plain".parse().expect("a name"));
+    let life = Life {
+        name: "i-1".parse().expect("a name"),
+        born: UnixMillis(1),
+    };
+    table.assign(KeyRange::ALL, &life);
+    let now = Tick::default();
+    let orders = Steward::new(now, table, Timing::default(), now).poll(now);
+    let answer = |status: u16, header: Option<&'static str>| {
+        let named = header.map(|name| {
+            let value = HeaderValue::from_static("i-1");
+            (HeaderName::from_static(name), value)
+        });
+        let head = ResponseHead {
+            status: status.try_into().expect("a status"),
+            minor: 1,
+            headers: HeaderMap::from_iter(named),
+        };
+        UsersPlatform::new().order_answer(&orders[0], &head)
+    };
+    assert_eq!(answer(200, None), Answer::Done(None));
+    assert_eq!(answer(409, None), Answer::Fenced);
+    assert_eq!(answer(421, None), Answer::Unsent);
+    assert_eq!(answer(503, Some("x-not-executed")), Answer::Unsent);
+    for status in [204, 500, 502, 503, 504] {
+        assert_eq!(answer(status, None), Answer::Silent, "{status}");
+    }
+}
