Do not offer a directory that lags behind the registry

Change: a host offers its directory only if it has missed no records and keeps no upstream that is missing in the registry; while no relay reaches the store nobody copies, but for hosts that have no directory yet. gateway::directory says when a directory is whole. A process test with a cut, deleted records and an upstream that leaves in between is still missing.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -207,6 +207,12 @@
         self.digest
     }
 
+    /// Whether every upstream is known to be in the registry. After an outage those that are missing
+    /// there are kept for a while.
+    pub fn is_settled(&self) -> bool {
+        self.entries.values().all(|e| e.vanishes.is_none())
+    }
+
     /// An upstream by its name.
     pub fn get(&self, name: &UpstreamName) -> Option<&Rc<Registration>> {
         self.entries.get(name).map(|e| &e.registration)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -95,6 +95,7 @@
         let whole = follower.is_behind();
         let records = follower.next().await;
         let now = host.now();
+        host.is_behind.set(follower.is_behind());
         if follower.take_returned() {
             host.directory.borrow_mut().set_returned(now);
         }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -139,6 +139,8 @@
     was_ready: Cell<bool>,
     /// The directory was read at least once.
     listed: Cell<bool>,
+    /// Records of the registry were deleted before this host had read them.
+    pub(crate) is_behind: Cell<bool>,
     /// When the store last answered.
     pub(crate) store_seen: Cell<Option<Tick>>,
     /// When the store last answered after it had not for a while.
@@ -208,6 +210,7 @@
             config_changed: Cell::default(),
             was_ready: Cell::default(),
             listed: Cell::new(false),
+            is_behind: Cell::new(false),
             store_seen: Cell::new(None),
             store_regained: Cell::new(None),
         });
@@ -300,6 +303,15 @@
         self.listed.get()
     }
 
+    /// Digest of the directory for hosts that may copy it. A host that has missed changes, or keeps
+    /// upstreams that are missing in the registry, has nothing to offer: another host may know that
+    /// they are gone.
+    pub(crate) fn offered_directory(&self) -> Option<u64> {
+        let directory = self.directory.borrow();
+        let whole = self.listed.get() && !self.is_behind.get() && directory.is_settled();
+        whole.then(|| directory.digest())
+    }
+
     pub(crate) fn set_listed(&self) {
         self.listed.set(true);
         self.check_ready();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -80,8 +80,8 @@
 pub struct Standing {
     /// Version of its configuration.
     pub version: u64,
-    /// Digest of its directory, or nothing if it has not read the registry yet. The registry may be
-    /// empty, whose digest is 0.
+    /// Digest of its directory, or nothing if it has no whole one. The registry may be empty, whose
+    /// digest is 0.
     pub directory: Option<u64>,
     /// Milliseconds since the store answered it, if it ever did.
     pub store: Option<u32>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -318,12 +318,12 @@
     }
 
     /// The host whose directory this one copies: the first of this domain that has heard from the
-    /// store within `span`, or the first of all if none has.
+    /// store within `span`.
     pub fn source(&self, now: Tick, span: Duration) -> Option<HostId> {
         let mut before: SmallVec<[&Peer; 8]> = self.before(now).collect();
         before.sort_by(|a, b| rank(&a.card).cmp(&rank(&b.card)));
         let reader = before.iter().find(|p| reaches_store(now, p, span));
-        reader.or(before.first()).map(|p| p.card.id)
+        reader.map(|p| p.card.id)
     }
 
     /// When the store last answered a host of this domain, as far as is known.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -112,7 +112,7 @@
 pub(crate) fn standing(host: &Host, now: Tick) -> Standing {
     Standing {
         version: host.version().0,
-        directory: host.is_listed().then(|| host.directory.borrow().digest()),
+        directory: host.offered_directory(),
         store: host.store_seen.get().map(|at| whole_millis(now.since(at))),
     }
 }
@@ -445,7 +445,9 @@
     // from one view to the other and back.
     let silence = host.bounds.get().reader_silence();
     let source = host.peers.borrow().source(now, silence) == Some(from);
-    if let Some(digest) = standing.directory.filter(|_| source)
+    // A host that has no directory yet takes any; without the store none is newer than its own.
+    let wanted = source || !host.is_listed();
+    if let Some(digest) = standing.directory.filter(|_| wanted)
         && !host.reads_store(now)
     {
         fetch::directory(host, from, now, digest);
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -89,6 +89,7 @@
         "-",
         "it is back"
     );
+    assert!(!directory.is_settled(), "others must not copy it");
     let end = at(1_000).after(RETURN_GRACE);
     assert_eq!(directory.next_expiry(), Some(end));
     assert!(directory.expire(at(2_900)).is_empty());
@@ -98,6 +99,7 @@
         .map(|c| text(Some(c)))
         .collect();
     assert_eq!(gone, ["gone u2@5"]);
+    assert!(directory.is_settled());
     // After that time, what vanishes is gone at once.
     let name = "u1".parse().expect("a name");
     assert_eq!(text(directory.vanish(end, &name)), "gone u1@5");
