Wait for the work of a barred owner

Change: until a release is answered, the end of an earlier steward's grants counts too. ranges::steward::a_bar_does_not_end_the_work_of_its_upstream fails before.

--- a/crates/ranges/src/steward.rs
+++ b/crates/ranges/src/steward.rs
@@ -445,9 +445,11 @@
         } else {
             Tick::default()
         };
-        // A bar that is under way can still be applied, so its answer is awaited.
-        let run_out =
-            now >= former.grants.until.max(earlier) && !matches!(former.step, Step::Barring(_));
+        // A bar that is under way can still be applied, so its answer is awaited. A bar does not end
+        // what its upstream works on under an earlier steward's grant, so that grant's end counts
+        // for as long as the release is not answered.
+        let run_out = now >= former.grants.until.max(self.earlier_until)
+            && !matches!(former.step, Step::Barring(_));
         if run_out {
             former.step = Step::Cleared;
             return;
--- a/tests/all/ranges/steward.rs
+++ b/tests/all/ranges/steward.rs
@@ -105,6 +105,24 @@
     assert_eq!(phase(&steward, 0), Some(Phase::Recording));
 }
 
+/// Guards against keys that are given on while their former owner works on them: a bar is short, but
+/// work that was begun under an earlier steward's grant goes on after it.
+#[test]
+fn a_bar_does_not_end_the_work_of_its_upstream() {
+    let mut table = table();
+    table.assign(range(0, 15), &life("b", 1));
+    table.refence_moves();
+    let mut steward = Steward::new(START, table, Timing::default(), at(5000));
+    let bar = steward.poll(START);
+    steward.answered(at(50), bar[0].id, Answer::Done(None));
+    let release = steward.poll(at(50));
+    assert!(text(&release)[0].ends_with("release"), "{release:?}");
+    steward.poll(at(4900));
+    assert_eq!(phase(&steward, 0), Some(Phase::Clearing), "it may work");
+    steward.poll(at(5000));
+    assert_eq!(phase(&steward, 0), Some(Phase::Recording));
+}
+
 /// Guards against a release that an older grant overtakes: an unanswered grant may still be applied,
 /// so the former owner is barred first.
 #[test]
