Show how old a host's directory is and where its changes come from

Cause: directory_age_ms and trefoil_directory_age_seconds gave the time since the last change, so they could not tell a quiet registry from a host that hears nothing, and an `upstream changed` line did not say whether the host had read it or been told.

Change: reports, digests and exchanges carry the digest and the age of the sender's directory. The age is that of the last complete read of the registry; a host that does not read takes it over from a host whose directory has the same content. The fields follow the message, where earlier builds ignore them (gateway::message::the_directory_status_is_optional). `upstream changed` names its source, and `registry reader` says when a host begins or ceases to read. No decision uses the age yet.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::follow;
+use crate::freshness::Source;
 use crate::host::Host;
 
 const CONFIG_PATH: &str = "/v1/config";
@@ -141,7 +142,7 @@
             let own = host.directory.borrow().digest();
             info!(host.log, "directory fetched"; "changes" => changes.len(),
                 "same" => own == digest);
-            host.apply_changes(changes);
+            host.apply_changes(changes, Source::Copy);
             host.set_directory_loaded();
             // Digests may bring the remaining differences, so the delay starts again.
             host.directory_differs.set(None);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,6 +19,7 @@
 use trefoil_directory::Registration;
 use trefoil_store::{KeyedRecord, Newest, PartitionId, Read, StoreError};
 
+use crate::freshness::Source;
 use crate::host::Host;
 
 /// Longest poll for a new configuration. A configuration must be in force 2 s after it was
@@ -87,7 +88,9 @@
     let mut follower = Follower::new(&host, host.platform.registry_partition(), Duration::ZERO);
     loop {
         let now = host.now();
-        if host.defers_first_read(now) || (host.has_directory() && !host.reads_store(now)) {
+        let reads = !host.has_directory() || host.reads_store(now);
+        host.log_reading(now, reads);
+        if host.defers_first_read(now) || !reads {
             follower.reset();
             host.clock.sleep(ROLE_INTERVAL).await;
             continue;
@@ -95,12 +98,16 @@
         let complete = follower.starts_anew();
         let records = follower.next().await;
         let now = host.now();
-        host.missed_records.set(follower.starts_anew());
+        let missed = follower.starts_anew();
+        host.missed_records.set(missed);
         if follower.take_recovered() {
             host.directory.borrow_mut().on_registry_return(now);
         }
         let changes = apply_records(&host, now, complete, records);
-        host.apply_changes(changes);
+        host.apply_changes(changes, Source::Registry);
+        if !missed {
+            host.confirm_directory(follower.read_at);
+        }
         host.set_directory_loaded();
         let bounds = host.bounds.get();
         let before = host
@@ -117,7 +124,7 @@
     loop {
         let now = host.now();
         let expired = host.directory.borrow_mut().expire(now);
-        host.apply_changes(expired);
+        host.apply_changes(expired, Source::Registry);
         if now >= until {
             return;
         }
@@ -170,6 +177,8 @@
     next: Option<Offset>,
     backoff: Duration,
     answered_at: Option<Tick>,
+    /// When the last answered call was sent.
+    read_at: Tick,
     lost: bool,
     recovered: bool,
     /// Reports of other hosts reveal a newer version.
@@ -185,6 +194,7 @@
             next: None,
             backoff: BACKOFF,
             answered_at: None,
+            read_at: Tick::default(),
             lost: false,
             recovered: false,
             watches_versions: false,
@@ -299,6 +309,7 @@
 
     fn on_answer(&mut self, sent: Tick) {
         self.host.store_answered(sent);
+        self.read_at = sent;
         self.backoff = BACKOFF;
         let now = self.host.now();
         let others = self.host.peers.borrow().last_store_answer(sent);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -23,12 +23,14 @@
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
+use crate::freshness::Source;
 use crate::message::ChangeItem;
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAYS};
 use crate::platform::Platform;
 use crate::pool::Pool;
+use crate::request_log::age_ms;
 use crate::tables::{Revision, Routes, Tables};
 
 /// Delay between the probes of the store by hosts with consecutive ranks in a domain.
@@ -132,6 +134,10 @@
     displaced: RefCell<HashSet<Incarnation>>,
     /// When the directory last changed.
     pub(crate) directory_changed: Cell<Tick>,
+    /// The directory contains every change that the registry had accepted at this tick.
+    pub(crate) directory_as_of: Cell<Option<Tick>>,
+    /// Whether this host read the registry when that was logged last.
+    pub(crate) was_reading: Cell<bool>,
     router: RefCell<Option<Rc<Router>>>,
     /// When the configuration came into force.
     config_changed: Cell<Tick>,
@@ -206,6 +212,8 @@
             connections: Cell::new(0),
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
+            directory_as_of: Cell::default(),
+            was_reading: Cell::default(),
             router: RefCell::default(),
             config_changed: Cell::default(),
             was_ready: Cell::default(),
@@ -361,15 +369,15 @@
         true
     }
 
-    /// Applies changes of the directory.
-    pub fn apply_changes(&self, changes: Vec<Change>) {
+    /// Applies changes of the directory, which come from `source`.
+    pub fn apply_changes(&self, changes: Vec<Change>, source: Source) {
         if changes.is_empty() {
             return;
         }
         let now = self.now();
         self.directory_changed.set(now);
         for change in changes {
-            self.apply_change(now, &change);
+            self.apply_change(now, &change, source);
             let item = match &change {
                 Change::Joined(r) | Change::Updated(r) => ChangeItem::Set(r.as_ref().clone()),
                 Change::Removed(r) => ChangeItem::Gone(r.incarnation.clone()),
@@ -383,21 +391,21 @@
         self.events.directory.notify(usize::MAX);
     }
 
-    fn apply_change(&self, now: Tick, change: &Change) {
+    fn apply_change(&self, now: Tick, change: &Change, source: Source) {
         let mut balancer = self.balancer.borrow_mut();
         match change {
             Change::Joined(r) => {
-                self.log_upstream("joined", r);
+                self.log_upstream("joined", r, source);
                 balancer.reset(Tag::of(&r.incarnation.name));
                 balancer.register(now, r, r.phase == Phase::Ready);
             }
             Change::Updated(r) => {
-                self.log_upstream("updated", r);
+                self.log_upstream("updated", r, source);
                 let ready = r.phase == Phase::Ready && !self.is_displaced(&r.incarnation);
                 balancer.register(now, r, ready);
             }
             Change::Removed(r) => {
-                self.log_upstream("gone", r);
+                self.log_upstream("gone", r, source);
                 self.displaced.borrow_mut().remove(&r.incarnation);
                 balancer.remove(Tag::of(&r.incarnation.name));
                 self.pool.borrow_mut().close(r.address);
@@ -405,10 +413,11 @@
         }
     }
 
-    fn log_upstream(&self, event: &'static str, r: &Registration) {
+    fn log_upstream(&self, event: &'static str, r: &Registration, source: Source) {
         info!(self.log, "upstream changed"; "change" => event, "upstream" => %r.incarnation.name, "born" => r.incarnation.started.0,
             "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
-            "phase" => %r.phase, "sequence" => r.sequence);
+            "phase" => %r.phase, "sequence" => r.sequence, "source" => %source,
+            "directory_age_ms" => age_ms(self.now(), self.directory_as_of.get()));
     }
 
     /// Records that another upstream answers at the address of this one. So it has ended, although
@@ -419,7 +428,7 @@
             .borrow_mut()
             .insert(registration.incarnation.clone())
         {
-            self.log_upstream("displaced", registration);
+            self.log_upstream("displaced", registration, Source::Upstream);
             let now = self.now();
             self.balancer
                 .borrow_mut()
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -15,7 +15,8 @@
         let m = &self.metrics;
         m.ready.set(self.is_ready().into());
         m.config_age.set(age(self.config_changed.get()));
-        m.directory_age.set(age(self.directory_changed.get()));
+        m.directory_age
+            .set(age(self.directory_as_of.get().unwrap_or(self.started)));
         m.store_age
             .set(age(self.store_seen.get().unwrap_or(self.started)));
         m.connections
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod fetch;
 pub mod follow;
 pub mod forward;
+pub mod freshness;
 pub mod host;
 pub mod ingress;
 pub mod message;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -86,6 +86,19 @@
     pub directory_digest: Option<u64>,
     /// Milliseconds since the store last answered the host, if it ever did.
     pub store_age_ms: Option<u32>,
+    /// Content and age of the directory. Encoded after the message, where earlier builds ignore it.
+    #[serde(skip)]
+    pub directory: Option<DirectoryStatus>,
+}
+
+/// Content and age of a host's directory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DirectoryStatus {
+    /// Digest of the directory, complete or not.
+    pub digest: u64,
+    /// Milliseconds since the last time at which the directory contained every change that the
+    /// registry had accepted.
+    pub age_ms: u32,
 }
 
 /// Report of the coordinator of a service.
@@ -253,7 +266,11 @@
     ///
     /// Fails if the encoder does.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)
+        let bytes = postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)?;
+        match self.status().and_then(|status| status.directory) {
+            Some(directory) => postcard::to_extend(&directory, bytes).context(DecodeSnafu),
+            None => Ok(bytes),
+        }
     }
 
     /// Decodes a datagram.
@@ -264,6 +281,31 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
         let (found, rest) = postcard::take_from_bytes::<u8>(bytes).context(DecodeSnafu)?;
         ensure!(found == VERSION, VersionSnafu { found });
-        postcard::from_bytes(rest).context(DecodeSnafu)
+        let (mut message, rest): (Self, _) =
+            postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        if let Some(status) = message.status_mut()
+            && !rest.is_empty()
+        {
+            status.directory = Some(postcard::from_bytes(rest).context(DecodeSnafu)?);
+        }
+        Ok(message)
+    }
+
+    fn status(&self) -> Option<&SyncStatus> {
+        match self {
+            Self::Report(report) => Some(&report.status),
+            Self::Digest(digest) => Some(&digest.status),
+            Self::Exchange(exchange) => Some(&exchange.status),
+            _ => None,
+        }
+    }
+
+    fn status_mut(&mut self) -> Option<&mut SyncStatus> {
+        match self {
+            Self::Report(report) => Some(&mut report.status),
+            Self::Digest(digest) => Some(&mut digest.status),
+            Self::Exchange(exchange) => Some(&mut exchange.status),
+            _ => None,
+        }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -121,7 +121,7 @@
     pub(crate) version: Gauge,
     /// Time since the configuration came into force.
     pub(crate) config_age: Seconds,
-    /// Time since the directory last changed.
+    /// Time since the directory last contained every change of the registry.
     pub(crate) directory_age: Seconds,
     /// Time since the store last answered this host.
     pub(crate) store_age: Seconds,
@@ -225,7 +225,7 @@
             ),
             directory_age: b.seconds(
                 "directory_age",
-                "Time since the directory changed",
+                "Time since the directory contained every change of the registry",
                 Seconds::default(),
             ),
             store_age: b.seconds(
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use trefoil_core::{HostId, Tick};
 use trefoil_directory::Tag;
 
+use crate::freshness::Source;
 use crate::host::Host;
 use crate::message::{
     ChangeItem, DATAGRAM_MAX, Digest, Exchange, Message, OpenItem, Report, SyncStatus, TimeItem,
@@ -115,6 +116,7 @@
         config_version: host.config_version().0,
         directory_digest: host.offered_directory(),
         store_age_ms: host.store_seen.get().map(|at| whole_millis(now.since(at))),
+        directory: host.directory_status(now),
     }
 }
 
@@ -445,7 +447,7 @@
     });
     let changes: Vec<_> = changes.collect();
     drop(directory);
-    host.apply_changes(changes);
+    host.apply_changes(changes, Source::Digest);
 }
 
 /// Fetches a configuration or directory that is newer at another host.
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -53,8 +53,10 @@
 /// Records the sender of a datagram and returns whether it is known. Asks an unknown sender for its
 /// identity.
 fn record_sender(host: &Host, from: SocketAddr, id: HostId, status: SyncStatus) -> bool {
+    let now = host.now();
+    host.compare_directory(now, status);
     let mut peers = host.peers.borrow_mut();
-    let known = peers.record_received(host.now(), id, Some(status));
+    let known = peers.record_received(now, id, Some(status));
     if !known && !peers.has_ended(id) {
         let hello = Message::Hello(peers.own().clone(), true);
         peers.queue([from], &hello);
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -25,7 +25,7 @@
     id.and_then(|id| id.to_str().ok()).unwrap_or(NONE)
 }
 
-fn age_ms(now: Tick, since: Option<Tick>) -> String {
+pub(crate) fn age_ms(now: Tick, since: Option<Tick>) -> String {
     since.map_or_else(
         || NONE.to_owned(),
         |at| now.since(at).as_millis().to_string(),
@@ -67,7 +67,7 @@
         "waited_ms" => progress.waited.as_millis(),
         "arrivals" => progress.arrivals, "upstreams" => upstreams.join(","),
         "last" => progress.reason.as_str(), "config" => host.config_version().0, "table" => routes_revision(host, job),
-        "directory_age_ms" => age_ms(now, Some(host.directory_changed.get())),
+        "directory_age_ms" => age_ms(now, host.directory_as_of.get()),
         "store_age_ms" => age_ms(now, host.store_seen.get()));
 }
 
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -4,5 +4,6 @@
 mod bounds;
 mod budget;
 mod directory;
+mod message;
 mod peers;
 mod routes;
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod decoding;
+mod leaving;
 mod output;
 mod promises;
 mod soak;
--- /dev/null
+++ b/tests/all/platform/leaving.rs
@@ -0,0 +1,111 @@
+//! Requests to upstreams that leave.
+
+use std::time::{Duration, Instant};
+
+use trefoil_soak::{Fleet, LinkMode, eventually, upstream_spec};
+
+/// Time within which a leaving upstream must stop getting new requests, as in the fleet's settings.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// Hosts of one failure domain in front of two plain upstreams. They know each other and have
+/// settled on the two that read the registry.
+fn fleet_of(hosts: usize) -> Fleet {
+    let specs = ["p1", "p2"].map(|name| upstream_spec(name, "plain"));
+    let mut fleet = Fleet::new(super::program(), specs.to_vec());
+    for _ in 0..hosts {
+        fleet.start_host();
+    }
+    let known = |host: usize| fleet.hosts[host].sum_metric("trefoil_hosts", "");
+    for host in 0..hosts {
+        eventually("the hosts know each other", || {
+            (known(host) + 0.5 > wide(hosts)).then_some(())
+        });
+    }
+    std::thread::sleep(Duration::from_millis(1_500));
+    fleet
+}
+
+fn wide(count: usize) -> f64 {
+    f64::from(u32::try_from(count).expect("a small number"))
+}
+
+/// Waits until a host has just read the registry. A change that follows is noticed as late as it
+/// can be.
+fn wait_for_read(fleet: &Fleet, host: usize) {
+    let labels = "topic=\"keyed.servers\"";
+    let reads = || fleet.hosts[host].sum_metric("trefoil_store_calls_total", labels);
+    let before = reads();
+    eventually("a read", || (reads() > before + 0.5).then_some(()));
+}
+
+/// Cuts the first `count` hosts, which read the registry, off from the store.
+fn cut_off(fleet: &Fleet, count: usize) {
+    for relay in &fleet.hosts[..count] {
+        relay.store_link().set_mode(LinkMode::Reset);
+    }
+}
+
+/// Waits until a host has logged a change of the upstream `p1`, and returns the time since `begun`.
+fn time_to_notice(fleet: &Fleet, host: usize, change: (&str, &str), begun: Instant) -> Duration {
+    eventually(change.1, || {
+        let entries = fleet.hosts[host].log_entries("upstream", "p1");
+        let found = entries
+            .iter()
+            .any(|e| e.get(change.0).is_some_and(|v| v == change.1));
+        found.then_some(())
+    });
+    begun.elapsed()
+}
+
+/// Guards against requests to an upstream that is draining or was removed from the registry, and
+/// against taking an invalid entry for an upstream.
+#[test]
+fn upstreams_that_leave_get_no_requests() {
+    let mut fleet = fleet_of(1);
+    let foreign = [r#"{"service":"plain"}"#, "not JSON", r#"{"state":"odd"}"#];
+    for (number, entry) in foreign.iter().enumerate() {
+        fleet
+            .control_plane
+            .write_registration(&format!("foreign-{number}"), entry)
+            .expect("written");
+    }
+    fleet.upstream("p1").drain();
+    fleet.hosts[0].wait_for_entry("phase", "draining");
+    let before = fleet.recorder.runs().len();
+    for number in 0..10 {
+        let id = format!("d{number}");
+        let answer = fleet.hosts[0].get(&id, "/read/x", "").expect("an answer");
+        assert_eq!(answer.body, format!("p2 ran {id}"));
+    }
+    assert_eq!(fleet.recorder.runs().len(), before + 10);
+    fleet.start_upstream(upstream_spec("p3", "plain"));
+    fleet.hosts[0].wait_for_entry("upstream", "p3");
+    fleet.upstream("p2").crash();
+    fleet
+        .control_plane
+        .remove_registration("p2")
+        .expect("written");
+    eventually("p2 is gone", || {
+        let events = fleet.hosts[0].log_entries("upstream", "p2");
+        events.iter().any(|e| e["change"] == "gone").then_some(())
+    });
+    let answer = fleet.hosts[0]
+        .get("late", "/read/x", "")
+        .expect("an answer");
+    assert_eq!(answer.body, "p3 ran late");
+}
+
+/// Guards against requests to a leaving upstream by hosts that learn of it too late, because the
+/// hosts that read the registry for their domain are cut off from the store.
+#[test]
+fn a_leaving_upstream_is_noticed_without_the_relays() {
+    for cut in 1..=2 {
+        let fleet = fleet_of(4);
+        wait_for_read(&fleet, 0);
+        cut_off(&fleet, cut);
+        let begun = Instant::now();
+        fleet.upstream("p1").drain();
+        let took = time_to_notice(&fleet, 3, ("phase", "draining"), begun);
+        assert!(took < DRAIN, "{cut} cut off: noticed after {took:?}");
+    }
+}
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -8,10 +8,7 @@
 use nix::sys::signal::Signal;
 use trefoil_standin::{ResponseMode, StoreFault, test_config};
 
-use trefoil_soak::{Fleet, Host, LinkMode, eventually, read_answer, upstream_spec};
-
-/// Time within which a leaving upstream must stop getting new requests, as in the fleet's settings.
-const DRAIN: Duration = Duration::from_secs(2);
+use trefoil_soak::{Fleet, Host, eventually, read_answer, upstream_spec};
 
 /// One host in front of two plain upstreams.
 fn plain_fleet() -> Fleet {
@@ -183,75 +180,6 @@
     assert_eq!(cancelled["id"], "gone");
 }
 
-/// Guards against requests to an upstream that is draining or was removed from the registry, and
-/// against taking an invalid entry for an upstream.
-#[test]
-fn upstreams_that_leave_get_no_requests() {
-    let mut fleet = plain_fleet();
-    let foreign = [r#"{"service":"plain"}"#, "not JSON", r#"{"state":"odd"}"#];
-    for (number, entry) in foreign.iter().enumerate() {
-        fleet
-            .control_plane
-            .write_registration(&format!("foreign-{number}"), entry)
-            .expect("written");
-    }
-    fleet.upstream("p1").drain();
-    fleet.hosts[0].wait_for_entry("phase", "draining");
-    let before = fleet.recorder.runs().len();
-    for number in 0..10 {
-        let id = format!("d{number}");
-        let answer = fleet.hosts[0].get(&id, "/read/x", "").expect("an answer");
-        assert_eq!(answer.body, format!("p2 ran {id}"));
-    }
-    assert_eq!(fleet.recorder.runs().len(), before + 10);
-    fleet.start_upstream(upstream_spec("p3", "plain"));
-    fleet.hosts[0].wait_for_entry("upstream", "p3");
-    fleet.upstream("p2").crash();
-    fleet
-        .control_plane
-        .remove_registration("p2")
-        .expect("written");
-    eventually("p2 is gone", || {
-        let events = fleet.hosts[0].log_entries("upstream", "p2");
-        events.iter().any(|e| e["change"] == "gone").then_some(())
-    });
-    let answer = fleet.hosts[0]
-        .get("late", "/read/x", "")
-        .expect("an answer");
-    assert_eq!(answer.body, "p3 ran late");
-}
-
-/// Guards against requests to a leaving upstream by hosts that learn of it too late, because the
-/// hosts that read the registry for their domain are cut off from the store or have ended.
-#[test]
-fn a_leaving_upstream_is_noticed_without_the_relays() {
-    for cut in 1..=2 {
-        let mut fleet = plain_fleet();
-        for _ in 0..3 {
-            fleet.start_host();
-        }
-        let last = &fleet.hosts[3];
-        let known = || (last.sum_metric("trefoil_hosts", "") >= 4.0).then_some(());
-        eventually("the hosts know each other", known);
-        std::thread::sleep(Duration::from_millis(1_500));
-        // The delay is longest if the first relay has just read the registry.
-        let reads = || {
-            let labels = "topic=\"keyed.servers\"";
-            fleet.hosts[0].sum_metric("trefoil_store_calls_total", labels)
-        };
-        let before = reads();
-        eventually("a read", || (reads() > before + 0.5).then_some(()));
-        for relay in &fleet.hosts[..cut] {
-            relay.store_link().set_mode(LinkMode::Reset);
-        }
-        let begun = Instant::now();
-        fleet.upstream("p1").drain();
-        last.wait_for_entry("phase", "draining");
-        let took = begun.elapsed();
-        assert!(took < DRAIN, "{cut} cut off: noticed after {took:?}");
-    }
-}
-
 /// Guards against routes that change late or not at all, and against an older version that replaces
 /// a newer one.
 #[test]
--- a/tests/all/platform/telemetry.rs
+++ b/tests/all/platform/telemetry.rs
@@ -139,6 +139,28 @@
     );
 }
 
+/// Guards against a host whose directory is old and that looks as current as the others: the age
+/// must grow if nothing arrives, whether or not the registry changes.
+#[test]
+fn the_age_of_the_directory_is_known() {
+    let mut fleet = fleet(vec![upstream_spec("p1", "plain")]);
+    for _ in 0..2 {
+        fleet.start_host();
+    }
+    let age = |host: usize| fleet.hosts[host].sum_metric("trefoil_directory_age_seconds", "");
+    // The third host never reads the registry while the first two do.
+    eventually("a current copy", || (age(2) < 1.0).then_some(()));
+    fleet.store.set_fault(StoreFault::Down);
+    eventually("an old copy", || {
+        (age(0) > 3.0 && age(2) > 3.0).then_some(())
+    });
+    fleet.store.set_fault(StoreFault::None);
+    eventually("current again", || (age(2) < 1.0).then_some(()));
+    fleet.upstream("p1").drain();
+    let changed = fleet.hosts[2].wait_for_entry("phase", "draining");
+    assert_eq!(changed["source"], "digest", "{changed:?}");
+}
+
 /// Guards against an operations page that lists other metrics than the program serves.
 #[test]
 fn the_page_lists_the_metrics_of_the_program() {
