--- a/tests/all/platform/leaving.rs
+++ b/tests/all/platform/leaving.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
+
 use trefoil_soak::{Fleet, LinkMode, eventually, upstream_spec};
 
 /// Time within which a leaving upstream must stop getting new requests, as in the fleet's settings.
@@ -109,3 +111,42 @@
         assert!(took < DRAIN, "{cut} cut off: noticed after {took:?}");
     }
 }
+
+/// Guards against hosts of a larger domain that take over the reading one after the other, so that
+/// the last ones notice a leaving upstream seconds late.
+#[test]
+fn every_host_of_a_domain_notices_a_leaving_upstream_in_time() {
+    let fleet = fleet_of(9);
+    wait_for_read(&fleet, 0);
+    cut_off(&fleet, 2);
+    let begun = Instant::now();
+    fleet.upstream("p1").drain();
+    let times: Vec<Duration> = (2..9)
+        .map(|host| time_to_notice(&fleet, host, ("phase", "draining"), begun))
+        .collect();
+    assert!(times.iter().all(|t| *t < DRAIN), "noticed after {times:?}");
+}
+
+/// Guards against an upstream that is kept after its removal because a host that starts to read
+/// takes the silence of the relays before it for an outage of the store.
+#[test]
+fn a_new_reader_does_not_keep_a_removed_upstream() {
+    let fleet = fleet_of(5);
+    let drain = Duration::from_millis(2_500);
+    for host in &fleet.hosts {
+        host.edit_settings(|text| text.replace("drain-ms: 2000", "drain-ms: 2500"));
+        host.signal(Signal::SIGHUP);
+        host.wait_for_entry("event", "settings reloaded");
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.upstream("p1").crash();
+    wait_for_read(&fleet, 0);
+    cut_off(&fleet, 2);
+    let begun = Instant::now();
+    let removed = fleet.control_plane.remove_registration("p1");
+    removed.expect("written");
+    for host in 2..5 {
+        let took = time_to_notice(&fleet, host, ("change", "gone"), begun);
+        assert!(took < drain, "host {host}: noticed after {took:?}");
+    }
+}
