Let each host bound the age of its own directory

Cause: whether a host reads the registry followed from what others report of their last answer of the store. With both relays turned away the other hosts started one after the other, 0.7 s apart, and nobody heard of what they read: relays sent their own reads only, and copied from hosts before them only.

Change: a host reads when its own directory is too old: at 0.45 of the bound, and 0.05 more for each doubling of its position, at most 0.7. A host whose age is above 0.4 copies the directory of any host whose directory is more current, so relays take over what the reader reports, also from other domains. Changes and copies are taken from more current hosts only, so an older view cannot undo a newer one. If the read of a host that is no relay fails, it retries one after the other as before. A read counts only if it reached the end of the log.

Ruled out: slow digests (the hosts of the other domains had the change 0.1 s after their relay), the route or a kept connection (the late hosts still listed the upstream as ready).

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -31,6 +31,23 @@
 /// as a share of [`Bounds::drain`].
 const SECOND_READER_SHARE: f64 = 0.7;
 
+/// Age of the directory at which the second host of a domain reads the registry, as a share of
+/// [`Bounds::drain`]. With the pace of the first reader, the age stays below it unless that reader
+/// fails.
+const TAKEOVER_SHARE: f64 = 0.45;
+
+/// Increase of that share with each doubling of a host's position. The hosts between two steps read
+/// at the same time, so a few that are cut off as well delay the others by one step only, and the
+/// reads of a domain at most double from step to step.
+const TAKEOVER_STEP: f64 = 0.05;
+
+/// Largest share. The rest of the bound is for the read itself.
+const TAKEOVER_SHARE_MAX: f64 = 0.7;
+
+/// Age of the directory at which a host copies that of any host whose directory is more current, as
+/// a share of [`Bounds::drain`].
+const COPY_SHARE: f64 = 0.4;
+
 /// Shortest time between two reads of the registry. Each read is charged, and upstreams write about
 /// twice a second.
 const REGISTRY_PACE_MIN: Duration = Duration::from_millis(100);
@@ -53,6 +70,19 @@
         self.drain.mul_f64(share).max(REGISTRY_PACE_MIN)
     }
 
+    /// Age of the directory at which a host reads the registry itself, whatever others claim to do.
+    /// `position` is the number of live hosts in its domain that rank before it.
+    pub fn takeover_age(&self, position: usize) -> Duration {
+        let doublings = f64::from(position.max(1).ilog2());
+        let share = TAKEOVER_SHARE + TAKEOVER_STEP * doublings;
+        self.drain.mul_f64(share.min(TAKEOVER_SHARE_MAX))
+    }
+
+    /// Age of the directory at which it is copied from any host whose directory is more current.
+    pub fn copy_age(&self) -> Duration {
+        self.drain.mul_f64(COPY_SHARE)
+    }
+
     /// Time without an answer of the store after which a reader of the registry counts as cut off.
     pub fn reader_silence(&self) -> Duration {
         self.drain.mul_f64(READER_SILENCE_SHARE)
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -24,6 +24,7 @@
 use crate::follow;
 use crate::freshness::Source;
 use crate::host::Host;
+use crate::peers::whole_millis;
 
 const CONFIG_PATH: &str = "/v1/config";
 const DIRECTORY_PATH: &str = "/v1/directory";
@@ -84,11 +85,30 @@
     }
 }
 
+/// Encodes the directory for a host that copies it, or returns `None` if it must not be copied.
 fn encode_directory(host: &Host) -> Option<Bytes> {
+    host.offered_directory()?;
     let directory = host.directory.borrow();
     let all: Vec<&Registration> = directory.iter().map(Rc::as_ref).collect();
-    let listing = (directory.digest(), all);
-    postcard::to_allocvec(&listing).ok().map(Bytes::from)
+    let bytes = postcard::to_allocvec(&(directory.digest(), all)).ok()?;
+    let Some(age) = host.directory_age(host.now()) else {
+        return Some(Bytes::from(bytes));
+    };
+    let bytes = postcard::to_extend(&whole_millis(age), bytes).ok()?;
+    Some(Bytes::from(bytes))
+}
+
+/// Digest and content of a directory, and its age, which follows them unless an earlier build sent
+/// it.
+type Listing = (u64, Vec<Registration>, Option<Duration>);
+
+fn decode_directory(body: &[u8]) -> Result<Listing, postcard::Error> {
+    let ((digest, listed), rest) = postcard::take_from_bytes(body)?;
+    if rest.is_empty() {
+        return Ok((digest, listed, None));
+    }
+    let age_ms: u32 = postcard::from_bytes(rest)?;
+    Ok((digest, listed, Some(Duration::from_millis(age_ms.into()))))
 }
 
 /// Fetches the configuration of another host, unless a fetch is in flight.
@@ -107,8 +127,9 @@
     host.spawn(task).detach();
 }
 
-/// Fetches the directory of another host if it has differed from this host's for [`DIFFERS_DELAY`].
-pub(crate) fn fetch_directory(host: &Host, from: HostId, now: Tick, digest: u64) {
+/// Fetches the directory of another host if it differs from this host's: at once if `urgent`, else
+/// after [`DIFFERS_DELAY`].
+pub(crate) fn fetch_directory(host: &Host, from: HostId, now: Tick, digest: u64, urgent: bool) {
     let same = digest == host.directory.borrow().digest();
     if same {
         host.directory_differs.set(None);
@@ -117,7 +138,7 @@
     }
     let since = host.directory_differs.get().unwrap_or(now);
     host.directory_differs.set(Some(since));
-    if host.has_directory() && now.since(since) < DIFFERS_DELAY {
+    if !urgent && now.since(since) < DIFFERS_DELAY {
         return;
     }
     let Some((shared, address)) = begin_fetch(host, from, now, &host.fetching_directory) else {
@@ -125,7 +146,7 @@
     };
     let task = async move {
         match get(&shared, address, DIRECTORY_PATH).await {
-            Ok(body) => apply_directory(&shared, &body),
+            Ok(body) => apply_directory(&shared, now, &body),
             Err(reason) => debug!(shared.log, "directory not fetched"; "from" => %address,
                 "reason" => reason),
         }
@@ -134,15 +155,24 @@
     host.spawn(task).detach();
 }
 
-fn apply_directory(host: &Host, body: &Bytes) {
-    match postcard::from_bytes::<(u64, Vec<Registration>)>(body) {
-        Ok((digest, listed)) => {
+/// Applies the directory of another host, requested at `sent`.
+fn apply_directory(host: &Host, sent: Tick, body: &Bytes) {
+    match decode_directory(body) {
+        Ok((digest, listed, age)) => {
             let now = host.now();
+            let as_of = age.map(|age| Tick(sent.0.saturating_sub(age)));
+            if as_of.is_some() && as_of <= host.directory_as_of.get() {
+                debug!(host.log, "directory not fetched"; "reason" => "it is older than the own one");
+                return;
+            }
             let changes = host.directory.borrow_mut().replace_from_peer(now, listed);
             let own = host.directory.borrow().digest();
             info!(host.log, "directory fetched"; "changes" => changes.len(),
                 "same" => own == digest);
             host.apply_changes(changes, Source::Copy);
+            if let Some(as_of) = as_of {
+                host.confirm_directory(as_of);
+            }
             host.set_directory_loaded();
             // Digests may bring the remaining differences, so the delay starts again.
             host.directory_differs.set(None);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -19,7 +19,7 @@
 use trefoil_directory::Registration;
 use trefoil_store::{KeyedRecord, Newest, PartitionId, Read, StoreError};
 
-use crate::freshness::Source;
+use crate::freshness::{Reads, Source};
 use crate::host::Host;
 
 /// Longest poll for a new configuration. A configuration must be in force 2 s after it was
@@ -29,6 +29,10 @@
 /// Time between two checks whether this host must read the store.
 const ROLE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time since a host's last read of the registry after which it reads the newest records anew. The
+/// records since then would be more than that.
+const POSITION_MAX_AGE: Duration = Duration::from_secs(3);
+
 /// Wait after a failed call. It doubles up to [`BACKOFF_MAX`] if the store refused the call,
 /// because refused calls are charged. A call that did not reach the store costs nothing.
 const BACKOFF: Duration = Duration::from_millis(150);
@@ -86,18 +90,37 @@
 /// Follows the registry. Never returns.
 pub async fn follow_registry(host: Rc<Host>) {
     let mut follower = Follower::new(&host, host.platform.registry_partition(), Duration::ZERO);
+    let mut reads = Reads::default();
     loop {
         let now = host.now();
-        let reads = !host.has_directory() || host.reads_store(now);
-        host.log_reading(now, reads);
-        if host.defers_first_read(now) || !reads {
-            follower.reset();
-            host.clock.sleep(ROLE_INTERVAL).await;
+        let expired = host.directory.borrow_mut().expire(now);
+        host.apply_changes(expired, Source::Registry);
+        let due = host.registry_due(now, &reads);
+        if host.defers_first_read(now) || now < due {
+            // A host that rejoins its domain or loses a relay is due at another time.
+            let next = now.after(ROLE_INTERVAL);
+            let wake = if now < due { due.min(next) } else { next };
+            host.clock.sleep_until(wake).await;
             continue;
         }
+        if reads
+            .ended
+            .is_some_and(|at| now.since(at) > POSITION_MAX_AGE)
+        {
+            follower.reset();
+        }
+        host.log_takeover(now, &reads);
         let complete = follower.starts_anew();
-        let records = follower.next().await;
+        let Some(records) = follower.try_next().await else {
+            let now = host.now();
+            reads.failed = Some(now);
+            if host.peers.borrow().is_relay(now) {
+                follower.back_off().await;
+            }
+            continue;
+        };
         let now = host.now();
+        reads.succeeded(now);
         let missed = follower.starts_anew();
         host.missed_records.set(missed);
         if follower.take_recovered() {
@@ -105,32 +128,10 @@
         }
         let changes = apply_records(&host, now, complete, records);
         host.apply_changes(changes, Source::Registry);
-        if !missed {
-            host.confirm_directory(follower.read_at);
+        if let Some(as_of) = follower.read_as_of {
+            host.confirm_directory(as_of);
         }
         host.set_directory_loaded();
-        let bounds = host.bounds.get();
-        let before = host
-            .peers
-            .borrow()
-            .readers_before(now, bounds.reader_silence());
-        let pace = bounds.registry_pace(before);
-        expire_until(&host, now.after(pace)).await;
-    }
-}
-
-/// Waits until `until` and removes expired upstreams in the meantime.
-async fn expire_until(host: &Host, until: Tick) {
-    loop {
-        let now = host.now();
-        let expired = host.directory.borrow_mut().expire(now);
-        host.apply_changes(expired, Source::Registry);
-        if now >= until {
-            return;
-        }
-        let expiry = host.directory.borrow().next_expiry();
-        let wake = expiry.map_or(until, |at| at.min(until));
-        host.clock.sleep_until(wake).await;
     }
 }
 
@@ -176,9 +177,11 @@
     /// Offset of the next read, or `None` if the newest record of each key is read next.
     next: Option<Offset>,
     backoff: Duration,
+    /// Wait after the last failed call.
+    retry_delay: Duration,
     answered_at: Option<Tick>,
-    /// When the last answered call was sent.
-    read_at: Tick,
+    /// When the last read was sent, if it has returned everything up to the end of the partition.
+    read_as_of: Option<Tick>,
     lost: bool,
     recovered: bool,
     /// Reports of other hosts reveal a newer version.
@@ -193,8 +196,9 @@
             wait,
             next: None,
             backoff: BACKOFF,
+            retry_delay: BACKOFF,
             answered_at: None,
-            read_at: Tick::default(),
+            read_as_of: None,
             lost: false,
             recovered: false,
             watches_versions: false,
@@ -221,9 +225,19 @@
         std::mem::take(&mut self.recovered)
     }
 
-    /// Returns the next records and waits until the store answers. If they have been deleted, it
-    /// returns nothing and the next read starts again with the newest records.
+    /// Returns the next records and waits until the store answers.
     async fn next(&mut self) -> Records {
+        loop {
+            if let Some(records) = self.try_next().await {
+                return records;
+            }
+            self.back_off().await;
+        }
+    }
+
+    /// Returns the next records, or `None` if the call fails. If they have been deleted, it returns
+    /// an empty list and the next read starts again with the newest records.
+    async fn try_next(&mut self) -> Option<Records> {
         loop {
             let sent = self.host.now();
             let host = Rc::clone(&self.host);
@@ -244,19 +258,24 @@
                 continue;
             };
             match result {
-                Ok((records, next)) => {
+                Ok((records, next, end)) => {
                     self.next = Some(next);
+                    self.read_as_of = (next >= end).then_some(sent);
                     self.on_answer(sent);
-                    return records;
+                    return Some(records);
                 }
                 Err(StoreError::Truncated { first }) => {
                     info!(self.host.log, "records were deleted, reading anew";
                         "place" => %self.partition, "oldest" => first.0);
                     self.on_answer(sent);
                     self.next = None;
-                    return Vec::new();
+                    self.read_as_of = None;
+                    return Some(Vec::new());
+                }
+                Err(error) => {
+                    self.on_failure(&error);
+                    return None;
                 }
-                Err(error) => self.on_failure(&error).await,
             }
         }
     }
@@ -272,7 +291,7 @@
         }
     }
 
-    async fn read_newest(&self) -> Result<(Records, Offset), StoreError> {
+    async fn read_newest(&self) -> Result<(Records, Offset, Offset), StoreError> {
         let mut records = Vec::new();
         let mut after = None;
         // Pages are not a snapshot. Reading on from the end of the first page repeats changes made
@@ -289,12 +308,12 @@
             let items = page.items.into_iter();
             records.extend(items.map(|item| (item.key, Some(item.value))));
             if !page.more || after.is_none() {
-                return Ok((records, next));
+                return Ok((records, next, next));
             }
         }
     }
 
-    async fn read_from(&self, from: Offset) -> Result<(Records, Offset), StoreError> {
+    async fn read_from(&self, from: Offset) -> Result<(Records, Offset, Offset), StoreError> {
         let read = Read {
             partition: self.partition.clone(),
             from,
@@ -304,12 +323,11 @@
         let batch = self.host.store.read(read).await?;
         let keyed = batch.records.into_iter().filter_map(KeyedRecord::decode);
         let records = keyed.map(|k| (k.key, k.value)).collect();
-        Ok((records, batch.next))
+        Ok((records, batch.next, batch.end))
     }
 
     fn on_answer(&mut self, sent: Tick) {
         self.host.store_answered(sent);
-        self.read_at = sent;
         self.backoff = BACKOFF;
         let now = self.host.now();
         let others = self.host.peers.borrow().last_store_answer(sent);
@@ -325,13 +343,18 @@
         self.recovered |= outage.is_some_and(|outage| outage > span);
     }
 
-    async fn on_failure(&mut self, error: &StoreError) {
+    fn on_failure(&mut self, error: &StoreError) {
         if !std::mem::replace(&mut self.lost, true) {
             warn!(self.host.log, "store lost"; "place" => %self.partition, "reason" => %error);
         }
-        self.host.clock.sleep(self.backoff).await;
+        self.retry_delay = self.backoff;
         if matches!(error, StoreError::Refused { .. }) {
             self.backoff = (self.backoff * 2).min(BACKOFF_MAX);
         }
     }
+
+    /// Waits after a failed call.
+    async fn back_off(&self) {
+        self.host.clock.sleep(self.retry_delay).await;
+    }
 }
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -12,10 +12,19 @@
 use trefoil_core::Tick;
 
 use crate::host::Host;
-use crate::message::{DirectoryStatus, SyncStatus};
-use crate::peers::whole_millis;
+use crate::message::SyncStatus;
+use crate::peers::RELAYS;
 use crate::request_log::age_ms;
 
+/// Delay between the retries of hosts with consecutive ranks after a failed read.
+const PROBE_STAGGER: Duration = Duration::from_millis(700);
+
+/// Wait after a failed read of a host that has no directory yet.
+const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Time since the last read within which another one is not logged as a takeover.
+const TAKEOVER_QUIET: Duration = Duration::from_secs(5);
+
 /// Where a host has learned of a change of the directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Source {
@@ -33,6 +42,23 @@
     Upstream,
 }
 
+/// Reads of the registry by this host.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Reads {
+    /// When the last read was answered.
+    pub(crate) ended: Option<Tick>,
+    /// When the last read failed, unless one was answered since.
+    pub(crate) failed: Option<Tick>,
+}
+
+impl Reads {
+    /// Records an answered read.
+    pub(crate) fn succeeded(&mut self, now: Tick) {
+        self.ended = Some(now);
+        self.failed = None;
+    }
+}
+
 impl Host {
     /// Records that the directory contains every change that the registry had accepted at `as_of`.
     pub(crate) fn confirm_directory(&self, as_of: Tick) {
@@ -40,31 +66,75 @@
         self.directory_as_of.set(known.max(Some(as_of)));
     }
 
-    /// Takes over the age of another host's directory if this host's has the same content.
+    /// Takes over the age of another host's directory if this host's has the same content. A host
+    /// that still keeps upstreams that are missing in the registry offers no digest.
     pub(crate) fn compare_directory(&self, now: Tick, status: SyncStatus) {
-        let Some(other) = status.directory else {
-            return;
-        };
-        if other.digest == self.directory.borrow().digest() {
-            let age = Duration::from_millis(other.age_ms.into());
+        let own = self.directory.borrow().digest();
+        if let Some(age) = status.directory_age()
+            && status.directory_digest == Some(own)
+        {
             self.confirm_directory(Tick(now.0.saturating_sub(age)));
         }
     }
 
-    /// Content and age of the directory, once they are known.
-    pub(crate) fn directory_status(&self, now: Tick) -> Option<DirectoryStatus> {
-        let as_of = self.directory_as_of.get()?;
-        Some(DirectoryStatus {
-            digest: self.directory.borrow().digest(),
-            age_ms: whole_millis(now.since(as_of)),
-        })
+    /// Time since the directory was last known to contain every change of the registry.
+    pub(crate) fn directory_age(&self, now: Tick) -> Option<Duration> {
+        self.directory_as_of.get().map(|at| now.since(at))
+    }
+
+    /// Returns `true` if the directory is older than one of another host with this age.
+    pub(crate) fn is_older_than(&self, now: Tick, age: Duration) -> bool {
+        self.directory_age(now).is_none_or(|own| own > age)
+    }
+
+    /// Returns `true` if the directory must be copied from any host that has a more current one.
+    pub(crate) fn needs_copy(&self, now: Tick) -> bool {
+        let age = self.directory_age(now);
+        age.is_none_or(|age| age >= self.bounds.get().copy_age())
+    }
+
+    /// When this host reads the registry next.
+    ///
+    /// The relays read it at a pace. Every host, relay or not, reads it if its own directory is too
+    /// old, so a host that reaches the store depends on no other one. If that read fails, other
+    /// hosts have probably been turned away as well, and hosts that are no relays try again one
+    /// after the other.
+    pub(crate) fn registry_due(&self, now: Tick, reads: &Reads) -> Tick {
+        let bounds = self.bounds.get();
+        let position = self.peers.borrow().position(now);
+        let overdue = self
+            .directory_as_of
+            .get()
+            .map_or(now, |at| at.after(bounds.takeover_age(position)));
+        let leads = reads.ended.is_some() && reads.ended >= self.directory_as_of.get();
+        let pace = match (position, reads.ended) {
+            (0, Some(at)) => Some(at.after(bounds.registry_pace(0))),
+            // Nobody has a more current directory than this host, which has taken over.
+            (_, Some(at)) if leads => Some(at.after(bounds.registry_pace(0))),
+            (1, Some(at)) => Some(at.after(bounds.registry_pace(1))),
+            _ => None,
+        };
+        let due = pace.map_or(overdue, |at| at.min(overdue));
+        match reads.failed {
+            Some(failed) if position >= RELAYS => due.max(failed.after(self.retry_delay(position))),
+            _ => due,
+        }
+    }
+
+    fn retry_delay(&self, position: usize) -> Duration {
+        if !self.has_directory() {
+            return FIRST_RETRY_DELAY;
+        }
+        let step = u32::try_from(position - RELAYS + 1).unwrap_or(u32::MAX);
+        PROBE_STAGGER.saturating_mul(step)
     }
 
-    /// Logs that this host begins or ceases to read the registry.
-    pub(crate) fn log_reading(&self, now: Tick, reads: bool) {
-        if self.was_reading.replace(reads) != reads {
-            info!(self.log, "registry reader"; "reads" => reads,
-                "position" => self.peers.borrow().position(now),
+    /// Logs a read of the registry by a host that has left it to others so far.
+    pub(crate) fn log_takeover(&self, now: Tick, reads: &Reads) {
+        let position = self.peers.borrow().position(now);
+        let recent = reads.ended.is_some_and(|at| now.since(at) < TAKEOVER_QUIET);
+        if position > 0 && !recent && self.directory_as_of.get().is_some() {
+            info!(self.log, "directory overdue"; "position" => position,
                 "directory_age_ms" => age_ms(now, self.directory_as_of.get()));
         }
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -136,8 +136,6 @@
     pub(crate) directory_changed: Cell<Tick>,
     /// The directory contains every change that the registry had accepted at this tick.
     pub(crate) directory_as_of: Cell<Option<Tick>>,
-    /// Whether this host read the registry when that was logged last.
-    pub(crate) was_reading: Cell<bool>,
     router: RefCell<Option<Rc<Router>>>,
     /// When the configuration came into force.
     config_changed: Cell<Tick>,
@@ -213,7 +211,6 @@
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
             directory_as_of: Cell::default(),
-            was_reading: Cell::default(),
             router: RefCell::default(),
             config_changed: Cell::default(),
             was_ready: Cell::default(),
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -86,19 +86,18 @@
     pub directory_digest: Option<u64>,
     /// Milliseconds since the store last answered the host, if it ever did.
     pub store_age_ms: Option<u32>,
-    /// Content and age of the directory. Encoded after the message, where earlier builds ignore it.
+    /// Milliseconds since the last time at which the directory contained every change that the
+    /// registry had accepted. Encoded after the message, where earlier builds ignore it.
     #[serde(skip)]
-    pub directory: Option<DirectoryStatus>,
+    pub directory_age_ms: Option<u32>,
 }
 
-/// Content and age of a host's directory.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct DirectoryStatus {
-    /// Digest of the directory, complete or not.
-    pub digest: u64,
-    /// Milliseconds since the last time at which the directory contained every change that the
-    /// registry had accepted.
-    pub age_ms: u32,
+impl SyncStatus {
+    /// Time since the directory was last known to contain every change of the registry.
+    pub(crate) fn directory_age(&self) -> Option<Duration> {
+        self.directory_age_ms
+            .map(|ms| Duration::from_millis(ms.into()))
+    }
 }
 
 /// Report of the coordinator of a service.
@@ -267,8 +266,8 @@
     /// Fails if the encoder does.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
         let bytes = postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)?;
-        match self.status().and_then(|status| status.directory) {
-            Some(directory) => postcard::to_extend(&directory, bytes).context(DecodeSnafu),
+        match self.status().and_then(|status| status.directory_age_ms) {
+            Some(age_ms) => postcard::to_extend(&age_ms, bytes).context(DecodeSnafu),
             None => Ok(bytes),
         }
     }
@@ -286,7 +285,7 @@
         if let Some(status) = message.status_mut()
             && !rest.is_empty()
         {
-            status.directory = Some(postcard::from_bytes(rest).context(DecodeSnafu)?);
+            status.directory_age_ms = Some(postcard::from_bytes(rest).context(DecodeSnafu)?);
         }
         Ok(message)
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -116,7 +116,7 @@
         config_version: host.config_version().0,
         directory_digest: host.offered_directory(),
         store_age_ms: host.store_seen.get().map(|at| whole_millis(now.since(at))),
-        directory: host.directory_status(now),
+        directory_age_ms: host.directory_age(now).map(whole_millis),
     }
 }
 
@@ -436,8 +436,15 @@
     }
 }
 
-fn apply_change_items(host: &Host, now: Tick, items: Vec<ChangeItem>) {
-    if items.is_empty() || host.reads_store(now) {
+/// Applies changes that a relay tells. Those of a host with an older directory are not news and
+/// could undo newer ones.
+fn apply_change_items(host: &Host, now: Tick, status: SyncStatus, items: Vec<ChangeItem>) {
+    let is_news = match status.directory_age() {
+        Some(age) => host.is_older_than(now, age),
+        // A build without this status.
+        None => !host.reads_store(now),
+    };
+    if items.is_empty() || !is_news {
         return;
     }
     let mut directory = host.directory.borrow_mut();
@@ -461,13 +468,14 @@
     // alternate between two views.
     let silence = host.bounds.get().reader_silence();
     let source = host.peers.borrow().directory_source(now, silence) == Some(from);
-    // A host without a directory accepts any. During an outage of the store, no directory is newer
-    // than the own one.
-    let wanted = source || !host.has_directory();
-    if let Some(digest) = status.directory_digest.filter(|_| wanted)
-        && !host.reads_store(now)
-    {
-        fetch::fetch_directory(host, from, now, digest);
+    // A host without a directory accepts any.
+    let urgent = !host.has_directory() || host.needs_copy(now);
+    let wanted = match status.directory_age() {
+        Some(age) => (source || urgent) && host.is_older_than(now, age),
+        None => (source || !host.has_directory()) && !host.reads_store(now),
+    };
+    if let Some(digest) = status.directory_digest.filter(|_| wanted) {
+        fetch::fetch_directory(host, from, now, digest, urgent);
     }
 }
 
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -128,7 +128,7 @@
     drop(balancer);
     drop(reported);
     on_terms(host, from, &digest.terms);
-    apply_change_items(host, now, digest.changes);
+    apply_change_items(host, now, digest.status, digest.changes);
     catch_up(host, digest.from, digest.status);
 }
 
--- a/tests/all/gateway/bounds.rs
+++ b/tests/all/gateway/bounds.rs
@@ -18,3 +18,28 @@
         assert!(bounds.registry_pace(0) >= Duration::from_millis(100));
     }
 }
+
+/// Guards against a host that takes over the reading so late that the read no longer fits the
+/// bound, and against one that reads although the first reader keeps its pace.
+#[test]
+fn a_takeover_fits_the_bound() {
+    // The role is checked every 50 ms. A fifth of the bound is for the read and its processing.
+    let check = Duration::from_millis(50);
+    for drain in [500, 1000, 2000, 2500, 10_000] {
+        let bounds = Bounds {
+            drain: Duration::from_millis(drain),
+            ..Bounds::default()
+        };
+        for position in [0, 1, 2, 3, 4, 7, 8, 21, 150, 1_727, 19_000] {
+            let age = bounds.takeover_age(position);
+            let late = age + check + bounds.drain / 5;
+            assert!(late <= bounds.drain, "{drain} at {position}");
+            assert!(age > bounds.copy_age(), "{drain} at {position}");
+            assert!(
+                age >= bounds.takeover_age(position / 2),
+                "{drain} at {position}"
+            );
+        }
+        assert!(bounds.copy_age() > bounds.registry_pace(0), "{drain}");
+    }
+}
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -1,16 +1,16 @@
 //! Encoding of datagrams between hosts.
 
 use trefoil_core::HostId;
-use trefoil_gateway::message::{DirectoryStatus, Message, MessageError, Report, SyncStatus};
+use trefoil_gateway::message::{Message, MessageError, Report, SyncStatus};
 
-fn report(directory: Option<DirectoryStatus>) -> Message {
+fn report(directory_age_ms: Option<u32>) -> Message {
     Message::Report(Report {
         from: HostId::random(),
         status: SyncStatus {
             config_version: 3,
             directory_digest: Some(7),
             store_age_ms: None,
-            directory,
+            directory_age_ms,
         },
         open: Vec::new(),
         times: Vec::new(),
@@ -20,19 +20,15 @@
 }
 
 /// Guards against hosts that drop each other's datagrams during a rolling upgrade: earlier builds
-/// neither send nor expect the status of the directory, which follows the message.
+/// neither send nor expect the age of the directory, which follows the message.
 #[test]
-fn the_directory_status_is_optional() {
-    let directory = DirectoryStatus {
-        digest: u64::MAX,
-        age_ms: 250,
-    };
-    let with = report(Some(directory));
+fn the_directory_age_is_optional() {
+    let with = report(Some(250));
     let Message::Report(report) = &with else {
         panic!("a report");
     };
     let mut earlier = report.clone();
-    earlier.status.directory = None;
+    earlier.status.directory_age_ms = None;
     let earlier = Message::Report(earlier);
     let (bytes, prefix) = (with.encode(), earlier.encode());
     let (bytes, prefix) = (bytes.expect("encoded"), prefix.expect("encoded"));
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -162,7 +162,7 @@
         config_version: 1,
         directory_digest: Some(0),
         store_age_ms: Some(store_age_ms),
-        directory: None,
+        directory_age_ms: None,
     };
     // The report arrives at 3.0 s; the last answered call was sent at 2.0 s.
     peers.record_received(at(3_000), other.id, Some(status(1_000)));
@@ -200,7 +200,7 @@
                 config_version: 1,
                 directory_digest: Some(0),
                 store_age_ms: Some(u32::try_from(span.as_millis()).expect("a short span")),
-                directory: None,
+                directory_age_ms: None,
             };
             peers.record_received(at(10_000), reader.id, Some(status));
             peers.readers_before(at(10_000), silence)
@@ -222,7 +222,7 @@
         config_version: 1,
         directory_digest: Some(7),
         store_age_ms,
-        directory: None,
+        directory_age_ms: None,
     };
     for (relay, address) in relays.iter().zip(["192.0.2.2:1", "192.0.2.3:1"]) {
         let mut info = relay.clone();
--- a/tests/all/platform/leaving.rs
+++ b/tests/all/platform/leaving.rs
@@ -131,22 +131,28 @@
 /// takes the silence of the relays before it for an outage of the store.
 #[test]
 fn a_new_reader_does_not_keep_a_removed_upstream() {
-    let fleet = fleet_of(5);
-    let drain = Duration::from_millis(2_500);
-    for host in &fleet.hosts {
-        host.edit_settings(|text| text.replace("drain-ms: 2000", "drain-ms: 2500"));
-        host.signal(Signal::SIGHUP);
-        host.wait_for_entry("event", "settings reloaded");
-    }
-    std::thread::sleep(Duration::from_secs(1));
-    fleet.upstream("p1").crash();
-    wait_for_read(&fleet, 0);
-    cut_off(&fleet, 2);
-    let begun = Instant::now();
-    let removed = fleet.control_plane.remove_registration("p1");
-    removed.expect("written");
-    for host in 2..5 {
-        let took = time_to_notice(&fleet, host, ("change", "gone"), begun);
-        assert!(took < drain, "host {host}: noticed after {took:?}");
+    for drain_ms in [2_500, 4_000] {
+        let fleet = fleet_of(5);
+        for host in &fleet.hosts {
+            let bound = format!("drain-ms: {drain_ms}");
+            host.edit_settings(|text| text.replace("drain-ms: 2000", &bound));
+            host.signal(Signal::SIGHUP);
+            host.wait_for_entry("event", "settings reloaded");
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        fleet.upstream("p1").crash();
+        wait_for_read(&fleet, 0);
+        cut_off(&fleet, 2);
+        let begun = Instant::now();
+        let removed = fleet.control_plane.remove_registration("p1");
+        removed.expect("written");
+        for host in 2..5 {
+            let took = time_to_notice(&fleet, host, ("change", "gone"), begun);
+            let bound = Duration::from_millis(drain_ms);
+            assert!(
+                took < bound,
+                "host {host}: noticed after {took:?}, bound {bound:?}"
+            );
+        }
     }
 }
