Tell an outage of the registry from a change of its readers

Cause: a follower took the time since the last answers of its domain's relays for an outage of the store, above 1.5 s, and kept upstreams that are missing in the registry for 2 s.

Change: an outage is the time in which no host has read the registry, by the age of the own directory and of those that others report, also of other domains; it counts from 0.8 of the bound, above the latest takeover. Hosts that keep missing upstreams themselves are not counted, or the second reader after a real outage would remove at once what the first one keeps.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -44,6 +44,10 @@
 /// Largest share. The rest of the bound is for the read itself.
 const TAKEOVER_SHARE_MAX: f64 = 0.7;
 
+/// Time without a read of the registry by any host after which the registry was unavailable, as a
+/// share of [`Bounds::drain`]. It is above the largest takeover age by the time for a read.
+const OUTAGE_SHARE: f64 = 0.8;
+
 /// Age of the directory at which a host copies that of any host whose directory is more current, as
 /// a share of [`Bounds::drain`].
 const COPY_SHARE: f64 = 0.4;
@@ -78,6 +82,12 @@
         self.drain.mul_f64(share.min(TAKEOVER_SHARE_MAX))
     }
 
+    /// Time without a read of the registry by any host after which the registry was unavailable.
+    /// While it is available, some host reads it at the latest takeover age.
+    pub fn outage_age(&self) -> Duration {
+        self.drain.mul_f64(OUTAGE_SHARE)
+    }
+
     /// Age of the directory at which it is copied from any host whose directory is more current.
     pub fn copy_age(&self) -> Duration {
         self.drain.mul_f64(COPY_SHARE)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,10 +43,6 @@
 /// Age of a call from which on it is retried if another host has a newer configuration.
 const OVERTAKEN_AFTER: Duration = Duration::from_millis(500);
 
-/// Time without an answer after which the store counts as lost. Upstreams that cannot renew their
-/// registration are removed only after a longer time.
-const LOST_AFTER: Duration = Duration::from_millis(1500);
-
 /// Keys with their new values, or `None` for removed keys.
 type Records = Vec<(String, Option<Bytes>)>;
 
@@ -123,7 +119,7 @@
         reads.succeeded(now);
         let missed = follower.starts_anew();
         host.missed_records.set(missed);
-        if follower.take_recovered() {
+        if host.ends_outage(now) {
             host.directory.borrow_mut().on_registry_return(now);
         }
         let changes = apply_records(&host, now, complete, records);
@@ -183,7 +179,6 @@
     /// When the last read was sent, if it has returned everything up to the end of the partition.
     read_as_of: Option<Tick>,
     lost: bool,
-    recovered: bool,
     /// Reports of other hosts reveal a newer version.
     watches_versions: bool,
 }
@@ -200,17 +195,13 @@
             answered_at: None,
             read_as_of: None,
             lost: false,
-            recovered: false,
             watches_versions: false,
         }
     }
 
-    /// Resets the follower while another host reads instead of this one. Its position is outdated
-    /// when this host reads again, and the length of an outage is then derived from the answers
-    /// that other hosts report.
+    /// Resets the follower if another host has read instead of this one. Its position is outdated.
     fn reset(&mut self) {
         self.next = None;
-        self.answered_at = None;
         self.lost = false;
     }
 
@@ -219,12 +210,6 @@
         self.next.is_none()
     }
 
-    /// Returns `true` if the store has recovered from an outage since the last call, and clears
-    /// that flag.
-    fn take_recovered(&mut self) -> bool {
-        std::mem::take(&mut self.recovered)
-    }
-
     /// Returns the next records and waits until the store answers.
     async fn next(&mut self) -> Records {
         loop {
@@ -330,17 +315,12 @@
         self.host.store_answered(sent);
         self.backoff = BACKOFF;
         let now = self.host.now();
-        let others = self.host.peers.borrow().last_store_answer(sent);
-        let answered_at = self.answered_at.max(others);
-        let outage = answered_at.map(|answered_at| now.since(answered_at));
-        self.answered_at = Some(now);
+        let away = self.answered_at.replace(now).map(|at| now.since(at));
         if std::mem::take(&mut self.lost) {
             info!(self.host.log, "store regained"; "place" => %self.partition,
-                "away_ms" => outage.unwrap_or_default().as_millis());
+                "away_ms" => away.unwrap_or_default().as_millis());
             self.host.events.store_recovered.notify(usize::MAX);
         }
-        let span = self.wait + LOST_AFTER;
-        self.recovered |= outage.is_some_and(|outage| outage > span);
     }
 
     fn on_failure(&mut self, error: &StoreError) {
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -77,6 +77,14 @@
         }
     }
 
+    /// Returns `true` if an answer at `now` ends an outage of the registry. A host that has left the
+    /// reading to others knows from the age of the directories whether they have read meanwhile.
+    pub(crate) fn ends_outage(&self, now: Tick) -> bool {
+        let others = self.peers.borrow().newest_directory(now);
+        let newest = self.directory_as_of.get().max(others);
+        newest.is_some_and(|at| now.since(at) > self.bounds.get().outage_age())
+    }
+
     /// Time since the directory was last known to contain every change of the registry.
     pub(crate) fn directory_age(&self, now: Tick) -> Option<Duration> {
         self.directory_as_of.get().map(|at| now.since(at))
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -344,6 +344,19 @@
         ages.min().map(|age| Tick(now.0.saturating_sub(age)))
     }
 
+    /// As of when the most current directory of another host holds, according to the reports. A
+    /// host that keeps missing upstreams after an outage does not count, because the outage would
+    /// then end for this host without the time in which they may return.
+    pub fn newest_directory(&self, now: Tick) -> Option<Tick> {
+        let age = |p: &Peer| {
+            let (at, status) = p.status?;
+            status.directory_digest?;
+            Some(now.since(at) + status.directory_age()?)
+        };
+        let ages = self.hosts.values().filter_map(age);
+        ages.min().map(|age| Tick(now.0.saturating_sub(age)))
+    }
+
     /// Returns `true` if a report shows that the store has answered a call that another host sent
     /// after `since`.
     pub fn others_reached_store(&self, now: Tick, since: Tick) -> bool {
--- a/tests/all/gateway/bounds.rs
+++ b/tests/all/gateway/bounds.rs
@@ -34,6 +34,7 @@
             let age = bounds.takeover_age(position);
             let late = age + check + bounds.drain / 5;
             assert!(late <= bounds.drain, "{drain} at {position}");
+            assert!(age < bounds.outage_age(), "{drain} at {position}");
             assert!(age > bounds.copy_age(), "{drain} at {position}");
             assert!(
                 age >= bounds.takeover_age(position / 2),
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -211,6 +211,40 @@
     }
 }
 
+/// Guards against a host that takes its late start to read for an outage of the store, and against
+/// one that does not notice an outage because another host has read a moment earlier.
+#[test]
+fn the_newest_directory_is_that_of_a_settled_host() {
+    let mut peers = Peers::new(info("entry-3", "a"));
+    assert_eq!(peers.newest_directory(at(5_000)), None);
+    let hosts = [("entry-1", "a"), ("entry-2", "b")].map(|(name, domain)| info(name, domain));
+    for (host, address) in hosts.iter().zip(["192.0.2.2:1", "192.0.2.3:1"]) {
+        let mut host = host.clone();
+        host.address = address.parse().expect("an address");
+        peers.add(at(0), host);
+    }
+    let status = |directory_digest, age_ms| SyncStatus {
+        config_version: 1,
+        directory_digest,
+        store_age_ms: Some(0),
+        directory_age_ms: Some(age_ms),
+    };
+    peers.record_received(at(5_000), hosts[0].id, Some(status(Some(7), 2_000)));
+    assert_eq!(peers.newest_directory(at(5_100)), Some(at(3_000)));
+    peers.record_received(at(5_100), hosts[1].id, Some(status(Some(7), 300)));
+    assert_eq!(
+        peers.newest_directory(at(5_200)),
+        Some(at(4_800)),
+        "a host of another domain"
+    );
+    peers.record_received(at(5_200), hosts[1].id, Some(status(None, 0)));
+    assert_eq!(
+        peers.newest_directory(at(5_300)),
+        Some(at(3_000)),
+        "it keeps missing upstreams"
+    );
+}
+
 /// Guards against a host that alternates between the directories of two relays whose views differ.
 #[test]
 fn the_directory_comes_from_one_relay() {
