Read the registry anew at once when its records were deleted

Cause: when the store had deleted the records that a reader asked for, the reader waited for its next turn before it read the newest ones.

Change: such an answer does not count as a read, so the next one is due at once. The stand-in store can answer that records were deleted.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -116,9 +116,11 @@
             continue;
         };
         let now = host.now();
+        host.missed_records.set(follower.starts_anew());
+        if follower.starts_anew() {
+            continue;
+        }
         reads.succeeded(now);
-        let missed = follower.starts_anew();
-        host.missed_records.set(missed);
         if host.ends_outage(now) {
             host.directory.borrow_mut().on_registry_return(now);
         }
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
-use trefoil_core::Clock;
+use trefoil_core::{Clock, Offset};
 use trefoil_http::{Body, Service, full};
 use trefoil_store::{Append, Appended, Batch, Newest, Page, Read, Store, StoreError};
 
@@ -31,6 +31,8 @@
     Twice,
     /// Every call is delayed by this many milliseconds.
     Slow(u64),
+    /// Reads find that the records from their offset on were deleted.
+    Truncated,
 }
 
 /// A store that injects faults into the calls to another store.
@@ -77,9 +79,10 @@
                 let reason = "fault: down".to_owned();
                 future::ready(Err(StoreError::Refused { reason })).boxed()
             }
-            StoreFault::None | StoreFault::AnswerLost | StoreFault::Twice => {
-                future::ready(Ok(())).boxed()
-            }
+            StoreFault::None
+            | StoreFault::AnswerLost
+            | StoreFault::Twice
+            | StoreFault::Truncated => future::ready(Ok(())).boxed(),
         }
     }
 }
@@ -104,8 +107,13 @@
 
     fn read(&self, read: Read) -> Boxed<Result<Batch, StoreError>> {
         let (precondition, store) = (self.apply_fault(), Arc::clone(&self.store));
+        let deleted = self.fault() == StoreFault::Truncated;
         async move {
             precondition.await?;
+            if deleted {
+                let first = Offset(read.from.0 + 1);
+                return Err(StoreError::Truncated { first });
+            }
             store.read(read).await
         }
         .boxed()
--- a/tests/all/platform/leaving.rs
+++ b/tests/all/platform/leaving.rs
@@ -4,6 +4,8 @@
 
 use nix::sys::signal::Signal;
 
+use trefoil_standin::StoreFault;
+
 use trefoil_soak::{Fleet, LinkMode, eventually, upstream_spec};
 
 /// Time within which a leaving upstream must stop getting new requests, as in the fleet's settings.
@@ -31,6 +33,16 @@
     f64::from(u32::try_from(count).expect("a small number"))
 }
 
+/// Replaces the drain bound of all hosts.
+fn set_bound(fleet: &Fleet, drain_ms: u64) {
+    for host in &fleet.hosts {
+        let bound = format!("drain-ms: {drain_ms}");
+        host.edit_settings(|text| text.replace("drain-ms: 2000", &bound));
+        host.signal(Signal::SIGHUP);
+        host.wait_for_entry("event", "settings reloaded");
+    }
+}
+
 /// Waits until a host has just read the registry. A change that follows is noticed as late as it
 /// can be.
 fn wait_for_read(fleet: &Fleet, host: usize) {
@@ -133,12 +145,7 @@
 fn a_new_reader_does_not_keep_a_removed_upstream() {
     for drain_ms in [2_500, 4_000] {
         let fleet = fleet_of(5);
-        for host in &fleet.hosts {
-            let bound = format!("drain-ms: {drain_ms}");
-            host.edit_settings(|text| text.replace("drain-ms: 2000", &bound));
-            host.signal(Signal::SIGHUP);
-            host.wait_for_entry("event", "settings reloaded");
-        }
+        set_bound(&fleet, drain_ms);
         std::thread::sleep(Duration::from_secs(1));
         fleet.upstream("p1").crash();
         wait_for_read(&fleet, 0);
@@ -156,3 +163,22 @@
         }
     }
 }
+
+/// Guards against a reader that waits for its next turn after the store has deleted the records
+/// that it was about to read, so that changes among them are noticed a whole interval late.
+#[test]
+fn deleted_records_are_read_anew_at_once() {
+    let fleet = fleet_of(1);
+    set_bound(&fleet, 5_000);
+    fleet.store.set_fault(StoreFault::Truncated);
+    std::thread::sleep(Duration::from_secs(2));
+    // The registry is read every 1.5 s; the rest is for the reads and for this loop.
+    let bound = 1.5 + 0.5;
+    let begun = Instant::now();
+    let mut oldest = 0.0_f64;
+    while begun.elapsed() < Duration::from_secs(5) {
+        oldest = oldest.max(fleet.hosts[0].sum_metric("trefoil_directory_age_seconds", ""));
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    assert!(oldest < bound, "the directory was {oldest} s old");
+}
