Limit the bytes that an upstream can send in an exchange

What callers saw, in a test of our own: while one upstream sends interim heads without end, 16 orders had no answer within 20 s and the host answered nobody, the load balancer included.

Cause: the client of a connection read on as long as bytes were ready and did not yield, so the deadline could not end the exchange. Interim heads, answers to other requests and trailer fields had no limit at all; only a body had one, 16 MB for each, whose sum had none.

Change: an exchange yields after 16 reads; it ends after 1 MiB of bytes that are not part of the answer's body; bodies of other answers are not kept; all bodies that are being received take up 32 MiB at most. The connection is closed and the attempt is unknown, so an order is not sent again.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -17,8 +17,8 @@
 use trefoil_core::{HostId, Tick};
 use trefoil_directory::Registration;
 use trefoil_http::h1::{
-    Answer, ClientConnection, Handler, Limits, Match, RejectReason, Request, RequestHead,
-    encode_request,
+    Answer, BodyLimit, ClientConnection, Handler, Limits, Match, RejectReason, Request,
+    RequestHead, encode_request,
 };
 
 use crate::follow;
@@ -210,7 +210,9 @@
         }
         let request = encode_request(&Method::GET, path, &headers, &Bytes::new());
         let reply = link
-            .exchange(&Method::GET, request, ANSWER_MAX, |_| Match::Own)
+            .exchange(&Method::GET, request, &BodyLimit::new(ANSWER_MAX), |_| {
+                Match::Own
+            })
             .await;
         let reply = reply.map_err(|e| e.to_string())?;
         match reply.head.status {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,6 +27,9 @@
 /// Largest answer that is forwarded, in bytes.
 pub(crate) const ANSWER_MAX: usize = 16 * 1024 * 1024;
 
+/// Most bytes of all answers that are being received. The smallest hosts have 160 MB.
+pub(crate) const ANSWERS_MAX: usize = 32 * 1024 * 1024;
+
 /// Longest idle time of a connection that may carry a request which must not run twice. A request
 /// that is sent while the upstream closes the connection may have run, so such requests use only
 /// connections that were busy a moment ago.
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -13,7 +13,7 @@
 use trefoil_http::h1::{ExchangeError, Match, Response, Sent, encode_request};
 use trefoil_route::Idempotency;
 
-use super::{ANSWER_MAX, Attempt, FRESH_IDLE_MAX, Job, Progress};
+use super::{Attempt, FRESH_IDLE_MAX, Job, Progress};
 use crate::host::Host;
 use crate::pool::{self, UpstreamLink};
 
@@ -94,7 +94,7 @@
     let method = &job.request.head.method;
     let exchange = async {
         Some(
-            link.exchange(method, request, ANSWER_MAX, match_response)
+            link.exchange(method, request, &host.answers, match_response)
                 .await,
         )
     };
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,13 +16,14 @@
 use trefoil_balance::{Balancer, RetryBudget, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
 use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
-use trefoil_http::h1::Shutdown;
+use trefoil_http::h1::{BodyLimit, Shutdown};
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
+use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
 use crate::message::ChangeItem;
 use crate::metered::MeteredStore;
@@ -128,6 +129,8 @@
     pub(crate) terms: RefCell<Terms>,
     /// Finished terms of this host.
     pub(crate) ended_terms: RefCell<EndedTerms>,
+    /// Limit on the answers of upstreams that are being received.
+    pub(crate) answers: BodyLimit,
     /// Open connections of callers and operators.
     pub(crate) connections: Cell<usize>,
     /// Upstreams in the directory whose address now belongs to another one.
@@ -207,6 +210,7 @@
             budgets: RefCell::default(),
             terms: RefCell::default(),
             ended_terms: RefCell::default(),
+            answers: BodyLimit::with_total(ANSWER_MAX, ANSWERS_MAX),
             connections: Cell::new(0),
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::FutureExt;
 use http::header::{HeaderMap, HeaderValue};
-use trefoil_http::h1::{ClientConnection, Match, Sent, encode_request};
+use trefoil_http::h1::{BodyLimit, ClientConnection, Match, Sent, encode_request};
 use trefoil_ranges::{Order, OrderKind, OrderOutcome};
 
 use crate::forward::{ANSWER_MAX, FRESH_IDLE_MAX};
@@ -61,7 +61,12 @@
         None
     };
     let own = |_: &trefoil_http::h1::ResponseHead| Match::Own;
-    let exchange = async { Some(link.exchange(&call.method, bytes, ANSWER_MAX, own).await) };
+    let exchange = async {
+        Some(
+            link.exchange(&call.method, bytes, &BodyLimit::new(ANSWER_MAX), own)
+                .await,
+        )
+    };
     match exchange.or(timeout).await {
         Some(Ok(reply)) => {
             host.pool.borrow_mut().put(host.now(), address, link);
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -18,6 +18,7 @@
 mod encode;
 mod framing;
 mod head;
+mod limit;
 mod server;
 mod stream;
 
@@ -25,5 +26,6 @@
 pub use encode::{encode_request, encode_response};
 pub use framing::{BodyError, Decoded, Decoder, Framing};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
+pub use limit::BodyLimit;
 pub use server::{Answer, Handler, Limits, RejectReason, Request, ServerConnection, Shutdown};
 pub use stream::BufferedStream;
--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -18,11 +18,20 @@
 
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{ResponseHead, parse_response};
+use super::limit::{BodyLimit, BodyMemory};
 use super::stream::BufferedStream;
 
 /// Longest head of an answer, in bytes.
 const HEAD_MAX: usize = 64 * 1024;
 
+/// Most bytes of an exchange that are not part of the answer's body: heads, the framing of chunks,
+/// and answers to other requests.
+const EXTRA_MAX: usize = 1024 * 1024;
+
+/// Most reads before other tasks of the thread get a turn. An upstream may send faster than this
+/// process reads.
+const READS_MAX: u32 = 16;
+
 /// Part of a request that had been handed to the socket when its exchange failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sent {
@@ -76,7 +85,9 @@
     head: Option<(ResponseHead, Match)>,
     decoder: Decoder,
     body: BytesMut,
-    max: usize,
+    memory: BodyMemory,
+    /// Bytes received in this exchange.
+    received: usize,
 }
 
 impl<S> ClientConnection<S>
@@ -104,7 +115,7 @@
         self.keep_alive_timeout
     }
 
-    /// Sends an encoded request and reads the whole answer, whose body has at most `max` bytes.
+    /// Sends an encoded request and reads the whole answer, whose body keeps to `limit`.
     /// `classify` is called with each head, and answers that belong to another request are skipped.
     /// If the future is dropped, the connection is unusable, and the caller must drop it as well.
     ///
@@ -115,7 +126,7 @@
         &mut self,
         method: &Method,
         request: Bytes,
-        max: usize,
+        limit: &BodyLimit,
         classify: F,
     ) -> Result<Response, ExchangeError>
     where
@@ -129,7 +140,8 @@
             head: None,
             decoder: Decoder::new(Framing::Empty),
             body: BytesMut::new(),
-            max,
+            memory: BodyMemory::new(limit),
+            received: 0,
         };
         let done = poll_fn(|cx| self.poll_exchange(cx, &mut exchange, &classify)).await;
         match done {
@@ -162,6 +174,7 @@
         F: Fn(&ResponseHead) -> Match,
     {
         let written = self.poll_write_request(cx, exchange);
+        let mut reads = 0;
         loop {
             // A complete answer is valid even if the request could not be written completely,
             // because an upstream may answer before it has read the whole body.
@@ -170,12 +183,17 @@
                 Ok(None) => {}
                 Err(reason) => return Poll::Ready(Err(reason)),
             }
+            if reads == READS_MAX {
+                cx.waker().wake_by_ref();
+                break;
+            }
+            reads += 1;
             match self.stream.poll_fill(cx) {
                 Poll::Ready(Ok(0)) if exchange.may_end_with_close() => {}
                 Poll::Ready(Ok(0)) => {
                     return Poll::Ready(Err("the upstream closed the connection".to_owned()));
                 }
-                Poll::Ready(Ok(_)) => {}
+                Poll::Ready(Ok(count)) => exchange.received += count,
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e.to_string())),
                 Poll::Pending => break,
             }
@@ -211,6 +229,11 @@
         self.head.is_some()
     }
 
+    /// Returns true if the answer that is being read belongs to the request.
+    fn is_own(&self) -> bool {
+        matches!(self.head, Some((_, Match::Own)))
+    }
+
     /// Parses the input and returns the answer once it is complete.
     fn parse_input<S, F>(
         &mut self,
@@ -221,6 +244,9 @@
         S: AsyncRead + AsyncWrite + Unpin,
         F: Fn(&ResponseHead) -> Match,
     {
+        if self.received - self.body.len() > EXTRA_MAX {
+            return Err("the upstream sends bytes that are no answer".to_owned());
+        }
         loop {
             if self.head.is_none() && !self.parse_head(&mut stream.input, classify)? {
                 return Ok(None);
@@ -231,10 +257,11 @@
                 match step.map_err(|e| e.to_string())? {
                     Decoded::Incomplete => return Ok(None),
                     Decoded::End => break,
-                    Decoded::Data(piece) if self.body.len() + piece.len() > self.max => {
-                        return Err(format!("the answer has more than {} bytes", self.max));
+                    Decoded::Data(piece) if self.is_own() => {
+                        self.memory.take(piece.len())?;
+                        self.body.extend_from_slice(&piece);
                     }
-                    Decoded::Data(piece) => self.body.extend_from_slice(&piece),
+                    Decoded::Data(_) => {}
                 }
             }
             let body = self.body.split().freeze();
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -362,6 +362,15 @@
         eventually(value, || self.log_entries(key, value).pop())
     }
 
+    /// Returns the largest resident memory of the process so far, in KiB.
+    pub fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let digits = peak.and_then(|p| p.split_whitespace().next()?.parse().ok());
+        digits.expect("the kernel tells the peak")
+    }
+
     /// Sends a signal to the process, which must not have been reaped.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(i32::try_from(self.child.id()).expect("the pid fits into an i32"));
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -58,6 +58,12 @@
     Unsigned,
     /// Starts the request and never answers.
     Hang,
+    /// Runs the request and sends interim heads until the caller closes the connection.
+    EndlessHeads,
+    /// Runs the request and sends one header field until the caller closes the connection.
+    EndlessField,
+    /// Runs the request and sends a body until the caller closes the connection.
+    EndlessBody,
 }
 
 #[derive(Debug, Default)]
--- a/crates/standin/src/upstream/connection.rs
+++ b/crates/standin/src/upstream/connection.rs
@@ -38,8 +38,13 @@
     Answer(String),
     /// Send the bytes and close the connection.
     Close(String),
+    /// Send the bytes and then the second ones again and again, until the peer closes.
+    Endless(String, &'static str),
 }
 
+/// Size of one write of an endless reply, in bytes.
+const ENDLESS_WRITE: usize = 64 * 1024;
+
 /// A connection and the input that has not been parsed.
 pub(super) struct Connection {
     upstream: Arc<Upstream>,
@@ -66,6 +71,13 @@
                     self.stream.write_all(text.as_bytes()).await?;
                     return Ok(());
                 }
+                Reply::Endless(start, piece) => {
+                    self.stream.write_all(start.as_bytes()).await?;
+                    let pieces = piece.repeat(ENDLESS_WRITE / piece.len());
+                    loop {
+                        self.stream.write_all(pieces.as_bytes()).await?;
+                    }
+                }
             }
         }
         Ok(())
@@ -251,6 +263,15 @@
         ResponseMode::Normal | ResponseMode::Refuse | ResponseMode::Hang => {
             Reply::Answer(format_response(200, &signed, &body))
         }
+        ResponseMode::EndlessHeads => {
+            Reply::Endless(String::new(), "HTTP/1.1 100 Continue\r\n\r\n")
+        }
+        ResponseMode::EndlessField => {
+            Reply::Endless("HTTP/1.1 200 OK\r\nX-Noise: ".to_owned(), "noise")
+        }
+        ResponseMode::EndlessBody => {
+            Reply::Endless(format!("HTTP/1.1 200 OK\r\n{signed}\r\n"), "noise")
+        }
         ResponseMode::Reset => Reply::Close(String::new()),
         ResponseMode::Truncate => {
             let whole = format_response(200, &signed, &body);
--- a/tests/all/h1/client.rs
+++ b/tests/all/h1/client.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Method};
 use smol::LocalExecutor;
 use trefoil_http::h1::{
-    ClientConnection, ExchangeError, Match, Response, ResponseHead, Sent, encode_request,
+    BodyLimit, ClientConnection, ExchangeError, Match, Response, ResponseHead, Sent, encode_request,
 };
 
 use super::pipe::{Peer, Stream, connection, run_until_idle};
@@ -34,8 +34,9 @@
 where
     F: FnOnce(),
 {
+    let limit = BodyLimit::new(MAX);
     let executor = LocalExecutor::new();
-    let call = client.exchange(method, encode(method, body), MAX, classify);
+    let call = client.exchange(method, encode(method, body), &limit, classify);
     let mut task = executor.spawn(call);
     run_until_idle(&executor);
     upstream();
@@ -178,8 +179,9 @@
     assert!(!client.is_reusable());
 
     let (mut client, peer) = open();
+    let limit = BodyLimit::new(MAX);
     let executor = LocalExecutor::new();
-    let call = client.exchange(&Method::GET, encode(&Method::GET, ""), MAX, classify);
+    let call = client.exchange(&Method::GET, encode(&Method::GET, ""), &limit, classify);
     let mut task = executor.spawn(call);
     peer.send(answer);
     run_until_idle(&executor);
@@ -289,3 +291,44 @@
                     content-length: 4\r\n\r\nbody";
     assert_eq!(String::from_utf8(sent.to_vec()).expect("text"), expected);
 }
+
+/// Guards against a client that reads on for ever: an upstream in trouble may send interim heads,
+/// answers to other requests, chunks or trailer fields without end.
+#[test]
+fn bytes_that_are_no_answer_are_limited() {
+    let starts_and_pieces = [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "HTTP/1.1 200 OK\r\nid: 0\r\ncontent-length: 1\r\n\r\nx"),
+        ("HTTP/1.1 200 OK\r\nid: 0\r\n\r\n", "noise"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+            "a: b\r\n",
+        ),
+        ("HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "noise"),
+    ];
+    for (start, piece) in starts_and_pieces {
+        let (mut client, peer) = open();
+        let limit = BodyLimit::new(MAX);
+        let executor = LocalExecutor::new();
+        let call = client.exchange(&Method::GET, encode(&Method::GET, ""), &limit, classify);
+        let mut task = executor.spawn(call);
+        peer.send(start);
+        let pieces = piece.repeat(64 * 1024 / piece.len());
+        let mut result = None;
+        // 8 MiB; the limit is 1 MiB.
+        for _ in 0..128 {
+            peer.send(&pieces);
+            run_until_idle(&executor);
+            result = future::block_on(future::poll_once(&mut task));
+            if result.is_some() {
+                break;
+            }
+        }
+        let (_, sent) = failure(result);
+        assert_eq!(sent, Sent::Something, "{start:?} {piece:?}");
+        drop(task);
+        drop(executor);
+        assert!(!client.is_reusable(), "{start:?} {piece:?}");
+    }
+}
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod decoding;
+mod endless;
 mod leaving;
 mod output;
 mod promises;
