Check the phase of an upstream again before a request is sent

Cause: an upstream is chosen before its connection is open, which may take 0.4 s, and its phase was not looked at again. A host that learns within the bound could so still send after it: with 2.0 s, 1.45 s to a takeover, a fifth of the bound for the read and 0.4 s are 2.25 s.

Change: an attempt whose upstream is no longer listed as ready is not sent, and another upstream is chosen. The same holds for retries and kept connections, which take the same path.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -69,7 +69,7 @@
 }
 
 /// Decodes a configuration and puts it in force.
-pub(crate) fn load_config(host: &Host, value: &Bytes) {
+pub fn load_config(host: &Host, value: &Bytes) {
     match host.platform.decode_config(value) {
         Ok((config, rejected)) => {
             for reason in rejected {
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -65,6 +65,10 @@
             return Attempt::Unsent(reason);
         }
     };
+    // The upstream may have begun to leave while the connection was opened.
+    if !host.accepts_requests(target) {
+        return Attempt::Unsent("the upstream leaves".to_owned());
+    }
     let now = host.now();
     if now >= job.deadline || job.caller_gone.get() {
         return Attempt::Unsent("the deadline passed before the request was sent".to_owned());
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -447,6 +447,14 @@
         self.displaced.borrow().contains(incarnation)
     }
 
+    /// Returns `true` if the upstream is still listed as ready.
+    pub(crate) fn accepts_requests(&self, target: &Registration) -> bool {
+        let directory = self.directory.borrow();
+        let known = directory.get(&target.incarnation.name);
+        known.is_some_and(|r| r.incarnation == target.incarnation && r.phase == Phase::Ready)
+            && !self.is_displaced(&target.incarnation)
+    }
+
     /// Applies routes of a keyed service unless the known ones are at least as new.
     pub fn apply_routes(&self, service: &ServiceName, routes: Routes) {
         let revision = routes.revision;
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod budget;
 mod directory;
+mod forward;
 mod message;
 mod peers;
 mod routes;
--- /dev/null
+++ b/tests/all/gateway/forward.rs
@@ -0,0 +1,111 @@
+//! Requests whose upstream begins to leave while they wait.
+
+use std::cell::Cell;
+use std::io::Read;
+use std::net::TcpListener;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future::poll_once;
+use http::{HeaderMap, Method, StatusCode};
+use serde_json::json;
+use trefoil_core::SystemClock;
+use trefoil_gateway::forward::{Job, forward};
+use trefoil_gateway::{Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, follow};
+use trefoil_http::h1::{Request, RequestHead};
+use trefoil_platform::UsersPlatform;
+use trefoil_standin::{ControlPlane, test_config};
+use trefoil_store::MemoryStore;
+
+const DRAIN: Duration = Duration::from_millis(500);
+
+fn host(store: Arc<MemoryStore>) -> Rc<Host> {
+    let unused = "127.0.0.1:0".parse().expect("an address");
+    let config = HostConfig {
+        name: "entry-1".parse().expect("a name"),
+        domain: "a".parse().expect("a name"),
+        cores: 1.0,
+        caller: unused,
+        ready: unused,
+        peer: unused,
+        operator: unused,
+        bounds: Bounds {
+            drain: DRAIN,
+            ..Bounds::default()
+        },
+    };
+    let telemetry = Telemetry {
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+        metrics: Metrics::new(LostLines::default()),
+    };
+    let platform = Rc::new(UsersPlatform::new());
+    Host::new(config, Arc::new(SystemClock), telemetry, platform, store)
+}
+
+fn job(host: &Host) -> Job {
+    let router = host.router().expect("a configuration");
+    let route = router.routes().find(|r| r.prefix == "/read/");
+    let now = host.now();
+    Job {
+        route: Rc::clone(route.expect("the route")),
+        service: "plain".parse().expect("a name"),
+        key: None,
+        request: Request {
+            head: RequestHead {
+                method: Method::GET,
+                target: "/read/x".to_owned(),
+                minor: 1,
+                headers: HeaderMap::new(),
+            },
+            body: Bytes::new(),
+        },
+        id: None,
+        arrived: now,
+        deadline: now.after(Duration::from_secs(2)),
+        caller_gone: Rc::new(Cell::new(false)),
+    }
+}
+
+/// Guards against a request to an upstream that was ready when it was chosen and has begun to leave
+/// while the connection was opened.
+#[test]
+fn the_phase_is_checked_before_a_request_is_sent() {
+    let upstream = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
+    let control = ControlPlane::new(Arc::<MemoryStore>::clone(&store));
+    let register = |state: &str, sequence: u64| {
+        let entry = json!({
+            "service": "plain", "address": upstream.local_addr().expect("bound"), "zone": "a",
+            "version": "1", "slots": 4, "state": state, "warmupLeftMs": 0, "sequence": sequence,
+            "born": 1,
+        });
+        let written = control.write_registration("p1", &entry.to_string());
+        written.expect("written");
+    };
+    register("ready", 1);
+    let host = host(store);
+    follow::load_config(&host, &Bytes::from(test_config(1).to_string()));
+    let test = async {
+        let _follower = host.spawn(follow::follow_registry(Rc::clone(&host)));
+        while !host.is_ready() {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+        let job = job(&host);
+        let mut call = pin!(forward(&host, &job));
+        assert!(poll_once(&mut call).await.is_none(), "it connects");
+        register("draining", 2);
+        smol::Timer::after(DRAIN).await;
+        call.await
+    };
+    let completion = smol::block_on(host.executor.run(test));
+    assert_eq!(completion.answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let (mut connection, _) = upstream.accept().expect("the host has connected");
+    let mut received = Vec::new();
+    connection
+        .read_to_end(&mut received)
+        .expect("it has closed");
+    assert!(received.is_empty(), "{} bytes were sent", received.len());
+}
