--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,10 +6,12 @@
 //! hosts, and a relay as many as its domain has hosts. The second relay does the same less often
 //! and takes over when the first one falls silent.
 //!
-//! A host reads the store itself only if fewer than two hosts that rank before it in its domain
-//! reach it. The others receive changes of the directory in digests. They fetch a newer
-//! configuration from any host that has it, and the whole directory, if its digest differs, from
-//! the first relay that reaches the store.
+//! A host reads the configuration itself only if fewer than two hosts that rank before it in its
+//! domain reach the store, and the registry if its own directory is too old, see
+//! [`crate::freshness`]. The others receive changes of the directory in digests. They fetch a newer
+//! configuration from any host that has it. They copy the whole directory, if its digest differs,
+//! from the first relay that reaches the store, or from any host that is more current once their
+//! own is too old.
 
 mod handle;
 
--- a/tests/all/platform/leaving.rs
+++ b/tests/all/platform/leaving.rs
@@ -4,7 +4,7 @@
 
 use nix::sys::signal::Signal;
 
-use trefoil_standin::StoreFault;
+use trefoil_standin::{StoreFault, test_config};
 
 use trefoil_soak::{Fleet, LinkMode, eventually, upstream_spec};
 
@@ -139,6 +139,26 @@
     assert!(times.iter().all(|t| *t < DRAIN), "noticed after {times:?}");
 }
 
+/// Guards against hosts that miss a configuration because the hosts that read it for their domain
+/// are cut off from the store.
+#[test]
+fn every_host_of_a_domain_has_the_newest_configuration_in_time() {
+    let fleet = fleet_of(9);
+    cut_off(&fleet, 2);
+    let begun = Instant::now();
+    let written = fleet.control_plane.write_config(&test_config(7));
+    written.expect("written");
+    let times: Vec<Duration> = (2..9)
+        .map(|host| {
+            fleet.hosts[host].wait_for_entry("version", "7");
+            begun.elapsed()
+        })
+        .collect();
+    // As in the settings of the users' sites.
+    let bound = Duration::from_secs(2);
+    assert!(times.iter().all(|t| *t < bound), "in force after {times:?}");
+}
+
 /// Guards against an upstream that is kept after its removal because a host that starts to read
 /// takes the silence of the relays before it for an outage of the store.
 #[test]
