Log an outage of the registry once

Cause: since a host reads when its directory is old, a follower whose last read is more than 3 s ago was reset before each call, and with it the note that the store is lost, so a relay wrote `store lost` for every failed call.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -103,7 +103,7 @@
             .ended
             .is_some_and(|at| now.since(at) > POSITION_MAX_AGE)
         {
-            follower.reset();
+            follower.next = None;
         }
         host.log_takeover(now, &reads);
         let complete = follower.starts_anew();
@@ -201,7 +201,7 @@
         }
     }
 
-    /// Resets the follower if another host has read instead of this one. Its position is outdated.
+    /// Resets the follower while another host reads instead of this one.
     fn reset(&mut self) {
         self.next = None;
         self.lost = false;
--- a/tests/all/platform/telemetry.rs
+++ b/tests/all/platform/telemetry.rs
@@ -117,6 +117,23 @@
     assert!(regained.contains_key("away_ms"), "{regained:?}");
 }
 
+/// Guards against a line for every failed call of a long outage.
+#[test]
+fn an_outage_of_the_store_is_logged_once() {
+    let fleet = fleet(vec![upstream_spec("p1", "plain")]);
+    let host = &fleet.hosts[0];
+    fleet.wait_until_served(0, "/read/x", "");
+    fleet.store.set_fault(StoreFault::Down);
+    std::thread::sleep(Duration::from_secs(6));
+    let mut places: Vec<String> = host
+        .log_entries("event", "store lost")
+        .into_iter()
+        .map(|entry| entry["place"].clone())
+        .collect();
+    places.sort_unstable();
+    assert_eq!(places, ["keyed.op/0", "keyed.servers/0"]);
+}
+
 /// Guards against a start, a change of readiness or a change of upstreams without a log line.
 #[test]
 fn state_changes_are_logged() {
