--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -11,14 +11,11 @@
 use slog::info;
 use trefoil_core::Tick;
 
-use crate::host::Host;
+use crate::host::{Host, PROBE_STAGGER};
 use crate::message::SyncStatus;
 use crate::peers::RELAYS;
 use crate::request_log::age_ms;
 
-/// Delay between the retries of hosts with consecutive ranks after a failed read.
-const PROBE_STAGGER: Duration = Duration::from_millis(700);
-
 /// Wait after a failed read of a host that has no directory yet.
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
 
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -35,7 +35,7 @@
 use crate::tables::{Revision, Routes, Tables};
 
 /// Delay between the probes of the store by hosts with consecutive ranks in a domain.
-const PROBE_STAGGER: Duration = Duration::from_millis(700);
+pub(crate) const PROBE_STAGGER: Duration = Duration::from_millis(700);
 
 /// Time after the start in which a host leaves the first reads of the store to the hosts that rank
 /// before it.
