Count changes of the directory by source, and show how many are kept

The incident's logs name the source of each change, but they are cut off after seconds and the metrics had only the sum of datagram bytes. So neither the rate of changes by source nor the length of the list that digests are made of could be seen.

trefoil_directory_changes_total{change,source} and trefoil_kept_changes show both.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -418,7 +418,9 @@
         }
     }
 
+    /// Logs and counts a change of an upstream.
     fn log_upstream(&self, event: &'static str, r: &Registration, source: Source) {
+        self.metrics.record_change(event, source);
         info!(self.log, "upstream changed"; "change" => event, "upstream" => %r.incarnation.name, "born" => r.incarnation.started.0,
             "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
             "phase" => %r.phase, "sequence" => r.sequence, "source" => %source,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 use trefoil_core::ServiceName;
 
 use crate::cause::{Cause, Ending};
+use crate::freshness::Source;
 
 /// Smallest latency bucket in seconds; buckets double from here to about 8 s.
 const SMALLEST_BUCKET: f64 = 0.004;
@@ -89,6 +90,15 @@
     pub reason: String,
 }
 
+/// Labels of changes of the directory.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ChangeLabels {
+    /// `joined`, `updated` or `gone`.
+    pub change: &'static str,
+    /// Where this host has learned of the change.
+    pub source: String,
+}
+
 /// Counters of log lines that were not written.
 #[derive(Debug, Clone, Default)]
 pub struct LostLines {
@@ -127,6 +137,10 @@
     pub(crate) store_age: Seconds,
     /// Upstreams in the directory.
     pub(crate) upstreams: Gauge,
+    /// Changes of the directory.
+    changes: Family<ChangeLabels, Counter>,
+    /// Changes of the directory that are kept for digests.
+    pub(crate) kept_changes: Gauge,
     /// Number of live hosts, including this one.
     pub(crate) hosts: Gauge,
     /// Bytes of the datagrams sent to other hosts.
@@ -236,6 +250,16 @@
                 Seconds::default(),
             ),
             upstreams: b.add("upstreams", "Upstreams in the directory", Gauge::default()),
+            changes: b.add(
+                "directory_changes",
+                "Changes of the directory",
+                Family::default(),
+            ),
+            kept_changes: b.add(
+                "kept_changes",
+                "Changes of the directory that are kept for digests",
+                Gauge::default(),
+            ),
             hosts: b.add("hosts", "Live hosts, this one included", Gauge::default()),
             datagram_bytes: b.add(
                 "datagram_bytes",
@@ -319,6 +343,13 @@
         self.moves.get_or_create(&labels).inc();
     }
 
+    /// Counts a change of the directory.
+    pub(crate) fn record_change(&self, change: &'static str, source: Source) {
+        let source = source.to_string();
+        let labels = ChangeLabels { change, source };
+        self.changes.get_or_create(&labels).inc();
+    }
+
     /// Sets a gauge of a service.
     pub(crate) fn set_gauge(
         family: &Family<ServiceLabels, Gauge>,
