Add two failing tests of the changes that hosts tell each other

The second shows the list that only relays shorten: 39 of 39 changes are kept by a host that is no relay.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -263,7 +263,17 @@
         while changes.front().is_some_and(|(at, _)| now.since(*at) > span) {
             changes.pop_front();
         }
-        changes.iter().map(|(_, item)| item.clone()).collect()
+        let recent = changes.iter().map(|(_, item)| item.clone()).collect();
+        drop(changes);
+        self.update_kept_changes();
+        recent
+    }
+
+    fn update_kept_changes(&self) {
+        let kept = self.changes.borrow().len();
+        self.metrics
+            .kept_changes
+            .set(i64::try_from(kept).unwrap_or(i64::MAX));
     }
 
     /// Spawns a task on the host's thread. Dropping the handle cancels the task unless it is
@@ -389,6 +399,7 @@
                 self.changes.borrow_mut().push_back((now, item));
             }
         }
+        self.update_kept_changes();
         let count = self.directory.borrow().len();
         self.metrics
             .upstreams
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -21,8 +21,6 @@
             .set(age(self.store_seen.get().unwrap_or(self.started)));
         m.connections
             .set(i64::try_from(self.connections.get()).unwrap_or(i64::MAX));
-        m.kept_changes
-            .set(i64::try_from(self.changes.borrow().len()).unwrap_or(i64::MAX));
         m.terms
             .set(i64::try_from(self.terms.borrow().len()).unwrap_or(i64::MAX));
         let hosts = self.peers.borrow().all_hosts(now);
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -3,6 +3,7 @@
 mod balance;
 mod bounds;
 mod budget;
+mod changes;
 mod directory;
 mod forward;
 mod message;
