Take each report of an upstream's removal or return once

Cause: a removal was told by incarnation only, so it also undid a later registration of the same incarnation, and a registration undid a removal that another host had reported. A host tells every change that it applies, for 0.9 s. One that has read an upstream as gone and then as registered again tells both; each host that is told them applies both, each time anew, and tells twice as many.

Change: a removal is told with the sequence number of the removed registration and spares later ones. A reported registration counts only if it is newer than the known one and than the known removal. So every report moves the position of an upstream forward or does nothing, and reports come to an end. What a host reads from the registry itself still counts as before. The sequence number follows the message, where earlier builds ignore it.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -119,6 +119,19 @@
         }
     }
 
+    /// Applies a registration that another host has reported. Unlike one that was read from the
+    /// registry, it must be newer than all that is known of the upstream. So each report changes a
+    /// directory at most once, and hosts that pass reports on to each other come to an end.
+    pub fn register_reported(&mut self, registration: Registration) -> Option<Change> {
+        let name = &registration.incarnation.name;
+        let listed = self.entries.get(name).map(|e| e.registration.order());
+        let removed = self.tombstones.get(name).map(|t| t.registration.order());
+        if listed.max(removed) >= Some(registration.order()) {
+            return None;
+        }
+        self.register(registration)
+    }
+
     /// Records that an upstream is missing from the registry, which removes it at once or after the
     /// grace period.
     pub fn mark_missing(&mut self, now: Tick, name: &UpstreamName) -> Option<Change> {
@@ -133,10 +146,18 @@
         }
     }
 
-    /// Removes an upstream that another host has reported as gone.
-    pub fn remove_reported(&mut self, now: Tick, incarnation: &Incarnation) -> Option<Change> {
+    /// Removes an upstream whose registration with this sequence number another host has reported
+    /// as gone. The upstream stays if it has registered again since. Earlier builds report no
+    /// sequence number.
+    pub fn remove_reported(
+        &mut self,
+        now: Tick,
+        incarnation: &Incarnation,
+        sequence: Option<u64>,
+    ) -> Option<Change> {
         let known = self.get(&incarnation.name)?;
-        if known.incarnation != *incarnation {
+        let is_newer = sequence.is_some_and(|removed| known.sequence > removed);
+        if known.incarnation != *incarnation || is_newer {
             return None;
         }
         self.remove(now, &incarnation.name, Evidence::Peer)
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -25,7 +25,7 @@
 use crate::discovery;
 use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
-use crate::message::ChangeItem;
+use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAYS};
@@ -391,7 +391,10 @@
             self.apply_change(now, &change, source);
             let item = match &change {
                 Change::Joined(r) | Change::Updated(r) => ChangeItem::Set(r.as_ref().clone()),
-                Change::Removed(r) => ChangeItem::Gone(r.incarnation.clone()),
+                Change::Removed(r) => ChangeItem::Gone(Removal {
+                    incarnation: r.incarnation.clone(),
+                    sequence: Some(r.sequence),
+                }),
             };
             // The first directory of a process is no news. It can be hundreds of datagrams for
             // each host, which copies it if it has another one.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use snafu::{ResultExt, Snafu, ensure};
 use trefoil_core::{DomainName, HostId, HostName, Key, KeyRange, ServiceName, UpstreamName};
 use trefoil_directory::{Incarnation, Registration, Tag};
@@ -210,8 +211,19 @@
 pub enum ChangeItem {
     /// Current registration of an upstream.
     Set(Registration),
-    /// An incarnation of an upstream is gone.
-    Gone(Incarnation),
+    /// An upstream is gone.
+    Gone(Removal),
+}
+
+/// Removal of an upstream from the directory.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Removal {
+    /// The removed incarnation.
+    pub incarnation: Incarnation,
+    /// Sequence number of the removed registration. A later registration supersedes the removal.
+    /// Encoded after the message, where earlier builds ignore it.
+    #[serde(skip)]
+    pub sequence: Option<u64>,
 }
 
 /// A part of the routes of a keyed service, or of their changes.
@@ -266,10 +278,16 @@
     /// Fails if the encoder does.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
         let bytes = postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)?;
-        match self.status().and_then(|status| status.directory_age_ms) {
-            Some(age_ms) => postcard::to_extend(&age_ms, bytes).context(DecodeSnafu),
-            None => Ok(bytes),
+        let Some(age_ms) = self.status().and_then(|status| status.directory_age_ms) else {
+            return Ok(bytes);
+        };
+        let bytes = postcard::to_extend(&age_ms, bytes).context(DecodeSnafu)?;
+        let sequences: SmallVec<[Option<u64>; 8]> =
+            self.removals().iter().map(|r| r.sequence).collect();
+        if sequences.is_empty() {
+            return Ok(bytes);
         }
+        postcard::to_extend(&sequences, bytes).context(DecodeSnafu)
     }
 
     /// Decodes a datagram.
@@ -282,14 +300,44 @@
         ensure!(found == VERSION, VersionSnafu { found });
         let (mut message, rest): (Self, _) =
             postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-        if let Some(status) = message.status_mut()
-            && !rest.is_empty()
-        {
-            status.directory_age_ms = Some(postcard::from_bytes(rest).context(DecodeSnafu)?);
+        let Some(status) = message.status_mut().filter(|_| !rest.is_empty()) else {
+            return Ok(message);
+        };
+        let (age_ms, rest) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        status.directory_age_ms = Some(age_ms);
+        if !rest.is_empty() {
+            let sequences: SmallVec<[Option<u64>; 8]> =
+                postcard::from_bytes(rest).context(DecodeSnafu)?;
+            for (removal, sequence) in message.removals_mut().zip(sequences) {
+                removal.sequence = sequence;
+            }
         }
         Ok(message)
     }
 
+    fn removals(&self) -> SmallVec<[&Removal; 8]> {
+        let changes = match self {
+            Self::Digest(digest) => digest.changes.as_slice(),
+            _ => &[],
+        };
+        let removals = changes.iter().filter_map(|item| match item {
+            ChangeItem::Gone(removal) => Some(removal),
+            ChangeItem::Set(_) => None,
+        });
+        removals.collect()
+    }
+
+    fn removals_mut(&mut self) -> impl Iterator<Item = &mut Removal> {
+        let changes = match self {
+            Self::Digest(digest) => digest.changes.as_mut_slice(),
+            _ => &mut [],
+        };
+        changes.iter_mut().filter_map(|item| match item {
+            ChangeItem::Gone(removal) => Some(removal),
+            ChangeItem::Set(_) => None,
+        })
+    }
+
     fn status(&self) -> Option<&SyncStatus> {
         match self {
             Self::Report(report) => Some(&report.status),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -453,8 +453,10 @@
     }
     let mut directory = host.directory.borrow_mut();
     let changes = items.into_iter().filter_map(|item| match item {
-        ChangeItem::Set(registration) => directory.register(registration),
-        ChangeItem::Gone(incarnation) => directory.remove_reported(now, &incarnation),
+        ChangeItem::Set(registration) => directory.register_reported(registration),
+        ChangeItem::Gone(removal) => {
+            directory.remove_reported(now, &removal.incarnation, removal.sequence)
+        }
     });
     let changes: Vec<_> = changes.collect();
     drop(directory);
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -133,7 +133,7 @@
     );
     let incarnation = entry("u1", 5, 1).incarnation;
     assert_eq!(
-        text(directory.remove_reported(at(200), &incarnation)),
+        text(directory.remove_reported(at(200), &incarnation, Some(1))),
         "gone u1@5"
     );
     assert_eq!(
@@ -141,7 +141,10 @@
         "joined u1@5 ready"
     );
     let earlier = entry("u1", 4, 1).incarnation;
-    assert_eq!(text(directory.remove_reported(at(300), &earlier)), "-");
+    assert_eq!(
+        text(directory.remove_reported(at(300), &earlier, Some(1))),
+        "-"
+    );
     assert_eq!(
         text(directory.mark_missing(at(300), &incarnation.name)),
         "gone u1@5"
@@ -152,3 +155,34 @@
             .is_empty()
     );
 }
+
+/// Guards against a report of a removal or a registration that changes a directory again and again,
+/// or that undoes a later registration.
+#[test]
+fn a_report_changes_the_directory_once() {
+    let mut directory = Directory::default();
+    let incarnation = entry("u1", 5, 1).incarnation;
+    directory.register(entry("u1", 5, 1));
+    let mut report_both = |now| {
+        [
+            text(directory.remove_reported(now, &incarnation, Some(1))),
+            text(directory.register_reported(entry("u1", 5, 2))),
+        ]
+    };
+    assert_eq!(report_both(at(100)), ["gone u1@5", "joined u1@5 ready"]);
+    assert_eq!(report_both(at(200)), ["-", "-"]);
+    assert_eq!(
+        text(directory.remove_reported(at(300), &incarnation, Some(2))),
+        "gone u1@5"
+    );
+    assert_eq!(
+        text(directory.register_reported(entry("u1", 5, 2))),
+        "-",
+        "the removal is newer"
+    );
+    assert_eq!(
+        text(directory.register(entry("u1", 5, 2))),
+        "joined u1@5 ready",
+        "the registry lists it"
+    );
+}
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -1,7 +1,10 @@
 //! Encoding of datagrams between hosts.
 
-use trefoil_core::HostId;
-use trefoil_gateway::message::{Message, MessageError, Report, SyncStatus};
+use trefoil_core::{HostId, UnixMillis};
+use trefoil_directory::Incarnation;
+use trefoil_gateway::message::{
+    ChangeItem, Digest, Message, MessageError, Removal, Report, SyncStatus,
+};
 
 fn report(directory_age_ms: Option<u32>) -> Message {
     Message::Report(Report {
@@ -38,3 +41,47 @@
     let cut = Message::decode(&bytes[..bytes.len() - 1]);
     assert!(matches!(cut, Err(MessageError::Decode { .. })), "{cut:?}");
 }
+
+fn digest(sequence: Option<u64>) -> Digest {
+    let incarnation = Incarnation {
+        name: "u1".parse().expect("a name"),
+        started: UnixMillis(5),
+    };
+    Digest {
+        from: HostId::random(),
+        status: SyncStatus {
+            config_version: 3,
+            directory_digest: Some(7),
+            store_age_ms: None,
+            directory_age_ms: Some(250),
+        },
+        live: Vec::new(),
+        hosts: 2,
+        local: Vec::new(),
+        remote: Vec::new(),
+        times: Vec::new(),
+        terms: Vec::new(),
+        changes: vec![ChangeItem::Gone(Removal {
+            incarnation,
+            sequence,
+        })],
+    }
+}
+
+/// Guards against hosts that drop each other's removals during a rolling upgrade: earlier builds
+/// neither send nor expect the sequence number, which follows the age of the directory.
+#[test]
+fn the_sequence_of_a_removal_is_optional() {
+    let with = digest(Some(41));
+    let mut earlier = with.clone();
+    earlier.status.directory_age_ms = None;
+    let age_ms = postcard::to_allocvec(&250_u32).expect("encoded");
+    let earlier = Message::Digest(earlier).encode().expect("encoded");
+    let earlier = [earlier, age_ms].concat();
+    let bytes = Message::Digest(with.clone()).encode().expect("encoded");
+    assert!(bytes.starts_with(&earlier) && bytes.len() > earlier.len());
+    let mut without = with.clone();
+    without.changes = digest(None).changes;
+    assert_eq!(Message::decode(&bytes), Ok(Message::Digest(with)));
+    assert_eq!(Message::decode(&earlier), Ok(Message::Digest(without)));
+}
