Forget old changes of the directory on every host

Cause: a host keeps the changes of its directory so that its digests can repeat them for 0.9 s. Only the code that sends digests dropped old ones, so a host that is no relay kept every change since its start.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -3,7 +3,7 @@
 mod gauges;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt::{self, Debug};
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -20,6 +20,7 @@
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
+use crate::changes::RecentChanges;
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
@@ -103,8 +104,8 @@
     pub(crate) remote_loads: RefCell<Tally<(DomainName, u16)>>,
     /// Open requests in this host's last report.
     pub(crate) reported_open: RefCell<BTreeMap<Tag, u32>>,
-    /// Recent changes of the directory.
-    changes: RefCell<VecDeque<(Tick, ChangeItem)>>,
+    /// Recent changes of the directory, for digests.
+    pub(crate) changes: RefCell<RecentChanges>,
     /// The configuration in force, in the platform's encoding.
     pub(crate) raw_config: RefCell<Option<Bytes>>,
     /// Start of the configuration fetch in flight.
@@ -257,23 +258,13 @@
         known >= RELAYS && now.since(discovered) < FIRST_READ_DELAY
     }
 
-    /// Changes of the directory within the last `span`, oldest first.
-    pub(crate) fn recent_changes(&self, now: Tick, span: Duration) -> Vec<ChangeItem> {
+    /// Drops the changes of the directory that digests do not repeat any more. Hosts that send no
+    /// digests keep changes as well, because they may become relays.
+    pub(crate) fn expire_changes(&self, now: Tick) {
         let mut changes = self.changes.borrow_mut();
-        while changes.front().is_some_and(|(at, _)| now.since(*at) > span) {
-            changes.pop_front();
-        }
-        let recent = changes.iter().map(|(_, item)| item.clone()).collect();
-        drop(changes);
-        self.update_kept_changes();
-        recent
-    }
-
-    fn update_kept_changes(&self) {
-        let kept = self.changes.borrow().len();
-        self.metrics
-            .kept_changes
-            .set(i64::try_from(kept).unwrap_or(i64::MAX));
+        changes.expire(now);
+        let kept = i64::try_from(changes.len()).unwrap_or(i64::MAX);
+        self.metrics.kept_changes.set(kept);
     }
 
     /// Spawns a task on the host's thread. Dropping the handle cancels the task unless it is
@@ -399,10 +390,10 @@
             // The first directory of a process is no news. It can be hundreds of datagrams for
             // each host, which copies it if it has another one.
             if self.has_directory() {
-                self.changes.borrow_mut().push_back((now, item));
+                self.changes.borrow_mut().add(now, item);
             }
         }
-        self.update_kept_changes();
+        self.expire_changes(now);
         let count = self.directory.borrow().len();
         self.metrics
             .upstreams
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! The names and encodings of a platform are behind [`Platform`].
 
 pub mod cause;
+mod changes;
 pub mod config;
 pub mod coordinator;
 pub mod discovery;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -56,9 +56,6 @@
 /// Wait after a socket error.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Time for which digests repeat a change of the directory.
-const CHANGE_REPEAT: Duration = Duration::from_millis(900);
-
 /// Most changes of the directory in one digest.
 const CHANGES_MAX: usize = 6;
 
@@ -132,13 +129,14 @@
     if rare {
         host.peers.borrow_mut().expire(now);
     }
+    host.expire_changes(now);
     let position = host.peers.borrow().position(now);
     coordinator::record_own_terms(host, now);
     match position {
         0 => send_digest(host, now, count, slow, rare),
         // A change that only the second relay has read must reach the others as soon as one that
         // the first relay has read.
-        1 if slow || !host.recent_changes(now, CHANGE_REPEAT).is_empty() => {
+        1 if slow || !host.changes.borrow().is_empty() => {
             send_digest(host, now, count, slow, rare);
         }
         _ => {}
@@ -371,7 +369,7 @@
         changes: Vec::new(),
     };
     drop(peers);
-    let changes = host.recent_changes(now, CHANGE_REPEAT);
+    let changes: Vec<ChangeItem> = host.changes.borrow().iter().cloned().collect();
     let mut digests: Vec<Digest> = changes
         .chunks(CHANGES_MAX)
         .map(|chunk| Digest {
