Match answers of upstreams to calls by an id that is unique on its connection

Callers were told "not run, try again" for requests that an upstream had run or was running, such a request ran twice, and keys were granted to an upstream while another one still served them. An upstream that writes an earlier answer once more on a kept connection caused each of them:

- A refused request for a key is sent again to the owner of the key, usually on the connection that carried the refusal.
The refusal, written once more, has the id of the request and was taken for the answer to the second attempt, which was running.
- A request without an id took any answer for its own.
- An order took any answer for its own.
A release counted as confirmed because of an earlier 200 on its connection.

A connection now remembers the ids that were refused on it and carries no request with one of them; after 32 refusals it is not used any more. A request without an id gets a new connection. An order has an id, and its connections carry orders only. If the answer repeats the id, the connection is kept for the next order; otherwise every order gets a new connection, which is left to requests afterwards. Connections stay in use after a refusal of another request.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -10,12 +10,12 @@
 use trefoil_balance::{Outcome, RetryBudget};
 use trefoil_core::{ServiceName, Tick};
 use trefoil_directory::{Registration, Tag};
-use trefoil_http::h1::{ExchangeError, Match, Response, Sent, encode_request};
+use trefoil_http::h1::{ExchangeError, Response, Sent, encode_request};
 use trefoil_route::Idempotency;
 
 use super::{Attempt, FRESH_IDLE_MAX, Job, Progress};
 use crate::host::Host;
-use crate::pool::{self, UpstreamLink};
+use crate::pool::{self, CallId, Traffic, UpstreamLink};
 
 /// Counts one request as load of an upstream until it is dropped.
 struct LoadGuard<'a> {
@@ -58,7 +58,7 @@
     let now = host.now();
     let tag = Tag::of(&target.incarnation.name);
     let mut guard = LoadGuard::new(host, tag, now);
-    let (mut link, reused) = match open_link(host, job, target.address).await {
+    let mut link = match open_link(host, job, target.address).await {
         Ok(link) => link,
         Err(reason) => {
             guard.outcome = Outcome::Failed;
@@ -79,35 +79,31 @@
         count_request(host, &job.service, now);
     }
     let request = encode_attempt(host, job, target, now);
-    let id = job.id.clone();
     let header_names = host.platform.header_names();
-    let match_response = |head: &trefoil_http::h1::ResponseHead| {
-        let answered = head.headers.get(&header_names.request_id);
-        match (answered, &id) {
-            (Some(answered), Some(id)) if answered == id => Match::Own,
-            // A refusal may lack the id. On a new connection it can only belong to this request.
-            (None, _) if !reused => Match::Own,
-            (_, None) => Match::Own,
-            _ => Match::Other,
-        }
+    let id = CallId {
+        name: &header_names.request_id,
+        value: job.id.as_ref(),
     };
     let timeout = async {
         host.clock.sleep_until(job.deadline).await;
         None
     };
     let method = &job.request.head.method;
-    let exchange = async {
-        Some(
-            link.exchange(method, request, &host.answers, match_response)
-                .await,
-        )
-    };
+    let exchange = async { Some(link.exchange(method, request, id, &host.answers).await) };
     progress.arrivals += 1;
     if !progress.sent.contains(&tag) {
         progress.sent.push(tag);
     }
     let result = exchange.or(timeout).await;
-    let attempt = classify_result(host, target.address, link, result, &mut guard, progress);
+    let attempt = classify_result(
+        host,
+        job,
+        target.address,
+        link,
+        result,
+        &mut guard,
+        progress,
+    );
     if let Attempt::Refused(reply) = &attempt {
         let responder = reply.head.headers.get(&header_names.responder);
         let name = target.incarnation.name.as_str().as_bytes();
@@ -120,8 +116,9 @@
 
 fn classify_result(
     host: &Host,
+    job: &Job,
     address: SocketAddr,
-    link: UpstreamLink,
+    mut link: UpstreamLink,
     result: Option<Result<Response, ExchangeError>>,
     guard: &mut LoadGuard<'_>,
     progress: &mut Progress,
@@ -150,7 +147,11 @@
                 guard.outcome = Outcome::Failed;
                 return Attempt::Unknown("the answer has no seal or is encoded".to_owned());
             }
-            host.pool.borrow_mut().put(now, address, link);
+            if refused {
+                link.record_refusal(job.id.as_ref());
+            }
+            let from = (address, Traffic::Requests);
+            host.pool.borrow_mut().put(now, from, link);
             if refused {
                 guard.outcome = Outcome::Refused;
                 Attempt::Refused(reply)
@@ -162,27 +163,25 @@
     }
 }
 
-/// Takes or opens a connection. Returns whether it has carried a request before.
-async fn open_link(
-    host: &Host,
-    job: &Job,
-    address: SocketAddr,
-) -> Result<(UpstreamLink, bool), String> {
+/// Takes or opens a connection on which no earlier answer can be taken for that to the request.
+async fn open_link(host: &Host, job: &Job, address: SocketAddr) -> Result<UpstreamLink, String> {
     let idle = match job.route.idempotency {
         Idempotency::Idempotent => Duration::MAX,
         Idempotency::AtMostOnce => FRESH_IDLE_MAX,
     };
-    let pooled = host.pool.borrow_mut().take(host.now(), address, idle);
+    let started = host.now();
+    let to = (address, Traffic::Requests);
+    let pooled = host
+        .pool
+        .borrow_mut()
+        .take(started, to, idle, job.id.as_ref());
     if let Some(link) = pooled {
-        return Ok((link, true));
+        return Ok(link);
     }
-    let started = host.now();
     let opened = pool::connect(&*host.clock, address).await;
     host.metrics
         .record_hop("connect", host.now().since(started));
-    opened
-        .map(|link| (link, false))
-        .map_err(|e| format!("cannot connect to {address}: {e}"))
+    opened.map_err(|e| format!("cannot connect to {address}: {e}"))
 }
 
 fn count_request(host: &Host, service: &ServiceName, now: Tick) {
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -1,15 +1,21 @@
 //! Sending ownership orders to upstreams.
+//!
+//! An earlier answer that is taken for that to an order would confirm a release that has not
+//! happened, or a refusal of a grant that was applied. Each order therefore has an id. An upstream
+//! that leaves it out of its answers gets every order on a new connection.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 use http::header::{HeaderMap, HeaderValue};
-use trefoil_http::h1::{BodyLimit, ClientConnection, Match, Sent, encode_request};
+use trefoil_http::h1::{BodyLimit, Sent, encode_request};
 use trefoil_ranges::{Order, OrderKind, OrderOutcome};
 
 use crate::forward::{ANSWER_MAX, FRESH_IDLE_MAX};
 use crate::host::Host;
-use crate::pool;
+use crate::pool::{self, CallId, Traffic, UpstreamLink};
 
 /// Longest time between the decision and the transmission of an order. The ownership protocol
 /// counts a grant from its decision, with a margin for the transmission.
@@ -41,17 +47,12 @@
     if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
         headers.insert(http::header::HOST, value);
     }
+    let id = host.pool.borrow_mut().next_order_id();
+    let id_name = &host.platform.header_names().request_id;
+    headers.extend(id.clone().map(|id| (id_name.clone(), id)));
     let bytes = encode_request(&call.method, &call.target, &headers, &call.body);
-    let pooled = host
-        .pool
-        .borrow_mut()
-        .take(host.now(), address, FRESH_IDLE_MAX);
-    let mut link: ClientConnection<_> = match pooled {
-        Some(link) => link,
-        None => match pool::connect(&*host.clock, address).await {
-            Ok(link) => link,
-            Err(_) => return OrderOutcome::NotApplied,
-        },
+    let Ok(mut link) = open_link(host, address, id.as_ref()).await else {
+        return OrderOutcome::NotApplied;
     };
     if host.now().since(decided_at) > ORDER_AGE_MAX {
         return OrderOutcome::NotApplied;
@@ -60,19 +61,46 @@
         host.clock.sleep(span).await;
         None
     };
-    let own = |_: &trefoil_http::h1::ResponseHead| Match::Own;
+    let call_id = CallId {
+        name: id_name,
+        value: id.as_ref(),
+    };
+    let limit = BodyLimit::new(ANSWER_MAX);
     let exchange = async {
-        Some(
-            link.exchange(&call.method, bytes, &BodyLimit::new(ANSWER_MAX), own)
-                .await,
-        )
+        let exchanged = link.exchange(&call.method, bytes, call_id, &limit);
+        Some(exchanged.await)
     };
     match exchange.or(timeout).await {
         Some(Ok(reply)) => {
-            host.pool.borrow_mut().put(host.now(), address, link);
+            let repeats_id = id.is_some() && reply.head.headers.get(id_name) == id.as_ref();
+            let traffic = if repeats_id {
+                Traffic::Orders
+            } else {
+                Traffic::Requests
+            };
+            let now = host.now();
+            host.pool.borrow_mut().put(now, (address, traffic), link);
             host.platform.decode_order_answer(order, &reply.head)
         }
         Some(Err(error)) if error.sent == Sent::Nothing => OrderOutcome::NotApplied,
         _ => OrderOutcome::NoAnswer,
     }
 }
+
+/// Takes or opens a connection on which no earlier answer can be taken for that to the order.
+async fn open_link(
+    host: &Host,
+    address: SocketAddr,
+    id: Option<&HeaderValue>,
+) -> io::Result<UpstreamLink> {
+    let started = host.now();
+    let to = (address, Traffic::Orders);
+    let pooled = host.pool.borrow_mut().take(started, to, FRESH_IDLE_MAX, id);
+    if let Some(link) = pooled {
+        return Ok(link);
+    }
+    let opened = pool::connect(&*host.clock, address).await;
+    let span = host.now().since(started);
+    host.metrics.record_hop("order_connect", span);
+    opened
+}
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,17 +1,23 @@
 //! Connections to upstreams.
+//!
+//! An upstream in trouble may send an earlier answer once more when the next one is due. An answer
+//! is therefore matched to its call by the id of the call, which has to be unique on its
+//! connection.
 
 use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_lite::FutureExt;
+use http::Method;
+use http::header::{HeaderName, HeaderValue};
+use smallvec::SmallVec;
 use smol::Async;
 use trefoil_core::{Clock, Tick};
-use trefoil_http::h1::ClientConnection;
-
-/// A connection to an upstream.
-pub type UpstreamLink = ClientConnection<Async<TcpStream>>;
+use trefoil_http::h1::{BodyLimit, ClientConnection, ExchangeError, Match, Response, ResponseHead};
 
 /// Longest time to open a connection. If the first packet is lost, it is retransmitted only after a
 /// second; a new attempt is faster.
@@ -27,6 +33,96 @@
 /// Most idle connections for each upstream.
 const IDLE_LINKS_MAX: usize = 8;
 
+/// Refusals on a connection after which it is no longer used, which bounds the memory for their
+/// ids.
+const REFUSALS_MAX: usize = 32;
+
+/// Calls that a connection carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Traffic {
+    /// Requests of callers.
+    Requests,
+    /// Ownership orders, whose answers the upstream gives the id of the order.
+    Orders,
+}
+
+/// Id of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct CallId<'a> {
+    /// Header field of the id.
+    pub name: &'a HeaderName,
+    /// The id, if the call has one.
+    pub value: Option<&'a HeaderValue>,
+}
+
+/// A connection to an upstream.
+#[derive(Debug)]
+pub struct UpstreamLink {
+    connection: ClientConnection<Async<TcpStream>>,
+    /// The connection has carried a call.
+    used: bool,
+    /// Hashes of the ids of the calls that were refused on this connection.
+    refused: SmallVec<[u64; 4]>,
+}
+
+impl UpstreamLink {
+    fn new(stream: Async<TcpStream>) -> Self {
+        Self {
+            connection: ClientConnection::new(stream),
+            used: false,
+            refused: SmallVec::new(),
+        }
+    }
+
+    /// Sends an encoded call and reads the whole answer to it. Answers to other calls are skipped.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`ClientConnection::exchange`] does.
+    pub async fn exchange(
+        &mut self,
+        method: &Method,
+        call: Bytes,
+        id: CallId<'_>,
+        limit: &BodyLimit,
+    ) -> Result<Response, ExchangeError> {
+        let reused = std::mem::replace(&mut self.used, true);
+        let classify = |head: &ResponseHead| match (head.headers.get(id.name), id.value) {
+            (Some(answered), Some(id)) if answered == id => Match::Own,
+            // On a new connection, an answer without an id can only belong to this call.
+            (None, _) | (_, None) if !reused => Match::Own,
+            _ => Match::Other,
+        };
+        self.connection
+            .exchange(method, call, limit, classify)
+            .await
+    }
+
+    /// Records that a call with this id was refused. A retry of it needs another connection, on
+    /// which the refusal cannot arrive once more.
+    pub fn record_refusal(&mut self, id: Option<&HeaderValue>) {
+        self.refused.extend(id.map(hash));
+    }
+
+    /// Returns true if no answer to an earlier call can be taken for that to a call with this id.
+    fn may_carry(&self, id: Option<&HeaderValue>) -> bool {
+        match id {
+            Some(id) => !self.refused.contains(&hash(id)),
+            None => !self.used,
+        }
+    }
+
+    fn is_reusable(&mut self) -> bool {
+        self.refused.len() < REFUSALS_MAX && self.connection.is_reusable()
+    }
+}
+
+fn hash(id: &HeaderValue) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 #[derive(Debug)]
 struct IdleLink {
     link: UpstreamLink,
@@ -36,26 +132,47 @@
 /// Idle connections to upstreams.
 #[derive(Debug, Default)]
 pub struct Pool {
-    kept: HashMap<SocketAddr, Vec<IdleLink>>,
+    kept: HashMap<(SocketAddr, Traffic), Vec<IdleLink>>,
+    orders: u64,
 }
 
 impl Pool {
-    /// Takes a connection that has been idle for less than `idle`.
-    pub fn take(&mut self, now: Tick, address: SocketAddr, idle: Duration) -> Option<UpstreamLink> {
-        let kept = self.kept.get_mut(&address)?;
+    /// Takes a connection that has been idle for less than `idle` and may carry a call with the id
+    /// `id`.
+    pub fn take(
+        &mut self,
+        now: Tick,
+        (address, traffic): (SocketAddr, Traffic),
+        idle: Duration,
+        id: Option<&HeaderValue>,
+    ) -> Option<UpstreamLink> {
+        let kept = self.kept.get_mut(&(address, traffic))?;
+        let mut unsuitable = SmallVec::<[IdleLink; 2]>::new();
+        let mut found = None;
         while let Some(mut newest) = kept.pop() {
-            if now.since(newest.since) < max_idle(&newest.link).min(idle)
-                && newest.link.is_reusable()
-            {
-                return Some(newest.link);
+            let usable = now.since(newest.since) < max_idle(&newest.link).min(idle)
+                && newest.link.is_reusable();
+            match () {
+                () if !usable => {}
+                () if newest.link.may_carry(id) => {
+                    found = Some(newest.link);
+                    break;
+                }
+                () => unsuitable.push(newest),
             }
         }
-        None
+        kept.extend(unsuitable.into_iter().rev());
+        found
     }
 
-    /// Keeps a connection for the next request if it can carry one.
-    pub fn put(&mut self, now: Tick, address: SocketAddr, mut link: UpstreamLink) {
-        let kept = self.kept.entry(address).or_default();
+    /// Keeps a connection for the next call if it can carry one.
+    pub fn put(
+        &mut self,
+        now: Tick,
+        (address, traffic): (SocketAddr, Traffic),
+        mut link: UpstreamLink,
+    ) {
+        let kept = self.kept.entry((address, traffic)).or_default();
         if kept.len() < IDLE_LINKS_MAX && link.is_reusable() {
             kept.push(IdleLink { link, since: now });
         }
@@ -63,7 +180,7 @@
 
     /// Closes the idle connections to an address.
     pub fn close(&mut self, address: SocketAddr) {
-        self.kept.remove(&address);
+        self.kept.retain(|(other, _), _| *other != address);
     }
 
     /// Closes the connections that have been idle for too long.
@@ -73,10 +190,17 @@
         }
         self.kept.retain(|_, kept| !kept.is_empty());
     }
+
+    /// An id for an order that no other order of this process has.
+    pub fn next_order_id(&mut self) -> Option<HeaderValue> {
+        self.orders += 1;
+        HeaderValue::from_str(&format!("order-{}", self.orders)).ok()
+    }
 }
 
 fn max_idle(link: &UpstreamLink) -> Duration {
     let stated = link
+        .connection
         .keep_alive_timeout()
         .map(|l| l.saturating_sub(IDLE_MARGIN));
     stated.map_or(IDLE_MAX, |l| l.min(IDLE_MAX))
@@ -95,5 +219,5 @@
     let stream = Async::<TcpStream>::connect(address).or(timeout).await?;
     // A request is sent in one write; Nagle's algorithm would only delay it.
     stream.get_ref().set_nodelay(true)?;
-    Ok(ClientConnection::new(stream))
+    Ok(UpstreamLink::new(stream))
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,4 +15,4 @@
 pub use control_plane::{ControlPlane, test_config};
 pub use faults::{FaultControl, FaultyStore, StoreFault};
 pub use store::StoreServer;
-pub use upstream::{ResponseMode, Run, RunRecorder, Upstream, UpstreamSpec};
+pub use upstream::{LATE_RELEASE, ResponseMode, Run, RunRecorder, Upstream, UpstreamSpec};
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -38,6 +38,9 @@
     pub sharded: bool,
 }
 
+/// Time by which [`ResponseMode::RepeatOrderAnswer`] delays a release.
+pub const LATE_RELEASE: Duration = Duration::from_millis(1_500);
+
 /// A way to respond to requests, most of them faulty.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -64,6 +67,14 @@
     EndlessField,
     /// Runs the request and sends a body until the caller closes the connection.
     EndlessBody,
+    /// Refuses the first request of each connection, and sends the refusal once more at the start
+    /// of every later one, which runs.
+    RepeatRefusal,
+    /// Sends the answer to the previous order of the connection once more when a release arrives,
+    /// and carries out the release [`LATE_RELEASE`] later.
+    RepeatOrderAnswer,
+    /// Answers orders without the id of the call.
+    AnonymousOrders,
 }
 
 #[derive(Debug, Default)]
--- a/crates/standin/src/upstream/connection.rs
+++ b/crates/standin/src/upstream/connection.rs
@@ -12,7 +12,7 @@
 use smol::Async;
 use trefoil_http::h1::{Decoded, Decoder, Framing, RequestHead, parse_request};
 
-use super::{ResponseMode, Upstream};
+use super::{LATE_RELEASE, ResponseMode, Upstream};
 
 /// Size limit of a request head in bytes.
 const HEAD_MAX: usize = 64 * 1024;
@@ -36,6 +36,8 @@
 enum Reply {
     /// Send the bytes and read the next request.
     Answer(String),
+    /// Send the bytes, a refusal, and read the next request.
+    Refuse(String),
     /// Send the bytes and close the connection.
     Close(String),
     /// Send the bytes and then the second ones again and again, until the peer closes.
@@ -50,6 +52,8 @@
     upstream: Arc<Upstream>,
     stream: Async<TcpStream>,
     input: BytesMut,
+    /// Answer that some response modes send once more.
+    earlier: Option<String>,
 }
 
 impl Connection {
@@ -58,6 +62,7 @@
             upstream,
             stream,
             input: BytesMut::new(),
+            earlier: None,
         }
     }
 
@@ -65,8 +70,29 @@
     pub(super) async fn run(mut self) -> io::Result<()> {
         self.stream.get_ref().set_nodelay(true)?;
         while let Some((head, body)) = self.read_request().await? {
+            let mode = self.upstream.lock().response_mode;
+            let is_order = matches!(head.path(), "/grant" | "/release");
+            let (records, repeats) = match mode {
+                ResponseMode::RepeatRefusal => (!is_order, !is_order),
+                ResponseMode::RepeatOrderAnswer => (is_order, head.path() == "/release"),
+                _ => (false, false),
+            };
+            if let Some(earlier) = self.earlier.as_ref().filter(|_| repeats) {
+                self.stream.write_all(earlier.as_bytes()).await?;
+            }
             match self.handle(&head, &body).await {
-                Reply::Answer(text) => self.stream.write_all(text.as_bytes()).await?,
+                Reply::Answer(text) => {
+                    self.stream.write_all(text.as_bytes()).await?;
+                    if is_order && records {
+                        self.earlier = Some(text);
+                    }
+                }
+                Reply::Refuse(text) => {
+                    self.stream.write_all(text.as_bytes()).await?;
+                    if records {
+                        self.earlier = Some(text);
+                    }
+                }
                 Reply::Close(text) => {
                     self.stream.write_all(text.as_bytes()).await?;
                     return Ok(());
@@ -125,22 +151,20 @@
         let name = self.upstream.name();
         let target = header_text(head, "x-target-instance");
         if target.is_some_and(|target| target != name) {
-            return Reply::Answer(refuse(421, name, header_text(head, "x-request-id")));
+            return Reply::Refuse(refuse(421, name, header_text(head, "x-request-id")));
         }
         match head.path() {
-            "/grant" => self.grant(body),
-            "/release" => self.release(body).await,
+            "/grant" => self.grant(head, body),
+            "/release" => self.release(head, body).await,
             _ => self.execute(head, body).await,
         }
     }
 
     /// Applies a grant; refuses one with an outdated fencing token.
-    fn grant(&self, body: &Bytes) -> Reply {
+    fn grant(&self, head: &RequestHead, body: &Bytes) -> Reply {
+        let headers = self.order_headers(head);
         let Ok(order) = serde_json::from_slice::<Order>(body) else {
-            return Reply::Answer(empty_response(
-                400,
-                instance_header(self.upstream.name()).as_str(),
-            ));
+            return Reply::Answer(empty_response(400, &headers));
         };
         let range = (order.from, order.target);
         let ttl = Duration::from_millis(order.hold_ms);
@@ -154,17 +178,18 @@
                 .check_grant(&self.upstream, range, order.fence);
         }
         let status = if accepted { 200 } else { 409 };
-        Reply::Answer(empty_response(
-            status,
-            &instance_header(self.upstream.name()),
-        ))
+        Reply::Answer(empty_response(status, &headers))
     }
 
     /// Releases a range and confirms it once all running requests have ended.
-    async fn release(&self, body: &Bytes) -> Reply {
+    async fn release(&self, head: &RequestHead, body: &Bytes) -> Reply {
+        let headers = self.order_headers(head);
         let Ok(order) = serde_json::from_slice::<Order>(body) else {
-            return Reply::Answer(empty_response(400, ""));
+            return Reply::Answer(empty_response(400, &headers));
         };
+        if self.upstream.lock().response_mode == ResponseMode::RepeatOrderAnswer {
+            smol::Timer::after(LATE_RELEASE).await;
+        }
         let range = (order.from, order.target);
         self.upstream.lock().grants.release(range, order.fence);
         // Requests are not tracked per key, so this waits for all of them, which includes those
@@ -173,10 +198,16 @@
             smol::Timer::after(RELEASE_POLL).await;
         }
         let proof = format!("X-Handover: {:016x}\r\n", order.fence);
-        Reply::Answer(empty_response(
-            200,
-            &(proof + &instance_header(self.upstream.name())),
-        ))
+        Reply::Answer(empty_response(200, &(proof + &headers)))
+    }
+
+    /// Encodes the headers of every answer to an order.
+    fn order_headers(&self, head: &RequestHead) -> String {
+        let mode = self.upstream.lock().response_mode;
+        let id = header_text(head, "x-request-id");
+        let id = id.filter(|_| mode != ResponseMode::AnonymousOrders);
+        let id = id.map(|id| format!("X-Request-Id: {id}\r\n"));
+        id.unwrap_or_default() + &instance_header(self.upstream.name())
     }
 
     /// Runs a request unless the keys, the slots or the response mode require a refusal.
@@ -188,10 +219,15 @@
             let mut state = upstream.lock();
             let holds = key.is_none_or(|key| state.grants.is_held(Instant::now(), key));
             if upstream.spec.sharded && !(key.is_some() && holds) {
-                return Reply::Answer(refuse(421, upstream.name(), id));
+                return Reply::Refuse(refuse(421, upstream.name(), id));
             }
-            if state.response_mode == ResponseMode::Refuse || state.active >= upstream.spec.slots {
-                return Reply::Answer(refuse(503, upstream.name(), id));
+            let refuses = match state.response_mode {
+                ResponseMode::Refuse => true,
+                ResponseMode::RepeatRefusal => self.earlier.is_none(),
+                _ => state.active >= upstream.spec.slots,
+            };
+            if refuses {
+                return Reply::Refuse(refuse(503, upstream.name(), id));
             }
             state.active += 1;
             state.response_mode
@@ -260,9 +296,12 @@
     let signed = format!("{headers}X-Response-Seal: sealed-{id}\r\n");
     let body = format!("{name} ran {id}");
     match mode {
-        ResponseMode::Normal | ResponseMode::Refuse | ResponseMode::Hang => {
-            Reply::Answer(format_response(200, &signed, &body))
-        }
+        ResponseMode::Normal
+        | ResponseMode::Refuse
+        | ResponseMode::Hang
+        | ResponseMode::RepeatRefusal
+        | ResponseMode::RepeatOrderAnswer
+        | ResponseMode::AnonymousOrders => Reply::Answer(format_response(200, &signed, &body)),
         ResponseMode::EndlessHeads => {
             Reply::Endless(String::new(), "HTTP/1.1 100 Continue\r\n\r\n")
         }
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod output;
 mod promises;
+mod repeats;
 mod soak;
 mod telemetry;
 
