--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -182,7 +182,11 @@
         let Some(load) = self.loads.get(&tag) else {
             return time;
         };
-        let queued = f64::from((load.open(now) + 1).saturating_sub(load.slots().0));
+        let queued = f64::from(
+            load.open(now)
+                .saturating_add(1)
+                .saturating_sub(load.slots().0),
+        );
         time.mul_f64(1.0 + queued / f64::from(load.slots().0))
     }
 
@@ -219,7 +223,7 @@
         let open = load.open(now);
         let free = open < slots;
         let late = self.predict_latency(now, tag) > need.max_latency;
-        if open < slots * OPEN_MAX && (free || !late) {
+        if open < slots.saturating_mul(OPEN_MAX) && (free || !late) {
             return Ok(());
         }
         // Slots become free at a rate of one per service time divided by the number of slots.
@@ -290,7 +294,7 @@
                 .get(&tag)
                 .and_then(|s| self.services.get_mut(s))
         {
-            let queued = f64::from((open + 1).saturating_sub(load.slots().0));
+            let queued = f64::from(open.saturating_add(1).saturating_sub(load.slots().0));
             let share = 1.0 + queued / f64::from(load.slots().0.max(1));
             service.time.observe(now, took.div_f64(share));
         }
--- a/crates/balance/src/load.rs
+++ b/crates/balance/src/load.rs
@@ -108,7 +108,11 @@
 
     /// Requests that all hosts have open.
     pub fn open(&self, now: Tick) -> u32 {
-        self.own + self.local.open_at(now) + self.remote.open_at(now)
+        let others = self
+            .local
+            .open_at(now)
+            .saturating_add(self.remote.open_at(now));
+        self.own.saturating_add(others)
     }
 
     /// Returns whether the upstream is warming up.
@@ -168,7 +172,7 @@
         let failed = match outcome {
             Outcome::Abandoned => return,
             Outcome::Answered => {
-                let queued = f64::from((open + 1).saturating_sub(self.slots.0));
+                let queued = f64::from(open.saturating_add(1).saturating_sub(self.slots.0));
                 let share = 1.0 + queued / f64::from(self.slots.0.max(1));
                 self.time.observe(now, took.div_f64(share));
                 0.0
--- a/crates/balance/src/tally.rs
+++ b/crates/balance/src/tally.rs
@@ -67,7 +67,8 @@
     pub fn open(&self) -> BTreeMap<Tag, u32> {
         let mut sums = BTreeMap::new();
         for (tag, open) in self.sources.values().flat_map(|s| &s.open) {
-            *sums.entry(*tag).or_default() += open;
+            let sum: &mut u32 = sums.entry(*tag).or_default();
+            *sum = sum.saturating_add(*open);
         }
         sums
     }
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -44,10 +44,11 @@
 pub struct Tick(pub Duration);
 
 impl Tick {
-    /// Returns the tick `span` later.
+    /// Returns the tick `span` later, or the last tick if `span` reaches beyond it. Spans from
+    /// registrations and configurations can be of any length.
     #[must_use]
     pub fn after(self, span: Duration) -> Self {
-        Self(self.0 + span)
+        Self(self.0.saturating_add(span))
     }
 
     /// Returns the time from `earlier` to this tick, or zero if `earlier` is later.
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -5,6 +5,7 @@
 mod decoding;
 mod endless;
 mod leaving;
+mod odd_entries;
 mod output;
 mod promises;
 mod repeats;
