--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod leaving;
 mod odd_entries;
+mod odd_pages;
 mod output;
 mod promises;
 mod repeats;
