--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -5,6 +5,7 @@
 mod decoding;
 mod endless;
 mod leaving;
+mod odd_config;
 mod odd_entries;
 mod odd_pages;
 mod output;
