Refuse reversed key ranges of other hosts, and handle ranges in any order

A datagram with routes, or a table, could hold a range whose first key is above its last one: the decoder did not check it, and the number of keys of such a range overflows. Routes with two ranges that begin at key 0 overflowed as well when they were listed. No host sends either, so callers saw nothing.

Decoding a reversed range fails now, which drops the datagram or the table.

On the code before, gateway::message::ranges_of_any_kind_are_handled said "a reversed range: KeyRange { first: Key(6), last: Key(3) }", and with the check of the decoder alone "attempt to subtract with overflow" for the ranges [(0, 0, false), (0, 0, true)]. It passes now. any_bytes_are_handled (2,000 cases of datagrams and tables with any bytes) passed before as well.

--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -54,11 +54,27 @@
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize,
 )]
 #[display("{first}-{last}")]
+#[serde(try_from = "Bounds")]
 pub struct KeyRange {
     first: Key,
     last: Key,
 }
 
+/// First and last key of a range as decoded, in any order.
+#[derive(Deserialize)]
+struct Bounds {
+    first: Key,
+    last: Key,
+}
+
+impl TryFrom<Bounds> for KeyRange {
+    type Error = RangeError;
+
+    fn try_from(bounds: Bounds) -> Result<Self, RangeError> {
+        Self::new(bounds.first, bounds.last)
+    }
+}
+
 impl KeyRange {
     /// All keys.
     pub const ALL: Self = Self {
--- a/crates/gateway/src/tables.rs
+++ b/crates/gateway/src/tables.rs
@@ -49,7 +49,9 @@
 
     /// The ranges with their owners, in the order of the keys.
     pub fn iter(&self) -> impl Iterator<Item = (KeyRange, Option<&UpstreamName>)> {
-        let lasts = self.ranges.iter().skip(1).map(|(first, _)| first.0 - 1);
+        // Routes of another host may be in any order.
+        let lasts = self.ranges.iter().skip(1);
+        let lasts = lasts.map(|(first, _)| first.0.saturating_sub(1));
         let lasts = lasts.chain([u16::MAX]);
         let ranges = self.ranges.iter().zip(lasts);
         ranges.filter_map(|((first, owner), last)| {
