Test answers of upstreams that are cut off at every byte

A report from another deployment: an upstream stopped in the middle of its answer's head and closed, and callers got an empty success. It cannot happen here. A head is complete only with its empty line, which no prefix of a head contains; the framing is decided from the complete head; a close before the end of a body with a length or in chunks, trailer included, is a failure; and a body without a length ends with a close but not with a reset. A caller's answer is sent only after the upstream's is whole.

They cut eight answers (interim heads, a length, no body, chunks with a trailer, 204, HEAD, no length) at every byte, with a close and with a reset; send heads that can be read in two ways; and run a host in front of an upstream that closes within the head, which gets 502 for a request that must not run twice, and another attempt otherwise.

--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -51,6 +51,9 @@
     Reset,
     /// Runs the request and closes the connection in the middle of the answer's body.
     Truncate,
+    /// Runs the request and closes the connection in the middle of the answer's head, before its
+    /// length.
+    TruncateHead,
     /// Runs the request and sends the answer twice.
     Duplicate,
     /// Refuses the request and states that it did not run.
--- a/crates/standin/src/upstream/connection.rs
+++ b/crates/standin/src/upstream/connection.rs
@@ -316,6 +316,9 @@
             let whole = format_response(200, &signed, &body);
             Reply::Close(whole[..whole.len() - body.len() / 2].to_owned())
         }
+        ResponseMode::TruncateHead => {
+            Reply::Close(format!("HTTP/1.1 200 OK\r\n{signed}Content-Len"))
+        }
         ResponseMode::Duplicate => {
             let one = format_response(200, &signed, &body);
             Reply::Answer([one.as_str(), &one].concat())
--- a/tests/all/h1/client.rs
+++ b/tests/all/h1/client.rs
@@ -332,3 +332,107 @@
         assert!(!client.is_reusable(), "{start:?} {piece:?}");
     }
 }
+
+/// Answers of each framing, with the number of bytes of their head if the rest has no stated
+/// length.
+fn complete_answers() -> Vec<(Method, String, Option<usize>)> {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: x\r\n\r\n";
+    let fields = "id: 1\r\nx-seal: s\r\n";
+    let length = format!("HTTP/1.1 200 OK\r\n{fields}content-length: 12\r\n\r\nall the body");
+    let empty = format!("HTTP/1.1 200 OK\r\n{fields}content-length: 0\r\n\r\n");
+    let chunks = format!(
+        "HTTP/1.1 200 OK\r\n{fields}transfer-encoding: chunked\r\n\r\n\
+         c;x=1\r\nall the body\r\n1\r\n!\r\n0\r\nx-trailer: t\r\n\r\n"
+    );
+    let none = format!("HTTP/1.1 204 None\r\n{fields}\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}\r\n");
+    let unlimited = format!("{head}all the body");
+    let get = Method::GET;
+    vec![
+        (get.clone(), length.clone(), None),
+        (get.clone(), [interim, &length].concat(), None),
+        (get.clone(), empty, None),
+        (get.clone(), chunks, None),
+        (get.clone(), none, None),
+        (Method::HEAD, length[..length.len() - 12].to_owned(), None),
+        (get.clone(), unlimited, Some(head.len())),
+        (get, head.clone(), Some(head.len())),
+    ]
+}
+
+/// Guards against an answer that is taken for a whole one although the upstream closed or reset the
+/// connection before its end, at any byte.
+#[test]
+fn an_answer_that_is_cut_off_anywhere_is_a_failure() {
+    for (method, answer, head) in complete_answers() {
+        for cut in 0..=answer.len() {
+            for reset in [false, true] {
+                let (mut client, peer) = open();
+                let limit = BodyLimit::new(MAX);
+                let executor = LocalExecutor::new();
+                let call = client.exchange(&method, encode(&method, ""), &limit, classify);
+                let mut task = executor.spawn(call);
+                run_until_idle(&executor);
+                peer.send(&answer[..cut]);
+                run_until_idle(&executor);
+                if reset {
+                    peer.reset();
+                } else {
+                    peer.close();
+                }
+                run_until_idle(&executor);
+                let result = future::block_on(future::poll_once(&mut task));
+                let result = result.expect("an end");
+                // Without a length, a close ends the answer and a reset cuts it off.
+                let whole = match head {
+                    Some(head) => cut >= head && !reset,
+                    None => cut == answer.len(),
+                };
+                let place = format!("{:?}, reset: {reset}", &answer[..cut]);
+                assert_eq!(result.is_ok(), whole, "{place}");
+                drop(task);
+                drop(executor);
+                assert!(!client.is_reusable(), "{place}");
+            }
+        }
+    }
+}
+
+/// Guards against an answer whose head can be read in two ways, and which could hide that its
+/// length is missing.
+#[test]
+fn a_head_with_two_readings_is_a_failure() {
+    let heads = [
+        "content-length: 3\r\ncontent-length: 30\r\n",
+        "content-length: 3, 3\r\n",
+        "content-length: +3\r\n",
+        "content-length: 3 3\r\n",
+        "content-length:\r\n",
+        "content-length: 3\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked\r\ntransfer-encoding: chunked\r\n",
+        "content-length\r\n",
+        "content-length : 3\r\n",
+        " content-length: 3\r\n",
+        "x: y\r\n content-length: 3\r\n",
+        "x: a\0b\r\ncontent-length: 3\r\n",
+        "x: a\rb\r\ncontent-length: 3\r\n",
+        "\0content-length: 3\r\n",
+    ];
+    for fields in heads {
+        let (mut client, peer) = open();
+        let result = exchange(&mut client, &Method::GET, "", || {
+            peer.send(format!("HTTP/1.1 200 OK\r\n{fields}\r\nabc"));
+            peer.close();
+        });
+        assert_eq!(failure(result).1, Sent::Something, "{fields:?}");
+    }
+    // Bare line feeds end lines, and a repeated length is one length.
+    for fields in [
+        "content-length: 3\n",
+        "content-length: 3\r\ncontent-length: 3\r\n",
+    ] {
+        let (mut client, peer) = open();
+        let answer = format!("HTTP/1.1 200 OK\r\n{fields}\r\nabc");
+        assert_eq!(body(get(&mut client, &peer, &answer)), "abc");
+    }
+}
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -51,6 +51,7 @@
         (ResponseMode::Normal, 200),
         (ResponseMode::Reset, 502),
         (ResponseMode::Truncate, 502),
+        (ResponseMode::TruncateHead, 502),
         (ResponseMode::Unsigned, 502),
         (ResponseMode::Fail, 500),
         (ResponseMode::Hang, 504),
@@ -104,6 +105,23 @@
     assert!(runs["last"] <= 2);
 }
 
+/// Guards against an empty success that is made of an answer whose head is cut off, in front of a
+/// caller or instead of another attempt.
+#[test]
+fn an_answer_with_a_cut_off_head_is_no_success() {
+    let fleet = plain_fleet();
+    let cutting = ResponseMode::TruncateHead;
+    fleet.upstream("p1").set_response_mode(cutting);
+    for number in 0..10 {
+        let id = format!("c{number}");
+        let answer = fleet.hosts[0].get(&id, "/read/x", "").expect("an answer");
+        assert_eq!((answer.status, answer.body), (200, format!("p2 ran {id}")));
+    }
+    set_all(&fleet, cutting);
+    let answer = fleet.hosts[0].get("last", "/read/x", "");
+    assert_eq!(answer.map(|a| a.status), Some(502));
+}
+
 /// Guards against a request that is sent to the owner of its key until the retry budget is used up,
 /// because the owner loses every answer.
 #[test]
