--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -5,8 +5,12 @@
 mod decoding;
 mod endless;
 mod leaving;
+mod odd_config;
+mod odd_entries;
+mod odd_pages;
 mod output;
 mod promises;
+mod repeats;
 mod soak;
 mod telemetry;
 
