Count answers against the memory until their callers have read them

Callers saw: connections that broke off because the host had used more memory than it may and was ended.

Cause: a body counted against the common limit only while it was being received. After that it waited for its caller for up to ten seconds, and a copy of it behind the head was made for the connection, without a limit on either.

The memory of a body is now taken from a share of the process's memory and returned when the last reference to it is dropped. Buffers grow by what is known to follow, not by doubling, and bodies above 8 KiB are written from where they are. A request is refused (503, "no memory") before it is sent if there is no room for an answer. The memory of the process is a new setting, `memory-mb`; there are gauges and a log line for each kind.

--- a/crates/config/src/serve.rs
+++ b/crates/config/src/serve.rs
@@ -39,6 +39,10 @@
     /// Address of the platform's store.
     #[garde(skip)]
     pub store: SocketAddr,
+    /// Memory that the process may use, in MB. Default: that of the smallest hosts.
+    #[serde(default)]
+    #[garde(range(min = 1.0, max = 1e9))]
+    pub memory_mb: Option<f64>,
     /// Time and retry limits of the deployment.
     #[garde(dive)]
     pub bounds: BoundSettings,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use trefoil_core::{DomainName, HostName};
+use trefoil_core::{Bytes, DomainName, HostName};
 
 /// Bounds of the deployment.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -112,6 +112,22 @@
     }
 }
 
+/// Limits of the process, which the platform enforces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory. A process that uses more is ended.
+    pub memory: Bytes,
+}
+
+impl Default for ProcessLimits {
+    /// Limits of the smallest hosts.
+    fn default() -> Self {
+        Self {
+            memory: Bytes(160_000_000),
+        }
+    }
+}
+
 /// Settings of a host from the start of its process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HostConfig {
@@ -129,6 +145,8 @@
     pub peer: SocketAddr,
     /// Address for metrics and the operators' API.
     pub operator: SocketAddr,
+    /// Limits of the process.
+    pub limits: ProcessLimits,
     /// Bounds of the deployment.
     pub bounds: Bounds,
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,9 +27,6 @@
 /// Largest answer that is forwarded, in bytes.
 pub(crate) const ANSWER_MAX: usize = 16 * 1024 * 1024;
 
-/// Most bytes of all answers that are being received. The smallest hosts have 160 MB.
-pub(crate) const ANSWERS_MAX: usize = 32 * 1024 * 1024;
-
 /// Longest idle time of a connection that may carry a request which must not run twice. A request
 /// that is sent while the upstream closes the connection may have run, so such requests use only
 /// connections that were busy a moment ago.
@@ -146,6 +143,9 @@
         if now >= job.deadline {
             return give_up(host, job, &progress, Cause::Deadline);
         }
+        if host.memory.answers.is_full() {
+            return refuse(host, job, &progress, RETRY_AFTER_MAX, Cause::NoMemory);
+        }
         let left = job.deadline.since(now);
         let target = match select_target(host, job, &progress, now, left) {
             Target::Send(target) => target,
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::StatusCode;
 use http::header::{CONTENT_ENCODING, HeaderValue};
 use trefoil_balance::{Outcome, RetryBudget};
 use trefoil_core::{ServiceName, Tick};
 use trefoil_directory::{Registration, Tag};
-use trefoil_http::h1::{ExchangeError, Match, Response, Sent, encode_request};
+use trefoil_http::h1::{EncodedMessage, ExchangeError, Match, Response, Sent, encode_request};
 use trefoil_route::Idempotency;
 
 use super::{Attempt, FRESH_IDLE_MAX, Job, Progress};
@@ -98,7 +97,7 @@
     let method = &job.request.head.method;
     let exchange = async {
         Some(
-            link.exchange(method, request, &host.answers, match_response)
+            link.exchange(method, request, &host.memory.answer_limit, match_response)
                 .await,
         )
     };
@@ -197,7 +196,7 @@
     }
 }
 
-fn encode_attempt(host: &Host, job: &Job, target: &Registration, now: Tick) -> Bytes {
+fn encode_attempt(host: &Host, job: &Job, target: &Registration, now: Tick) -> EncodedMessage {
     let header_names = host.platform.header_names();
     let mut headers = job.request.head.headers.clone();
     let left = u64::try_from(job.deadline.since(now).as_millis()).unwrap_or(u64::MAX);
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,15 +16,15 @@
 use trefoil_balance::{Balancer, RetryBudget, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
 use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
-use trefoil_http::h1::{BodyLimit, Shutdown};
+use trefoil_http::h1::Shutdown;
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
-use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
+use crate::memory::Memory;
 use crate::message::ChangeItem;
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
@@ -129,8 +129,8 @@
     pub(crate) terms: RefCell<Terms>,
     /// Finished terms of this host.
     pub(crate) ended_terms: RefCell<EndedTerms>,
-    /// Limit on the answers of upstreams that are being received.
-    pub(crate) answers: BodyLimit,
+    /// Memory of what callers and upstreams send.
+    pub(crate) memory: Memory,
     /// Open connections of callers and operators.
     pub(crate) connections: Cell<usize>,
     /// Upstreams in the directory whose address now belongs to another one.
@@ -176,6 +176,7 @@
         let store = MeteredStore::new(store, Arc::clone(&metrics), Arc::clone(&clock));
         let id = HostId::random();
         let started = clock.now();
+        let memory = Memory::new(config.limits.memory);
         let host = Rc::new(Self {
             peers: RefCell::new(Peers::new(discovery::host_info(id, &config))),
             local_loads: RefCell::default(),
@@ -210,7 +211,7 @@
             budgets: RefCell::default(),
             terms: RefCell::default(),
             ended_terms: RefCell::default(),
-            answers: BodyLimit::with_total(ANSWER_MAX, ANSWERS_MAX),
+            memory,
             connections: Cell::new(0),
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -21,6 +21,10 @@
             .set(age(self.store_seen.get().unwrap_or(self.started)));
         m.connections
             .set(i64::try_from(self.connections.get()).unwrap_or(i64::MAX));
+        for (kind, share) in self.memory.kinds() {
+            Metrics::set_memory(&m.memory, kind, share.used());
+            Metrics::set_memory(&m.memory_limit, kind, share.limit());
+        }
         m.terms
             .set(i64::try_from(self.terms.borrow().len()).unwrap_or(i64::MAX));
         let hosts = self.peers.borrow().all_hosts(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod freshness;
 pub mod host;
 pub mod ingress;
+mod memory;
 pub mod message;
 mod metered;
 pub mod metrics;
@@ -34,7 +35,7 @@
 pub mod serve;
 pub mod tables;
 
-pub use config::{Bounds, HostConfig};
+pub use config::{Bounds, HostConfig, ProcessLimits};
 pub use host::{Host, Telemetry};
 pub use metrics::{LostLines, Metrics};
 pub use platform::{Call, DecodeError, HeaderNames, Platform};
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -89,6 +89,13 @@
     pub reason: String,
 }
 
+/// Label of memory.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MemoryLabels {
+    /// What is in the memory.
+    pub kind: &'static str,
+}
+
 /// Counters of log lines that were not written.
 #[derive(Debug, Clone, Default)]
 pub struct LostLines {
@@ -133,6 +140,10 @@
     pub(crate) datagram_bytes: Counter,
     /// Open connections of callers and operators.
     pub(crate) connections: Gauge,
+    /// Bytes of requests and answers.
+    pub(crate) memory: Family<MemoryLabels, Gauge>,
+    /// Largest values of `memory`.
+    pub(crate) memory_limit: Family<MemoryLabels, Gauge>,
     /// 1 while the host is ready.
     pub(crate) ready: Gauge,
 }
@@ -166,6 +177,15 @@
         metric
     }
 
+    fn bytes<M>(&mut self, name: &'static str, help: &'static str, metric: M) -> M
+    where
+        M: Metric + Clone,
+    {
+        let unit = Unit::Bytes;
+        self.0.register_with_unit(name, help, unit, metric.clone());
+        metric
+    }
+
     fn seconds<M>(&mut self, name: &'static str, help: &'static str, metric: M) -> M
     where
         M: Metric + Clone,
@@ -243,6 +263,12 @@
                 Counter::default(),
             ),
             connections: b.add("connections", "Accepted connections", Gauge::default()),
+            memory: b.bytes("memory", "Bytes of requests and answers", Family::default()),
+            memory_limit: b.bytes(
+                "memory_limit",
+                "Most bytes of requests and answers",
+                Family::default(),
+            ),
             ready: b.add("ready", "1 while the host is ready", Gauge::default()),
             registry: b.0,
         }
@@ -328,6 +354,16 @@
         family.get_or_create(&per_service(service)).set(value);
     }
 
+    /// Sets the memory of a kind.
+    pub(crate) fn set_memory(
+        family: &Family<MemoryLabels, Gauge>,
+        kind: &'static str,
+        size: usize,
+    ) {
+        let size = i64::try_from(size).unwrap_or(i64::MAX);
+        family.get_or_create(&MemoryLabels { kind }).set(size);
+    }
+
     /// Encodes the metrics as text.
     ///
     /// # Errors
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,8 +23,8 @@
 /// Wait after a failed accept, for example because the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Time between two passes that close idle connections.
-const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two passes that close idle connections and log refused memory.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time for which new connections are accepted after the stop signal. The load balancer checks
 /// readiness once a second and removes a host after the second failure.
@@ -145,7 +145,7 @@
         host.spawn(relay::send(Rc::clone(&host), Rc::clone(&socket))),
         host.spawn(coordinator::watch_services(Rc::clone(&host))),
         host.spawn(coordinator::follow_tables(Rc::clone(&host))),
-        host.spawn(expire_idle_connections(Rc::clone(&host))),
+        host.spawn(keep_house(Rc::clone(&host))),
     ];
     stop.await;
     let stopped = host.now();
@@ -199,9 +199,10 @@
     host.connections.set(host.connections.get() - 1);
 }
 
-async fn expire_idle_connections(host: Rc<Host>) {
+async fn keep_house(host: Rc<Host>) {
     loop {
-        host.clock.sleep(EXPIRE_INTERVAL).await;
+        host.clock.sleep(HOUSEKEEPING_INTERVAL).await;
         host.pool.borrow_mut().expire(host.now());
+        host.memory.log_refusals(&host);
     }
 }
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -18,14 +18,14 @@
 mod encode;
 mod framing;
 mod head;
-mod limit;
+mod memory;
 mod server;
 mod stream;
 
 pub use client::{ClientConnection, ExchangeError, Match, Response, Sent};
-pub use encode::{encode_request, encode_response};
+pub use encode::{EncodedMessage, encode_request, encode_response};
 pub use framing::{BodyError, Decoded, Decoder, Framing};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
-pub use limit::BodyLimit;
+pub use memory::{BodyLimit, MemoryShare, NoMemory, Reservation};
 pub use server::{Answer, Handler, Limits, RejectReason, Request, ServerConnection, Shutdown};
 pub use stream::BufferedStream;
--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -16,9 +16,10 @@
 use http::{HeaderMap, Method};
 use snafu::Snafu;
 
+use super::encode::EncodedMessage;
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{ResponseHead, parse_response};
-use super::limit::{BodyLimit, BodyMemory};
+use super::memory::{BodyBuffer, BodyLimit};
 use super::stream::BufferedStream;
 
 /// Longest head of an answer, in bytes.
@@ -80,12 +81,12 @@
 /// State of the current exchange.
 struct Exchange<'a> {
     method: &'a Method,
-    request: Bytes,
+    request: EncodedMessage,
     started: bool,
     head: Option<(ResponseHead, Match)>,
     decoder: Decoder,
-    body: BytesMut,
-    memory: BodyMemory,
+    body: BodyBuffer,
+    limit: &'a BodyLimit,
     /// Bytes received in this exchange.
     received: usize,
 }
@@ -125,7 +126,7 @@
     pub async fn exchange<F>(
         &mut self,
         method: &Method,
-        request: Bytes,
+        request: EncodedMessage,
         limit: &BodyLimit,
         classify: F,
     ) -> Result<Response, ExchangeError>
@@ -139,14 +140,14 @@
             started: false,
             head: None,
             decoder: Decoder::new(Framing::Empty),
-            body: BytesMut::new(),
-            memory: BodyMemory::new(limit),
+            body: limit.start(),
+            limit,
             received: 0,
         };
         let done = poll_fn(|cx| self.poll_exchange(cx, &mut exchange, &classify)).await;
         match done {
             Ok(response) => {
-                let fully_sent = exchange.request.is_empty();
+                let fully_sent = !exchange.request.has_remaining();
                 let open_and_drained = !self.stream.is_closed() && self.stream.input.is_empty();
                 self.reusable = fully_sent && open_and_drained && !announces_close(&response.head);
                 self.keep_alive_timeout =
@@ -209,8 +210,8 @@
         cx: &mut Context<'_>,
         exchange: &mut Exchange<'_>,
     ) -> Poll<io::Result<()>> {
-        while !exchange.request.is_empty() && exchange.head.is_none() {
-            match self.stream.poll_write(cx, &exchange.request) {
+        while exchange.request.has_remaining() && exchange.head.is_none() {
+            match self.stream.poll_write(cx, exchange.request.chunk()) {
                 Poll::Ready(Ok(n)) => {
                     exchange.started = true;
                     exchange.request.advance(n);
@@ -258,15 +259,17 @@
                     Decoded::Incomplete => return Ok(None),
                     Decoded::End => break,
                     Decoded::Data(piece) if self.is_own() => {
-                        self.memory.take(piece.len())?;
-                        self.body.extend_from_slice(&piece);
+                        let rest = self.decoder.remaining();
+                        self.limit.append(&mut self.body, &piece, rest)?;
                     }
                     Decoded::Data(_) => {}
                 }
             }
-            let body = self.body.split().freeze();
             match self.head.take() {
-                Some((head, Match::Own)) => return Ok(Some(Response { head, body })),
+                Some((head, Match::Own)) => {
+                    let body = std::mem::take(&mut self.body).into_bytes();
+                    return Ok(Some(Response { head, body }));
+                }
                 _ if closed => return Err("the upstream closed the connection".to_owned()),
                 _ => {}
             }
--- a/crates/http/src/h1/encode.rs
+++ b/crates/http/src/h1/encode.rs
@@ -1,12 +1,16 @@
 //! Encoder for requests and responses.
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderName, TRANSFER_ENCODING};
 use http::{HeaderMap, Method, StatusCode};
 
 /// Buffer capacity for the first line and the fields that this module adds.
 const HEAD_CAPACITY: usize = 128;
 
+/// Longest body that is copied behind its head, so that both are sent in one write. A copy of a
+/// longer one would take up much more memory.
+const COPIED_MAX: usize = 8 * 1024;
+
 /// Fields that apply to a single connection (RFC 9110, section 7.6.1) and are not forwarded.
 const HOP_BY_HOP: [&str; 7] = [
     "connection",
@@ -56,9 +60,68 @@
     }
 }
 
+/// Encoded message whose bytes are read with [`Buf`].
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EncodedMessage {
+    /// The head, and the body if that is short.
+    head: Bytes,
+    /// A long body.
+    body: Bytes,
+}
+
+impl EncodedMessage {
+    /// Creates a message from its head and its body.
+    pub(super) fn new(mut head: BytesMut, body: &Bytes) -> Self {
+        let copied = body.len() <= COPIED_MAX;
+        if copied {
+            head.extend_from_slice(body);
+        }
+        Self {
+            head: head.freeze(),
+            body: if copied { Bytes::new() } else { body.clone() },
+        }
+    }
+}
+
+impl From<Bytes> for EncodedMessage {
+    fn from(head: Bytes) -> Self {
+        Self {
+            head,
+            body: Bytes::new(),
+        }
+    }
+}
+
+impl Buf for EncodedMessage {
+    fn remaining(&self) -> usize {
+        self.head.len() + self.body.len()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        if self.head.is_empty() {
+            &self.body
+        } else {
+            &self.head
+        }
+    }
+
+    fn advance(&mut self, cnt: usize) {
+        let in_head = cnt.min(self.head.len());
+        self.head.advance(in_head);
+        self.body.advance(cnt - in_head);
+    }
+}
+
 /// Encodes a request with its body. Fields that apply to a single connection are omitted.
-pub fn encode_request(method: &Method, target: &str, headers: &HeaderMap, body: &Bytes) -> Bytes {
-    let mut out = BytesMut::with_capacity(HEAD_CAPACITY + 48 * headers.len() + body.len());
+pub fn encode_request(
+    method: &Method,
+    target: &str,
+    headers: &HeaderMap,
+    body: &Bytes,
+) -> EncodedMessage {
+    let copied = Some(body.len()).filter(|n| *n <= COPIED_MAX);
+    let capacity = HEAD_CAPACITY + 48 * headers.len() + copied.unwrap_or_default();
+    let mut out = BytesMut::with_capacity(capacity);
     out.put_slice(method.as_str().as_bytes());
     out.put_u8(b' ');
     out.put_slice(target.as_bytes());
@@ -80,8 +143,7 @@
         );
     }
     out.put_slice(b"\r\n");
-    out.put_slice(body);
-    out.freeze()
+    EncodedMessage::new(out, body)
 }
 
 /// Declaration of the length of a body in the head of a response.
--- a/crates/http/src/h1/framing.rs
+++ b/crates/http/src/h1/framing.rs
@@ -139,6 +139,15 @@
         Self { state }
     }
 
+    /// Returns the number of bytes until the end of the body, if it is known.
+    pub fn remaining(&self) -> Option<u64> {
+        match self.state {
+            State::End => Some(0),
+            State::Length(remaining) => Some(remaining),
+            _ => None,
+        }
+    }
+
     /// Decodes and consumes the next part of the body in `input`. `closed` states that the peer has
     /// closed the connection, so no further input follows.
     ///
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -26,7 +26,7 @@
 use trefoil_core::Clock;
 use trefoil_core::clock::Sleep;
 
-use super::encode::{BodyLength, encode_response_head};
+use super::encode::{BodyLength, EncodedMessage, encode_response_head};
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{HeadError, RequestHead, parse_request};
 use super::stream::BufferedStream;
@@ -197,7 +197,7 @@
     /// Request that waits until no other one is outstanding.
     waiting: Option<Request>,
     partial: Option<Partial>,
-    output: Bytes,
+    output: EncodedMessage,
     /// True if no further request is read, and the connection ends after the last answer.
     is_closing: bool,
     wait: Wait,
@@ -231,7 +231,7 @@
             pending: VecDeque::new(),
             waiting: None,
             partial: None,
-            output: Bytes::new(),
+            output: EncodedMessage::default(),
             is_closing: false,
             wait: Wait::Answer,
             timer: None,
@@ -254,7 +254,7 @@
             match event {
                 Event::Request(request) => self.accept_request(request),
                 Event::Reject(reason) => self.reject_request(reason),
-                Event::Continue => self.output = Bytes::from_static(CONTINUE),
+                Event::Continue => self.output = Bytes::from_static(CONTINUE).into(),
                 Event::Progress => {}
                 Event::TimedOut(Wait::Arrival) => self.reject_request(RejectReason::Late),
                 Event::Stopping if !self.is_idle() || self.has_partial_request() => {}
@@ -287,7 +287,7 @@
 
     /// Returns true if every request that was read has been answered.
     fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.waiting.is_none() && self.output.is_empty()
+        self.pending.is_empty() && self.waiting.is_none() && !self.output.has_remaining()
     }
 
     /// Returns true if a part of a request has arrived.
@@ -298,7 +298,7 @@
     /// Sets the timer for the event that the connection waits for.
     fn set_timer(&mut self) {
         let wait = match () {
-            () if !self.output.is_empty() => Wait::Write,
+            () if self.output.has_remaining() => Wait::Write,
             () if !self.is_idle() => Wait::Answer,
             () if self.has_partial_request() => Wait::Arrival,
             () => Wait::Idle,
@@ -372,13 +372,14 @@
             }
         }
         loop {
-            while !self.output.is_empty() {
-                match self.stream.poll_write(cx, &self.output) {
+            while self.output.has_remaining() {
+                match self.stream.poll_write(cx, self.output.chunk()) {
                     Poll::Ready(Ok(n)) => self.output.advance(n),
                     Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
                     Poll::Pending => return Poll::Pending,
                 }
-                if self.output.is_empty() {
+                if !self.output.has_remaining() {
+                    self.output = EncodedMessage::default();
                     return Poll::Ready(Event::Progress);
                 }
             }
@@ -408,11 +409,12 @@
         } else {
             BodyLength::Length(u64::try_from(answer.body.len()).unwrap_or(u64::MAX))
         };
-        let mut output = encode_response_head(answer.status, &answer.headers, body_length, close);
-        if !has_no_body {
-            output.extend_from_slice(&answer.body);
-        }
-        self.output = output.freeze();
+        let head = encode_response_head(answer.status, &answer.headers, body_length, close);
+        self.output = if has_no_body {
+            head.freeze().into()
+        } else {
+            EncodedMessage::new(head, &answer.body)
+        };
     }
 
     /// Reads requests and detects that the caller has closed the connection.
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -38,6 +38,9 @@
     pub sharded: bool,
 }
 
+/// Length of the body that [`ResponseMode::LongBody`] sends, in bytes.
+pub const LONG_BODY: usize = 8 * 1024 * 1024;
+
 /// A way to respond to requests, most of them faulty.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -64,6 +67,8 @@
     EndlessField,
     /// Runs the request and sends a body until the caller closes the connection.
     EndlessBody,
+    /// Runs the request and answers with a body of [`LONG_BODY`] bytes.
+    LongBody,
 }
 
 #[derive(Debug, Default)]
--- a/crates/standin/src/upstream/connection.rs
+++ b/crates/standin/src/upstream/connection.rs
@@ -12,7 +12,7 @@
 use smol::Async;
 use trefoil_http::h1::{Decoded, Decoder, Framing, RequestHead, parse_request};
 
-use super::{ResponseMode, Upstream};
+use super::{LONG_BODY, ResponseMode, Upstream};
 
 /// Size limit of a request head in bytes.
 const HEAD_MAX: usize = 64 * 1024;
@@ -272,6 +272,9 @@
         ResponseMode::EndlessBody => {
             Reply::Endless(format!("HTTP/1.1 200 OK\r\n{signed}\r\n"), "noise")
         }
+        ResponseMode::LongBody => {
+            Reply::Answer(format_response(200, &signed, &"x".repeat(LONG_BODY)))
+        }
         ResponseMode::Reset => Reply::Close(String::new()),
         ResponseMode::Truncate => {
             let whole = format_response(200, &signed, &body);
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -11,9 +11,11 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use futures_lite::StreamExt;
 use trefoil_config::{BoundSettings, ServeSettings};
-use trefoil_core::QueueClock;
+use trefoil_core::{Bytes, QueueClock};
 use trefoil_daemon::logging;
-use trefoil_gateway::{Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, serve};
+use trefoil_gateway::{
+    Bounds, Host, HostConfig, LostLines, Metrics, ProcessLimits, Telemetry, serve,
+};
 use trefoil_platform::{StoreClient, UsersPlatform};
 
 use crate::settings;
@@ -32,6 +34,9 @@
         .arg(file)
 }
 
+/// Bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1_000_000.0;
+
 /// Runs the subcommand.
 pub fn execute(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
     let path = matches.get_one::<PathBuf>("settings").cloned();
@@ -89,6 +94,7 @@
 }
 
 fn host_config(settings: ServeSettings) -> HostConfig {
+    let limits = to_limits(&settings);
     HostConfig {
         name: settings.name,
         domain: settings.domain,
@@ -97,10 +103,25 @@
         ready: settings.ready,
         peer: settings.peer,
         operator: settings.operator,
+        limits,
         bounds: to_bounds(&settings.bounds),
     }
 }
 
+fn to_limits(settings: &ServeSettings) -> ProcessLimits {
+    let mut limits = ProcessLimits::default();
+    if let Some(memory) = settings.memory_mb {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the settings limit the value to a positive range"
+        )]
+        let bytes = (memory * BYTES_PER_MB) as u64;
+        limits.memory = Bytes(bytes);
+    }
+    limits
+}
+
 fn to_bounds(settings: &BoundSettings) -> Bounds {
     let defaults = Bounds::default();
     let or_default = |value: Option<f64>, unit: f64, default: Duration| {
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -14,7 +14,9 @@
 use serde_json::json;
 use trefoil_core::SystemClock;
 use trefoil_gateway::forward::{Job, forward};
-use trefoil_gateway::{Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, follow};
+use trefoil_gateway::{
+    Bounds, Host, HostConfig, LostLines, Metrics, ProcessLimits, Telemetry, follow,
+};
 use trefoil_http::h1::{Request, RequestHead};
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
@@ -32,6 +34,7 @@
         ready: unused,
         peer: unused,
         operator: unused,
+        limits: ProcessLimits::default(),
         bounds: Bounds {
             drain: DRAIN,
             ..Bounds::default()
--- a/tests/all/h1.rs
+++ b/tests/all/h1.rs
@@ -2,5 +2,6 @@
 
 mod client;
 mod framing;
+mod memory;
 mod pipe;
 mod server;
--- a/tests/all/h1/client.rs
+++ b/tests/all/h1/client.rs
@@ -1,11 +1,12 @@
 //! Client side of a connection.
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use futures_lite::future;
 use http::{HeaderMap, Method};
 use smol::LocalExecutor;
 use trefoil_http::h1::{
-    BodyLimit, ClientConnection, ExchangeError, Match, Response, ResponseHead, Sent, encode_request,
+    BodyLimit, ClientConnection, EncodedMessage, ExchangeError, Match, Response, ResponseHead,
+    Sent, encode_request,
 };
 
 use super::pipe::{Peer, Stream, connection, run_until_idle};
@@ -20,7 +21,7 @@
     }
 }
 
-fn encode(method: &Method, body: &'static str) -> Bytes {
+fn encode(method: &Method, body: &'static str) -> EncodedMessage {
     encode_request(method, "/p", &HeaderMap::new(), &Bytes::from(body))
 }
 
@@ -286,9 +287,10 @@
     for (name, value) in fields {
         headers.append(name, value.parse().expect("a value"));
     }
-    let sent = encode_request(&Method::POST, "/p?q", &headers, &Bytes::from("body"));
+    let mut sent = encode_request(&Method::POST, "/p?q", &headers, &Bytes::from("body"));
     let expected = "POST /p?q HTTP/1.1\r\nhost: h.example\r\naccept: a\r\naccept: b\r\n\
                     content-length: 4\r\n\r\nbody";
+    let sent = sent.copy_to_bytes(sent.remaining());
     assert_eq!(String::from_utf8(sent.to_vec()).expect("text"), expected);
 }
 
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -5,6 +5,7 @@
 mod decoding;
 mod endless;
 mod leaving;
+mod memory;
 mod output;
 mod promises;
 mod soak;
