Limit the memory that the requests of all callers take up together

Callers saw: connections that broke off because the host had used more memory than it may and was ended, and a wait until the deadline for uploads that had no chance.

Cause: each request could be as large as the operator's configuration allows, without a limit on all of them. Bodies doubled their buffers and were copied behind the head of each attempt. Heads of pipelined requests counted nowhere.

Heads and bodies take from a share of the process's memory until the request has ended. A body with a declared length takes all of it before it is read, so that each body that was begun can be finished. What does not fit is refused with 503 and Retry-After.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -12,10 +12,10 @@
 use slog::info;
 use smol::Task;
 use trefoil_core::Key;
-use trefoil_http::h1::{Answer, Handler, Limits, RejectReason, Request, RequestHead};
+use trefoil_http::h1::{Answer, Handler, Limits, MemoryShare, RejectReason, Request, RequestHead};
 use trefoil_route::{Idempotency, Route, RouteName, Router, Spread};
 
-use crate::cause::Cause;
+use crate::cause::{Cause, Ending};
 use crate::forward::{Completion, Job, forward, service_unavailable};
 use crate::host::Host;
 use crate::request_log::{self, RequestGuard};
@@ -31,6 +31,9 @@
 /// `Retry-After` while the host has no configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` while the memory for requests is in use. Another host may have some at once.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Timeout of requests that state none, before the limit of the route.
 const CALLER_TIMEOUT_MAX: Duration = Duration::from_mins(1);
 
@@ -205,6 +208,10 @@
         })
     }
 
+    fn memory(&self) -> Option<MemoryShare> {
+        Some(self.host.memory.requests.clone())
+    }
+
     fn may_overlap(&self, head: &RequestHead) -> bool {
         let router = self.host.router();
         let route = router.and_then(|router| find_route(&router, head));
@@ -218,6 +225,18 @@
     fn reject(&self, reason: RejectReason) -> Answer {
         info!(self.host.log, "request rejected"; "status" => reason.status().as_u16(),
             "cause" => ?reason);
-        Answer::empty(reason.status())
+        match reason {
+            RejectReason::NoMemory => {
+                let outcome = Ending::Refused;
+                self.host.metrics.record_request(
+                    request_log::NONE,
+                    outcome,
+                    Cause::NoMemory,
+                    Duration::ZERO,
+                );
+                service_unavailable(NO_MEMORY_RETRY_AFTER)
+            }
+            _ => Answer::empty(reason.status()),
+        }
     }
 }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -14,12 +14,17 @@
 use crate::forward::ANSWER_MAX;
 use crate::host::Host;
 
+/// Share of the memory that callers' requests take up until they are answered.
+const REQUESTS_SHARE: f64 = 0.3;
+
 /// Share of the memory that answers of upstreams take up until callers have read them.
 const ANSWERS_SHARE: f64 = 0.2;
 
 /// Shares of the memory of the process.
 #[derive(Debug)]
 pub(crate) struct Memory {
+    /// Requests of callers that are being received or handled.
+    pub(crate) requests: MemoryShare,
     /// Answers of upstreams that are being received or sent to callers.
     pub(crate) answers: MemoryShare,
     /// Limit of one answer of an upstream and of all together.
@@ -29,13 +34,14 @@
 }
 
 /// Number of kinds.
-const KINDS: usize = 1;
+const KINDS: usize = 2;
 
 impl Memory {
     /// Divides the memory of the process.
     pub(crate) fn new(process: Bytes) -> Self {
         let answers = share(process, ANSWERS_SHARE);
         Self {
+            requests: share(process, REQUESTS_SHARE),
             answer_limit: BodyLimit::of_share(ANSWER_MAX, &answers),
             answers,
             logged: Default::default(),
@@ -44,7 +50,7 @@
 
     /// Returns the name and the share of each kind.
     pub(crate) fn kinds(&self) -> [(&'static str, &MemoryShare); KINDS] {
-        [("answers", &self.answers)]
+        [("requests", &self.requests), ("answers", &self.answers)]
     }
 
     /// Logs the kinds of which memory was refused since the last call.
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -18,7 +18,7 @@
 use crate::host::Host;
 
 /// Placeholder for an unknown value.
-const NONE: &str = "-";
+pub(crate) const NONE: &str = "-";
 
 /// The identifier of a request as text.
 pub(crate) fn id_text(id: Option<&HeaderValue>) -> &str {
--- a/crates/http/src/h1/memory.rs
+++ b/crates/http/src/h1/memory.rs
@@ -191,6 +191,11 @@
         }
         Bytes::from_owner(self)
     }
+
+    /// Returns the body and the reservation of its memory.
+    pub(super) fn into_parts(self) -> (Bytes, Reservation) {
+        (Bytes::from(self.bytes), self.memory)
+    }
 }
 
 impl AsRef<[u8]> for BodyBuffer {
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -18,7 +18,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures_lite::future::BoxedLocal;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use http::header::{CONNECTION, EXPECT};
@@ -29,6 +29,7 @@
 use super::encode::{BodyLength, EncodedMessage, encode_response_head};
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{HeadError, RequestHead, parse_request};
+use super::memory::{BodyBuffer, MemoryShare, Reservation};
 use super::stream::BufferedStream;
 
 /// Largest number of unanswered requests on one connection. Further ones stay in the socket's
@@ -38,6 +39,9 @@
 /// Bytes that are read ahead for requests that wait to be started, beyond one request.
 const READ_AHEAD_MAX: usize = 64 * 1024;
 
+/// Copies of a head: the parsed fields, and those of an attempt and its encoding.
+const HEAD_COPIES: usize = 3;
+
 /// Longest time for which input is read and discarded after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -61,12 +65,14 @@
 }
 
 /// Complete request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Request {
     /// Head of the request.
     pub head: RequestHead,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory of the request.
+    pub memory: Reservation,
 }
 
 /// Reason for which a request is rejected before it reaches the handler. Logs print the variants.
@@ -80,6 +86,8 @@
     BodyTooLarge,
     /// The request did not arrive in time.
     Late,
+    /// The memory for requests is in use.
+    NoMemory,
 }
 
 impl RejectReason {
@@ -90,6 +98,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -121,6 +130,12 @@
     /// Returns the limits for the next request.
     fn limits(&self) -> Limits;
 
+    /// Returns the memory that requests take up. One that does not fit is rejected as soon as its
+    /// size is known.
+    fn memory(&self) -> Option<MemoryShare> {
+        None
+    }
+
     /// Returns true if a request may start while earlier ones on its connection are unanswered.
     fn may_overlap(&self, head: &RequestHead) -> bool;
 
@@ -160,7 +175,7 @@
 struct Partial {
     head: RequestHead,
     decoder: Decoder,
-    body: BytesMut,
+    body: BodyBuffer,
 }
 
 /// Next event on a connection.
@@ -193,6 +208,8 @@
     handler: Rc<dyn Handler>,
     clock: Arc<dyn Clock>,
     shutdown: Rc<Shutdown>,
+    /// Memory of the requests, if it is limited.
+    memory: Option<MemoryShare>,
     pending: VecDeque<Pending>,
     /// Request that waits until no other one is outstanding.
     waiting: Option<Request>,
@@ -225,6 +242,7 @@
     ) -> Self {
         Self {
             stream: BufferedStream::new(stream),
+            memory: handler.memory(),
             handler,
             clock,
             shutdown,
@@ -454,9 +472,10 @@
         }
         let limits = self.handler.limits();
         if self.partial.is_none() {
+            let available = self.stream.input.len();
             match parse_request(&mut self.stream.input, limits.head) {
                 Ok(None) => return None,
-                Ok(Some(head)) => match self.begin_body(head, limits.body) {
+                Ok(Some(head)) => match self.begin_body(head, available, limits.body) {
                     Ok(Some(event)) => return Some(event),
                     Ok(None) => {}
                     Err(reason) => return Some(Event::Reject(reason)),
@@ -470,18 +489,34 @@
         self.read_body(limits.body)
     }
 
-    /// Begins to read the body of a request. Returns an event if the caller waits for permission to
-    /// send it.
-    fn begin_body(&mut self, head: RequestHead, max: u64) -> Result<Option<Event>, RejectReason> {
+    /// Begins to read the body of a request, before whose head there were `available` bytes of
+    /// input. Returns an event if the caller waits for permission to send the body.
+    fn begin_body(
+        &mut self,
+        head: RequestHead,
+        available: usize,
+        max: u64,
+    ) -> Result<Option<Event>, RejectReason> {
         let framing = Framing::of_request(&head).or(Err(RejectReason::Invalid))?;
         if matches!(framing, Framing::Length(n) if n > max) {
             return Err(RejectReason::BodyTooLarge);
         }
+        let memory = self.memory.as_ref().map(MemoryShare::reservation);
+        let mut memory = memory.unwrap_or_default();
+        let size = available - self.stream.input.len();
+        memory
+            .grow(HEAD_COPIES * size)
+            .or(Err(RejectReason::NoMemory))?;
+        let mut body = BodyBuffer::new(memory);
+        if let Framing::Length(length) = framing {
+            let length = usize::try_from(length).or(Err(RejectReason::BodyTooLarge))?;
+            body.reserve(length).or(Err(RejectReason::NoMemory))?;
+        }
         let expects = head.headers.get(EXPECT).is_some();
         self.partial = Some(Partial {
             head,
             decoder: Decoder::new(framing),
-            body: BytesMut::new(),
+            body,
         });
         let waits = expects && framing != Framing::Empty && self.stream.input.is_empty();
         Ok((waits && self.is_idle()).then_some(Event::Continue))
@@ -497,13 +532,18 @@
                     if u64::try_from(size).unwrap_or(u64::MAX) > max {
                         return Some(Event::Reject(RejectReason::BodyTooLarge));
                     }
-                    partial.body.extend_from_slice(&piece);
+                    let rest = partial.decoder.remaining();
+                    if partial.body.append(&piece, rest).is_err() {
+                        return Some(Event::Reject(RejectReason::NoMemory));
+                    }
                 }
                 Ok(Decoded::End) => {
                     let complete = self.partial.take()?;
+                    let (body, memory) = complete.body.into_parts();
                     return Some(Event::Request(Request {
                         head: complete.head,
-                        body: complete.body.freeze(),
+                        body,
+                        memory,
                     }));
                 }
                 Err(_) => return Some(Event::Reject(RejectReason::Invalid)),
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -17,7 +17,7 @@
 use trefoil_gateway::{
     Bounds, Host, HostConfig, LostLines, Metrics, ProcessLimits, Telemetry, follow,
 };
-use trefoil_http::h1::{Request, RequestHead};
+use trefoil_http::h1::{Request, RequestHead, Reservation};
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
 use trefoil_store::MemoryStore;
@@ -64,6 +64,7 @@
                 headers: HeaderMap::new(),
             },
             body: Bytes::new(),
+            memory: Reservation::default(),
         },
         id: None,
         arrived: now,
--- a/tests/all/h1/memory.rs
+++ b/tests/all/h1/memory.rs
@@ -9,6 +9,7 @@
 };
 
 use super::pipe::{connection, run_until_idle};
+use super::server::Fixture;
 
 /// Receives an answer with this body on a new connection.
 fn receive(limit: &BodyLimit, answer: &str) -> Result<Response, ExchangeError> {
@@ -66,3 +67,53 @@
     drop((first, second));
     assert_eq!(share.used(), 0);
 }
+
+/// Guards against callers that together send more than the host has memory for.
+#[test]
+fn requests_of_all_connections_share_their_memory() {
+    // Enough for one request, whose head counts three times.
+    let share = MemoryShare::new(250);
+    let (first, second) = (Fixture::with_memory(&share), Fixture::with_memory(&share));
+    let request = |path: &str| format!("POST {path} HTTP/1.1\r\ncontent-length: 60\r\n\r\n");
+    first.send(&request("/safe/1"));
+    assert!((180..250).contains(&share.used()), "{}", share.used());
+    second.send(&request("/safe/2"));
+    assert_eq!(second.answers(), [(503, String::new())], "before its body");
+    assert!(second.peer.is_closed());
+    first.send(&"x".repeat(60));
+    assert!((180..250).contains(&share.used()), "{}", share.used());
+    first.answer("/safe/1");
+    assert_eq!(share.used(), 0);
+    assert_eq!(first.bodies(), ["/safe/1"]);
+    first.send(&request("/safe/3"));
+    first.send(&"x".repeat(60));
+    first.answer("/safe/3");
+    assert_eq!(first.bodies(), ["/safe/3"]);
+    assert_eq!(share.used(), 0);
+}
+
+/// Guards against the heads of many requests that fill the memory.
+#[test]
+fn heads_take_up_memory() {
+    let share = MemoryShare::new(500);
+    let fixture = Fixture::with_memory(&share);
+    for number in 0..16 {
+        fixture.get(&format!("/safe/{number}"));
+    }
+    assert!(fixture.started().len() < 16, "{:?}", fixture.started());
+    assert!(share.used() <= 500);
+    fixture.peer.close();
+    assert!(fixture.has_ended());
+    assert_eq!(share.used(), 0);
+}
+
+/// Guards against a body without a declared length that takes up memory without limit.
+#[test]
+fn a_chunked_body_ends_when_the_memory_does() {
+    let share = MemoryShare::new(200);
+    let fixture = Fixture::with_memory(&share);
+    fixture.send("POST /safe/1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n");
+    fixture.send(&format!("28\r\n{}\r\n", "x".repeat(40)));
+    assert_eq!(fixture.answers(), [(503, String::new())]);
+    assert_eq!(share.used(), 0);
+}
--- a/tests/all/h1/server.rs
+++ b/tests/all/h1/server.rs
@@ -13,7 +13,8 @@
 use smol::{LocalExecutor, Task};
 use trefoil_core::ManualClock;
 use trefoil_http::h1::{
-    Answer, Handler, Limits, RejectReason, Request, RequestHead, ServerConnection, Shutdown,
+    Answer, Handler, Limits, MemoryShare, RejectReason, Request, RequestHead, Reservation,
+    ServerConnection, Shutdown,
 };
 
 use super::pipe::{Peer, connection, run_until_idle};
@@ -40,6 +41,7 @@
 #[derive(Debug, Default)]
 struct ScriptedHandler {
     events: RefCell<Events>,
+    memory: Option<MemoryShare>,
 }
 
 /// Records that a request was dropped before its answer.
@@ -47,6 +49,7 @@
     script: Rc<ScriptedHandler>,
     path: String,
     done: bool,
+    _memory: Reservation,
 }
 
 impl Drop for CancelGuard {
@@ -63,6 +66,10 @@
         LIMITS
     }
 
+    fn memory(&self) -> Option<MemoryShare> {
+        self.memory.clone()
+    }
+
     fn may_overlap(&self, head: &RequestHead) -> bool {
         head.path().starts_with("/safe")
     }
@@ -85,6 +92,7 @@
                 script: self,
                 path: path.clone(),
                 done: false,
+                _memory: request.memory,
             };
             receiver.recv().await.expect("the test answers");
             guard.done = true;
@@ -101,23 +109,36 @@
 }
 
 /// Connection whose caller is the test.
-struct Fixture {
+pub(super) struct Fixture {
     executor: LocalExecutor<'static>,
     clock: ManualClock,
     script: Rc<ScriptedHandler>,
     stop: Rc<Shutdown>,
-    peer: Peer,
+    pub(super) peer: Peer,
     server: Task<()>,
 }
 
 impl Fixture {
     fn new() -> Self {
-        Self::with_capacity(1 << 20)
+        Self::create(1 << 20, ScriptedHandler::default())
     }
 
     fn with_capacity(capacity: usize) -> Self {
+        Self::create(capacity, ScriptedHandler::default())
+    }
+
+    /// Creates a connection whose requests take their memory from a share.
+    pub(super) fn with_memory(share: &MemoryShare) -> Self {
+        let script = ScriptedHandler {
+            memory: Some(share.clone()),
+            ..ScriptedHandler::default()
+        };
+        Self::create(1 << 20, script)
+    }
+
+    fn create(capacity: usize, script: ScriptedHandler) -> Self {
         let executor = LocalExecutor::new();
-        let (clock, script, stop) = (ManualClock::default(), Rc::default(), Rc::default());
+        let (clock, script, stop) = (ManualClock::default(), Rc::new(script), Rc::default());
         let (stream, peer) = connection(capacity);
         let handler: Rc<ScriptedHandler> = Rc::clone(&script);
         let server =
@@ -135,16 +156,16 @@
     }
 
     /// Sends bytes and lets the server process them.
-    fn send(&self, text: &str) {
+    pub(super) fn send(&self, text: &str) {
         self.peer.send(text);
         run_until_idle(&self.executor);
     }
 
-    fn get(&self, path: &str) {
+    pub(super) fn get(&self, path: &str) {
         self.send(&format!("GET {path} HTTP/1.1\r\nhost: h\r\n\r\n"));
     }
 
-    fn answer(&self, path: &str) {
+    pub(super) fn answer(&self, path: &str) {
         let sender = self.script.events.borrow_mut().open.remove(path);
         let sender = sender.unwrap_or_else(|| panic!("{path} was not begun"));
         sender.try_send(()).expect("the request waits");
@@ -156,7 +177,7 @@
         run_until_idle(&self.executor);
     }
 
-    fn started(&self) -> Vec<String> {
+    pub(super) fn started(&self) -> Vec<String> {
         self.script.events.borrow().started.clone()
     }
 
@@ -165,7 +186,7 @@
     }
 
     /// Returns the statuses and bodies of the answers that were received since the last call.
-    fn answers(&self) -> Vec<(u16, String)> {
+    pub(super) fn answers(&self) -> Vec<(u16, String)> {
         let text = self.peer.received();
         let parts = text.split("HTTP/1.1 ").skip(1);
         let answer = |part: &str| {
@@ -180,11 +201,11 @@
         parts.map(answer).collect()
     }
 
-    fn bodies(&self) -> Vec<String> {
+    pub(super) fn bodies(&self) -> Vec<String> {
         self.answers().into_iter().map(|(_, body)| body).collect()
     }
 
-    fn has_ended(&self) -> bool {
+    pub(super) fn has_ended(&self) -> bool {
         run_until_idle(&self.executor);
         self.server.is_finished()
     }
--- a/tests/all/platform/memory.rs
+++ b/tests/all/platform/memory.rs
@@ -3,10 +3,11 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use trefoil_soak::{Fleet, upstream_spec};
-use trefoil_standin::{ResponseMode, UpstreamSpec};
+use serde_json::json;
+use trefoil_soak::{Answer, Fleet, eventually, read_answer, upstream_spec};
+use trefoil_standin::{ResponseMode, UpstreamSpec, test_config};
 
 /// Memory of a host of the smallest class, in KiB.
 const MEMORY_KIB: u64 = 160 * 1024;
@@ -14,6 +15,12 @@
 /// Callers that do not read their answers.
 const SLOW_CALLERS: usize = 40;
 
+/// Callers that upload a body at the same time.
+const UPLOADS: usize = 10;
+
+/// Length of each of these bodies, in bytes.
+const UPLOAD: usize = 24 * 1024 * 1024;
+
 /// A host with an upstream for many requests.
 fn fleet() -> Fleet {
     let spec = UpstreamSpec {
@@ -26,6 +33,33 @@
     fleet
 }
 
+/// Allows bodies of 64 MiB.
+fn allow_long_bodies(fleet: &Fleet) {
+    let mut config = test_config(2);
+    config["limits"]["maxBodyBytes"] = json!(64 * 1024 * 1024);
+    fleet.control_plane.write_config(&config).expect("written");
+    eventually("the configuration is in force", || {
+        let version = fleet.hosts[0].sum_metric("trefoil_config_version", "");
+        (version >= 2.0).then_some(())
+    });
+}
+
+/// Sends an order whose body has `length` bytes. Stops to send if it is answered before.
+fn upload(fleet: &Fleet, id: &str, length: usize) -> Option<Answer> {
+    let mut stream = TcpStream::connect(fleet.hosts[0].caller_address).ok()?;
+    let head = format!(
+        "POST /write/x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: {id}\r\n\
+         Content-Length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).ok()?;
+    let piece = vec![b'x'; 64 * 1024];
+    let mut left = length;
+    while left > 0 && stream.write_all(&piece[..left.min(piece.len())]).is_ok() {
+        left -= left.min(piece.len());
+    }
+    read_answer(&mut stream)
+}
+
 /// Guards against a host that runs out of memory because callers read long answers slowly.
 #[test]
 fn answers_that_nobody_reads_do_not_fill_the_memory() {
@@ -57,3 +91,39 @@
     fleet.upstream("p1").set_response_mode(ResponseMode::Normal);
     fleet.wait_until_served(0, "/read/again", "");
 }
+
+/// Guards against a host that runs out of memory because many callers upload long bodies at once,
+/// and against one that then serves none of them.
+#[test]
+fn bodies_of_many_callers_do_not_fill_the_memory() {
+    let fleet = fleet();
+    allow_long_bodies(&fleet);
+    fleet.upstream("p1").set_response_mode(ResponseMode::Hang);
+    let statuses: Vec<Option<u16>> = thread::scope(|scope| {
+        let fleet = &fleet;
+        let send = |number| move || upload(fleet, &format!("long-{number}"), UPLOAD);
+        let uploads: Vec<_> = (0..UPLOADS).map(|n| scope.spawn(send(n))).collect();
+        let ended = uploads.into_iter().map(|u| u.join().expect("no panic"));
+        ended.map(|answer| Some(answer?.status)).collect()
+    });
+    let peak = fleet.hosts[0].peak_memory_kib();
+    assert!(peak < MEMORY_KIB, "{peak} KiB, {statuses:?}");
+    assert!(statuses.contains(&Some(504)), "one is sent: {statuses:?}");
+    fleet.upstream("p1").set_response_mode(ResponseMode::Normal);
+    let answer = upload(&fleet, "alone", UPLOAD).expect("an answer");
+    assert_eq!(answer.status, 200, "{}", answer.head);
+}
+
+/// Guards against a caller that waits for the refusal of a body that the host has no memory for.
+#[test]
+fn a_body_that_never_fits_is_refused_at_once() {
+    let fleet = fleet();
+    allow_long_bodies(&fleet);
+    let begun = Instant::now();
+    let answer = upload(&fleet, "huge", 60 * 1024 * 1024).expect("an answer");
+    assert_eq!(answer.status, 503, "{}", answer.head);
+    assert!(answer.header("retry-after").is_some(), "{}", answer.head);
+    assert!(begun.elapsed() < Duration::from_secs(1));
+    let peak = fleet.hosts[0].peak_memory_kib();
+    assert!(peak < MEMORY_KIB, "{peak} KiB");
+}
