Let other tasks run while a caller sends without end

Callers saw: no answer from a host, and the load balancer no readiness, while one caller sent faster than the host read.

Cause: after the last answer, and while requests are read, a connection read on for as long as there was input. A pipeline of requests that are answered at once was handled in one go, too. All tasks of a host share one thread, and the timers that limit the time are among them.

A connection now handles 16 events, and reads 16 times for one of them, before the other tasks get a turn, like an exchange with an upstream.

--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -39,6 +39,10 @@
 /// Bytes that are read ahead for requests that wait to be started, beyond one request.
 const READ_AHEAD_MAX: usize = 64 * 1024;
 
+/// Most events of a connection, and most reads for one of them, before other tasks of the thread
+/// get a turn. A caller may send faster than this process reads.
+const TURN_MAX: u32 = 16;
+
 /// Copies of a head: the parsed fields, and those of an attempt and its encoding.
 const HEAD_COPIES: usize = 3;
 
@@ -260,10 +264,21 @@
     pub async fn run(mut self) {
         let shutdown = Rc::clone(&self.shutdown);
         let mut stopping = shutdown.event.listen();
+        let mut events = 0;
         loop {
-            let event = poll_fn(|cx| match self.poll_event(cx) {
-                Poll::Pending => Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping),
-                event @ Poll::Ready(_) => event,
+            let event = poll_fn(|cx| {
+                if events == TURN_MAX {
+                    events = 0;
+                    return yield_turn(cx);
+                }
+                events += 1;
+                match self.poll_event(cx) {
+                    Poll::Pending => {
+                        events = 0;
+                        Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping)
+                    }
+                    event @ Poll::Ready(_) => event,
+                }
             })
             .await;
             if matches!(event, Event::Stopping) {
@@ -292,13 +307,13 @@
             if self.stream.poll_close(cx).is_pending() {
                 return Poll::Pending;
             }
-            while let Poll::Ready(read) = self.stream.poll_fill(cx) {
-                self.stream.input.clear();
-                if !matches!(read, Ok(1..)) {
-                    return Poll::Ready(());
+            for _ in 0..TURN_MAX {
+                match self.stream.poll_fill(cx) {
+                    Poll::Ready(Ok(1..)) => self.stream.input.clear(),
+                    read => return read.map(drop),
                 }
             }
-            Poll::Pending
+            yield_turn(cx)
         });
         drained.or(timeout).await;
     }
@@ -437,7 +452,7 @@
 
     /// Reads requests and detects that the caller has closed the connection.
     fn poll_input(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
-        loop {
+        for _ in 0..TURN_MAX {
             if let Some(event) = self.parse_next_request() {
                 return Poll::Ready(event);
             }
@@ -450,6 +465,7 @@
                 Poll::Ready(Ok(_)) => {}
             }
         }
+        yield_turn(cx)
     }
 
     /// Returns the number of bytes that may be read ahead of the requests being handled.
@@ -552,6 +568,12 @@
     }
 }
 
+/// Lets other tasks of the thread run first.
+fn yield_turn<T>(cx: &Context<'_>) -> Poll<T> {
+    cx.waker().wake_by_ref();
+    Poll::Pending
+}
+
 /// Returns true if the caller requests that the connection is closed after the answer.
 fn requests_close(head: &RequestHead) -> bool {
     let has_option = |option: &str| {
--- a/tests/all/h1/server.rs
+++ b/tests/all/h1/server.rs
@@ -482,3 +482,26 @@
     );
     assert_eq!(long.started(), ["/once/1"]);
 }
+
+/// Guards against a caller that sends without end and keeps the thread from all other tasks.
+#[test]
+fn a_caller_that_sends_without_end_lets_others_run() {
+    let closing = "GET /now HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let open = "GET /safe/1 HTTP/1.1\r\nconnection: close\r\n\r\n";
+    let body = "POST /once/1 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    for start in [closing, open, body] {
+        let fixture = Fixture::new();
+        fixture.send(start);
+        fixture.peer.send("noise: 1\r\n".repeat(200_000));
+        assert!(fixture.executor.try_tick());
+        assert!(fixture.peer.unread() > 1 << 20, "{start:?}");
+        run_until_idle(&fixture.executor);
+        assert_eq!(fixture.peer.unread(), 0, "{start:?}");
+    }
+    let fixture = Fixture::new();
+    fixture.peer.send("GET /now HTTP/1.1\r\n\r\n".repeat(1000));
+    assert!(fixture.executor.try_tick());
+    assert!(fixture.started().len() < 100);
+    run_until_idle(&fixture.executor);
+    assert_eq!(fixture.started().len(), 1000);
+}
