Limit the memory of all answers of the store and of other hosts

Cause: each answer had a limit of 8 or 16 MiB, but any number of calls could be under way, and the records of an answer stay in use until they are processed. The configuration in force kept the whole answer in memory that it had come with. Copies of the directory for other hosts were not limited at all.

They take from a share of the process's memory until their last part is dropped. Answers to ownership orders count with the answers of upstreams.

Before: platform::memory::answers_of_the_store_share_their_memory, run with a client that does not use the share, panicked: 0 (bytes counted while records of 500,000 bytes are in use).

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -85,17 +85,18 @@
     }
 }
 
-/// Encodes the directory for a host that copies it, or returns `None` if it must not be copied.
+/// Encodes the directory for a host that copies it. Returns `None` if it must not be copied, or if
+/// there is no memory for it.
 fn encode_directory(host: &Host) -> Option<Bytes> {
     host.offered_directory()?;
     let directory = host.directory.borrow();
     let all: Vec<&Registration> = directory.iter().map(Rc::as_ref).collect();
     let bytes = postcard::to_allocvec(&(directory.digest(), all)).ok()?;
     let Some(age) = host.directory_age(host.now()) else {
-        return Some(Bytes::from(bytes));
+        return host.memory.calls.hold(bytes).ok();
     };
     let bytes = postcard::to_extend(&whole_millis(age), bytes).ok()?;
-    Some(Bytes::from(bytes))
+    host.memory.calls.hold(bytes).ok()
 }
 
 /// Digest and content of a directory, and its age, which follows them unless an earlier build sent
@@ -209,10 +210,9 @@
             headers.insert(HOST, value);
         }
         let request = encode_request(&Method::GET, path, &headers, &Bytes::new());
+        let limit = BodyLimit::of_share(ANSWER_MAX, &host.memory.calls);
         let reply = link
-            .exchange(&Method::GET, request, &BodyLimit::new(ANSWER_MAX), |_| {
-                Match::Own
-            })
+            .exchange(&Method::GET, request, &limit, |_| Match::Own)
             .await;
         let reply = reply.map_err(|e| e.to_string())?;
         match reply.head.status {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -76,7 +76,8 @@
                 host.log_rejected("part of the configuration", &reason);
             }
             if host.apply_config(config) {
-                host.raw_config.replace(Some(value.clone()));
+                // A clone would keep the whole answer of the store in memory.
+                host.raw_config.replace(Some(Bytes::copy_from_slice(value)));
             }
         }
         Err(reason) => host.log_rejected("configuration", &reason),
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -166,6 +166,7 @@
     /// Creates a host with empty state.
     pub fn new(
         config: HostConfig,
+        memory: Memory,
         clock: Arc<dyn Clock>,
         telemetry: Telemetry,
         platform: Rc<dyn Platform>,
@@ -176,7 +177,6 @@
         let store = MeteredStore::new(store, Arc::clone(&metrics), Arc::clone(&clock));
         let id = HostId::random();
         let started = clock.now();
-        let memory = Memory::new(config.limits.memory);
         let host = Rc::new(Self {
             peers: RefCell::new(Peers::new(discovery::host_info(id, &config))),
             local_loads: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 
 pub use config::{Bounds, HostConfig, ProcessLimits};
 pub use host::{Host, Telemetry};
+pub use memory::Memory;
 pub use metrics::{LostLines, Metrics};
 pub use platform::{Call, DecodeError, HeaderNames, Platform};
 pub use serve::{ServeError, serve};
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -20,13 +20,19 @@
 /// Share of the memory that answers of upstreams take up until callers have read them.
 const ANSWERS_SHARE: f64 = 0.2;
 
+/// Share of the memory that answers of the store and of other hosts take up, and the answers to
+/// other hosts.
+const CALLS_SHARE: f64 = 0.1;
+
 /// Shares of the memory of the process.
 #[derive(Debug)]
-pub(crate) struct Memory {
+pub struct Memory {
     /// Requests of callers that are being received or handled.
     pub(crate) requests: MemoryShare,
     /// Answers of upstreams that are being received or sent to callers.
     pub(crate) answers: MemoryShare,
+    /// Answers of the store and other hosts, and answers to other hosts.
+    pub(crate) calls: MemoryShare,
     /// Limit of one answer of an upstream and of all together.
     pub(crate) answer_limit: BodyLimit,
     /// Refusals of each kind that have been logged.
@@ -34,23 +40,33 @@
 }
 
 /// Number of kinds.
-const KINDS: usize = 2;
+const KINDS: usize = 3;
 
 impl Memory {
     /// Divides the memory of the process.
-    pub(crate) fn new(process: Bytes) -> Self {
+    pub fn new(process: Bytes) -> Self {
         let answers = share(process, ANSWERS_SHARE);
         Self {
             requests: share(process, REQUESTS_SHARE),
             answer_limit: BodyLimit::of_share(ANSWER_MAX, &answers),
             answers,
+            calls: share(process, CALLS_SHARE),
             logged: Default::default(),
         }
     }
 
+    /// The share of calls of the store.
+    pub fn calls(&self) -> &MemoryShare {
+        &self.calls
+    }
+
     /// Returns the name and the share of each kind.
     pub(crate) fn kinds(&self) -> [(&'static str, &MemoryShare); KINDS] {
-        [("requests", &self.requests), ("answers", &self.answers)]
+        [
+            ("requests", &self.requests),
+            ("answers", &self.answers),
+            ("calls", &self.calls),
+        ]
     }
 
     /// Logs the kinds of which memory was refused since the last call.
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -4,10 +4,10 @@
 
 use futures_lite::FutureExt;
 use http::header::{HeaderMap, HeaderValue};
-use trefoil_http::h1::{BodyLimit, ClientConnection, Match, Sent, encode_request};
+use trefoil_http::h1::{ClientConnection, Match, Sent, encode_request};
 use trefoil_ranges::{Order, OrderKind, OrderOutcome};
 
-use crate::forward::{ANSWER_MAX, FRESH_IDLE_MAX};
+use crate::forward::FRESH_IDLE_MAX;
 use crate::host::Host;
 use crate::pool;
 
@@ -63,7 +63,7 @@
     let own = |_: &trefoil_http::h1::ResponseHead| Match::Own;
     let exchange = async {
         Some(
-            link.exchange(&call.method, bytes, &BodyLimit::new(ANSWER_MAX), own)
+            link.exchange(&call.method, bytes, &host.memory.answer_limit, own)
                 .await,
         )
     };
--- a/crates/http/src/h1/memory.rs
+++ b/crates/http/src/h1/memory.rs
@@ -76,6 +76,17 @@
         }
     }
 
+    /// Takes the memory of bytes that exist already, until their last clone is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the share has too little left.
+    pub fn hold(&self, bytes: Vec<u8>) -> Result<Bytes, NoMemory> {
+        let mut memory = self.reservation();
+        memory.grow(bytes.capacity())?;
+        Ok(BodyBuffer { bytes, memory }.into_bytes())
+    }
+
     /// Takes `count` bytes for something that has `before` bytes already.
     fn take(&self, before: usize, count: usize) -> Result<(), NoMemory> {
         let Shared {
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -14,7 +14,7 @@
 use trefoil_core::{Bytes, QueueClock};
 use trefoil_daemon::logging;
 use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Metrics, ProcessLimits, Telemetry, serve,
+    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, serve,
 };
 use trefoil_platform::{StoreClient, UsersPlatform};
 
@@ -49,11 +49,14 @@
         dropped: lost_lines.dropped,
     });
     let clock = QueueClock::default();
-    let store = StoreClient::new(settings.store, Arc::new(clock.clone()));
     let platform = Rc::new(UsersPlatform::new());
+    let address = settings.store;
     let config = host_config(settings);
+    let memory = Memory::new(config.limits.memory);
+    let store = StoreClient::with_memory(address, Arc::new(clock.clone()), memory.calls());
     let host = Host::new(
         config,
+        memory,
         Arc::new(clock.clone()),
         Telemetry { log, metrics },
         platform,
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -15,7 +15,7 @@
 use trefoil_core::SystemClock;
 use trefoil_gateway::forward::{Job, forward};
 use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Metrics, ProcessLimits, Telemetry, follow,
+    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
 };
 use trefoil_http::h1::{Request, RequestHead, Reservation};
 use trefoil_platform::UsersPlatform;
@@ -45,7 +45,15 @@
         metrics: Metrics::new(LostLines::default()),
     };
     let platform = Rc::new(UsersPlatform::new());
-    Host::new(config, Arc::new(SystemClock), telemetry, platform, store)
+    let memory = Memory::new(config.limits.memory);
+    Host::new(
+        config,
+        memory,
+        Arc::new(SystemClock),
+        telemetry,
+        platform,
+        store,
+    )
 }
 
 fn job(host: &Host) -> Job {
--- a/tests/all/platform/memory.rs
+++ b/tests/all/platform/memory.rs
@@ -1,13 +1,20 @@
 //! Memory of a host whose callers and upstreams decide how much it receives.
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, TcpStream};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use serde_json::json;
+use trefoil_core::{Offset, SystemClock};
+use trefoil_http::h1::MemoryShare;
+use trefoil_http::{Limits, Server};
+use trefoil_platform::StoreClient;
 use trefoil_soak::{Answer, Fleet, eventually, read_answer, upstream_spec};
-use trefoil_standin::{ResponseMode, UpstreamSpec, test_config};
+use trefoil_standin::{ResponseMode, StoreServer, UpstreamSpec, test_config};
+use trefoil_store::{Append, MemoryStore, PartitionId, Read as ReadCall, Store, Topic};
 
 /// Memory of a host of the smallest class, in KiB.
 const MEMORY_KIB: u64 = 160 * 1024;
@@ -127,3 +134,41 @@
     let peak = fleet.hosts[0].peak_memory_kib();
     assert!(peak < MEMORY_KIB, "{peak} KiB");
 }
+
+/// Guards against records of the store that fill the memory, because any number of calls may be
+/// under way and their records in use.
+#[test]
+fn answers_of_the_store_share_their_memory() {
+    let store: Arc<dyn Store> = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
+    let partition = PartitionId::first(Topic::fixed("records"));
+    let share = MemoryShare::new(1 << 20);
+    smol::block_on(async {
+        let record = Bytes::from(vec![b'x'; 250_000]);
+        for _ in 0..2 {
+            let append = Append::new(partition.clone(), record.clone());
+            store.append(append).await.expect("appended");
+        }
+        let listener = smol::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let service = Arc::new(StoreServer::new(store));
+        let _server = Server::serve(listener, Limits::default(), service);
+        let client = StoreClient::with_memory(address, Arc::new(SystemClock), &share);
+        let read = || {
+            client.read(ReadCall {
+                partition: partition.clone(),
+                from: Offset(0),
+                wait: Duration::ZERO,
+            })
+        };
+        let mut batch = read().await.expect("it fits");
+        assert!(share.used() >= 500_000, "{}", share.used());
+        let error = read().await.expect_err("there is no room");
+        assert!(error.to_string().contains("memory"), "{error}");
+        batch.records.truncate(1);
+        read().await.expect_err("one record is in use");
+        drop(batch);
+        read().await.expect("it fits again");
+    });
+    assert_eq!(share.used(), 0);
+}
