--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,7 +16,7 @@
 use trefoil_balance::{Balancer, RetryBudget, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
 use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
-use trefoil_http::h1::{BodyLimit, Shutdown};
+use trefoil_http::h1::Shutdown;
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
@@ -24,8 +24,8 @@
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
-use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
+use crate::memory::Memory;
 use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
@@ -130,8 +130,8 @@
     pub(crate) terms: RefCell<Terms>,
     /// Finished terms of this host.
     pub(crate) ended_terms: RefCell<EndedTerms>,
-    /// Limit on the answers of upstreams that are being received.
-    pub(crate) answers: BodyLimit,
+    /// Memory of what callers and upstreams send.
+    pub(crate) memory: Memory,
     /// Open connections of callers and operators.
     pub(crate) connections: Cell<usize>,
     /// Upstreams in the directory whose address now belongs to another one.
@@ -167,6 +167,7 @@
     /// Creates a host with empty state.
     pub fn new(
         config: HostConfig,
+        memory: Memory,
         clock: Arc<dyn Clock>,
         telemetry: Telemetry,
         platform: Rc<dyn Platform>,
@@ -211,7 +212,7 @@
             budgets: RefCell::default(),
             terms: RefCell::default(),
             ended_terms: RefCell::default(),
-            answers: BodyLimit::with_total(ANSWER_MAX, ANSWERS_MAX),
+            memory,
             connections: Cell::new(0),
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod freshness;
 pub mod host;
 pub mod ingress;
+mod memory;
 pub mod message;
 mod metered;
 pub mod metrics;
@@ -35,8 +36,9 @@
 pub mod serve;
 pub mod tables;
 
-pub use config::{Bounds, HostConfig};
+pub use config::{Bounds, HostConfig, ProcessLimits};
 pub use host::{Host, Telemetry};
+pub use memory::Memory;
 pub use metrics::{LostLines, Metrics};
 pub use platform::{Call, DecodeError, HeaderNames, Platform};
 pub use serve::{ServeError, serve};
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -10,10 +10,10 @@
 
 use futures_lite::FutureExt;
 use http::header::{HeaderMap, HeaderValue};
-use trefoil_http::h1::{BodyLimit, Sent, encode_request};
+use trefoil_http::h1::{Sent, encode_request};
 use trefoil_ranges::{Order, OrderKind, OrderOutcome};
 
-use crate::forward::{ANSWER_MAX, FRESH_IDLE_MAX};
+use crate::forward::FRESH_IDLE_MAX;
 use crate::host::Host;
 use crate::pool::{self, CallId, Traffic, UpstreamLink};
 
@@ -65,9 +65,9 @@
         name: id_name,
         value: id.as_ref(),
     };
-    let limit = BodyLimit::new(ANSWER_MAX);
+    let limit = &host.memory.answer_limit;
     let exchange = async {
-        let exchanged = link.exchange(&call.method, bytes, call_id, &limit);
+        let exchanged = link.exchange(&call.method, bytes, call_id, limit);
         Some(exchanged.await)
     };
     match exchange.or(timeout).await {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -10,14 +10,15 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_lite::FutureExt;
 use http::Method;
 use http::header::{HeaderName, HeaderValue};
 use smallvec::SmallVec;
 use smol::Async;
 use trefoil_core::{Clock, Tick};
-use trefoil_http::h1::{BodyLimit, ClientConnection, ExchangeError, Match, Response, ResponseHead};
+use trefoil_http::h1::{
+    BodyLimit, ClientConnection, EncodedMessage, ExchangeError, Match, Response, ResponseHead,
+};
 
 /// Longest time to open a connection. If the first packet is lost, it is retransmitted only after a
 /// second; a new attempt is faster.
@@ -82,7 +83,7 @@
     pub async fn exchange(
         &mut self,
         method: &Method,
-        call: Bytes,
+        call: EncodedMessage,
         id: CallId<'_>,
         limit: &BodyLimit,
     ) -> Result<Response, ExchangeError> {
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -18,7 +18,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures_lite::future::BoxedLocal;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use http::header::{CONNECTION, EXPECT};
@@ -26,9 +26,10 @@
 use trefoil_core::Clock;
 use trefoil_core::clock::Sleep;
 
-use super::encode::{BodyLength, encode_response_head};
+use super::encode::{BodyLength, EncodedMessage, encode_response_head};
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{HeadError, RequestHead, parse_request};
+use super::memory::{BodyBuffer, MemoryShare, Reservation};
 use super::stream::BufferedStream;
 
 /// Largest number of unanswered requests on one connection. Further ones stay in the socket's
@@ -38,6 +39,13 @@
 /// Bytes that are read ahead for requests that wait to be started, beyond one request.
 const READ_AHEAD_MAX: usize = 64 * 1024;
 
+/// Most events of a connection, and most reads for one of them, before other tasks of the thread
+/// get a turn. A caller may send faster than this process reads.
+const TURN_MAX: u32 = 16;
+
+/// Copies of a head: the parsed fields, and those of an attempt and its encoding.
+const HEAD_COPIES: usize = 3;
+
 /// Longest time for which input is read and discarded after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -61,12 +69,14 @@
 }
 
 /// Complete request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Request {
     /// Head of the request.
     pub head: RequestHead,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory of the request.
+    pub memory: Reservation,
 }
 
 /// Reason for which a request is rejected before it reaches the handler. Logs print the variants.
@@ -80,6 +90,8 @@
     BodyTooLarge,
     /// The request did not arrive in time.
     Late,
+    /// The memory for requests is in use.
+    NoMemory,
 }
 
 impl RejectReason {
@@ -90,6 +102,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -121,6 +134,12 @@
     /// Returns the limits for the next request.
     fn limits(&self) -> Limits;
 
+    /// Returns the memory that requests take up. One that does not fit is rejected as soon as its
+    /// size is known.
+    fn memory(&self) -> Option<MemoryShare> {
+        None
+    }
+
     /// Returns true if a request may start while earlier ones on its connection are unanswered.
     fn may_overlap(&self, head: &RequestHead) -> bool;
 
@@ -160,7 +179,7 @@
 struct Partial {
     head: RequestHead,
     decoder: Decoder,
-    body: BytesMut,
+    body: BodyBuffer,
 }
 
 /// Next event on a connection.
@@ -193,11 +212,13 @@
     handler: Rc<dyn Handler>,
     clock: Arc<dyn Clock>,
     shutdown: Rc<Shutdown>,
+    /// Memory of the requests, if it is limited.
+    memory: Option<MemoryShare>,
     pending: VecDeque<Pending>,
     /// Request that waits until no other one is outstanding.
     waiting: Option<Request>,
     partial: Option<Partial>,
-    output: Bytes,
+    output: EncodedMessage,
     /// True if no further request is read, and the connection ends after the last answer.
     is_closing: bool,
     wait: Wait,
@@ -225,13 +246,14 @@
     ) -> Self {
         Self {
             stream: BufferedStream::new(stream),
+            memory: handler.memory(),
             handler,
             clock,
             shutdown,
             pending: VecDeque::new(),
             waiting: None,
             partial: None,
-            output: Bytes::new(),
+            output: EncodedMessage::default(),
             is_closing: false,
             wait: Wait::Answer,
             timer: None,
@@ -242,10 +264,21 @@
     pub async fn run(mut self) {
         let shutdown = Rc::clone(&self.shutdown);
         let mut stopping = shutdown.event.listen();
+        let mut events = 0;
         loop {
-            let event = poll_fn(|cx| match self.poll_event(cx) {
-                Poll::Pending => Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping),
-                event @ Poll::Ready(_) => event,
+            let event = poll_fn(|cx| {
+                if events == TURN_MAX {
+                    events = 0;
+                    return yield_turn(cx);
+                }
+                events += 1;
+                match self.poll_event(cx) {
+                    Poll::Pending => {
+                        events = 0;
+                        Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping)
+                    }
+                    event @ Poll::Ready(_) => event,
+                }
             })
             .await;
             if matches!(event, Event::Stopping) {
@@ -254,7 +287,7 @@
             match event {
                 Event::Request(request) => self.accept_request(request),
                 Event::Reject(reason) => self.reject_request(reason),
-                Event::Continue => self.output = Bytes::from_static(CONTINUE),
+                Event::Continue => self.output = Bytes::from_static(CONTINUE).into(),
                 Event::Progress => {}
                 Event::TimedOut(Wait::Arrival) => self.reject_request(RejectReason::Late),
                 Event::Stopping if !self.is_idle() || self.has_partial_request() => {}
@@ -274,20 +307,20 @@
             if self.stream.poll_close(cx).is_pending() {
                 return Poll::Pending;
             }
-            while let Poll::Ready(read) = self.stream.poll_fill(cx) {
-                self.stream.input.clear();
-                if !matches!(read, Ok(1..)) {
-                    return Poll::Ready(());
+            for _ in 0..TURN_MAX {
+                match self.stream.poll_fill(cx) {
+                    Poll::Ready(Ok(1..)) => self.stream.input.clear(),
+                    read => return read.map(drop),
                 }
             }
-            Poll::Pending
+            yield_turn(cx)
         });
         drained.or(timeout).await;
     }
 
     /// Returns true if every request that was read has been answered.
     fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.waiting.is_none() && self.output.is_empty()
+        self.pending.is_empty() && self.waiting.is_none() && !self.output.has_remaining()
     }
 
     /// Returns true if a part of a request has arrived.
@@ -298,7 +331,7 @@
     /// Sets the timer for the event that the connection waits for.
     fn set_timer(&mut self) {
         let wait = match () {
-            () if !self.output.is_empty() => Wait::Write,
+            () if self.output.has_remaining() => Wait::Write,
             () if !self.is_idle() => Wait::Answer,
             () if self.has_partial_request() => Wait::Arrival,
             () => Wait::Idle,
@@ -372,13 +405,14 @@
             }
         }
         loop {
-            while !self.output.is_empty() {
-                match self.stream.poll_write(cx, &self.output) {
+            while self.output.has_remaining() {
+                match self.stream.poll_write(cx, self.output.chunk()) {
                     Poll::Ready(Ok(n)) => self.output.advance(n),
                     Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
                     Poll::Pending => return Poll::Pending,
                 }
-                if self.output.is_empty() {
+                if !self.output.has_remaining() {
+                    self.output = EncodedMessage::default();
                     return Poll::Ready(Event::Progress);
                 }
             }
@@ -408,16 +442,17 @@
         } else {
             BodyLength::Length(u64::try_from(answer.body.len()).unwrap_or(u64::MAX))
         };
-        let mut output = encode_response_head(answer.status, &answer.headers, body_length, close);
-        if !has_no_body {
-            output.extend_from_slice(&answer.body);
-        }
-        self.output = output.freeze();
+        let head = encode_response_head(answer.status, &answer.headers, body_length, close);
+        self.output = if has_no_body {
+            head.freeze().into()
+        } else {
+            EncodedMessage::new(head, &answer.body)
+        };
     }
 
     /// Reads requests and detects that the caller has closed the connection.
     fn poll_input(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
-        loop {
+        for _ in 0..TURN_MAX {
             if let Some(event) = self.parse_next_request() {
                 return Poll::Ready(event);
             }
@@ -430,6 +465,7 @@
                 Poll::Ready(Ok(_)) => {}
             }
         }
+        yield_turn(cx)
     }
 
     /// Returns the number of bytes that may be read ahead of the requests being handled.
@@ -452,9 +488,10 @@
         }
         let limits = self.handler.limits();
         if self.partial.is_none() {
+            let available = self.stream.input.len();
             match parse_request(&mut self.stream.input, limits.head) {
                 Ok(None) => return None,
-                Ok(Some(head)) => match self.begin_body(head, limits.body) {
+                Ok(Some(head)) => match self.begin_body(head, available, limits.body) {
                     Ok(Some(event)) => return Some(event),
                     Ok(None) => {}
                     Err(reason) => return Some(Event::Reject(reason)),
@@ -468,18 +505,34 @@
         self.read_body(limits.body)
     }
 
-    /// Begins to read the body of a request. Returns an event if the caller waits for permission to
-    /// send it.
-    fn begin_body(&mut self, head: RequestHead, max: u64) -> Result<Option<Event>, RejectReason> {
+    /// Begins to read the body of a request, before whose head there were `available` bytes of
+    /// input. Returns an event if the caller waits for permission to send the body.
+    fn begin_body(
+        &mut self,
+        head: RequestHead,
+        available: usize,
+        max: u64,
+    ) -> Result<Option<Event>, RejectReason> {
         let framing = Framing::of_request(&head).or(Err(RejectReason::Invalid))?;
         if matches!(framing, Framing::Length(n) if n > max) {
             return Err(RejectReason::BodyTooLarge);
         }
+        let memory = self.memory.as_ref().map(MemoryShare::reservation);
+        let mut memory = memory.unwrap_or_default();
+        let size = available - self.stream.input.len();
+        memory
+            .grow(HEAD_COPIES * size)
+            .or(Err(RejectReason::NoMemory))?;
+        let mut body = BodyBuffer::new(memory);
+        if let Framing::Length(length) = framing {
+            let length = usize::try_from(length).or(Err(RejectReason::BodyTooLarge))?;
+            body.reserve(length).or(Err(RejectReason::NoMemory))?;
+        }
         let expects = head.headers.get(EXPECT).is_some();
         self.partial = Some(Partial {
             head,
             decoder: Decoder::new(framing),
-            body: BytesMut::new(),
+            body,
         });
         let waits = expects && framing != Framing::Empty && self.stream.input.is_empty();
         Ok((waits && self.is_idle()).then_some(Event::Continue))
@@ -495,13 +548,18 @@
                     if u64::try_from(size).unwrap_or(u64::MAX) > max {
                         return Some(Event::Reject(RejectReason::BodyTooLarge));
                     }
-                    partial.body.extend_from_slice(&piece);
+                    let rest = partial.decoder.remaining();
+                    if partial.body.append(&piece, rest).is_err() {
+                        return Some(Event::Reject(RejectReason::NoMemory));
+                    }
                 }
                 Ok(Decoded::End) => {
                     let complete = self.partial.take()?;
+                    let (body, memory) = complete.body.into_parts();
                     return Some(Event::Request(Request {
                         head: complete.head,
-                        body: complete.body.freeze(),
+                        body,
+                        memory,
                     }));
                 }
                 Err(_) => return Some(Event::Reject(RejectReason::Invalid)),
@@ -510,6 +568,12 @@
     }
 }
 
+/// Lets other tasks of the thread run first.
+fn yield_turn<T>(cx: &Context<'_>) -> Poll<T> {
+    cx.waker().wake_by_ref();
+    Poll::Pending
+}
+
 /// Returns true if the caller requests that the connection is closed after the answer.
 fn requests_close(head: &RequestHead) -> bool {
     let has_option = |option: &str| {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -41,6 +41,9 @@
 /// Time by which [`ResponseMode::RepeatOrderAnswer`] delays a release.
 pub const LATE_RELEASE: Duration = Duration::from_millis(1_500);
 
+/// Length of the body that [`ResponseMode::LongBody`] sends, in bytes.
+pub const LONG_BODY: usize = 8 * 1024 * 1024;
+
 /// A way to respond to requests, most of them faulty.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -78,6 +81,8 @@
     RepeatOrderAnswer,
     /// Answers orders without the id of the call.
     AnonymousOrders,
+    /// Runs the request and answers with a body of [`LONG_BODY`] bytes.
+    LongBody,
 }
 
 #[derive(Debug, Default)]
--- a/tests/all/gateway/changes.rs
+++ b/tests/all/gateway/changes.rs
@@ -12,7 +12,8 @@
 use smol::Async;
 use trefoil_core::SystemClock;
 use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, follow, message::HostInfo, relay,
+    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
+    message::HostInfo, relay,
 };
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
@@ -40,6 +41,7 @@
             ready: unused,
             peer: socket.get_ref().local_addr().expect("bound"),
             operator: unused,
+            limits: ProcessLimits::default(),
             bounds: Bounds::default(),
         };
         let telemetry = Telemetry {
@@ -49,8 +51,10 @@
         let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
         let registry = ControlPlane::new(Arc::<MemoryStore>::clone(&store));
         let clock = Arc::new(SystemClock);
+        let memory = Memory::new(config.limits.memory);
         let host = Host::new(
             config,
+            memory,
             clock,
             telemetry,
             Rc::new(UsersPlatform::new()),
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -14,8 +14,10 @@
 use serde_json::json;
 use trefoil_core::SystemClock;
 use trefoil_gateway::forward::{Job, forward};
-use trefoil_gateway::{Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, follow};
-use trefoil_http::h1::{Request, RequestHead};
+use trefoil_gateway::{
+    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
+};
+use trefoil_http::h1::{Request, RequestHead, Reservation};
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
 use trefoil_store::MemoryStore;
@@ -32,6 +34,7 @@
         ready: unused,
         peer: unused,
         operator: unused,
+        limits: ProcessLimits::default(),
         bounds: Bounds {
             drain: DRAIN,
             ..Bounds::default()
@@ -42,7 +45,15 @@
         metrics: Metrics::new(LostLines::default()),
     };
     let platform = Rc::new(UsersPlatform::new());
-    Host::new(config, Arc::new(SystemClock), telemetry, platform, store)
+    let memory = Memory::new(config.limits.memory);
+    Host::new(
+        config,
+        memory,
+        Arc::new(SystemClock),
+        telemetry,
+        platform,
+        store,
+    )
 }
 
 fn job(host: &Host) -> Job {
@@ -61,6 +72,7 @@
                 headers: HeaderMap::new(),
             },
             body: Bytes::new(),
+            memory: Reservation::default(),
         },
         id: None,
         arrived: now,
