--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -472,7 +472,7 @@
     fn read_ahead_limit(&self) -> usize {
         match &self.partial {
             Some(_) => READ_AHEAD_MAX,
-            None => self.handler.limits().head + READ_AHEAD_MAX,
+            None => self.handler.limits().head.saturating_add(READ_AHEAD_MAX),
         }
     }
 
--- a/tests/all/platform/odd_entries.rs
+++ b/tests/all/platform/odd_entries.rs
@@ -13,7 +13,7 @@
 use trefoil_ranges::{Candidate, Planner, RequestWindow, Table};
 use trefoil_soak::{Fleet, eventually, upstream_spec};
 
-fn runner() -> TestRunner {
+pub fn runner() -> TestRunner {
     TestRunner::new(Config {
         cases: 2_000,
         rng_algorithm: RngAlgorithm::ChaCha,
@@ -23,6 +23,26 @@
     })
 }
 
+/// Any JSON value, nested up to four levels.
+pub fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,20}".prop_map(Value::from),
+        proptest::sample::select(&["plain", "ready", "192.0.2.1:0", "[::]:80"][..])
+            .prop_map(Value::from),
+    ];
+    leaf.prop_recursive(4, 32, 6, |inner| {
+        let list = proptest::collection::vec(inner.clone(), 0..6);
+        let table = proptest::collection::btree_map("[a-z]{0,6}", inner, 0..6);
+        let table = table.prop_map(|entries| entries.into_iter().collect::<Value>());
+        prop_oneof![list.prop_map(Value::from), table]
+    })
+}
+
 /// An entry of a ready upstream, as text, with one field replaced or added.
 fn entry(field: &str, value: &str) -> String {
     let mut fields = vec![
@@ -187,6 +207,40 @@
     result.expect("no panic");
 }
 
+/// Guards against a process that ends because of a value in a registry entry.
+#[test]
+fn any_value_in_an_entry_is_handled() {
+    let fields = [
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "warmupLeftMs",
+        "sequence",
+        "born",
+        "new",
+    ];
+    let field = proptest::sample::select(fields.to_vec());
+    let changes = proptest::collection::vec((field, any_json()), 0..3);
+    let result = runner().run(&(changes, ".{0,10}"), |(changes, key)| {
+        let mut document: Value = serde_json::from_str(&entry("new", "1")).expect("JSON");
+        for (field, value) in changes {
+            document[field] = value;
+        }
+        let text = document.to_string();
+        for key in ["i-1", &key] {
+            let read = UsersPlatform::new().decode_registration(key, text.as_bytes());
+            if let Ok(registration) = read {
+                use_registration(&registration, 1);
+            }
+        }
+        Ok(())
+    });
+    result.expect("no panic");
+}
+
 /// Guards against a process that ends because of what another host has forwarded: it may have taken
 /// the entry with an earlier build.
 #[test]
