Count the idle time of a connection from its last answer

Callers saw: a connection that was closed a moment after an answer, in which they may have sent their next request.

Cause: the timer was set again only when the connection waited for something else than before. A request that is answered at once, such as a refusal or a readiness check, left no such moment, so the idle time went on from before it.

Before: h1::server::the_idle_time_begins_with_the_last_answer panicked: assertion failed: !fixture.has_ended()

--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -351,6 +351,9 @@
     }
 
     fn accept_request(&mut self, request: Request) {
+        // The answer may be written before the timer is set again.
+        self.wait = Wait::Answer;
+        self.timer = None;
         let overlap = self.handler.may_overlap(&request.head);
         if self.pending.is_empty() || overlap {
             self.start_request(request);
--- a/tests/all/h1/server.rs
+++ b/tests/all/h1/server.rs
@@ -505,3 +505,17 @@
     run_until_idle(&fixture.executor);
     assert_eq!(fixture.started().len(), 1000);
 }
+
+/// Guards against a connection that is closed too early after a request that was answered at once:
+/// its caller may be about to send the next one.
+#[test]
+fn the_idle_time_begins_with_the_last_answer() {
+    let fixture = Fixture::new();
+    fixture.advance_clock(14_900);
+    fixture.get("/now");
+    assert_eq!(fixture.bodies(), ["/now"]);
+    fixture.advance_clock(14_900);
+    assert!(!fixture.has_ended());
+    fixture.advance_clock(200);
+    assert!(fixture.has_ended());
+}
