Limit the number of connections, and close idle ones for new ones

Callers saw: no answer on new connections, and the load balancer no readiness, while other callers held all descriptors of a host.

Cause: each listener accepted as many connections as came. Nothing left descriptors for connections to upstreams, and each connection takes up memory.

Callers' connections may take up half of the descriptors (new setting `descriptors`) and a seventh of the memory. At that limit, connections that have been idle longest by steps are closed, an eighth of the limit at a time, and new ones wait in the queue of the listener. The other listeners have 64 connections each.

--- a/crates/config/src/serve.rs
+++ b/crates/config/src/serve.rs
@@ -43,6 +43,10 @@
     #[serde(default)]
     #[garde(range(min = 1.0, max = 1e9))]
     pub memory_mb: Option<f64>,
+    /// Descriptors that the process may open. Default: 1024.
+    #[serde(default)]
+    #[garde(range(min = 16.0, max = 1e9))]
+    pub descriptors: Option<f64>,
     /// Time and retry limits of the deployment.
     #[garde(dive)]
     pub bounds: BoundSettings,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -117,6 +117,24 @@
 pub struct ProcessLimits {
     /// Memory. A process that uses more is ended.
     pub memory: Bytes,
+    /// Descriptors of sockets and files.
+    pub descriptors: u32,
+}
+
+/// Memory of a connection without a request: its state and what it may read ahead.
+const CONNECTION_MEMORY: u64 = 24 * 1024;
+
+/// Divisor of the memory that gives the part for connections.
+const CONNECTIONS_PART: u64 = 7;
+
+impl ProcessLimits {
+    /// Most connections of callers: half of the descriptors, because requests need others for
+    /// connections to upstreams, and no more than there is memory for.
+    pub fn connections(&self) -> usize {
+        let by_memory = self.memory.0 / CONNECTIONS_PART / CONNECTION_MEMORY;
+        let most = by_memory.min(u64::from(self.descriptors / 2)).max(1);
+        usize::try_from(most).unwrap_or(usize::MAX)
+    }
 }
 
 impl Default for ProcessLimits {
@@ -124,6 +142,7 @@
     fn default() -> Self {
         Self {
             memory: Bytes(160_000_000),
+            descriptors: 1024,
         }
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -23,6 +23,17 @@
 /// Wait after a failed accept, for example because the process has no free file descriptor.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Most connections to each address but the callers'.
+const SERVICE_CONNECTIONS_MAX: usize = 64;
+
+/// Part of the connections that is closed at once when there are too many.
+const SURPLUS_PART: usize = 8;
+
+/// Idle time of the connections that are closed first when there are too many. It is halved until
+/// there is room, but no further than to the smallest.
+const SURPLUS_IDLE: Duration = Duration::from_secs(1);
+const SURPLUS_IDLE_MIN: Duration = Duration::from_millis(100);
+
 /// Time between two passes that close idle connections and log refused memory.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -128,15 +139,31 @@
     });
     let ingress: Rc<dyn Handler> = Ingress::new(Rc::clone(&host));
     let _probes = [
-        host.spawn(accept(Rc::clone(&host), readiness, Rc::clone(&probe))),
-        host.spawn(accept(Rc::clone(&host), operators, probe)),
+        host.spawn(accept(
+            Rc::clone(&host),
+            readiness,
+            Rc::clone(&probe),
+            SERVICE_CONNECTIONS_MAX,
+        )),
+        host.spawn(accept(
+            Rc::clone(&host),
+            operators,
+            probe,
+            SERVICE_CONNECTIONS_MAX,
+        )),
         host.spawn(accept(
             Rc::clone(&host),
             peers,
             PeerHandler::new(Rc::clone(&host)),
+            SERVICE_CONNECTIONS_MAX,
         )),
     ];
-    let accepting = host.spawn(accept(Rc::clone(&host), callers, ingress));
+    let accepting = host.spawn(accept(
+        Rc::clone(&host),
+        callers,
+        ingress,
+        config.limits.connections(),
+    ));
     let _tasks = [
         host.spawn(follow::follow_config(Rc::clone(&host))),
         host.spawn(follow::follow_registry(Rc::clone(&host))),
@@ -170,11 +197,25 @@
     Async::<TcpListener>::bind(address).context(BindSnafu { address })
 }
 
-async fn accept(host: Rc<Host>, listener: Async<TcpListener>, handler: Rc<dyn Handler>) {
+/// Accepts connections, at most `limit` at a time.
+async fn accept(
+    host: Rc<Host>,
+    listener: Async<TcpListener>,
+    handler: Rc<dyn Handler>,
+    limit: usize,
+) {
+    // Each connection has a clone of the counter.
+    let open = Rc::new(());
     loop {
+        make_room(&host, &open, limit).await;
         match listener.accept().await {
             Ok((stream, _)) => {
                 let task = serve_connection(Rc::clone(&host), stream, Rc::clone(&handler));
+                let counted = Rc::clone(&open);
+                let task = async move {
+                    task.await;
+                    drop(counted);
+                };
                 host.spawn(task).detach();
             }
             Err(error) => {
@@ -185,6 +226,22 @@
     }
 }
 
+/// Waits until there are fewer than `limit` connections, and closes idle ones. New ones stay in the
+/// queue of the listener meanwhile.
+async fn make_room(host: &Host, open: &Rc<()>, limit: usize) {
+    let count = || Rc::strong_count(open) - 1;
+    if count() < limit {
+        return;
+    }
+    warn!(host.log, "connections at limit"; "limit" => limit);
+    let mut idle = SURPLUS_IDLE;
+    while count() >= limit {
+        host.stop.close_idle(limit.div_ceil(SURPLUS_PART), idle);
+        host.clock.sleep(ACCEPT_RETRY_DELAY).await;
+        idle = (idle / 2).max(SURPLUS_IDLE_MIN);
+    }
+}
+
 async fn serve_connection(host: Rc<Host>, stream: Async<TcpStream>, handler: Rc<dyn Handler>) {
     // An answer is sent in one write; Nagle's algorithm would only delay it.
     if let Err(error) = stream.get_ref().set_nodelay(true) {
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -9,6 +9,7 @@
 //! connection, that future returns, which drops the futures of the unanswered requests and cancels
 //! their work.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::fmt::{self, Debug};
 use std::future::poll_fn;
@@ -23,8 +24,8 @@
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use http::header::{CONNECTION, EXPECT};
 use http::{HeaderMap, Method, StatusCode};
-use trefoil_core::Clock;
 use trefoil_core::clock::Sleep;
+use trefoil_core::{Clock, Tick};
 
 use super::encode::{BodyLength, EncodedMessage, encode_response_head};
 use super::framing::{Decoded, Decoder, Framing};
@@ -153,7 +154,9 @@
 /// Signals the shutdown of the process to its connections.
 #[derive(Debug, Default)]
 pub struct Shutdown {
-    closing: std::cell::Cell<bool>,
+    closing: Cell<bool>,
+    /// Number of idle connections to close, and for how long they must have been idle.
+    surplus: Cell<(usize, Duration)>,
     event: event_listener::Event,
 }
 
@@ -165,6 +168,21 @@
         self.event.notify(usize::MAX);
     }
 
+    /// Closes up to `count` connections that have been idle for at least `idle`.
+    pub fn close_idle(&self, count: usize, idle: Duration) {
+        self.surplus.set((count, idle));
+        self.event.notify(usize::MAX);
+    }
+
+    /// Returns true if a connection that has been idle for `idle` is to be closed.
+    fn closes_idle(&self, idle: Duration) -> bool {
+        let (count, min) = self.surplus.get();
+        let closes = self.is_closing() || (count > 0 && idle >= min);
+        self.surplus
+            .set((count - usize::from(closes && count > 0), min));
+        closes
+    }
+
     fn is_closing(&self) -> bool {
         self.closing.get()
     }
@@ -222,6 +240,8 @@
     /// True if no further request is read, and the connection ends after the last answer.
     is_closing: bool,
     wait: Wait,
+    /// Since when the connection has been idle, if it is.
+    idle_since: Tick,
     timer: Option<Sleep>,
 }
 
@@ -256,6 +276,7 @@
             output: EncodedMessage::default(),
             is_closing: false,
             wait: Wait::Answer,
+            idle_since: Tick::default(),
             timer: None,
         }
     }
@@ -290,7 +311,7 @@
                 Event::Continue => self.output = Bytes::from_static(CONTINUE).into(),
                 Event::Progress => {}
                 Event::TimedOut(Wait::Arrival) => self.reject_request(RejectReason::Late),
-                Event::Stopping if !self.is_idle() || self.has_partial_request() => {}
+                Event::Stopping if !self.may_end() => {}
                 Event::TimedOut(_) | Event::Stopping | Event::Closed => return,
             }
             if self.is_closing && self.is_idle() {
@@ -323,6 +344,13 @@
         self.pending.is_empty() && self.waiting.is_none() && !self.output.has_remaining()
     }
 
+    /// Returns true if the connection is idle and to be closed.
+    fn may_end(&self) -> bool {
+        let idle = self.is_idle() && !self.has_partial_request();
+        let span = self.clock.now().since(self.idle_since);
+        idle && self.shutdown.closes_idle(span)
+    }
+
     /// Returns true if a part of a request has arrived.
     fn has_partial_request(&self) -> bool {
         self.partial.is_some() || !self.stream.input.is_empty()
@@ -346,6 +374,9 @@
             Wait::Arrival => Some(limits.request_timeout),
             Wait::Idle => Some(limits.idle_timeout),
         };
+        if wait == Wait::Idle {
+            self.idle_since = self.clock.now();
+        }
         self.wait = wait;
         self.timer = span.map(|span| self.clock.sleep(span));
     }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -113,14 +113,18 @@
 
 fn to_limits(settings: &ServeSettings) -> ProcessLimits {
     let mut limits = ProcessLimits::default();
-    if let Some(memory) = settings.memory_mb {
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "the settings limit the value to a positive range"
-        )]
-        let bytes = (memory * BYTES_PER_MB) as u64;
-        limits.memory = Bytes(bytes);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the settings limit the values to positive ranges"
+    )]
+    {
+        if let Some(memory) = settings.memory_mb {
+            limits.memory = Bytes((memory * BYTES_PER_MB) as u64);
+        }
+        if let Some(descriptors) = settings.descriptors {
+            limits.descriptors = descriptors as u32;
+        }
     }
     limits
 }
--- a/tests/all/h1/server.rs
+++ b/tests/all/h1/server.rs
@@ -519,3 +519,34 @@
     fixture.advance_clock(200);
     assert!(fixture.has_ended());
 }
+
+/// Guards against idle callers that take up all connections, and against the loss of requests when
+/// connections are closed for new ones.
+#[test]
+fn idle_connections_are_closed_for_new_ones() {
+    let second = Duration::from_secs(1);
+    let idle = Fixture::new();
+    idle.advance_clock(900);
+    idle.stop.close_idle(1, second);
+    assert!(!idle.has_ended(), "it was idle for less");
+    idle.get("/now");
+    idle.answers();
+    idle.advance_clock(900);
+    idle.stop.close_idle(1, second);
+    assert!(!idle.has_ended(), "it had a request");
+    idle.advance_clock(100);
+    idle.stop.close_idle(0, second);
+    assert!(!idle.has_ended(), "none is too many");
+    idle.stop.close_idle(1, second);
+    assert!(idle.has_ended());
+
+    let busy = Fixture::new();
+    busy.get("/safe/1");
+    let partial = Fixture::new();
+    partial.send("GET /now HT");
+    for fixture in [busy, partial] {
+        fixture.advance_clock(2000);
+        fixture.stop.close_idle(1, second);
+        assert!(!fixture.has_ended());
+    }
+}
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -2,6 +2,7 @@
 //! stand-in platform.
 
 mod calls;
+mod connections;
 mod decoding;
 mod endless;
 mod leaving;
