Count the age of a directory from a read of the registry

Requests reach upstreams that have left, for as long as reports between hosts are late and the relays cannot read.

Cause: a host whose directory has the content of another host's takes `now` less the reported age as the moment as of which its own directory is current, and reports that on. The age lacks the latency of the report, so each report moves the moment forward and comes back as news. Hosts confirm each other while nobody reads the registry, and none reaches the age at which it reads itself.

Change: an age is reported with the read that it counts from, named by the host that has read and the moment on its clock. A host takes the moment of a read from the first report and keeps it. So the error is the latency of one report and does not grow. Copies of the directory name the read as well. The read follows the age behind a message, where earlier builds ignore it; reports without one count as before. Two hosts with the same read are equally current.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -24,6 +24,7 @@
 use crate::follow;
 use crate::freshness::Source;
 use crate::host::Host;
+use crate::message::ReadId;
 use crate::peers::whole_millis;
 
 const CONFIG_PATH: &str = "/v1/config";
@@ -94,21 +95,37 @@
     let Some(age) = host.directory_age(host.now()) else {
         return Some(Bytes::from(bytes));
     };
-    let bytes = postcard::to_extend(&whole_millis(age), bytes).ok()?;
+    let read = host.known_reads.borrow().current();
+    let bytes = postcard::to_extend(&(whole_millis(age), read), bytes).ok()?;
     Some(Bytes::from(bytes))
 }
 
-/// Digest and content of a directory, and its age, which follows them unless an earlier build sent
-/// it.
-type Listing = (u64, Vec<Registration>, Option<Duration>);
+/// The directory of another host.
+struct Listing {
+    digest: u64,
+    listed: Vec<Registration>,
+    /// Age of the directory, unless an earlier build sent it.
+    age: Option<Duration>,
+    /// Read that the age counts from, unless an earlier build sent the directory.
+    read: Option<ReadId>,
+}
 
 fn decode_directory(body: &[u8]) -> Result<Listing, postcard::Error> {
     let ((digest, listed), rest) = postcard::take_from_bytes(body)?;
-    if rest.is_empty() {
-        return Ok((digest, listed, None));
+    let mut listing = Listing {
+        digest,
+        listed,
+        age: None,
+        read: None,
+    };
+    if !rest.is_empty() {
+        let (age_ms, rest) = postcard::take_from_bytes::<u32>(rest)?;
+        listing.age = Some(Duration::from_millis(age_ms.into()));
+        if !rest.is_empty() {
+            listing.read = postcard::from_bytes(rest)?;
+        }
     }
-    let age_ms: u32 = postcard::from_bytes(rest)?;
-    Ok((digest, listed, Some(Duration::from_millis(age_ms.into()))))
+    Ok(listing)
 }
 
 /// Fetches the configuration of another host, unless a fetch is in flight.
@@ -158,9 +175,14 @@
 /// Applies the directory of another host, requested at `sent`.
 fn apply_directory(host: &Host, sent: Tick, body: &Bytes) {
     match decode_directory(body) {
-        Ok((digest, listed, age)) => {
+        Ok(Listing {
+            digest,
+            listed,
+            age,
+            read,
+        }) => {
             let now = host.now();
-            let as_of = age.map(|age| Tick(sent.0.saturating_sub(age)));
+            let as_of = age.map(|age| host.copied_as_of(sent, age, read));
             if as_of.is_some() && as_of <= host.directory_as_of.get() {
                 debug!(host.log, "directory not fetched"; "reason" => "it is older than the own one");
                 return;
@@ -171,7 +193,7 @@
                 "same" => own == digest);
             host.apply_changes(changes, Source::Copy);
             if let Some(as_of) = as_of {
-                host.confirm_directory(as_of);
+                host.confirm_read(as_of, read);
             }
             host.set_directory_loaded();
             // Digests may bring the remaining differences, so the delay starts again.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -25,7 +25,7 @@
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
 use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
-use crate::freshness::Source;
+use crate::freshness::{KnownReads, Source};
 use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
@@ -140,6 +140,8 @@
     pub(crate) directory_changed: Cell<Tick>,
     /// The directory contains every change that the registry had accepted at this tick.
     pub(crate) directory_as_of: Cell<Option<Tick>>,
+    /// Reads of the registry that the ages of directories count from.
+    pub(crate) known_reads: RefCell<KnownReads>,
     router: RefCell<Option<Rc<Router>>>,
     /// When the configuration came into force.
     config_changed: Cell<Tick>,
@@ -216,6 +218,7 @@
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
             directory_as_of: Cell::default(),
+            known_reads: RefCell::default(),
             router: RefCell::default(),
             config_changed: Cell::default(),
             was_ready: Cell::default(),
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -9,7 +9,7 @@
 
 impl Host {
     /// Updates the gauges that are computed only when the metrics are read.
-    pub(crate) fn update_gauges(&self) {
+    pub fn update_gauges(&self) {
         let now = self.now();
         let age = |since| now.since(since).as_secs_f64();
         let m = &self.metrics;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -76,6 +76,16 @@
     pub weight: u32,
 }
 
+/// A read of the registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadId {
+    /// Short id of the host that has read.
+    pub host: u32,
+    /// When that host sent the read, in milliseconds of its own clock, so a later read has a greater
+    /// number.
+    pub number: u64,
+}
+
 /// Versions of the configuration and the directory that a host has, and the age of its last answer
 /// from the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -91,6 +101,10 @@
     /// registry had accepted. Encoded after the message, where earlier builds ignore it.
     #[serde(skip)]
     pub directory_age_ms: Option<u32>,
+    /// The read of the registry that the age counts from. Encoded after the age, where earlier
+    /// builds ignore it.
+    #[serde(skip)]
+    pub directory_read: Option<ReadId>,
 }
 
 impl SyncStatus {
@@ -221,7 +235,7 @@
     /// The removed incarnation.
     pub incarnation: Incarnation,
     /// Sequence number of the removed registration. A later registration supersedes the removal.
-    /// Encoded after the message, where earlier builds ignore it.
+    /// Encoded after the age of the directory, where earlier builds ignore it.
     #[serde(skip)]
     pub sequence: Option<u64>,
 }
@@ -245,6 +259,15 @@
     pub ranges: Vec<(KeyRange, Option<u16>)>,
 }
 
+/// What follows the age of the directory, which follows the message. Earlier builds ignore it.
+#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Trailer {
+    /// The read that the age counts from.
+    read: Option<ReadId>,
+    /// Sequence numbers of the removals in the message.
+    sequences: SmallVec<[Option<u64>; 8]>,
+}
+
 /// A datagram between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -278,16 +301,17 @@
     /// Fails if the encoder does.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
         let bytes = postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)?;
-        let Some(age_ms) = self.status().and_then(|status| status.directory_age_ms) else {
+        let Some(status) = self.status() else {
             return Ok(bytes);
         };
-        let bytes = postcard::to_extend(&age_ms, bytes).context(DecodeSnafu)?;
-        let sequences: SmallVec<[Option<u64>; 8]> =
-            self.removals().iter().map(|r| r.sequence).collect();
-        if sequences.is_empty() {
+        let Some(age_ms) = status.directory_age_ms else {
             return Ok(bytes);
-        }
-        postcard::to_extend(&sequences, bytes).context(DecodeSnafu)
+        };
+        let trailer = Trailer {
+            read: status.directory_read,
+            sequences: self.removals().iter().map(|r| r.sequence).collect(),
+        };
+        postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)
     }
 
     /// Decodes a datagram.
@@ -306,9 +330,9 @@
         let (age_ms, rest) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
         status.directory_age_ms = Some(age_ms);
         if !rest.is_empty() {
-            let sequences: SmallVec<[Option<u64>; 8]> =
-                postcard::from_bytes(rest).context(DecodeSnafu)?;
-            for (removal, sequence) in message.removals_mut().zip(sequences) {
+            let trailer: Trailer = postcard::from_bytes(rest).context(DecodeSnafu)?;
+            status.directory_read = trailer.read;
+            for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
                 removal.sequence = sequence;
             }
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,6 +118,7 @@
         directory_digest: host.offered_directory(),
         store_age_ms: host.store_seen.get().map(|at| whole_millis(now.since(at))),
         directory_age_ms: host.directory_age(now).map(whole_millis),
+        directory_read: host.known_reads.borrow().current(),
     }
 }
 
@@ -441,11 +442,8 @@
 /// Applies changes that a relay tells. Those of a host with an older directory are not news and
 /// could undo newer ones.
 fn apply_change_items(host: &Host, now: Tick, status: SyncStatus, items: Vec<ChangeItem>) {
-    let is_news = match status.directory_age() {
-        Some(age) => host.is_older_than(now, age),
-        // A build without this status.
-        None => !host.reads_store(now),
-    };
+    let older = host.is_older_than(now, status);
+    let is_news = older.unwrap_or_else(|| !host.reads_store(now));
     if items.is_empty() || !is_news {
         return;
     }
@@ -474,8 +472,10 @@
     let source = host.peers.borrow().directory_source(now, silence) == Some(from);
     // A host without a directory accepts any.
     let urgent = !host.has_directory() || host.needs_copy(now);
-    let wanted = match status.directory_age() {
-        Some(age) => (source || urgent) && host.is_older_than(now, age),
+    // A directory with the same content is not copied, but makes this host's complete.
+    let same = status.directory_digest == Some(host.directory.borrow().digest());
+    let wanted = match host.is_older_than(now, status) {
+        Some(older) => (source || urgent) && (older || same),
         None => (source || !host.has_directory()) && !host.reads_store(now),
     };
     if let Some(digest) = status.directory_digest.filter(|_| wanted) {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -1,5 +1,6 @@
 //! State and decisions of a gateway host, tested without a network.
 
+mod ages;
 mod balance;
 mod bounds;
 mod budget;
--- a/tests/all/gateway/changes.rs
+++ b/tests/all/gateway/changes.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
-use futures_lite::future::pending;
 use serde_json::json;
 use smol::Async;
 use trefoil_core::SystemClock;
@@ -15,22 +14,30 @@
     Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, follow, message::HostInfo, relay,
 };
 use trefoil_platform::UsersPlatform;
-use trefoil_standin::{ControlPlane, test_config};
+use trefoil_standin::{ControlPlane, FaultyStore, test_config};
 use trefoil_store::MemoryStore;
 
 /// Time for which changes are told, and some more.
 const QUIET: Duration = Duration::from_millis(1500);
 
 /// A host with a registry of its own, so that each can have read another state of it.
-struct Member {
-    host: Rc<Host>,
+pub(super) struct Member {
+    pub(super) host: Rc<Host>,
+    pub(super) store: Arc<FaultyStore>,
     registry: ControlPlane,
     socket: Rc<Async<UdpSocket>>,
+    /// Other hosts send to this socket, whose datagrams reach the host after a delay.
+    inbox: Rc<Async<UdpSocket>>,
+    latency: Duration,
+}
+
+fn bind() -> Rc<Async<UdpSocket>> {
+    Rc::new(Async::<UdpSocket>::bind(([127, 0, 0, 1], 0)).expect("a port"))
 }
 
 impl Member {
-    fn new(number: usize) -> Self {
-        let socket = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    fn new(number: usize, latency: Duration) -> Self {
+        let (socket, inbox) = (bind(), bind());
         let unused: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let config = HostConfig {
             name: format!("entry-{number}").parse().expect("a name"),
@@ -38,7 +45,7 @@
             cores: 1.0,
             caller: unused,
             ready: unused,
-            peer: socket.get_ref().local_addr().expect("bound"),
+            peer: inbox.get_ref().local_addr().expect("bound"),
             operator: unused,
             bounds: Bounds::default(),
         };
@@ -49,24 +56,28 @@
         let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
         let registry = ControlPlane::new(Arc::<MemoryStore>::clone(&store));
         let clock = Arc::new(SystemClock);
+        let store = Arc::new(FaultyStore::new(store, Arc::<SystemClock>::clone(&clock)));
         let host = Host::new(
             config,
             clock,
             telemetry,
             Rc::new(UsersPlatform::new()),
-            store,
+            Arc::<FaultyStore>::clone(&store),
         );
         follow::load_config(&host, &Bytes::from(test_config(1).to_string()));
         let member = Self {
             host,
+            store,
             registry,
-            socket: Rc::new(socket),
+            socket,
+            inbox,
+            latency,
         };
         member.register("other", 1);
         member
     }
 
-    fn register(&self, name: &str, sequence: u64) {
+    pub(super) fn register(&self, name: &str, sequence: u64) {
         let entry = json!({
             "service": "plain", "address": "192.0.2.1:80", "zone": "a", "version": "1",
             "slots": 4, "state": "ready", "warmupLeftMs": 0, "sequence": sequence, "born": 1,
@@ -85,7 +96,7 @@
     }
 
     /// Sum of the samples of a metric whose labels contain a text.
-    fn sum(&self, name: &str, labels: &str) -> f64 {
+    pub(super) fn sum(&self, name: &str, labels: &str) -> f64 {
         let text = self.host.metrics.encode().expect("encoded");
         let samples = text
             .lines()
@@ -94,6 +105,23 @@
         samples.filter_map(value).sum()
     }
 
+    /// Forwards datagrams to the host, each after the latency.
+    async fn deliver(&self) {
+        let to = self.socket.get_ref().local_addr().expect("bound");
+        let mut buffer = vec![0; 4096];
+        loop {
+            let received = self.inbox.recv_from(&mut buffer).await;
+            let (size, _) = received.expect("a datagram");
+            let bytes = buffer[..size].to_vec();
+            let (inbox, latency) = (Rc::clone(&self.inbox), self.latency);
+            let forwarded = async move {
+                wait(latency).await;
+                inbox.send_to(&bytes, to).await.expect("forwarded");
+            };
+            self.host.spawn(forwarded).detach();
+        }
+    }
+
     /// Runs the tasks that tell and learn changes.
     async fn run(&self) {
         let host = &self.host;
@@ -102,14 +130,14 @@
             host.spawn(relay::receive(Rc::clone(host), Rc::clone(&self.socket))),
             host.spawn(relay::send(Rc::clone(host), Rc::clone(&self.socket))),
         ];
-        host.executor.run(pending::<()>()).await;
+        host.executor.run(self.deliver()).await;
         drop(tasks);
     }
 }
 
 /// Three hosts of one failure domain that know each other. The first two are its relays.
-fn members() -> [Member; 3] {
-    let members = [1, 2, 3].map(Member::new);
+pub(super) fn members(latency: Duration) -> [Member; 3] {
+    let members = [1, 2, 3].map(|number| Member::new(number, latency));
     for member in &members {
         for other in &members {
             let (now, info) = (member.host.now(), other.info());
@@ -119,7 +147,7 @@
     members
 }
 
-fn run<F>(members: &[Member; 3], test: F)
+pub(super) fn run<F>(members: &[Member; 3], test: F)
 where
     F: Future<Output = ()>,
 {
@@ -127,7 +155,7 @@
     smol::block_on(test.or(first.run()).or(second.run()).or(third.run()));
 }
 
-async fn wait(span: Duration) {
+pub(super) async fn wait(span: Duration) {
     smol::Timer::after(span).await;
 }
 
@@ -135,7 +163,7 @@
 /// upstream is gone and then that it has registered again.
 #[test]
 fn an_upstream_that_returns_is_not_told_for_ever() {
-    let members = members();
+    let members = members(Duration::ZERO);
     for member in &members {
         member.register("p1", 1);
     }
@@ -162,7 +190,7 @@
 /// Guards against a host that keeps every change of the directory for ever because it is no relay.
 #[test]
 fn a_host_that_is_no_relay_forgets_old_changes() {
-    let members = members();
+    let members = members(Duration::ZERO);
     let test = async {
         wait(QUIET).await;
         for sequence in 1..40 {
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -3,7 +3,7 @@
 use trefoil_core::{HostId, UnixMillis};
 use trefoil_directory::Incarnation;
 use trefoil_gateway::message::{
-    ChangeItem, Digest, Message, MessageError, Removal, Report, SyncStatus,
+    ChangeItem, Digest, Message, MessageError, ReadId, Removal, Report, SyncStatus,
 };
 
 fn report(directory_age_ms: Option<u32>) -> Message {
@@ -14,6 +14,7 @@
             directory_digest: Some(7),
             store_age_ms: None,
             directory_age_ms,
+            directory_read: None,
         },
         open: Vec::new(),
         times: Vec::new(),
@@ -42,6 +43,26 @@
     assert!(matches!(cut, Err(MessageError::Decode { .. })), "{cut:?}");
 }
 
+/// Guards against hosts that drop each other's datagrams during a rolling upgrade: earlier builds
+/// neither send nor expect the read that the age counts from, which follows the age.
+#[test]
+fn the_read_of_the_directory_age_is_optional() {
+    let without = report(Some(250));
+    let Message::Report(mut with) = without.clone() else {
+        panic!("a report");
+    };
+    with.status.directory_read = Some(ReadId { host: 7, number: 9 });
+    let mut earlier = with.clone();
+    earlier.status.directory_age_ms = None;
+    let age_ms = postcard::to_allocvec(&250_u32).expect("encoded");
+    let earlier = Message::Report(earlier).encode().expect("encoded");
+    let earlier = [earlier, age_ms].concat();
+    let bytes = Message::Report(with.clone()).encode().expect("encoded");
+    assert!(bytes.starts_with(&earlier) && bytes.len() > earlier.len());
+    assert_eq!(Message::decode(&bytes), Ok(Message::Report(with)));
+    assert_eq!(Message::decode(&earlier), Ok(without));
+}
+
 fn digest(sequence: Option<u64>) -> Digest {
     let incarnation = Incarnation {
         name: "u1".parse().expect("a name"),
@@ -54,6 +75,7 @@
             directory_digest: Some(7),
             store_age_ms: None,
             directory_age_ms: Some(250),
+            directory_read: None,
         },
         live: Vec::new(),
         hosts: 2,
