Number the reports of coordinators

Keys of a coordinator that fell silent without a resignation have no owner who renews their grants until the relays give it up, which takes long if datagrams between relays are late.

Cause: relays pass reports on with an age that lacks the latency of the datagram. A report that comes back to a relay seems to be younger than at its first arrival and counted as news, so the last report of a dead coordinator kept itself young and nobody campaigned.

Change: a coordinator numbers its reports, with the time of its own clock, and relays pass the number on. Within a term a report is newer only if its number is higher. The numbers follow the age of the directory behind a message, where earlier builds ignore them. A report without a number counts by its age as before, so relays of earlier builds do not silence a live coordinator.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -332,6 +332,7 @@
         service: service.clone(),
         host: host.id,
         age_ms: 0,
+        number: u64::try_from(now.0.as_millis()).ok(),
         revision: routes::revision(term),
         confirmed_ms: u32::try_from(now.since(term.confirmed_at).as_millis()).unwrap_or(u32::MAX),
         predecessor: term.predecessor(now).map(|p| p.term),
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -130,6 +130,10 @@
     pub predecessor: Option<u64>,
     /// Milliseconds since the coordinator made this report.
     pub age_ms: u32,
+    /// When the coordinator made this report, in milliseconds of its own clock, so a later report
+    /// has a greater number. Encoded after the age of the directory, where earlier builds ignore it.
+    #[serde(skip)]
+    pub number: Option<u64>,
 }
 
 /// A coordinator has ended its term and sends no more orders.
@@ -266,6 +270,8 @@
     read: Option<ReadId>,
     /// Sequence numbers of the removals in the message.
     sequences: SmallVec<[Option<u64>; 8]>,
+    /// Numbers of the reports of coordinators in the message.
+    reports: SmallVec<[Option<u64>; 8]>,
 }
 
 /// A datagram between hosts.
@@ -310,6 +316,7 @@
         let trailer = Trailer {
             read: status.directory_read,
             sequences: self.removals().iter().map(|r| r.sequence).collect(),
+            reports: self.terms().iter().map(|t| t.number).collect(),
         };
         postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)
     }
@@ -335,10 +342,31 @@
             for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
                 removal.sequence = sequence;
             }
+            for (term, number) in message.terms_mut().iter_mut().zip(trailer.reports) {
+                term.number = number;
+            }
         }
         Ok(message)
     }
 
+    fn terms(&self) -> &[TermItem] {
+        match self {
+            Self::Report(report) => &report.terms,
+            Self::Digest(digest) => &digest.terms,
+            Self::Exchange(exchange) => &exchange.terms,
+            _ => &[],
+        }
+    }
+
+    fn terms_mut(&mut self) -> &mut [TermItem] {
+        match self {
+            Self::Report(report) => &mut report.terms,
+            Self::Digest(digest) => &mut digest.terms,
+            Self::Exchange(exchange) => &mut exchange.terms,
+            _ => &mut [],
+        }
+    }
+
     fn removals(&self) -> SmallVec<[&Removal; 8]> {
         let changes = match self {
             Self::Digest(digest) => digest.changes.as_slice(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -63,6 +63,8 @@
     pub predecessor: Option<u64>,
     /// When the coordinator made the report.
     pub reported_at: Tick,
+    /// Number of the report, unless only earlier builds have passed on reports of the term.
+    pub number: Option<u64>,
 }
 
 /// Report of another failure domain's relays.
--- a/crates/gateway/src/peers/coordinators.rs
+++ b/crates/gateway/src/peers/coordinators.rs
@@ -18,14 +18,6 @@
 impl Peers {
     /// Records a report of a coordinator. Returns whether it is newer than the known one.
     pub fn record_term(&mut self, now: Tick, item: &TermItem) -> bool {
-        let reported_at = Tick(now.0.saturating_sub(millis(item.age_ms)));
-        let seen = KnownCoordinator {
-            host: item.host,
-            revision: item.revision,
-            confirmed_age: millis(item.confirmed_ms),
-            predecessor: item.predecessor,
-            reported_at,
-        };
         if self.ended.contains(&item.host) {
             return false;
         }
@@ -34,18 +26,24 @@
         if ended.is_some_and(|ended| item.revision.term <= *ended) {
             return false;
         }
-        let known = self.coordinators.get(&item.service);
-        let older = known.is_some_and(|k| {
-            if k.revision.term == item.revision.term {
-                k.reported_at >= reported_at
-            } else {
-                k.revision.term > item.revision.term
+        let mut seen = KnownCoordinator {
+            host: item.host,
+            revision: item.revision,
+            confirmed_age: millis(item.confirmed_ms),
+            predecessor: item.predecessor,
+            reported_at: Tick(now.0.saturating_sub(millis(item.age_ms))),
+            number: item.number,
+        };
+        if let Some(known) = self.coordinators.get(&item.service) {
+            if !is_newer(&seen, known) {
+                return false;
+            }
+            if seen.revision.term == known.revision.term {
+                seen.number = seen.number.max(known.number);
             }
-        });
-        if !older {
-            self.coordinators.insert(item.service.clone(), seen);
         }
-        !older
+        self.coordinators.insert(item.service.clone(), seen);
+        true
     }
 
     /// Records that a term has ended.
@@ -102,7 +100,22 @@
             confirmed_ms: whole_millis(seen.confirmed_age),
             predecessor: seen.predecessor,
             age_ms: whole_millis(now.since(seen.reported_at)),
+            number: seen.number,
         };
         fresh.map(item).collect()
     }
 }
+
+/// Returns `true` if a report is newer than the known one of the service.
+///
+/// The age of a report that is passed on lacks the latency, so a report that comes back seems to be
+/// newer than at its first arrival. Only the number that the coordinator has given it shows that it
+/// is the same. Earlier builds pass on no number.
+fn is_newer(seen: &KnownCoordinator, known: &KnownCoordinator) -> bool {
+    let terms = seen.revision.term.cmp(&known.revision.term);
+    let in_term = match (seen.number, known.number) {
+        (Some(seen), Some(known)) => seen > known,
+        _ => seen.reported_at > known.reported_at,
+    };
+    terms.is_gt() || (terms.is_eq() && in_term)
+}
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -3,8 +3,9 @@
 use trefoil_core::{HostId, UnixMillis};
 use trefoil_directory::Incarnation;
 use trefoil_gateway::message::{
-    ChangeItem, Digest, Message, MessageError, ReadId, Removal, Report, SyncStatus,
+    ChangeItem, Digest, Message, MessageError, ReadId, Removal, Report, SyncStatus, TermItem,
 };
+use trefoil_gateway::tables::Revision;
 
 fn report(directory_age_ms: Option<u32>) -> Message {
     Message::Report(Report {
@@ -107,3 +108,32 @@
     assert_eq!(Message::decode(&bytes), Ok(Message::Digest(with)));
     assert_eq!(Message::decode(&earlier), Ok(Message::Digest(without)));
 }
+
+/// Guards against hosts that drop each other's reports of coordinators during a rolling upgrade:
+/// earlier builds neither send nor expect the number of a report, which follows the age of the
+/// directory.
+#[test]
+fn the_number_of_a_coordinators_report_is_optional() {
+    let term = TermItem {
+        service: "keys".parse().expect("a name"),
+        host: HostId::random(),
+        revision: Revision::default(),
+        confirmed_ms: 0,
+        predecessor: None,
+        age_ms: 30,
+        number: Some(41),
+    };
+    let mut with = digest(None);
+    with.terms = vec![term];
+    let mut earlier = with.clone();
+    earlier.status.directory_age_ms = None;
+    let age_ms = postcard::to_allocvec(&250_u32).expect("encoded");
+    let earlier = Message::Digest(earlier).encode().expect("encoded");
+    let earlier = [earlier, age_ms].concat();
+    let bytes = Message::Digest(with.clone()).encode().expect("encoded");
+    assert!(bytes.starts_with(&earlier) && bytes.len() > earlier.len());
+    let mut without = with.clone();
+    without.terms[0].number = None;
+    assert_eq!(Message::decode(&bytes), Ok(Message::Digest(with)));
+    assert_eq!(Message::decode(&earlier), Ok(Message::Digest(without)));
+}
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -33,6 +33,7 @@
         confirmed_ms: 0,
         predecessor: None,
         age_ms,
+        number: None,
     }
 }
 
@@ -90,6 +91,25 @@
     );
 }
 
+/// Guards against a live coordinator that counts as silent during a rolling upgrade, because relays
+/// of an earlier build pass on its reports without their numbers.
+#[test]
+fn reports_without_a_number_count_by_their_age() {
+    let mut peers = Peers::new(info("entry-1", "a"));
+    let coordinator = HostId::random();
+    let numbered = |number| TermItem {
+        number: Some(number),
+        ..item(coordinator, 7, 0)
+    };
+    assert!(peers.record_term(at(100), &numbered(5)));
+    assert!(!peers.record_term(at(200), &numbered(5)), "it came back");
+    assert!(!peers.record_term(at(200), &numbered(4)), "an earlier one");
+    assert!(peers.record_term(at(900), &item(coordinator, 7, 0)));
+    assert!(peers.coordinator(at(1_800), &service()).is_some());
+    assert!(!peers.record_term(at(1_000), &numbered(5)), "still known");
+    assert!(peers.record_term(at(1_100), &numbered(6)));
+}
+
 /// Guards against a retry budget that is shared with hosts that no longer run, and against a domain
 /// in which no host reads the store.
 #[test]
