--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -5,7 +5,7 @@
 use trefoil_core::{HostId, Key, KeyRange, UnixMillis, UpstreamName};
 use trefoil_directory::Incarnation;
 use trefoil_gateway::message::{
-    ChangeItem, Digest, Message, MessageError, Removal, Report, SyncStatus,
+    ChangeItem, Digest, Message, MessageError, ReadId, Removal, Report, SyncStatus, TermItem,
 };
 use trefoil_gateway::tables::{Revision, Routes};
 use trefoil_ranges::Table;
@@ -28,6 +28,7 @@
             directory_digest: Some(7),
             store_age_ms: None,
             directory_age_ms,
+            directory_read: None,
         },
         open: Vec::new(),
         times: Vec::new(),
@@ -56,6 +57,26 @@
     assert!(matches!(cut, Err(MessageError::Decode { .. })), "{cut:?}");
 }
 
+/// Guards against hosts that drop each other's datagrams during a rolling upgrade: earlier builds
+/// neither send nor expect the read that the age counts from, which follows the age.
+#[test]
+fn the_read_of_the_directory_age_is_optional() {
+    let without = report(Some(250));
+    let Message::Report(mut with) = without.clone() else {
+        panic!("a report");
+    };
+    with.status.directory_read = Some(ReadId { host: 7, number: 9 });
+    let mut earlier = with.clone();
+    earlier.status.directory_age_ms = None;
+    let age_ms = postcard::to_allocvec(&250_u32).expect("encoded");
+    let earlier = Message::Report(earlier).encode().expect("encoded");
+    let earlier = [earlier, age_ms].concat();
+    let bytes = Message::Report(with.clone()).encode().expect("encoded");
+    assert!(bytes.starts_with(&earlier) && bytes.len() > earlier.len());
+    assert_eq!(Message::decode(&bytes), Ok(Message::Report(with)));
+    assert_eq!(Message::decode(&earlier), Ok(without));
+}
+
 fn digest(sequence: Option<u64>) -> Digest {
     let incarnation = Incarnation {
         name: "u1".parse().expect("a name"),
@@ -68,6 +89,7 @@
             directory_digest: Some(7),
             store_age_ms: None,
             directory_age_ms: Some(250),
+            directory_read: None,
         },
         live: Vec::new(),
         hosts: 2,
@@ -154,3 +176,32 @@
     });
     result.expect("no panic");
 }
+
+/// Guards against hosts that drop each other's reports of coordinators during a rolling upgrade:
+/// earlier builds neither send nor expect the number of a report, which follows the age of the
+/// directory.
+#[test]
+fn the_number_of_a_coordinators_report_is_optional() {
+    let term = TermItem {
+        service: "keys".parse().expect("a name"),
+        host: HostId::random(),
+        revision: Revision::default(),
+        confirmed_ms: 0,
+        predecessor: None,
+        age_ms: 30,
+        number: Some(41),
+    };
+    let mut with = digest(None);
+    with.terms = vec![term];
+    let mut earlier = with.clone();
+    earlier.status.directory_age_ms = None;
+    let age_ms = postcard::to_allocvec(&250_u32).expect("encoded");
+    let earlier = Message::Digest(earlier).encode().expect("encoded");
+    let earlier = [earlier, age_ms].concat();
+    let bytes = Message::Digest(with.clone()).encode().expect("encoded");
+    assert!(bytes.starts_with(&earlier) && bytes.len() > earlier.len());
+    let mut without = with.clone();
+    without.terms[0].number = None;
+    assert_eq!(Message::decode(&bytes), Ok(Message::Digest(with)));
+    assert_eq!(Message::decode(&earlier), Ok(Message::Digest(without)));
+}
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -33,6 +33,7 @@
         confirmed_ms: 0,
         predecessor: None,
         age_ms,
+        number: None,
     }
 }
 
@@ -90,6 +91,25 @@
     );
 }
 
+/// Guards against a live coordinator that counts as silent during a rolling upgrade, because relays
+/// of an earlier build pass on its reports without their numbers.
+#[test]
+fn reports_without_a_number_count_by_their_age() {
+    let mut peers = Peers::new(info("entry-1", "a"));
+    let coordinator = HostId::random();
+    let numbered = |number| TermItem {
+        number: Some(number),
+        ..item(coordinator, 7, 0)
+    };
+    assert!(peers.record_term(at(100), &numbered(5)));
+    assert!(!peers.record_term(at(200), &numbered(5)), "it came back");
+    assert!(!peers.record_term(at(200), &numbered(4)), "an earlier one");
+    assert!(peers.record_term(at(900), &item(coordinator, 7, 0)));
+    assert!(peers.coordinator(at(1_800), &service()).is_some());
+    assert!(!peers.record_term(at(1_000), &numbered(5)), "still known");
+    assert!(peers.record_term(at(1_100), &numbered(6)));
+}
+
 /// Guards against a retry budget that is shared with hosts that no longer run, and against a domain
 /// in which no host reads the store.
 #[test]
@@ -163,6 +183,7 @@
         directory_digest: Some(0),
         store_age_ms: Some(store_age_ms),
         directory_age_ms: None,
+        directory_read: None,
     };
     // The report arrives at 3.0 s; the last answered call was sent at 2.0 s.
     peers.record_received(at(3_000), other.id, Some(status(1_000)));
@@ -201,6 +222,7 @@
                 directory_digest: Some(0),
                 store_age_ms: Some(u32::try_from(span.as_millis()).expect("a short span")),
                 directory_age_ms: None,
+                directory_read: None,
             };
             peers.record_received(at(10_000), reader.id, Some(status));
             peers.readers_before(at(10_000), silence)
@@ -228,6 +250,7 @@
         directory_digest,
         store_age_ms: Some(0),
         directory_age_ms: Some(age_ms),
+        directory_read: None,
     };
     peers.record_received(at(5_000), hosts[0].id, Some(status(Some(7), 2_000)));
     assert_eq!(peers.newest_directory(at(5_100)), Some(at(3_000)));
@@ -257,6 +280,7 @@
         directory_digest: Some(7),
         store_age_ms,
         directory_age_ms: None,
+        directory_read: None,
     };
     for (relay, address) in relays.iter().zip(["192.0.2.2:1", "192.0.2.3:1"]) {
         let mut info = relay.clone();
