Count input that waits on callers' connections against the memory

Cause: each connection could read the largest head and 64 KiB ahead of the requests being handled, in a buffer that doubles, and kept the largest buffer that it had ever needed while it was idle. With many connections that alone exceeds the memory of a host.

Input above 8 KiB takes from the share of the requests. Without memory the connection does not read on until the requests before it are handled; a head that waits for nothing else is rejected with 503. Empty buffers above 4 KiB are freed, those of upstream connections too.

Before, with four connections and a share of 100 KiB: h1::memory::input_that_waits_takes_up_memory panicked: 180000 bytes h1::memory::a_long_head_without_memory_is_rejected left: [], right: [(503, "")]

--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -147,6 +147,7 @@
         let done = poll_fn(|cx| self.poll_exchange(cx, &mut exchange, &classify)).await;
         match done {
             Ok(response) => {
+                self.stream.release_buffer();
                 let fully_sent = !exchange.request.has_remaining();
                 let open_and_drained = !self.stream.is_closed() && self.stream.input.is_empty();
                 self.reusable = fully_sent && open_and_drained && !announces_close(&response.head);
--- a/crates/http/src/h1/memory.rs
+++ b/crates/http/src/h1/memory.rs
@@ -130,6 +130,24 @@
         Ok(())
     }
 
+    /// Changes the number of bytes to `size`.
+    ///
+    /// # Errors
+    ///
+    /// Fails and changes nothing if the share has too little left.
+    pub fn resize(&mut self, size: usize) -> Result<(), NoMemory> {
+        match (size.checked_sub(self.size), &self.share) {
+            (Some(more), _) => return self.grow(more),
+            (None, Some(share)) => {
+                let less = self.size - size;
+                share.shared.used.fetch_sub(less, Ordering::Relaxed);
+            }
+            (None, None) => {}
+        }
+        self.size = size;
+        Ok(())
+    }
+
     /// Returns the number of bytes.
     pub fn size(&self) -> usize {
         self.size
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -30,7 +30,7 @@
 use super::encode::{BodyLength, EncodedMessage, encode_response_head};
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{HeadError, RequestHead, parse_request};
-use super::memory::{BodyBuffer, MemoryShare, Reservation};
+use super::memory::{BodyBuffer, MemoryShare, NoMemory, Reservation};
 use super::stream::BufferedStream;
 
 /// Largest number of unanswered requests on one connection. Further ones stay in the socket's
@@ -44,6 +44,10 @@
 /// get a turn. A caller may send faster than this process reads.
 const TURN_MAX: u32 = 16;
 
+/// Input of a connection that takes no memory of the common one, in bytes. It is more than a head
+/// or the framing of a body usually has.
+const INPUT_FREE: usize = 8 * 1024;
+
 /// Copies of a head: the parsed fields, and those of an attempt and its encoding.
 const HEAD_COPIES: usize = 3;
 
@@ -232,6 +236,8 @@
     shutdown: Rc<Shutdown>,
     /// Memory of the requests, if it is limited.
     memory: Option<MemoryShare>,
+    /// Memory of the input.
+    input: Reservation,
     pending: VecDeque<Pending>,
     /// Request that waits until no other one is outstanding.
     waiting: Option<Request>,
@@ -266,6 +272,10 @@
     ) -> Self {
         Self {
             stream: BufferedStream::new(stream),
+            input: handler
+                .memory()
+                .map(|m| m.reservation())
+                .unwrap_or_default(),
             memory: handler.memory(),
             handler,
             clock,
@@ -493,8 +503,19 @@
             if self.stream.input.len() > self.read_ahead_limit() {
                 return Poll::Pending;
             }
+            if self.hold_input().is_err() {
+                return if self.is_idle() {
+                    Poll::Ready(Event::Reject(RejectReason::NoMemory))
+                } else {
+                    // The requests before it are handled first.
+                    Poll::Pending
+                };
+            }
             match self.stream.poll_fill(cx) {
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    self.stream.release_buffer();
+                    return Poll::Pending;
+                }
                 Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(Event::Closed),
                 Poll::Ready(Ok(_)) => {}
             }
@@ -502,6 +523,14 @@
         yield_turn(cx)
     }
 
+    /// Takes memory for the input, whose buffer may be twice as large. The framing of a body does not
+    /// reach [`INPUT_FREE`], so a body that was begun is always read on.
+    fn hold_input(&mut self) -> Result<(), NoMemory> {
+        let size = self.stream.input.len();
+        let held = if size > INPUT_FREE { 2 * size } else { 0 };
+        self.input.resize(held)
+    }
+
     /// Returns the number of bytes that may be read ahead of the requests being handled.
     fn read_ahead_limit(&self) -> usize {
         match &self.partial {
--- a/crates/http/src/h1/stream.rs
+++ b/crates/http/src/h1/stream.rs
@@ -11,6 +11,9 @@
 /// Largest number of bytes per read.
 const READ_SIZE: usize = 16 * 1024;
 
+/// Largest buffer that a connection keeps while it has no input, in bytes.
+const KEPT_MAX: usize = 4 * 1024;
+
 thread_local! {
     // Shared by all connections of a thread, so that an idle connection needs no read buffer.
     static SCRATCH: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_SIZE].into_boxed_slice());
@@ -63,6 +66,13 @@
         Poll::Ready(Ok(n))
     }
 
+    /// Frees the buffer of the input if it is empty, unless it is small.
+    pub fn release_buffer(&mut self) {
+        if self.input.is_empty() && self.input.capacity() > KEPT_MAX {
+            self.input = BytesMut::new();
+        }
+    }
+
     /// Writes a prefix of `bytes` and returns its length.
     ///
     /// # Errors
--- a/tests/all/h1/memory.rs
+++ b/tests/all/h1/memory.rs
@@ -117,3 +117,37 @@
     assert_eq!(fixture.answers(), [(503, String::new())]);
     assert_eq!(share.used(), 0);
 }
+
+/// Guards against requests that wait on their connections and fill the memory.
+#[test]
+fn input_that_waits_takes_up_memory() {
+    let share = MemoryShare::new(100 * 1024);
+    let fixtures = [(); 4].map(|()| Fixture::with_memory(&share));
+    let waiting = "GET /now HTTP/1.1\r\nhost: h\r\n\r\n".repeat(1500);
+    for fixture in &fixtures {
+        fixture.get("/once/1");
+        fixture.send(&waiting);
+    }
+    let unread: usize = fixtures.iter().map(|f| f.peer.unread()).sum();
+    let read = 4 * waiting.len() - unread;
+    // Those that got no memory have read once more than is free, 16 KiB at most.
+    assert!(read < 100 * 1024 + 4 * 16 * 1024, "{read} bytes");
+    assert!(share.used() > 32 * 1024, "{}", share.used());
+    for fixture in &fixtures {
+        fixture.answer("/once/1");
+        assert_eq!(fixture.started().len(), 1501);
+        assert_eq!(fixture.peer.unread(), 0);
+    }
+    assert_eq!(share.used(), 0);
+}
+
+/// Guards against a long head that waits until its time is up although there is no memory for it.
+#[test]
+fn a_long_head_without_memory_is_rejected() {
+    let share = MemoryShare::new(20 * 1024);
+    let fixture = Fixture::with_memory(&share);
+    fixture.send("GET /now HTTP/1.1\r\nx: ");
+    fixture.send(&"x".repeat(30 * 1024));
+    assert_eq!(fixture.answers(), [(503, String::new())]);
+    assert_eq!(share.used(), 0);
+}
--- a/tests/all/h1/server.rs
+++ b/tests/all/h1/server.rs
@@ -42,6 +42,8 @@
 struct ScriptedHandler {
     events: RefCell<Events>,
     memory: Option<MemoryShare>,
+    /// Largest head, if it is not that of [`LIMITS`].
+    head: Option<usize>,
 }
 
 /// Records that a request was dropped before its answer.
@@ -63,7 +65,10 @@
 
 impl Handler for ScriptedHandler {
     fn limits(&self) -> Limits {
-        LIMITS
+        Limits {
+            head: self.head.unwrap_or(LIMITS.head),
+            ..LIMITS
+        }
     }
 
     fn memory(&self) -> Option<MemoryShare> {
@@ -131,6 +136,7 @@
     pub(super) fn with_memory(share: &MemoryShare) -> Self {
         let script = ScriptedHandler {
             memory: Some(share.clone()),
+            head: Some(64 * 1024),
             ..ScriptedHandler::default()
         };
         Self::create(1 << 20, script)
