Limit the length of texts of others in log lines

Cause: an id of a caller, an unexpected answer of the store and the reason for which a document is rejected were logged in full, and up to 512 lines wait for the reader of the output. With ids as long as a head may be, or answers of 8 MiB, the queue alone can exceed the memory of a host.

They are cut after 256 bytes.

Before: platform::output::a_caller_does_not_decide_the_length_of_a_line panicked: request refused: 6000

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -31,7 +31,7 @@
 use crate::peers::{Peers, RELAYS};
 use crate::platform::Platform;
 use crate::pool::Pool;
-use crate::request_log::age_ms;
+use crate::request_log::{age_ms, cut};
 use crate::tables::{Revision, Routes, Tables};
 
 /// Delay between the probes of the store by hosts with consecutive ranks in a domain.
@@ -494,6 +494,7 @@
 
     /// Logs a document that cannot be used, such as a configuration or a registration.
     pub(crate) fn log_rejected(&self, what: &'static str, reason: &dyn fmt::Display) {
-        warn!(self.log, "rejected"; "what" => what, "reason" => %reason);
+        let reason = reason.to_string();
+        warn!(self.log, "rejected"; "what" => what, "reason" => cut(&reason));
     }
 }
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -139,12 +139,11 @@
             .head
             .headers
             .get(&host.platform.header_names().request_id);
-        let id = id.and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let id = request_log::id_text(id).to_owned();
         let job = match self.build_job(request) {
             Ok(job) => job,
             Err(end) => {
-                let id = id.as_deref().unwrap_or("-");
-                request_log::record_refused(&host, id, end.answer.status, end.cause);
+                request_log::record_refused(&host, &id, end.answer.status, end.cause);
                 return end.answer;
             }
         };
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -20,9 +20,17 @@
 /// Placeholder for an unknown value.
 pub(crate) const NONE: &str = "-";
 
+/// Longest text of a caller, the store or the registry in a log line, in bytes.
+const TEXT_MAX: usize = 256;
+
+/// Cuts a text that others have written for a log line.
+pub(crate) fn cut(text: &str) -> &str {
+    &text[..text.floor_char_boundary(TEXT_MAX)]
+}
+
 /// The identifier of a request as text.
 pub(crate) fn id_text(id: Option<&HeaderValue>) -> &str {
-    id.and_then(|id| id.to_str().ok()).unwrap_or(NONE)
+    id.and_then(|id| id.to_str().ok()).map_or(NONE, cut)
 }
 
 pub(crate) fn age_ms(now: Tick, since: Option<Tick>) -> String {
--- a/tests/all/platform/output.rs
+++ b/tests/all/platform/output.rs
@@ -10,6 +10,7 @@
 use trefoil_daemon::logging::{KeyValueDrain, Limited, LostLines};
 
 use trefoil_soak::{Fleet, upstream_spec};
+use trefoil_standin::ResponseMode;
 
 /// A sink for log lines, which accepts none while it is full.
 #[derive(Debug, Clone, Default)]
@@ -103,3 +104,24 @@
     fleet.hosts[host].signal(Signal::SIGTERM);
     assert_eq!(fleet.hosts[host].wait_for_exit().code(), Some(0));
 }
+
+/// Guards against log lines that are as long as a caller wants. They wait in a queue for the reader
+/// of the output.
+#[test]
+fn a_caller_does_not_decide_the_length_of_a_line() {
+    let mut fleet = Fleet::new(super::program(), vec![upstream_spec("p1", "plain")]);
+    fleet.start_host();
+    fleet.wait_until_served(0, "/read/x", "");
+    let host = &fleet.hosts[0];
+    let id = "i".repeat(6000);
+    let answer = host.get(&id, "/none/x", "").expect("an answer");
+    assert_eq!(answer.status, 404);
+    fleet.upstream("p1").set_response_mode(ResponseMode::Reset);
+    let answer = host.post(&id, "/write/x", "data").expect("an answer");
+    assert_eq!(answer.status, 502);
+    for event in ["request refused", "attempt failed", "request ended"] {
+        let line = host.wait_for_entry("event", event);
+        let length = line["id"].len();
+        assert!((100..1000).contains(&length), "{event}: {length}");
+    }
+}
