Count the tasks of a request against the memory

Cause: a small request counted with three times its head only, but its tasks and its connection to an upstream take up most of its memory: with 210 open requests of 259 counted bytes the resident memory of a debug build rose by 4.1 MB. Requests that must not be cut off go on when their caller has gone, so callers could have any number of them.

A request takes 16 KiB besides its bytes. Input that waits leaves the last part of the share to requests.

Before: h1::memory::small_requests_take_up_memory panicked: left: 16, right: 9 (requests started)

--- a/crates/http/src/h1/memory.rs
+++ b/crates/http/src/h1/memory.rs
@@ -87,17 +87,17 @@
         Ok(BodyBuffer { bytes, memory }.into_bytes())
     }
 
-    /// Takes `count` bytes for something that has `before` bytes already.
-    fn take(&self, before: usize, count: usize) -> Result<(), NoMemory> {
+    /// Takes `count` bytes, which leave the last part free if they are not `short`.
+    fn take(&self, count: usize, short: bool) -> Result<(), NoMemory> {
         let Shared {
             limit,
             used,
             refused,
         } = &*self.shared;
-        let available = if before.saturating_add(count) > SHORT_MAX {
-            limit - limit / LAST_PART
-        } else {
+        let available = if short {
             *limit
+        } else {
+            limit - limit / LAST_PART
         };
         let fits = |used: usize| used.checked_add(count).filter(|sum| *sum <= available);
         let taken = used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, fits);
@@ -124,25 +124,26 @@
     /// Fails and changes nothing if the share has too little left.
     pub fn grow(&mut self, count: usize) -> Result<(), NoMemory> {
         if let Some(share) = &self.share {
-            share.take(self.size, count)?;
+            let short = self.size.saturating_add(count) <= SHORT_MAX;
+            share.take(count, short)?;
         }
         self.size = self.size.saturating_add(count);
         Ok(())
     }
 
-    /// Changes the number of bytes to `size`.
+    /// Changes the number of bytes to `size`. Leaves the last part of the share free.
     ///
     /// # Errors
     ///
     /// Fails and changes nothing if the share has too little left.
     pub fn resize(&mut self, size: usize) -> Result<(), NoMemory> {
         match (size.checked_sub(self.size), &self.share) {
-            (Some(more), _) => return self.grow(more),
+            (Some(0), _) | (_, None) => {}
+            (Some(more), Some(share)) => share.take(more, false)?,
             (None, Some(share)) => {
                 let less = self.size - size;
                 share.shared.used.fetch_sub(less, Ordering::Relaxed);
             }
-            (None, None) => {}
         }
         self.size = size;
         Ok(())
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -48,6 +48,9 @@
 /// or the framing of a body usually has.
 const INPUT_FREE: usize = 8 * 1024;
 
+/// Memory of a request besides its bytes: the tasks that handle it, and a connection to an upstream.
+const REQUEST_MEMORY: usize = 16 * 1024;
+
 /// Copies of a head: the parsed fields, and those of an attempt and its encoding.
 const HEAD_COPIES: usize = 3;
 
@@ -584,7 +587,7 @@
         let mut memory = memory.unwrap_or_default();
         let size = available - self.stream.input.len();
         memory
-            .grow(HEAD_COPIES * size)
+            .grow(REQUEST_MEMORY + HEAD_COPIES * size)
             .or(Err(RejectReason::NoMemory))?;
         let mut body = BodyBuffer::new(memory);
         if let Framing::Length(length) = framing {
