--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -39,7 +39,7 @@
     fn parse(request: &Request<Incoming>) -> Self {
         let query = request.uri().query().unwrap_or_default();
         let pairs = query.split('&').filter_map(|p| p.split_once('='));
-        Self(pairs.map(|(k, v)| (k.to_owned(), v.to_owned())).collect())
+        Self(pairs.map(|(k, v)| (k.to_owned(), decode(v))).collect())
     }
 
     fn number(&self, name: &str) -> Option<u64> {
@@ -61,6 +61,23 @@
     }
 }
 
+/// Decodes the percent-encoding of a query parameter.
+fn decode(value: &str) -> String {
+    let mut pieces = value.split('%');
+    let mut bytes = pieces.next().unwrap_or_default().as_bytes().to_vec();
+    for piece in pieces {
+        let code = piece.get(..2).and_then(|c| u8::from_str_radix(c, 16).ok());
+        match code {
+            Some(code) => {
+                bytes.push(code);
+                bytes.extend_from_slice(&piece.as_bytes()[2..]);
+            }
+            None => bytes.extend_from_slice(piece.as_bytes()),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 impl StoreServer {
     /// Creates a server of `store`.
     pub fn new(store: Arc<dyn Store>) -> Self {
--- a/tests/all/platform/odd_pages.rs
+++ b/tests/all/platform/odd_pages.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 use trefoil_core::SystemClock;
 use trefoil_platform::StoreClient;
+use trefoil_soak::{Fleet, upstream_spec};
 use trefoil_store::{Newest, Page, PartitionId, Store, Topic};
 
 /// Reads a page of a keyed topic from a store that answers with this body. Returns the page and
@@ -87,3 +88,18 @@
     let (page, _) = read_page(same.to_string().as_bytes(), Some(key));
     assert!(!page.more, "the page does not end after the one before");
 }
+
+/// Guards against a host that never reads the rest of the registry because a page ends with a key
+/// that needs to be encoded.
+#[test]
+fn a_registry_with_odd_keys_is_read_to_the_end() {
+    let mut fleet = Fleet::new(super::program(), vec![upstream_spec("p1", "plain")]);
+    // A page has 500 records, and these keys come before that of the upstream.
+    for number in 0..600 {
+        let key = format!(" &odd={number}#\u{e9}");
+        let written = fleet.control_plane.write_registration(&key, "odd");
+        written.expect("written");
+    }
+    fleet.start_host();
+    fleet.wait_until_served(0, "/read/x", "");
+}
