Tell the era of the store in its answers

The header Store-Era of every answer says how often the store has come back from an older copy. Nothing read it. The stand-in store sends it, and can be copied and restored.

--- a/crates/gateway/src/metered.rs
+++ b/crates/gateway/src/metered.rs
@@ -5,7 +5,7 @@
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
 use trefoil_core::{Clock, Tick};
-use trefoil_store::{Append, Appended, Batch, Newest, Page, Read, Store, StoreError, Topic};
+use trefoil_store::{Append, Appended, Batch, Era, Newest, Page, Read, Store, StoreError, Topic};
 
 use crate::metrics::Metrics;
 
@@ -80,6 +80,10 @@
         let reading = self.store.newest(newest);
         async move { call.end(reading.await) }.boxed()
     }
+
+    fn era(&self) -> Era {
+        self.store.era()
+    }
 }
 
 /// Name of a result in metrics.
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -19,9 +19,10 @@
 use trefoil_core::SystemClock;
 use trefoil_http::{Limits, Server};
 use trefoil_standin::{
-    ControlPlane, FaultyStore, RunRecorder, StoreServer, Upstream, UpstreamSpec, test_config,
+    ControlPlane, FaultyStore, RunRecorder, StoreFault, StoreServer, Upstream, UpstreamSpec,
+    test_config,
 };
-use trefoil_store::{MemoryStore, Store};
+use trefoil_store::{Append, MemoryStore, Store, StoreCopy};
 
 use crate::proxy::Proxy;
 
@@ -42,6 +43,7 @@
     /// Writes of operators and of the platform; they bypass the injected faults.
     pub control_plane: ControlPlane,
     program: PathBuf,
+    memory: Arc<MemoryStore>,
     /// Proxies in front of the upstreams, by upstream name.
     links: HashMap<String, Proxy>,
     /// Address of the store's server.
@@ -117,7 +119,8 @@
         let clock = Arc::new(SystemClock);
         let memory = Arc::new(MemoryStore::new(Arc::<SystemClock>::clone(&clock)));
         let control_plane = ControlPlane::new(Arc::<MemoryStore>::clone(&memory));
-        let store = Arc::new(FaultyStore::new(memory, clock));
+        let inner = Arc::<MemoryStore>::clone(&memory);
+        let store = Arc::new(FaultyStore::new(inner, clock));
         let service = Arc::new(StoreServer::new(Arc::<FaultyStore>::clone(&store)));
         let (server, address) = smol::block_on(async {
             let listener = smol::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
@@ -128,6 +131,7 @@
         let mut fleet = Self {
             store,
             control_plane,
+            memory,
             recorder: Arc::default(),
             upstreams: Vec::new(),
             hosts: Vec::new(),
@@ -145,6 +149,21 @@
         fleet
     }
 
+    /// Copies the content of the store.
+    pub fn copy_store(&self) -> StoreCopy {
+        self.memory.copy()
+    }
+
+    /// Takes the store away for `away` and brings it back from an earlier copy. Returns what it has
+    /// lost, of which [`ControlPlane::write_again`] writes the part of the platform.
+    pub fn restore_store(&self, copy: StoreCopy, away: Duration) -> Vec<Append> {
+        self.store.set_fault(StoreFault::Down);
+        std::thread::sleep(away);
+        let lost = self.memory.restore(copy);
+        self.store.set_fault(StoreFault::None);
+        lost
+    }
+
     /// Starts an upstream behind a proxy.
     pub fn start_upstream(&mut self, spec: UpstreamSpec) -> Arc<Upstream> {
         let store: Arc<dyn Store> = Arc::<FaultyStore>::clone(&self.store);
--- a/crates/standin/src/control_plane.rs
+++ b/crates/standin/src/control_plane.rs
@@ -55,6 +55,21 @@
         self.append(REGISTRY_TOPIC, Bytes::from(key))
     }
 
+    /// Writes again what operators and upstreams had written, out of all that a store has lost.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the store if it does not accept a record.
+    pub fn write_again(&self, lost: Vec<Append>) -> Result<(), StoreError> {
+        let own = lost
+            .into_iter()
+            .filter(|append| [CONFIG_TOPIC, REGISTRY_TOPIC].contains(&append.partition.topic));
+        for append in own {
+            smol::block_on(self.store.append(append))?;
+        }
+        Ok(())
+    }
+
     fn write_keyed(&self, topic: Topic, key: &str, value: &str) -> Result<(), StoreError> {
         let record = KeyedRecord::set(key, Bytes::from(value.to_owned()));
         let record = record
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use trefoil_core::{Clock, Offset};
 use trefoil_http::{Body, Service, full};
-use trefoil_store::{Append, Appended, Batch, Newest, Page, Read, Store, StoreError};
+use trefoil_store::{Append, Appended, Batch, Era, Newest, Page, Read, Store, StoreError};
 
 /// A fault that every call to a [`FaultyStore`] meets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -127,6 +127,10 @@
         }
         .boxed()
     }
+
+    fn era(&self) -> Era {
+        self.store.era()
+    }
 }
 
 /// Serves `POST /-/fault`, which selects the fault, and forwards all other requests.
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -10,6 +10,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
+use http::header::{HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -17,9 +18,13 @@
 use trefoil_core::Offset;
 use trefoil_http::{Body, Service, full};
 use trefoil_store::{
-    Append, Epoch, Newest, PartitionId, PartitionNumber, Producer, Read, Store, StoreError, Topic,
+    Append, Epoch, Era, Newest, PartitionId, PartitionNumber, Producer, Read, Store, StoreError,
+    Topic,
 };
 
+/// Era of the store, in every answer.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Size limit of a call's body in bytes.
 const BODY_MAX: usize = 2 * 1024 * 1024;
 
@@ -85,10 +90,10 @@
             producer: query.producer(),
         };
         match self.store.append(append).await {
-            Ok(appended) => json_response(
-                StatusCode::OK,
-                &json!({ "offset": appended.offset, "end": appended.end }),
-            ),
+            Ok(appended) => {
+                let body = json!({ "offset": appended.offset, "end": appended.end });
+                with_era(json_response(StatusCode::OK, &body), appended.era)
+            }
             Err(e) => error_response(&e),
         }
     }
@@ -114,7 +119,7 @@
                     body.put_u32(u32::try_from(record.len()).unwrap_or(u32::MAX));
                     body.put_slice(record);
                 }
-                Response::new(full(body.freeze()))
+                with_era(Response::new(full(body.freeze())), batch.era)
             }
             Err(e) => error_response(&e),
         }
@@ -139,8 +144,9 @@
                     })
                 });
                 let items: Vec<Value> = items.collect();
+                let era = page.era;
                 let page = json!({ "items": items, "hasMore": page.more, "end": page.end });
-                json_response(StatusCode::OK, &page)
+                with_era(json_response(StatusCode::OK, &page), era)
             }
             Err(e) => error_response(&e),
         }
@@ -154,11 +160,16 @@
         request: Request<Incoming>,
     ) -> Boxed<Response<Body>> {
         async move {
-            match (request.method(), request.uri().path()) {
+            let response = match (request.method(), request.uri().path()) {
                 (&Method::POST, "/log-append") => self.append(request).await,
                 (&Method::GET, "/log-read") => self.read(&request).await,
                 (&Method::GET, "/log-newest") => self.newest(&request).await,
                 _ => message_response(StatusCode::NOT_FOUND, "no such call"),
+            };
+            if response.headers().contains_key(ERA) {
+                response
+            } else {
+                with_era(response, self.store.era())
             }
         }
         .boxed()
@@ -201,6 +212,11 @@
     }
 }
 
+fn with_era(mut response: Response<Body>, era: Era) -> Response<Body> {
+    response.headers_mut().insert(ERA, HeaderValue::from(era.0));
+    response
+}
+
 fn json_response(status: StatusCode, value: &Value) -> Response<Body> {
     let mut response = Response::new(full(value.to_string()));
     *response.status_mut() = status;
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -12,6 +12,9 @@
 //! - A [keyed](KeyedRecord) topic keeps the newest record of each key, so a new host can read the
 //!   current state without the history.
 //!
+//! A store that comes back from an older copy has lost records that it had acknowledged, and epochs
+//! with them. It tells so by a higher [`Era`], which every answer carries.
+//!
 //! [`MemoryStore`] implements the trait in memory, for tests and for `trefoild dev`.
 
 mod error;
@@ -21,10 +24,10 @@
 
 pub use error::StoreError;
 pub use keyed::KeyedRecord;
-pub use memory::MemoryStore;
+pub use memory::{MemoryStore, StoreCopy};
 pub use types::{
-    Append, Appended, Batch, Epoch, Item, Newest, Page, PartitionId, PartitionNumber, Producer,
-    Read, Topic, TopicError,
+    Append, Appended, Batch, Epoch, Era, Item, Newest, Page, PartitionId, PartitionNumber,
+    Producer, Read, Topic, TopicError,
 };
 
 use std::fmt::Debug;
@@ -42,4 +45,8 @@
     /// Reads one page of the newest record of each key of a keyed topic. Pages are not a snapshot:
     /// a key can change between two of them.
     fn newest(&self, newest: Newest) -> Boxed<Result<Page, StoreError>>;
+
+    /// Returns the highest era that any answer to this client has carried, refusals and errors
+    /// included. It is 0 before the first answer.
+    fn era(&self) -> Era;
 }
--- a/crates/store/src/memory.rs
+++ b/crates/store/src/memory.rs
@@ -10,8 +10,8 @@
 use trefoil_core::{Clock, Offset};
 
 use crate::{
-    Append, Appended, Batch, Epoch, Item, KeyedRecord, Newest, Page, PartitionId, Producer, Read,
-    Store, StoreError,
+    Append, Appended, Batch, Epoch, Era, Item, KeyedRecord, Newest, Page, PartitionId, Producer,
+    Read, Store, StoreError,
 };
 
 /// Name prefix of topics that keep the newest record of each key.
@@ -23,14 +23,14 @@
 /// Recent appends per producer whose results are kept for deduplication.
 const DEDUPLICATED: usize = 5;
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Writer {
     epoch: Epoch,
     next: Option<u64>,
     recent: VecDeque<(u64, Appended)>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct Partition {
     first: u64,
     records: VecDeque<Bytes>,
@@ -43,11 +43,11 @@
         Offset(self.first + u64::try_from(self.records.len()).unwrap_or(u64::MAX))
     }
 
-    fn append(&mut self, append: Append) -> Result<Appended, StoreError> {
+    fn append(&mut self, era: Era, append: Append) -> Result<Appended, StoreError> {
         if let Some(producer) = &append.producer
             && let Some(appended) = self.admit(producer, append.records.is_empty())?
         {
-            return Ok(appended);
+            return Ok(Appended { era, ..appended });
         }
         let end = self.end();
         if append.at.is_some_and(|at| at != end) {
@@ -57,6 +57,7 @@
         let appended = Appended {
             offset: end,
             end: Offset(end.0 + u64::try_from(append.records.len()).unwrap_or_default()),
+            era,
         };
         if let Some(producer) = &append.producer {
             self.remember(producer, append.records.is_empty(), appended);
@@ -125,23 +126,22 @@
         }
     }
 
-    fn read(&self, from: Offset) -> Result<Batch, StoreError> {
-        let Some(skip) = from.0.checked_sub(self.first) else {
-            return Err(StoreError::Truncated {
-                first: Offset(self.first),
-            });
-        };
+    fn read(&self, era: Era, from: Offset) -> Result<Batch, StoreError> {
+        let end = self.end();
+        let first = Offset(self.first);
+        let skip = from.0.checked_sub(first.0).filter(|_| from <= end);
+        let skip = skip.ok_or(StoreError::Truncated { first })?;
         let skip = usize::try_from(skip).unwrap_or(usize::MAX);
         let records: Vec<_> = self.records.iter().skip(skip).cloned().collect();
-        let end = self.end();
         Ok(Batch {
-            next: end.max(from),
+            next: end,
             end,
             records,
+            era,
         })
     }
 
-    fn page(&self, after: Option<&str>) -> Page {
+    fn page(&self, era: Era, after: Option<&str>) -> Page {
         let rest = self
             .newest
             .iter()
@@ -160,16 +160,41 @@
             items,
             more,
             end: self.end(),
+            era,
         }
     }
+
+    /// Records after `end` that are still retained.
+    fn records_after(&self, end: Offset) -> Vec<Bytes> {
+        let skip = usize::try_from(end.0.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        self.records.iter().skip(skip).cloned().collect()
+    }
+}
+
+type Partitions = HashMap<PartitionId, Partition>;
+
+#[derive(Debug, Default)]
+struct Content {
+    era: Era,
+    partitions: Partitions,
+}
+
+impl Content {
+    fn partition(&mut self, id: &PartitionId) -> (Era, &mut Partition) {
+        (self.era, self.partitions.entry(id.clone()).or_default())
+    }
 }
 
 #[derive(Debug, Default)]
 struct State {
-    partitions: Mutex<HashMap<PartitionId, Partition>>,
+    content: Mutex<Content>,
     appended: Event,
 }
 
+/// A copy of all partitions of a [`MemoryStore`].
+#[derive(Debug, Clone)]
+pub struct StoreCopy(Partitions);
+
 /// An in-memory store. Clones share their content.
 #[derive(Debug, Clone)]
 pub struct MemoryStore {
@@ -196,15 +221,43 @@
         self
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<PartitionId, Partition>> {
-        let partitions = &self.state.partitions;
-        partitions.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Content> {
+        let content = &self.state.content;
+        content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Copies all partitions.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().partitions.clone())
+    }
+
+    /// Puts all partitions back to an earlier copy, with their offsets, epochs and sequence
+    /// numbers, and raises the era. Returns appends of the records that are lost by that.
+    pub fn restore(&self, copy: StoreCopy) -> Vec<Append> {
+        let lost = {
+            let mut content = self.lock();
+            let lost = content.partitions.iter().map(|(id, partition)| {
+                let kept = copy.0.get(id).map(Partition::end);
+                Append {
+                    partition: id.clone(),
+                    records: partition.records_after(kept.unwrap_or_default()),
+                    at: None,
+                    producer: None,
+                }
+            });
+            let lost = lost.filter(|append| !append.records.is_empty()).collect();
+            content.partitions = copy.0;
+            content.era.0 += 1;
+            lost
+        };
+        self.state.appended.notify(usize::MAX);
+        lost
     }
 
     /// Deletes the records of a partition before `offset`, as retention does. The newest record of
     /// each key is kept.
     pub fn trim(&self, id: &PartitionId, offset: Offset) {
-        if let Some(partition) = self.lock().get_mut(id) {
+        if let Some(partition) = self.lock().partitions.get_mut(id) {
             while partition.first < offset.0 && partition.records.pop_front().is_some() {
                 partition.first += 1;
             }
@@ -216,9 +269,9 @@
     fn append(&self, append: Append) -> Boxed<Result<Appended, StoreError>> {
         let id = append.partition.clone();
         let result = {
-            let mut partitions = self.lock();
-            let partition = partitions.entry(id).or_default();
-            let result = partition.append(append);
+            let mut content = self.lock();
+            let (era, partition) = content.partition(&id);
+            let result = partition.append(era, append);
             while partition.records.len() > self.retain && partition.records.pop_front().is_some() {
                 partition.first += 1;
             }
@@ -234,11 +287,11 @@
         async move {
             loop {
                 let listener = store.state.appended.listen();
-                let batch = store
-                    .lock()
-                    .entry(read.partition.clone())
-                    .or_default()
-                    .read(read.from)?;
+                let batch = {
+                    let mut content = store.lock();
+                    let (era, partition) = content.partition(&read.partition);
+                    partition.read(era, read.from)?
+                };
                 if !batch.records.is_empty() || store.clock.now() >= until {
                     return Ok(batch);
                 }
@@ -249,11 +302,15 @@
     }
 
     fn newest(&self, newest: Newest) -> Boxed<Result<Page, StoreError>> {
-        let page = self
-            .lock()
-            .entry(newest.partition)
-            .or_default()
-            .page(newest.after.as_deref());
+        let page = {
+            let mut content = self.lock();
+            let (era, partition) = content.partition(&newest.partition);
+            partition.page(era, newest.after.as_deref())
+        };
         async move { Ok(page) }.boxed()
     }
+
+    fn era(&self) -> Era {
+        self.lock().era
+    }
 }
--- a/crates/store/src/types.rs
+++ b/crates/store/src/types.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Display, From, Into};
+use derive_more::{Display, From, FromStr, Into};
 use snafu::{Snafu, ensure};
 use trefoil_core::Offset;
 
@@ -96,6 +96,15 @@
 )]
 pub struct Epoch(pub u64);
 
+/// Number of times the store has come back from an older copy, which lacks acknowledged records.
+///
+/// Offsets, epochs, sequence numbers and contents are comparable only within one era: after the
+/// return the store gives out again those that it has lost.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr, From, Into,
+)]
+pub struct Era(pub u64);
+
 /// Identity of a writer within one partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Producer {
@@ -163,6 +172,8 @@
     pub offset: Offset,
     /// Offset after the last record.
     pub end: Offset,
+    /// Era of the store.
+    pub era: Era,
 }
 
 /// A read of records.
@@ -185,6 +196,8 @@
     pub next: Offset,
     /// Offset after the newest record at the time of the read.
     pub end: Offset,
+    /// Era of the store.
+    pub era: Era,
 }
 
 /// A read of the newest records of a keyed topic.
@@ -216,4 +229,6 @@
     pub more: bool,
     /// Offset after the newest record of the partition at the time of the read.
     pub end: Offset,
+    /// Era of the store.
+    pub era: Era,
 }
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod output;
 mod promises;
+mod restored;
 mod soak;
 mod telemetry;
 
