--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -3,7 +3,7 @@
 mod gauges;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::fmt::{self, Debug};
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -20,12 +20,13 @@
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::Store;
 
+use crate::changes::RecentChanges;
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
 use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
-use crate::message::ChangeItem;
+use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAYS};
@@ -103,8 +104,8 @@
     pub(crate) remote_loads: RefCell<Tally<(DomainName, u16)>>,
     /// Open requests in this host's last report.
     pub(crate) reported_open: RefCell<BTreeMap<Tag, u32>>,
-    /// Recent changes of the directory.
-    changes: RefCell<VecDeque<(Tick, ChangeItem)>>,
+    /// Recent changes of the directory, for digests.
+    pub(crate) changes: RefCell<RecentChanges>,
     /// The configuration in force, in the platform's encoding.
     pub(crate) raw_config: RefCell<Option<Bytes>>,
     /// Start of the configuration fetch in flight.
@@ -257,13 +258,13 @@
         known >= RELAYS && now.since(discovered) < FIRST_READ_DELAY
     }
 
-    /// Changes of the directory within the last `span`, oldest first.
-    pub(crate) fn recent_changes(&self, now: Tick, span: Duration) -> Vec<ChangeItem> {
+    /// Drops the changes of the directory that digests do not repeat any more. Hosts that send no
+    /// digests keep changes as well, because they may become relays.
+    pub(crate) fn expire_changes(&self, now: Tick) {
         let mut changes = self.changes.borrow_mut();
-        while changes.front().is_some_and(|(at, _)| now.since(*at) > span) {
-            changes.pop_front();
-        }
-        changes.iter().map(|(_, item)| item.clone()).collect()
+        changes.expire(now);
+        let kept = i64::try_from(changes.len()).unwrap_or(i64::MAX);
+        self.metrics.kept_changes.set(kept);
     }
 
     /// Spawns a task on the host's thread. Dropping the handle cancels the task unless it is
@@ -381,14 +382,18 @@
             self.apply_change(now, &change, source);
             let item = match &change {
                 Change::Joined(r) | Change::Updated(r) => ChangeItem::Set(r.as_ref().clone()),
-                Change::Removed(r) => ChangeItem::Gone(r.incarnation.clone()),
+                Change::Removed(r) => ChangeItem::Gone(Removal {
+                    incarnation: r.incarnation.clone(),
+                    sequence: Some(r.sequence),
+                }),
             };
             // The first directory of a process is no news. It can be hundreds of datagrams for
             // each host, which copies it if it has another one.
             if self.has_directory() {
-                self.changes.borrow_mut().push_back((now, item));
+                self.changes.borrow_mut().add(now, item);
             }
         }
+        self.expire_changes(now);
         let count = self.directory.borrow().len();
         self.metrics
             .upstreams
@@ -418,7 +423,9 @@
         }
     }
 
+    /// Logs and counts a change of an upstream.
     fn log_upstream(&self, event: &'static str, r: &Registration, source: Source) {
+        self.metrics.record_change(event, source);
         info!(self.log, "upstream changed"; "change" => event, "upstream" => %r.incarnation.name, "born" => r.incarnation.started.0,
             "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
             "phase" => %r.phase, "sequence" => r.sequence, "source" => %source,
