Read the configuration anew when the store comes back from an older copy

What callers saw: a confirmed change of the configuration was not in force, and an added route was answered with 404, for as long as no later change came.

Cause: positions in the store were taken to hold for ever. After a return from an older copy offsets are given out again, so a host that had read further than the copy waited behind records that it had never read. A wait whose answer was lost went on although another call of the host had seen the return. Of two configurations with one number, hosts kept the lost one.

Change: a position belongs to the era of the answer that gave it. An answer of another era is discarded and the newest records are read at once; a rise of the era also ends a wait under way. Hosts tell each other the highest era behind the age of the directory, where earlier builds ignore it, because few read the store. Versions still only rise, so the older version of a copy is never taken. The same version is taken if its content differs and was read in a later era. One log line and the gauge trefoil_store_era show a return.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -20,6 +20,7 @@
     Answer, BodyLimit, ClientConnection, Handler, Limits, Match, RejectReason, Request,
     RequestHead, encode_request,
 };
+use trefoil_store::Era;
 
 use crate::follow;
 use crate::freshness::Source;
@@ -111,14 +112,15 @@
     Ok((digest, listed, Some(Duration::from_millis(age_ms.into()))))
 }
 
-/// Fetches the configuration of another host, unless a fetch is in flight.
-pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick) {
+/// Fetches the configuration of another host, which has read it in `era`, unless a fetch is in
+/// flight.
+pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick, era: Era) {
     let Some((shared, address)) = begin_fetch(host, from, now, &host.fetching_config) else {
         return;
     };
     let task = async move {
         match get(&shared, address, CONFIG_PATH).await {
-            Ok(body) => follow::load_config(&shared, &body),
+            Ok(body) => follow::load_config(&shared, &body, era),
             Err(reason) => debug!(shared.log, "configuration not fetched"; "from" => %address,
                 "reason" => reason),
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,8 @@
 //! Follows the configuration and the registry in the store.
 //!
 //! Both are compacted topics. A follower reads the newest record of each key first and then the
-//! records after it. If those have been deleted, it starts again with the newest records.
+//! records after it. If those have been deleted, or if the store has come back from an older copy,
+//! it starts again with the newest records.
 //!
 //! The configuration changes rarely and must be in force soon, so its follower long-polls the store
 //! for the next record. The poll is short enough to notice a silent connection in time. The
@@ -17,7 +18,7 @@
 use slog::{info, warn};
 use trefoil_core::{Offset, Tick, UpstreamName};
 use trefoil_directory::Registration;
-use trefoil_store::{KeyedRecord, Newest, PartitionId, Read, StoreError};
+use trefoil_store::{Era, KeyedRecord, Newest, PartitionId, Read, StoreError};
 
 use crate::freshness::{Reads, Source};
 use crate::host::Host;
@@ -59,23 +60,28 @@
             host.clock.sleep(ROLE_INTERVAL).await;
             continue;
         }
-        for (name, value) in follower.next().await {
+        let answer = follower.next().await;
+        for (name, value) in answer.records {
             match value {
-                Some(value) if name == key => load_config(&host, &value),
+                Some(value) if name == key => load_config(&host, &value, answer.era),
                 _ => {}
             }
         }
     }
 }
 
-/// Decodes a configuration and puts it in force.
-pub fn load_config(host: &Host, value: &Bytes) {
+/// Decodes a configuration that was read in `era` and puts it in force.
+pub fn load_config(host: &Host, value: &Bytes, era: Era) {
+    if host.raw_config.borrow().as_ref() == Some(value) {
+        host.config_era.set(host.config_era.get().max(era));
+        return;
+    }
     match host.platform.decode_config(value) {
         Ok((config, rejected)) => {
             for reason in rejected {
                 host.log_rejected("part of the configuration", &reason);
             }
-            if host.apply_config(config) {
+            if host.apply_config(config, era) {
                 host.raw_config.replace(Some(value.clone()));
             }
         }
@@ -103,11 +109,10 @@
             .ended
             .is_some_and(|at| now.since(at) > POSITION_MAX_AGE)
         {
-            follower.next = None;
+            follower.position = None;
         }
         host.log_takeover(now, &reads);
-        let complete = follower.starts_anew();
-        let Some(records) = follower.try_next().await else {
+        let Some(answer) = follower.try_next().await else {
             let now = host.now();
             reads.failed = Some(now);
             if host.peers.borrow().is_relay(now) {
@@ -124,7 +129,7 @@
         if host.ends_outage(now) {
             host.directory.borrow_mut().on_registry_return(now);
         }
-        let changes = apply_records(&host, now, complete, records);
+        let changes = apply_records(&host, now, answer);
         host.apply_changes(changes, Source::Registry);
         if let Some(as_of) = follower.read_as_of {
             host.confirm_directory(as_of);
@@ -133,14 +138,10 @@
     }
 }
 
-fn apply_records(
-    host: &Host,
-    now: Tick,
-    complete: bool,
-    records: Records,
-) -> Vec<trefoil_directory::Change> {
+fn apply_records(host: &Host, now: Tick, answer: Answer) -> Vec<trefoil_directory::Change> {
+    let records = answer.records;
     let mut directory = host.directory.borrow_mut();
-    if complete {
+    if answer.complete {
         let mut listed = Vec::new();
         let mut unreadable = Vec::new();
         for (key, value) in records {
@@ -166,14 +167,37 @@
         .ok()
 }
 
+/// Records that were read.
+#[derive(Debug, Default)]
+struct Answer {
+    records: Records,
+    /// They are the newest record of each key.
+    complete: bool,
+    /// Offset of the next read.
+    next: Offset,
+    /// Offset after the newest record of the partition.
+    end: Offset,
+    /// Era of the store.
+    era: Era,
+}
+
+/// Place in a partition, which is valid within one era.
+#[derive(Debug, Clone, Copy)]
+struct Position {
+    offset: Offset,
+    era: Era,
+}
+
 /// Reads the records of a compacted topic.
 #[derive(Debug)]
 struct Follower {
     host: Rc<Host>,
     partition: PartitionId,
     wait: Duration,
-    /// Offset of the next read, or `None` if the newest record of each key is read next.
-    next: Option<Offset>,
+    /// Start of the next read, or `None` if the newest record of each key is read next.
+    position: Option<Position>,
+    /// Highest era that the host knew when the newest records were read last.
+    known_era: Option<Era>,
     backoff: Duration,
     /// Wait after the last failed call.
     retry_delay: Duration,
@@ -191,7 +215,8 @@
             host: Rc::clone(host),
             partition,
             wait,
-            next: None,
+            position: None,
+            known_era: None,
             backoff: BACKOFF,
             retry_delay: BACKOFF,
             answered_at: None,
@@ -203,61 +228,76 @@
 
     /// Resets the follower while another host reads instead of this one.
     fn reset(&mut self) {
-        self.next = None;
+        self.position = None;
         self.lost = false;
     }
 
     /// Returns `true` if the next read starts with the newest record of each key.
     fn starts_anew(&self) -> bool {
-        self.next.is_none()
+        self.position.is_none()
     }
 
     /// Returns the next records and waits until the store answers.
-    async fn next(&mut self) -> Records {
+    async fn next(&mut self) -> Answer {
         loop {
-            if let Some(records) = self.try_next().await {
-                return records;
+            if let Some(answer) = self.try_next().await {
+                return answer;
             }
             self.back_off().await;
         }
     }
 
-    /// Returns the next records, or `None` if the call fails. If they have been deleted, it returns
-    /// an empty list and the next read starts again with the newest records.
-    async fn try_next(&mut self) -> Option<Records> {
+    /// Returns the next records, or `None` if the call fails. If they have been deleted, or if the
+    /// position does not hold any more, it returns an empty list and the next read starts again
+    /// with the newest records.
+    async fn try_next(&mut self) -> Option<Answer> {
         loop {
             let sent = self.host.now();
             let host = Rc::clone(&self.host);
             let regained = host.events.store_recovered.listen();
+            let restored = host.events.store_restored.listen();
+            let era = host.store_era.get();
+            if era > self.known_era {
+                self.position = None;
+            }
+            if self.starts_anew() {
+                self.known_era = era;
+            }
             let read = async {
-                Some(match self.next {
+                Some(match self.position {
                     None => self.read_newest().await,
-                    Some(from) => self.read_from(from).await,
+                    Some(position) => self.read_from(position.offset).await,
                 })
             };
             // Another follower reaches the store again, so this call may be blocked on a dead
-            // connection.
+            // connection, or it starts at a position that does not hold any more.
             let overtaken = async {
-                regained.or(self.wait_until_outdated(sent)).await;
+                let woken = regained.or(restored);
+                woken.or(self.wait_until_outdated(sent)).await;
                 None
             };
             let Some(result) = read.or(overtaken).await else {
                 continue;
             };
             match result {
-                Ok((records, next, end)) => {
-                    self.next = Some(next);
-                    self.read_as_of = (next >= end).then_some(sent);
+                Ok(answer) if self.position.is_some_and(|p| p.era != answer.era) => {
+                    self.on_answer(sent);
+                    return Some(self.read_anew());
+                }
+                Ok(answer) => {
+                    self.position = Some(Position {
+                        offset: answer.next,
+                        era: answer.era,
+                    });
+                    self.read_as_of = (answer.next >= answer.end).then_some(sent);
                     self.on_answer(sent);
-                    return Some(records);
+                    return Some(answer);
                 }
                 Err(StoreError::Truncated { first }) => {
                     info!(self.host.log, "records were deleted, reading anew";
                         "place" => %self.partition, "oldest" => first.0);
                     self.on_answer(sent);
-                    self.next = None;
-                    self.read_as_of = None;
-                    return Some(Vec::new());
+                    return Some(self.read_anew());
                 }
                 Err(error) => {
                     self.on_failure(&error);
@@ -267,6 +307,13 @@
         }
     }
 
+    /// Makes the next read start with the newest records.
+    fn read_anew(&mut self) -> Answer {
+        self.position = None;
+        self.read_as_of = None;
+        Answer::default()
+    }
+
     /// Completes when another host has had a newer configuration for some time that this host's
     /// call should have returned.
     async fn wait_until_outdated(&self, sent: Tick) {
@@ -278,29 +325,39 @@
         }
     }
 
-    async fn read_newest(&self) -> Result<(Records, Offset, Offset), StoreError> {
+    async fn read_newest(&self) -> Result<Answer, StoreError> {
         let mut records = Vec::new();
         let mut after = None;
         // Pages are not a snapshot. Reading on from the end of the first page repeats changes made
         // while the others were read.
-        let mut next = None;
+        let mut first = None;
         loop {
             let newest = Newest {
                 partition: self.partition.clone(),
                 after,
             };
             let page = self.host.store.newest(newest).await?;
-            let next = *next.get_or_insert(page.end);
+            let (end, era) = *first.get_or_insert((page.end, page.era));
+            if era != page.era {
+                let reason = "the store came back from a copy between two pages".to_owned();
+                return Err(StoreError::Unreachable { reason });
+            }
             after = page.items.last().map(|item| item.key.clone());
             let items = page.items.into_iter();
             records.extend(items.map(|item| (item.key, Some(item.value))));
             if !page.more || after.is_none() {
-                return Ok((records, next, next));
+                return Ok(Answer {
+                    records,
+                    complete: true,
+                    next: end,
+                    end,
+                    era,
+                });
             }
         }
     }
 
-    async fn read_from(&self, from: Offset) -> Result<(Records, Offset, Offset), StoreError> {
+    async fn read_from(&self, from: Offset) -> Result<Answer, StoreError> {
         let read = Read {
             partition: self.partition.clone(),
             from,
@@ -310,7 +367,13 @@
         let batch = self.host.store.read(read).await?;
         let keyed = batch.records.into_iter().filter_map(KeyedRecord::decode);
         let records = keyed.map(|k| (k.key, k.value)).collect();
-        Ok((records, batch.next, batch.end))
+        Ok(Answer {
+            records,
+            complete: false,
+            next: batch.next,
+            end: batch.end,
+            era: batch.era,
+        })
     }
 
     fn on_answer(&mut self, sent: Tick) {
@@ -326,6 +389,7 @@
     }
 
     fn on_failure(&mut self, error: &StoreError) {
+        self.host.record_answered_era();
         if !std::mem::replace(&mut self.lost, true) {
             warn!(self.host.log, "store lost"; "place" => %self.partition, "reason" => %error);
         }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -18,12 +18,13 @@
 use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
 use trefoil_http::h1::{BodyLimit, Shutdown};
 use trefoil_route::{Config, Router, Version};
-use trefoil_store::Store;
+use trefoil_store::{Era, Store};
 
 use crate::changes::RecentChanges;
 use crate::config::{Bounds, HostConfig};
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
+use crate::era::EraSource;
 use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
 use crate::message::{ChangeItem, Removal};
@@ -57,6 +58,8 @@
     pub newer_config: Event,
     /// The store answers again after an outage.
     pub store_recovered: Event,
+    /// The store has come back from an older copy.
+    pub store_restored: Event,
     /// Datagrams are queued.
     pub outbox: Event,
 }
@@ -108,6 +111,10 @@
     pub(crate) changes: RefCell<RecentChanges>,
     /// The configuration in force, in the platform's encoding.
     pub(crate) raw_config: RefCell<Option<Bytes>>,
+    /// Era of the store in which the configuration was read last.
+    pub(crate) config_era: Cell<Era>,
+    /// Highest known era of the store.
+    pub(crate) store_era: Cell<Option<Era>>,
     /// Start of the configuration fetch in flight.
     pub(crate) fetching_config: Cell<Option<Tick>>,
     /// Start of the directory fetch in flight.
@@ -184,6 +191,8 @@
             reported_open: RefCell::default(),
             changes: RefCell::default(),
             raw_config: RefCell::default(),
+            config_era: Cell::default(),
+            store_era: Cell::default(),
             fetching_config: Cell::default(),
             fetching_directory: Cell::default(),
             directory_differs: Cell::default(),
@@ -350,13 +359,16 @@
         !self.leaving.get() && self.directory_loaded.get() && self.router.borrow().is_some()
     }
 
-    /// Puts a configuration in force unless the current one is at least as new. Returns whether it
-    /// did.
-    pub fn apply_config(&self, config: Config) -> bool {
+    /// Puts a configuration in force that was read in `era`, unless the current one is at least as
+    /// new. Of two with the same version, the one that was read in a later era is newer: the store
+    /// has lost the other one. Returns whether it did.
+    pub fn apply_config(&self, config: Config, era: Era) -> bool {
         let known = self.config_version();
-        if config.version <= known && self.router.borrow().is_some() {
+        let is_known = (config.version, era) <= (known, self.config_era.get());
+        if is_known && self.router.borrow().is_some() {
             return false;
         }
+        self.config_era.set(era);
         info!(self.log, "configuration in force"; "version" => config.version.0,
             "before" => known.0, "routes" => config.routes.len(),
             "services" => config.services.len());
@@ -480,6 +492,7 @@
             self.store_regained.set(Some(sent));
         }
         self.store_seen.set(before.max(Some(sent)));
+        self.record_era(self.store.era(), EraSource::Store);
     }
 
     /// Applies reloaded settings. Only the bounds can change while the process runs.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //!
 //! - [`ingress`] admits callers' requests and [`forward`] sends them to upstreams over the [`pool`]
 //!   of connections; `request_log` logs and counts their results;
-//! - [`follow`] keeps the configuration and the directory of upstreams current;
+//! - [`follow`] keeps the configuration and the directory of upstreams current, also when the store
+//!   comes back from an older copy (`era`);
 //! - [`discovery`] finds the other hosts and [`peers`] keeps their state; [`relay`] exchanges load,
 //!   versions and routes of keyed services with them, and [`fetch`] copies newer data from them;
 //! - [`coordinator`] assigns the key ranges of a service while this host is its coordinator.
@@ -17,6 +18,7 @@
 pub mod config;
 pub mod coordinator;
 pub mod discovery;
+mod era;
 pub mod fetch;
 pub mod follow;
 pub mod forward;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -15,6 +15,7 @@
 use snafu::{ResultExt, Snafu, ensure};
 use trefoil_core::{DomainName, HostId, HostName, Key, KeyRange, ServiceName, UpstreamName};
 use trefoil_directory::{Incarnation, Registration, Tag};
+use trefoil_store::Era;
 
 use crate::tables::Revision;
 
@@ -78,7 +79,7 @@
 
 /// Versions of the configuration and the directory that a host has, and the age of its last answer
 /// from the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncStatus {
     /// Version of its configuration.
     pub config_version: u64,
@@ -91,6 +92,12 @@
     /// registry had accepted. Encoded after the message, where earlier builds ignore it.
     #[serde(skip)]
     pub directory_age_ms: Option<u32>,
+    /// Highest era of the store that the host knows. Encoded like the age, after it.
+    #[serde(skip)]
+    pub store_era: Option<Era>,
+    /// Era of the store in which its configuration was read. Encoded with the other era.
+    #[serde(skip)]
+    pub config_era: Era,
 }
 
 impl SyncStatus {
@@ -278,16 +285,24 @@
     /// Fails if the encoder does.
     pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
         let bytes = postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)?;
-        let Some(age_ms) = self.status().and_then(|status| status.directory_age_ms) else {
+        let Some(status) = self.status() else {
+            return Ok(bytes);
+        };
+        let Some(age_ms) = status.directory_age_ms else {
             return Ok(bytes);
         };
         let bytes = postcard::to_extend(&age_ms, bytes).context(DecodeSnafu)?;
         let sequences: SmallVec<[Option<u64>; 8]> =
             self.removals().iter().map(|r| r.sequence).collect();
-        if sequences.is_empty() {
+        if sequences.is_empty() && status.store_era.is_none() {
             return Ok(bytes);
         }
-        postcard::to_extend(&sequences, bytes).context(DecodeSnafu)
+        let bytes = postcard::to_extend(&sequences, bytes).context(DecodeSnafu)?;
+        let Some(store_era) = status.store_era else {
+            return Ok(bytes);
+        };
+        let eras = (store_era.0, status.config_era.0);
+        postcard::to_extend(&eras, bytes).context(DecodeSnafu)
     }
 
     /// Decodes a datagram.
@@ -305,12 +320,20 @@
         };
         let (age_ms, rest) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
         status.directory_age_ms = Some(age_ms);
-        if !rest.is_empty() {
-            let sequences: SmallVec<[Option<u64>; 8]> =
-                postcard::from_bytes(rest).context(DecodeSnafu)?;
-            for (removal, sequence) in message.removals_mut().zip(sequences) {
-                removal.sequence = sequence;
-            }
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (sequences, rest): (SmallVec<[Option<u64>; 8]>, _) =
+            postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        for (removal, sequence) in message.removals_mut().zip(sequences) {
+            removal.sequence = sequence;
+        }
+        if let Some(status) = message.status_mut()
+            && !rest.is_empty()
+        {
+            let (store_era, config_era) = postcard::from_bytes(rest).context(DecodeSnafu)?;
+            status.store_era = Some(Era(store_era));
+            status.config_era = Era(config_era);
         }
         Ok(message)
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -135,6 +135,8 @@
     pub(crate) directory_age: Seconds,
     /// Time since the store last answered this host.
     pub(crate) store_age: Seconds,
+    /// Era of the store.
+    pub(crate) store_era: Gauge,
     /// Upstreams in the directory.
     pub(crate) upstreams: Gauge,
     /// Changes of the directory.
@@ -249,6 +251,11 @@
                 "Time since the store answered this host",
                 Seconds::default(),
             ),
+            store_era: b.add(
+                "store_era",
+                "Number of returns of the store from an older copy",
+                Gauge::default(),
+            ),
             upstreams: b.add("upstreams", "Upstreams in the directory", Gauge::default()),
             changes: b.add(
                 "directory_changes",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,6 +118,8 @@
         directory_digest: host.offered_directory(),
         store_age_ms: host.store_seen.get().map(|at| whole_millis(now.since(at))),
         directory_age_ms: host.directory_age(now).map(whole_millis),
+        store_era: host.store_era.get(),
+        config_era: host.config_era.get(),
     }
 }
 
@@ -464,9 +466,10 @@
 /// Fetches a configuration or directory that is newer at another host.
 fn catch_up(host: &Host, from: HostId, status: SyncStatus) {
     let now = host.now();
-    if status.config_version > host.config_version().0 {
+    let known = (host.config_version().0, host.config_era.get());
+    if (status.config_version, status.config_era) > known {
         host.events.newer_config.notify(usize::MAX);
-        fetch::fetch_config(host, from, now);
+        fetch::fetch_config(host, from, now, status.config_era);
     }
     // The two relays read the registry at different times, so a host that copied both would
     // alternate between two views.
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -7,6 +7,7 @@
 
 use super::{apply_change_items, catch_up, decode_estimates, open_pairs};
 use crate::coordinator;
+use crate::era::EraSource;
 use crate::host::Host;
 use crate::message::{Digest, Exchange, Message, Report, SyncStatus, TermItem};
 
@@ -54,6 +55,9 @@
 /// identity.
 fn record_sender(host: &Host, from: SocketAddr, id: HostId, status: SyncStatus) -> bool {
     let now = host.now();
+    if let Some(era) = status.store_era {
+        host.record_era(era, EraSource::Host);
+    }
     host.compare_directory(now, status);
     let mut peers = host.peers.borrow_mut();
     let known = peers.record_received(now, id, Some(status));
--- a/tests/all/gateway/changes.rs
+++ b/tests/all/gateway/changes.rs
@@ -16,7 +16,7 @@
 };
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
-use trefoil_store::MemoryStore;
+use trefoil_store::{Era, MemoryStore};
 
 /// Time for which changes are told, and some more.
 const QUIET: Duration = Duration::from_millis(1500);
@@ -56,7 +56,8 @@
             Rc::new(UsersPlatform::new()),
             store,
         );
-        follow::load_config(&host, &Bytes::from(test_config(1).to_string()));
+        let config = Bytes::from(test_config(1).to_string());
+        follow::load_config(&host, &config, Era::default());
         let member = Self {
             host,
             registry,
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -18,7 +18,7 @@
 use trefoil_http::h1::{Request, RequestHead};
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
-use trefoil_store::MemoryStore;
+use trefoil_store::{Era, MemoryStore};
 
 const DRAIN: Duration = Duration::from_millis(500);
 
@@ -87,7 +87,8 @@
     };
     register("ready", 1);
     let host = host(store);
-    follow::load_config(&host, &Bytes::from(test_config(1).to_string()));
+    let config = Bytes::from(test_config(1).to_string());
+    follow::load_config(&host, &config, Era::default());
     let test = async {
         let _follower = host.spawn(follow::follow_registry(Rc::clone(&host)));
         while !host.is_ready() {
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -5,6 +5,7 @@
 use trefoil_gateway::message::{
     ChangeItem, Digest, Message, MessageError, Removal, Report, SyncStatus,
 };
+use trefoil_store::Era;
 
 fn report(directory_age_ms: Option<u32>) -> Message {
     Message::Report(Report {
@@ -14,6 +15,7 @@
             directory_digest: Some(7),
             store_age_ms: None,
             directory_age_ms,
+            ..SyncStatus::default()
         },
         open: Vec::new(),
         times: Vec::new(),
@@ -54,6 +56,7 @@
             directory_digest: Some(7),
             store_age_ms: None,
             directory_age_ms: Some(250),
+            ..SyncStatus::default()
         },
         live: Vec::new(),
         hosts: 2,
@@ -85,3 +88,25 @@
     assert_eq!(Message::decode(&bytes), Ok(Message::Digest(with)));
     assert_eq!(Message::decode(&earlier), Ok(Message::Digest(without)));
 }
+
+/// Guards against hosts that drop each other's datagrams during a rolling upgrade: earlier builds
+/// neither send nor expect the eras, which follow the sequence numbers of removals.
+#[test]
+fn the_eras_are_optional() {
+    for changes in [digest(Some(41)).changes, Vec::new()] {
+        let mut with = digest(None);
+        with.changes = changes;
+        with.status.store_era = Some(Era(300));
+        with.status.config_era = Era(2);
+        let mut earlier = with.clone();
+        earlier.status.store_era = None;
+        earlier.status.config_era = Era::default();
+        let prefix = Message::Digest(earlier.clone()).encode().expect("encoded");
+        let bytes = Message::Digest(with.clone()).encode().expect("encoded");
+        assert!(bytes.starts_with(&prefix) && bytes.len() > prefix.len());
+        assert_eq!(Message::decode(&bytes), Ok(Message::Digest(with)));
+        assert_eq!(Message::decode(&prefix), Ok(Message::Digest(earlier)));
+        let cut = Message::decode(&bytes[..bytes.len() - 1]);
+        assert!(matches!(cut, Err(MessageError::Decode { .. })), "{cut:?}");
+    }
+}
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -163,6 +163,7 @@
         directory_digest: Some(0),
         store_age_ms: Some(store_age_ms),
         directory_age_ms: None,
+        ..SyncStatus::default()
     };
     // The report arrives at 3.0 s; the last answered call was sent at 2.0 s.
     peers.record_received(at(3_000), other.id, Some(status(1_000)));
@@ -201,6 +202,7 @@
                 directory_digest: Some(0),
                 store_age_ms: Some(u32::try_from(span.as_millis()).expect("a short span")),
                 directory_age_ms: None,
+                ..SyncStatus::default()
             };
             peers.record_received(at(10_000), reader.id, Some(status));
             peers.readers_before(at(10_000), silence)
@@ -228,6 +230,7 @@
         directory_digest,
         store_age_ms: Some(0),
         directory_age_ms: Some(age_ms),
+        ..SyncStatus::default()
     };
     peers.record_received(at(5_000), hosts[0].id, Some(status(Some(7), 2_000)));
     assert_eq!(peers.newest_directory(at(5_100)), Some(at(3_000)));
@@ -257,6 +260,7 @@
         directory_digest: Some(7),
         store_age_ms,
         directory_age_ms: None,
+        ..SyncStatus::default()
     };
     for (relay, address) in relays.iter().zip(["192.0.2.2:1", "192.0.2.3:1"]) {
         let mut info = relay.clone();
