Keep what hosts know of upstreams when the registry comes back from an older copy

What callers saw: live upstreams got no requests, because a host took a copy of the registry without them for their removal; upstreams that had left got requests again, because the copy still listed them.

Cause: every record that was read counted as news. A host that leaves the reading to others knows old sequence numbers, so a registration in a copy can be newer than its record of a removal. A short absence of the store gave missing upstreams no time to register again.

Change: a rise of the era starts the grace period of an outage on every host. Upstreams that are missing in the copy, or in the directory of a host that has read it, are kept for that time. A removal from before supersedes what the copy lists. After the grace period the relays read the registry completely, and that read decides: the registry has then dropped silent upstreams, so what it lists is taken, also at the position of a removal. Hosts may copy directories in that time; else all of them would read the registry themselves.

The age of the directory is confirmed by a read of a copy as well: it says that every change that the registry has is known, and what is known stays.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -61,6 +61,15 @@
     }
 }
 
+/// Return of the registry from an older copy.
+#[derive(Debug, Clone, Copy)]
+struct Restore {
+    /// End of the grace period.
+    until: Tick,
+    /// The registry has not been read completely since the return.
+    unread: bool,
+}
+
 /// One host's view of the registry.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -69,6 +78,9 @@
     tombstones: HashMap<UpstreamName, Tombstone>,
     /// End of the registry's last outage.
     recovered_at: Option<Tick>,
+    /// Return of the registry from an older copy, until the registry has been read completely after
+    /// the grace period.
+    restore: Option<Restore>,
     /// XOR of the digests of all entries.
     digest: u64,
 }
@@ -79,6 +91,34 @@
         self.recovered_at = Some(now);
     }
 
+    /// Starts the grace period after the registry has come back from an older copy.
+    ///
+    /// The copy lacks upstreams that registered later, and lists ones that have left since. A
+    /// registration of the copy proves no life, whatever its position: it may be newer than the
+    /// last one that this host knows of, and still be older than the removal. So an upstream that
+    /// was removed before returns with a registration that is newer than that of the copy. An
+    /// upstream that was removed wrongly, or registers again at the same position, cannot be told
+    /// from one that has left until the registry has had the time to drop silent ones: if it is
+    /// still listed after the grace period, it returns with the complete read that is due then.
+    /// That read also decides on the upstreams that were missing in the copy.
+    pub fn on_registry_restored(&mut self, now: Tick) {
+        let until = now.after(RECOVERY_GRACE);
+        self.recovered_at = Some(now);
+        self.restore = Some(Restore {
+            until,
+            unread: true,
+        });
+        for tombstone in self.tombstones.values_mut() {
+            tombstone.until = tombstone.until.min(until);
+        }
+    }
+
+    /// Returns whether the registry must be read completely, because the grace period after its
+    /// return from an older copy has ended since the last such read.
+    pub fn needs_complete_read(&self, now: Tick) -> bool {
+        self.restore.is_some_and(|r| r.until <= now)
+    }
+
     /// Applies a registration, unless it is older than the known one.
     pub fn register(&mut self, registration: Registration) -> Option<Change> {
         let name = registration.incarnation.name.clone();
@@ -172,6 +212,17 @@
         listed: Vec<Registration>,
         unreadable: &[UpstreamName],
     ) -> Vec<Change> {
+        match self.restore {
+            Some(restore) if restore.until <= now => self.restore = None,
+            Some(restore) if restore.unread => {
+                self.doubt_copy(&listed);
+                self.restore = Some(Restore {
+                    unread: false,
+                    ..restore
+                });
+            }
+            _ => {}
+        }
         let missing = self.missing(&listed, unreadable);
         let mut changes = self.register_all(listed);
         changes.extend(
@@ -182,12 +233,37 @@
         changes
     }
 
-    /// Replaces the content by the directory of another host.
+    /// Makes the removal of each upstream that a copy lists supersede the registration in the copy.
+    fn doubt_copy(&mut self, listed: &[Registration]) {
+        for registration in listed {
+            let name = &registration.incarnation.name;
+            match self.tombstones.get_mut(name) {
+                Some(tombstone)
+                    if tombstone.registration.incarnation == registration.incarnation
+                        && tombstone.registration.order() <= registration.order() =>
+                {
+                    tombstone.registration = Rc::new(registration.clone());
+                    tombstone.evidence = Evidence::Registry;
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Replaces the content by the directory of another host. After a return of the registry from
+    /// an older copy, that host may never have known the upstreams that are missing in the copy.
     pub fn replace_from_peer(&mut self, now: Tick, listed: Vec<Registration>) -> Vec<Change> {
         let missing = self.missing(&listed, &[]);
+        let missing = missing.iter();
+        if self.restore.is_some_and(|r| now < r.until) {
+            let listed = listed.into_iter();
+            let mut changes: Vec<Change> =
+                listed.filter_map(|r| self.register_reported(r)).collect();
+            changes.extend(missing.filter_map(|name| self.mark_missing(now, name)));
+            return changes;
+        }
         let mut changes = self.register_all(listed);
-        let gone = missing.iter();
-        changes.extend(gone.filter_map(|name| self.remove(now, name, Evidence::Peer)));
+        changes.extend(missing.filter_map(|name| self.remove(now, name, Evidence::Peer)));
         changes
     }
 
@@ -204,9 +280,13 @@
         missing.cloned().collect()
     }
 
-    /// Removes the upstreams whose grace period has ended.
+    /// Removes the upstreams whose grace period has ended. After a return of the registry from an
+    /// older copy, the complete read that follows the grace period decides on them.
     pub fn expire(&mut self, now: Tick) -> Vec<Change> {
         self.tombstones.retain(|_, f| now < f.until);
+        if self.restore.is_some() {
+            return Vec::new();
+        }
         let due = |e: &Entry| e.remove_at.is_some_and(|at| at <= now);
         let names = self.entries.iter().filter(|(_, e)| due(e));
         let names: Vec<UpstreamName> = names.map(|(name, _)| name.clone()).collect();
@@ -235,10 +315,11 @@
         self.digest
     }
 
-    /// Returns whether all upstreams are listed in the registry. After an outage, missing ones are
-    /// kept for the grace period.
+    /// Returns whether other hosts may copy this directory. After an outage of the registry,
+    /// missing upstreams are kept for the grace period, and another host may know that they have
+    /// left. After a return from an older copy, every host keeps what it knows beyond the copy.
     pub fn is_settled(&self) -> bool {
-        self.entries.values().all(|e| e.remove_at.is_none())
+        self.restore.is_some() || self.entries.values().all(|e| e.remove_at.is_none())
     }
 
     /// An upstream by its name.
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -8,6 +8,9 @@
 //!   beyond the end or point at other records.
 //! - The configuration in force stays, because it was confirmed. Only a higher version replaces it,
 //!   or one that has the same number and was read in a later era, which is the one that counts now.
+//! - The directory keeps upstreams that are missing in the copy for the time in which they register
+//!   again, and does not take a registration of the copy for a return of an upstream that has left,
+//!   see [`Directory::on_registry_restored`](trefoil_directory::Directory::on_registry_restored).
 
 use derive_more::Display;
 use slog::warn;
@@ -41,6 +44,8 @@
         };
         warn!(self.log, "store came back from an older copy"; "era" => era.0,
             "before" => before.0, "source" => %source);
+        let now = self.now();
+        self.directory.borrow_mut().on_registry_restored(now);
         self.events.store_restored.notify(usize::MAX);
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -97,7 +97,12 @@
         let now = host.now();
         let expired = host.directory.borrow_mut().expire(now);
         host.apply_changes(expired, Source::Registry);
-        let due = host.registry_due(now, &reads);
+        let recheck = host.directory.borrow().needs_complete_read(now);
+        let due = match host.registry_due(now, &reads) {
+            // The other hosts wait for the decision of the relays.
+            _ if recheck && reads.failed.is_none() && host.peers.borrow().is_relay(now) => now,
+            due => due,
+        };
         if host.defers_first_read(now) || now < due {
             // A host that rejoins its domain or loses a relay is due at another time.
             let next = now.after(ROLE_INTERVAL);
@@ -105,10 +110,10 @@
             host.clock.sleep_until(wake).await;
             continue;
         }
-        if reads
+        let expired = reads
             .ended
-            .is_some_and(|at| now.since(at) > POSITION_MAX_AGE)
-        {
+            .is_some_and(|at| now.since(at) > POSITION_MAX_AGE);
+        if expired || recheck {
             follower.position = None;
         }
         host.log_takeover(now, &reads);
@@ -131,6 +136,8 @@
         }
         let changes = apply_records(&host, now, answer);
         host.apply_changes(changes, Source::Registry);
+        // This holds after a read of an older copy as well: what the host knows beyond the copy
+        // stays, so the directory still contains every change that the registry has.
         if let Some(as_of) = follower.read_as_of {
             host.confirm_directory(as_of);
         }
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -186,3 +186,73 @@
         "the registry lists it"
     );
 }
+
+/// Guards against an upstream that has left and gets requests again, because a copy of the registry
+/// lists a registration that is newer than the last one that this host knows of.
+#[test]
+fn a_copy_does_not_bring_back_a_removed_upstream() {
+    let mut directory = Directory::default();
+    directory.register(entry("u1", 5, 1));
+    let incarnation = entry("u1", 5, 1).incarnation;
+    directory.remove_reported(at(0), &incarnation, None);
+    directory.on_registry_restored(at(1_000));
+    let changes = directory.replace_from_registry(at(1_100), vec![entry("u1", 5, 9)], &[]);
+    assert!(changes.is_empty(), "{changes:?}");
+    assert_eq!(text(directory.register(entry("u1", 5, 9))), "-");
+    let returned = directory.register(entry("u1", 5, 10));
+    assert_eq!(text(returned), "joined u1@5 ready", "a sign of life");
+}
+
+/// Guards against a registered upstream that is left out for the whole life of its removal, because
+/// it has registered again at the same position.
+#[test]
+fn an_upstream_that_stays_listed_after_a_return_of_the_registry_returns() {
+    let mut directory = Directory::default();
+    directory.register(entry("u1", 5, 3));
+    let name = "u1".parse().expect("a name");
+    directory.mark_missing(at(0), &name);
+    directory.on_registry_restored(at(1_000));
+    directory.replace_from_registry(at(1_100), vec![entry("u1", 5, 3)], &[]);
+    let end = at(1_000).after(RECOVERY_GRACE);
+    assert!(!directory.needs_complete_read(at(2_900)));
+    assert!(directory.expire(at(2_900)).is_empty() && directory.is_empty());
+    assert!(directory.needs_complete_read(end));
+    directory.expire(end);
+    let changes = directory.replace_from_registry(end, vec![entry("u1", 5, 3)], &[]);
+    assert_eq!(changes.len(), 1);
+    assert!(!directory.needs_complete_read(end), "once");
+    assert_eq!(text(changes.into_iter().next()), "joined u1@5 ready");
+}
+
+/// Guards against a live upstream that loses its requests because a host that has read a copy of the
+/// registry without it offers its directory.
+#[test]
+fn a_directory_from_a_copy_removes_nobody_at_once() {
+    let mut directory = Directory::default();
+    directory.register(entry("u1", 5, 3));
+    directory.on_registry_restored(at(1_000));
+    let changes = directory.replace_from_peer(at(1_100), Vec::new());
+    assert!(changes.is_empty() && directory.len() == 1, "{changes:?}");
+    let end = at(1_000).after(RECOVERY_GRACE);
+    let changes = directory.replace_from_peer(end, Vec::new());
+    assert_eq!(changes.len(), 1, "after the grace period it is gone");
+}
+
+/// Guards against a live upstream that is removed at the end of the grace period by a host that has
+/// not read the registry since the upstream registered again.
+#[test]
+fn a_read_after_the_grace_period_decides_on_missing_upstreams() {
+    let mut directory = Directory::default();
+    for name in ["u1", "u2"] {
+        directory.register(entry(name, 5, 3));
+    }
+    directory.on_registry_restored(at(1_000));
+    let changes = directory.replace_from_registry(at(1_100), Vec::new(), &[]);
+    assert!(changes.is_empty(), "{changes:?}");
+    let end = at(1_000).after(RECOVERY_GRACE);
+    assert!(directory.expire(end).is_empty() && directory.len() == 2);
+    let changes = directory.replace_from_registry(end, vec![entry("u1", 5, 3)], &[]);
+    let gone: Vec<String> = changes.into_iter().map(|c| text(Some(c))).collect();
+    assert_eq!(gone, ["gone u2@5"]);
+    assert!(directory.is_settled() && directory.len() == 1);
+}
--- a/tests/all/platform/restored.rs
+++ b/tests/all/platform/restored.rs
@@ -133,6 +133,30 @@
     }
 }
 
+/// Writes an entry of an upstream that does not exist, which nobody renews.
+fn write_entry(fleet: &Fleet, name: &str, sequence: u64) {
+    let entry = format!(
+        r#"{{"service":"other","address":"192.0.2.1:80","zone":"a","version":"1","slots":4,
+        "state":"ready","warmupLeftMs":0,"sequence":{sequence},"born":1}}"#
+    );
+    let written = fleet.control_plane.write_registration(name, &entry);
+    written.expect("the store accepts the entry");
+}
+
+/// Number of log lines of a host about a change of an upstream.
+fn changes(fleet: &Fleet, host: usize, upstream: &str, change: &str) -> usize {
+    let entries = fleet.hosts[host].log_entries("upstream", upstream);
+    entries.iter().filter(|e| e["change"] == change).count()
+}
+
+fn wait_for_change(fleet: &Fleet, upstream: &str, change: &str) {
+    for host in 0..fleet.hosts.len() {
+        eventually(change, || {
+            (changes(fleet, host, upstream, change) > 0).then_some(())
+        });
+    }
+}
+
 /// Guards against a confirmed configuration that is not in force while the store lacks it, and
 /// against an older one that comes back with the copy.
 #[test]
@@ -256,3 +280,52 @@
         assert!((era - 2.0).abs() < 0.5, "era {era}");
     }
 }
+
+/// Guards against live upstreams that lose their requests because the copy is older than their
+/// registration.
+#[test]
+fn an_upstream_that_is_missing_in_the_copy_has_time_to_return() {
+    let fleet = fleet_of(3);
+    let copy = fleet.copy_store();
+    write_entry(&fleet, "late-1", 5);
+    wait_for_change(&fleet, "late-1", "joined");
+    let lost = fleet.restore_store(copy, AWAY);
+    std::thread::sleep(Duration::from_millis(1_200));
+    fleet.control_plane.write_again(lost).expect("written");
+    std::thread::sleep(Duration::from_millis(2_500));
+    for host in 0..3 {
+        let gone = changes(&fleet, host, "late-1", "gone");
+        assert_eq!(gone, 0, "host {host}");
+    }
+}
+
+/// Guards against an upstream that has left and gets requests again, because the copy lists it with
+/// a newer registration than a host knows of that had left the reading to others.
+#[test]
+fn an_upstream_that_has_left_does_not_return_with_the_copy() {
+    let fleet = fleet_of(3);
+    write_entry(&fleet, "old-1", 1);
+    wait_for_change(&fleet, "old-1", "joined");
+    write_entry(&fleet, "old-1", 9);
+    let copy = fleet.copy_store();
+    let removed = fleet.control_plane.remove_registration("old-1");
+    removed.expect("written");
+    wait_for_change(&fleet, "old-1", "gone");
+    set_links(&fleet, 0..2, LinkMode::Reset);
+    let lost = fleet.restore_store(copy, AWAY);
+    std::thread::sleep(Duration::from_millis(1_500));
+    fleet.control_plane.write_again(lost).expect("written");
+    set_links(&fleet, 0..2, LinkMode::Forward);
+    std::thread::sleep(Duration::from_millis(2_500));
+    for host in 0..3 {
+        let joined = changes(&fleet, host, "old-1", "joined");
+        assert_eq!(joined, 1, "host {host}");
+    }
+    // A later registration is a sign of life.
+    write_entry(&fleet, "old-1", 10);
+    for host in 0..3 {
+        eventually("it has returned", || {
+            (changes(&fleet, host, "old-1", "joined") == 2).then_some(())
+        });
+    }
+}
