Register hosts again when the store comes back from an older copy

What was seen: hosts that had started after the copy was taken stayed missing in the topic of hosts, so a host that started later never greeted them.

Cause: a host looked for its record once, at its start.

Change: it looks again after each rise of the era, with a random wait of at most three seconds, and writes the record only if it is missing. It greets only hosts that it does not know, so a return does not cost a datagram for each pair.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -4,6 +4,9 @@
 //! to each of them, and appends its own record if it is missing. After that it reads the topic
 //! again. So of two hosts that start at the same time, at least the one that appended last finds
 //! the other.
+//!
+//! When the store comes back from an older copy, which may lack the record, the host does the same
+//! again, after a random wait so that the calls of all hosts are spread.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +26,9 @@
 /// Wait after a failed call of the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// Longest wait before a host looks for its record in a store that has come back from a copy.
+const RETURN_SPREAD: Duration = Duration::from_secs(3);
+
 /// The identity of a host with these settings.
 pub(crate) fn host_info(id: HostId, config: &HostConfig) -> HostInfo {
     let millicores = (config.cores * 1000.0).clamp(1.0, 1e9);
@@ -40,13 +46,25 @@
     }
 }
 
-/// Registers this host in the store and greets all registered hosts.
+/// Registers this host in the store and greets all registered hosts, at once and after each return
+/// of the store from an older copy. Never returns.
 pub async fn discover_hosts(host: Rc<Host>) {
     loop {
-        match try_discover(&host).await {
+        let restored = host.events.store_restored.listen();
+        introduce(&host).await;
+        restored.await;
+        let wait = RETURN_SPREAD.mul_f64(rand::random());
+        host.clock.sleep(wait).await;
+    }
+}
+
+async fn introduce(host: &Host) {
+    loop {
+        match try_discover(host).await {
             Ok(count) => {
                 info!(host.log, "introduced"; "hosts" => count);
-                host.discovered.set(Some(host.now()));
+                let first = host.discovered.get().unwrap_or(host.now());
+                host.discovered.set(Some(first));
                 return;
             }
             Err(error) => warn!(host.log, "not introduced yet"; "reason" => %error),
@@ -123,6 +141,9 @@
 fn greet(host: &Host, now: Tick, own: &HostInfo, other: HostInfo) {
     let mut peers = host.peers.borrow_mut();
     let address = other.address;
+    if host.discovered.get().is_some() && peers.knows(address) {
+        return;
+    }
     peers.add_listed(now, other);
     peers.queue([address], &Message::Hello(own.clone(), true));
 }
--- a/crates/gateway/src/era.rs
+++ b/crates/gateway/src/era.rs
@@ -11,6 +11,7 @@
 //! - The directory keeps upstreams that are missing in the copy for the time in which they register
 //!   again, and does not take a registration of the copy for a return of an upstream that has left,
 //!   see [`Directory::on_registry_restored`](trefoil_directory::Directory::on_registry_restored).
+//! - [`crate::discovery`] registers the host again if its record is missing.
 
 use derive_more::Display;
 use slog::warn;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -129,11 +129,16 @@
     /// Adds a host from its record in the store. The record can belong to an earlier incarnation,
     /// so it does not replace a host that has already sent datagrams from the address.
     pub fn add_listed(&mut self, now: Tick, info: HostInfo) {
-        if self.hosts.values().all(|p| p.info.address != info.address) {
+        if !self.knows(info.address) {
             self.add(now, info);
         }
     }
 
+    /// Returns `true` if a host at this address is known.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.hosts.values().any(|p| p.info.address == address)
+    }
+
     /// Adds a host that has sent a datagram. Returns whether it was unknown, and the incarnations
     /// that it replaces at its address, which have ended.
     pub fn add(&mut self, now: Tick, info: HostInfo) -> (bool, Vec<HostId>) {
--- a/tests/all/platform/restored.rs
+++ b/tests/all/platform/restored.rs
@@ -329,3 +329,26 @@
         });
     }
 }
+
+/// Guards against hosts that a new one never meets, because the copy is older than their records.
+#[test]
+fn hosts_that_are_missing_in_the_copy_register_again() {
+    let mut fleet = fleet_of(1);
+    let copy = fleet.copy_store();
+    for _ in 0..3 {
+        fleet.start_host();
+    }
+    eventually("all hosts are known", || {
+        (fleet.hosts[0].sum_metric("trefoil_hosts", "") > 3.5).then_some(())
+    });
+    fleet.restore_store(copy, AWAY);
+    let listed = || {
+        let newest = Newest {
+            partition: PartitionId::first(Topic::fixed("keyed.trefoil-hosts")),
+            after: None,
+        };
+        let page = smol::block_on(fleet.store.newest(newest)).expect("read");
+        (page.items.len() == 4).then_some(())
+    };
+    eventually("all hosts are listed", listed);
+}
