--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod changes;
 mod directory;
+mod era;
 mod forward;
 mod message;
 mod peers;
