--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -15,6 +15,7 @@
 use snafu::{ResultExt, Snafu, ensure};
 use trefoil_core::{DomainName, HostId, HostName, Key, KeyRange, ServiceName, UpstreamName};
 use trefoil_directory::{Incarnation, Registration, Tag};
+use trefoil_store::Era;
 
 use crate::tables::Revision;
 
@@ -88,7 +89,7 @@
 
 /// Versions of the configuration and the directory that a host has, and the age of its last answer
 /// from the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SyncStatus {
     /// Version of its configuration.
     pub config_version: u64,
@@ -105,6 +106,12 @@
     /// builds ignore it.
     #[serde(skip)]
     pub directory_read: Option<ReadId>,
+    /// Highest era of the store that the host knows. Encoded like the age, after it.
+    #[serde(skip)]
+    pub store_era: Option<Era>,
+    /// Era of the store in which its configuration was read. Encoded with the other era.
+    #[serde(skip)]
+    pub config_era: Era,
 }
 
 impl SyncStatus {
@@ -318,7 +325,12 @@
             sequences: self.removals().iter().map(|r| r.sequence).collect(),
             reports: self.terms().iter().map(|t| t.number).collect(),
         };
-        postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)
+        let bytes = postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)?;
+        let Some(store_era) = status.store_era else {
+            return Ok(bytes);
+        };
+        let eras = (store_era.0, status.config_era.0);
+        postcard::to_extend(&eras, bytes).context(DecodeSnafu)
     }
 
     /// Decodes a datagram.
@@ -336,15 +348,21 @@
         };
         let (age_ms, rest) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
         status.directory_age_ms = Some(age_ms);
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (trailer, rest): (Trailer, _) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        status.directory_read = trailer.read;
         if !rest.is_empty() {
-            let trailer: Trailer = postcard::from_bytes(rest).context(DecodeSnafu)?;
-            status.directory_read = trailer.read;
-            for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
-                removal.sequence = sequence;
-            }
-            for (term, number) in message.terms_mut().iter_mut().zip(trailer.reports) {
-                term.number = number;
-            }
+            let (store_era, config_era) = postcard::from_bytes(rest).context(DecodeSnafu)?;
+            status.store_era = Some(Era(store_era));
+            status.config_era = Era(config_era);
+        }
+        for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
+            removal.sequence = sequence;
+        }
+        for (term, number) in message.terms_mut().iter_mut().zip(trailer.reports) {
+            term.number = number;
         }
         Ok(message)
     }
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -13,6 +13,7 @@
 mod output;
 mod promises;
 mod repeats;
+mod restored;
 mod soak;
 mod telemetry;
 
