Do not end a term over the refusal of an overtaken renewal

A coordinator that was the only one ended its term with "another host has a later term": an upstream had refused a renewal. The range had been divided while the renewal was under way, and the fencing grant for the other part, which has a higher fence, had arrived before it.

A refusal now counts only if it answers the latest order for the entry.

Before: "assertion failed: !coordinator.is_deposed()" in ranges::coordinator::an_overtaken_renewal_does_not_end_the_term.

--- a/crates/ranges/src/coordinator/outcomes.rs
+++ b/crates/ranges/src/coordinator/outcomes.rs
@@ -44,7 +44,8 @@
             return;
         }
         let state = &mut self.progress[index];
-        if state.in_flight == Some(id) {
+        let latest = state.in_flight == Some(id);
+        if latest {
             state.in_flight = None;
         }
         match outcome {
@@ -66,6 +67,9 @@
                     self.serial += 1;
                 }
             }
+            // The range was divided since. A fencing grant for another part of it has a higher
+            // fence and can have overtaken this order.
+            OrderOutcome::Fenced if !latest => {}
             OrderOutcome::Fenced => {
                 state.failures += 1;
                 state.due_at = now.after(RETRY);
--- a/tests/all/ranges/coordinator.rs
+++ b/tests/all/ranges/coordinator.rs
@@ -268,3 +268,25 @@
         ["a 0-65535 #2: grant for 8000 ms with -"]
     );
 }
+
+/// Guards against the end of a term because an upstream refused a renewal for a range that was
+/// divided meanwhile: the fencing grant for the other part has overtaken it.
+#[test]
+fn an_overtaken_renewal_does_not_end_the_term() {
+    let mut coordinator = sole_owner();
+    let renewal = coordinator.poll(at(1200));
+    assign_part(&mut coordinator, at(1250), range(4, 15), "b");
+    let orders = coordinator.poll(at(1250));
+    let fencing: Vec<&Order> = orders
+        .iter()
+        .filter(|o| o.fence > renewal[0].fence)
+        .collect();
+    assert_eq!(fencing.len(), 1, "{:?}", describe(&orders));
+    coordinator.on_outcome(at(1300), fencing[0].id, OrderOutcome::Confirmed(None));
+    coordinator.on_outcome(at(1310), renewal[0].id, OrderOutcome::Fenced);
+    assert!(!coordinator.is_deposed());
+    let kept = orders.iter().find(|o| o.range == range(0, 3));
+    let kept = kept.expect("a grant for the part that stays");
+    coordinator.on_outcome(at(1320), kept.id, OrderOutcome::Fenced);
+    assert!(coordinator.is_deposed(), "a refusal of the latest order");
+}
