--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -322,3 +322,27 @@
         id.0
     }
 }
+
+/// Number of times the store has come back from an older copy, which lacks acknowledged records.
+///
+/// Offsets, epochs, sequence numbers and contents are comparable only within one era: after the
+/// return the store gives out again those that it has lost.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Display,
+    FromStr,
+    From,
+    Into,
+    Serialize,
+    Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(pub u64);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,7 +18,7 @@
 pub use chart::StateChart;
 pub use clock::{Clock, ManualClock, QueueClock, SystemClock, Tick, UnixMillis};
 pub use ids::{
-    DomainName, HostId, HostName, KeyHash, NameError, Offset, Rank, RegionName, RequestId,
+    DomainName, Era, HostId, HostName, KeyHash, NameError, Offset, Rank, RegionName, RequestId,
     ResourceName, Revision, ServiceName, Shard, Term, Token, UpstreamName, WriterId,
 };
 pub use keys::{Fence, KEYS, Key, KeyRange, RangeError};
--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -19,7 +19,7 @@
 use async_channel::{Receiver, Sender};
 use futures_lite::FutureExt;
 use slog::{info, warn};
-use trefoil_core::{HostId, Key, ServiceName, Tick};
+use trefoil_core::{Era, HostId, Key, ServiceName, Tick};
 
 use crate::host::Host;
 use crate::message::{Candidacy, Message, Resigned, TermItem};
@@ -59,6 +59,36 @@
 /// Time for which a host does not campaign after it could not reach most upstreams.
 const ISOLATED_WAIT: Duration = Duration::from_secs(4);
 
+/// The highest era of the store that this host knows of.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct EraSeen {
+    era: Era,
+    /// When it was seen first. No coordinator was confirmed in an earlier era after that.
+    since: Tick,
+    /// This process has seen an earlier era.
+    has_risen: bool,
+}
+
+impl Host {
+    /// The highest era of the store in any answer to this host.
+    fn observe_era(&self) -> EraSeen {
+        let (era, before) = (self.store.era(), self.era_seen.get());
+        let seen = match before {
+            Some(seen) if seen.era >= era => seen,
+            _ => EraSeen {
+                era,
+                since: self.now(),
+                // Before the first answer, the client reports era 0.
+                has_risen: before.is_some(),
+            },
+        };
+        if self.store_seen.get().is_some() {
+            self.era_seen.set(Some(seen));
+        }
+        seen
+    }
+}
+
 /// Terms in which this host is a coordinator.
 pub type Terms = BTreeMap<ServiceName, Term>;
 
@@ -96,6 +126,7 @@
     loop {
         host.clock.sleep(CANDIDATE_STAGGER / 3).await;
         let now = host.now();
+        host.observe_era();
         if now < not_before || !may_campaign(&host, &service, now) {
             vacant_since = None;
             continue;
@@ -154,14 +185,12 @@
 async fn serve_term(host: &Rc<Host>, service: &ServiceName) -> Option<EndReason> {
     let (events, queue) = async_channel::unbounded();
     announce_candidacy(host, service, false);
-    let number = match table_store::take_over(host, service).await {
+    match table_store::take_over(host, service).await {
         Ok(term) => {
-            let number = term.number;
-            info!(host.log, "term begun"; "service" => %service, "term" => number,
+            info!(host.log, "term begun"; "service" => %service, "term" => term.number,
                 "table" => term.coordinator.table().version,
                 "earlier_ms" => term.coordinator.earlier_until().since(host.now()).as_millis());
             host.terms.borrow_mut().insert(service.clone(), term);
-            number
         }
         Err(error) => {
             warn!(host.log, "term not begun"; "service" => %service, "reason" => %error);
@@ -169,9 +198,9 @@
             host.clock.sleep(RETRY_DELAY).await;
             return None;
         }
-    };
+    }
     let confirming =
-        table_store::confirm_periodically(Rc::clone(host), service.clone(), number, events.clone());
+        table_store::confirm_periodically(Rc::clone(host), service.clone(), events.clone());
     let confirming = host.spawn(confirming);
     let end = run_term(host, service, &events, &queue).await;
     drop(confirming);
@@ -246,7 +275,8 @@
     host.peers.borrow_mut().broadcast(now, &message);
     host.events.outbox.notify(usize::MAX);
     // A table write in flight could be applied after this one and undo the mark.
-    if !matches!(end, EndReason::Leaving | EndReason::Isolated) || term.is_writing() {
+    let may_write = !term.is_writing() && term.era == host.store.era();
+    if !matches!(end, EndReason::Leaving | EndReason::Isolated) || !may_write {
         return;
     }
     let table = term.last_table(now);
@@ -276,7 +306,7 @@
     let now = host.now();
     let mut terms = host.terms.borrow_mut();
     if let Some(term) = terms.get_mut(&item.service)
-        && term.number < item.revision.term
+        && term.announced < item.revision.term
     {
         term.superseded = true;
         host.events.directory.notify(usize::MAX);
--- a/crates/gateway/src/coordinator/routes.rs
+++ b/crates/gateway/src/coordinator/routes.rs
@@ -63,11 +63,13 @@
     host.apply_routes(service, routes);
 }
 
-/// Revision of the routes that the term published last.
+/// Revision of the routes that the term published last. Its version is 0 until then, so that other
+/// hosts do not request what does not exist.
 pub(super) fn revision(term: &Term) -> Revision {
+    let version = term.coordinator.table().version;
     Revision {
-        version: term.coordinator.table().version,
-        term: term.number,
+        version: term.published_serial.map_or(0, |_| version),
+        term: term.announced,
         serial: term.published_serial.unwrap_or_default(),
     }
 }
@@ -253,7 +255,7 @@
 
 async fn load_routes(host: &Host, service: &ServiceName) {
     match read_table(host, service).await {
-        Ok(Some(table)) => {
+        Ok((Some(table), _)) => {
             let revision = Revision {
                 version: table.version,
                 ..Revision::default()
@@ -265,7 +267,7 @@
             });
             host.apply_routes(service, Routes::new(revision, ranges));
         }
-        Ok(None) => {}
+        Ok((None, _)) => {}
         Err(error) => debug!(host.log, "table not read"; "service" => %service,
             "reason" => %error),
     }
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -7,11 +7,11 @@
 use async_channel::Sender;
 use derive_more::Display;
 use slog::{debug, info, warn};
-use trefoil_core::{HostId, ServiceName, Slots, Tick};
+use trefoil_core::{Era, HostId, ServiceName, Slots, Tick};
 use trefoil_directory::{Incarnation, Phase, Registration, Tag};
 use trefoil_ranges::{
-    Author, Candidate, Coordinator, Order, OrderId, OrderKind, OrderOutcome, Planner, Reason,
-    RequestWindow, Table,
+    Author, Candidate, Claim, Coordinator, Order, OrderId, OrderKind, OrderOutcome, Planner,
+    Reason, RequestWindow, Table,
 };
 use trefoil_store::StoreError;
 
@@ -71,15 +71,32 @@
 /// recovers, some host reaches it first; two confirmation attempts fit into this time.
 const OTHERS_REACH_STORE: Duration = table_store::CONFIRM_INTERVAL.saturating_mul(2);
 
+/// Time within which a relay was heard that counts in [`Term::is_known_to_all`].
+const RELAY_HEARD: Duration = Duration::from_secs(10);
+
+/// Time after which a relay no longer lists a coordinator that it knew before this host learned of
+/// the loss of records. Datagrams wait up to half a second on busy links.
+const LISTING_DELAY: Duration = Duration::from_secs(1);
+
 /// An event that a term handles.
 #[derive(Debug)]
 pub(super) enum Event {
     /// An order was answered or has failed.
     OrderFinished(OrderId, OrderOutcome),
-    /// The result of a table write is known.
-    TableWritten(Result<(), StoreError>),
-    /// A confirmation sent at this tick has succeeded or failed.
-    ConfirmEnded(Tick, Result<(), StoreError>),
+    /// The result of a table write under this term number is known.
+    TableWritten(u64, Result<Era, StoreError>),
+    /// A confirmation has succeeded or failed.
+    ConfirmEnded {
+        /// When it was sent.
+        sent: Tick,
+        /// The confirmed term.
+        number: u64,
+        /// Era in which the store confirmed it.
+        result: Result<Era, StoreError>,
+    },
+    /// The term is established in the present era of the store, or another host has taken over in
+    /// it.
+    Reestablished(Option<Box<table_store::Reestablished>>),
     /// Other state of the host may have changed.
     StateChanged,
 }
@@ -93,6 +110,8 @@
     Isolated,
     #[display("other hosts reach the store, this one does not")]
     CutOff,
+    #[display("the store has lost records while the term was not confirmed")]
+    Lapsed,
     #[display("the host is leaving")]
     Leaving,
     #[display("the store does not take the table")]
@@ -122,6 +141,12 @@
 #[derive(Debug)]
 pub struct Term {
     pub(crate) number: u64,
+    /// The number that other hosts are told. After the store has lost records, it stays the earlier
+    /// one until no other coordinator can have sent grants, because a host that is told a higher
+    /// number no longer reports such a coordinator.
+    pub(crate) announced: u64,
+    /// Era of the store in which the term was confirmed.
+    pub(crate) era: Era,
     pub(crate) coordinator: Coordinator,
     pub(crate) trace: RequestWindow,
     /// When the last successful confirmation was sent.
@@ -136,6 +161,10 @@
     /// Another host has reported a later term.
     pub(crate) superseded: bool,
     predecessor: Option<Predecessor>,
+    /// The store has lost records, and the term is not established in its present era yet.
+    reestablishing: bool,
+    /// When this host learned that the store has lost records.
+    outdated_at: Tick,
     sequence: u64,
     /// The table being written, and the reason for it.
     writing: Option<(Table, Reason)>,
@@ -151,13 +180,17 @@
 impl Term {
     pub(super) fn new(
         now: Tick,
-        number: u64,
+        claim: Claim,
         coordinator: Coordinator,
         predecessor: Option<Predecessor>,
         confirmed_at: Tick,
     ) -> Self {
         Self {
-            number,
+            number: claim.term,
+            era: claim.era,
+            announced: claim.term,
+            reestablishing: false,
+            outdated_at: Tick::default(),
             coordinator,
             trace: RequestWindow::new(LONG_WINDOW),
             confirmed_at,
@@ -199,6 +232,8 @@
         table.version += 1;
         if let Some(author) = &mut table.author {
             author.earlier_grants = self.coordinator.grants_until().since(now);
+            let unlisted = self.coordinator.unlisted_until();
+            author.unlisted_grants = unlisted.map_or(Duration::ZERO, |until| until.since(now));
             author.resigned = true;
         }
         table
@@ -223,17 +258,33 @@
         event: Event,
     ) -> Result<(), EndReason> {
         match event {
-            Event::ConfirmEnded(_, Err(StoreError::Fenced))
-            | Event::TableWritten(Err(StoreError::Fenced)) => return Err(EndReason::Superseded),
+            Event::Reestablished(outcome) => self.on_reestablished(host, service, now, outcome)?,
+            Event::ConfirmEnded {
+                sent,
+                result: Ok(era),
+                ..
+            } if era != self.era => {
+                host.store_answered(sent);
+            }
+            // The answer concerns the term as it was before the store lost records.
+            Event::ConfirmEnded { number, .. } | Event::TableWritten(number, _)
+                if number != self.number || self.is_outdated(host) => {}
+            Event::ConfirmEnded {
+                result: Err(StoreError::Fenced),
+                ..
+            }
+            | Event::TableWritten(_, Err(StoreError::Fenced)) => {
+                return Err(EndReason::Superseded);
+            }
             // An unconfirmed term expires without further action.
-            Event::StateChanged | Event::ConfirmEnded(_, Err(_)) => {}
+            Event::StateChanged | Event::ConfirmEnded { result: Err(_), .. } => {}
             Event::OrderFinished(id, outcome) => self.coordinator.on_outcome(now, id, outcome),
-            Event::ConfirmEnded(sent, Ok(())) => {
+            Event::ConfirmEnded { sent, .. } => {
                 host.store_answered(sent);
                 self.confirmed_at = self.confirmed_at.max(sent);
                 self.coordinator.confirm_term(sent);
             }
-            Event::TableWritten(Ok(())) => {
+            Event::TableWritten(_, Ok(_)) => {
                 if let Some((table, reason)) = self.writing.take() {
                     host.metrics.record_table_write(service, reason.to_string());
                     info!(host.log, "table written"; "service" => %service,
@@ -243,11 +294,101 @@
                     self.coordinator.adopt_table(now, table);
                 }
             }
-            Event::TableWritten(Err(_)) => return Err(EndReason::TableNotWritten),
+            Event::TableWritten(_, Err(_)) => return Err(EndReason::TableNotWritten),
         }
         Ok(())
     }
 
+    /// Returns `true` if the store has lost records since the term was established.
+    fn is_outdated(&self, host: &Host) -> bool {
+        self.reestablishing || host.store.era() > self.era
+    }
+
+    /// Begins to establish the term in the present era of the store.
+    fn begin_reestablishing(
+        &mut self,
+        host: &Rc<Host>,
+        service: &ServiceName,
+        now: Tick,
+        events: &Sender<Event>,
+    ) {
+        self.reestablishing = true;
+        self.outdated_at = now;
+        self.writing = None;
+        self.clearing_since = None;
+        self.coordinator.suspend_changes(now);
+        let task = table_store::reestablish(Rc::clone(host), service.clone(), events.clone());
+        host.spawn(task).detach();
+    }
+
+    fn on_reestablished(
+        &mut self,
+        host: &Host,
+        service: &ServiceName,
+        now: Tick,
+        outcome: Option<Box<table_store::Reestablished>>,
+    ) -> Result<(), EndReason> {
+        let done = outcome.ok_or(EndReason::Superseded)?;
+        if self.has_lapsed(now) {
+            return Err(EndReason::Lapsed);
+        }
+        self.reestablishing = false;
+        self.number = done.claim.term;
+        self.era = done.claim.era;
+        self.sequence = 1;
+        // Its resignation says nothing of coordinators between it and the loss of records.
+        self.predecessor = None;
+        self.confirmed_at = self.confirmed_at.max(done.sent);
+        self.coordinator.adopt_table(now, done.table);
+        self.coordinator.confirm_term(done.sent);
+        let until = self.coordinator.unlisted_until().unwrap_or(now);
+        info!(host.log, "term re-established"; "service" => %service, "term" => self.number,
+            "era" => self.era.0, "version" => self.coordinator.table().version,
+            "wait_ms" => until.since(now).as_millis());
+        Ok(())
+    }
+
+    /// Returns `true` if every relay that was heard recently has reported this term since the store
+    /// lost records. A relay that is or has heard of a successor would report that one.
+    fn is_known_to_all(&self, host: &Host, service: &ServiceName) -> bool {
+        let heard = Tick(self.outdated_at.0.saturating_sub(RELAY_HEARD));
+        let listed = self.outdated_at.after(LISTING_DELAY);
+        let peers = host.peers.borrow();
+        peers.all_list_term(service, self.announced, heard, listed)
+    }
+
+    /// Ends the wait for grants that no table lists once no other coordinator can have sent any.
+    fn check_unlisted(&mut self, host: &Host, service: &ServiceName, now: Tick) {
+        let until = self.coordinator.unlisted_until();
+        match until {
+            _ if self.reestablishing => {}
+            Some(until) if now < until => {
+                if !self.coordinator.withholds_grants() && self.is_known_to_all(host, service) {
+                    self.coordinator.exclude_unlisted(now);
+                    info!(host.log, "no other coordinator"; "service" => %service,
+                        "term" => self.number, "saved_ms" => until.since(now).as_millis());
+                }
+            }
+            _ => self.announced = self.number,
+        }
+    }
+
+    /// Returns `true` if the term was unconfirmed for too long to go on in another era.
+    fn has_lapsed(&self, now: Tick) -> bool {
+        now >= self
+            .coordinator
+            .timing()
+            .continuation_end(self.confirmed_at)
+    }
+
+    fn claim(&self, host: &Host) -> Claim {
+        Claim {
+            host: host.id,
+            term: self.number,
+            era: self.era,
+        }
+    }
+
     /// Plans ownership changes, sends due orders and publishes routes.
     pub(super) fn tick(
         &mut self,
@@ -258,7 +399,12 @@
         let now = host.now();
         self.check_term(host, now)?;
         let candidates = self.find_candidates(host, service, now)?;
-        let may_write = self.writing.is_none() && self.is_directory_settled(host, now);
+        if !self.reestablishing && self.is_outdated(host) {
+            self.begin_reestablishing(host, service, now, events);
+        }
+        self.check_unlisted(host, service, now);
+        let may_write =
+            self.writing.is_none() && !self.reestablishing && self.is_directory_settled(host, now);
         if may_write && let Some((table, reason)) = self.plan(now, &candidates) {
             self.spawn_write(host, table, reason, now, events)?;
         }
@@ -267,7 +413,7 @@
                 "range" => %order.range, "fence" => order.fence.0, "order" => order_name(&order));
             spawn_order(host, order, events);
         }
-        let unpublished = self.published_serial != Some(self.coordinator.serial());
+        let unpublished = self.is_unpublished();
         if unpublished && now.since(self.published_at) >= PUBLISH_INTERVAL_MIN {
             self.published_serial = Some(self.coordinator.serial());
             self.published_at = now;
@@ -276,10 +422,18 @@
         Ok(())
     }
 
+    /// Returns `true` if the routes have changed. Until the owners are known, the hosts go on with
+    /// the routes that they have.
+    fn is_unpublished(&self) -> bool {
+        self.published_serial != Some(self.coordinator.serial())
+            && !self.coordinator.withholds_grants()
+    }
+
     /// When [`tick`](Self::tick) next has work to do.
     pub(super) fn next_wake(&self) -> Option<Tick> {
-        let unpublished = self.published_serial != Some(self.coordinator.serial());
-        let publish = unpublished.then(|| self.published_at.after(PUBLISH_INTERVAL_MIN));
+        let publish = self
+            .is_unpublished()
+            .then(|| self.published_at.after(PUBLISH_INTERVAL_MIN));
         let clear = self.clearing_since.map(|since| since.after(CLEAR_DELAY));
         let wakes = [self.coordinator.next_wake(), publish, clear];
         wakes.into_iter().flatten().min()
@@ -304,6 +458,7 @@
         match () {
             () if host.leaving.get() => Err(EndReason::Leaving),
             () if self.superseded || self.coordinator.is_deposed() => Err(EndReason::Superseded),
+            () if self.is_outdated(host) && self.has_lapsed(now) => Err(EndReason::Lapsed),
             () if unconfirmed >= CUT_OFF_TIMEOUT && only_others => Err(EndReason::CutOff),
             () => {
                 let unavailable = unconfirmed >= STORE_UNAVAILABLE && !others;
@@ -369,6 +524,10 @@
     }
 
     fn plan(&mut self, now: Tick, candidates: &[Candidate]) -> Option<(Table, Reason)> {
+        if self.coordinator.unlisted_until().is_some() {
+            let settled = self.coordinator.settled_table(now);
+            return settled.map(|table| (table, Reason::Settled));
+        }
         // Former owners known to own nothing are cleared before anything moves, because a move
         // turns the current owner into the former one.
         let mut table = self.coordinator.table().clone();
@@ -427,8 +586,8 @@
         now: Tick,
         events: &Sender<Event>,
     ) -> Result<(), EndReason> {
-        let earlier = self.coordinator.earlier_until();
-        table_store::set_author(host, &mut table, self.number, now, earlier);
+        let claim = self.claim(host);
+        claim.sign_change(now, &mut table, &self.coordinator);
         let append = table_store::table_append(&table, self.number, self.next_sequence());
         let append = append.map_err(|reason| {
             warn!(host.log, "table not encoded"; "reason" => %reason);
@@ -436,7 +595,8 @@
         })?;
         self.writing = Some((table, reason));
         self.clearing_since = None;
-        let writing = table_store::write_table(Rc::clone(host), append, events.clone());
+        let writing =
+            table_store::write_table(Rc::clone(host), append, self.number, events.clone());
         host.spawn(writing).detach();
         Ok(())
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -21,7 +21,7 @@
 use trefoil_store::Store;
 
 use crate::config::{Bounds, HostConfig};
-use crate::coordinator::{EndedTerms, Reassemblies, Terms};
+use crate::coordinator::{EndedTerms, EraSeen, Reassemblies, Terms};
 use crate::discovery;
 use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
 use crate::freshness::Source;
@@ -148,6 +148,8 @@
     directory_loaded: Cell<bool>,
     /// Records of the registry were deleted before this host had read them.
     pub(crate) missed_records: Cell<bool>,
+    /// The highest era of the store.
+    pub(crate) era_seen: Cell<Option<EraSeen>>,
     /// When the last answered call of the store was sent.
     pub(crate) store_seen: Cell<Option<Tick>>,
     /// When the first answered call after an outage of the store was sent.
@@ -220,6 +222,7 @@
             was_ready: Cell::default(),
             directory_loaded: Cell::new(false),
             missed_records: Cell::new(false),
+            era_seen: Cell::new(None),
             store_seen: Cell::new(None),
             store_regained: Cell::new(None),
         });
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,8 @@
     coordinators: BTreeMap<ServiceName, KnownCoordinator>,
     /// Hosts that are taking over a service, and since when.
     candidates: BTreeMap<ServiceName, (HostId, Tick)>,
+    /// Terms that the relays have reported.
+    listings: BTreeMap<HostId, coordinators::Listing>,
     /// The latest finished term of each service.
     ended_terms: BTreeMap<ServiceName, u64>,
     /// Incarnations of hosts that have ended.
@@ -113,6 +115,7 @@
             domains: BTreeMap::new(),
             coordinators: BTreeMap::new(),
             candidates: BTreeMap::new(),
+            listings: BTreeMap::new(),
             ended_terms: BTreeMap::new(),
             ended: HashSet::new(),
             reported_hosts: 0,
@@ -164,6 +167,7 @@
     pub fn mark_ended(&mut self, id: HostId) {
         self.hosts.remove(&id);
         self.ended.insert(id);
+        self.listings.remove(&id);
         self.coordinators.retain(|_, seen| seen.host != id);
         self.candidates.retain(|_, (host, _)| *host != id);
     }
@@ -172,6 +176,7 @@
     pub fn expire(&mut self, now: Tick) {
         let kept = |p: &Peer| now.since(p.live_at.unwrap_or(p.added_at)) < FORGET_AFTER;
         self.hosts.retain(|_, p| kept(p));
+        self.listings.retain(|id, _| self.hosts.contains_key(id));
     }
 
     /// Records a datagram of a host. Returns `false` if the host is unknown.
--- a/crates/gateway/src/peers/coordinators.rs
+++ b/crates/gateway/src/peers/coordinators.rs
@@ -1,8 +1,9 @@
 //! The coordinator and the candidates of each service, as other hosts report them.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use trefoil_core::{ServiceName, Tick};
+use trefoil_core::{HostId, ServiceName, Tick};
 
 use super::{KnownCoordinator, Peers, millis, whole_millis};
 use crate::message::{Candidacy, TermItem};
@@ -15,7 +16,42 @@
 /// several times a second.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Terms that a relay has reported.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    at: Tick,
+    /// Number of the term of each service, and when it was reported last.
+    terms: BTreeMap<ServiceName, (u64, Tick)>,
+}
+
 impl Peers {
+    /// Records the terms that a relay reports.
+    pub fn record_listing(&mut self, now: Tick, relay: HostId, terms: &[TermItem]) {
+        let listing = self.listings.entry(relay).or_default();
+        listing.at = now;
+        let reported = terms
+            .iter()
+            .map(|t| (t.service.clone(), (t.revision.term, now)));
+        listing.terms.extend(reported);
+    }
+
+    /// Returns `true` if there are relays that were heard since `heard`, and all of them have
+    /// reported this term of the service last, and after `listed`.
+    pub fn all_list_term(
+        &self,
+        service: &ServiceName,
+        term: u64,
+        heard: Tick,
+        listed: Tick,
+    ) -> bool {
+        let mut relays = self.listings.values().filter(|l| l.at >= heard).peekable();
+        let lists = |listing: &Listing| {
+            let last = listing.terms.get(service);
+            last.is_some_and(|(number, at)| *number == term && *at >= listed)
+        };
+        relays.peek().is_some() && relays.all(lists)
+    }
+
     /// Records a report of a coordinator. Returns whether it is newer than the known one.
     pub fn record_term(&mut self, now: Tick, item: &TermItem) -> bool {
         let reported_at = Tick(now.0.saturating_sub(millis(item.age_ms)));
@@ -89,6 +125,13 @@
         self.coordinators.get(service).copied()
     }
 
+    /// Highest number of a term of the service that was reported, ended or not.
+    pub fn last_term(&self, service: &ServiceName) -> u64 {
+        let reported = self.coordinators.get(service).map(|s| s.revision.term);
+        let ended = self.ended_terms.get(service).copied();
+        reported.max(ended).unwrap_or_default()
+    }
+
     /// The recently reported coordinators.
     pub fn terms(&self, now: Tick) -> Vec<TermItem> {
         let fresh = self
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -64,6 +64,12 @@
     known
 }
 
+fn on_listing(host: &Host, from: SocketAddr, relay: HostId, terms: &[TermItem]) {
+    let now = host.now();
+    host.peers.borrow_mut().record_listing(now, relay, terms);
+    on_terms(host, from, terms);
+}
+
 fn on_terms(host: &Host, from: SocketAddr, terms: &[TermItem]) {
     let now = host.now();
     for item in terms {
@@ -127,7 +133,7 @@
     }
     drop(balancer);
     drop(reported);
-    on_terms(host, from, &digest.terms);
+    on_listing(host, from, digest.from, &digest.terms);
     apply_change_items(host, now, digest.status, digest.changes);
     catch_up(host, digest.from, digest.status);
 }
@@ -150,6 +156,6 @@
             tally.add_times(now, (domain, 0), decode_estimates(now, &exchange.times));
         }
     }
-    on_terms(host, from, &exchange.terms);
+    on_listing(host, from, exchange.from, &exchange.terms);
     catch_up(host, exchange.from, exchange.status);
 }
--- a/crates/ranges/src/coordinator.rs
+++ b/crates/ranges/src/coordinator.rs
@@ -274,6 +274,17 @@
     serial: u64,
     deposed: bool,
     store_unavailable: bool,
+    unlisted: Option<Unlisted>,
+}
+
+/// Grants can be valid that the table does not list, because the store has lost records. Nothing
+/// changes owner meanwhile.
+#[derive(Debug, Clone, Copy)]
+struct Unlisted {
+    /// From this tick no such grant can be valid.
+    until: Tick,
+    /// The owners are granted their ranges again. They are not if the table is from an older copy.
+    renews: bool,
 }
 
 impl Coordinator {
@@ -282,7 +293,13 @@
     ///
     /// `earlier` is the tick from which no grant of an earlier coordinator can be valid.
     pub fn new(now: Tick, table: Table, timing: Timing, earlier: Tick) -> Self {
+        let unlisted = table.author.map(|author| author.unlisted_grants);
+        let unlisted = unlisted.filter(|span| !span.is_zero());
         let mut coordinator = Self {
+            unlisted: unlisted.map(|span| Unlisted {
+                until: now.after(span),
+                renews: false,
+            }),
             timing,
             progress: Vec::new(),
             earlier_until: earlier,
@@ -341,7 +358,48 @@
             let former = p.former.as_ref().map(|f| f.grants.valid_until);
             former.into_iter().chain([p.grants.valid_until])
         });
-        own.max().unwrap_or_default().max(self.earlier_until)
+        let unlisted = self.unlisted_until().unwrap_or_default();
+        own.max()
+            .unwrap_or_default()
+            .max(self.earlier_until)
+            .max(unlisted)
+    }
+
+    /// Stops all changes of ownership, because the store has lost records. They continue when a
+    /// table without unlisted grants is [adopted](Self::adopt_table).
+    pub fn suspend_changes(&mut self, now: Tick) {
+        let renews = self.unlisted.is_none_or(|u| u.renews);
+        let until = self.timing.earlier_expiry(now);
+        self.unlisted = Some(Unlisted { until, renews });
+    }
+
+    /// The tick from which no grant can be valid that the table does not list, or `None` if it lists
+    /// all.
+    pub fn unlisted_until(&self) -> Option<Tick> {
+        self.unlisted.map(|u| u.until)
+    }
+
+    /// Returns `true` if no owner is granted anything, because the table may list owners that have
+    /// lost their ranges.
+    pub fn withholds_grants(&self) -> bool {
+        self.unlisted.is_some_and(|u| !u.renews)
+    }
+
+    /// Ends the wait for unlisted grants, because there were none. Has no effect on a table from an
+    /// older copy.
+    pub fn exclude_unlisted(&mut self, now: Tick) {
+        if let Some(unlisted) = self.unlisted.as_mut().filter(|u| u.renews) {
+            unlisted.until = unlisted.until.min(now);
+        }
+    }
+
+    /// The table that ends the wait for unlisted grants, once they have expired. Its fences are
+    /// above those of all such grants.
+    pub fn settled_table(&self, now: Tick) -> Option<Table> {
+        self.unlisted.filter(|u| now >= u.until)?;
+        let mut table = self.table.clone();
+        table.refence_all();
+        Some(table)
     }
 
     /// Switches between the usual and the long validity of grants. The long one applies while no
@@ -372,6 +430,14 @@
 
     /// Replaces the table by one that was written to the store.
     pub fn adopt_table(&mut self, now: Tick, table: Table) {
+        let unlisted = table.author.map_or(Duration::ZERO, |a| a.unlisted_grants);
+        self.unlisted = match self.unlisted {
+            Some(known) if !unlisted.is_zero() => Some(Unlisted {
+                until: known.until.max(now.after(unlisted)),
+                ..known
+            }),
+            _ => None,
+        };
         let old = std::mem::replace(&mut self.table, table);
         let progress = std::mem::take(&mut self.progress);
         let known: Vec<(&Entry, &Progress)> = old.entries().iter().zip(&progress).collect();
@@ -387,6 +453,9 @@
     /// Advances all entries and returns the orders to send now.
     pub fn poll(&mut self, now: Tick) -> Vec<Order> {
         let mut orders = Vec::new();
+        if self.withholds_grants() {
+            return orders;
+        }
         let mut progress = std::mem::take(&mut self.progress);
         for (index, state) in progress.iter_mut().enumerate() {
             let entry = self.table.entries()[index].clone();
@@ -397,7 +466,7 @@
     }
 
     fn advance(&mut self, now: Tick, entry: &Entry, state: &mut Progress, orders: &mut Vec<Order>) {
-        if state.phase == Phase::Clearing {
+        if state.phase == Phase::Clearing && self.unlisted.is_none() {
             if let Some(former) = &mut state.former {
                 self.clear_former(now, entry, former, orders);
             }
@@ -578,8 +647,13 @@
 
     /// The earliest tick at which [`Coordinator::poll`] has work to do.
     pub fn next_wake(&self) -> Option<Tick> {
+        let settled = self.unlisted_until();
+        if self.withholds_grants() {
+            return settled;
+        }
         let pairs = self.table.entries().iter().zip(&self.progress);
-        pairs.filter_map(|(e, p)| self.entry_wake(e, p)).min()
+        let entries = pairs.filter_map(|(e, p)| self.entry_wake(e, p)).min();
+        entries.into_iter().chain(settled).min()
     }
 
     /// The next tick at which an entry has work to do.
@@ -588,6 +662,7 @@
             entry.owner.is_some() && state.in_flight.is_none() && state.due_at < self.term_until;
         let due = grants.then_some(state.due_at);
         match (state.phase, &state.former) {
+            (Phase::Clearing, _) if self.unlisted.is_some() => None,
             (Phase::Clearing, Some(former)) => Some(match former.step {
                 ClearStep::Ready(at) => at,
                 _ => former.grants.valid_until.max(self.earlier_until),
--- a/crates/ranges/src/lib.rs
+++ b/crates/ranges/src/lib.rs
@@ -13,6 +13,7 @@
 //!
 //! The crate performs no I/O and reads no clock.
 
+mod claim;
 mod coordinator;
 mod demand;
 mod move_state;
@@ -20,6 +21,7 @@
 mod table;
 mod timing;
 
+pub use claim::{Claim, Takeover};
 pub use coordinator::{Coordinator, Handover, Order, OrderId, OrderKind, OrderOutcome};
 pub use demand::{Demand, RequestWindow};
 pub use move_state::Phase;
--- a/crates/ranges/src/planner.rs
+++ b/crates/ranges/src/planner.rs
@@ -75,6 +75,9 @@
     /// Former owners hold nothing any more.
     #[display("cleared")]
     Cleared,
+    /// All grants that the table did not list have expired.
+    #[display("settled")]
+    Settled,
 }
 
 /// Plans changes of a table.
--- a/crates/ranges/src/table.rs
+++ b/crates/ranges/src/table.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, Snafu, ensure};
-use trefoil_core::{Fence, HostId, Key, KeyRange, ServiceName, UpstreamName};
+use trefoil_core::{Era, Fence, HostId, Key, KeyRange, ServiceName, UpstreamName};
 use trefoil_directory::Incarnation;
 
 /// Version of the encoding. Tables in another format are rejected.
@@ -52,6 +52,17 @@
     pub earlier_grants: Duration,
     /// Set if the coordinator has ended its term and sends no more orders.
     pub resigned: bool,
+    /// Time after the write until which grants can be valid that no table lists, because the store
+    /// has lost it. Encoded behind the table, where earlier builds ignore it.
+    #[serde(skip)]
+    pub unlisted_grants: Duration,
+}
+
+/// Fields that earlier builds do not know, encoded behind the table.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct Appendix {
+    era: Era,
+    unlisted_ms: u32,
 }
 
 /// A range and its owner.
@@ -95,6 +106,10 @@
     pub version: u64,
     /// The coordinator that wrote the table. No other can have sent orders since.
     pub author: Option<Author>,
+    /// Era of the store in which the table was written. Encoded behind the table, where earlier
+    /// builds ignore it; their own tables have era 0.
+    #[serde(skip)]
+    pub era: Era,
     /// Lowest fence that was never used.
     next_fence: Fence,
     entries: Vec<Entry>,
@@ -113,6 +128,7 @@
             service,
             version: 0,
             author: None,
+            era: Era::default(),
             next_fence: Fence(1),
             entries: vec![entry],
         }
@@ -205,6 +221,19 @@
         any
     }
 
+    /// Assigns new fences to all entries that have an owner, because fences that this table does not
+    /// know of may have been used.
+    pub fn refence_all(&mut self) {
+        for entry in self.entries.iter_mut().filter(|e| e.owner.is_some()) {
+            assign_fences(entry, &mut self.next_fence);
+        }
+    }
+
+    /// Raises the lowest fence that was never used.
+    pub(crate) fn raise_fences(&mut self, lowest: Fence) {
+        self.next_fence = self.next_fence.max(lowest);
+    }
+
     /// Removes the former owner of the entry that begins at `first`, because it holds nothing any
     /// more.
     pub fn clear_former(&mut self, first: Key) {
@@ -221,7 +250,15 @@
     ///
     /// Fails if the encoder does, which happens only when memory is exhausted.
     pub fn encode(&self) -> Result<Vec<u8>, TableError> {
-        postcard::to_allocvec(&(FORMAT, self)).context(DecodeSnafu)
+        let bytes = postcard::to_allocvec(&(FORMAT, self)).context(DecodeSnafu)?;
+        let unlisted = self.author.map_or(Duration::ZERO, |a| a.unlisted_grants);
+        // Rounded up, because the value is a bound on the validity of grants.
+        let unlisted_ms = unlisted.as_nanos().div_ceil(1_000_000);
+        let appendix = Appendix {
+            era: self.era,
+            unlisted_ms: u32::try_from(unlisted_ms).unwrap_or(u32::MAX),
+        };
+        postcard::to_extend(&appendix, bytes).context(DecodeSnafu)
     }
 
     /// Decodes a table.
@@ -232,7 +269,15 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, TableError> {
         let (found, rest) = postcard::take_from_bytes::<u16>(bytes).context(DecodeSnafu)?;
         ensure!(found == FORMAT, FormatSnafu { found });
-        let table: Self = postcard::from_bytes(rest).context(DecodeSnafu)?;
+        let (mut table, rest): (Self, _) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        let appendix: Appendix = match rest {
+            [] => Appendix::default(),
+            _ => postcard::from_bytes(rest).context(DecodeSnafu)?,
+        };
+        table.era = appendix.era;
+        if let Some(author) = &mut table.author {
+            author.unlisted_grants = Duration::from_millis(appendix.unlisted_ms.into());
+        }
         let first = table.entries.first().map(|e| e.range.first());
         let last = table.entries.last().map(|e| e.range.last());
         let meets = |pair: &[Entry]| pair[0].range.is_followed_by(pair[1].range);
--- a/crates/ranges/src/timing.rs
+++ b/crates/ranges/src/timing.rs
@@ -50,6 +50,13 @@
         self.grant_expiry(stopped, self.ttl.max(self.long_ttl))
     }
 
+    /// The tick from which a coordinator whose term was last confirmed by a call sent at `confirmed`
+    /// must not go on after the store has lost records. A successor that it does not know of may
+    /// then have moved ranges whose owners it could not fence, see [`Self::earlier_expiry`].
+    pub fn continuation_end(&self, confirmed: Tick) -> Tick {
+        self.last_expiry(confirmed)
+    }
+
     /// The tick from which no grant of an earlier coordinator can be valid whose term cannot have
     /// been confirmed after `deposed`.
     pub fn earlier_expiry(&self, deposed: Tick) -> Tick {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -25,9 +25,10 @@
 pub use error::StoreError;
 pub use keyed::KeyedRecord;
 pub use memory::{MemoryStore, StoreCopy};
+pub use trefoil_core::Era;
 pub use types::{
-    Append, Appended, Batch, Epoch, Era, Item, Newest, Page, PartitionId, PartitionNumber,
-    Producer, Read, Topic, TopicError,
+    Append, Appended, Batch, Epoch, Item, Newest, Page, PartitionId, PartitionNumber, Producer,
+    Read, Topic, TopicError,
 };
 
 use std::fmt::Debug;
--- a/crates/store/src/types.rs
+++ b/crates/store/src/types.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use derive_more::{Display, From, FromStr, Into};
+use derive_more::{Display, From, Into};
 use snafu::{Snafu, ensure};
-use trefoil_core::Offset;
+use trefoil_core::{Era, Offset};
 
 /// Maximum length of a topic name in bytes.
 const TOPIC_MAX: usize = 100;
@@ -96,15 +96,6 @@
 )]
 pub struct Epoch(pub u64);
 
-/// Number of times the store has come back from an older copy, which lacks acknowledged records.
-///
-/// Offsets, epochs, sequence numbers and contents are comparable only within one era: after the
-/// return the store gives out again those that it has lost.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Display, FromStr, From, Into,
-)]
-pub struct Era(pub u64);
-
 /// Identity of a writer within one partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Producer {
--- a/tests/all/gateway/peers.rs
+++ b/tests/all/gateway/peers.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use trefoil_core::{HostId, ServiceName, Tick};
+use trefoil_core::{HostId, KeyRange, ServiceName, Tick};
 use trefoil_gateway::Bounds;
 use trefoil_gateway::message::{Candidacy, HostInfo, SyncStatus, TermItem};
 use trefoil_gateway::peers::Peers;
-use trefoil_gateway::tables::Revision;
+use trefoil_gateway::tables::{Revision, Routes, Tables};
 
 fn info(name: &str, domain: &str) -> HostInfo {
     HostInfo {
@@ -281,3 +281,60 @@
         "an outage"
     );
 }
+
+/// Guards against a coordinator that moves keys after the store has lost the term of a successor
+/// that only some hosts have heard of.
+#[test]
+fn a_term_is_alone_once_every_relay_reports_it() {
+    let mut peers = Peers::new(info("own", "x"));
+    let (coordinator, near, far) = (HostId::random(), HostId::random(), HostId::random());
+    let alone = |peers: &Peers| peers.all_list_term(&service(), 5, at(1000), at(3000));
+    assert!(!alone(&peers), "no relay was heard");
+    for relay in [near, far] {
+        peers.record_listing(at(1500), relay, &[item(coordinator, 5, 0)]);
+    }
+    assert!(!alone(&peers), "the reports are from before the loss");
+    peers.record_listing(at(3100), near, &[item(coordinator, 5, 0)]);
+    assert!(!alone(&peers), "one relay is silent");
+    peers.record_listing(at(3200), far, &[]);
+    assert!(!alone(&peers), "one relay does not report the term");
+    peers.record_listing(at(3300), far, &[item(near, 6, 0)]);
+    assert!(!alone(&peers), "one relay reports a successor");
+    peers.record_listing(at(3400), far, &[item(coordinator, 5, 0)]);
+    assert!(alone(&peers));
+}
+
+/// Guards against a term number that is not above those of ended terms, from which fences may have
+/// been derived.
+#[test]
+fn the_last_term_includes_ended_ones() {
+    let mut peers = Peers::new(info("own", "x"));
+    assert_eq!(peers.last_term(&service()), 0);
+    peers.record_term(at(0), &item(HostId::random(), 5, 0));
+    assert_eq!(peers.last_term(&service()), 5);
+    peers.end_term(&service(), 8);
+    assert_eq!(peers.last_term(&service()), 8);
+}
+
+/// Guards against routes of an older copy of the table that replace newer ones.
+#[test]
+fn routes_from_an_older_copy_replace_nothing() {
+    let routes = |version, term| {
+        let revision = Revision {
+            version,
+            term,
+            ..Revision::default()
+        };
+        Routes::new(revision, [(KeyRange::ALL, None)])
+    };
+    let mut tables = Tables::default();
+    assert!(
+        tables.update(&service(), routes(9, 0)),
+        "a host that knows nothing takes it"
+    );
+    assert!(tables.update(&service(), routes(12, 77)));
+    for version in [9, 11, 12] {
+        assert!(!tables.update(&service(), routes(version, 0)), "{version}");
+    }
+    assert_eq!(tables.revision(&service()).version, 12);
+}
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -6,6 +6,7 @@
 mod endless;
 mod leaving;
 mod output;
+mod ownership;
 mod promises;
 mod restored;
 mod soak;
--- a/tests/all/ranges.rs
+++ b/tests/all/ranges.rs
@@ -1,5 +1,6 @@
 //! Ownership of key ranges.
 
+mod claim;
 mod coordinator;
 mod planner;
 mod property;
--- a/tests/all/ranges/property.rs
+++ b/tests/all/ranges/property.rs
@@ -42,7 +42,17 @@
     }
 }
 
-fn run(seed: u64, faults: Faults, disturb: bool) -> Simulation {
+/// How a run is disturbed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disturbance {
+    None,
+    /// Hosts, upstreams and the paths between them fail.
+    Hosts,
+    /// The store comes back from an older copy as well.
+    Restores,
+}
+
+fn run(seed: u64, faults: Faults, disturbance: Disturbance) -> Simulation {
     let mut simulation = Simulation::new(seed, UPSTREAMS, faults);
     simulation.take_over();
     for step in 0..TICKS {
@@ -55,9 +65,12 @@
                 }
             });
         }
-        if disturb {
+        if disturbance != Disturbance::None {
             disturb_once(&mut simulation, newest);
         }
+        if disturbance == Disturbance::Restores && simulation.random.random_range(0..300) == 0 {
+            restore(&mut simulation, newest);
+        }
         simulation.tick();
         if !simulation.violations.is_empty() {
             break;
@@ -90,6 +103,33 @@
     }
 }
 
+/// Brings the store back from a copy, at times beside a takeover that its predecessor does not hear
+/// of, or beside the loss of the coordinator.
+fn restore(simulation: &mut Simulation, newest: usize) {
+    let now = simulation.now;
+    let mut millis = |from, to| Duration::from_millis(simulation.random.random_range(from..to));
+    let (age, outage, span) = (millis(100, 10_000), millis(0, 3000), millis(100, 4000));
+    match simulation.random.random_range(0..4) {
+        0 => {
+            simulation.hosts[newest].cut_off_until = now.after(span);
+            simulation.take_over();
+            for _ in 0..simulation.random.random_range(0..100) {
+                simulation.tick();
+            }
+            simulation.restore(age, outage);
+        }
+        1 => {
+            simulation.hosts[newest].paused_until = now.after(span);
+            simulation.restore(age, outage);
+        }
+        2 => {
+            simulation.restore(age, Duration::ZERO);
+            simulation.take_over();
+        }
+        _ => simulation.restore(age, outage),
+    }
+}
+
 /// Guards against two upstreams that hold the same key, and against a grant whose fence is not
 /// above those of all earlier grants of its keys to other upstreams.
 #[test]
@@ -101,7 +141,7 @@
         write_lost: 0.1,
     };
     for seed in seeds() {
-        let simulation = run(seed, faults, true);
+        let simulation = run(seed, faults, Disturbance::Hosts);
         assert!(
             simulation.violations.is_empty(),
             "seed {seed}: {}",
@@ -110,11 +150,30 @@
     }
 }
 
+/// Guards against two upstreams that hold the same key, and against fences that are given out
+/// again, after the store has come back from an older copy.
+#[test]
+fn no_key_has_two_owners_after_the_store_lost_records() {
+    let faults = Faults {
+        unsent: 0.05,
+        lost: 0.1,
+        late: 0.05,
+        write_lost: 0.1,
+    };
+    let runs = seeds().map(|seed| (seed, run(seed, faults, Disturbance::Restores)));
+    let broken = runs.filter(|(_, simulation)| !simulation.violations.is_empty());
+    let broken: Vec<(u64, Simulation)> = broken.collect();
+    let seeds: Vec<u64> = broken.iter().map(|(seed, _)| *seed).collect();
+    if let Some((seed, simulation)) = broken.first() {
+        panic!("seeds {seeds:?}; {seed}: {}", simulation.explain());
+    }
+}
+
 /// Guards against ranges that never reach their owner: without faults, every change is completed.
 #[test]
 fn every_key_is_served_when_nothing_fails() {
     for seed in seeds() {
-        let mut simulation = run(seed, Faults::default(), false);
+        let mut simulation = run(seed, Faults::default(), Disturbance::None);
         for _ in 0..200 {
             let newest = simulation.hosts.len() - 1;
             simulation.plan(newest, |_, _| {});
@@ -134,36 +193,43 @@
         late: 0.02,
         write_lost: 0.1,
     };
-    for seed in seeds() {
-        let mut simulation = run(seed, faults, true);
-        simulation.faults = Faults::default();
-        for index in 0..UPSTREAMS {
-            simulation.restart(index);
+    for disturbance in [Disturbance::Hosts, Disturbance::Restores] {
+        for seed in seeds() {
+            every_key_is_served_after(seed, faults, disturbance);
         }
-        simulation.take_over();
-        let newest = simulation.hosts.len() - 1;
-        let incarnations = simulation.incarnations();
-        for _ in 0..EXPIRY_TICKS {
-            simulation.plan(newest, |table, _| {
-                let gone = |e: &trefoil_ranges::Entry| {
-                    let owner = e.owner.as_ref().map(|o| &o.incarnation);
-                    !incarnations
-                        .iter()
-                        .any(|incarnation| owner == Some(incarnation))
-                };
-                let ranges = table.entries().iter().filter(|e| gone(e));
-                let ranges: Vec<_> = ranges.map(|e| e.range).collect();
-                for (range, incarnation) in ranges.into_iter().zip(incarnations.iter().cycle()) {
-                    table.assign(range, incarnation);
-                }
-            });
-            simulation.tick();
-        }
-        assert!(
-            simulation.violations.is_empty(),
-            "seed {seed}: {}",
-            simulation.explain()
-        );
-        assert_eq!(simulation.count_served(), 16, "seed {seed}");
     }
 }
+
+fn every_key_is_served_after(seed: u64, faults: Faults, disturbance: Disturbance) {
+    let mut simulation = run(seed, faults, disturbance);
+    simulation.faults = Faults::default();
+    for index in 0..UPSTREAMS {
+        simulation.restart(index);
+    }
+    simulation.await_store();
+    simulation.take_over();
+    let newest = simulation.hosts.len() - 1;
+    let incarnations = simulation.incarnations();
+    for _ in 0..EXPIRY_TICKS {
+        simulation.plan(newest, |table, _| {
+            let gone = |e: &trefoil_ranges::Entry| {
+                let owner = e.owner.as_ref().map(|o| &o.incarnation);
+                !incarnations
+                    .iter()
+                    .any(|incarnation| owner == Some(incarnation))
+            };
+            let ranges = table.entries().iter().filter(|e| gone(e));
+            let ranges: Vec<_> = ranges.map(|e| e.range).collect();
+            for (range, incarnation) in ranges.into_iter().zip(incarnations.iter().cycle()) {
+                table.assign(range, incarnation);
+            }
+        });
+        simulation.tick();
+    }
+    assert!(
+        simulation.violations.is_empty(),
+        "seed {seed}: {}",
+        simulation.explain()
+    );
+    assert_eq!(simulation.count_served(), 16, "seed {seed}");
+}
--- a/tests/all/ranges/simulation.rs
+++ b/tests/all/ranges/simulation.rs
@@ -4,15 +4,15 @@
 //! unanswered grant can be applied seconds later, with its TTL counted from its arrival. After
 //! every tick the grants of all upstreams are checked for overlaps.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use trefoil_core::{Fence, Key, KeyRange, Tick, UnixMillis, UpstreamName};
+use trefoil_core::{Era, Fence, HostId, Key, KeyRange, Tick, UnixMillis, UpstreamName};
 use trefoil_directory::Incarnation;
 use trefoil_ranges::{
-    Author, Coordinator, Handover, Order, OrderId, OrderKind, OrderOutcome, Table, Timing,
+    Claim, Coordinator, Handover, Order, OrderId, OrderKind, OrderOutcome, Table, Takeover, Timing,
 };
 
 /// Duration of a tick.
@@ -23,6 +23,9 @@
 
 const CELLS: usize = 16;
 
+/// Age of the oldest copy that the store can come back from.
+const COPY_AGE_MAX: Duration = Duration::from_secs(12);
+
 /// Slowdown of the slowest upstream clock.
 const DRIFT: f64 = 1.02;
 
@@ -81,8 +84,12 @@
 pub struct Host {
     /// Decides on orders.
     pub coordinator: Coordinator,
-    /// Term of the coordinator.
-    pub term: u64,
+    /// Host, term and era of the coordinator.
+    pub claim: Claim,
+    /// The claim whose epoch is in the store, before the table is written under it.
+    next_claim: Option<Claim>,
+    /// When the store last confirmed the term.
+    confirmed_at: Tick,
     /// The process is paused until this tick.
     pub paused_until: Tick,
     /// The store does not answer the host until this tick.
@@ -109,6 +116,13 @@
     upstreams: BTreeMap<UpstreamName, Upstream>,
     table: Option<Table>,
     epoch: u64,
+    era: Era,
+    /// When the store came back from a copy.
+    restored_at: Tick,
+    /// Copies of the table and the epoch, the newest last.
+    copies: VecDeque<(Tick, Option<Table>, u64)>,
+    /// The store answers nobody until this tick.
+    down_until: Tick,
     in_flight: Vec<InFlight>,
     replies: Vec<Reply>,
     /// Violations of exclusive ownership or of the order of fences.
@@ -163,6 +177,10 @@
             upstreams: upstreams.collect(),
             table: None,
             epoch: 0,
+            era: Era::default(),
+            restored_at: Tick::default(),
+            copies: VecDeque::new(),
+            down_until: Tick::default(),
             in_flight: Vec::new(),
             replies: Vec::new(),
             violations: BTreeSet::new(),
@@ -197,11 +215,70 @@
         alive.map(|u| u.incarnation.clone()).collect()
     }
 
+    /// Ends the store for a while and brings it back from a copy that is `age` old.
+    pub fn restore(&mut self, age: Duration, outage: Duration) {
+        let at = Tick(self.now.0.saturating_sub(age));
+        let older = self.copies.iter().rfind(|(copied, ..)| *copied <= at);
+        let Some((_, table, epoch)) = older.or(self.copies.front()).cloned() else {
+            return;
+        };
+        let text = format!(
+            "the store comes back with {:?} epoch {epoch}",
+            table.as_ref().map(|t| t.version)
+        );
+        self.record(KeyRange::ALL, &text);
+        (self.table, self.epoch) = (table, epoch);
+        self.era.0 += 1;
+        self.restored_at = self.now.after(outage);
+        self.down_until = self.now.after(outage);
+        self.copies.clear();
+        self.copy_store();
+    }
+
+    /// Advances time until the store answers.
+    pub fn await_store(&mut self) {
+        while self.now < self.down_until {
+            self.tick();
+        }
+    }
+
+    fn copy_store(&mut self) {
+        let copy = (self.now, self.table.clone(), self.epoch);
+        self.copies.push_back(copy);
+        while self
+            .copies
+            .front()
+            .is_some_and(|(at, ..)| self.now.since(*at) > COPY_AGE_MAX)
+        {
+            self.copies.pop_front();
+        }
+    }
+
+    /// A term number from the time of day, as the gateway takes it.
+    fn next_term(&self) -> u64 {
+        let latest = self
+            .hosts
+            .iter()
+            .map(|h| h.claim.term)
+            .max()
+            .unwrap_or_default();
+        let time = u64::try_from(self.now.0.as_millis()).unwrap_or(u64::MAX);
+        (time << 10).max(latest + 1)
+    }
+
     /// Makes a new host the coordinator, in the steps that the gateway takes.
     pub fn take_over(&mut self) {
-        self.epoch += 1;
+        if self.now < self.down_until {
+            return;
+        }
+        self.epoch = self.next_term();
         let service = "offers".parse().unwrap_or_else(|e| panic!("{e}"));
-        let mut table = self.table.clone().unwrap_or_else(|| Table::new(service));
+        let lost = match &self.table {
+            Some(table) => table.era < self.era,
+            None => self.era > Era::default(),
+        };
+        let lost_since = lost.then_some(self.restored_at);
+        let table = self.table.clone().unwrap_or_else(|| Table::new(service));
         let earlier = match table.author {
             None => self.now,
             Some(author) => {
@@ -209,8 +286,18 @@
                 self.timing.earlier_expiry(self.now).max(before)
             }
         };
-        table.refence_moves();
-        self.sign(&mut table, self.epoch, earlier);
+        let claim = Claim {
+            host: HostId::random(),
+            term: self.epoch,
+            era: self.era,
+        };
+        let takeover = Takeover {
+            table,
+            lost_since,
+            known_version: 0,
+            earlier,
+        };
+        let (table, earlier) = claim.take_over(self.now, &self.timing, takeover);
         self.record(
             KeyRange::ALL,
             &format!(
@@ -223,7 +310,9 @@
         coordinator.confirm_term(self.now);
         self.hosts.push(Host {
             coordinator,
-            term: self.epoch,
+            claim,
+            next_claim: None,
+            confirmed_at: self.now,
             paused_until: Tick::default(),
             cut_off_until: Tick::default(),
             deposed: false,
@@ -231,16 +320,6 @@
         });
     }
 
-    fn sign(&self, table: &mut Table, term: u64, earlier: Tick) {
-        table.version += 1;
-        table.author = Some(Author {
-            host: trefoil_core::HostId::random(),
-            term,
-            earlier_grants: earlier.since(self.now),
-            resigned: false,
-        });
-    }
-
     /// Changes the table of a host and starts to write it. Ignored while another write is
     /// unconfirmed.
     pub fn plan<F>(&mut self, host: usize, change: F)
@@ -255,6 +334,14 @@
         if writing.is_some() || self.hosts[host].deposed {
             return;
         }
+        if coordinator.unlisted_until().is_some() {
+            if let Some(mut table) = coordinator.settled_table(self.now) {
+                let claim = self.hosts[host].claim;
+                claim.sign_change(self.now, &mut table, coordinator);
+                self.hosts[host].writing = Some(table);
+            }
+            return;
+        }
         let mut table = coordinator.table().clone();
         for first in coordinator.cleared() {
             table.clear_former(first);
@@ -263,8 +350,8 @@
         if table == *coordinator.table() {
             return;
         }
-        let (term, earlier) = (self.hosts[host].term, coordinator.earlier_until());
-        self.sign(&mut table, term, earlier);
+        let claim = self.hosts[host].claim;
+        claim.sign_change(self.now, &mut table, coordinator);
         self.hosts[host].writing = Some(table);
     }
 
@@ -317,6 +404,7 @@
             }
         }
         self.check_exclusive();
+        self.copy_store();
     }
 
     fn chance(&mut self, likelihood: f64) -> bool {
@@ -330,32 +418,87 @@
     fn run_host(&mut self, index: usize) {
         let now = self.now;
         let incarnations = self.incarnations();
-        let reaches = self.hosts[index].cut_off_until <= now;
+        let reaches = self.hosts[index].cut_off_until.max(self.down_until) <= now;
         let host = &mut self.hosts[index];
         if host.deposed {
             return;
         }
-        if reaches && host.term < self.epoch {
+        host.coordinator.set_incarnations(incarnations);
+        if reaches && host.claim.era < self.era {
+            self.reestablish(index);
+        } else if reaches && host.claim.term < self.epoch {
             host.deposed = true;
+        } else if reaches {
+            host.confirmed_at = now;
+            host.coordinator.confirm_term(now);
+            self.write_table(index);
+        }
+        if self.hosts[index].deposed {
             return;
         }
-        host.coordinator.set_incarnations(incarnations);
-        if reaches {
-            host.coordinator.confirm_term(now);
-            if let Some(table) = host.writing.clone() {
+        for order in self.hosts[index].coordinator.poll(now) {
+            self.send(index, order);
+        }
+    }
+
+    fn write_table(&mut self, index: usize) {
+        let Some(table) = self.hosts[index].writing.clone() else {
+            return;
+        };
+        self.table = Some(table.clone());
+        if self.chance(self.faults.write_lost) {
+            return;
+        }
+        self.hosts[index].writing = None;
+        for entry in table.entries() {
+            self.record(entry.range, &format!("host {index} adopts {entry:?}"));
+        }
+        self.hosts[index].coordinator.adopt_table(self.now, table);
+    }
+
+    /// Goes on in a new era of the store, in the steps that the gateway takes.
+    fn reestablish(&mut self, index: usize) {
+        let now = self.now;
+        let number = self.next_term();
+        let (era, epoch) = (self.era, self.epoch);
+        let author = self.table.as_ref().filter(|t| t.era == era);
+        let author = author.and_then(|t| t.author).map(|a| a.host);
+        let host = &mut self.hosts[index];
+        host.writing = None;
+        host.coordinator.suspend_changes(now);
+        let others = author.is_some_and(|author| author != host.claim.host);
+        let late = now >= self.timing.continuation_end(host.confirmed_at);
+        match host.next_claim {
+            _ if others || late => host.deposed = true,
+            Some(claim) if claim.era == era && claim.term < epoch => host.deposed = true,
+            Some(claim) if claim.era == era => {
+                let table = claim.reestablish(now, &host.coordinator, 0);
                 self.table = Some(table.clone());
-                if !self.chance(self.faults.write_lost) {
-                    self.hosts[index].writing = None;
-                    for entry in table.entries() {
-                        self.record(entry.range, &format!("host {index} adopts {entry:?}"));
-                    }
-                    self.hosts[index].coordinator.adopt_table(now, table);
+                let lost = self.chance(self.faults.write_lost);
+                let host = &mut self.hosts[index];
+                if !lost {
+                    host.coordinator.adopt_table(now, table);
+                    host.coordinator.confirm_term(now);
+                    (host.claim, host.confirmed_at) = (claim, now);
+                    host.next_claim = None;
                 }
             }
+            _ => {
+                let term = number;
+                host.next_claim = Some(Claim {
+                    term,
+                    era,
+                    ..host.claim
+                });
+                self.epoch = number;
+            }
         }
-        for order in self.hosts[index].coordinator.poll(now) {
-            self.send(index, order);
-        }
+        let host = &self.hosts[index];
+        let text = format!(
+            "host {index} in era {era}: deposed {} claim {:?}",
+            host.deposed, host.claim
+        );
+        self.record(KeyRange::ALL, &text);
     }
 
     fn send(&mut self, from: usize, order: Order) {
--- a/tests/all/ranges/table.rs
+++ b/tests/all/ranges/table.rs
@@ -1,7 +1,9 @@
 //! Tables of owners.
 
-use trefoil_core::{Fence, Key};
-use trefoil_ranges::{Table, TableError};
+use std::time::Duration;
+
+use trefoil_core::{Era, Fence, HostId, Key};
+use trefoil_ranges::{Author, Table, TableError};
 
 use super::simulation::{incarnation, range};
 
@@ -111,3 +113,51 @@
         Err(TableError::Decode { .. })
     ));
 }
+
+/// Guards against tables that builds before and after the era was added cannot exchange.
+#[test]
+fn builds_without_an_era_read_the_table_and_theirs_is_read() {
+    let mut table = table();
+    table.assign(range(2, 9), &incarnation("a", 7));
+    table.era = Era(3);
+    table.author = Some(Author {
+        host: HostId::random(),
+        term: 9,
+        earlier_grants: Duration::from_millis(1500),
+        resigned: false,
+        unlisted_grants: Duration::from_micros(2_000_300),
+    });
+    let bytes = table.encode().expect("encoded");
+    let decoded = Table::decode(&bytes).expect("decoded");
+    let unlisted = decoded.author.map(|a| a.unlisted_grants);
+    assert_eq!(decoded.era, Era(3));
+    assert_eq!(unlisted, Some(Duration::from_millis(2001)), "rounded up");
+    // An earlier build ignores what follows the table.
+    let (_, rest) = postcard::take_from_bytes::<u16>(&bytes).expect("a format");
+    let (earlier, appendix) = postcard::take_from_bytes::<Table>(rest).expect("a table");
+    assert_eq!(earlier.entries(), table.entries());
+    let (era, unlisted) = (earlier.era, earlier.author.map(|a| a.unlisted_grants));
+    assert_eq!((era, unlisted), (Era(0), Some(Duration::ZERO)));
+    // It writes a table that ends there.
+    let length = bytes.len() - appendix.len();
+    assert_eq!(Table::decode(&bytes[..length]), Ok(earlier));
+}
+
+/// Guards against a panic on bytes that another writer has left in the topic.
+#[test]
+fn foreign_bytes_are_refused() {
+    let mut table = table();
+    table.assign(range(2, 9), &incarnation("a", 7));
+    table.era = Era(300);
+    let bytes = table.encode().expect("encoded");
+    for length in 0..bytes.len() {
+        let _ = Table::decode(&bytes[..length]);
+        for value in [0, 0x7f, 0x80, 0xff] {
+            let mut changed = bytes.clone();
+            changed[length] = value;
+            let _ = Table::decode(&changed);
+        }
+    }
+    let cut = Table::decode(&bytes[..bytes.len() - 1]);
+    assert!(matches!(cut, Err(TableError::Decode { .. })));
+}
