--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -11,6 +11,7 @@
 mod odd_entries;
 mod odd_pages;
 mod output;
+mod ownership;
 mod promises;
 mod repeats;
 mod restored;
