Limit the idle connections to all upstreams together

Cause: up to eight idle connections were kept for each upstream, so the number of upstreams decided how many descriptors they take up. With 4,100 descriptors, 513 upstreams are enough to leave none for callers.

They take up a quarter of the descriptors at most. Beyond that, the one that has been idle for longest is closed.

Before, run without the limit: gateway::pool::idle_connections_to_all_upstreams_are_limited left: [2, 2, 2], right: [2, 2, 0]

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -124,6 +124,9 @@
 /// Memory of a connection without a request: its state and what it may read ahead.
 const CONNECTION_MEMORY: u64 = 24 * 1024;
 
+/// Divisor of the descriptors that gives the part for idle connections to upstreams.
+const IDLE_LINKS_PART: u32 = 4;
+
 /// Divisor of the memory that gives the part for connections.
 const CONNECTIONS_PART: u64 = 7;
 
@@ -135,6 +138,11 @@
         let most = by_memory.min(u64::from(self.descriptors / 2)).max(1);
         usize::try_from(most).unwrap_or(usize::MAX)
     }
+
+    /// Most idle connections to upstreams.
+    pub fn idle_links(&self) -> usize {
+        usize::try_from(self.descriptors / IDLE_LINKS_PART).unwrap_or(usize::MAX)
+    }
 }
 
 impl Default for ProcessLimits {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -177,6 +177,7 @@
         let store = MeteredStore::new(store, Arc::clone(&metrics), Arc::clone(&clock));
         let id = HostId::random();
         let started = clock.now();
+        let pool = Pool::new(config.limits.idle_links());
         let host = Rc::new(Self {
             peers: RefCell::new(Peers::new(discovery::host_info(id, &config))),
             local_loads: RefCell::default(),
@@ -207,7 +208,7 @@
             leaving: Cell::new(false),
             directory: RefCell::default(),
             tables: RefCell::default(),
-            pool: RefCell::default(),
+            pool: RefCell::new(pool),
             budgets: RefCell::default(),
             terms: RefCell::default(),
             ended_terms: RefCell::default(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -34,16 +34,31 @@
 }
 
 /// Idle connections to upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    /// By address, oldest first.
     kept: HashMap<SocketAddr, Vec<IdleLink>>,
+    /// Number of connections to all addresses.
+    count: usize,
+    /// Largest value of `count`.
+    max: usize,
 }
 
 impl Pool {
+    /// Creates a pool that keeps up to `max` connections.
+    pub fn new(max: usize) -> Self {
+        Self {
+            kept: HashMap::new(),
+            count: 0,
+            max,
+        }
+    }
+
     /// Takes a connection that has been idle for less than `idle`.
     pub fn take(&mut self, now: Tick, address: SocketAddr, idle: Duration) -> Option<UpstreamLink> {
         let kept = self.kept.get_mut(&address)?;
         while let Some(mut newest) = kept.pop() {
+            self.count -= 1;
             if now.since(newest.since) < max_idle(&newest.link).min(idle)
                 && newest.link.is_reusable()
             {
@@ -58,12 +73,27 @@
         let kept = self.kept.entry(address).or_default();
         if kept.len() < IDLE_LINKS_MAX && link.is_reusable() {
             kept.push(IdleLink { link, since: now });
+            self.count += 1;
+            self.close_surplus();
+        }
+    }
+
+    /// Closes the connection that has been idle for longest if there are too many.
+    fn close_surplus(&mut self) {
+        if self.count <= self.max {
+            return;
+        }
+        let oldest = self.kept.values_mut().filter(|kept| !kept.is_empty());
+        if let Some(kept) = oldest.min_by_key(|kept| kept[0].since) {
+            kept.remove(0);
+            self.count -= 1;
         }
     }
 
     /// Closes the idle connections to an address.
     pub fn close(&mut self, address: SocketAddr) {
-        self.kept.remove(&address);
+        let closed = self.kept.remove(&address);
+        self.count -= closed.map_or(0, |kept| kept.len());
     }
 
     /// Closes the connections that have been idle for too long.
@@ -72,6 +102,7 @@
             kept.retain(|k| now.since(k.since) < max_idle(&k.link));
         }
         self.kept.retain(|_, kept| !kept.is_empty());
+        self.count = self.kept.values().map(Vec::len).sum();
     }
 }
 
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -7,4 +7,5 @@
 mod forward;
 mod message;
 mod peers;
+mod pool;
 mod routes;
