Forget estimates of service times that have lost their weight

A relay kept the estimate of every upstream that a host of its domain had ever reported, for as long as that host reported anything: memory that the number of upstreams over time decides, and sums that grow with it.

Estimates below a thousandth of an observation are dropped when new ones arrive.

gateway::balance::estimates_of_upstreams_that_are_gone_are_forgotten said '1000 estimates kept' before, and passes.

--- a/crates/balance/src/tally.rs
+++ b/crates/balance/src/tally.rs
@@ -11,6 +11,9 @@
 /// Age at which the reports of a source expire. Sources report several times per second.
 const SOURCE_AGE_MAX: Duration = Duration::from_millis(1500);
 
+/// Weight below which an estimate is forgotten, in observations. It has no influence on a sum.
+const WEIGHT_MIN: f64 = 0.001;
+
 #[derive(Debug, Default)]
 struct Source {
     at: Tick,
@@ -48,6 +51,9 @@
         let source = self.sources.entry(source).or_default();
         source.at = now;
         source.times.extend(times);
+        source
+            .times
+            .retain(|_, time| time.at(now).weight() >= WEIGHT_MIN);
     }
 
     /// Removes the sources for which `gone` returns true.
--- a/tests/all/gateway/balance.rs
+++ b/tests/all/gateway/balance.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use trefoil_balance::{Balancer, Choice, Estimate, Requirement};
+use trefoil_balance::{Balancer, Choice, Estimate, Requirement, Tally};
 use trefoil_core::{Slots, Tick, UnixMillis};
 use trefoil_directory::{Incarnation, Phase, Registration, Tag};
 
@@ -72,3 +72,18 @@
     let max_latency = Duration::from_millis(350);
     assert_eq!(chosen(&balancer, max_latency), upstream("far"));
 }
+
+/// Guards against a relay that keeps the estimates of all upstreams that were ever reported.
+#[test]
+fn estimates_of_upstreams_that_are_gone_are_forgotten() {
+    let mut tally = Tally::default();
+    for second in 0..1000 {
+        let now = at(u64::from(second) * 1000);
+        let time = Estimate::from_mean(now, Duration::from_millis(100), 1.0);
+        tally.set_open(now, "reporter", Vec::new());
+        tally.add_times(now, "reporter", vec![(Tag(second), time)]);
+        tally.expire(now);
+    }
+    let kept = tally.times(at(1_000_000)).len();
+    assert!(kept < 200, "{kept} estimates kept");
+}
