Keep parts of changed routes apart from parts of complete ones

What callers saw: requests for a key with an owner were refused with 'the key moves' until the next change of the table.

Cause: parts of routes were collected by revision. A host that had received a part of the changes and then asked for the complete routes of the same revision put parts of both together; they are divided differently, so ranges were missing or had earlier owners.

Change: changes and complete routes are collected separately, and changes by the revision that they apply to.

gateway::parts::parts_of_changes_and_of_complete_routes_are_not_mixed said 'left: [Some("after"), None]' before, and passes. Found by an independent review.

--- a/crates/gateway/src/coordinator/routes.rs
+++ b/crates/gateway/src/coordinator/routes.rs
@@ -33,12 +33,23 @@
 /// Received parts of one revision of routes.
 #[derive(Debug, Default)]
 pub struct Reassembly {
-    revision: Revision,
+    /// Revision that the parts lead to, and the one that they are changes of.
+    revisions: (Revision, Option<Revision>),
     parts: BTreeMap<u16, RoutesPart>,
 }
 
-/// Received parts of routes, by service.
-pub type Reassemblies = BTreeMap<ServiceName, Reassembly>;
+/// Received parts of routes, by service. Changes and complete routes of one revision can arrive at
+/// the same time and are divided differently, so they are kept apart.
+pub type Reassemblies = BTreeMap<(ServiceName, Content), Reassembly>;
+
+/// Content of a part of routes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Content {
+    /// All routes.
+    Complete,
+    /// Changes of earlier routes.
+    Changes,
+}
 
 /// Ranges with their owners.
 type Ranges = Vec<(KeyRange, Option<UpstreamName>)>;
@@ -201,12 +212,18 @@
 impl Reassemble for Reassemblies {
     /// Adds a part. Returns all ranges if this was the last missing one.
     fn reassemble(&mut self, part: RoutesPart) -> Option<(Option<Revision>, Revision, Ranges)> {
-        let reassembly = self.entry(part.service.clone()).or_default();
-        if part.revision < reassembly.revision {
+        let content = match part.base {
+            Some(_) => Content::Changes,
+            None => Content::Complete,
+        };
+        let key = (part.service.clone(), content);
+        let reassembly = self.entry(key).or_default();
+        let revisions = (part.revision, part.base);
+        if revisions < reassembly.revisions {
             return None;
         }
-        if part.revision > reassembly.revision {
-            reassembly.revision = part.revision;
+        if revisions > reassembly.revisions {
+            reassembly.revisions = revisions;
             reassembly.parts.clear();
         }
         let (count, base, revision) = (usize::from(part.parts), part.base, part.revision);
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -9,6 +9,7 @@
 mod era;
 mod forward;
 mod message;
+mod parts;
 mod peers;
 mod pool;
 mod routes;
