Let a told removal count for every earlier registration

What callers saw: requests could reach an upstream that had left for longer than necessary, at hosts that knew a later registration than the host that told the removal, or an earlier incarnation.

Cause: since removals are told with the sequence number of the removed registration, a host ignored one with a lower number than it knew. A reader that reads the last registration and the removal at once looked at the removal only and told the number before. A removal of a later incarnation was ignored as before.

Change: records of one key that are read together are applied in their order, so the removal has the position of the last registration. A told removal counts if the known registration is not after it, of an earlier incarnation too.

returns::a_removal_counts_at_a_host_that_has_read_the_last_registration said 'removals that were told: [0, 0, 1]' before, directory::a_removal_of_a_later_incarnation_removes_earlier_ones 'left: "-"'; both pass.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -187,8 +187,8 @@
     }
 
     /// Removes an upstream whose registration with this sequence number another host has reported
-    /// as gone. The upstream stays if it has registered again since. Earlier builds report no
-    /// sequence number.
+    /// as gone. Earlier registrations are gone as well, and later ones stay. Earlier builds report
+    /// no sequence number.
     pub fn remove_reported(
         &mut self,
         now: Tick,
@@ -196,8 +196,11 @@
         sequence: Option<u64>,
     ) -> Option<Change> {
         let known = self.get(&incarnation.name)?;
-        let is_newer = sequence.is_some_and(|removed| known.sequence > removed);
-        if known.incarnation != *incarnation || is_newer {
+        let is_gone = match sequence {
+            Some(sequence) => known.order() <= (incarnation.started, sequence),
+            None => known.incarnation == *incarnation,
+        };
+        if !is_gone {
             return None;
         }
         self.remove(now, &incarnation.name, Evidence::Peer)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -160,13 +160,31 @@
         }
         return directory.replace_from_registry(now, listed, &unreadable);
     }
-    // Only the newest of several records of one key matters.
-    let newest: HashMap<String, Option<Bytes>> = records.into_iter().collect();
-    let changes = newest.into_iter().filter_map(|(key, value)| match value {
-        Some(value) => directory.register(decode_registration(host, &key, &value)?),
-        None => directory.mark_missing(now, &key.parse::<UpstreamName>().ok()?),
-    });
-    changes.collect()
+    let mut keys: HashMap<String, KeyRecords> = HashMap::new();
+    for (key, value) in records {
+        let of_key = keys.entry(key).or_default();
+        of_key.removed = value.is_none();
+        of_key.registration = value.or(of_key.registration.take());
+    }
+    let mut changes = Vec::new();
+    for (key, of_key) in keys {
+        let registration = of_key.registration;
+        let registration = registration.and_then(|value| decode_registration(host, &key, &value));
+        changes.extend(registration.and_then(|r| directory.register(r)));
+        let removed = key.parse::<UpstreamName>().ok().filter(|_| of_key.removed);
+        changes.extend(removed.and_then(|name| directory.mark_missing(now, &name)));
+    }
+    changes
+}
+
+/// Records of one key that were read together.
+#[derive(Debug, Default)]
+struct KeyRecords {
+    /// The newest registration. A removal is told with its position, because other hosts may have
+    /// read the registration before.
+    registration: Option<Bytes>,
+    /// The key was removed after it.
+    removed: bool,
 }
 
 fn decode_registration(host: &Host, key: &str, value: &Bytes) -> Option<Registration> {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -12,4 +12,5 @@
 mod parts;
 mod peers;
 mod pool;
+mod returns;
 mod routes;
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -256,3 +256,13 @@
     assert_eq!(gone, ["gone u2@5"]);
     assert!(directory.is_settled() && directory.len() == 1);
 }
+
+/// Guards against a removal that is ignored because the registration before it was not received.
+#[test]
+fn a_removal_of_a_later_incarnation_removes_earlier_ones() {
+    let mut directory = Directory::default();
+    directory.register(entry("u1", 5, 9));
+    let later = entry("u1", 6, 1).incarnation;
+    let removed = directory.remove_reported(at(100), &later, Some(1));
+    assert_eq!(text(removed), "gone u1@5");
+}
