Keep upstreams that another host has seen return after an outage

What callers saw: live upstreams were taken from hosts some seconds after an outage of the store, and joined again up to a read of the registry later.

Cause: a host that has found an upstream missing removes it after two seconds unless it reads the new registration itself. Hosts that read rarely did not hear of a return, because a registration that differs in its sequence number only is not told.

Change: a host with the same content whose later read has found all upstreams listed shows that none is missing.

returns::an_upstream_that_returned_in_the_grace_period_is_not_removed said 'removals at the hosts: [0, 1, 1]' before, and passes.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -283,6 +283,17 @@
         missing.cloned().collect()
     }
 
+    /// Records that another host with the same content has found all upstreams listed later than
+    /// this host found some missing: they have registered again.
+    pub fn confirm_listed(&mut self) {
+        // After a return from an older copy, hosts also agree on upstreams that are missing in it.
+        if self.restore.is_none() {
+            for entry in self.entries.values_mut() {
+                entry.remove_at = None;
+            }
+        }
+    }
+
     /// Removes the upstreams whose grace period has ended. After a return of the registry from an
     /// older copy, the complete read that follows the grace period decides on them.
     pub fn expire(&mut self, now: Tick) -> Vec<Change> {
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -106,9 +106,13 @@
             None => Some(estimate),
         };
         let own = self.directory.borrow().digest();
-        if let Some(as_of) = as_of.filter(|_| status.directory_digest == Some(own)) {
-            self.confirm_read(as_of, status.directory_read);
+        let Some(as_of) = as_of.filter(|_| status.directory_digest == Some(own)) else {
+            return;
+        };
+        if Some(as_of) > self.directory_as_of.get() && status.store_era == self.store_era.get() {
+            self.directory.borrow_mut().confirm_listed();
         }
+        self.confirm_read(as_of, status.directory_read);
     }
 
     /// As of when a copy holds that was requested at `sent` and had this age.
--- a/tests/all/gateway/returns.rs
+++ b/tests/all/gateway/returns.rs
@@ -218,6 +218,40 @@
     Arc::new(MemoryStore::new(Arc::new(SystemClock)))
 }
 
+/// Guards against the removal of an upstream that has returned within the grace period after an
+/// outage, at hosts that have not read the registry since.
+#[test]
+fn an_upstream_that_returned_in_the_grace_period_is_not_removed() {
+    let store = store();
+    register(&store, "other", 1);
+    register(&store, "p1", 1);
+    let members = members([&store; 3]);
+    let test = async {
+        wait(QUIET).await;
+        for member in &members {
+            member.set_cut(true);
+        }
+        remove(&store, "p1");
+        wait(Duration::from_millis(2500)).await;
+        // The hosts reach the registry again one after the other.
+        members[0].set_cut(false);
+        wait(Duration::from_millis(300)).await;
+        let before = members[1].reads();
+        members[1].set_cut(false);
+        members[2].set_cut(false);
+        wait_until(|| members[1].reads() >= before + 3).await;
+        register(&store, "p1", 2);
+        wait(QUIET * 2).await;
+    };
+    run(&members, test);
+    let gone = members.each_ref().map(|m| m.gone(""));
+    let known = members.each_ref().map(|m| m.sum("trefoil_upstreams", &[]));
+    assert!(
+        gone.iter().sum::<f64>() < 0.5,
+        "removals at the hosts: {gone:?}, upstreams at the end: {known:?}"
+    );
+}
+
 /// Guards against a removal that is ignored because the reader that tells it read the last
 /// registration and the removal at the same time.
 #[test]
