--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use trefoil_core::{DomainName, HostName};
+use trefoil_core::{Bytes, DomainName, HostName};
 
 /// Bounds of the deployment.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -112,6 +112,41 @@
     }
 }
 
+/// Limits of the process, which the platform enforces.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory. A process that uses more is ended.
+    pub memory: Bytes,
+    /// Descriptors of sockets and files.
+    pub descriptors: u32,
+}
+
+/// Memory of a connection without a request: its state and what it may read ahead.
+const CONNECTION_MEMORY: u64 = 24 * 1024;
+
+/// Divisor of the memory that gives the part for connections.
+const CONNECTIONS_PART: u64 = 7;
+
+impl ProcessLimits {
+    /// Most connections of callers: half of the descriptors, because requests need others for
+    /// connections to upstreams, and no more than there is memory for.
+    pub fn connections(&self) -> usize {
+        let by_memory = self.memory.0 / CONNECTIONS_PART / CONNECTION_MEMORY;
+        let most = by_memory.min(u64::from(self.descriptors / 2)).max(1);
+        usize::try_from(most).unwrap_or(usize::MAX)
+    }
+}
+
+impl Default for ProcessLimits {
+    /// Limits of the smallest hosts.
+    fn default() -> Self {
+        Self {
+            memory: Bytes(160_000_000),
+            descriptors: 1024,
+        }
+    }
+}
+
 /// Settings of a host from the start of its process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct HostConfig {
@@ -129,6 +164,8 @@
     pub peer: SocketAddr,
     /// Address for metrics and the operators' API.
     pub operator: SocketAddr,
+    /// Limits of the process.
+    pub limits: ProcessLimits,
     /// Bounds of the deployment.
     pub bounds: Bounds,
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,7 +16,7 @@
 use trefoil_balance::{Balancer, RetryBudget, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
 use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
-use trefoil_http::h1::{BodyLimit, Shutdown};
+use trefoil_http::h1::Shutdown;
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::{Era, Store};
 
@@ -25,15 +25,15 @@
 use crate::coordinator::{EndedTerms, Reassemblies, Terms};
 use crate::discovery;
 use crate::era::EraSource;
-use crate::forward::{ANSWER_MAX, ANSWERS_MAX};
-use crate::freshness::Source;
+use crate::freshness::{KnownReads, Source};
+use crate::memory::Memory;
 use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAYS};
 use crate::platform::Platform;
 use crate::pool::Pool;
-use crate::request_log::age_ms;
+use crate::request_log::{age_ms, cut};
 use crate::tables::{Revision, Routes, Tables};
 
 /// Delay between the probes of the store by hosts with consecutive ranks in a domain.
@@ -137,8 +137,8 @@
     pub(crate) terms: RefCell<Terms>,
     /// Finished terms of this host.
     pub(crate) ended_terms: RefCell<EndedTerms>,
-    /// Limit on the answers of upstreams that are being received.
-    pub(crate) answers: BodyLimit,
+    /// Memory of what callers and upstreams send.
+    pub(crate) memory: Memory,
     /// Open connections of callers and operators.
     pub(crate) connections: Cell<usize>,
     /// Upstreams in the directory whose address now belongs to another one.
@@ -147,6 +147,8 @@
     pub(crate) directory_changed: Cell<Tick>,
     /// The directory contains every change that the registry had accepted at this tick.
     pub(crate) directory_as_of: Cell<Option<Tick>>,
+    /// Reads of the registry that the ages of directories count from.
+    pub(crate) known_reads: RefCell<KnownReads>,
     router: RefCell<Option<Rc<Router>>>,
     /// When the configuration came into force.
     config_changed: Cell<Tick>,
@@ -174,6 +176,7 @@
     /// Creates a host with empty state.
     pub fn new(
         config: HostConfig,
+        memory: Memory,
         clock: Arc<dyn Clock>,
         telemetry: Telemetry,
         platform: Rc<dyn Platform>,
@@ -220,11 +223,12 @@
             budgets: RefCell::default(),
             terms: RefCell::default(),
             ended_terms: RefCell::default(),
-            answers: BodyLimit::with_total(ANSWER_MAX, ANSWERS_MAX),
+            memory,
             connections: Cell::new(0),
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
             directory_as_of: Cell::default(),
+            known_reads: RefCell::default(),
             router: RefCell::default(),
             config_changed: Cell::default(),
             was_ready: Cell::default(),
@@ -513,6 +517,7 @@
 
     /// Logs a document that cannot be used, such as a configuration or a registration.
     pub(crate) fn log_rejected(&self, what: &'static str, reason: &dyn fmt::Display) {
-        warn!(self.log, "rejected"; "what" => what, "reason" => %reason);
+        let reason = reason.to_string();
+        warn!(self.log, "rejected"; "what" => what, "reason" => cut(&reason));
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -99,6 +99,13 @@
     pub source: String,
 }
 
+/// Label of memory.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct MemoryLabels {
+    /// What is in the memory.
+    pub kind: &'static str,
+}
+
 /// Counters of log lines that were not written.
 #[derive(Debug, Clone, Default)]
 pub struct LostLines {
@@ -149,6 +156,10 @@
     pub(crate) datagram_bytes: Counter,
     /// Open connections of callers and operators.
     pub(crate) connections: Gauge,
+    /// Bytes of requests and answers.
+    pub(crate) memory: Family<MemoryLabels, Gauge>,
+    /// Largest values of `memory`.
+    pub(crate) memory_limit: Family<MemoryLabels, Gauge>,
     /// 1 while the host is ready.
     pub(crate) ready: Gauge,
 }
@@ -182,6 +193,15 @@
         metric
     }
 
+    fn bytes<M>(&mut self, name: &'static str, help: &'static str, metric: M) -> M
+    where
+        M: Metric + Clone,
+    {
+        let unit = Unit::Bytes;
+        self.0.register_with_unit(name, help, unit, metric.clone());
+        metric
+    }
+
     fn seconds<M>(&mut self, name: &'static str, help: &'static str, metric: M) -> M
     where
         M: Metric + Clone,
@@ -274,6 +294,12 @@
                 Counter::default(),
             ),
             connections: b.add("connections", "Accepted connections", Gauge::default()),
+            memory: b.bytes("memory", "Bytes of requests and answers", Family::default()),
+            memory_limit: b.bytes(
+                "memory_limit",
+                "Most bytes of requests and answers",
+                Family::default(),
+            ),
             ready: b.add("ready", "1 while the host is ready", Gauge::default()),
             registry: b.0,
         }
@@ -366,6 +392,16 @@
         family.get_or_create(&per_service(service)).set(value);
     }
 
+    /// Sets the memory of a kind.
+    pub(crate) fn set_memory(
+        family: &Family<MemoryLabels, Gauge>,
+        kind: &'static str,
+        size: usize,
+    ) {
+        let size = i64::try_from(size).unwrap_or(i64::MAX);
+        family.get_or_create(&MemoryLabels { kind }).set(size);
+    }
+
     /// Encodes the metrics as text.
     ///
     /// # Errors
--- a/crates/http/src/h1/server.rs
+++ b/crates/http/src/h1/server.rs
@@ -9,6 +9,7 @@
 //! connection, that future returns, which drops the futures of the unanswered requests and cancels
 //! their work.
 
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::fmt::{self, Debug};
 use std::future::poll_fn;
@@ -18,17 +19,18 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use futures_lite::future::BoxedLocal;
 use futures_lite::{AsyncRead, AsyncWrite, FutureExt};
 use http::header::{CONNECTION, EXPECT};
 use http::{HeaderMap, Method, StatusCode};
-use trefoil_core::Clock;
 use trefoil_core::clock::Sleep;
+use trefoil_core::{Clock, Tick};
 
-use super::encode::{BodyLength, encode_response_head};
+use super::encode::{BodyLength, EncodedMessage, encode_response_head};
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{HeadError, RequestHead, parse_request};
+use super::memory::{BodyBuffer, MemoryShare, NoMemory, Reservation};
 use super::stream::BufferedStream;
 
 /// Largest number of unanswered requests on one connection. Further ones stay in the socket's
@@ -38,6 +40,20 @@
 /// Bytes that are read ahead for requests that wait to be started, beyond one request.
 const READ_AHEAD_MAX: usize = 64 * 1024;
 
+/// Most events of a connection, and most reads for one of them, before other tasks of the thread
+/// get a turn. A caller may send faster than this process reads.
+const TURN_MAX: u32 = 16;
+
+/// Input of a connection that takes no memory of the common one, in bytes. It is more than a head
+/// or the framing of a body usually has.
+const INPUT_FREE: usize = 8 * 1024;
+
+/// Memory of a request besides its bytes: the tasks that handle it, and a connection to an upstream.
+const REQUEST_MEMORY: usize = 16 * 1024;
+
+/// Copies of a head: the parsed fields, and those of an attempt and its encoding.
+const HEAD_COPIES: usize = 3;
+
 /// Longest time for which input is read and discarded after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -61,12 +77,14 @@
 }
 
 /// Complete request.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug)]
 pub struct Request {
     /// Head of the request.
     pub head: RequestHead,
     /// Body of the request.
     pub body: Bytes,
+    /// Memory of the request.
+    pub memory: Reservation,
 }
 
 /// Reason for which a request is rejected before it reaches the handler. Logs print the variants.
@@ -80,6 +98,8 @@
     BodyTooLarge,
     /// The request did not arrive in time.
     Late,
+    /// The memory for requests is in use.
+    NoMemory,
 }
 
 impl RejectReason {
@@ -90,6 +110,7 @@
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Late => StatusCode::REQUEST_TIMEOUT,
+            Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -121,6 +142,12 @@
     /// Returns the limits for the next request.
     fn limits(&self) -> Limits;
 
+    /// Returns the memory that requests take up. One that does not fit is rejected as soon as its
+    /// size is known.
+    fn memory(&self) -> Option<MemoryShare> {
+        None
+    }
+
     /// Returns true if a request may start while earlier ones on its connection are unanswered.
     fn may_overlap(&self, head: &RequestHead) -> bool;
 
@@ -134,7 +161,9 @@
 /// Signals the shutdown of the process to its connections.
 #[derive(Debug, Default)]
 pub struct Shutdown {
-    closing: std::cell::Cell<bool>,
+    closing: Cell<bool>,
+    /// Number of idle connections to close, and for how long they must have been idle.
+    surplus: Cell<(usize, Duration)>,
     event: event_listener::Event,
 }
 
@@ -146,6 +175,21 @@
         self.event.notify(usize::MAX);
     }
 
+    /// Closes up to `count` connections that have been idle for at least `idle`.
+    pub fn close_idle(&self, count: usize, idle: Duration) {
+        self.surplus.set((count, idle));
+        self.event.notify(usize::MAX);
+    }
+
+    /// Returns true if a connection that has been idle for `idle` is to be closed.
+    fn closes_idle(&self, idle: Duration) -> bool {
+        let (count, min) = self.surplus.get();
+        let closes = self.is_closing() || (count > 0 && idle >= min);
+        self.surplus
+            .set((count - usize::from(closes && count > 0), min));
+        closes
+    }
+
     fn is_closing(&self) -> bool {
         self.closing.get()
     }
@@ -160,7 +204,7 @@
 struct Partial {
     head: RequestHead,
     decoder: Decoder,
-    body: BytesMut,
+    body: BodyBuffer,
 }
 
 /// Next event on a connection.
@@ -193,14 +237,20 @@
     handler: Rc<dyn Handler>,
     clock: Arc<dyn Clock>,
     shutdown: Rc<Shutdown>,
+    /// Memory of the requests, if it is limited.
+    memory: Option<MemoryShare>,
+    /// Memory of the input.
+    input: Reservation,
     pending: VecDeque<Pending>,
     /// Request that waits until no other one is outstanding.
     waiting: Option<Request>,
     partial: Option<Partial>,
-    output: Bytes,
+    output: EncodedMessage,
     /// True if no further request is read, and the connection ends after the last answer.
     is_closing: bool,
     wait: Wait,
+    /// Since when the connection has been idle, if it is.
+    idle_since: Tick,
     timer: Option<Sleep>,
 }
 
@@ -225,15 +275,21 @@
     ) -> Self {
         Self {
             stream: BufferedStream::new(stream),
+            input: handler
+                .memory()
+                .map(|m| m.reservation())
+                .unwrap_or_default(),
+            memory: handler.memory(),
             handler,
             clock,
             shutdown,
             pending: VecDeque::new(),
             waiting: None,
             partial: None,
-            output: Bytes::new(),
+            output: EncodedMessage::default(),
             is_closing: false,
             wait: Wait::Answer,
+            idle_since: Tick::default(),
             timer: None,
         }
     }
@@ -242,10 +298,21 @@
     pub async fn run(mut self) {
         let shutdown = Rc::clone(&self.shutdown);
         let mut stopping = shutdown.event.listen();
+        let mut events = 0;
         loop {
-            let event = poll_fn(|cx| match self.poll_event(cx) {
-                Poll::Pending => Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping),
-                event @ Poll::Ready(_) => event,
+            let event = poll_fn(|cx| {
+                if events == TURN_MAX {
+                    events = 0;
+                    return yield_turn(cx);
+                }
+                events += 1;
+                match self.poll_event(cx) {
+                    Poll::Pending => {
+                        events = 0;
+                        Pin::new(&mut stopping).poll(cx).map(|()| Event::Stopping)
+                    }
+                    event @ Poll::Ready(_) => event,
+                }
             })
             .await;
             if matches!(event, Event::Stopping) {
@@ -254,10 +321,10 @@
             match event {
                 Event::Request(request) => self.accept_request(request),
                 Event::Reject(reason) => self.reject_request(reason),
-                Event::Continue => self.output = Bytes::from_static(CONTINUE),
+                Event::Continue => self.output = Bytes::from_static(CONTINUE).into(),
                 Event::Progress => {}
                 Event::TimedOut(Wait::Arrival) => self.reject_request(RejectReason::Late),
-                Event::Stopping if !self.is_idle() || self.has_partial_request() => {}
+                Event::Stopping if !self.may_end() => {}
                 Event::TimedOut(_) | Event::Stopping | Event::Closed => return,
             }
             if self.is_closing && self.is_idle() {
@@ -274,20 +341,27 @@
             if self.stream.poll_close(cx).is_pending() {
                 return Poll::Pending;
             }
-            while let Poll::Ready(read) = self.stream.poll_fill(cx) {
-                self.stream.input.clear();
-                if !matches!(read, Ok(1..)) {
-                    return Poll::Ready(());
+            for _ in 0..TURN_MAX {
+                match self.stream.poll_fill(cx) {
+                    Poll::Ready(Ok(1..)) => self.stream.input.clear(),
+                    read => return read.map(drop),
                 }
             }
-            Poll::Pending
+            yield_turn(cx)
         });
         drained.or(timeout).await;
     }
 
     /// Returns true if every request that was read has been answered.
     fn is_idle(&self) -> bool {
-        self.pending.is_empty() && self.waiting.is_none() && self.output.is_empty()
+        self.pending.is_empty() && self.waiting.is_none() && !self.output.has_remaining()
+    }
+
+    /// Returns true if the connection is idle and to be closed.
+    fn may_end(&self) -> bool {
+        let idle = self.is_idle() && !self.has_partial_request();
+        let span = self.clock.now().since(self.idle_since);
+        idle && self.shutdown.closes_idle(span)
     }
 
     /// Returns true if a part of a request has arrived.
@@ -298,7 +372,7 @@
     /// Sets the timer for the event that the connection waits for.
     fn set_timer(&mut self) {
         let wait = match () {
-            () if !self.output.is_empty() => Wait::Write,
+            () if self.output.has_remaining() => Wait::Write,
             () if !self.is_idle() => Wait::Answer,
             () if self.has_partial_request() => Wait::Arrival,
             () => Wait::Idle,
@@ -313,11 +387,17 @@
             Wait::Arrival => Some(limits.request_timeout),
             Wait::Idle => Some(limits.idle_timeout),
         };
+        if wait == Wait::Idle {
+            self.idle_since = self.clock.now();
+        }
         self.wait = wait;
         self.timer = span.map(|span| self.clock.sleep(span));
     }
 
     fn accept_request(&mut self, request: Request) {
+        // The answer may be written before the timer is set again.
+        self.wait = Wait::Answer;
+        self.timer = None;
         let overlap = self.handler.may_overlap(&request.head);
         if self.pending.is_empty() || overlap {
             self.start_request(request);
@@ -372,13 +452,14 @@
             }
         }
         loop {
-            while !self.output.is_empty() {
-                match self.stream.poll_write(cx, &self.output) {
+            while self.output.has_remaining() {
+                match self.stream.poll_write(cx, self.output.chunk()) {
                     Poll::Ready(Ok(n)) => self.output.advance(n),
                     Poll::Ready(Err(_)) => return Poll::Ready(Event::Closed),
                     Poll::Pending => return Poll::Pending,
                 }
-                if self.output.is_empty() {
+                if !self.output.has_remaining() {
+                    self.output = EncodedMessage::default();
                     return Poll::Ready(Event::Progress);
                 }
             }
@@ -408,35 +489,56 @@
         } else {
             BodyLength::Length(u64::try_from(answer.body.len()).unwrap_or(u64::MAX))
         };
-        let mut output = encode_response_head(answer.status, &answer.headers, body_length, close);
-        if !has_no_body {
-            output.extend_from_slice(&answer.body);
-        }
-        self.output = output.freeze();
+        let head = encode_response_head(answer.status, &answer.headers, body_length, close);
+        self.output = if has_no_body {
+            head.freeze().into()
+        } else {
+            EncodedMessage::new(head, &answer.body)
+        };
     }
 
     /// Reads requests and detects that the caller has closed the connection.
     fn poll_input(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
-        loop {
+        for _ in 0..TURN_MAX {
             if let Some(event) = self.parse_next_request() {
                 return Poll::Ready(event);
             }
             if self.stream.input.len() > self.read_ahead_limit() {
                 return Poll::Pending;
             }
+            if self.hold_input().is_err() {
+                return if self.is_idle() {
+                    Poll::Ready(Event::Reject(RejectReason::NoMemory))
+                } else {
+                    // The requests before it are handled first.
+                    Poll::Pending
+                };
+            }
             match self.stream.poll_fill(cx) {
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => {
+                    self.stream.release_buffer();
+                    return Poll::Pending;
+                }
                 Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(Event::Closed),
                 Poll::Ready(Ok(_)) => {}
             }
         }
+        yield_turn(cx)
+    }
+
+    /// Takes memory for the input, whose buffer may be twice as large. The framing of a body does not
+    /// reach [`INPUT_FREE`], so a body that was begun is always read on.
+    fn hold_input(&mut self) -> Result<(), NoMemory> {
+        let size = self.stream.input.len();
+        let held = if size > INPUT_FREE { 2 * size } else { 0 };
+        self.input.resize(held)
     }
 
     /// Returns the number of bytes that may be read ahead of the requests being handled.
     fn read_ahead_limit(&self) -> usize {
         match &self.partial {
             Some(_) => READ_AHEAD_MAX,
-            None => self.handler.limits().head + READ_AHEAD_MAX,
+            None => self.handler.limits().head.saturating_add(READ_AHEAD_MAX),
         }
     }
 
@@ -452,9 +554,10 @@
         }
         let limits = self.handler.limits();
         if self.partial.is_none() {
+            let available = self.stream.input.len();
             match parse_request(&mut self.stream.input, limits.head) {
                 Ok(None) => return None,
-                Ok(Some(head)) => match self.begin_body(head, limits.body) {
+                Ok(Some(head)) => match self.begin_body(head, available, limits.body) {
                     Ok(Some(event)) => return Some(event),
                     Ok(None) => {}
                     Err(reason) => return Some(Event::Reject(reason)),
@@ -468,18 +571,34 @@
         self.read_body(limits.body)
     }
 
-    /// Begins to read the body of a request. Returns an event if the caller waits for permission to
-    /// send it.
-    fn begin_body(&mut self, head: RequestHead, max: u64) -> Result<Option<Event>, RejectReason> {
+    /// Begins to read the body of a request, before whose head there were `available` bytes of
+    /// input. Returns an event if the caller waits for permission to send the body.
+    fn begin_body(
+        &mut self,
+        head: RequestHead,
+        available: usize,
+        max: u64,
+    ) -> Result<Option<Event>, RejectReason> {
         let framing = Framing::of_request(&head).or(Err(RejectReason::Invalid))?;
         if matches!(framing, Framing::Length(n) if n > max) {
             return Err(RejectReason::BodyTooLarge);
         }
+        let memory = self.memory.as_ref().map(MemoryShare::reservation);
+        let mut memory = memory.unwrap_or_default();
+        let size = available - self.stream.input.len();
+        memory
+            .grow(REQUEST_MEMORY + HEAD_COPIES * size)
+            .or(Err(RejectReason::NoMemory))?;
+        let mut body = BodyBuffer::new(memory);
+        if let Framing::Length(length) = framing {
+            let length = usize::try_from(length).or(Err(RejectReason::BodyTooLarge))?;
+            body.reserve(length).or(Err(RejectReason::NoMemory))?;
+        }
         let expects = head.headers.get(EXPECT).is_some();
         self.partial = Some(Partial {
             head,
             decoder: Decoder::new(framing),
-            body: BytesMut::new(),
+            body,
         });
         let waits = expects && framing != Framing::Empty && self.stream.input.is_empty();
         Ok((waits && self.is_idle()).then_some(Event::Continue))
@@ -495,13 +614,18 @@
                     if u64::try_from(size).unwrap_or(u64::MAX) > max {
                         return Some(Event::Reject(RejectReason::BodyTooLarge));
                     }
-                    partial.body.extend_from_slice(&piece);
+                    let rest = partial.decoder.remaining();
+                    if partial.body.append(&piece, rest).is_err() {
+                        return Some(Event::Reject(RejectReason::NoMemory));
+                    }
                 }
                 Ok(Decoded::End) => {
                     let complete = self.partial.take()?;
+                    let (body, memory) = complete.body.into_parts();
                     return Some(Event::Request(Request {
                         head: complete.head,
-                        body: complete.body.freeze(),
+                        body,
+                        memory,
                     }));
                 }
                 Err(_) => return Some(Event::Reject(RejectReason::Invalid)),
@@ -510,6 +634,12 @@
     }
 }
 
+/// Lets other tasks of the thread run first.
+fn yield_turn<T>(cx: &Context<'_>) -> Poll<T> {
+    cx.waker().wake_by_ref();
+    Poll::Pending
+}
+
 /// Returns true if the caller requests that the connection is closed after the answer.
 fn requests_close(head: &RequestHead) -> bool {
     let has_option = |option: &str| {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -38,6 +38,12 @@
     pub sharded: bool,
 }
 
+/// Time by which [`ResponseMode::RepeatOrderAnswer`] delays a release.
+pub const LATE_RELEASE: Duration = Duration::from_millis(1_500);
+
+/// Length of the body that [`ResponseMode::LongBody`] sends, in bytes.
+pub const LONG_BODY: usize = 8 * 1024 * 1024;
+
 /// A way to respond to requests, most of them faulty.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum ResponseMode {
@@ -48,6 +54,9 @@
     Reset,
     /// Runs the request and closes the connection in the middle of the answer's body.
     Truncate,
+    /// Runs the request and closes the connection in the middle of the answer's head, before its
+    /// length.
+    TruncateHead,
     /// Runs the request and sends the answer twice.
     Duplicate,
     /// Refuses the request and states that it did not run.
@@ -64,6 +73,16 @@
     EndlessField,
     /// Runs the request and sends a body until the caller closes the connection.
     EndlessBody,
+    /// Refuses the first request of each connection, and sends the refusal once more at the start
+    /// of every later one, which runs.
+    RepeatRefusal,
+    /// Sends the answer to the previous order of the connection once more when a release arrives,
+    /// and carries out the release [`LATE_RELEASE`] later.
+    RepeatOrderAnswer,
+    /// Answers orders without the id of the call.
+    AnonymousOrders,
+    /// Runs the request and answers with a body of [`LONG_BODY`] bytes.
+    LongBody,
 }
 
 #[derive(Debug, Default)]
--- a/tests/all/gateway/era.rs
+++ b/tests/all/gateway/era.rs
@@ -9,7 +9,9 @@
 use futures_lite::future::{Boxed, pending};
 use serde_json::json;
 use trefoil_core::SystemClock;
-use trefoil_gateway::{Bounds, Host, HostConfig, LostLines, Metrics, Telemetry, follow};
+use trefoil_gateway::{
+    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
+};
 use trefoil_platform::UsersPlatform;
 use trefoil_standin::ControlPlane;
 use trefoil_store::{
@@ -65,6 +67,7 @@
         ready: unused,
         peer: unused,
         operator: unused,
+        limits: ProcessLimits::default(),
         bounds: Bounds::default(),
     };
     let telemetry = Telemetry {
@@ -72,7 +75,8 @@
         metrics: Metrics::new(LostLines::default()),
     };
     let platform = Rc::new(UsersPlatform::new());
-    Host::new(config, Arc::new(SystemClock), telemetry, platform, store)
+    let (memory, clock) = (Memory::new(config.limits.memory), Arc::new(SystemClock));
+    Host::new(config, memory, clock, telemetry, platform, store)
 }
 
 /// Guards against a list of upstreams whose pages come from before and after a return of the store,
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -2,11 +2,17 @@
 //! stand-in platform.
 
 mod calls;
+mod connections;
 mod decoding;
 mod endless;
 mod leaving;
+mod memory;
+mod odd_config;
+mod odd_entries;
+mod odd_pages;
 mod output;
 mod promises;
+mod repeats;
 mod restored;
 mod soak;
 mod telemetry;
