--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -22,7 +22,7 @@
 
 use crate::changes::RecentChanges;
 use crate::config::{Bounds, HostConfig};
-use crate::coordinator::{EndedTerms, Reassemblies, Terms};
+use crate::coordinator::{EndedTerms, EraSeen, Reassemblies, Terms};
 use crate::discovery;
 use crate::era::EraSource;
 use crate::freshness::{KnownReads, Source};
@@ -158,6 +158,8 @@
     directory_loaded: Cell<bool>,
     /// Records of the registry were deleted before this host had read them.
     pub(crate) missed_records: Cell<bool>,
+    /// The highest era of the store.
+    pub(crate) era_seen: Cell<Option<EraSeen>>,
     /// When the last answered call of the store was sent.
     pub(crate) store_seen: Cell<Option<Tick>>,
     /// When the first answered call after an outage of the store was sent.
@@ -187,6 +189,7 @@
         let store = MeteredStore::new(store, Arc::clone(&metrics), Arc::clone(&clock));
         let id = HostId::random();
         let started = clock.now();
+        let pool = Pool::new(config.limits.idle_links());
         let host = Rc::new(Self {
             peers: RefCell::new(Peers::new(discovery::host_info(id, &config))),
             local_loads: RefCell::default(),
@@ -219,7 +222,7 @@
             leaving: Cell::new(false),
             directory: RefCell::default(),
             tables: RefCell::default(),
-            pool: RefCell::default(),
+            pool: RefCell::new(pool),
             budgets: RefCell::default(),
             terms: RefCell::default(),
             ended_terms: RefCell::default(),
@@ -234,6 +237,7 @@
             was_ready: Cell::default(),
             directory_loaded: Cell::new(false),
             missed_records: Cell::new(false),
+            era_seen: Cell::new(None),
             store_seen: Cell::new(None),
             store_regained: Cell::new(None),
         });
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -106,8 +106,7 @@
     /// builds ignore it.
     #[serde(skip)]
     pub directory_read: Option<ReadId>,
-    /// Highest era of the store that the host knows. Encoded after the age, where
-    /// earlier builds ignore it.
+    /// Highest era of the store that the host knows. Encoded like the age, after it.
     #[serde(skip)]
     pub store_era: Option<Era>,
     /// Era of the store in which its configuration was read. Encoded with the other era.
@@ -280,9 +279,6 @@
     sequences: SmallVec<[Option<u64>; 8]>,
     /// Numbers of the reports of coordinators in the message.
     reports: SmallVec<[Option<u64>; 8]>,
-    /// Highest era of the store that the sender knows, and the era in which its configuration was
-    /// read.
-    eras: Option<(u64, u64)>,
 }
 
 /// A datagram between hosts.
@@ -328,9 +324,13 @@
             read: status.directory_read,
             sequences: self.removals().iter().map(|r| r.sequence).collect(),
             reports: self.terms().iter().map(|t| t.number).collect(),
-            eras: status.store_era.map(|era| (era.0, status.config_era.0)),
         };
-        postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)
+        let bytes = postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)?;
+        let Some(store_era) = status.store_era else {
+            return Ok(bytes);
+        };
+        let eras = (store_era.0, status.config_era.0);
+        postcard::to_extend(&eras, bytes).context(DecodeSnafu)
     }
 
     /// Decodes a datagram.
@@ -348,19 +348,21 @@
         };
         let (age_ms, rest) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
         status.directory_age_ms = Some(age_ms);
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (trailer, rest): (Trailer, _) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        status.directory_read = trailer.read;
         if !rest.is_empty() {
-            let trailer: Trailer = postcard::from_bytes(rest).context(DecodeSnafu)?;
-            status.directory_read = trailer.read;
-            if let Some((store, config)) = trailer.eras {
-                status.store_era = Some(Era(store));
-                status.config_era = Era(config);
-            }
-            for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
-                removal.sequence = sequence;
-            }
-            for (term, number) in message.terms_mut().iter_mut().zip(trailer.reports) {
-                term.number = number;
-            }
+            let (store_era, config_era) = postcard::from_bytes(rest).context(DecodeSnafu)?;
+            status.store_era = Some(Era(store_era));
+            status.config_era = Era(config_era);
+        }
+        for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
+            removal.sequence = sequence;
+        }
+        for (term, number) in message.terms_mut().iter_mut().zip(trailer.reports) {
+            term.number = number;
         }
         Ok(message)
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -131,13 +131,28 @@
 }
 
 /// Idle connections to upstreams.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    /// By address and traffic, oldest first.
     kept: HashMap<(SocketAddr, Traffic), Vec<IdleLink>>,
+    /// Number of connections to all addresses.
+    count: usize,
+    /// Largest value of `count`.
+    max: usize,
     orders: u64,
 }
 
 impl Pool {
+    /// Creates a pool that keeps up to `max` connections.
+    pub fn new(max: usize) -> Self {
+        Self {
+            kept: HashMap::new(),
+            count: 0,
+            max,
+            orders: 0,
+        }
+    }
+
     /// Takes a connection that has been idle for less than `idle` and may carry a call with the id
     /// `id`.
     pub fn take(
@@ -148,6 +163,7 @@
         id: Option<&HeaderValue>,
     ) -> Option<UpstreamLink> {
         let kept = self.kept.get_mut(&(address, traffic))?;
+        let before = kept.len();
         let mut unsuitable = SmallVec::<[IdleLink; 2]>::new();
         let mut found = None;
         while let Some(mut newest) = kept.pop() {
@@ -163,6 +179,7 @@
             }
         }
         kept.extend(unsuitable.into_iter().rev());
+        self.count -= before - kept.len();
         found
     }
 
@@ -176,12 +193,27 @@
         let kept = self.kept.entry((address, traffic)).or_default();
         if kept.len() < IDLE_LINKS_MAX && link.is_reusable() {
             kept.push(IdleLink { link, since: now });
+            self.count += 1;
+            self.close_surplus();
+        }
+    }
+
+    /// Closes the connection that has been idle for longest if there are too many.
+    fn close_surplus(&mut self) {
+        if self.count <= self.max {
+            return;
+        }
+        let oldest = self.kept.values_mut().filter(|kept| !kept.is_empty());
+        if let Some(kept) = oldest.min_by_key(|kept| kept[0].since) {
+            kept.remove(0);
+            self.count -= 1;
         }
     }
 
     /// Closes the idle connections to an address.
     pub fn close(&mut self, address: SocketAddr) {
         self.kept.retain(|(other, _), _| *other != address);
+        self.count = self.kept.values().map(Vec::len).sum();
     }
 
     /// Closes the connections that have been idle for too long.
@@ -190,6 +222,7 @@
             kept.retain(|k| now.since(k.since) < max_idle(&k.link));
         }
         self.kept.retain(|_, kept| !kept.is_empty());
+        self.count = self.kept.values().map(Vec::len).sum();
     }
 
     /// An id for an order that no other order of this process has.
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -10,4 +10,5 @@
 mod forward;
 mod message;
 mod peers;
+mod pool;
 mod routes;
