--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -187,8 +187,8 @@
     }
 
     /// Removes an upstream whose registration with this sequence number another host has reported
-    /// as gone. The upstream stays if it has registered again since. Earlier builds report no
-    /// sequence number.
+    /// as gone. Earlier registrations are gone as well, and later ones stay. Earlier builds report
+    /// no sequence number.
     pub fn remove_reported(
         &mut self,
         now: Tick,
@@ -196,8 +196,11 @@
         sequence: Option<u64>,
     ) -> Option<Change> {
         let known = self.get(&incarnation.name)?;
-        let is_newer = sequence.is_some_and(|removed| known.sequence > removed);
-        if known.incarnation != *incarnation || is_newer {
+        let is_gone = match sequence {
+            Some(sequence) => known.order() <= (incarnation.started, sequence),
+            None => known.incarnation == *incarnation,
+        };
+        if !is_gone {
             return None;
         }
         self.remove(now, &incarnation.name, Evidence::Peer)
@@ -280,6 +283,17 @@
         missing.cloned().collect()
     }
 
+    /// Records that another host with the same content has found all upstreams listed later than
+    /// this host found some missing: they have registered again.
+    pub fn confirm_listed(&mut self) {
+        // After a return from an older copy, hosts also agree on upstreams that are missing in it.
+        if self.restore.is_none() {
+            for entry in self.entries.values_mut() {
+                entry.remove_at = None;
+            }
+        }
+    }
+
     /// Removes the upstreams whose grace period has ended. After a return of the registry from an
     /// older copy, the complete read that follows the grace period decides on them.
     pub fn expire(&mut self, now: Tick) -> Vec<Change> {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -9,6 +9,8 @@
 mod era;
 mod forward;
 mod message;
+mod parts;
 mod peers;
 mod pool;
+mod returns;
 mod routes;
