Name the era of a term term_era in its log lines

The lines of a term have the key era as well, like the line that tells of the era itself, so who looks for era=2 finds a line of another event.

--- a/crates/gateway/src/coordinator/table_store.rs
+++ b/crates/gateway/src/coordinator/table_store.rs
@@ -116,7 +116,7 @@
     coordinator.confirm_term(sent);
     if let Some(until) = coordinator.unlisted_until() {
         info!(host.log, "table is of an earlier era"; "service" => %service, "term" => claim.term,
-            "era" => claim.era.0, "table_era" => table_era.0, "wait_ms" => until.since(now).as_millis());
+            "term_era" => claim.era.0, "table_era" => table_era.0, "wait_ms" => until.since(now).as_millis());
     }
     Ok(Term::new(now, claim, coordinator, predecessor, sent))
 }
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -343,7 +343,7 @@
         self.coordinator.confirm_term(done.sent);
         let until = self.coordinator.unlisted_until().unwrap_or(now);
         info!(host.log, "term re-established"; "service" => %service, "term" => self.number,
-            "era" => self.era.0, "version" => self.coordinator.table().version,
+            "term_era" => self.era.0, "version" => self.coordinator.table().version,
             "wait_ms" => until.since(now).as_millis());
         Ok(())
     }
--- a/tests/all/platform/ownership.rs
+++ b/tests/all/platform/ownership.rs
@@ -49,7 +49,7 @@
     let before = table_version(&host.wait_for_entry("event", "table written"));
     fleet.restore_store(copy, Duration::from_secs(1));
     let established = host.wait_for_entry("event", "term re-established");
-    assert_eq!(established["era"], "1");
+    assert_eq!(established["term_era"], "1");
     assert!(table_version(&established) > before + 1000);
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(5) {
@@ -72,7 +72,7 @@
     fleet.restart_host(0);
     let host = &fleet.hosts[0];
     let waiting = host.wait_for_entry("event", "table is of an earlier era");
-    assert_eq!((&*waiting["table_era"], &*waiting["era"]), ("0", "1"));
+    assert_eq!((&*waiting["table_era"], &*waiting["term_era"]), ("0", "1"));
     let wait: u64 = waiting["wait_ms"].parse().expect("a number");
     assert!((8000..=11_060).contains(&wait), "{wait} ms");
     std::thread::sleep(Duration::from_secs(5));
