Wait for the end of the killed host before it is started again

platform::ownership::a_successor_grants_nothing_from_an_older_table failed in 2 of 9 runs beside other tests, "not within 20s: table is of an earlier era". The new process was started while the killed one may still have held its ports, which is the likely cause; its output was not kept.

--- a/tests/all/platform/ownership.rs
+++ b/tests/all/platform/ownership.rs
@@ -68,6 +68,7 @@
 fn a_successor_grants_nothing_from_an_older_table() {
     let (mut fleet, copy) = moved_since_the_copy();
     fleet.hosts[0].signal(Signal::SIGKILL);
+    fleet.hosts[0].wait_for_exit();
     fleet.restore_store(copy, Duration::ZERO);
     fleet.restart_host(0);
     let host = &fleet.hosts[0];
