--- a/tests/all/gateway/returns.rs
+++ b/tests/all/gateway/returns.rs
@@ -252,6 +252,69 @@
     );
 }
 
+/// Guards against the removal of an upstream that returned while one host reached the registry, and
+/// that the first relay finds registered as before.
+#[test]
+fn an_upstream_that_returned_before_a_relay_has_read_is_not_removed() {
+    let store = store();
+    register(&store, "other", 1);
+    register(&store, "p1", 1);
+    let members = members([&store; 3]);
+    let test = async {
+        wait(QUIET).await;
+        for member in &members {
+            member.set_cut(true);
+        }
+        remove(&store, "p1");
+        wait(Duration::from_millis(2500)).await;
+        let before = members[2].reads();
+        members[2].set_cut(false);
+        wait_until(|| members[2].reads() >= before + 2).await;
+        register(&store, "p1", 2);
+        members[0].set_cut(false);
+        members[1].set_cut(false);
+        wait(QUIET * 2).await;
+    };
+    run(&members, test);
+    let gone = members.each_ref().map(|m| m.gone(""));
+    let known = members.each_ref().map(|m| m.sum("trefoil_upstreams", &[]));
+    assert!(
+        gone.iter().sum::<f64>() < 0.5,
+        "removals at the hosts: {gone:?}, upstreams at the end: {known:?}"
+    );
+}
+
+/// Guards against the removal of an upstream that has returned after the last read before the end
+/// of the grace period.
+#[test]
+fn an_upstream_that_returned_at_the_end_of_the_grace_period_is_not_removed() {
+    let store = store();
+    register(&store, "other", 1);
+    register(&store, "p1", 1);
+    let members = members([&store; 3]);
+    let test = async {
+        wait(QUIET).await;
+        for member in &members {
+            member.set_cut(true);
+        }
+        remove(&store, "p1");
+        wait(Duration::from_millis(2500)).await;
+        let before = members[0].reads();
+        // The store turns the other hosts away.
+        members[0].set_cut(false);
+        wait_until(|| members[0].reads() >= before + 4).await;
+        register(&store, "p1", 2);
+        wait(QUIET * 2).await;
+    };
+    run(&members, test);
+    let gone = members.each_ref().map(|m| m.gone(""));
+    let known = members.each_ref().map(|m| m.sum("trefoil_upstreams", &[]));
+    assert!(
+        gone.iter().sum::<f64>() < 0.5,
+        "removals at the hosts: {gone:?}, upstreams at the end: {known:?}"
+    );
+}
+
 /// Guards against a removal that is ignored because the reader that tells it read the last
 /// registration and the removal at the same time.
 #[test]
