Remove a missing upstream only after a read that follows its grace period

What callers saw: live upstreams were taken from all hosts of a domain after an outage of the store, because they had returned shortly before the end of the grace period.

Cause: the end of the period was decided on what the host had read last, up to 1.4 s earlier.

Change: at the end of the period the registry is due to be read, and only what a read from then on still does not list is removed. If the registry cannot be read for as long again, missing upstreams are removed as before.

The tests of the directory pass the moment of the read to expire; they check what they did.

--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -294,14 +294,18 @@
         }
     }
 
-    /// Removes the upstreams whose grace period has ended. After a return of the registry from an
-    /// older copy, the complete read that follows the grace period decides on them.
-    pub fn expire(&mut self, now: Tick) -> Vec<Change> {
+    /// Removes the upstreams that are still missing after their grace period. `read_as_of` is the
+    /// moment as of which the registry was read last: a read from before the end of the period does
+    /// not show that an upstream has not returned. If the registry cannot be read, the period is
+    /// doubled. After a return from an older copy, the complete read that follows decides.
+    pub fn expire(&mut self, now: Tick, read_as_of: Option<Tick>) -> Vec<Change> {
         self.tombstones.retain(|_, f| now < f.until);
         if self.restore.is_some() {
             return Vec::new();
         }
-        let due = |e: &Entry| e.remove_at.is_some_and(|at| at <= now);
+        let is_due =
+            |at: Tick| read_as_of.is_some_and(|read| at <= read) || at.after(RECOVERY_GRACE) <= now;
+        let due = |e: &Entry| e.remove_at.is_some_and(is_due);
         let names = self.entries.iter().filter(|(_, e)| due(e));
         let names: Vec<UpstreamName> = names.map(|(name, _)| name.clone()).collect();
         names
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -96,12 +96,15 @@
     let mut reads = Reads::default();
     loop {
         let now = host.now();
-        let expired = host.directory.borrow_mut().expire(now);
+        let expired = host.directory.borrow_mut().expire(now, follower.read_as_of);
         host.apply_changes(expired, Source::Registry);
         let recheck = host.directory.borrow().needs_complete_read(now);
+        let next_expiry = host.directory.borrow().next_expiry();
         let due = match host.registry_due(now, &reads) {
             // The other hosts wait for the decision of the relays.
             _ if recheck && reads.failed.is_none() && host.peers.borrow().is_relay(now) => now,
+            // A read decides whether upstreams are still missing.
+            due if reads.failed.is_none() => next_expiry.map_or(due, |at| due.min(at)),
             due => due,
         };
         if host.defers_first_read(now) || now < due {
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -91,9 +91,9 @@
     assert!(!directory.is_settled(), "others must not copy it");
     let end = at(1_000).after(RECOVERY_GRACE);
     assert_eq!(directory.next_expiry(), Some(end));
-    assert!(directory.expire(at(2_900)).is_empty());
+    assert!(directory.expire(at(2_900), Some(at(2_900))).is_empty());
     let gone: Vec<String> = directory
-        .expire(end)
+        .expire(end, Some(end))
         .into_iter()
         .map(|c| text(Some(c)))
         .collect();
@@ -215,9 +215,9 @@
     directory.replace_from_registry(at(1_100), vec![entry("u1", 5, 3)], &[]);
     let end = at(1_000).after(RECOVERY_GRACE);
     assert!(!directory.needs_complete_read(at(2_900)));
-    assert!(directory.expire(at(2_900)).is_empty() && directory.is_empty());
+    assert!(directory.expire(at(2_900), Some(at(2_900))).is_empty() && directory.is_empty());
     assert!(directory.needs_complete_read(end));
-    directory.expire(end);
+    directory.expire(end, Some(end));
     let changes = directory.replace_from_registry(end, vec![entry("u1", 5, 3)], &[]);
     assert_eq!(changes.len(), 1);
     assert!(!directory.needs_complete_read(end), "once");
@@ -250,7 +250,7 @@
     let changes = directory.replace_from_registry(at(1_100), Vec::new(), &[]);
     assert!(changes.is_empty(), "{changes:?}");
     let end = at(1_000).after(RECOVERY_GRACE);
-    assert!(directory.expire(end).is_empty() && directory.len() == 2);
+    assert!(directory.expire(end, Some(end)).is_empty() && directory.len() == 2);
     let changes = directory.replace_from_registry(end, vec![entry("u1", 5, 3)], &[]);
     let gone: Vec<String> = changes.into_iter().map(|c| text(Some(c))).collect();
     assert_eq!(gone, ["gone u2@5"]);
--- a/tests/all/platform/odd_entries.rs
+++ b/tests/all/platform/odd_entries.rs
@@ -123,7 +123,7 @@
     let mut directory = Directory::default();
     directory.register(registration.clone());
     directory.mark_missing(now, &registration.incarnation.name);
-    directory.expire(now);
+    directory.expire(now, Some(now));
     let mut balancer = Balancer::new(registration.domain.clone());
     balancer.register(now, registration, true);
     let need = Requirement {
