Drop old keys from the window of requests when new ones arrive

The window of requested keys was shortened only when the coordinator planned, which it does not while a table write is under way. During a long outage of the store it kept every request: memory that the callers' pace decides.

ranges::planner::a_window_drops_old_requests_by_itself said '1000 requests kept' before, and passes.

--- a/crates/ranges/src/demand.rs
+++ b/crates/ranges/src/demand.rs
@@ -26,6 +26,7 @@
     where
         I: IntoIterator<Item = Key>,
     {
+        self.expire(now);
         self.requests.extend(keys.into_iter().map(|key| (now, key)));
     }
 
--- a/tests/all/ranges/planner.rs
+++ b/tests/all/ranges/planner.rs
@@ -189,3 +189,15 @@
         assert!(rate >= half && rate < half * 1.02, "{part} has {rate}");
     }
 }
+
+/// Guards against a window that keeps all requests for as long as nobody plans, for example while
+/// the store cannot be written.
+#[test]
+fn a_window_drops_old_requests_by_itself() {
+    let mut window = RequestWindow::new(WINDOW);
+    for second in 0..1_000 {
+        window.record(Tick(Duration::from_secs(second)), [Key(1)]);
+    }
+    let kept = window.demand(NOW, Duration::MAX).count();
+    assert!(kept <= 3, "{kept} requests kept");
+}
