--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -14,3 +14,4 @@
 mod pool;
 mod returns;
 mod routes;
+mod support;
--- a/tests/all/gateway/changes.rs
+++ b/tests/all/gateway/changes.rs
@@ -1,6 +1,6 @@
 //! Changes of the directory that hosts tell each other.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,14 +10,12 @@
 use serde_json::json;
 use smol::Async;
 use trefoil_core::SystemClock;
-use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
-    message::HostInfo, relay,
-};
-use trefoil_platform::UsersPlatform;
+use trefoil_gateway::{Host, HostConfig, follow, message::HostInfo, relay};
 use trefoil_standin::{ControlPlane, FaultyStore, test_config};
 use trefoil_store::{Era, MemoryStore};
 
+use super::support;
+
 /// Time for which changes are told, and some more.
 const QUIET: Duration = Duration::from_millis(1500);
 
@@ -39,35 +37,15 @@
 impl Member {
     fn new(number: usize, latency: Duration) -> Self {
         let (socket, inbox) = (bind(), bind());
-        let unused: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let config = HostConfig {
-            name: format!("entry-{number}").parse().expect("a name"),
-            domain: "a".parse().expect("a name"),
-            cores: 1.0,
-            caller: unused,
-            ready: unused,
             peer: inbox.get_ref().local_addr().expect("bound"),
-            operator: unused,
-            limits: ProcessLimits::default(),
-            bounds: Bounds::default(),
-        };
-        let telemetry = Telemetry {
-            log: slog::Logger::root(slog::Discard, slog::o!()),
-            metrics: Metrics::new(LostLines::default()),
+            ..support::settings(number)
         };
         let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
         let registry = ControlPlane::new(Arc::<MemoryStore>::clone(&store));
         let clock = Arc::new(SystemClock);
         let store = Arc::new(FaultyStore::new(store, Arc::<SystemClock>::clone(&clock)));
-        let memory = Memory::new(config.limits.memory);
-        let host = Host::new(
-            config,
-            memory,
-            clock,
-            telemetry,
-            Rc::new(UsersPlatform::new()),
-            Arc::<FaultyStore>::clone(&store),
-        );
+        let host = support::host(config, Arc::<FaultyStore>::clone(&store));
         let config = Bytes::from(test_config(1).to_string());
         follow::load_config(&host, &config, Era::default());
         let member = Self {
--- a/tests/all/gateway/era.rs
+++ b/tests/all/gateway/era.rs
@@ -1,6 +1,5 @@
 //! Reads while the store comes back from an older copy.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -9,15 +8,14 @@
 use futures_lite::future::{Boxed, pending};
 use serde_json::json;
 use trefoil_core::SystemClock;
-use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
-};
-use trefoil_platform::UsersPlatform;
+use trefoil_gateway::{Host, follow};
 use trefoil_standin::ControlPlane;
 use trefoil_store::{
     Append, Appended, Batch, Era, MemoryStore, Newest, Page, Read, Store, StoreCopy, StoreError,
 };
 
+use super::support;
+
 /// A store that comes back from a copy before it answers the first call for a second page.
 #[derive(Debug)]
 struct TornStore {
@@ -58,32 +56,7 @@
 }
 
 fn host(store: Arc<dyn Store>) -> Rc<Host> {
-    let unused: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let config = HostConfig {
-        name: "entry-1".parse().expect("a name"),
-        domain: "a".parse().expect("a name"),
-        cores: 1.0,
-        caller: unused,
-        ready: unused,
-        peer: unused,
-        operator: unused,
-        limits: ProcessLimits::default(),
-        bounds: Bounds::default(),
-    };
-    let telemetry = Telemetry {
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        metrics: Metrics::new(LostLines::default()),
-    };
-    let platform = Rc::new(UsersPlatform::new());
-    let memory = Memory::new(config.limits.memory);
-    Host::new(
-        config,
-        memory,
-        Arc::new(SystemClock),
-        telemetry,
-        platform,
-        store,
-    )
+    support::host(support::settings(1), store)
 }
 
 /// Guards against a list of upstreams whose pages come from before and after a return of the store,
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -14,46 +14,24 @@
 use serde_json::json;
 use trefoil_core::SystemClock;
 use trefoil_gateway::forward::{Job, forward};
-use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
-};
+use trefoil_gateway::{Bounds, Host, HostConfig, follow};
 use trefoil_http::h1::{Request, RequestHead, Reservation};
-use trefoil_platform::UsersPlatform;
 use trefoil_standin::{ControlPlane, test_config};
 use trefoil_store::{Era, MemoryStore};
 
+use super::support;
+
 const DRAIN: Duration = Duration::from_millis(500);
 
 fn host(store: Arc<MemoryStore>) -> Rc<Host> {
-    let unused = "127.0.0.1:0".parse().expect("an address");
     let config = HostConfig {
-        name: "entry-1".parse().expect("a name"),
-        domain: "a".parse().expect("a name"),
-        cores: 1.0,
-        caller: unused,
-        ready: unused,
-        peer: unused,
-        operator: unused,
-        limits: ProcessLimits::default(),
         bounds: Bounds {
             drain: DRAIN,
             ..Bounds::default()
         },
+        ..support::settings(1)
     };
-    let telemetry = Telemetry {
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        metrics: Metrics::new(LostLines::default()),
-    };
-    let platform = Rc::new(UsersPlatform::new());
-    let memory = Memory::new(config.limits.memory);
-    Host::new(
-        config,
-        memory,
-        Arc::new(SystemClock),
-        telemetry,
-        platform,
-        store,
-    )
+    support::host(config, store)
 }
 
 fn job(host: &Host) -> Job {
--- a/tests/all/gateway/parts.rs
+++ b/tests/all/gateway/parts.rs
@@ -11,12 +11,11 @@
 use trefoil_core::{Key, KeyRange, SystemClock};
 use trefoil_gateway::message::{Message, RoutesPart};
 use trefoil_gateway::tables::{Revision, Routes};
-use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, relay,
-};
-use trefoil_platform::UsersPlatform;
+use trefoil_gateway::{Host, HostConfig, relay};
 use trefoil_store::MemoryStore;
 
+use super::support;
+
 /// Number of ranges, more than one datagram has.
 const RANGES: u16 = 60;
 
@@ -24,33 +23,12 @@
 const PART: usize = 50;
 
 fn host(peer: SocketAddr) -> Rc<Host> {
-    let unused: SocketAddr = "127.0.0.1:0".parse().expect("an address");
     let config = HostConfig {
-        name: "entry-1".parse().expect("a name"),
-        domain: "a".parse().expect("a name"),
-        cores: 1.0,
-        caller: unused,
-        ready: unused,
         peer,
-        operator: unused,
-        limits: ProcessLimits::default(),
-        bounds: Bounds::default(),
-    };
-    let telemetry = Telemetry {
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        metrics: Metrics::new(LostLines::default()),
+        ..support::settings(1)
     };
-    let clock = Arc::new(SystemClock);
-    let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
-    let memory = Memory::new(config.limits.memory);
-    Host::new(
-        config,
-        memory,
-        clock,
-        telemetry,
-        Rc::new(UsersPlatform::new()),
-        store,
-    )
+    let store = MemoryStore::new(Arc::new(SystemClock));
+    support::host(config, Arc::new(store))
 }
 
 fn revision(serial: u64) -> Revision {
--- a/tests/all/gateway/returns.rs
+++ b/tests/all/gateway/returns.rs
@@ -1,6 +1,6 @@
 //! Upstreams that return to the registry after an outage, and removals that hosts tell each other.
 
-use std::net::{SocketAddr, UdpSocket};
+use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -12,16 +12,14 @@
 use serde_json::json;
 use smol::Async;
 use trefoil_core::SystemClock;
-use trefoil_gateway::{
-    Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, follow,
-    message::HostInfo, relay,
-};
-use trefoil_platform::UsersPlatform;
+use trefoil_gateway::{Host, HostConfig, follow, message::HostInfo, relay};
 use trefoil_standin::{ControlPlane, test_config};
 use trefoil_store::{
     Append, Appended, Batch, Era, MemoryStore, Newest, Page, Read, Store, StoreError,
 };
 
+use super::support;
+
 /// Time for which changes are told, and some more.
 const QUIET: Duration = Duration::from_millis(1500);
 
@@ -86,36 +84,16 @@
 impl Member {
     fn new(number: usize, store: Arc<MemoryStore>) -> Self {
         let socket = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0)).expect("a port");
-        let unused: SocketAddr = "127.0.0.1:0".parse().expect("an address");
         let config = HostConfig {
-            name: format!("entry-{number}").parse().expect("a name"),
-            domain: "a".parse().expect("a name"),
-            cores: 1.0,
-            caller: unused,
-            ready: unused,
             peer: socket.get_ref().local_addr().expect("bound"),
-            operator: unused,
-            limits: ProcessLimits::default(),
-            bounds: Bounds::default(),
-        };
-        let telemetry = Telemetry {
-            log: slog::Logger::root(slog::Discard, slog::o!()),
-            metrics: Metrics::new(LostLines::default()),
+            ..support::settings(number)
         };
         let link = Arc::new(Link {
             store,
             cut: AtomicBool::new(false),
             reads: AtomicU32::new(0),
         });
-        let memory = Memory::new(config.limits.memory);
-        let host = Host::new(
-            config,
-            memory,
-            Arc::new(SystemClock),
-            telemetry,
-            Rc::new(UsersPlatform::new()),
-            Arc::<Link>::clone(&link),
-        );
+        let host = support::host(config, Arc::<Link>::clone(&link));
         follow::load_config(
             &host,
             &Bytes::from(test_config(1).to_string()),
