Give new fences at once if the longest grant expired before a takeover; wait for earlier builds

A coordinator that took over a table of an older copy more than 11 s after it had learned of the era had no wait left, and the new fences were tied to the end of the wait. It granted keys under the fences of the copy, which another upstream may have exceeded. The fences are now assigned in the first table then.

A table of an earlier build has no era. The wait counted from when this process had learned the present one, so a host that had run for long did not wait for the grants of the earlier build at all. It counts from the takeover now.

ranges::claim::a_late_takeover_of_an_older_copy_has_new_fences said '[Fence(2)]' before, a_table_of_an_earlier_build_is_not_granted_at_once 'assertion failed: coordinator.withholds_grants()'; both pass.

--- a/crates/ranges/src/claim.rs
+++ b/crates/ranges/src/claim.rs
@@ -67,12 +67,23 @@
         let (earlier, unlisted) = match lost_since {
             Some(since) => {
                 self.exceed_unknown(&mut table, known_version);
-                let end = timing.earlier_expiry(since.min(now));
+                // Builds that know no era may have sent grants in every one.
+                let since = match table.era {
+                    Era(0) => now,
+                    _ => since.min(now),
+                };
+                let end = timing.earlier_expiry(since);
                 (end, end)
             }
             None => (earlier, listed.unwrap_or(now)),
         };
-        table.refence_moves();
+        match lost_since {
+            // No wait is left after which all entries would get new fences.
+            Some(_) if unlisted <= now => table.refence_all(),
+            _ => {
+                table.refence_moves();
+            }
+        }
         self.sign(now, &mut table, earlier, unlisted);
         (table, earlier)
     }
--- a/tests/all/ranges/claim.rs
+++ b/tests/all/ranges/claim.rs
@@ -186,3 +186,30 @@
         "the owners are still unknown"
     );
 }
+
+/// Guards against fences of an older copy that are used again because the longest grant had expired
+/// before the takeover.
+#[test]
+fn a_late_takeover_of_an_older_copy_has_new_fences() {
+    let coordinator = take_over(table(), Duration::from_secs(20));
+    assert!(!coordinator.withholds_grants());
+    let owners = coordinator.table().entries().iter();
+    let fences: Vec<Fence> = owners
+        .filter_map(|e| e.owner.as_ref().map(|o| o.fence))
+        .collect();
+    assert!(
+        fences.iter().all(|fence| *fence > Fence(TERM)),
+        "{fences:?}"
+    );
+}
+
+/// Guards against a takeover without a wait from a build that knows no era, because the host has
+/// known the era of the store for long.
+#[test]
+fn a_table_of_an_earlier_build_is_not_granted_at_once() {
+    let mut earlier_build = table();
+    earlier_build.era = Era::default();
+    let coordinator = take_over(earlier_build, Duration::from_secs(60));
+    assert!(coordinator.withholds_grants());
+    assert_eq!(coordinator.unlisted_until(), Some(expiry()));
+}
