--- a/tests/all/ranges/claim.rs
+++ b/tests/all/ranges/claim.rs
@@ -209,7 +209,7 @@
 fn a_table_of_an_earlier_build_is_not_granted_at_once() {
     let mut earlier_build = table();
     earlier_build.era = Era::default();
-    let coordinator = take_over(earlier_build, Duration::from_secs(60));
+    let coordinator = take_over(earlier_build, Duration::from_mins(1));
     assert!(coordinator.withholds_grants());
     assert_eq!(coordinator.unlisted_until(), Some(expiry()));
 }
