Show the age of the configuration, its fetches and the end of permanent tasks

The logs of hosts that were 8 s behind a version said nothing: failed fetches were logged at debug level, no figure told how long ago a host knew its configuration to be the newest, and a task that panicked ended without a trace. Change: trefoil_config_staleness_seconds, from own reads and from reports of hosts with the same version (a field behind the datagram, which earlier builds ignore); config_age_ms in request ended; a line a fetch with bytes and duration; the end of a permanent task is logged and stops the host. No decision uses the age yet. Ages of the directory and the configuration share one type.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -111,9 +111,9 @@
         let keyed = host.keyed_services();
         tasks.retain(|name, _| keyed.contains(name));
         for name in keyed {
-            tasks
-                .entry(name.clone())
-                .or_insert_with(|| host.spawn(campaign(Rc::clone(&host), name)));
+            tasks.entry(name.clone()).or_insert_with(|| {
+                host.spawn_permanent("campaign", campaign(Rc::clone(&host), name))
+            });
         }
         changed.await;
     }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -12,12 +12,12 @@
 use futures_lite::future::BoxedLocal;
 use http::header::{HOST, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
-use slog::{debug, info};
+use slog::{debug, info, warn};
 use smol::Async;
 use trefoil_core::{HostId, Tick};
 use trefoil_directory::Registration;
 use trefoil_http::h1::{
-    Answer, BodyLimit, ClientConnection, Handler, Limits, Match, RejectReason, Request,
+    Answer, BodyLimit, ClientConnection, Handler, Limits, Match, Progress, RejectReason, Request,
     RequestHead, encode_request,
 };
 use trefoil_store::Era;
@@ -97,7 +97,7 @@
     let Some(age) = host.directory_age(host.now()) else {
         return host.memory.calls.hold(bytes).ok();
     };
-    let read = host.known_reads.borrow().current();
+    let read = host.directory_freshness.read();
     let bytes = postcard::to_extend(&(whole_millis(age), read), bytes).ok()?;
     host.memory.calls.hold(bytes).ok()
 }
@@ -130,17 +130,28 @@
     Ok(listing)
 }
 
-/// Fetches the configuration of another host, which has read it in `era`, unless a fetch is in
-/// flight.
-pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick, era: Era) {
+/// Fetches the configuration of another host, which has a `version` that it has read in `era`,
+/// unless a fetch is in flight.
+pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick, version: u64, era: Era) {
     let Some((shared, address)) = begin_fetch(host, from, now, &host.fetching_config) else {
         return;
     };
     let task = async move {
-        match get(&shared, address, CONFIG_PATH).await {
-            Ok(body) => follow::load_config(&shared, &body, era),
-            Err(reason) => debug!(shared.log, "configuration not fetched"; "from" => %address,
-                "reason" => reason),
+        let progress = Progress::default();
+        let fetched = get(&shared, address, CONFIG_PATH, &progress).await;
+        let after = shared.now().since(now);
+        let received = progress.received();
+        match fetched {
+            Ok(body) => {
+                info!(shared.log, "configuration fetched"; "from" => %address,
+                    "bytes" => received, "after_ms" => after.as_millis());
+                follow::load_config(&shared, &body, era);
+            }
+            Err(reason) => {
+                warn!(shared.log, "configuration not fetched"; "from" => %address,
+                    "version" => version, "bytes" => received, "after_ms" => after.as_millis(),
+                    "reason" => reason);
+            }
         }
         shared.fetching_config.set(None);
     };
@@ -165,7 +176,7 @@
         return;
     };
     let task = async move {
-        match get(&shared, address, DIRECTORY_PATH).await {
+        match get(&shared, address, DIRECTORY_PATH, &Progress::default()).await {
             Ok(body) => apply_directory(&shared, now, &body),
             Err(reason) => debug!(shared.log, "directory not fetched"; "from" => %address,
                 "reason" => reason),
@@ -186,7 +197,7 @@
         }) => {
             let now = host.now();
             let as_of = age.map(|age| host.copied_as_of(sent, age, read));
-            if as_of.is_some() && as_of <= host.directory_as_of.get() {
+            if as_of.is_some() && as_of <= host.directory_freshness.as_of() {
                 debug!(host.log, "directory not fetched"; "reason" => "it is older than the own one");
                 return;
             }
@@ -196,7 +207,7 @@
                 "same" => own == digest);
             host.apply_changes(changes, Source::Copy);
             if let Some(as_of) = as_of {
-                host.confirm_read(as_of, read);
+                host.directory_freshness.confirm(as_of, read);
             }
             host.set_directory_loaded();
             // Digests may bring the remaining differences, so the delay starts again.
@@ -221,14 +232,20 @@
     Some((host.to_shared()?, address))
 }
 
-async fn get(host: &Host, address: SocketAddr, path: &str) -> Result<Bytes, String> {
+async fn get(
+    host: &Host,
+    address: SocketAddr,
+    path: &str,
+    progress: &Progress,
+) -> Result<Bytes, String> {
     let timeout = async {
         host.clock.sleep(TIMEOUT).await;
         Err("no answer in time".to_owned())
     };
     let exchange = async {
         let stream = Async::<TcpStream>::connect(address).await;
-        let mut link = ClientConnection::new(stream.map_err(|e| e.to_string())?);
+        let link = ClientConnection::new(stream.map_err(|e| e.to_string())?);
+        let mut link = link.with_progress(progress);
         let mut headers = HeaderMap::new();
         if let Ok(value) = HeaderValue::from_str(&address.to_string()) {
             headers.insert(HOST, value);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -67,6 +67,9 @@
                 _ => {}
             }
         }
+        if let Some(as_of) = follower.read_as_of.filter(|_| host.router().is_some()) {
+            host.confirm_config(as_of);
+        }
     }
 }
 
@@ -208,6 +211,8 @@
     end: Offset,
     /// Era of the store.
     era: Era,
+    /// Time after the arrival of the call for which the store has had no further record.
+    waited: Duration,
 }
 
 /// Place in a partition, which is valid within one era.
@@ -231,7 +236,7 @@
     /// Wait after the last failed call.
     retry_delay: Duration,
     answered_at: Option<Tick>,
-    /// When the last read was sent, if it has returned everything up to the end of the partition.
+    /// As of when the last read has returned everything up to the end of the partition, if it has.
     read_as_of: Option<Tick>,
     lost: bool,
     /// Reports of other hosts reveal a newer version.
@@ -318,7 +323,8 @@
                         offset: answer.next,
                         era: answer.era,
                     });
-                    self.read_as_of = (answer.next >= answer.end).then_some(sent);
+                    let as_of = sent.after(answer.waited);
+                    self.read_as_of = (answer.next >= answer.end).then_some(as_of);
                     self.on_answer(sent);
                     return Some(answer);
                 }
@@ -381,19 +387,25 @@
                     next: end,
                     end,
                     era,
+                    waited: Duration::ZERO,
                 });
             }
         }
     }
 
     async fn read_from(&self, from: Offset) -> Result<Answer, StoreError> {
+        // During an outage the first answer matters more than the next record.
+        let wait = if self.lost { Duration::ZERO } else { self.wait };
         let read = Read {
             partition: self.partition.clone(),
             from,
-            // During an outage the first answer matters more than the next record.
-            wait: if self.lost { Duration::ZERO } else { self.wait },
+            wait,
         };
+        let sent = self.host.now();
         let batch = self.host.store.read(read).await?;
+        // A store that answers early without a record has not waited for one until then.
+        let waited_out = batch.records.is_empty() && self.host.now().since(sent) >= wait;
+        let waited = if waited_out { wait } else { Duration::ZERO };
         let keyed = batch.records.into_iter().filter_map(KeyedRecord::decode);
         let records = keyed.map(|k| (k.key, k.value)).collect();
         Ok(Answer {
@@ -402,6 +414,7 @@
             next: batch.next,
             end: batch.end,
             era: batch.era,
+            waited,
         })
     }
 
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -1,14 +1,15 @@
-//! Age of the directory.
+//! Ages of the directory and of the configuration.
 //!
-//! A complete read of the registry shows the directory to be current as of the moment at which the
-//! read was sent. A host that does not read learns it by comparison: if its directory has the
-//! content of another host's, it is at least as current. The age thus covers changes that were lost
-//! on the way, which the health of the hosts that read cannot show.
+//! A complete read of the store shows a copy to be current as of the moment at which the read was
+//! sent. A host that does not read learns it by comparison: if its copy has the content of another
+//! host's, it is at least as current. The age thus covers changes that were lost on the way, which
+//! the health of the hosts that read cannot show.
 //!
 //! Hosts report the age together with the read that it counts from, because a reported age lacks
 //! the latency of the report. Without the read, two hosts with the same content would confirm each
 //! other for as long as they exchange reports.
 
+mod copy;
 mod known_reads;
 
 use std::time::Duration;
@@ -22,7 +23,8 @@
 use crate::peers::{RELAYS, short_id};
 use crate::request_log::age_ms;
 
-pub(crate) use known_reads::KnownReads;
+pub(crate) use copy::Freshness;
+use known_reads::KnownReads;
 
 /// Wait after a failed read of a host that has no directory yet.
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -71,27 +73,62 @@
     /// Records a read of the registry by this host, sent at `sent`, whose result the directory
     /// contains.
     pub(crate) fn confirm_directory(&self, sent: Tick) {
+        self.confirm_own_read(&self.directory_freshness, sent);
+    }
+
+    /// Records a read by this host whose result shows the configuration in force to be the newest
+    /// one as of `as_of`.
+    pub(crate) fn confirm_config(&self, as_of: Tick) {
+        self.confirm_own_read(&self.config_freshness, as_of);
+    }
+
+    fn confirm_own_read(&self, copy: &Freshness, as_of: Tick) {
         let read = ReadId {
             host: short_id(self.id),
-            number: u64::try_from(sent.0.as_millis()).unwrap_or(u64::MAX),
+            number: u64::try_from(as_of.0.as_millis()).unwrap_or(u64::MAX),
         };
-        self.record_read(self.now(), read, sent);
-        self.confirm_read(sent, Some(read));
+        self.record_read(copy, self.now(), read, as_of);
+        copy.confirm(as_of, Some(read));
     }
 
-    /// Records that the directory contains every change that the registry had accepted at `as_of`,
-    /// when the read was sent.
-    pub(crate) fn confirm_read(&self, as_of: Tick, read: Option<ReadId>) {
-        if self.directory_as_of.get() < Some(as_of) {
-            self.directory_as_of.set(Some(as_of));
-            self.known_reads.borrow_mut().set_current(read);
+    fn record_read(
+        &self,
+        copy: &Freshness,
+        now: Tick,
+        read: ReadId,
+        estimate: Tick,
+    ) -> Option<Tick> {
+        let span = READ_AGE_MIN.max(self.bounds.get().drain);
+        copy.record(now, read, estimate, span)
+    }
+
+    /// As of when the copy of another host holds that reports this age now.
+    fn reported_as_of(
+        &self,
+        copy: &Freshness,
+        now: Tick,
+        age: Duration,
+        read: Option<ReadId>,
+    ) -> Option<Tick> {
+        let estimate = Tick(now.0.saturating_sub(age));
+        match read {
+            Some(read) => self.record_read(copy, now, read, estimate),
+            None => Some(estimate),
         }
     }
 
-    fn record_read(&self, now: Tick, read: ReadId, estimate: Tick) -> Option<Tick> {
-        let span = READ_AGE_MIN.max(self.bounds.get().drain);
-        let mut reads = self.known_reads.borrow_mut();
-        reads.record(now, read, estimate, span)
+    /// Takes over the age of another host's configuration if this host has the same one.
+    pub(crate) fn compare_config(&self, now: Tick, status: SyncStatus) {
+        let Some(age) = status.config_age() else {
+            return;
+        };
+        let copy = &self.config_freshness;
+        let as_of = self.reported_as_of(copy, now, age, status.config_read);
+        let own = (self.config_version().0, self.config_era.get());
+        let same = self.router().is_some() && own == (status.config_version, status.config_era);
+        if let Some(as_of) = as_of.filter(|_| same) {
+            copy.confirm(as_of, status.config_read);
+        }
     }
 
     /// Takes over the age of another host's directory if this host's has the same content. A host
@@ -100,27 +137,25 @@
         let Some(age) = status.directory_age() else {
             return;
         };
-        let estimate = Tick(now.0.saturating_sub(age));
-        let as_of = match status.directory_read {
-            Some(read) => self.record_read(now, read, estimate),
-            None => Some(estimate),
-        };
+        let copy = &self.directory_freshness;
+        let as_of = self.reported_as_of(copy, now, age, status.directory_read);
         let own = self.directory.borrow().digest();
         let Some(as_of) = as_of.filter(|_| status.directory_digest == Some(own)) else {
             return;
         };
-        if Some(as_of) > self.directory_as_of.get() && status.store_era == self.store_era.get() {
+        if Some(as_of) > copy.as_of() && status.store_era == self.store_era.get() {
             self.directory.borrow_mut().confirm_listed();
         }
-        self.confirm_read(as_of, status.directory_read);
+        copy.confirm(as_of, status.directory_read);
     }
 
     /// As of when a copy holds that was requested at `sent` and had this age.
     pub(crate) fn copied_as_of(&self, sent: Tick, age: Duration, read: Option<ReadId>) -> Tick {
-        let known = read.and_then(|read| self.known_reads.borrow().sent(read));
+        let copy = &self.directory_freshness;
+        let known = read.and_then(|read| copy.sent(read));
         known.unwrap_or_else(|| {
             let estimate = Tick(sent.0.saturating_sub(age));
-            let recorded = read.and_then(|read| self.record_read(self.now(), read, estimate));
+            let recorded = read.and_then(|read| self.record_read(copy, self.now(), read, estimate));
             recorded.unwrap_or(estimate)
         })
     }
@@ -129,24 +164,24 @@
     /// reading to others knows from the age of the directories whether they have read meanwhile.
     pub(crate) fn ends_outage(&self, now: Tick) -> bool {
         let others = self.peers.borrow().newest_directory(now);
-        let newest = self.directory_as_of.get().max(others);
+        let newest = self.directory_freshness.as_of().max(others);
         newest.is_some_and(|at| now.since(at) > self.bounds.get().outage_age())
     }
 
     /// Time since the directory was last known to contain every change of the registry.
     pub(crate) fn directory_age(&self, now: Tick) -> Option<Duration> {
-        self.directory_as_of.get().map(|at| now.since(at))
+        self.directory_freshness.age(now)
     }
 
     /// Returns `true` if the directory is older than that of a host with this status, or `None` if
     /// that host is an earlier build, which reports no age.
     pub(crate) fn is_older_than(&self, now: Tick, status: SyncStatus) -> Option<bool> {
         let age = status.directory_age()?;
-        let reads = self.known_reads.borrow();
-        let known = status.directory_read.and_then(|read| reads.sent(read));
+        let copy = &self.directory_freshness;
+        let known = status.directory_read.and_then(|read| copy.sent(read));
         let theirs = known.unwrap_or(Tick(now.0.saturating_sub(age)));
-        let same = reads.is_current(status.directory_read);
-        Some(!same && self.directory_as_of.get() < Some(theirs))
+        let same = copy.is_current(status.directory_read);
+        Some(!same && copy.as_of() < Some(theirs))
     }
 
     /// Returns `true` if the directory must be copied from any host that has a more current one.
@@ -165,10 +200,10 @@
         let bounds = self.bounds.get();
         let position = self.peers.borrow().position(now);
         let overdue = self
-            .directory_as_of
-            .get()
+            .directory_freshness
+            .as_of()
             .map_or(now, |at| at.after(bounds.takeover_age(position)));
-        let leads = reads.ended.is_some() && reads.ended >= self.directory_as_of.get();
+        let leads = reads.ended.is_some() && reads.ended >= self.directory_freshness.as_of();
         let pace = match (position, reads.ended) {
             (0, Some(at)) => Some(at.after(bounds.registry_pace(0))),
             // Nobody has a more current directory than this host, which has taken over.
@@ -195,9 +230,9 @@
     pub(crate) fn log_takeover(&self, now: Tick, reads: &Reads) {
         let position = self.peers.borrow().position(now);
         let recent = reads.ended.is_some_and(|at| now.since(at) < TAKEOVER_QUIET);
-        if position > 0 && !recent && self.directory_as_of.get().is_some() {
+        if position > 0 && !recent && self.directory_freshness.as_of().is_some() {
             info!(self.log, "directory overdue"; "position" => position,
-                "directory_age_ms" => age_ms(now, self.directory_as_of.get()));
+                "directory_age_ms" => age_ms(now, self.directory_freshness.as_of()));
         }
     }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -25,7 +25,7 @@
 use crate::coordinator::{EndedTerms, EraSeen, Reassemblies, Terms};
 use crate::discovery;
 use crate::era::EraSource;
-use crate::freshness::{KnownReads, Source};
+use crate::freshness::{Freshness, Source};
 use crate::memory::Memory;
 use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
@@ -35,6 +35,7 @@
 use crate::pool::Pool;
 use crate::request_log::{age_ms, cut};
 use crate::tables::{Revision, Routes, Tables};
+use crate::tasks::EndedTask;
 
 /// Delay between the probes of the store by hosts with consecutive ranks in a domain.
 pub(crate) const PROBE_STAGGER: Duration = Duration::from_millis(700);
@@ -95,6 +96,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Events that tasks wait for.
     pub events: Events,
+    /// The first permanent task that has ended.
+    pub(crate) ended_task: EndedTask,
     /// Closes idle connections at the stop, and the others after their next answer.
     pub stop: Rc<Shutdown>,
     /// The process was asked to stop.
@@ -145,10 +148,10 @@
     displaced: RefCell<HashSet<Incarnation>>,
     /// When the directory last changed.
     pub(crate) directory_changed: Cell<Tick>,
-    /// The directory contains every change that the registry had accepted at this tick.
-    pub(crate) directory_as_of: Cell<Option<Tick>>,
-    /// Reads of the registry that the ages of directories count from.
-    pub(crate) known_reads: RefCell<KnownReads>,
+    /// How current the directory is.
+    pub(crate) directory_freshness: Freshness,
+    /// How current the configuration in force is.
+    pub(crate) config_freshness: Freshness,
     router: RefCell<Option<Rc<Router>>>,
     /// When the configuration came into force.
     config_changed: Cell<Tick>,
@@ -218,6 +221,7 @@
             store: Arc::new(store),
             executor: Rc::default(),
             events: Events::default(),
+            ended_task: EndedTask::default(),
             stop: Rc::default(),
             leaving: Cell::new(false),
             directory: RefCell::default(),
@@ -230,8 +234,8 @@
             connections: Cell::new(0),
             displaced: RefCell::default(),
             directory_changed: Cell::default(),
-            directory_as_of: Cell::default(),
-            known_reads: RefCell::default(),
+            directory_freshness: Freshness::default(),
+            config_freshness: Freshness::default(),
             router: RefCell::default(),
             config_changed: Cell::default(),
             was_ready: Cell::default(),
@@ -449,7 +453,7 @@
         info!(self.log, "upstream changed"; "change" => event, "upstream" => %r.incarnation.name, "born" => r.incarnation.started.0,
             "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
             "phase" => %r.phase, "sequence" => r.sequence, "source" => %source,
-            "directory_age_ms" => age_ms(self.now(), self.directory_as_of.get()));
+            "directory_age_ms" => age_ms(self.now(), self.directory_freshness.as_of()));
     }
 
     /// Records that another upstream answers at the address of this one. So it has ended, although
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use trefoil_core::ServiceName;
+use trefoil_core::{ServiceName, Tick};
 
 use super::Host;
 use crate::metrics::Metrics;
@@ -15,10 +15,12 @@
         let m = &self.metrics;
         m.ready.set(self.is_ready().into());
         m.config_age.set(age(self.config_changed.get()));
+        let known_age = |at: Option<Tick>| age(at.unwrap_or(self.started));
+        m.config_staleness
+            .set(known_age(self.config_freshness.as_of()));
         m.directory_age
-            .set(age(self.directory_as_of.get().unwrap_or(self.started)));
-        m.store_age
-            .set(age(self.store_seen.get().unwrap_or(self.started)));
+            .set(known_age(self.directory_freshness.as_of()));
+        m.store_age.set(known_age(self.store_seen.get()));
         m.connections
             .set(i64::try_from(self.connections.get()).unwrap_or(i64::MAX));
         for (kind, share) in self.memory.kinds() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod request_log;
 pub mod serve;
 pub mod tables;
+mod tasks;
 
 pub use config::{Bounds, HostConfig, ProcessLimits};
 pub use host::{Host, Telemetry};
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -112,6 +112,13 @@
     /// Era of the store in which its configuration was read. Encoded with the other era.
     #[serde(skip)]
     pub config_era: Era,
+    /// Milliseconds since its configuration was last known to be the newest. Encoded after the eras,
+    /// where earlier builds ignore it.
+    #[serde(skip)]
+    pub config_age_ms: Option<u32>,
+    /// The read of the configuration that the age counts from. Encoded with the age.
+    #[serde(skip)]
+    pub config_read: Option<ReadId>,
 }
 
 impl SyncStatus {
@@ -120,6 +127,12 @@
         self.directory_age_ms
             .map(|ms| Duration::from_millis(ms.into()))
     }
+
+    /// Time since the configuration was last known to be the newest.
+    pub(crate) fn config_age(&self) -> Option<Duration> {
+        self.config_age_ms
+            .map(|ms| Duration::from_millis(ms.into()))
+    }
 }
 
 /// Report of the coordinator of a service.
@@ -330,7 +343,12 @@
             return Ok(bytes);
         };
         let eras = (store_era.0, status.config_era.0);
-        postcard::to_extend(&eras, bytes).context(DecodeSnafu)
+        let bytes = postcard::to_extend(&eras, bytes).context(DecodeSnafu)?;
+        let Some(config_age_ms) = status.config_age_ms else {
+            return Ok(bytes);
+        };
+        let config = (config_age_ms, status.config_read);
+        postcard::to_extend(&config, bytes).context(DecodeSnafu)
     }
 
     /// Decodes a datagram.
@@ -354,9 +372,15 @@
         let (trailer, rest): (Trailer, _) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
         status.directory_read = trailer.read;
         if !rest.is_empty() {
-            let (store_era, config_era) = postcard::from_bytes(rest).context(DecodeSnafu)?;
+            let ((store_era, config_era), rest) =
+                postcard::take_from_bytes(rest).context(DecodeSnafu)?;
             status.store_era = Some(Era(store_era));
             status.config_era = Era(config_era);
+            if !rest.is_empty() {
+                let (age_ms, read) = postcard::from_bytes(rest).context(DecodeSnafu)?;
+                status.config_age_ms = Some(age_ms);
+                status.config_read = read;
+            }
         }
         for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
             removal.sequence = sequence;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -138,6 +138,8 @@
     pub(crate) version: Gauge,
     /// Time since the configuration came into force.
     pub(crate) config_age: Seconds,
+    /// Time since the configuration was last known to be the newest.
+    pub(crate) config_staleness: Seconds,
     /// Time since the directory last contained every change of the registry.
     pub(crate) directory_age: Seconds,
     /// Time since the store last answered this host.
@@ -261,6 +263,11 @@
                 "Time since the configuration came into force",
                 Seconds::default(),
             ),
+            config_staleness: b.seconds(
+                "config_staleness",
+                "Time since the configuration in force was known to be the newest",
+                Seconds::default(),
+            ),
             directory_age: b.seconds(
                 "directory_age",
                 "Time since the directory contained every change of the registry",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -118,7 +118,9 @@
         directory_digest: host.offered_directory(),
         store_age_ms: host.store_seen.get().map(|at| whole_millis(now.since(at))),
         directory_age_ms: host.directory_age(now).map(whole_millis),
-        directory_read: host.known_reads.borrow().current(),
+        directory_read: host.directory_freshness.read(),
+        config_age_ms: host.config_freshness.age(now).map(whole_millis),
+        config_read: host.config_freshness.read(),
         store_era: host.store_era.get(),
         config_era: host.config_era.get(),
     }
@@ -467,7 +469,7 @@
     let known = (host.config_version().0, host.config_era.get());
     if (status.config_version, status.config_era) > known {
         host.events.newer_config.notify(usize::MAX);
-        fetch::fetch_config(host, from, now, status.config_era);
+        fetch::fetch_config(host, from, now, status.config_version, status.config_era);
     }
     // The two relays read the registry at different times, so a host that copied both would
     // alternate between two views.
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -59,6 +59,7 @@
         host.record_era(era, EraSource::Host);
     }
     host.compare_directory(now, status);
+    host.compare_config(now, status);
     let mut peers = host.peers.borrow_mut();
     let known = peers.record_received(now, id, Some(status));
     if !known && !peers.has_ended(id) {
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -75,7 +75,8 @@
         "waited_ms" => progress.waited.as_millis(),
         "arrivals" => progress.arrivals, "upstreams" => upstreams.join(","),
         "last" => progress.reason.as_str(), "config" => host.config_version().0, "table" => routes_revision(host, job),
-        "directory_age_ms" => age_ms(now, host.directory_as_of.get()),
+        "config_age_ms" => age_ms(now, host.config_freshness.as_of()),
+        "directory_age_ms" => age_ms(now, host.directory_freshness.as_of()),
         "store_age_ms" => age_ms(now, host.store_seen.get()));
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,7 +9,7 @@
 use futures_lite::future::BoxedLocal;
 use http::{HeaderValue, StatusCode};
 use slog::{info, warn};
-use smol::Async;
+use smol::{Async, Task};
 use snafu::{ResultExt, Snafu};
 use trefoil_http::h1::{
     Answer, Handler, Limits, RejectReason, Request, RequestHead, ServerConnection,
@@ -44,9 +44,15 @@
 /// Part of the grace period that is reserved for the end of the process.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(600);
 
-/// Why a host cannot start.
+/// Why a host cannot start or go on.
 #[derive(Debug, Snafu)]
 pub enum ServeError {
+    /// A task that must not end has ended.
+    #[snafu(display("the task {name} has ended"))]
+    TaskEnded {
+        /// Name of the task.
+        name: &'static str,
+    },
     /// An address cannot be bound.
     #[snafu(display("cannot listen on {address}: {source}"))]
     Bind {
@@ -118,7 +124,7 @@
 ///
 /// # Errors
 ///
-/// Fails if an address cannot be bound.
+/// Fails if an address cannot be bound, and after the shutdown if a permanent task has ended.
 pub async fn serve<F>(host: Rc<Host>, stop: F) -> Result<(), ServeError>
 where
     F: Future<Output = ()>,
@@ -139,42 +145,27 @@
     });
     let ingress: Rc<dyn Handler> = Ingress::new(Rc::clone(&host));
     let _probes = [
-        host.spawn(accept(
-            Rc::clone(&host),
-            readiness,
-            Rc::clone(&probe),
-            SERVICE_CONNECTIONS_MAX,
-        )),
-        host.spawn(accept(
-            Rc::clone(&host),
-            operators,
-            probe,
-            SERVICE_CONNECTIONS_MAX,
-        )),
-        host.spawn(accept(
-            Rc::clone(&host),
-            peers,
-            PeerHandler::new(Rc::clone(&host)),
-            SERVICE_CONNECTIONS_MAX,
-        )),
+        accept_on(&host, "readiness", readiness, Rc::clone(&probe)),
+        accept_on(&host, "operators", operators, probe),
+        accept_on(&host, "hosts", peers, PeerHandler::new(Rc::clone(&host))),
     ];
-    let accepting = host.spawn(accept(
-        Rc::clone(&host),
-        callers,
-        ingress,
-        config.limits.connections(),
-    ));
+    let limit = config.limits.connections();
+    let accepting = accept(Rc::clone(&host), callers, ingress, limit);
+    let accepting = host.spawn_permanent("callers", accepting);
     let _tasks = [
-        host.spawn(follow::follow_config(Rc::clone(&host))),
-        host.spawn(follow::follow_registry(Rc::clone(&host))),
-        host.spawn(discovery::discover_hosts(Rc::clone(&host))),
-        host.spawn(relay::receive(Rc::clone(&host), Rc::clone(&socket))),
-        host.spawn(relay::send(Rc::clone(&host), Rc::clone(&socket))),
-        host.spawn(coordinator::watch_services(Rc::clone(&host))),
-        host.spawn(coordinator::follow_tables(Rc::clone(&host))),
-        host.spawn(keep_house(Rc::clone(&host))),
+        host.spawn_permanent("config", follow::follow_config(Rc::clone(&host))),
+        host.spawn_permanent("registry", follow::follow_registry(Rc::clone(&host))),
+        host.spawn_permanent("discovery", discovery::discover_hosts(Rc::clone(&host))),
+        host.spawn_permanent(
+            "receiver",
+            relay::receive(Rc::clone(&host), Rc::clone(&socket)),
+        ),
+        host.spawn_permanent("sender", relay::send(Rc::clone(&host), Rc::clone(&socket))),
+        host.spawn_permanent("services", coordinator::watch_services(Rc::clone(&host))),
+        host.spawn_permanent("tables", coordinator::follow_tables(Rc::clone(&host))),
+        host.spawn_permanent("housekeeping", keep_house(Rc::clone(&host))),
     ];
-    stop.await;
+    stop.or(host.ended_task.wait()).await;
     let stopped = host.now();
     info!(host.log, "stopping");
     host.leave();
@@ -190,7 +181,21 @@
     }
     info!(host.log, "stopped"; "connections" => host.connections.get(),
         "after_ms" => host.now().since(stopped).as_millis());
-    Ok(())
+    match host.ended_task.name() {
+        Some(name) => TaskEndedSnafu { name }.fail(),
+        None => Ok(()),
+    }
+}
+
+/// Accepts connections of others than callers.
+fn accept_on(
+    host: &Rc<Host>,
+    name: &'static str,
+    listener: Async<TcpListener>,
+    handler: Rc<dyn Handler>,
+) -> Task<()> {
+    let accepting = accept(Rc::clone(host), listener, handler, SERVICE_CONNECTIONS_MAX);
+    host.spawn_permanent(name, accepting)
 }
 
 fn bind(address: SocketAddr) -> Result<Async<TcpListener>, ServeError> {
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -19,6 +19,7 @@
 mod framing;
 mod head;
 mod memory;
+mod progress;
 mod server;
 mod stream;
 
@@ -27,5 +28,6 @@
 pub use framing::{BodyError, Decoded, Decoder, Framing};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use memory::{BodyLimit, MemoryShare, NoMemory, Reservation};
+pub use progress::Progress;
 pub use server::{Answer, Handler, Limits, RejectReason, Request, ServerConnection, Shutdown};
 pub use stream::BufferedStream;
--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -20,6 +20,7 @@
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{ResponseHead, parse_response};
 use super::memory::{BodyBuffer, BodyLimit};
+use super::progress::Progress;
 use super::stream::BufferedStream;
 
 /// Longest head of an answer, in bytes.
@@ -74,6 +75,7 @@
 #[derive(Debug)]
 pub struct ClientConnection<S> {
     stream: BufferedStream<S>,
+    progress: Progress,
     reusable: bool,
     keep_alive_timeout: Option<Duration>,
 }
@@ -99,6 +101,7 @@
     pub fn new(stream: S) -> Self {
         Self {
             stream: BufferedStream::new(stream),
+            progress: Progress::default(),
             reusable: true,
             keep_alive_timeout: None,
         }
@@ -110,6 +113,13 @@
         self.reusable && self.stream.is_idle()
     }
 
+    /// Counts received bytes in `progress`, which other tasks can follow.
+    #[must_use]
+    pub fn with_progress(self, progress: &Progress) -> Self {
+        let progress = progress.clone();
+        Self { progress, ..self }
+    }
+
     /// Returns the time for which the upstream keeps an idle connection open, if it has announced
     /// one.
     pub fn keep_alive_timeout(&self) -> Option<Duration> {
@@ -195,7 +205,10 @@
                 Poll::Ready(Ok(0)) => {
                     return Poll::Ready(Err("the upstream closed the connection".to_owned()));
                 }
-                Poll::Ready(Ok(count)) => exchange.received += count,
+                Poll::Ready(Ok(count)) => {
+                    exchange.received += count;
+                    self.progress.add(count);
+                }
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e.to_string())),
                 Poll::Pending => break,
             }
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -9,7 +9,7 @@
 
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgMatches, Command, value_parser};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 use trefoil_config::{BoundSettings, ServeSettings};
 use trefoil_core::{Bytes, QueueClock};
 use trefoil_daemon::logging;
@@ -63,12 +63,19 @@
         Arc::new(store),
     );
     let executor = Rc::clone(&host.executor);
-    let _timers = host.spawn(async move { clock.drive().await });
     smol::block_on(executor.run(async {
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let stop = wait_for_stop(Rc::clone(&host), path, signals);
-        serve(host, stop).await?;
-        Ok(ExitCode::SUCCESS)
+        let serving = async {
+            serve(host, stop).await?;
+            Ok(ExitCode::SUCCESS)
+        };
+        // Without timers the shutdown would not end either, so a panic of theirs ends the process.
+        let timers = async {
+            clock.drive().await;
+            Err("the timers have ended".into())
+        };
+        serving.or(timers).await
     }))
 }
 
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -15,3 +15,4 @@
 mod returns;
 mod routes;
 mod support;
+mod tasks;
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -78,6 +78,25 @@
     assert_eq!(Message::decode(&earlier), Ok(without));
 }
 
+/// Guards against hosts that drop each other's datagrams during a rolling upgrade: earlier builds
+/// neither send nor expect the age of the configuration, which follows the eras.
+#[test]
+fn the_age_of_the_configuration_is_optional() {
+    let Message::Report(mut without) = report(Some(250)) else {
+        panic!("a report");
+    };
+    without.status.store_era = Some(Era(2));
+    let mut with = without.clone();
+    with.status.config_age_ms = Some(1200);
+    with.status.config_read = Some(ReadId { host: 7, number: 9 });
+    let (with, without) = (Message::Report(with), Message::Report(without));
+    let (bytes, prefix) = (with.encode(), without.encode());
+    let (bytes, prefix) = (bytes.expect("encoded"), prefix.expect("encoded"));
+    assert!(bytes.starts_with(&prefix) && bytes.len() > prefix.len());
+    assert_eq!(Message::decode(&bytes), Ok(with));
+    assert_eq!(Message::decode(&prefix), Ok(without));
+}
+
 fn digest(sequence: Option<u64>) -> Digest {
     let incarnation = Incarnation {
         name: "u1".parse().expect("a name"),
--- a/tests/all/platform/telemetry.rs
+++ b/tests/all/platform/telemetry.rs
@@ -178,6 +178,25 @@
     assert_eq!(changed["source"], "digest", "{changed:?}");
 }
 
+/// Guards against hosts that do not know how old their configuration is, whether they read the store
+/// or leave that to others.
+#[test]
+fn the_age_of_the_configuration_is_known() {
+    let mut fleet = fleet(vec![upstream_spec("p1", "plain")]);
+    fleet.start_host();
+    fleet.start_host();
+    let age = |host: usize| fleet.hosts[host].sum_metric("trefoil_config_staleness_seconds", "");
+    let all = |is_met: &dyn Fn(f64) -> bool| (0..3).all(|host| is_met(age(host))).then_some(());
+    fleet.wait_until_served(2, "/read/x", "");
+    // Longer than any age at which the configuration is still known to be the newest.
+    std::thread::sleep(Duration::from_secs(6));
+    eventually("a current configuration", || all(&|age| age < 4.5));
+    fleet.store.set_fault(StoreFault::Down);
+    eventually("an old configuration", || all(&|age| age > 6.0));
+    fleet.store.set_fault(StoreFault::None);
+    eventually("current again", || all(&|age| age < 4.5));
+}
+
 /// Guards against an operations page that lists other metrics than the program serves.
 #[test]
 fn the_page_lists_the_metrics_of_the_program() {
