Add failing tests of late configurations

Callers of hosts on slow links, or behind relays whose calls for the configuration hang, are routed by an old version.

--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -1,5 +1,6 @@
 //! Fault injection for a store, and the HTTP endpoint that selects the fault.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use trefoil_core::{Clock, Offset};
 use trefoil_http::{Body, Service, full};
-use trefoil_store::{Append, Appended, Batch, Era, Newest, Page, Read, Store, StoreError};
+use trefoil_store::{Append, Appended, Batch, Era, Newest, Page, Read, Store, StoreError, Topic};
 
 /// A fault that every call to a [`FaultyStore`] meets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -41,6 +42,8 @@
     store: Arc<dyn Store>,
     clock: Arc<dyn Clock>,
     fault: Mutex<StoreFault>,
+    /// Faults of single topics, which come before the fault of all.
+    topics: Mutex<BTreeMap<Topic, StoreFault>>,
 }
 
 impl FaultyStore {
@@ -50,6 +53,7 @@
             store,
             clock,
             fault: Mutex::default(),
+            topics: Mutex::default(),
         }
     }
 
@@ -58,14 +62,22 @@
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
-    fn fault(&self) -> StoreFault {
-        *self.fault.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Replaces the current fault of the calls for one topic.
+    pub fn set_topic_fault(&self, topic: Topic, fault: StoreFault) {
+        let mut topics = self.topics.lock().unwrap_or_else(PoisonError::into_inner);
+        topics.insert(topic, fault);
+    }
+
+    fn fault(&self, topic: &Topic) -> StoreFault {
+        let topics = self.topics.lock().unwrap_or_else(PoisonError::into_inner);
+        let of_topic = topics.get(topic).copied();
+        of_topic.unwrap_or_else(|| *self.fault.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Applies the part of the fault that precedes a call: a delay, an error, or no completion at
     /// all.
-    fn apply_fault(&self) -> Boxed<Result<(), StoreError>> {
-        match self.fault() {
+    fn apply_fault(&self, topic: &Topic) -> Boxed<Result<(), StoreError>> {
+        match self.fault(topic) {
             StoreFault::Slow(millis) => {
                 let delay = self.clock.sleep(Duration::from_millis(millis));
                 async move {
@@ -89,8 +101,9 @@
 
 impl Store for FaultyStore {
     fn append(&self, append: Append) -> Boxed<Result<Appended, StoreError>> {
-        let (precondition, store, fault) =
-            (self.apply_fault(), Arc::clone(&self.store), self.fault());
+        let topic = &append.partition.topic;
+        let (precondition, fault) = (self.apply_fault(topic), self.fault(topic));
+        let store = Arc::clone(&self.store);
         async move {
             precondition.await?;
             let appended = store.append(append.clone()).await?;
@@ -106,8 +119,9 @@
     }
 
     fn read(&self, read: Read) -> Boxed<Result<Batch, StoreError>> {
-        let (precondition, store) = (self.apply_fault(), Arc::clone(&self.store));
-        let deleted = self.fault() == StoreFault::Truncated;
+        let topic = &read.partition.topic;
+        let (precondition, store) = (self.apply_fault(topic), Arc::clone(&self.store));
+        let deleted = self.fault(topic) == StoreFault::Truncated;
         async move {
             precondition.await?;
             if deleted {
@@ -120,7 +134,8 @@
     }
 
     fn newest(&self, newest: Newest) -> Boxed<Result<Page, StoreError>> {
-        let (precondition, store) = (self.apply_fault(), Arc::clone(&self.store));
+        let topic = &newest.partition.topic;
+        let (precondition, store) = (self.apply_fault(topic), Arc::clone(&self.store));
         async move {
             precondition.await?;
             store.newest(newest).await
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -5,6 +5,7 @@
 mod bounds;
 mod budget;
 mod changes;
+mod config;
 mod directory;
 mod era;
 mod forward;
--- a/tests/all/gateway/changes.rs
+++ b/tests/all/gateway/changes.rs
@@ -69,6 +69,11 @@
         written.expect("written");
     }
 
+    pub(super) fn write_config(&self, version: u64) {
+        let written = self.registry.write_config(&test_config(version));
+        written.expect("written");
+    }
+
     fn remove(&self, name: &str) {
         let written = self.registry.remove_registration(name);
         written.expect("written");
@@ -109,6 +114,7 @@
     async fn run(&self) {
         let host = &self.host;
         let tasks = [
+            host.spawn(follow::follow_config(Rc::clone(host))),
             host.spawn(follow::follow_registry(Rc::clone(host))),
             host.spawn(relay::receive(Rc::clone(host), Rc::clone(&self.socket))),
             host.spawn(relay::send(Rc::clone(host), Rc::clone(&self.socket))),
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -2,6 +2,7 @@
 //! stand-in platform.
 
 mod calls;
+mod configuration;
 mod connections;
 mod decoding;
 mod endless;
