Limit the pause in a transfer of the configuration, not the whole transfer

Callers of hosts with slow links were routed by an old version for seconds. Change: the limits count from the last byte; the longest transfer is 30 s. A fetch is in flight for as long as its task lives.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -3,8 +3,9 @@
 //! Datagrams only announce that a host has something newer. The data is fetched over a connection
 //! to its peer address, so it costs no call of the store.
 
+use std::cell::RefCell;
 use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -31,9 +32,12 @@
 const CONFIG_PATH: &str = "/v1/config";
 const DIRECTORY_PATH: &str = "/v1/directory";
 
-/// Time in which another host answers.
+/// Time without a byte of an answer after which a fetch fails.
 const TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest time of a fetch.
+const FETCH_MAX: Duration = Duration::from_secs(30);
+
 /// Largest answer in bytes. A configuration can have many routes.
 const ANSWER_MAX: usize = 8 * 1024 * 1024;
 
@@ -41,6 +45,27 @@
 /// digests bring the missing changes first.
 const DIFFERS_DELAY: Duration = Duration::from_millis(400);
 
+/// A fetch of which one at a time is in flight.
+#[derive(Debug, Default)]
+pub(crate) struct InFlight(RefCell<Weak<()>>);
+
+/// Held by the task of a fetch. The fetch ends with it, also if the task panics.
+struct FetchToken {
+    _held: Rc<()>,
+}
+
+impl InFlight {
+    /// Begins a fetch. Returns `None` while one is in flight.
+    fn begin(&self) -> Option<FetchToken> {
+        if self.0.borrow().strong_count() > 0 {
+            return None;
+        }
+        let held = Rc::new(());
+        self.0.replace(Rc::downgrade(&held));
+        Some(FetchToken { _held: held })
+    }
+}
+
 /// Handler of the requests of other hosts.
 #[derive(Debug)]
 pub struct PeerHandler {
@@ -133,7 +158,7 @@
 /// Fetches the configuration of another host, which has a `version` that it has read in `era`,
 /// unless a fetch is in flight.
 pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick, version: u64, era: Era) {
-    let Some((shared, address)) = begin_fetch(host, from, now, &host.fetching_config) else {
+    let Some((shared, address, token)) = begin_fetch(host, from, &host.fetching_config) else {
         return;
     };
     let task = async move {
@@ -153,7 +178,7 @@
                     "reason" => reason);
             }
         }
-        shared.fetching_config.set(None);
+        drop(token);
     };
     host.spawn(task).detach();
 }
@@ -172,7 +197,7 @@
     if !urgent && now.since(since) < DIFFERS_DELAY {
         return;
     }
-    let Some((shared, address)) = begin_fetch(host, from, now, &host.fetching_directory) else {
+    let Some((shared, address, token)) = begin_fetch(host, from, &host.fetching_directory) else {
         return;
     };
     let task = async move {
@@ -181,7 +206,7 @@
             Err(reason) => debug!(shared.log, "directory not fetched"; "from" => %address,
                 "reason" => reason),
         }
-        shared.fetching_directory.set(None);
+        drop(token);
     };
     host.spawn(task).detach();
 }
@@ -221,15 +246,10 @@
 fn begin_fetch(
     host: &Host,
     from: HostId,
-    now: Tick,
-    in_progress: &std::cell::Cell<Option<Tick>>,
-) -> Option<(Rc<Host>, SocketAddr)> {
-    let busy = in_progress
-        .get()
-        .is_some_and(|at| now.since(at) < 2 * TIMEOUT);
-    let address = host.peers.borrow().address(from).filter(|_| !busy)?;
-    in_progress.set(Some(now));
-    Some((host.to_shared()?, address))
+    in_flight: &InFlight,
+) -> Option<(Rc<Host>, SocketAddr, FetchToken)> {
+    let address = host.peers.borrow().address(from)?;
+    Some((host.to_shared()?, address, in_flight.begin()?))
 }
 
 async fn get(
@@ -239,7 +259,7 @@
     progress: &Progress,
 ) -> Result<Bytes, String> {
     let timeout = async {
-        host.clock.sleep(TIMEOUT).await;
+        progress.stalled(&*host.clock, TIMEOUT, FETCH_MAX).await;
         Err("no answer in time".to_owned())
     };
     let exchange = async {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -25,6 +25,7 @@
 use crate::coordinator::{EndedTerms, EraSeen, Reassemblies, Terms};
 use crate::discovery;
 use crate::era::EraSource;
+use crate::fetch::InFlight;
 use crate::freshness::{Freshness, Source};
 use crate::memory::Memory;
 use crate::message::{ChangeItem, Removal};
@@ -118,10 +119,10 @@
     pub(crate) config_era: Cell<Era>,
     /// Highest known era of the store.
     pub(crate) store_era: Cell<Option<Era>>,
-    /// Start of the configuration fetch in flight.
-    pub(crate) fetching_config: Cell<Option<Tick>>,
-    /// Start of the directory fetch in flight.
-    pub(crate) fetching_directory: Cell<Option<Tick>>,
+    /// The fetch of the configuration.
+    pub(crate) fetching_config: InFlight,
+    /// The fetch of the directory.
+    pub(crate) fetching_directory: InFlight,
     /// Since when the directory differs from that of a relay.
     pub(crate) directory_differs: Cell<Option<Tick>>,
     /// Received parts of routes.
@@ -202,8 +203,8 @@
             raw_config: RefCell::default(),
             config_era: Cell::default(),
             store_era: Cell::default(),
-            fetching_config: Cell::default(),
-            fetching_directory: Cell::default(),
+            fetching_config: InFlight::default(),
+            fetching_directory: InFlight::default(),
             directory_differs: Cell::default(),
             reassemblies: RefCell::default(),
             missing_routes: RefCell::default(),
--- a/tests/all/gateway/config.rs
+++ b/tests/all/gateway/config.rs
@@ -135,7 +135,9 @@
 #[test]
 fn a_configuration_is_in_force_although_the_relays_calls_for_it_hang() {
     let members = members(Duration::from_millis(5));
-    members.iter().for_each(|member| member.write_config(1));
+    for member in &members {
+        member.write_config(1);
+    }
     let mut times = Vec::new();
     let test = async {
         wait(Duration::from_secs(2)).await;
@@ -145,7 +147,9 @@
         }
         // A call that is under way when the fault begins is still answered.
         wait(Duration::from_secs(5)).await;
-        members.iter().for_each(|member| member.write_config(2));
+        for member in &members {
+            member.write_config(2);
+        }
         let begun = Instant::now();
         for member in &members {
             times.push(time_to_take(member, 2, begun).await);
