Bound the age of each host's configuration by its own knowledge

Callers in a whole domain could be routed by an old version for as long as its relays' calls for the configuration hung, and the third host of a domain read all of it again and again beside its own fetch. Change: every host reads the store once its own configuration was not known to be the newest for 0.45 to 0.7 of the new setting bounds.config-apply-ms; the relays' reads wait 0.3 of it instead of 4 s, and their answers confirm the version for hosts with the same one. Fetches carry the position up to which a configuration is complete, so a host that takes over reads only what is newer. A read that makes progress is no longer cancelled by news of a newer version.

--- a/crates/config/src/serve.rs
+++ b/crates/config/src/serve.rs
@@ -73,6 +73,9 @@
     /// Milliseconds within which a draining upstream stops getting new requests.
     #[garde(range(min = 0.0, max = 600_000.0))]
     pub drain_ms: Option<f64>,
+    /// Milliseconds within which an accepted configuration must be in force.
+    #[garde(range(min = 0.0, max = 600_000.0))]
+    pub config_apply_ms: Option<f64>,
     /// Seconds from the stop signal to the exit of the process.
     #[garde(range(min = 0.0, max = 3600.0))]
     pub grace_s: Option<f64>,
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -10,6 +10,8 @@
 pub struct Bounds {
     /// Time within which a draining upstream stops receiving new requests.
     pub drain: Duration,
+    /// Time within which an accepted configuration is in force on all hosts.
+    pub config_apply: Duration,
     /// Time between the stop signal and the end of the process.
     pub grace: Duration,
     /// Retries as a share of the requests in a window.
@@ -23,8 +25,9 @@
 }
 
 /// Time between two reads of the registry by the first reader of a domain, as a share of
-/// [`Bounds::drain`]. The rest of that time is for the read itself and for informing the other
-/// hosts.
+/// [`Bounds::drain`], and its wait for the next configuration, as a share of
+/// [`Bounds::config_apply`]. The rest of that time is for the read itself and for informing the
+/// other hosts.
 const FIRST_READER_SHARE: f64 = 0.3;
 
 /// Time between two reads of the registry by the second reader, which covers the loss of the first,
@@ -32,8 +35,8 @@
 const SECOND_READER_SHARE: f64 = 0.7;
 
 /// Age of the directory at which the second host of a domain reads the registry, as a share of
-/// [`Bounds::drain`]. With the pace of the first reader, the age stays below it unless that reader
-/// fails.
+/// [`Bounds::drain`], and of the configuration, as a share of [`Bounds::config_apply`]. With the
+/// pace of the first reader, the age stays below it unless that reader fails.
 const TAKEOVER_SHARE: f64 = 0.45;
 
 /// Increase of that share with each doubling of a host's position. The hosts between two steps read
@@ -77,9 +80,18 @@
     /// Age of the directory at which a host reads the registry itself, whatever others claim to do.
     /// `position` is the number of live hosts in its domain that rank before it.
     pub fn takeover_age(&self, position: usize) -> Duration {
-        let doublings = f64::from(position.max(1).ilog2());
-        let share = TAKEOVER_SHARE + TAKEOVER_STEP * doublings;
-        self.drain.mul_f64(share.min(TAKEOVER_SHARE_MAX))
+        self.drain.mul_f64(takeover_share(position))
+    }
+
+    /// Age of the configuration at which a host reads the store itself, like
+    /// [`takeover_age`](Self::takeover_age).
+    pub fn config_takeover_age(&self, position: usize) -> Duration {
+        self.config_apply.mul_f64(takeover_share(position))
+    }
+
+    /// Time for which a read waits for the next configuration. Its answer confirms the one in force.
+    pub fn config_wait(&self) -> Duration {
+        self.config_apply.mul_f64(FIRST_READER_SHARE)
     }
 
     /// Time without a read of the registry by any host after which the registry was unavailable.
@@ -99,10 +111,17 @@
     }
 }
 
+fn takeover_share(position: usize) -> f64 {
+    let doublings = f64::from(position.max(1).ilog2());
+    let share = TAKEOVER_SHARE + TAKEOVER_STEP * doublings;
+    share.min(TAKEOVER_SHARE_MAX)
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
             drain: Duration::from_secs(2),
+            config_apply: Duration::from_secs(2),
             grace: Duration::from_secs(6),
             retry_ratio: 0.1,
             retry_fixed: 10.0,
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -11,27 +11,30 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::BoxedLocal;
-use http::header::{HOST, HeaderValue};
+use http::header::{HOST, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use slog::{debug, info, warn};
 use smol::Async;
-use trefoil_core::{HostId, Tick};
+use trefoil_core::{HostId, Offset, Tick};
 use trefoil_directory::Registration;
 use trefoil_http::h1::{
     Answer, BodyLimit, ClientConnection, Handler, Limits, Match, Progress, RejectReason, Request,
-    RequestHead, encode_request,
+    RequestHead, Response, encode_request,
 };
 use trefoil_store::Era;
 
-use crate::follow;
+use crate::follow::{self, Position};
 use crate::freshness::Source;
 use crate::host::Host;
-use crate::message::ReadId;
+use crate::message::{ReadId, SyncStatus};
 use crate::peers::whole_millis;
 
 const CONFIG_PATH: &str = "/v1/config";
 const DIRECTORY_PATH: &str = "/v1/directory";
 
+/// Position up to which a configuration contains every change, and its era.
+const POSITION: HeaderName = HeaderName::from_static("trefoil-config-position");
+
 /// Time without a byte of an answer after which a fetch fails.
 const TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -55,9 +58,14 @@
 }
 
 impl InFlight {
+    /// Returns `true` while a fetch is in flight.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.0.borrow().strong_count() > 0
+    }
+
     /// Begins a fetch. Returns `None` while one is in flight.
     fn begin(&self) -> Option<FetchToken> {
-        if self.0.borrow().strong_count() > 0 {
+        if self.is_begun() {
             return None;
         }
         let held = Rc::new(());
@@ -100,6 +108,10 @@
             _ => None,
         };
         let mut answer = Answer::empty(StatusCode::OK);
+        let position = self.host.config_position.get();
+        if let Some(position) = position.filter(|_| request.head.path() == CONFIG_PATH) {
+            answer.headers.extend(encode_position(position));
+        }
         match body {
             Some(body) => answer.body = body,
             None => answer.status = StatusCode::NOT_FOUND,
@@ -112,6 +124,22 @@
     }
 }
 
+/// Encodes a position of the configuration. Earlier builds ignore the header field.
+fn encode_position(position: Position) -> Option<(HeaderName, HeaderValue)> {
+    let text = format!("{} {}", position.offset.0, position.era.0);
+    Some((POSITION, HeaderValue::from_str(&text).ok()?))
+}
+
+/// Decodes the position of a fetched configuration, unless an earlier build sent it.
+fn decode_position(headers: &HeaderMap) -> Option<Position> {
+    let text = headers.get(POSITION)?.to_str().ok()?;
+    let (offset, era) = text.split_once(' ')?;
+    Some(Position {
+        offset: Offset(offset.parse().ok()?),
+        era: Era(era.parse().ok()?),
+    })
+}
+
 /// Encodes the directory for a host that copies it. Returns `None` if it must not be copied, or if
 /// there is no memory for it.
 fn encode_directory(host: &Host) -> Option<Bytes> {
@@ -155,9 +183,9 @@
     Ok(listing)
 }
 
-/// Fetches the configuration of another host, which has a `version` that it has read in `era`,
-/// unless a fetch is in flight.
-pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick, version: u64, era: Era) {
+/// Fetches the configuration of another host, which has reported this status, unless a fetch is in
+/// flight.
+pub(crate) fn fetch_config(host: &Host, from: HostId, now: Tick, status: SyncStatus) {
     let Some((shared, address, token)) = begin_fetch(host, from, &host.fetching_config) else {
         return;
     };
@@ -167,14 +195,19 @@
         let after = shared.now().since(now);
         let received = progress.received();
         match fetched {
-            Ok(body) => {
+            Ok(Response { head, body }) => {
                 info!(shared.log, "configuration fetched"; "from" => %address,
                     "bytes" => received, "after_ms" => after.as_millis());
-                follow::load_config(&shared, &body, era);
+                follow::load_config(&shared, &body, status.config_era);
+                if let Some(position) = decode_position(&head.headers) {
+                    shared.advance_config(position);
+                }
+                // The report holds for this version, which was not in force when it arrived.
+                shared.compare_config(now, status);
             }
             Err(reason) => {
                 warn!(shared.log, "configuration not fetched"; "from" => %address,
-                    "version" => version, "bytes" => received, "after_ms" => after.as_millis(),
+                    "version" => status.config_version, "bytes" => received, "after_ms" => after.as_millis(),
                     "reason" => reason);
             }
         }
@@ -202,7 +235,7 @@
     };
     let task = async move {
         match get(&shared, address, DIRECTORY_PATH, &Progress::default()).await {
-            Ok(body) => apply_directory(&shared, now, &body),
+            Ok(response) => apply_directory(&shared, now, &response.body),
             Err(reason) => debug!(shared.log, "directory not fetched"; "from" => %address,
                 "reason" => reason),
         }
@@ -257,7 +290,7 @@
     address: SocketAddr,
     path: &str,
     progress: &Progress,
-) -> Result<Bytes, String> {
+) -> Result<Response, String> {
     let timeout = async {
         progress.stalled(&*host.clock, TIMEOUT, FETCH_MAX).await;
         Err("no answer in time".to_owned())
@@ -277,7 +310,7 @@
             .await;
         let reply = reply.map_err(|e| e.to_string())?;
         match reply.head.status {
-            StatusCode::OK => Ok(reply.body),
+            StatusCode::OK => Ok(reply),
             status => Err(status.to_string()),
         }
     };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,8 +5,8 @@
 //! it starts again with the newest records.
 //!
 //! The configuration changes rarely and must be in force soon, so its follower long-polls the store
-//! for the next record. The poll is short enough to notice a silent connection in time. The
-//! registry changes with every heartbeat of every upstream, so a long poll would return at once
+//! for the next record. The poll is short, because its answer also confirms that the configuration
+//! in force is the newest. The registry changes with every heartbeat of every upstream, so a long poll would return at once
 //! every time. It is read at a fixed pace instead.
 
 use std::collections::HashMap;
@@ -23,10 +23,6 @@
 use crate::freshness::{Reads, Source};
 use crate::host::Host;
 
-/// Longest poll for a new configuration. A configuration must be in force 2 s after it was
-/// accepted; a silent connection delays that by at most this time.
-const CONFIG_WAIT: Duration = Duration::from_secs(4);
-
 /// Time between two checks whether this host must read the store.
 const ROLE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -41,9 +37,6 @@
 /// Longest wait after a refused call.
 const BACKOFF_MAX: Duration = Duration::from_secs(1);
 
-/// Age of a call from which on it is retried if another host has a newer configuration.
-const OVERTAKEN_AFTER: Duration = Duration::from_millis(500);
-
 /// Keys with their new values, or `None` for removed keys.
 type Records = Vec<(String, Option<Bytes>)>;
 
@@ -51,28 +44,48 @@
 pub async fn follow_config(host: Rc<Host>) {
     let (partition, key) = host.platform.config_partition();
     let key = key.to_owned();
-    let mut follower = Follower::new(&host, partition, CONFIG_WAIT);
-    follower.watches_versions = true;
+    let mut follower = Follower::new(&host, partition, Duration::ZERO);
+    let mut reads = Reads::default();
     loop {
         let now = host.now();
-        if host.defers_first_read(now) || (host.router().is_some() && !host.reads_store(now)) {
-            follower.reset();
-            host.clock.sleep(ROLE_INTERVAL).await;
+        let due = host.config_due(now, &reads);
+        // A read beside a fetch would slow down both, and the fetch ends soon if it is stalled.
+        if host.defers_first_read(now) || now < due || host.fetching_config.is_begun() {
+            wait_for_role(&host, now, due).await;
             continue;
         }
-        let answer = follower.next().await;
+        host.log_config_takeover(now, &reads);
+        follower.wait = host.bounds.get().config_wait();
+        follower.adopt(host.config_position.get());
+        let Some(answer) = follower.try_next().await else {
+            let now = host.now();
+            reads.failed = Some(now);
+            if host.router().is_none() || host.peers.borrow().is_relay(now) {
+                follower.back_off().await;
+            }
+            continue;
+        };
+        reads.succeeded(host.now());
         for (name, value) in answer.records {
             match value {
                 Some(value) if name == key => load_config(&host, &value, answer.era),
                 _ => {}
             }
         }
+        host.config_position.set(follower.position);
         if let Some(as_of) = follower.read_as_of.filter(|_| host.router().is_some()) {
             host.confirm_config(as_of);
         }
     }
 }
 
+/// Waits until `due`, but not for long: the role of the host and the age of its copy change.
+async fn wait_for_role(host: &Host, now: Tick, due: Tick) {
+    let next = now.after(ROLE_INTERVAL);
+    let wake = if now < due { due.min(next) } else { next };
+    host.clock.sleep_until(wake).await;
+}
+
 /// Decodes a configuration that was read in `era` and puts it in force.
 pub fn load_config(host: &Host, value: &Bytes, era: Era) {
     if host.raw_config.borrow().as_ref() == Some(value) {
@@ -111,10 +124,7 @@
             due => due,
         };
         if host.defers_first_read(now) || now < due {
-            // A host that rejoins its domain or loses a relay is due at another time.
-            let next = now.after(ROLE_INTERVAL);
-            let wake = if now < due { due.min(next) } else { next };
-            host.clock.sleep_until(wake).await;
+            wait_for_role(&host, now, due).await;
             continue;
         }
         let expired = reads
@@ -216,10 +226,10 @@
 }
 
 /// Place in a partition, which is valid within one era.
-#[derive(Debug, Clone, Copy)]
-struct Position {
-    offset: Offset,
-    era: Era,
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Position {
+    pub(crate) offset: Offset,
+    pub(crate) era: Era,
 }
 
 /// Reads the records of a compacted topic.
@@ -239,8 +249,6 @@
     /// As of when the last read has returned everything up to the end of the partition, if it has.
     read_as_of: Option<Tick>,
     lost: bool,
-    /// Reports of other hosts reveal a newer version.
-    watches_versions: bool,
 }
 
 impl Follower {
@@ -256,14 +264,15 @@
             answered_at: None,
             read_as_of: None,
             lost: false,
-            watches_versions: false,
         }
     }
 
-    /// Resets the follower while another host reads instead of this one.
-    fn reset(&mut self) {
-        self.position = None;
-        self.lost = false;
+    /// Goes on at a position up to which another host has told this one everything.
+    fn adopt(&mut self, position: Option<Position>) {
+        if self.position != position {
+            self.position = position;
+            self.known_era = self.known_era.max(position.map(|p| p.era));
+        }
     }
 
     /// Returns `true` if the next read starts with the newest record of each key.
@@ -271,16 +280,6 @@
         self.position.is_none()
     }
 
-    /// Returns the next records and waits until the store answers.
-    async fn next(&mut self) -> Answer {
-        loop {
-            if let Some(answer) = self.try_next().await {
-                return answer;
-            }
-            self.back_off().await;
-        }
-    }
-
     /// Returns the next records, or `None` if the call fails. If they have been deleted, or if the
     /// position does not hold any more, it returns an empty list and the next read starts again
     /// with the newest records.
@@ -306,8 +305,7 @@
             // Another follower reaches the store again, so this call may be blocked on a dead
             // connection, or it starts at a position that does not hold any more.
             let overtaken = async {
-                let woken = regained.or(restored);
-                woken.or(self.wait_until_outdated(sent)).await;
+                regained.or(restored).await;
                 None
             };
             let Some(result) = read.or(overtaken).await else {
@@ -349,17 +347,6 @@
         Answer::default()
     }
 
-    /// Completes when another host has had a newer configuration for some time that this host's
-    /// call should have returned.
-    async fn wait_until_outdated(&self, sent: Tick) {
-        loop {
-            self.host.events.newer_config.listen().await;
-            if self.watches_versions && self.host.now().since(sent) > OVERTAKEN_AFTER {
-                return;
-            }
-        }
-    }
-
     async fn read_newest(&self) -> Result<Answer, StoreError> {
         let mut records = Vec::new();
         let mut after = None;
--- a/crates/gateway/src/freshness.rs
+++ b/crates/gateway/src/freshness.rs
@@ -26,7 +26,7 @@
 pub(crate) use copy::Freshness;
 use known_reads::KnownReads;
 
-/// Wait after a failed read of a host that has no directory yet.
+/// Wait after a failed read of a host that cannot serve yet.
 const FIRST_RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// Time since the last read within which another one is not logged as a takeover.
@@ -52,7 +52,7 @@
     Upstream,
 }
 
-/// Reads of the registry by this host.
+/// Reads of one kind of data by this host.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Reads {
     /// When the last read was answered.
@@ -61,6 +61,17 @@
     pub(crate) failed: Option<Tick>,
 }
 
+/// Times of a host's reads.
+#[derive(Debug, Clone, Copy)]
+struct Schedule {
+    /// Times between two reads by the first and the second relay.
+    paces: [Duration; RELAYS],
+    /// Time between two reads by a host that has taken over, in which a more current one is heard.
+    lead: Duration,
+    /// Age of the copy at which any host reads.
+    takeover: Duration,
+}
+
 impl Reads {
     /// Records an answered read.
     pub(crate) fn succeeded(&mut self, now: Tick) {
@@ -199,16 +210,43 @@
     pub(crate) fn registry_due(&self, now: Tick, reads: &Reads) -> Tick {
         let bounds = self.bounds.get();
         let position = self.peers.borrow().position(now);
-        let overdue = self
-            .directory_freshness
-            .as_of()
-            .map_or(now, |at| at.after(bounds.takeover_age(position)));
-        let leads = reads.ended.is_some() && reads.ended >= self.directory_freshness.as_of();
+        let schedule = Schedule {
+            paces: [0, 1].map(|before| bounds.registry_pace(before)),
+            lead: bounds.registry_pace(0),
+            takeover: bounds.takeover_age(position),
+        };
+        self.read_due(now, &self.directory_freshness, reads, position, schedule)
+    }
+
+    /// When this host reads the configuration next, like [`registry_due`](Self::registry_due). The
+    /// reads of the relays wait in the store for the next configuration and follow each other.
+    pub(crate) fn config_due(&self, now: Tick, reads: &Reads) -> Tick {
+        let position = self.peers.borrow().position(now);
+        let bounds = self.bounds.get();
+        let schedule = Schedule {
+            paces: [Duration::ZERO; RELAYS],
+            lead: bounds.config_wait(),
+            takeover: bounds.config_takeover_age(position),
+        };
+        self.read_due(now, &self.config_freshness, reads, position, schedule)
+    }
+
+    fn read_due(
+        &self,
+        now: Tick,
+        copy: &Freshness,
+        reads: &Reads,
+        position: usize,
+        schedule: Schedule,
+    ) -> Tick {
+        let overdue = copy.as_of().map_or(now, |at| at.after(schedule.takeover));
+        let leads = reads.ended.is_some() && reads.ended >= copy.as_of();
+        let [first, second] = schedule.paces;
         let pace = match (position, reads.ended) {
-            (0, Some(at)) => Some(at.after(bounds.registry_pace(0))),
-            // Nobody has a more current directory than this host, which has taken over.
-            (_, Some(at)) if leads => Some(at.after(bounds.registry_pace(0))),
-            (1, Some(at)) => Some(at.after(bounds.registry_pace(1))),
+            (0, Some(at)) => Some(at.after(first)),
+            // Nobody has a more current copy than this host, which has taken over.
+            (_, Some(at)) if leads => Some(at.after(schedule.lead)),
+            (1, Some(at)) => Some(at.after(second)),
             _ => None,
         };
         let due = pace.map_or(overdue, |at| at.min(overdue));
@@ -219,7 +257,7 @@
     }
 
     fn retry_delay(&self, position: usize) -> Duration {
-        if !self.has_directory() {
+        if !self.has_directory() || self.router().is_none() {
             return FIRST_RETRY_DELAY;
         }
         let step = u32::try_from(position - RELAYS + 1).unwrap_or(u32::MAX);
@@ -228,11 +266,26 @@
 
     /// Logs a read of the registry by a host that has left it to others so far.
     pub(crate) fn log_takeover(&self, now: Tick, reads: &Reads) {
-        let position = self.peers.borrow().position(now);
-        let recent = reads.ended.is_some_and(|at| now.since(at) < TAKEOVER_QUIET);
-        if position > 0 && !recent && self.directory_freshness.as_of().is_some() {
+        let as_of = self.directory_freshness.as_of();
+        if let Some(position) = self.takeover_position(now, as_of, reads) {
             info!(self.log, "directory overdue"; "position" => position,
-                "directory_age_ms" => age_ms(now, self.directory_freshness.as_of()));
+                "directory_age_ms" => age_ms(now, as_of));
         }
     }
+
+    /// Logs a read of the configuration by a host that has left it to others so far.
+    pub(crate) fn log_config_takeover(&self, now: Tick, reads: &Reads) {
+        let as_of = self.config_freshness.as_of();
+        if let Some(position) = self.takeover_position(now, as_of, reads) {
+            info!(self.log, "configuration overdue"; "position" => position,
+                "config" => self.config_version().0, "config_age_ms" => age_ms(now, as_of));
+        }
+    }
+
+    /// Position of this host if its next read takes over from the hosts before it.
+    fn takeover_position(&self, now: Tick, as_of: Option<Tick>, reads: &Reads) -> Option<usize> {
+        let position = self.peers.borrow().position(now);
+        let recent = reads.ended.is_some_and(|at| now.since(at) < TAKEOVER_QUIET);
+        (position > 0 && !recent && as_of.is_some()).then_some(position)
+    }
 }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -26,6 +26,7 @@
 use crate::discovery;
 use crate::era::EraSource;
 use crate::fetch::InFlight;
+use crate::follow::Position;
 use crate::freshness::{Freshness, Source};
 use crate::memory::Memory;
 use crate::message::{ChangeItem, Removal};
@@ -56,8 +57,6 @@
     pub routes: Event,
     /// A request has ended, which frees capacity of an upstream.
     pub capacity: Event,
-    /// Another host has a newer configuration.
-    pub newer_config: Event,
     /// The store answers again after an outage.
     pub store_recovered: Event,
     /// The store has come back from an older copy.
@@ -115,6 +114,8 @@
     pub(crate) changes: RefCell<RecentChanges>,
     /// The configuration in force, in the platform's encoding.
     pub(crate) raw_config: RefCell<Option<Bytes>>,
+    /// Place in the store's topic up to which the configuration in force contains every change.
+    pub(crate) config_position: Cell<Option<Position>>,
     /// Era of the store in which the configuration was read last.
     pub(crate) config_era: Cell<Era>,
     /// Highest known era of the store.
@@ -201,6 +202,7 @@
             reported_open: RefCell::default(),
             changes: RefCell::default(),
             raw_config: RefCell::default(),
+            config_position: Cell::default(),
             config_era: Cell::default(),
             store_era: Cell::default(),
             fetching_config: InFlight::default(),
@@ -396,6 +398,15 @@
         true
     }
 
+    /// Records that the configuration in force contains every change before `position`.
+    pub(crate) fn advance_config(&self, position: Position) {
+        let known = self.config_position.get();
+        let order = |position: Position| (position.era, position.offset);
+        if known.is_none_or(|known| order(known) < order(position)) {
+            self.config_position.set(Some(position));
+        }
+    }
+
     /// Applies changes of the directory, which come from `source`.
     pub fn apply_changes(&self, changes: Vec<Change>, source: Source) {
         if changes.is_empty() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,9 +6,8 @@
 //! hosts, and a relay as many as its domain has hosts. The second relay does the same less often
 //! and takes over when the first one falls silent.
 //!
-//! A host reads the configuration itself only if fewer than two hosts that rank before it in its
-//! domain reach the store, and the registry if its own directory is too old, see
-//! [`crate::freshness`]. The others receive changes of the directory in digests. They fetch a newer
+//! The relays read the configuration and the registry, and so does any other host whose own copy is
+//! too old, see [`crate::freshness`]. The others receive changes of the directory in digests. They fetch a newer
 //! configuration from any host that has it. They copy the whole directory, if its digest differs,
 //! from the first relay that reaches the store, or from any host that is more current once their
 //! own is too old.
@@ -468,8 +467,7 @@
     let now = host.now();
     let known = (host.config_version().0, host.config_era.get());
     if (status.config_version, status.config_era) > known {
-        host.events.newer_config.notify(usize::MAX);
-        fetch::fetch_config(host, from, now, status.config_version, status.config_era);
+        fetch::fetch_config(host, from, now, status);
     }
     // The two relays read the registry at different times, so a host that copied both would
     // alternate between two views.
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -144,6 +144,7 @@
     };
     Bounds {
         drain: or_default(settings.drain_ms, 0.001, defaults.drain),
+        config_apply: or_default(settings.config_apply_ms, 0.001, defaults.config_apply),
         grace: or_default(settings.grace_s, 1.0, defaults.grace),
         retry_ratio: settings.repeat_ratio.unwrap_or(defaults.retry_ratio),
         retry_fixed: settings.repeat_fixed.unwrap_or(defaults.retry_fixed),
