Decode the limit that an upstream names in its answers

Upstreams in need name the requests a second that they take; nothing read it, so neither logs nor decisions could know of it. Change: the adapter decodes it once into a Notice; of several values the smallest counts, and one that is no finite number of at least 0 is an error with its place. Measured: platform::decoding::the_limit_of_an_upstream_is_decoded passes (new function); no decision uses it yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -43,5 +43,5 @@
 pub use host::{Host, Telemetry};
 pub use memory::Memory;
 pub use metrics::{LostLines, Metrics};
-pub use platform::{Call, DecodeError, HeaderNames, Platform};
+pub use platform::{Call, DecodeError, HeaderNames, Notice, Platform};
 pub use serve::{ServeError, serve};
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -6,6 +6,7 @@
 use http::header::HeaderName;
 use http::{HeaderMap, Method};
 use snafu::Snafu;
+use trefoil_core::PerSecond;
 use trefoil_directory::Registration;
 use trefoil_http::h1::ResponseHead;
 use trefoil_ranges::{Order, OrderOutcome};
@@ -41,6 +42,13 @@
     pub responder: HeaderName,
 }
 
+/// Statements of an upstream about itself in an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Notice {
+    /// Requests that it takes from all hosts together, if it limits them.
+    pub limit: Option<PerSecond>,
+}
+
 /// An HTTP call.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -82,6 +90,13 @@
     /// Encodes an order to an upstream as a call.
     fn encode_order(&self, order: &Order) -> Call;
 
+    /// Decodes what an upstream says about itself in the head of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a statement cannot be understood.
+    fn decode_notice(&self, head: &ResponseHead) -> Result<Notice, DecodeError>;
+
     /// Decodes an upstream's answer to an order.
     fn decode_order_answer(&self, order: &Order, head: &ResponseHead) -> OrderOutcome;
 }
--- a/tests/all/platform/decoding.rs
+++ b/tests/all/platform/decoding.rs
@@ -161,3 +161,33 @@
         assert_eq!(answer(status, None), OrderOutcome::NoAnswer, "{status}");
     }
 }
+
+/// Guards against a limit of an upstream that is misread: as none, as that of a field that is no
+/// number, or as the larger one of two.
+#[test]
+fn the_limit_of_an_upstream_is_decoded() {
+    let read = |values: &[&str]| {
+        let mut headers = HeaderMap::new();
+        for value in values {
+            let value = HeaderValue::from_str(value).expect("a value");
+            headers.append("server-limit", value);
+        }
+        let head = ResponseHead {
+            status: http::StatusCode::OK,
+            minor: 1,
+            headers,
+        };
+        let notice = UsersPlatform::new().decode_notice(&head);
+        notice.map(|notice| notice.limit.map(|rate| rate.0)).ok()
+    };
+    assert_eq!(read(&[]), Some(None));
+    assert_eq!(read(&["1.3"]), Some(Some(1.3)));
+    assert_eq!(read(&[" 8 "]), Some(Some(8.0)));
+    assert_eq!(read(&["0"]), Some(Some(0.0)));
+    assert_eq!(read(&["1e9"]), Some(Some(1e9)));
+    assert_eq!(read(&["4", "2.5"]), Some(Some(2.5)));
+    for bad in ["-1", "NaN", "inf", "soon", "", "1,5", "4 5"] {
+        assert_eq!(read(&[bad]), None, "{bad:?}");
+        assert_eq!(read(&["4", bad]), None, "{bad:?}");
+    }
+}
