Keep all hosts together within the limit that an upstream names

Upstreams in need got twice the requests a second that they had named, so they failed callers who could have been refused or sent elsewhere. Cause: nothing looked at the limit, and one that each host keeps for itself is exceeded by all together. Change: hosts count what they send to a limited upstream and what they would, tell the counts in reports, and admit a request with a probability that leaves all together within the room of 4 s; what does not fit goes to another upstream or is refused at once, and the planner takes the limit for the owner's capacity. Statements that a host has only heard of are not told on.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -230,14 +230,19 @@
         Err(self.service_time(now, tag).div_f64(f64::from(slots)))
     }
 
-    /// Selects an upstream of a service, except those in `tried`.
-    pub fn choose(
+    /// Selects an upstream of a service, except those in `tried` and those that `admit` rejects with
+    /// the time after which they may take a request.
+    pub fn choose<F>(
         &self,
         now: Tick,
         service: &ServiceName,
         need: Requirement,
         tried: &[Tag],
-    ) -> Choice {
+        mut admit: F,
+    ) -> Choice
+    where
+        F: FnMut(Tag) -> Result<(), Duration>,
+    {
         let Some(service) = self.services.get(service) else {
             return Choice::NoCandidate;
         };
@@ -245,7 +250,8 @@
         let (mut local, mut remote) = (None, None);
         let mut room: Option<Duration> = None;
         for member in members {
-            if let Err(wait) = self.check_admission(now, member.tag, need) {
+            let admitted = self.check_admission(now, member.tag, need);
+            if let Err(wait) = admitted.and_then(|()| admit(member.tag)) {
                 room = Some(room.map_or(wait, |r| r.min(wait)));
                 continue;
             }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -7,17 +7,22 @@
 //! the request is refused at once: a caller can retry after an early refusal, while a late answer
 //! is worth little and delays the requests queued behind it.
 //!
+//! An upstream may state how many requests a second it takes from all hosts together. [`Limits`] keeps
+//! all hosts together within that.
+//!
 //! [`RetryBudget`] bounds the number of retries. The bound applies to all hosts together, so each
 //! host uses a share of it.
 
 mod balancer;
 mod estimate;
+mod limits;
 mod load;
 mod retry;
 mod tally;
 
 pub use balancer::{Balancer, Choice, Member, Requirement};
 pub use estimate::Estimate;
+pub use limits::{Fleet, LimitReport, LimitTally, Limits, Statement, Usage, without_own};
 pub use load::{Load, Outcome};
 pub use retry::RetryBudget;
 pub use tally::Tally;
--- a/crates/gateway/src/cause.rs
+++ b/crates/gateway/src/cause.rs
@@ -32,6 +32,9 @@
     /// The owner of the key is predicted to answer too late.
     #[display("the owner is busy")]
     OwnerBusy,
+    /// The owner of the key takes no more requests a second.
+    #[display("the owner limits requests")]
+    OwnerLimited,
     /// The memory for requests or answers is in use.
     #[display("no memory")]
     NoMemory,
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -49,6 +49,9 @@
 const CAPACITY_WEIGHT_MAX: f64 = 1.6;
 const CAPACITY_WEIGHT_SLOPE: f64 = 1.5;
 
+/// Smallest capacity of an upstream in requests per second. One may state a limit of 0.
+const CAPACITY_MIN: f64 = 0.1;
+
 /// Smallest weight of an upstream's capacity.
 const CAPACITY_WEIGHT_MIN: f64 = 0.4;
 
@@ -513,11 +516,14 @@
         }
         let eligible = ready.iter().filter(|r| !is_suspected(&r.incarnation));
         let objective = host.objective(service);
+        let limits = host.limits.borrow();
         let candidate = |r: &&Rc<Registration>| {
-            let time = balancer.service_time(now, Tag::of(&r.incarnation.name));
+            let tag = Tag::of(&r.incarnation.name);
+            let capacity = capacity(r.slots, balancer.service_time(now, tag), objective);
+            let limit = limits.rate(tag).map_or(f64::INFINITY, |rate| rate.0);
             Candidate {
                 incarnation: r.incarnation.clone(),
-                capacity: capacity(r.slots, time, objective),
+                capacity: capacity.min(limit).max(CAPACITY_MIN),
             }
         };
         Ok(eligible.map(candidate).collect())
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -236,6 +236,7 @@
         &job.service,
         latency_need(job, now, left),
         &progress.avoid,
+        |tag| host.admit_limited(now, tag),
     );
     match choice {
         Choice::Upstream(tag) => match host.directory.borrow().by_tag(tag) {
@@ -274,7 +275,10 @@
         .borrow()
         .check_admission(now, tag, latency_need(job, now, left))
     {
-        Ok(()) => Target::Send(Rc::clone(registration)),
+        Ok(()) => match host.admit_limited(now, tag) {
+            Ok(()) => Target::Send(Rc::clone(registration)),
+            Err(wait) => Target::Refuse(wait, Cause::OwnerLimited),
+        },
         Err(wait) => Target::Refuse(wait, Cause::OwnerBusy),
     }
 }
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::{Attempt, FRESH_IDLE_MAX, Job, Progress};
 use crate::host::Host;
+use crate::limits::Source;
 use crate::pool::{self, CallId, Traffic, UpstreamLink};
 
 /// Counts one request as load of an upstream until it is dropped.
@@ -90,11 +91,20 @@
     let method = &job.request.head.method;
     let limit = &host.memory.answer_limit;
     let exchange = async { Some(link.exchange(method, request, id, limit).await) };
+    host.limits.borrow_mut().record_sent(now, tag);
     progress.arrivals += 1;
     if !progress.sent.contains(&tag) {
         progress.sent.push(tag);
     }
     let result = exchange.or(timeout).await;
+    if let Some(Ok(reply)) = &result {
+        let source = Source {
+            upstream: &target.incarnation.name,
+            sent: now,
+            carried_out: !is_refusal(host, reply),
+        };
+        host.record_notice(source, &reply.head);
+    }
     let attempt = classify_result(
         host,
         job,
@@ -139,8 +149,7 @@
         }
         Some(Ok(reply)) => {
             let now = host.now();
-            let refused = reply.head.headers.contains_key(&header_names.refused)
-                || reply.head.status == StatusCode::MISDIRECTED_REQUEST;
+            let refused = is_refusal(host, &reply);
             let sealed = reply.head.headers.contains_key(&header_names.seal);
             let encoded = reply.head.headers.contains_key(CONTENT_ENCODING);
             if reply.head.status.is_success() && (!sealed || encoded) {
@@ -163,6 +172,12 @@
     }
 }
 
+/// Returns `true` if an answer states that the request did not run.
+fn is_refusal(host: &Host, reply: &Response) -> bool {
+    let marked = &host.platform.header_names().refused;
+    reply.head.headers.contains_key(marked) || reply.head.status == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Takes or opens a connection on which no earlier answer can be taken for that to the request.
 async fn open_link(host: &Host, job: &Job, address: SocketAddr) -> Result<UpstreamLink, String> {
     let idle = match job.route.idempotency {
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -13,7 +13,7 @@
 use event_listener::Event;
 use slog::{Logger, info, warn};
 use smol::{LocalExecutor, Task};
-use trefoil_balance::{Balancer, RetryBudget, Tally};
+use trefoil_balance::{Balancer, LimitReport, LimitTally, Limits, RetryBudget, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
 use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
 use trefoil_http::h1::Shutdown;
@@ -108,6 +108,14 @@
     pub(crate) local_loads: RefCell<Tally<HostId>>,
     /// Open requests of the other domains, while this host is a relay.
     pub(crate) remote_loads: RefCell<Tally<(DomainName, u16)>>,
+    /// Limits that upstreams have stated.
+    pub(crate) limits: RefCell<Limits>,
+    /// Reports about limits by the other hosts in this domain, while this host is a relay.
+    pub(crate) local_limits: RefCell<LimitTally<HostId>>,
+    /// Reports about limits by the other domains, while this host is a relay.
+    pub(crate) remote_limits: RefCell<LimitTally<DomainName>>,
+    /// This host's last report about limits.
+    pub(crate) reported_limits: RefCell<BTreeMap<Tag, LimitReport>>,
     /// Open requests in this host's last report.
     pub(crate) reported_open: RefCell<BTreeMap<Tag, u32>>,
     /// Recent changes of the directory, for digests.
@@ -199,6 +207,10 @@
             peers: RefCell::new(Peers::new(discovery::host_info(id, &config))),
             local_loads: RefCell::default(),
             remote_loads: RefCell::default(),
+            limits: RefCell::default(),
+            local_limits: RefCell::default(),
+            remote_limits: RefCell::default(),
+            reported_limits: RefCell::default(),
             reported_open: RefCell::default(),
             changes: RefCell::default(),
             raw_config: RefCell::default(),
@@ -443,6 +455,9 @@
             Change::Joined(r) => {
                 self.log_upstream("joined", r, source);
                 balancer.reset(Tag::of(&r.incarnation.name));
+                self.limits
+                    .borrow_mut()
+                    .remove(Tag::of(&r.incarnation.name));
                 balancer.register(now, r, r.phase == Phase::Ready);
             }
             Change::Updated(r) => {
@@ -454,6 +469,9 @@
                 self.log_upstream("gone", r, source);
                 self.displaced.borrow_mut().remove(&r.incarnation);
                 balancer.remove(Tag::of(&r.incarnation.name));
+                self.limits
+                    .borrow_mut()
+                    .remove(Tag::of(&r.incarnation.name));
                 self.pool.borrow_mut().close(r.address);
             }
         }
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -21,6 +21,8 @@
         m.directory_age
             .set(known_age(self.directory_freshness.as_of()));
         m.store_age.set(known_age(self.store_seen.get()));
+        let limited = self.limits.borrow().count();
+        m.limited.set(i64::try_from(limited).unwrap_or(i64::MAX));
         m.connections
             .set(i64::try_from(self.connections.get()).unwrap_or(i64::MAX));
         for (kind, share) in self.memory.kinds() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod freshness;
 pub mod host;
 pub mod ingress;
+mod limits;
 mod memory;
 pub mod message;
 mod metered;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -77,6 +77,28 @@
     pub weight: u32,
 }
 
+/// What an upstream has said of its limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatementItem {
+    /// Thousandths of a request a second, or `None` if it limits requests no longer.
+    pub rate: Option<u32>,
+    /// Milliseconds since the answer arrived.
+    pub age_ms: u32,
+}
+
+/// Requests to an upstream that limits them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitItem {
+    /// The upstream.
+    pub tag: Tag,
+    /// Requests sent in the last 4 s.
+    pub sent: u32,
+    /// Requests in the last second for which the upstream was considered.
+    pub wanted: u32,
+    /// The newest statement in an answer to the reporting hosts.
+    pub stated: Option<StatementItem>,
+}
+
 /// A read of the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadId {
@@ -195,6 +217,10 @@
     pub keys: Vec<(ServiceName, Vec<Key>)>,
     /// Services that the sender coordinates.
     pub terms: Vec<TermItem>,
+    /// Its requests to upstreams that limit them. Encoded after the age of the configuration, where
+    /// earlier builds ignore it.
+    #[serde(skip)]
+    pub limits: Vec<LimitItem>,
 }
 
 /// Digest of a relay for the hosts of its failure domain. A long one is sent as several datagrams
@@ -219,6 +245,9 @@
     pub terms: Vec<TermItem>,
     /// Recent changes of the directory.
     pub changes: Vec<ChangeItem>,
+    /// Requests of all hosts to upstreams that limit them. Encoded like those of a report.
+    #[serde(skip)]
+    pub limits: Vec<LimitItem>,
 }
 
 /// Summary of a failure domain, from one of its relays to the relays of the other domains.
@@ -242,6 +271,9 @@
     pub times: Vec<TimeItem>,
     /// Coordinators that the sender has reports of.
     pub terms: Vec<TermItem>,
+    /// Requests of its domain to upstreams that limit them. Encoded like those of a report.
+    #[serde(skip)]
+    pub limits: Vec<LimitItem>,
 }
 
 /// A change of the directory.
@@ -348,7 +380,11 @@
             return Ok(bytes);
         };
         let config = (config_age_ms, status.config_read);
-        postcard::to_extend(&config, bytes).context(DecodeSnafu)
+        let bytes = postcard::to_extend(&config, bytes).context(DecodeSnafu)?;
+        match self.limits() {
+            [] => Ok(bytes),
+            limits => postcard::to_extend(limits, bytes).context(DecodeSnafu),
+        }
     }
 
     /// Decodes a datagram.
@@ -377,9 +413,13 @@
             status.store_era = Some(Era(store_era));
             status.config_era = Era(config_era);
             if !rest.is_empty() {
-                let (age_ms, read) = postcard::from_bytes(rest).context(DecodeSnafu)?;
+                let ((age_ms, read), rest) =
+                    postcard::take_from_bytes(rest).context(DecodeSnafu)?;
                 status.config_age_ms = Some(age_ms);
                 status.config_read = read;
+                if let (Some(limits), false) = (message.limits_mut(), rest.is_empty()) {
+                    *limits = postcard::from_bytes(rest).context(DecodeSnafu)?;
+                }
             }
         }
         for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
@@ -391,6 +431,24 @@
         Ok(message)
     }
 
+    fn limits(&self) -> &[LimitItem] {
+        match self {
+            Self::Report(report) => &report.limits,
+            Self::Digest(digest) => &digest.limits,
+            Self::Exchange(exchange) => &exchange.limits,
+            _ => &[],
+        }
+    }
+
+    fn limits_mut(&mut self) -> Option<&mut Vec<LimitItem>> {
+        match self {
+            Self::Report(report) => Some(&mut report.limits),
+            Self::Digest(digest) => Some(&mut digest.limits),
+            Self::Exchange(exchange) => Some(&mut exchange.limits),
+            _ => None,
+        }
+    }
+
     fn terms(&self) -> &[TermItem] {
         match self {
             Self::Report(report) => &report.terms,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -148,6 +148,8 @@
     pub(crate) store_era: Gauge,
     /// Upstreams in the directory.
     pub(crate) upstreams: Gauge,
+    /// Upstreams that limit their requests.
+    pub(crate) limited: Gauge,
     /// Changes of the directory.
     changes: Family<ChangeLabels, Counter>,
     /// Changes of the directory that are kept for digests.
@@ -284,6 +286,11 @@
                 Gauge::default(),
             ),
             upstreams: b.add("upstreams", "Upstreams in the directory", Gauge::default()),
+            limited: b.add(
+                "limited_upstreams",
+                "Upstreams that limit their requests",
+                Gauge::default(),
+            ),
             changes: b.add(
                 "directory_changes",
                 "Changes of the directory",
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -15,6 +15,7 @@
 
 use crate::forward::FRESH_IDLE_MAX;
 use crate::host::Host;
+use crate::limits::Source;
 use crate::pool::{self, CallId, Traffic, UpstreamLink};
 
 /// Longest time between the decision and the transmission of an order. The ownership protocol
@@ -72,6 +73,12 @@
     };
     match exchange.or(timeout).await {
         Some(Ok(reply)) => {
+            let source = Source {
+                upstream: &order.incarnation.name,
+                sent: decided_at,
+                carried_out: false,
+            };
+            host.record_notice(source, &reply.head);
             let repeats_id = id.is_some() && reply.head.headers.get(id_name) == id.as_ref();
             let traffic = if repeats_id {
                 Traffic::Orders
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -268,6 +268,14 @@
         self.position(now) < RELAYS
     }
 
+    /// Returns `true` if a relay of this domain sends digests to this host.
+    pub fn hears_relay(&self, now: Tick) -> bool {
+        let digests = self.before(now).filter_map(|p| p.digest_at);
+        digests
+            .max()
+            .is_some_and(|at| now.since(at) < LIVENESS_TIMEOUT)
+    }
+
     /// Addresses of the relays of this domain in the order of their ranks, without this host.
     pub fn relays(&self, now: Tick) -> SmallVec<[SocketAddr; 2]> {
         let ranked = self.ranked(&self.own.domain);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -28,8 +28,10 @@
 
 use crate::freshness::Source;
 use crate::host::Host;
+use crate::limits::limit_items;
 use crate::message::{
-    ChangeItem, DATAGRAM_MAX, Digest, Exchange, Message, OpenItem, Report, SyncStatus, TimeItem,
+    ChangeItem, DATAGRAM_MAX, Digest, Exchange, LimitItem, Message, OpenItem, Report, SyncStatus,
+    TimeItem,
 };
 use crate::peers::{RELAYS, whole_millis};
 use crate::{coordinator, fetch};
@@ -49,6 +51,12 @@
 /// Most items in one datagram, so that it stays below [`DATAGRAM_MAX`].
 const ITEMS_MAX: usize = 110;
 
+/// Most limits of upstreams in one datagram.
+const LIMITS_MAX: usize = 50;
+
+/// Size of a limit in a datagram, in other items.
+const LIMIT_SIZE: usize = 2;
+
 /// Smallest weight of an estimate that is sent, in observations.
 const WEIGHT_MIN: f64 = 0.2;
 
@@ -224,6 +232,7 @@
     } else {
         Vec::new()
     };
+    let limits = host.report_limits(now);
     let mut peers = host.peers.borrow_mut();
     let relays = peers.relays(now);
     let Some(first) = relays.first().copied() else {
@@ -237,10 +246,13 @@
         times,
         keys,
         terms: coordinator::term_items(host, now),
+        limits,
     };
     // A report that exceeds one datagram drops estimates first.
-    report.open.truncate(ITEMS_MAX);
-    report.times.truncate(ITEMS_MAX - report.open.len());
+    report.limits.truncate(LIMITS_MAX);
+    let left = ITEMS_MAX - LIMIT_SIZE * report.limits.len();
+    report.open.truncate(left);
+    report.times.truncate(left - report.open.len());
     peers.queue([first], &Message::Report(report.clone()));
     if slow && let Some(second) = relays.get(1) {
         // Each key must be counted once.
@@ -286,7 +298,9 @@
     } else {
         Vec::new()
     };
-    let digests = digests(host, now, &open_items(&local), &remote, &times);
+    let (domain_limits, all_limits) = host.join_limits(now);
+    let limits = limit_items(now, &all_limits);
+    let digests = digests(host, now, &open_items(&local), &remote, &times, &limits);
     let mut peers = host.peers.borrow_mut();
     let to = peers.domain_addresses(now, rare);
     for digest in digests {
@@ -307,6 +321,7 @@
             terms: peers.terms(now),
             part: 0,
             parts: 1,
+            limits: limit_items(now, &domain_limits),
         };
         let most = if slow { RELAYS } else { 1 };
         let to = peers.remote_relays(now, most, rare);
@@ -359,6 +374,7 @@
     local: &[OpenItem],
     remote: &[OpenItem],
     times: &[TimeItem],
+    limits: &[LimitItem],
 ) -> Vec<Digest> {
     let peers = host.peers.borrow();
     let empty = Digest {
@@ -371,6 +387,7 @@
         times: Vec::new(),
         terms: peers.terms(now),
         changes: Vec::new(),
+        limits: Vec::new(),
     };
     drop(peers);
     let changes: Vec<ChangeItem> = host.changes.borrow().iter().cloned().collect();
@@ -393,6 +410,10 @@
         times: chunk.to_vec(),
         ..empty.clone()
     }));
+    digests.extend(limits.chunks(LIMITS_MAX).map(|chunk| Digest {
+        limits: chunk.to_vec(),
+        ..empty.clone()
+    }));
     if digests.is_empty() {
         digests.push(empty);
     }
@@ -407,19 +428,35 @@
         chunks
     };
     let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
+    let empty = Exchange {
+        open: Vec::new(),
+        times: Vec::new(),
+        limits: Vec::new(),
+        ..exchange.clone()
+    };
     let open = (0..).zip(&chunks).map(|(part, chunk)| Exchange {
         open: chunk.to_vec(),
-        times: Vec::new(),
         part,
         parts: count,
-        ..exchange.clone()
+        ..empty.clone()
     });
     let times = exchange.times.chunks(ITEMS_MAX).map(|chunk| Exchange {
-        open: Vec::new(),
         times: chunk.to_vec(),
-        ..exchange.clone()
+        ..empty.clone()
     });
-    open.chain(times).collect()
+    // Earlier builds read such a part as one of open requests, so it repeats the first one, which
+    // has room for limits only if it is short.
+    let first: &[OpenItem] = chunks.first().copied().unwrap_or_default();
+    let limits = exchange
+        .limits
+        .chunks(LIMITS_MAX / 2)
+        .map(|chunk| Exchange {
+            open: first[..first.len().min(ITEMS_MAX / 2)].to_vec(),
+            limits: chunk.to_vec(),
+            parts: count,
+            ..empty.clone()
+        });
+    limits.chain(open).chain(times).collect()
 }
 
 /// Forwards requested keys to the coordinators of their services.
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -9,6 +9,7 @@
 use crate::coordinator;
 use crate::era::EraSource;
 use crate::host::Host;
+use crate::limits::decode_items;
 use crate::message::{Digest, Exchange, Message, Report, SyncStatus, TermItem};
 
 pub(super) fn handle(host: &Host, from: SocketAddr, message: Message) {
@@ -102,6 +103,7 @@
             tally.add_times(now, report.from, decode_estimates(now, &report.times));
         }
     }
+    host.record_limit_report(now, report.from, &report.limits);
     for (service, keys) in report.keys {
         host.peers.borrow_mut().record_keys(&service, keys);
     }
@@ -138,6 +140,7 @@
     }
     drop(balancer);
     drop(reported);
+    host.apply_limits(now, &decode_items(now, &digest.limits));
     on_listing(host, from, digest.from, &digest.terms);
     apply_change_items(host, now, digest.status, digest.changes);
     catch_up(host, digest.from, digest.status);
@@ -152,6 +155,12 @@
     host.peers
         .borrow_mut()
         .record_domain(now, &domain, exchange.hosts);
+    {
+        let mut tally = host.remote_limits.borrow_mut();
+        for (tag, report) in decode_items(now, &exchange.limits) {
+            tally.set(now, domain.clone(), tag, report);
+        }
+    }
     {
         let mut tally = host.remote_loads.borrow_mut();
         if exchange.times.is_empty() {
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -88,6 +88,8 @@
 #[derive(Debug, Default)]
 struct State {
     response_mode: ResponseMode,
+    /// Requests a second that its answers name as its limit.
+    limit: Option<f64>,
     active: u32,
     draining: bool,
     grants: KeyGrants,
@@ -164,6 +166,11 @@
         self.lock().response_mode = mode;
     }
 
+    /// Replaces the limit that its answers name. It does not enforce the limit.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.lock().limit = limit;
+    }
+
     /// Announces in the registry that it is leaving, and continues to serve.
     pub fn drain(&self) {
         self.lock().draining = true;
--- a/crates/standin/src/upstream/connection.rs
+++ b/crates/standin/src/upstream/connection.rs
@@ -253,7 +253,8 @@
         let finished = execution.finished;
         drop(execution);
         if finished {
-            encode_reply(mode, upstream.name(), id)
+            let limit = upstream.lock().limit;
+            encode_reply(mode, limit, upstream.name(), id)
         } else {
             Reply::Close(String::new())
         }
@@ -291,8 +292,9 @@
 }
 
 /// Encodes the reply to a request that has run to its end.
-fn encode_reply(mode: ResponseMode, name: &str, id: &str) -> Reply {
-    let headers = format!("X-Request-Id: {id}\r\n");
+fn encode_reply(mode: ResponseMode, limit: Option<f64>, name: &str, id: &str) -> Reply {
+    let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+    let headers = format!("X-Request-Id: {id}\r\n{}", limit.unwrap_or_default());
     let signed = format!("{headers}X-Response-Seal: sealed-{id}\r\n");
     let body = format!("{name} ran {id}");
     match mode {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod era;
 mod forward;
+mod limits;
 mod message;
 mod parts;
 mod peers;
--- a/tests/all/gateway/balance.rs
+++ b/tests/all/gateway/balance.rs
@@ -46,7 +46,13 @@
 
 fn chosen(balancer: &Balancer, max_latency: Duration) -> Choice {
     let service = SERVICE.parse().expect("a name");
-    balancer.choose(at(0), &service, Requirement { max_latency }, &[])
+    balancer.choose(
+        at(0),
+        &service,
+        Requirement { max_latency },
+        &[],
+        |_| Ok(()),
+    )
 }
 
 fn upstream(name: &str) -> Choice {
--- a/tests/all/gateway/config.rs
+++ b/tests/all/gateway/config.rs
@@ -76,6 +76,7 @@
         times: Vec::new(),
         keys: Vec::new(),
         terms: Vec::new(),
+        limits: Vec::new(),
     })
 }
 
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -3,9 +3,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 use trefoil_core::{HostId, Key, KeyRange, UnixMillis, UpstreamName};
-use trefoil_directory::Incarnation;
+use trefoil_directory::{Incarnation, Tag};
 use trefoil_gateway::message::{
-    ChangeItem, Digest, Message, MessageError, ReadId, Removal, Report, SyncStatus, TermItem,
+    ChangeItem, Digest, LimitItem, Message, MessageError, ReadId, Removal, Report, StatementItem,
+    SyncStatus, TermItem,
 };
 use trefoil_gateway::tables::{Revision, Routes};
 use trefoil_ranges::Table;
@@ -35,6 +36,7 @@
         times: Vec::new(),
         keys: Vec::new(),
         terms: Vec::new(),
+        limits: Vec::new(),
     })
 }
 
@@ -97,6 +99,34 @@
     assert_eq!(Message::decode(&prefix), Ok(without));
 }
 
+/// Guards against hosts that drop each other's datagrams during a rolling upgrade: earlier builds
+/// neither send nor expect limits of upstreams, which follow the age of the configuration.
+#[test]
+fn the_limits_of_upstreams_are_optional() {
+    let Message::Report(mut without) = report(Some(250)) else {
+        panic!("a report");
+    };
+    without.status.store_era = Some(Era(2));
+    without.status.config_age_ms = Some(1200);
+    let mut with = without.clone();
+    let stated = StatementItem {
+        rate: Some(1300),
+        age_ms: 40,
+    };
+    with.limits.push(LimitItem {
+        tag: Tag::of(&"u1".parse().expect("a name")),
+        sent: 3,
+        wanted: 5,
+        stated: Some(stated),
+    });
+    let (with, without) = (Message::Report(with), Message::Report(without));
+    let (bytes, prefix) = (with.encode(), without.encode());
+    let (bytes, prefix) = (bytes.expect("encoded"), prefix.expect("encoded"));
+    assert!(bytes.starts_with(&prefix) && bytes.len() > prefix.len());
+    assert_eq!(Message::decode(&bytes), Ok(with));
+    assert_eq!(Message::decode(&prefix), Ok(without));
+}
+
 fn digest(sequence: Option<u64>) -> Digest {
     let incarnation = Incarnation {
         name: "u1".parse().expect("a name"),
@@ -121,6 +151,7 @@
             incarnation,
             sequence,
         })],
+        limits: Vec::new(),
     }
 }
 
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -7,6 +7,7 @@
 mod decoding;
 mod endless;
 mod leaving;
+mod limits;
 mod memory;
 mod odd_config;
 mod odd_entries;
--- a/tests/all/platform/odd_entries.rs
+++ b/tests/all/platform/odd_entries.rs
@@ -133,7 +133,7 @@
         load.set_local(now, reported);
         load.set_remote(now, reported);
     }
-    balancer.choose(now, &registration.service, need, &[]);
+    balancer.choose(now, &registration.service, need, &[], |_| Ok(()));
     let open = balancer.begin(now, tag);
     balancer.end(now, tag, Outcome::Answered, open, need.max_latency);
     let candidates = [1.0, 0.001].map(|time| Candidate {
