Split the modules of the host, its relays and its datagrams

Cause: encoding, upstream changes, shutdown and the division into datagrams stood beside unrelated state. Change: message/encoding, host/upstreams, host/shutdown and relay/parts, moved as they were; comments of reads_store say what it still decides.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -1,6 +1,8 @@
 //! State of the host, which its tasks share.
 
 mod gauges;
+mod shutdown;
+mod upstreams;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -15,9 +17,9 @@
 use smol::{LocalExecutor, Task};
 use trefoil_balance::{Balancer, LimitReport, LimitTally, Limits, RetryBudget, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
-use trefoil_directory::{Change, Directory, Incarnation, Phase, Registration, Tag};
+use trefoil_directory::{Directory, Incarnation, Tag};
 use trefoil_http::h1::Shutdown;
-use trefoil_route::{Config, Idempotency, Router, Version};
+use trefoil_route::{Config, Router, Version};
 use trefoil_store::{Era, Store};
 
 use crate::changes::RecentChanges;
@@ -27,18 +29,19 @@
 use crate::era::EraSource;
 use crate::fetch::InFlight;
 use crate::follow::Position;
-use crate::freshness::{Freshness, Source};
+use crate::freshness::Freshness;
 use crate::memory::Memory;
-use crate::message::{ChangeItem, Removal};
 use crate::metered::MeteredStore;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, RELAYS};
 use crate::platform::Platform;
 use crate::pool::Pool;
-use crate::request_log::{RunningRequests, age_ms, cut};
+use crate::request_log::{RunningRequests, cut};
 use crate::tables::{Revision, Routes, Tables};
 use crate::tasks::EndedTask;
 
+pub(crate) use shutdown::StopTimes;
+
 /// Delay between the probes of the store by hosts with consecutive ranks in a domain.
 pub(crate) const PROBE_STAGGER: Duration = Duration::from_millis(700);
 
@@ -65,15 +68,6 @@
     pub outbox: Event,
 }
 
-/// Times of a shutdown.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct StopTimes {
-    /// The load balancer sends no new connections from here on.
-    pub(crate) late_from: Tick,
-    /// The process ends.
-    pub(crate) end: Tick,
-}
-
 /// Outputs for operators.
 #[derive(Debug)]
 pub struct Telemetry {
@@ -284,9 +278,9 @@
         self.weak_self.borrow().upgrade()
     }
 
-    /// Returns `true` if this host reads the store itself. It does if fewer than two hosts that
-    /// rank before it in its domain do. If none reads any more, the next ones probe the store one
-    /// after the other.
+    /// Returns `true` if this host reads tables of keyed services from the store itself. It does if
+    /// fewer than two hosts that rank before it in its domain reach the store. If none does any
+    /// more, the next ones probe the store one after the other.
     pub(crate) fn reads_store(&self, now: Tick) -> bool {
         let peers = self.peers.borrow();
         let silence = self.bounds.get().reader_silence();
@@ -380,24 +374,6 @@
         self.log_readiness_change();
     }
 
-    /// Starts the shutdown: the host is no longer ready.
-    pub(crate) fn leave(&self, times: StopTimes) {
-        self.leaving.set(true);
-        self.stop_times.set(Some(times));
-        self.log_readiness_change();
-    }
-
-    /// Returns `true` if the host stops and may end before the answer to a request with this
-    /// deadline. One that must not run twice is refused from the stop signal on, because its caller
-    /// can send it elsewhere only while it has not run. Others are taken for as long as the load
-    /// balancer may send new connections.
-    pub(crate) fn ends_before(&self, now: Tick, deadline: Tick, idempotency: Idempotency) -> bool {
-        self.stop_times.get().is_some_and(|times| {
-            let late = now > times.late_from || idempotency == Idempotency::AtMostOnce;
-            late && deadline > times.end
-        })
-    }
-
     /// Logs a change of readiness.
     fn log_readiness_change(&self) {
         let ready = self.is_ready();
@@ -446,103 +422,6 @@
         }
     }
 
-    /// Applies changes of the directory, which come from `source`.
-    pub fn apply_changes(&self, changes: Vec<Change>, source: Source) {
-        if changes.is_empty() {
-            return;
-        }
-        let now = self.now();
-        self.directory_changed.set(now);
-        for change in changes {
-            self.apply_change(now, &change, source);
-            let item = match &change {
-                Change::Joined(r) | Change::Updated(r) => ChangeItem::Set(r.as_ref().clone()),
-                Change::Removed(r) => ChangeItem::Gone(Removal {
-                    incarnation: r.incarnation.clone(),
-                    sequence: Some(r.sequence),
-                }),
-            };
-            // The first directory of a process is no news. It can be hundreds of datagrams for
-            // each host, which copies it if it has another one.
-            if self.has_directory() {
-                self.changes.borrow_mut().add(now, item);
-            }
-        }
-        self.expire_changes(now);
-        let count = self.directory.borrow().len();
-        self.metrics
-            .upstreams
-            .set(i64::try_from(count).unwrap_or(i64::MAX));
-        self.events.directory.notify(usize::MAX);
-    }
-
-    fn apply_change(&self, now: Tick, change: &Change, source: Source) {
-        let mut balancer = self.balancer.borrow_mut();
-        match change {
-            Change::Joined(r) => {
-                self.log_upstream("joined", r, source);
-                balancer.reset(Tag::of(&r.incarnation.name));
-                self.limits
-                    .borrow_mut()
-                    .remove(Tag::of(&r.incarnation.name));
-                balancer.register(now, r, r.phase == Phase::Ready);
-            }
-            Change::Updated(r) => {
-                self.log_upstream("updated", r, source);
-                let ready = r.phase == Phase::Ready && !self.is_displaced(&r.incarnation);
-                balancer.register(now, r, ready);
-            }
-            Change::Removed(r) => {
-                self.log_upstream("gone", r, source);
-                self.displaced.borrow_mut().remove(&r.incarnation);
-                balancer.remove(Tag::of(&r.incarnation.name));
-                self.limits
-                    .borrow_mut()
-                    .remove(Tag::of(&r.incarnation.name));
-                self.pool.borrow_mut().close(r.address);
-            }
-        }
-    }
-
-    /// Logs and counts a change of an upstream.
-    fn log_upstream(&self, event: &'static str, r: &Registration, source: Source) {
-        self.metrics.record_change(event, source);
-        info!(self.log, "upstream changed"; "change" => event, "upstream" => %r.incarnation.name, "born" => r.incarnation.started.0,
-            "service" => %r.service, "address" => %r.address, "domain" => %r.domain,
-            "phase" => %r.phase, "sequence" => r.sequence, "source" => %source,
-            "directory_age_ms" => age_ms(self.now(), self.directory_freshness.as_of()));
-    }
-
-    /// Records that another upstream answers at the address of this one. So it has ended, although
-    /// the directory still lists it.
-    pub(crate) fn displace(&self, registration: &Registration) {
-        if self
-            .displaced
-            .borrow_mut()
-            .insert(registration.incarnation.clone())
-        {
-            self.log_upstream("displaced", registration, Source::Upstream);
-            let now = self.now();
-            self.balancer
-                .borrow_mut()
-                .register(now, registration, false);
-            self.events.directory.notify(usize::MAX);
-        }
-    }
-
-    /// Returns `true` if another upstream has taken the address of this one.
-    pub(crate) fn is_displaced(&self, incarnation: &Incarnation) -> bool {
-        self.displaced.borrow().contains(incarnation)
-    }
-
-    /// Returns `true` if the upstream is still listed as ready.
-    pub(crate) fn accepts_requests(&self, target: &Registration) -> bool {
-        let directory = self.directory.borrow();
-        let known = directory.get(&target.incarnation.name);
-        known.is_some_and(|r| r.incarnation == target.incarnation && r.phase == Phase::Ready)
-            && !self.is_displaced(&target.incarnation)
-    }
-
     /// Applies routes of a keyed service unless the known ones are at least as new.
     pub fn apply_routes(&self, service: &ServiceName, routes: Routes) {
         let revision = routes.revision;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,8 +9,11 @@
 //!   comes back from an older copy (`era`);
 //! - [`discovery`] finds the other hosts and [`peers`] keeps their state; [`relay`] exchanges load,
 //!   versions and routes of keyed services with them, and [`fetch`] copies newer data from them;
+//! - `limits` keeps all hosts together within the rates that upstreams take;
 //! - [`coordinator`] assigns the key ranges of a service while this host is its coordinator.
 //!
+//! The host stops if one of its permanent tasks ends (`tasks`).
+//!
 //! The names and encodings of a platform are behind [`Platform`].
 
 pub mod cause;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,12 +7,13 @@
 //! domains with each other. So the number of datagrams that a host sends and receives does not grow
 //! with the number of hosts. See [`crate::relay`].
 
+mod encoding;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use smallvec::SmallVec;
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::Snafu;
 use trefoil_core::{DomainName, HostId, HostName, Key, KeyRange, ServiceName, UpstreamName};
 use trefoil_directory::{Incarnation, Registration, Tag};
 use trefoil_store::Era;
@@ -315,17 +316,6 @@
     pub ranges: Vec<(KeyRange, Option<u16>)>,
 }
 
-/// What follows the age of the directory, which follows the message. Earlier builds ignore it.
-#[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
-struct Trailer {
-    /// The read that the age counts from.
-    read: Option<ReadId>,
-    /// Sequence numbers of the removals in the message.
-    sequences: SmallVec<[Option<u64>; 8]>,
-    /// Numbers of the reports of coordinators in the message.
-    reports: SmallVec<[Option<u64>; 8]>,
-}
-
 /// A datagram between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -350,161 +340,3 @@
     /// A host is taking over a service, or has failed to.
     Candidacy(Candidacy),
 }
-
-impl Message {
-    /// Encodes a datagram.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the encoder does.
-    pub fn encode(&self) -> Result<Vec<u8>, MessageError> {
-        let bytes = postcard::to_allocvec(&(VERSION, self)).context(DecodeSnafu)?;
-        let Some(status) = self.status() else {
-            return Ok(bytes);
-        };
-        let Some(age_ms) = status.directory_age_ms else {
-            return Ok(bytes);
-        };
-        let trailer = Trailer {
-            read: status.directory_read,
-            sequences: self.removals().iter().map(|r| r.sequence).collect(),
-            reports: self.terms().iter().map(|t| t.number).collect(),
-        };
-        let bytes = postcard::to_extend(&(age_ms, trailer), bytes).context(DecodeSnafu)?;
-        let Some(store_era) = status.store_era else {
-            return Ok(bytes);
-        };
-        let eras = (store_era.0, status.config_era.0);
-        let bytes = postcard::to_extend(&eras, bytes).context(DecodeSnafu)?;
-        let Some(config_age_ms) = status.config_age_ms else {
-            return Ok(bytes);
-        };
-        let config = (config_age_ms, status.config_read);
-        let bytes = postcard::to_extend(&config, bytes).context(DecodeSnafu)?;
-        match self.limits() {
-            [] => Ok(bytes),
-            limits => postcard::to_extend(limits, bytes).context(DecodeSnafu),
-        }
-    }
-
-    /// Decodes a datagram.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the bytes are not a datagram of this version.
-    pub fn decode(bytes: &[u8]) -> Result<Self, MessageError> {
-        let (found, rest) = postcard::take_from_bytes::<u8>(bytes).context(DecodeSnafu)?;
-        ensure!(found == VERSION, VersionSnafu { found });
-        let (mut message, rest): (Self, _) =
-            postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-        let Some(status) = message.status_mut().filter(|_| !rest.is_empty()) else {
-            return Ok(message);
-        };
-        let (age_ms, rest) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-        status.directory_age_ms = Some(age_ms);
-        if rest.is_empty() {
-            return Ok(message);
-        }
-        let (trailer, rest): (Trailer, _) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-        status.directory_read = trailer.read;
-        if !rest.is_empty() {
-            let ((store_era, config_era), rest) =
-                postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-            status.store_era = Some(Era(store_era));
-            status.config_era = Era(config_era);
-            if !rest.is_empty() {
-                let ((age_ms, read), rest) =
-                    postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-                status.config_age_ms = Some(age_ms);
-                status.config_read = read;
-                if let (Some(limits), false) = (message.limits_mut(), rest.is_empty()) {
-                    *limits = postcard::from_bytes(rest).context(DecodeSnafu)?;
-                }
-            }
-        }
-        for (removal, sequence) in message.removals_mut().zip(trailer.sequences) {
-            removal.sequence = sequence;
-        }
-        for (term, number) in message.terms_mut().iter_mut().zip(trailer.reports) {
-            term.number = number;
-        }
-        Ok(message)
-    }
-
-    fn limits(&self) -> &[LimitItem] {
-        match self {
-            Self::Report(report) => &report.limits,
-            Self::Digest(digest) => &digest.limits,
-            Self::Exchange(exchange) => &exchange.limits,
-            _ => &[],
-        }
-    }
-
-    fn limits_mut(&mut self) -> Option<&mut Vec<LimitItem>> {
-        match self {
-            Self::Report(report) => Some(&mut report.limits),
-            Self::Digest(digest) => Some(&mut digest.limits),
-            Self::Exchange(exchange) => Some(&mut exchange.limits),
-            _ => None,
-        }
-    }
-
-    fn terms(&self) -> &[TermItem] {
-        match self {
-            Self::Report(report) => &report.terms,
-            Self::Digest(digest) => &digest.terms,
-            Self::Exchange(exchange) => &exchange.terms,
-            _ => &[],
-        }
-    }
-
-    fn terms_mut(&mut self) -> &mut [TermItem] {
-        match self {
-            Self::Report(report) => &mut report.terms,
-            Self::Digest(digest) => &mut digest.terms,
-            Self::Exchange(exchange) => &mut exchange.terms,
-            _ => &mut [],
-        }
-    }
-
-    fn removals(&self) -> SmallVec<[&Removal; 8]> {
-        let changes = match self {
-            Self::Digest(digest) => digest.changes.as_slice(),
-            _ => &[],
-        };
-        let removals = changes.iter().filter_map(|item| match item {
-            ChangeItem::Gone(removal) => Some(removal),
-            ChangeItem::Set(_) => None,
-        });
-        removals.collect()
-    }
-
-    fn removals_mut(&mut self) -> impl Iterator<Item = &mut Removal> {
-        let changes = match self {
-            Self::Digest(digest) => digest.changes.as_mut_slice(),
-            _ => &mut [],
-        };
-        changes.iter_mut().filter_map(|item| match item {
-            ChangeItem::Gone(removal) => Some(removal),
-            ChangeItem::Set(_) => None,
-        })
-    }
-
-    fn status(&self) -> Option<&SyncStatus> {
-        match self {
-            Self::Report(report) => Some(&report.status),
-            Self::Digest(digest) => Some(&digest.status),
-            Self::Exchange(exchange) => Some(&exchange.status),
-            _ => None,
-        }
-    }
-
-    fn status_mut(&mut self) -> Option<&mut SyncStatus> {
-        match self {
-            Self::Report(report) => Some(&mut report.status),
-            Self::Digest(digest) => Some(&mut digest.status),
-            Self::Exchange(exchange) => Some(&mut exchange.status),
-            _ => None,
-        }
-    }
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -13,6 +13,7 @@
 //! own is too old.
 
 mod handle;
+mod parts;
 
 use std::collections::BTreeMap;
 use std::net::UdpSocket;
@@ -30,8 +31,7 @@
 use crate::host::Host;
 use crate::limits::limit_items;
 use crate::message::{
-    ChangeItem, DATAGRAM_MAX, Digest, Exchange, LimitItem, Message, OpenItem, Report, SyncStatus,
-    TimeItem,
+    ChangeItem, DATAGRAM_MAX, Exchange, Message, OpenItem, Report, SyncStatus, TimeItem,
 };
 use crate::peers::{RELAYS, whole_millis};
 use crate::{coordinator, fetch};
@@ -63,9 +63,6 @@
 /// Wait after a socket error.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
-/// Most changes of the directory in one digest.
-const CHANGES_MAX: usize = 6;
-
 /// Receives datagrams. Never returns.
 pub async fn receive(host: Rc<Host>, socket: Rc<Async<UdpSocket>>) {
     let mut buffer = vec![0; 2 * DATAGRAM_MAX];
@@ -300,7 +297,7 @@
     };
     let (domain_limits, all_limits) = host.join_limits(now);
     let limits = limit_items(now, &all_limits);
-    let digests = digests(host, now, &open_items(&local), &remote, &times, &limits);
+    let digests = parts::digests(host, now, &open_items(&local), &remote, &times, &limits);
     let mut peers = host.peers.borrow_mut();
     let to = peers.domain_addresses(now, rare);
     for digest in digests {
@@ -325,7 +322,7 @@
         };
         let most = if slow { RELAYS } else { 1 };
         let to = peers.remote_relays(now, most, rare);
-        for part in exchange_parts(&exchange) {
+        for part in parts::exchange_parts(&exchange) {
             peers.queue(to.iter().copied(), &Message::Exchange(part));
         }
     }
@@ -368,97 +365,6 @@
     }
 }
 
-fn digests(
-    host: &Host,
-    now: Tick,
-    local: &[OpenItem],
-    remote: &[OpenItem],
-    times: &[TimeItem],
-    limits: &[LimitItem],
-) -> Vec<Digest> {
-    let peers = host.peers.borrow();
-    let empty = Digest {
-        from: host.id,
-        status: sync_status(host, now),
-        live: peers.direct_ids(now),
-        hosts: peers.all_hosts(now),
-        local: Vec::new(),
-        remote: Vec::new(),
-        times: Vec::new(),
-        terms: peers.terms(now),
-        changes: Vec::new(),
-        limits: Vec::new(),
-    };
-    drop(peers);
-    let changes: Vec<ChangeItem> = host.changes.borrow().iter().cloned().collect();
-    let mut digests: Vec<Digest> = changes
-        .chunks(CHANGES_MAX)
-        .map(|chunk| Digest {
-            changes: chunk.to_vec(),
-            ..empty.clone()
-        })
-        .collect();
-    digests.extend(local.chunks(ITEMS_MAX).map(|chunk| Digest {
-        local: chunk.to_vec(),
-        ..empty.clone()
-    }));
-    digests.extend(remote.chunks(ITEMS_MAX).map(|chunk| Digest {
-        remote: chunk.to_vec(),
-        ..empty.clone()
-    }));
-    digests.extend(times.chunks(ITEMS_MAX).map(|chunk| Digest {
-        times: chunk.to_vec(),
-        ..empty.clone()
-    }));
-    digests.extend(limits.chunks(LIMITS_MAX).map(|chunk| Digest {
-        limits: chunk.to_vec(),
-        ..empty.clone()
-    }));
-    if digests.is_empty() {
-        digests.push(empty);
-    }
-    digests
-}
-
-fn exchange_parts(exchange: &Exchange) -> Vec<Exchange> {
-    let chunks: Vec<&[OpenItem]> = exchange.open.chunks(ITEMS_MAX).collect();
-    let chunks = if chunks.is_empty() {
-        vec![&[][..]]
-    } else {
-        chunks
-    };
-    let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
-    let empty = Exchange {
-        open: Vec::new(),
-        times: Vec::new(),
-        limits: Vec::new(),
-        ..exchange.clone()
-    };
-    let open = (0..).zip(&chunks).map(|(part, chunk)| Exchange {
-        open: chunk.to_vec(),
-        part,
-        parts: count,
-        ..empty.clone()
-    });
-    let times = exchange.times.chunks(ITEMS_MAX).map(|chunk| Exchange {
-        times: chunk.to_vec(),
-        ..empty.clone()
-    });
-    // Earlier builds read such a part as one of open requests, so it repeats the first one, which
-    // has room for limits only if it is short.
-    let first: &[OpenItem] = chunks.first().copied().unwrap_or_default();
-    let limits = exchange
-        .limits
-        .chunks(LIMITS_MAX / 2)
-        .map(|chunk| Exchange {
-            open: first[..first.len().min(ITEMS_MAX / 2)].to_vec(),
-            limits: chunk.to_vec(),
-            parts: count,
-            ..empty.clone()
-        });
-    limits.chain(open).chain(times).collect()
-}
-
 /// Forwards requested keys to the coordinators of their services.
 fn forward_keys(host: &Host, now: Tick, position: usize) {
     if position > 0 && !host.peers.borrow().relays(now).is_empty() {
--- /dev/null
+++ b/crates/gateway/src/relay/parts.rs
@@ -0,0 +1,101 @@
+//! Division of digests and exchanges into datagrams.
+
+use trefoil_core::Tick;
+
+use super::{ITEMS_MAX, LIMITS_MAX, sync_status};
+use crate::host::Host;
+use crate::message::{ChangeItem, Digest, Exchange, LimitItem, OpenItem, TimeItem};
+
+/// Most changes of the directory in one digest.
+const CHANGES_MAX: usize = 6;
+
+pub(super) fn digests(
+    host: &Host,
+    now: Tick,
+    local: &[OpenItem],
+    remote: &[OpenItem],
+    times: &[TimeItem],
+    limits: &[LimitItem],
+) -> Vec<Digest> {
+    let peers = host.peers.borrow();
+    let empty = Digest {
+        from: host.id,
+        status: sync_status(host, now),
+        live: peers.direct_ids(now),
+        hosts: peers.all_hosts(now),
+        local: Vec::new(),
+        remote: Vec::new(),
+        times: Vec::new(),
+        terms: peers.terms(now),
+        changes: Vec::new(),
+        limits: Vec::new(),
+    };
+    drop(peers);
+    let changes: Vec<ChangeItem> = host.changes.borrow().iter().cloned().collect();
+    let mut digests: Vec<Digest> = changes
+        .chunks(CHANGES_MAX)
+        .map(|chunk| Digest {
+            changes: chunk.to_vec(),
+            ..empty.clone()
+        })
+        .collect();
+    digests.extend(local.chunks(ITEMS_MAX).map(|chunk| Digest {
+        local: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    digests.extend(remote.chunks(ITEMS_MAX).map(|chunk| Digest {
+        remote: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    digests.extend(times.chunks(ITEMS_MAX).map(|chunk| Digest {
+        times: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    digests.extend(limits.chunks(LIMITS_MAX).map(|chunk| Digest {
+        limits: chunk.to_vec(),
+        ..empty.clone()
+    }));
+    if digests.is_empty() {
+        digests.push(empty);
+    }
+    digests
+}
+
+pub(super) fn exchange_parts(exchange: &Exchange) -> Vec<Exchange> {
+    let chunks: Vec<&[OpenItem]> = exchange.open.chunks(ITEMS_MAX).collect();
+    let chunks = if chunks.is_empty() {
+        vec![&[][..]]
+    } else {
+        chunks
+    };
+    let count = u16::try_from(chunks.len()).unwrap_or(u16::MAX);
+    let empty = Exchange {
+        open: Vec::new(),
+        times: Vec::new(),
+        limits: Vec::new(),
+        ..exchange.clone()
+    };
+    let open = (0..).zip(&chunks).map(|(part, chunk)| Exchange {
+        open: chunk.to_vec(),
+        part,
+        parts: count,
+        ..empty.clone()
+    });
+    let times = exchange.times.chunks(ITEMS_MAX).map(|chunk| Exchange {
+        times: chunk.to_vec(),
+        ..empty.clone()
+    });
+    // Earlier builds read such a part as one of open requests, so it repeats the first one, which
+    // has room for limits only if it is short.
+    let first: &[OpenItem] = chunks.first().copied().unwrap_or_default();
+    let limits = exchange
+        .limits
+        .chunks(LIMITS_MAX / 2)
+        .map(|chunk| Exchange {
+            open: first[..first.len().min(ITEMS_MAX / 2)].to_vec(),
+            limits: chunk.to_vec(),
+            parts: count,
+            ..empty.clone()
+        });
+    limits.chain(open).chain(times).collect()
+}
