Leave a margin for random variation below the limit of an upstream

With 12 hosts, a limit of 1.3 a second and ten times as many requests wanted, an upstream could get 14 requests in 4 s where 12 are allowed. Cause: 1.5 requests above the rate left no room for random variation. Change: 1 request; the model runs 8 seeds in place of one.

--- a/crates/balance/src/limits.rs
+++ b/crates/balance/src/limits.rs
@@ -34,7 +34,7 @@
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1200);
 
 /// Requests that may be sent in a window in addition to the rate.
-const BURST: f64 = 1.5;
+const BURST: f64 = 1.0;
 
 /// Largest rate at which room is used, as a multiple of the limit.
 const CATCH_UP: f64 = 1.5;
--- a/tests/all/gateway/limits.rs
+++ b/tests/all/gateway/limits.rs
@@ -18,8 +18,8 @@
 /// Time until a report reaches the other hosts, in reports: 0.4 s.
 const DELAY: usize = 5;
 
-/// Seed of the requests.
-const SEED: u64 = 26;
+/// Seeds of the requests.
+const SEEDS: std::ops::Range<u64> = 0..8;
 
 /// Window in which an upstream counts, in steps.
 const WINDOW: usize = 160;
@@ -41,7 +41,7 @@
 
 /// Runs hosts whose callers want `rate` requests a second of one upstream, and returns the requests
 /// that it gets in each step. Reports of the hosts' sums arrive late.
-fn run<F>(hosts: u32, limit: f64, connected: bool, rate: F) -> Vec<u32>
+fn run<F>(seed: u64, hosts: u32, limit: f64, connected: bool, rate: F) -> Vec<u32>
 where
     F: Fn(usize) -> f64,
 {
@@ -50,7 +50,7 @@
         rate: Some(PerSecond(limit)),
         at: at(0),
     };
-    let mut random = StdRng::seed_from_u64(SEED);
+    let mut random = StdRng::seed_from_u64(seed);
     let mut all: Vec<Limits> = (0..hosts).map(|_| Limits::default()).collect();
     let mut late: VecDeque<Vec<Usage>> = VecDeque::new();
     let mut arrivals = Vec::new();
@@ -98,6 +98,12 @@
     arrivals
 }
 
+/// All pairs of a number of hosts and a limit.
+fn cases(hosts: &[u32], limits: &[f64]) -> Vec<(u32, f64)> {
+    let pairs = hosts.iter().flat_map(|h| limits.iter().map(|l| (*h, *l)));
+    pairs.collect()
+}
+
 /// The most requests in a window after the limit must be kept.
 fn most(arrivals: &[u32]) -> u32 {
     let windows = arrivals[SETTLE..].windows(WINDOW);
@@ -113,11 +119,11 @@
 /// leave much of it unused.
 #[test]
 fn many_hosts_keep_to_a_limit_together() {
-    for hosts in [1, 3, 12, 89] {
-        for limit in [1.3, 4.0, 8.5, 40.0] {
+    for seed in SEEDS {
+        for (hosts, limit) in cases(&[1, 3, 12, 89], &[1.3, 4.0, 8.5, 40.0]) {
             for factor in [2.0, 10.0] {
-                let arrivals = run(hosts, limit, true, |_| limit * factor);
-                let name = format!("{hosts} hosts, limit {limit}, wanted {factor} times");
+                let arrivals = run(seed, hosts, limit, true, |_| limit * factor);
+                let name = format!("{hosts} hosts, limit {limit}, wanted {factor} times, {seed}");
                 let most = f64::from(most(&arrivals));
                 assert!(most <= allowed(limit), "{name}: {most}");
                 let total: u32 = arrivals[SETTLE..].iter().sum();
@@ -132,10 +138,10 @@
 /// Guards against a burst that reaches an upstream before hosts know of each other's requests.
 #[test]
 fn a_sudden_rise_keeps_to_the_limit() {
-    for hosts in [3, 12, 89] {
-        for limit in [4.0, 8.5, 40.0] {
+    for seed in SEEDS {
+        for (hosts, limit) in cases(&[3, 12, 89], &[4.0, 8.5, 40.0]) {
             let rise = |step: usize| if step < 800 { limit * 0.8 } else { limit * 4.0 };
-            let most = f64::from(most(&run(hosts, limit, true, rise)));
+            let most = f64::from(most(&run(seed, hosts, limit, true, rise)));
             assert!(most <= allowed(limit), "{hosts} hosts, {limit}: {most}");
         }
     }
@@ -144,9 +150,9 @@
 /// Guards against hosts that hear nothing of each other and each use up the whole limit.
 #[test]
 fn hosts_that_hear_nothing_of_each_other_keep_to_a_limit() {
-    for hosts in [3, 12] {
-        for limit in [4.0, 8.5] {
-            let most = f64::from(most(&run(hosts, limit, false, |_| limit * 3.0)));
+    for seed in SEEDS {
+        for (hosts, limit) in cases(&[3, 12], &[4.0, 8.5]) {
+            let most = f64::from(most(&run(seed, hosts, limit, false, |_| limit * 3.0)));
             assert!(most <= allowed(limit), "{hosts} hosts, {limit}: {most}");
         }
     }
