--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -203,8 +203,8 @@
             }
             Err(reason) => {
                 warn!(shared.log, "configuration not fetched"; "from" => %address,
-                    "version" => status.config_version, "bytes" => received, "after_ms" => after.as_millis(),
-                    "reason" => reason);
+                    "version" => status.config_version, "bytes" => received,
+                    "after_ms" => after.as_millis(), "reason" => reason);
             }
         }
         drop(progress);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,8 +6,8 @@
 //!
 //! The configuration changes rarely and must be in force soon, so its follower long-polls the store
 //! for the next record. The poll is short, because its answer also confirms that the configuration
-//! in force is the newest. The registry changes with every heartbeat of every upstream, so a long poll would return at once
-//! every time. It is read at a fixed pace instead.
+//! in force is the newest. The registry changes with every heartbeat of every upstream, so a long
+//! poll would return at once every time. It is read at a fixed pace instead.
 
 use std::collections::HashMap;
 use std::rc::Rc;
