Run an entry host on an event loop of its own

Cause: async-io wakes a second thread up to a hundred times a second, sets a timer descriptor and registers it for each wait, and registers each socket again for each event.

Change: crate trefoil-reactor, one thread, one epoll call a wait with the next timer of the QueueClock as its timeout, sockets registered once and edge-triggered. The store's client and signals stay on async-io.

Ruled out: polling in its edge mode, which keeps the timer descriptor and needs unsafe code.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -182,16 +182,27 @@
         self.queue.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the tick at which the first sleeping task is due. Whoever waits until then calls
+    /// [`wake_due`](Self::wake_due) afterwards, in place of [`drive`](Self::drive).
+    pub fn next_due(&self) -> Option<Tick> {
+        let mut queue = self.lock();
+        queue.next_wakeup = queue.timers.earliest();
+        queue.next_wakeup
+    }
+
+    /// Wakes the tasks that are due.
+    pub fn wake_due(&self) {
+        let due = self.lock().timers.take_due(self.now());
+        for waker in due {
+            waker.wake();
+        }
+    }
+
     /// Wakes sleeping tasks when they are due. Never returns.
     pub async fn drive(&self) {
         loop {
             let rearm = self.rearm.listen();
-            let next = {
-                let mut queue = self.lock();
-                queue.next_wakeup = queue.timers.earliest();
-                queue.next_wakeup
-            };
-            match next {
+            match self.next_due() {
                 None => rearm.await,
                 Some(at) => {
                     // Tasks that are due within the granularity are woken together.
@@ -202,10 +213,7 @@
                     timer.or(rearm).await;
                 }
             }
-            let due = self.lock().timers.take_due(self.now());
-            for waker in due {
-                waker.wake();
-            }
+            self.wake_due();
         }
     }
 }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -14,13 +14,13 @@
 use http::header::{HOST, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
 use slog::{debug, info, warn};
-use smol::Async;
 use trefoil_core::{HostId, Offset, Tick};
 use trefoil_directory::Registration;
 use trefoil_http::h1::{
     Answer, BodyLimit, ClientConnection, Handler, Limits, Match, Progress, RejectReason, Request,
     RequestHead, Response, encode_request,
 };
+use trefoil_reactor::Async;
 use trefoil_store::Era;
 
 use crate::follow::{self, Position};
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -14,11 +14,11 @@
 use http::Method;
 use http::header::{HeaderName, HeaderValue};
 use smallvec::SmallVec;
-use smol::Async;
 use trefoil_core::{Clock, Tick};
 use trefoil_http::h1::{
     BodyLimit, ClientConnection, EncodedMessage, ExchangeError, Match, Response, ResponseHead,
 };
+use trefoil_reactor::Async;
 
 /// Longest time to open a connection. If the first packet is lost, it is retransmitted only after a
 /// second; a new attempt is faster.
@@ -167,6 +167,7 @@
         let mut unsuitable = SmallVec::<[IdleLink; 2]>::new();
         let mut found = None;
         while let Some(mut newest) = kept.pop() {
+            newest.link.connection.get_ref().recheck_input();
             let usable = now.since(newest.since) < max_idle(&newest.link).min(idle)
                 && newest.link.is_reusable();
             match () {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -22,10 +22,10 @@
 
 use futures_lite::FutureExt;
 use slog::{debug, info, warn};
-use smol::Async;
 use trefoil_balance::Estimate;
 use trefoil_core::{HostId, Tick};
 use trefoil_directory::Tag;
+use trefoil_reactor::Async;
 
 use crate::freshness::Source;
 use crate::host::Host;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -9,11 +9,12 @@
 use futures_lite::future::BoxedLocal;
 use http::{HeaderValue, StatusCode};
 use slog::{info, warn};
-use smol::{Async, Task};
+use smol::Task;
 use snafu::{ResultExt, Snafu};
 use trefoil_http::h1::{
     Answer, Handler, Limits, RejectReason, Request, RequestHead, ServerConnection,
 };
+use trefoil_reactor::Async;
 
 use crate::fetch::PeerHandler;
 use crate::host::{Host, StopTimes};
--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// The connection.
+    pub fn get_ref(&self) -> &S {
+        self.stream.get_ref()
+    }
+
     /// Returns true if another request may be sent: the last answer was complete, and the upstream
     /// has neither announced a close, nor closed the connection, nor sent anything since.
     pub fn is_reusable(&mut self) -> bool {
--- a/crates/http/src/h1/stream.rs
+++ b/crates/http/src/h1/stream.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// The connection.
+    pub fn get_ref(&self) -> &S {
+        &self.stream
+    }
+
     /// Returns true if the peer has closed its sending side.
     pub fn is_closed(&self) -> bool {
         self.closed
--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -9,7 +9,7 @@
 
 use async_signal::{Signal, Signals};
 use clap::{Arg, ArgMatches, Command, value_parser};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::StreamExt;
 use trefoil_config::{BoundSettings, ServeSettings};
 use trefoil_core::{Bytes, QueueClock};
 use trefoil_daemon::logging;
@@ -17,6 +17,7 @@
     Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry, serve,
 };
 use trefoil_platform::{StoreClient, UsersPlatform};
+use trefoil_reactor::block_on;
 
 use crate::settings;
 
@@ -63,20 +64,15 @@
         Arc::new(store),
     );
     let executor = Rc::clone(&host.executor);
-    smol::block_on(executor.run(async {
+    let serving = async {
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let stop = wait_for_stop(Rc::clone(&host), path, signals);
-        let serving = async {
-            serve(host, stop).await?;
-            Ok(ExitCode::SUCCESS)
-        };
-        // Without timers the shutdown would not end either, so a panic of theirs ends the process.
-        let timers = async {
-            clock.drive().await;
-            Err("the timers have ended".into())
-        };
-        serving.or(timers).await
-    }))
+        serve(host, stop).await?;
+        Ok(ExitCode::SUCCESS)
+    };
+    // As a task of its own it is polled only when it is woken, not with every other task.
+    let serving = executor.spawn(serving);
+    block_on(&clock, executor.run(serving))?
 }
 
 /// Reloads the settings on SIGHUP, and returns on SIGTERM or SIGINT.
--- a/tests/all/gateway/changes.rs
+++ b/tests/all/gateway/changes.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use serde_json::json;
-use smol::Async;
 use trefoil_core::SystemClock;
 use trefoil_gateway::{Host, HostConfig, follow, message::HostInfo, relay};
+use trefoil_reactor::Async;
 use trefoil_standin::{ControlPlane, FaultyStore, test_config};
 use trefoil_store::{Era, MemoryStore};
 
@@ -141,7 +141,7 @@
     F: Future<Output = ()>,
 {
     let [first, second, third] = members;
-    smol::block_on(test.or(first.run()).or(second.run()).or(third.run()));
+    support::block_on(test.or(first.run()).or(second.run()).or(third.run()));
 }
 
 pub(super) async fn wait(span: Duration) {
--- a/tests/all/gateway/config.rs
+++ b/tests/all/gateway/config.rs
@@ -10,10 +10,10 @@
 use bytes::Bytes;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use serde_json::Value;
-use smol::Async;
 use trefoil_core::{HostId, SystemClock};
 use trefoil_gateway::message::{HostInfo, Message, Report, SyncStatus};
 use trefoil_gateway::{Bounds, Host, follow, relay};
+use trefoil_reactor::Async;
 use trefoil_standin::{ControlPlane, StoreFault, test_config};
 use trefoil_store::{Era, MemoryStore, Topic};
 
@@ -142,7 +142,7 @@
             wait(Duration::from_millis(75)).await;
         }
     };
-    smol::block_on(test.or(serving).or(host.executor.run(pending())));
+    support::block_on(test.or(serving).or(host.executor.run(pending())));
     assert_eq!((host.config_version().0, fetches.get()), (2, 1));
 }
 
@@ -236,6 +236,6 @@
         }
         took = begun.elapsed();
     };
-    smol::block_on(test.or(silent).or(host.executor.run(pending())));
+    support::block_on(test.or(silent).or(host.executor.run(pending())));
     assert!(took < APPLY, "in force after {took:?}");
 }
--- a/tests/all/gateway/era.rs
+++ b/tests/all/gateway/era.rs
@@ -75,7 +75,7 @@
     let copy = Mutex::new(Some(copy));
     let host = host(Arc::new(TornStore { store, copy }));
     let following = host.spawn(follow::follow_registry(Rc::clone(&host)));
-    smol::block_on(async {
+    support::block_on(async {
         let timer = async {
             smol::Timer::after(Duration::from_secs(2)).await;
         };
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -91,7 +91,7 @@
         smol::Timer::after(DRAIN).await;
         call.await
     };
-    let completion = smol::block_on(host.executor.run(test));
+    let completion = support::block_on(host.executor.run(test));
     assert_eq!(completion.answer.status, StatusCode::SERVICE_UNAVAILABLE);
     let (mut connection, _) = upstream.accept().expect("the host has connected");
     let mut received = Vec::new();
--- a/tests/all/gateway/parts.rs
+++ b/tests/all/gateway/parts.rs
@@ -7,11 +7,11 @@
 
 use futures_lite::FutureExt;
 use futures_lite::future::pending;
-use smol::Async;
 use trefoil_core::{Key, KeyRange, SystemClock};
 use trefoil_gateway::message::{Message, RoutesPart};
 use trefoil_gateway::tables::{Revision, Routes};
 use trefoil_gateway::{Host, HostConfig, relay};
+use trefoil_reactor::Async;
 use trefoil_store::MemoryStore;
 
 use super::support;
@@ -130,5 +130,5 @@
         host.executor.run(pending::<()>()).await;
         drop(task);
     };
-    smol::block_on(test.or(running));
+    support::block_on(test.or(running));
 }
--- a/tests/all/gateway/pool.rs
+++ b/tests/all/gateway/pool.rs
@@ -3,6 +3,7 @@
 use std::net::TcpListener;
 use std::time::Duration;
 
+use super::support;
 use trefoil_core::{SystemClock, Tick};
 use trefoil_gateway::pool::{Pool, Traffic, connect};
 
@@ -16,7 +17,7 @@
     let addresses = upstreams.map(|u| (u.local_addr().expect("bound"), u));
     let mut pool = Pool::new(MAX);
     let mut now = Tick(Duration::from_secs(1));
-    smol::block_on(async {
+    support::block_on(async {
         for (address, _) in &addresses {
             for _ in 0..2 {
                 let link = connect(&SystemClock, *address).await.expect("connected");
--- a/tests/all/gateway/returns.rs
+++ b/tests/all/gateway/returns.rs
@@ -10,9 +10,9 @@
 use futures_lite::FutureExt;
 use futures_lite::future::{Boxed, pending, ready};
 use serde_json::json;
-use smol::Async;
 use trefoil_core::SystemClock;
 use trefoil_gateway::{Host, HostConfig, follow, message::HostInfo, relay};
+use trefoil_reactor::Async;
 use trefoil_standin::{ControlPlane, test_config};
 use trefoil_store::{
     Append, Appended, Batch, Era, MemoryStore, Newest, Page, Read, Store, StoreError,
@@ -161,7 +161,7 @@
     F: Future<Output = ()>,
 {
     let [first, second, third] = members;
-    smol::block_on(test.or(first.run()).or(second.run()).or(third.run()));
+    support::block_on(test.or(first.run()).or(second.run()).or(third.run()));
 }
 
 async fn wait(span: Duration) {
--- a/tests/all/gateway/support.rs
+++ b/tests/all/gateway/support.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use trefoil_core::SystemClock;
+use trefoil_core::{QueueClock, SystemClock};
 use trefoil_gateway::{
     Bounds, Host, HostConfig, LostLines, Memory, Metrics, ProcessLimits, Telemetry,
 };
@@ -37,3 +37,11 @@
     let (clock, platform) = (Arc::new(SystemClock), Rc::new(UsersPlatform::new()));
     Host::new(config, memory, clock, telemetry, platform, store)
 }
+
+/// Runs a future with the event loop of the hosts.
+pub fn block_on<F>(future: F) -> F::Output
+where
+    F: Future,
+{
+    trefoil_reactor::block_on(&QueueClock::default(), future).expect("the event loop works")
+}
--- a/tests/all/gateway/tasks.rs
+++ b/tests/all/gateway/tasks.rs
@@ -25,7 +25,7 @@
     };
     let serving = serve(Rc::clone(&host), pending());
     let executor = Rc::clone(&host.executor);
-    let result = smol::block_on(executor.run(serving.or(limit)));
+    let result = support::block_on(executor.run(serving.or(limit)));
     assert!(
         matches!(result, Err(ServeError::TaskEnded { name: "probe" })),
         "{result:?}"
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,5 +11,6 @@
 mod platform;
 mod process;
 mod ranges;
+mod reactor;
 mod sessions;
 mod wire;
--- /dev/null
+++ b/tests/all/reactor.rs
@@ -0,0 +1,4 @@
+//! The event loop of a host.
+
+mod edges;
+mod waits;
