--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -124,7 +124,14 @@
     let mut not_before = host.now().after(STARTUP_WAIT);
     let mut vacant_since = None;
     loop {
-        host.clock.sleep(CANDIDATE_STAGGER / 3).await;
+        // Only relays campaign.
+        let is_relay = host.peers.borrow().is_relay(host.now());
+        let pause = if is_relay {
+            CANDIDATE_STAGGER / 3
+        } else {
+            CANDIDATE_STAGGER
+        };
+        host.clock.sleep(pause).await;
         let now = host.now();
         host.observe_era();
         if now < not_before || !may_campaign(&host, &service, now) {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -23,9 +23,14 @@
 use crate::freshness::{Reads, Source};
 use crate::host::Host;
 
-/// Time between two checks whether this host must read the store.
+/// Time between two checks whether this host must read the store, by a relay, or by any host whose
+/// read is due and cannot start.
 const ROLE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between two checks by the other hosts. The age of their copies tells when their next read
+/// is due, unless they become relays.
+const OTHERS_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time since a host's last read of the registry after which it reads the newest records anew. The
 /// records since then would be more than that.
 const POSITION_MAX_AGE: Duration = Duration::from_secs(3);
@@ -81,8 +86,11 @@
 
 /// Waits until `due`, but not for long: the role of the host and the age of its copy change.
 async fn wait_for_role(host: &Host, now: Tick, due: Tick) {
-    let next = now.after(ROLE_INTERVAL);
-    let wake = if now < due { due.min(next) } else { next };
+    let wake = match () {
+        () if now >= due => now.after(ROLE_INTERVAL),
+        () if host.peers.borrow().is_relay(now) => due.min(now.after(ROLE_INTERVAL)),
+        () => due.min(now.after(OTHERS_INTERVAL)),
+    };
     host.clock.sleep_until(wake).await;
 }
 
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -64,6 +64,8 @@
     pub store_recovered: Event,
     /// The store has come back from an older copy.
     pub store_restored: Event,
+    /// This host has become a relay of its domain.
+    pub promoted: Event,
     /// Datagrams are queued.
     pub outbox: Event,
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -35,6 +35,21 @@
 /// the interval between two reports.
 const STORE_AGE_ERROR: Duration = Duration::from_millis(150);
 
+/// Longest time between the first and the last part of one digest. Parts are sent at once, and the
+/// next digest follows after several times as long.
+const PARTS_SPAN: Duration = Duration::from_millis(30);
+
+/// Relation of a datagram to those received before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reception {
+    /// The sender is unknown.
+    Unknown,
+    /// Its status was received just before, with another part of the same digest.
+    Repeated,
+    /// Its status is news.
+    New,
+}
+
 /// State of another host.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -98,7 +113,7 @@
 }
 
 /// Rank of a host; the lowest is first.
-fn rank(info: &HostInfo) -> (Reverse<u32>, &HostName) {
+pub(crate) fn rank(info: &HostInfo) -> (Reverse<u32>, &HostName) {
     (Reverse(info.millicores), &info.name)
 }
 
@@ -144,6 +159,12 @@
         self.hosts.values().any(|p| p.info.address == address)
     }
 
+    /// Returns `true` if the host at this address was heard lately.
+    pub fn is_heard(&self, now: Tick, address: SocketAddr) -> bool {
+        let mut at = self.hosts.values().filter(|p| p.info.address == address);
+        at.any(|peer| Self::is_live(now, peer))
+    }
+
     /// Adds a host that has sent a datagram. Returns whether it was unknown, and the incarnations
     /// that it replaces at its address, which have ended.
     pub fn add(&mut self, now: Tick, info: HostInfo) -> (bool, Vec<HostId>) {
@@ -190,30 +211,47 @@
         self.listings.retain(|id, _| self.hosts.contains_key(id));
     }
 
-    /// Records a datagram of a host. Returns `false` if the host is unknown.
-    pub fn record_received(&mut self, now: Tick, id: HostId, status: Option<SyncStatus>) -> bool {
+    /// Records a datagram of a host.
+    pub fn record_received(
+        &mut self,
+        now: Tick,
+        id: HostId,
+        status: Option<SyncStatus>,
+    ) -> Reception {
         let Some(peer) = self.hosts.get_mut(&id) else {
-            return false;
+            return Reception::Unknown;
         };
         peer.received_at = Some(now);
         peer.live_at = Some(now);
-        if let Some(status) = status {
-            peer.status = Some((now, status));
+        let Some(status) = status else {
+            return Reception::New;
+        };
+        match peer.status {
+            Some((at, known)) if known == status && now.since(at) < PARTS_SPAN => {
+                Reception::Repeated
+            }
+            _ => {
+                peer.status = Some((now, status));
+                Reception::New
+            }
         }
-        true
     }
 
-    /// Records a digest of a relay, which also lists the live hosts of its domain.
+    /// Records a part of a digest of a relay. One of the parts lists the live hosts of its domain.
     pub fn record_digest(&mut self, now: Tick, id: HostId, live: &[u32], hosts: u32) {
         if let Some(peer) = self.hosts.get_mut(&id) {
             peer.digest_at = Some(now);
         }
-        for peer in self.hosts.values_mut() {
-            if live.contains(&short_id(peer.info.id)) {
-                peer.live_at = Some(now);
-            }
-        }
         self.reported_hosts = hosts;
+        if live.is_empty() {
+            return;
+        }
+        let live: HashSet<u32> = live.iter().copied().collect();
+        let own = &self.own.domain;
+        let in_domain = self.hosts.values_mut().filter(|p| p.info.domain == *own);
+        for peer in in_domain.filter(|p| live.contains(&short_id(p.info.id))) {
+            peer.live_at = Some(now);
+        }
     }
 
     /// Records the number of hosts that a relay of another domain reports for that domain.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -85,10 +85,14 @@
 /// Sends reports and digests. Never returns.
 pub async fn send(host: Rc<Host>, socket: Rc<Async<UdpSocket>>) {
     let mut count = 0;
-    let mut reported = BTreeMap::new();
+    let mut was_relay = host.peers.borrow().is_relay(host.now());
     loop {
         let now = host.now();
-        tick(&host, now, count, &mut reported);
+        let is_relay = tick(&host, now, count);
+        if is_relay && !was_relay {
+            host.events.promoted.notify(usize::MAX);
+        }
+        was_relay = is_relay;
         count += 1;
         flush(&host, &socket).await;
         let next = host.clock.sleep(TICK);
@@ -130,7 +134,8 @@
     }
 }
 
-fn tick(host: &Host, now: Tick, count: u32, reported: &mut BTreeMap<Tag, u32>) {
+/// Sends what is due at a tick. Returns whether this host is a relay.
+fn tick(host: &Host, now: Tick, count: u32) -> bool {
     let (slow, rare) = (
         count.is_multiple_of(SLOW_TICKS),
         count.is_multiple_of(RARE_TICKS),
@@ -151,7 +156,7 @@
         _ => {}
     }
     if position > 0 {
-        send_report(host, now, slow, reported);
+        send_report(host, now, slow);
     }
     forward_keys(host, now, position);
     let peers = host.peers.borrow();
@@ -161,6 +166,7 @@
         info!(host.log, "hosts changed"; "hosts" => hosts, "before" => before,
             "position" => position);
     }
+    position < RELAYS
 }
 
 fn own_open(host: &Host) -> BTreeMap<Tag, u32> {
@@ -222,7 +228,7 @@
 }
 
 /// Reports to the first relay, and every [`SLOW_TICKS`] to the second one.
-fn send_report(host: &Host, now: Tick, slow: bool, reported: &mut BTreeMap<Tag, u32>) {
+fn send_report(host: &Host, now: Tick, slow: bool) {
     let open = own_open(host);
     let times = if slow {
         time_items(own_times(host, now))
@@ -257,37 +263,29 @@
         peers.queue([*second], &Message::Report(report));
     }
     drop(peers);
-    *reported = open;
-    host.reported_open.replace(reported.clone());
+    host.reported_open.replace(open);
 }
 
 /// Sends digests to the hosts of this domain, and exchanges to the relays of the others.
 fn send_digest(host: &Host, now: Tick, count: u32, slow: bool, rare: bool) {
-    let (mut local, times) = {
+    let mut local = {
         let mut tally = host.local_loads.borrow_mut();
         tally.expire(now);
-        (tally.open(), tally.times(now))
+        tally.open()
     };
-    let (remote, remote_times) = {
+    let remote = {
         let mut tally = host.remote_loads.borrow_mut();
         tally.expire(now);
-        (tally.open(), tally.times(now))
+        tally.open()
     };
     apply_peer_loads(host, now, &local, &remote);
     for (tag, open) in own_open(host) {
         *local.entry(tag).or_default() += open;
     }
-    let domain_times = merge_estimates(now, times, own_times(host, now));
-    let all_times = merge_estimates(now, domain_times.clone(), remote_times);
-    for (tag, time) in &all_times {
-        if let Some(load) = host.balancer.borrow_mut().load_mut(*tag) {
-            load.set_shared(*time);
-        }
-    }
-    let times = if slow {
-        time_items(all_times)
+    let (domain_times, times) = if slow {
+        join_times(host, now)
     } else {
-        Vec::new()
+        Default::default()
     };
     let sends_remote = count.is_multiple_of(REMOTE_TICKS) || slow;
     let remote = if sends_remote {
@@ -310,11 +308,7 @@
             status: sync_status(host, now),
             hosts: peers.domain_hosts(now),
             open: open_items(&local),
-            times: if slow {
-                time_items(domain_times)
-            } else {
-                Vec::new()
-            },
+            times: domain_times,
             terms: peers.terms(now),
             part: 0,
             parts: 1,
@@ -328,6 +322,21 @@
     }
 }
 
+/// Joins the estimates that this relay has and applies them to itself. Returns those of its domain
+/// and those of all domains.
+fn join_times(host: &Host, now: Tick) -> (Vec<TimeItem>, Vec<TimeItem>) {
+    let local = host.local_loads.borrow().times(now);
+    let domain = merge_estimates(now, local, own_times(host, now));
+    let remote = host.remote_loads.borrow().times(now);
+    let all = merge_estimates(now, domain.clone(), remote);
+    for (tag, time) in &all {
+        if let Some(load) = host.balancer.borrow_mut().load_mut(*tag) {
+            load.set_shared(*time);
+        }
+    }
+    (time_items(domain), time_items(all))
+}
+
 fn merge_estimates<I>(
     now: Tick,
     mut sums: BTreeMap<Tag, Estimate>,
@@ -403,6 +412,8 @@
     let changes: Vec<_> = changes.collect();
     drop(directory);
     host.apply_changes(changes, Source::Digest);
+    // The directory may have the same content as that of the relay now.
+    host.compare_directory(now, status);
 }
 
 /// Fetches a configuration or directory that is newer at another host.
@@ -412,19 +423,25 @@
     if (status.config_version, status.config_era) > known {
         fetch::fetch_config(host, from, now, status);
     }
+    let Some(digest) = status.directory_digest else {
+        return;
+    };
+    // A directory with the same content is not copied, but makes this host's complete.
+    let same = digest == host.directory.borrow().digest();
+    if same && host.has_directory() && host.directory_differs.get().is_none() {
+        return;
+    }
     // The two relays read the registry at different times, so a host that copied both would
     // alternate between two views.
     let silence = host.bounds.get().reader_silence();
     let source = host.peers.borrow().directory_source(now, silence) == Some(from);
     // A host without a directory accepts any.
     let urgent = !host.has_directory() || host.needs_copy(now);
-    // A directory with the same content is not copied, but makes this host's complete.
-    let same = status.directory_digest == Some(host.directory.borrow().digest());
     let wanted = match host.is_older_than(now, status) {
         Some(older) => (source || urgent) && (older || same),
         None => (source || !host.has_directory()) && !host.reads_store(now),
     };
-    if let Some(digest) = status.directory_digest.filter(|_| wanted) {
+    if wanted {
         fetch::fetch_directory(host, from, now, digest, urgent);
     }
 }
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -11,6 +11,7 @@
 use crate::host::Host;
 use crate::limits::decode_items;
 use crate::message::{Digest, Exchange, Message, Report, SyncStatus, TermItem};
+use crate::peers::Reception;
 
 pub(super) fn handle(host: &Host, from: SocketAddr, message: Message) {
     match message {
@@ -52,22 +53,31 @@
     }
 }
 
-/// Records the sender of a datagram and returns whether it is known. Asks an unknown sender for its
-/// identity.
-fn record_sender(host: &Host, from: SocketAddr, id: HostId, status: SyncStatus) -> bool {
+/// Records the sender of a datagram. Asks an unknown sender for its identity.
+///
+/// The parts of one digest or exchange have the same status, and only the first one is compared
+/// with this host's: that takes a look at every known host, and a large digest has dozens of parts
+/// a second.
+fn record_sender(host: &Host, from: SocketAddr, id: HostId, status: SyncStatus) -> Reception {
     let now = host.now();
+    let received = host
+        .peers
+        .borrow_mut()
+        .record_received(now, id, Some(status));
+    if received == Reception::Repeated {
+        return received;
+    }
     if let Some(era) = status.store_era {
         host.record_era(era, EraSource::Host);
     }
     host.compare_directory(now, status);
     host.compare_config(now, status);
     let mut peers = host.peers.borrow_mut();
-    let known = peers.record_received(now, id, Some(status));
-    if !known && !peers.has_ended(id) {
+    if received == Reception::Unknown && !peers.has_ended(id) {
         let hello = Message::Hello(peers.own().clone(), true);
         peers.queue([from], &hello);
     }
-    known
+    received
 }
 
 fn on_listing(host: &Host, from: SocketAddr, relay: HostId, terms: &[TermItem]) {
@@ -92,7 +102,7 @@
 }
 
 fn on_report(host: &Host, from: SocketAddr, report: Report) {
-    if !record_sender(host, from, report.from, report.status) {
+    if record_sender(host, from, report.from, report.status) == Reception::Unknown {
         return;
     }
     let now = host.now();
@@ -112,13 +122,14 @@
 }
 
 fn on_digest(host: &Host, from: SocketAddr, digest: Digest) {
-    if !record_sender(host, from, digest.from, digest.status) {
+    let received = record_sender(host, from, digest.from, digest.status);
+    if received == Reception::Unknown {
         return;
     }
     let now = host.now();
-    host.peers
-        .borrow_mut()
-        .record_digest(now, digest.from, &digest.live, digest.hosts);
+    let mut peers = host.peers.borrow_mut();
+    peers.record_digest(now, digest.from, &digest.live, digest.hosts);
+    drop(peers);
     let reported = host.reported_open.borrow();
     let mut balancer = host.balancer.borrow_mut();
     for item in &digest.local {
@@ -140,14 +151,21 @@
     }
     drop(balancer);
     drop(reported);
-    host.apply_limits(now, &decode_items(now, &digest.limits));
-    on_listing(host, from, digest.from, &digest.terms);
+    if !digest.limits.is_empty() {
+        host.apply_limits(now, &decode_items(now, &digest.limits));
+    }
+    if !digest.terms.is_empty() {
+        on_listing(host, from, digest.from, &digest.terms);
+    }
     apply_change_items(host, now, digest.status, digest.changes);
-    catch_up(host, digest.from, digest.status);
+    if received == Reception::New {
+        catch_up(host, digest.from, digest.status);
+    }
 }
 
 fn on_exchange(host: &Host, from: SocketAddr, exchange: Exchange) {
-    if !record_sender(host, from, exchange.from, exchange.status) {
+    let received = record_sender(host, from, exchange.from, exchange.status);
+    if received == Reception::Unknown {
         return;
     }
     let now = host.now();
@@ -170,6 +188,8 @@
             tally.add_times(now, (domain, 0), decode_estimates(now, &exchange.times));
         }
     }
-    on_listing(host, from, exchange.from, &exchange.terms);
-    catch_up(host, exchange.from, exchange.status);
+    if received == Reception::New {
+        on_listing(host, from, exchange.from, &exchange.terms);
+        catch_up(host, exchange.from, exchange.status);
+    }
 }
--- a/crates/gateway/src/relay/parts.rs
+++ b/crates/gateway/src/relay/parts.rs
@@ -21,15 +21,17 @@
     let empty = Digest {
         from: host.id,
         status: sync_status(host, now),
-        live: peers.direct_ids(now),
+        live: Vec::new(),
         hosts: peers.all_hosts(now),
         local: Vec::new(),
         remote: Vec::new(),
         times: Vec::new(),
-        terms: peers.terms(now),
+        terms: Vec::new(),
         changes: Vec::new(),
         limits: Vec::new(),
     };
+    // The first part stands for all: a receiver that misses it misses one digest of many.
+    let (live, terms) = (peers.direct_ids(now), peers.terms(now));
     drop(peers);
     let changes: Vec<ChangeItem> = host.changes.borrow().iter().cloned().collect();
     let mut digests: Vec<Digest> = changes
@@ -55,8 +57,13 @@
         limits: chunk.to_vec(),
         ..empty.clone()
     }));
-    if digests.is_empty() {
-        digests.push(empty);
+    match digests.first_mut() {
+        Some(first) => (first.live, first.terms) = (live, terms),
+        None => digests.push(Digest {
+            live,
+            terms,
+            ..empty
+        }),
     }
     digests
 }
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod era;
 mod forward;
+mod greetings;
 mod limits;
 mod message;
 mod parts;
