Wait for earlier coordinators no longer than a resignation says

At 4.6 s a coordinator that the store turned away resigned, its last grant valid for 4.5 s more. Two hosts took over at once; the first one wrote a table before it knew of the resignation (earlier_ms=11029) and ended 0.1 s later. The second one took the 11 s of that table, although the first one's resignation said 4.4 s for itself and all before it, and kept the keys of silent owners without an owner for 6.7 s too long. Until then it was sent, and logged, 44 resignations a second.

Change: a resignation limits the wait as a whole; only the end of a process, which says nothing of earlier coordinators, leaves the time of the table. A successor is sent a resignation at most every 200 ms, and logs it once.

Result: gateway::successors fails before (waits for more than 4 s after a resignation of 2 s) and passes.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -56,6 +56,10 @@
 /// Shortest time between two ticks of a term, unless an event arrives.
 const TICK_MIN: Duration = Duration::from_millis(5);
 
+/// Time between two resignations that a successor is sent until it waits no longer. It may not have
+/// begun its term when the first one arrived.
+const RESIGNATION_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time for which a host does not campaign after it could not reach most upstreams.
 const ISOLATED_WAIT: Duration = Duration::from_secs(4);
 
@@ -98,6 +102,8 @@
     number: u64,
     /// Expiry of the last grant of this term or an earlier one.
     until: Tick,
+    /// When the successor was told last.
+    told_at: Tick,
 }
 
 /// The last finished term of this host for each service.
@@ -275,6 +281,7 @@
     let ended = EndedTerm {
         number: term.number,
         until: term.coordinator.grants_until(),
+        told_at: Tick::default(),
     };
     host.ended_terms.borrow_mut().insert(service.clone(), ended);
     let message = Message::Resigned(resigned_message(host, service, ended, now));
@@ -321,9 +328,11 @@
     // The successor waits for the expiry of grants that this host may have sent; the message tells
     // it when that is.
     if let Some(waited) = item.predecessor
-        && let Some(ended) = host.ended_terms.borrow().get(&item.service)
+        && let Some(ended) = host.ended_terms.borrow_mut().get_mut(&item.service)
         && ended.number == waited
+        && now.since(ended.told_at) >= RESIGNATION_INTERVAL
     {
+        ended.told_at = now;
         let message = Message::Resigned(resigned_message(host, &item.service, *ended, now));
         let mut peers = host.peers.borrow_mut();
         if let Some(address) = peers.address(item.host) {
@@ -335,11 +344,14 @@
 /// Handles the resignation of a coordinator.
 pub(crate) fn on_resigned(host: &Host, resigned: &Resigned) {
     let now = host.now();
-    info!(host.log, "steward resigned"; "service" => %resigned.service,
-        "host" => %resigned.from, "term" => resigned.term, "left_ms" => resigned.left.as_millis());
     let mut peers = host.peers.borrow_mut();
-    peers.end_term(&resigned.service, resigned.term);
+    let is_news = peers.end_term(&resigned.service, resigned.term);
     drop(peers);
+    if is_news {
+        info!(host.log, "steward resigned"; "service" => %resigned.service,
+            "host" => %resigned.from, "term" => resigned.term,
+            "left_ms" => resigned.left.as_millis());
+    }
     let mut terms = host.terms.borrow_mut();
     let Some(term) = terms.get_mut(&resigned.service) else {
         return;
@@ -347,7 +359,7 @@
     let predecessor = term.predecessor(now);
     let waited = |p: term::Predecessor| p.host == resigned.from && p.term == resigned.term;
     if predecessor.is_some_and(waited) {
-        term.limit_predecessor(now.after(resigned.left));
+        term.limit_all_earlier(now.after(resigned.left));
     }
 }
 
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -214,8 +214,8 @@
         }
     }
 
-    /// Limits the wait for the previous coordinator, which sends no more orders: its grants expire
-    /// by `until`.
+    /// Limits the wait for the previous coordinator, whose process has ended: its own grants expire
+    /// by `until`, and those before it as its table says.
     pub(crate) fn limit_predecessor(&mut self, until: Tick) {
         if let Some(predecessor) = self.predecessor {
             self.coordinator
@@ -223,6 +223,13 @@
         }
     }
 
+    /// Limits the wait for the previous coordinator, which has announced that its last grant, and
+    /// those of all coordinators before it, expire by `until`. It may have learned that after it
+    /// wrote its table.
+    pub(crate) fn limit_all_earlier(&mut self, until: Tick) {
+        self.coordinator.limit_earlier(until);
+    }
+
     /// The coordinator before this one, until the grants of earlier coordinators have expired.
     pub(crate) fn predecessor(&self, now: Tick) -> Option<Predecessor> {
         self.predecessor
--- a/crates/gateway/src/peers/coordinators.rs
+++ b/crates/gateway/src/peers/coordinators.rs
@@ -82,9 +82,10 @@
         true
     }
 
-    /// Records that a term has ended.
-    pub fn end_term(&mut self, service: &ServiceName, term: u64) {
+    /// Records that a term has ended. Returns whether that is news.
+    pub fn end_term(&mut self, service: &ServiceName, term: u64) -> bool {
         let ended = self.ended_terms.entry(service.clone()).or_default();
+        let is_news = *ended < term;
         *ended = term.max(*ended);
         if self
             .coordinators
@@ -93,6 +94,7 @@
         {
             self.coordinators.remove(service);
         }
+        is_news
     }
 
     /// Records that a host is taking over a service, or has failed to.
--- a/crates/reactor/src/socket.rs
+++ b/crates/reactor/src/socket.rs
@@ -214,10 +214,10 @@
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buffer: &mut [u8],
+        buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let asked = buffer.len();
-        let read = self.poll_input(cx, |mut stream| stream.read(buffer));
+        let asked = buf.len();
+        let read = self.poll_input(cx, |mut stream| stream.read(buf));
         // Nothing was read at the end of the input.
         if matches!(read, Poll::Ready(Ok(n)) if n > 0 && n < asked) {
             self.source.read.set_drained();
@@ -230,9 +230,9 @@
     fn poll_write(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bytes: &[u8],
+        buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.poll_output(cx, |mut stream| stream.write(bytes))
+        self.poll_output(cx, |mut stream| stream.write(buf))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -17,5 +17,6 @@
 mod pool;
 mod returns;
 mod routes;
+mod successors;
 mod support;
 mod tasks;
--- a/tests/all/gateway/greetings.rs
+++ b/tests/all/gateway/greetings.rs
@@ -1,6 +1,5 @@
 //! Greetings that a host sends when it starts and when it becomes a relay.
 
-use std::collections::BTreeSet;
 use std::net::UdpSocket;
 use std::rc::Rc;
 use std::sync::Arc;
--- a/tests/all/reactor/waits.rs
+++ b/tests/all/reactor/waits.rs
@@ -44,8 +44,8 @@
         thread::sleep(Duration::from_millis(50));
         sender.send_blocking(7).expect("received");
     });
-    let received = block_on(&QueueClock::default(), receiver.recv());
-    assert_eq!(received.expect("the event loop works"), Ok(7));
+    let message = block_on(&QueueClock::default(), receiver.recv());
+    assert_eq!(message.expect("the event loop works"), Ok(7));
     other.join().expect("the other thread ends");
 }
 
