Tell an answer of trefoild run from an earlier one that is sent twice

An upstream may send its answer a second time when the next request has been sent on the same connection. trefoild serve compares ids; trefoild run took whatever answer came next, so a caller could receive another one's (found by reading, shown by sessions::copies).

Change: each attempt has a number in Trefoil-Attempt, which the upstream returns. An answer with another number ends its attempt as unknown and closes the connection. An upstream that returns no number gets a new connection for each request.

--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -15,13 +15,14 @@
 use hyper::body::Incoming;
 use trefoil_core::{Outcome, Shard, Tick, Token, UnixMillis};
 use trefoil_dispatch::{Cause, GRANT_PATH, Grant, Refusal, Report, Status};
-use trefoil_http::{CallError, Connection, ConnectionError};
+use trefoil_http::{CallError, ConnectionError};
 use trefoil_wire::{AnswerHead, BodyError};
 
 use super::Answer;
 use super::driver::{Driver, Notice};
 use super::job::{Job, SlotGuard};
 use super::payload::{Payload, REPLAY_MAX};
+use crate::pool::{ATTEMPT_HEADER, AttemptNumber, Identity, Link, Pool};
 use crate::request::{self, host_value, is_refusal};
 use crate::trace::{Span, TRACE_HEADER};
 
@@ -85,7 +86,8 @@
         let trace = self.head.trace.as_deref();
         let mut span = driver.shared.tracing.client("upstream", trace);
         span.set("upstream", driver.name());
-        let Some(request) = self.request(token, &span) else {
+        let number = driver.pool.next_attempt();
+        let Some(request) = self.request(token, number, &span) else {
             return end_attempt(slot, Cause::NothingWritten);
         };
         let stop = async {
@@ -96,19 +98,19 @@
             driver.await_grant(self.shard).await;
             driver.pool.take().await
         };
-        let Ok(mut connection) = connection.or(stop).await else {
+        let Ok(mut link) = connection.or(stop).await else {
             return end_attempt(slot, Cause::NotConnected);
         };
         // The authority is checked again immediately before the write. A process that is suspended
         // from here past the end of its lease is killed by the kernel timer before it can write.
         let token_valid = driver.authority.token(driver.name()) == Some(token);
         if !token_valid || !slot.may_write() {
-            driver.pool.put_back(connection);
+            driver.pool.put_back(link);
             return end_attempt(slot, Cause::NothingWritten);
         }
         driver.count_sent();
         slot.mark_written();
-        let sent = async { SendResult::Head(connection.send(request).await) };
+        let sent = async { SendResult::Head(link.connection.send(request).await) };
         let stop = async {
             driver.wait_stopped().await;
             SendResult::Close(Cause::Abandoned)
@@ -128,7 +130,15 @@
             }
             SendResult::Close(cause) => return end_attempt(slot, cause),
         };
-        self.answer(slot, connection, response).await
+        let identity = link.identify(number, response.headers());
+        if identity == Identity::Other {
+            return end_attempt(slot, Cause::NoAnswer);
+        }
+        let link = Answering {
+            link,
+            reusable: identity == Identity::Proven,
+        };
+        self.answer(slot, link, response).await
     }
 
     /// Waits until the connection must be closed without an answer.
@@ -147,7 +157,7 @@
     async fn answer(
         &self,
         slot: SlotGuard,
-        connection: Connection,
+        link: Answering,
         response: http::Response<Incoming>,
     ) -> Attempt {
         let driver = Arc::clone(&self.driver);
@@ -170,7 +180,7 @@
         if !small && refusal.is_none() {
             let exchange = Exchange {
                 driver,
-                connection: Some(connection),
+                link: Some(link),
                 slot: Some(slot),
                 status,
             };
@@ -206,7 +216,7 @@
         match whole.or(closing).or(stop).await {
             Err(cause) => end_attempt(slot, cause),
             Ok(bytes) => {
-                driver.pool.put_back(connection);
+                link.put_back(&driver.pool);
                 if let Some(refusal) = refusal {
                     return end_attempt(slot, Cause::Refused(refusal));
                 }
@@ -217,9 +227,14 @@
         }
     }
 
-    fn request(&mut self, token: Token, span: &Span) -> Option<Request<trefoil_http::Body>> {
+    fn request(
+        &mut self,
+        token: Token,
+        number: AttemptNumber,
+        span: &Span,
+    ) -> Option<Request<trefoil_http::Body>> {
         let driver = &self.driver;
-        let mut headers = HeaderMap::with_capacity(self.head.headers.len() + 5);
+        let mut headers = HeaderMap::with_capacity(self.head.headers.len() + 6);
         for (name, value) in &self.head.headers {
             let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
             headers.append(name, HeaderValue::from_bytes(value).ok()?);
@@ -235,6 +250,8 @@
             HeaderValue::from_str(&token.to_string()).ok()?,
         );
         headers.insert(SHARD_HEADER, HeaderValue::from(self.shard.0));
+        let number = HeaderValue::from_str(&number.to_string()).ok()?;
+        headers.insert(ATTEMPT_HEADER, number);
         headers.insert(
             DEADLINE_HEADER,
             HeaderValue::from_str(&deadline.to_string()).ok()?,
@@ -251,6 +268,22 @@
     }
 }
 
+/// A connection whose answer is being read.
+struct Answering {
+    link: Link,
+    /// The connection may carry another request afterwards.
+    reusable: bool,
+}
+
+impl Answering {
+    /// Returns the connection to the pool if it may carry another request, or closes it.
+    fn put_back(self, pool: &Pool) {
+        if self.reusable {
+            pool.put_back(self.link);
+        }
+    }
+}
+
 enum SendResult {
     Head(Result<http::Response<Incoming>, ConnectionError>),
     Close(Cause),
@@ -272,16 +305,16 @@
 /// answer was read to its end.
 struct Exchange {
     driver: Arc<Driver>,
-    connection: Option<Connection>,
+    link: Option<Answering>,
     slot: Option<SlotGuard>,
     status: Status,
 }
 
 impl Exchange {
     fn end(&mut self, cause: Cause) {
-        let connection = self.connection.take();
-        if let Some(connection) = connection.filter(|_| cause.verdict().reuse) {
-            self.driver.pool.put_back(connection);
+        let link = self.link.take();
+        if let Some(link) = link.filter(|_| cause.verdict().reuse) {
+            link.put_back(&self.driver.pool);
         }
         let report = self.slot.take().and_then(|slot| slot.finish(cause));
         // The head of the answer is already sent, so the request cannot be retried.
--- a/crates/dev/src/upstream.rs
+++ b/crates/dev/src/upstream.rs
@@ -10,7 +10,7 @@
 
 use futures_lite::FutureExt;
 use futures_lite::future::Boxed;
-use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -21,6 +21,9 @@
 /// Response header that marks a refusal: the request was not executed.
 pub const REFUSED_HEADER: &str = "trefoil-refused";
 
+/// Header with the number of an attempt, which answers return.
+pub const ATTEMPT_HEADER: &str = "trefoil-attempt";
+
 /// Request header that carries the dispatcher's fencing token.
 pub const FENCE_HEADER: &str = "fence-token";
 
@@ -201,7 +204,9 @@
         request: Request<Incoming>,
     ) -> Boxed<Response<Body>> {
         async move {
-            match (request.method(), request.uri().path()) {
+            // The number of the attempt is returned, so that the answer can be told from others.
+            let number = request.headers().get(ATTEMPT_HEADER).cloned();
+            let mut response = match (request.method(), request.uri().path()) {
                 (&Method::POST, GRANT_PATH) => self.apply_grant(request).await,
                 (&Method::GET, "/-/health") => Response::new(full("ok\n")),
                 (&Method::GET, "/-/runs") => {
@@ -209,7 +214,11 @@
                     Response::new(full(runs))
                 }
                 _ => self.execute(request).await,
-            }
+            };
+            let returned = number.map(|number| (ATTEMPT_HEADER, number));
+            let headers = response.headers_mut();
+            headers.extend(returned.map(|(name, value)| (HeaderName::from_static(name), value)));
+            response
         }
         .boxed()
     }
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -3,6 +3,7 @@
 //! The golden files contain every byte of the answers, except times, ids and ports.
 
 mod caller;
+mod copies;
 mod grants;
 mod host;
 mod operator;
--- a/tests/all/sessions/upstream.rs
+++ b/tests/all/sessions/upstream.rs
@@ -178,8 +178,11 @@
 }
 
 fn describe_request(line: &str, headers: &HeaderMap, received: usize) -> String {
-    let mut lines: Vec<_> = headers
+    // The number of an attempt depends on the attempts before it.
+    let shown = headers
         .iter()
+        .filter(|(name, _)| *name != "trefoil-attempt");
+    let mut lines: Vec<_> = shown
         .map(|(name, value)| format!("{name}: {}", value.to_str().unwrap_or("?")))
         .collect();
     lines.sort();
@@ -188,6 +191,14 @@
 
 impl Service for Upstream {
     fn handle(self: Arc<Self>, _: SocketAddr, request: Request<Incoming>) -> Boxed<Response<Body>> {
-        async move { self.answer(request).await }.boxed()
+        async move {
+            let number = request.headers().get("trefoil-attempt").cloned();
+            let mut response = self.answer(request).await;
+            if let Some(number) = number {
+                response.headers_mut().insert("trefoil-attempt", number);
+            }
+            response
+        }
+        .boxed()
     }
 }
