Test what other operators reported: silent upstreams, resets, panics of requests

Change: platform::silent, reactor::edges::a_reset_is_not_the_end_of_the_input, gateway::tasks::a_host_goes_on_when_the_task_of_a_request_panics.

--- a/tests/all/gateway/tasks.rs
+++ b/tests/all/gateway/tasks.rs
@@ -31,3 +31,19 @@
         "{result:?}"
     );
 }
+
+/// Guards against an error in the handling of one request that ends the host, and all of its other
+/// requests with it.
+#[test]
+fn a_host_goes_on_when_the_task_of_a_request_panics() {
+    let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
+    let host = support::host(support::settings(1), store);
+    host.spawn(async { panic!("a fault of one request") })
+        .detach();
+    let served = async {
+        host.clock.sleep(Duration::from_millis(100)).await;
+        "served"
+    };
+    let others = host.executor.run(served);
+    assert_eq!(support::block_on(others), "served");
+}
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -17,6 +17,7 @@
 mod promises;
 mod repeats;
 mod restored;
+mod silent;
 mod soak;
 mod telemetry;
 
--- a/tests/all/reactor/edges.rs
+++ b/tests/all/reactor/edges.rs
@@ -68,6 +68,27 @@
     });
 }
 
+/// Guards against an answer without a length that looks complete although its connection was reset.
+#[test]
+fn a_reset_is_not_the_end_of_the_input() {
+    run(async {
+        let (mut stream, mut other) = connection().await;
+        stream.write_all(b"unread").await.expect("written");
+        other.write_all(b"half an answer").expect("written");
+        // A socket that is closed with unread input resets its connection.
+        drop(other);
+        let mut buffer = [0; 64];
+        let end = loop {
+            match stream.read(&mut buffer).await {
+                Ok(1..) => {}
+                end => break end,
+            }
+        };
+        let kind = end.map_err(|error| error.kind());
+        assert_eq!(kind, Err(std::io::ErrorKind::ConnectionReset));
+    });
+}
+
 /// Guards against an idle connection that is used although its upstream has closed it, because the
 /// event loop has not received the event yet.
 #[test]
