--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,17 +36,26 @@
 use crate::peers::{RELAYS, whole_millis};
 use crate::{coordinator, fetch};
 
-/// Time between two reports or digests.
+/// Time between two reports or digests in a failure domain of up to [`TICK_HOSTS`] hosts.
 const TICK: Duration = Duration::from_millis(75);
 
-/// Ticks between two reports to the second relay and between two transmissions of time estimates.
-const SLOW_TICKS: u32 = 8;
+/// Longest time between two reports or digests. Reported loads are valid for 700 ms, and a host
+/// counts as silent after 1200 ms, so several datagrams in a row may be lost.
+const TICK_MAX: Duration = Duration::from_millis(150);
 
-/// Ticks between two probes and removals of silent hosts.
-const RARE_TICKS: u32 = 16;
+/// Hosts of a failure domain for which its relay sends and receives datagrams at each [`TICK`]. In a
+/// larger domain the time between them grows with the number of hosts, so that a relay handles as
+/// many.
+const TICK_HOSTS: u32 = 24;
 
-/// Ticks between two exchanges with relays of other domains.
-const REMOTE_TICKS: u32 = 2;
+/// Time between two reports to the second relay and between two transmissions of time estimates.
+const SLOW_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Time between two probes and removals of silent hosts.
+const RARE_INTERVAL: Duration = Duration::from_millis(1200);
+
+/// Time between two exchanges with relays of other domains.
+const REMOTE_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Most items in one datagram, so that it stays below [`DATAGRAM_MAX`].
 const ITEMS_MAX: usize = 110;
@@ -82,20 +91,64 @@
     }
 }
 
+/// Time between two reports or digests in a failure domain with this many hosts.
+pub fn tick_interval(hosts: u32) -> Duration {
+    (TICK * hosts / TICK_HOSTS).clamp(TICK, TICK_MAX)
+}
+
+/// What is due at a tick besides loads.
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    /// Reports to the second relay, and time estimates.
+    slow: bool,
+    /// Probes and removals of silent hosts.
+    rare: bool,
+    /// Exchanges with other domains.
+    remote: bool,
+}
+
+/// When what is not sent at each tick is due next.
+#[derive(Debug, Default)]
+struct Schedule {
+    slow: Tick,
+    rare: Tick,
+    remote: Tick,
+}
+
+impl Schedule {
+    /// Takes what is due at this tick, where the next one follows after `interval`. What is due
+    /// before half of that has passed is taken early rather than late.
+    fn take_due(&mut self, now: Tick, interval: Duration) -> Due {
+        let take = |next: &mut Tick, every| {
+            let is_due = now.after(interval / 2) >= *next;
+            if is_due {
+                *next = now.after(every);
+            }
+            is_due
+        };
+        let slow = take(&mut self.slow, SLOW_INTERVAL);
+        Due {
+            slow,
+            rare: take(&mut self.rare, RARE_INTERVAL),
+            remote: take(&mut self.remote, REMOTE_INTERVAL) || slow,
+        }
+    }
+}
+
 /// Sends reports and digests. Never returns.
 pub async fn send(host: Rc<Host>, socket: Rc<Async<UdpSocket>>) {
-    let mut count = 0;
+    let mut schedule = Schedule::default();
     let mut was_relay = host.peers.borrow().is_relay(host.now());
     loop {
         let now = host.now();
-        let is_relay = tick(&host, now, count);
+        let interval = tick_interval(host.peers.borrow().domain_hosts(now));
+        let is_relay = tick(&host, now, schedule.take_due(now, interval));
         if is_relay && !was_relay {
             host.events.promoted.notify(usize::MAX);
         }
         was_relay = is_relay;
-        count += 1;
         flush(&host, &socket).await;
-        let next = host.clock.sleep(TICK);
+        let next = host.clock.sleep(interval);
         let flushed = async {
             loop {
                 host.events.outbox.listen().await;
@@ -135,28 +188,22 @@
 }
 
 /// Sends what is due at a tick. Returns whether this host is a relay.
-fn tick(host: &Host, now: Tick, count: u32) -> bool {
-    let (slow, rare) = (
-        count.is_multiple_of(SLOW_TICKS),
-        count.is_multiple_of(RARE_TICKS),
-    );
-    if rare {
+fn tick(host: &Host, now: Tick, due: Due) -> bool {
+    if due.rare {
         host.peers.borrow_mut().expire(now);
     }
     host.expire_changes(now);
     let position = host.peers.borrow().position(now);
     coordinator::record_own_terms(host, now);
     match position {
-        0 => send_digest(host, now, count, slow, rare),
+        0 => send_digest(host, now, due),
         // A change that only the second relay has read must reach the others as soon as one that
         // the first relay has read.
-        1 if slow || !host.changes.borrow().is_empty() => {
-            send_digest(host, now, count, slow, rare);
-        }
+        1 if due.slow || !host.changes.borrow().is_empty() => send_digest(host, now, due),
         _ => {}
     }
     if position > 0 {
-        send_report(host, now, slow);
+        send_report(host, now, due.slow);
     }
     forward_keys(host, now, position);
     let peers = host.peers.borrow();
@@ -227,7 +274,7 @@
     items.iter().map(|item| (item.tag, item.open)).collect()
 }
 
-/// Reports to the first relay, and every [`SLOW_TICKS`] to the second one.
+/// Reports to the first relay, and if it is `slow` to the second one.
 fn send_report(host: &Host, now: Tick, slow: bool) {
     let open = own_open(host);
     let times = if slow {
@@ -267,7 +314,8 @@
 }
 
 /// Sends digests to the hosts of this domain, and exchanges to the relays of the others.
-fn send_digest(host: &Host, now: Tick, count: u32, slow: bool, rare: bool) {
+fn send_digest(host: &Host, now: Tick, due: Due) {
+    let Due { slow, rare, .. } = due;
     let mut local = {
         let mut tally = host.local_loads.borrow_mut();
         tally.expire(now);
@@ -287,8 +335,7 @@
     } else {
         Default::default()
     };
-    let sends_remote = count.is_multiple_of(REMOTE_TICKS) || slow;
-    let remote = if sends_remote {
+    let remote = if due.remote {
         open_items(&remote)
     } else {
         Vec::new()
@@ -301,7 +348,7 @@
     for digest in digests {
         peers.queue(to.iter().copied(), &Message::Digest(digest));
     }
-    if sends_remote {
+    if due.remote {
         let exchange = Exchange {
             from: host.id,
             domain: host.config.domain.clone(),
