Announce a candidacy for as long as a takeover lasts; confirm a term at once

The coordinator left at 21.0 s while the store was slow. caruaru-2 announced its candidacy at 21.2 s and needed 2.3 s for its takeover; the announcement held for 1.8 s, so feira-2 fenced it 0.3 s after its term had begun, and the wait for earlier grants began anew. The new test then found that a term which began with a slow store ended by itself: it counted as confirmed since the first call of its takeover, and the first confirmation was sent 0.6 s after its start, so it took itself for cut off from the store 1.2 s after its start.

Change: a candidate repeats its announcement every 0.6 s, for 6 s at most. The first table, which the store takes only from the newest term, confirms the term, and the next confirmation is sent at once.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use slog::{info, warn};
 use trefoil_core::{Era, HostId, Key, ServiceName, Tick};
 
@@ -56,6 +56,12 @@
 /// Shortest time between two ticks of a term, unless an event arrives.
 const TICK_MIN: Duration = Duration::from_millis(5);
 
+/// Time between two announcements of a candidacy, less than half the time for which one holds.
+const CANDIDACY_INTERVAL: Duration = Duration::from_millis(600);
+
+/// Longest time for which other hosts wait for a takeover.
+const TAKEOVER_MAX: Duration = Duration::from_secs(6);
+
 /// Time between two resignations that a successor is sent until it waits no longer. It may not have
 /// begun its term when the first one arrived.
 const RESIGNATION_INTERVAL: Duration = Duration::from_millis(200);
@@ -194,11 +200,25 @@
     host.events.outbox.notify(usize::MAX);
 }
 
+/// Announces the candidacy of this host while it takes over a service, so that no other one fences
+/// it however slow the store is. A takeover that takes too long even so is left to others as well.
+async fn announce_repeatedly(host: &Host, service: &ServiceName) {
+    let until = host.now().after(TAKEOVER_MAX);
+    while host.now() < until {
+        announce_candidacy(host, service, false);
+        host.clock.sleep(CANDIDACY_INTERVAL).await;
+    }
+}
+
 /// Takes over a service and runs the term to its end. Returns `None` if the takeover failed.
 async fn serve_term(host: &Rc<Host>, service: &ServiceName) -> Option<EndReason> {
     let (events, queue) = async_channel::unbounded();
-    announce_candidacy(host, service, false);
-    match table_store::take_over(host, service).await {
+    let taking_over = table_store::take_over(host, service);
+    let announcing = async {
+        announce_repeatedly(host, service).await;
+        future::pending().await
+    };
+    match taking_over.or(announcing).await {
         Ok(term) => {
             info!(host.log, "term begun"; "service" => %service, "term" => term.number,
                 "table" => term.coordinator.table().version,
--- a/crates/gateway/src/coordinator/table_store.rs
+++ b/crates/gateway/src/coordinator/table_store.rs
@@ -68,7 +68,6 @@
     let mut above = last_term(host, service);
     loop {
         let number = next_term_number(host, above);
-        let sent = host.now();
         let era = set_epoch(host, service, number).await?;
         let table = read_table_in(host, service, era).await?;
         let lost_since = lost_since(host, service, table.as_ref(), era);
@@ -83,7 +82,7 @@
             term: number,
             era,
         };
-        return begin_term(host, service, claim, table, lost_since, sent).await;
+        return begin_term(host, service, claim, table, lost_since).await;
     }
 }
 
@@ -93,7 +92,6 @@
     claim: Claim,
     table: Option<Table>,
     lost_since: Option<Tick>,
-    sent: Tick,
 ) -> Result<Term, StoreError> {
     let now = host.now();
     let timing = timing(host);
@@ -110,6 +108,8 @@
     };
     let (table, earlier) = claim.take_over(now, &timing, takeover);
     let append = table_append(&table, claim.term, 1)?;
+    // The store takes the table only if no other host has taken over until then.
+    let sent = host.now();
     ensure_era(claim.era, host.store.append(append).await?.era)?;
     let now = host.now();
     let mut coordinator = Coordinator::new(now, table, timing, earlier);
@@ -303,35 +303,38 @@
     }
 }
 
-/// Confirms a term with the store at a fixed interval. Confirmations overlap, because an answer may
-/// be lost.
+/// Confirms a term with the store at once and at a fixed interval. Confirmations overlap, because an
+/// answer may be lost.
 pub(super) async fn confirm_periodically(
     host: Rc<Host>,
     service: ServiceName,
     events: Sender<Event>,
 ) {
     loop {
-        host.clock.sleep(CONFIRM_INTERVAL).await;
         let number = host.terms.borrow().get(&service).map(|term| term.number);
-        let Some(number) = number else { continue };
-        let (host, events, service) = (Rc::clone(&host), events.clone(), service.clone());
-        let spawner = Rc::clone(&host);
-        let confirming = async move {
-            let sent = host.now();
-            let result = set_epoch(&host, &service, number).await;
-            // The channel is closed only when the term has ended.
-            let _ = events
-                .send(Event::ConfirmEnded {
-                    sent,
-                    number,
-                    result,
-                })
-                .await;
-        };
-        spawner.spawn(confirming).detach();
+        if let Some(number) = number {
+            spawn_confirmation(&host, &service, number, &events);
+        }
+        host.clock.sleep(CONFIRM_INTERVAL).await;
     }
 }
 
+fn spawn_confirmation(host: &Rc<Host>, service: &ServiceName, number: u64, events: &Sender<Event>) {
+    let (shared, events, service) = (Rc::clone(host), events.clone(), service.clone());
+    let confirming = async move {
+        let sent = shared.now();
+        let result = set_epoch(&shared, &service, number).await;
+        let ended = Event::ConfirmEnded {
+            sent,
+            number,
+            result,
+        };
+        // The channel is closed only when the term has ended.
+        let _ = events.send(ended).await;
+    };
+    host.spawn(confirming).detach();
+}
+
 /// Reads the newest table of a service, and the era of the store.
 pub(super) async fn read_table(
     host: &Host,
--- a/crates/gateway/src/peers/coordinators.rs
+++ b/crates/gateway/src/peers/coordinators.rs
@@ -8,8 +8,8 @@
 use super::{KnownCoordinator, Peers, millis, whole_millis};
 use crate::message::{Candidacy, TermItem};
 
-/// Time for which a candidacy defers other candidates. A takeover needs three calls of the store,
-/// which take 0.4 s each when the store is a hundred times slower than its usual 4 ms.
+/// Time for which a candidacy defers other candidates. The candidate announces it again for as long
+/// as its takeover lasts, so a few announcements may be lost.
 const CANDIDACY_TIMEOUT: Duration = Duration::from_millis(1800);
 
 /// Time without a report after which a coordinator counts as silent. Relays pass on its reports
