--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -213,6 +213,7 @@
 /// Takes over a service and runs the term to its end. Returns `None` if the takeover failed.
 async fn serve_term(host: &Rc<Host>, service: &ServiceName) -> Option<EndReason> {
     let (events, queue) = async_channel::unbounded();
+    info!(host.log, "takeover begun"; "service" => %service);
     let taking_over = table_store::take_over(host, service);
     let announcing = async {
         announce_repeatedly(host, service).await;
@@ -379,7 +380,14 @@
     let predecessor = term.predecessor(now);
     let waited = |p: term::Predecessor| p.host == resigned.from && p.term == resigned.term;
     if predecessor.is_some_and(waited) {
+        let before = term.coordinator.earlier_until();
         term.limit_all_earlier(now.after(resigned.left));
+        let until = term.coordinator.earlier_until();
+        if until < before {
+            info!(host.log, "wait for earlier grants"; "service" => %resigned.service,
+                "term" => term.number, "left_ms" => until.since(now).as_millis(),
+                "before_ms" => before.since(now).as_millis());
+        }
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 //! its relays. So all hosts agree on the relays once they have received the same lists.
 
 mod coordinators;
+mod reception;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashSet};
@@ -18,6 +19,10 @@
 
 use crate::message::{HostInfo, Message, SyncStatus};
 use crate::tables::Revision;
+use reception::PARTS_SPAN;
+
+pub use coordinators::KnownCoordinator;
+pub use reception::Reception;
 
 /// Number of relays in a failure domain. With two, one covers the loss of the other.
 pub const RELAYS: usize = 2;
@@ -35,21 +40,6 @@
 /// the interval between two reports.
 const STORE_AGE_ERROR: Duration = Duration::from_millis(150);
 
-/// Longest time between the first and the last part of one digest. Parts are sent at once, and the
-/// next digest follows after several times as long.
-const PARTS_SPAN: Duration = Duration::from_millis(30);
-
-/// Relation of a datagram to those received before.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reception {
-    /// The sender is unknown.
-    Unknown,
-    /// Its status was received just before, with another part of the same digest.
-    Repeated,
-    /// Its status is news.
-    New,
-}
-
 /// State of another host.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -65,23 +55,6 @@
     added_at: Tick,
 }
 
-/// The last reported coordinator of a service.
-#[derive(Debug, Clone, Copy)]
-pub struct KnownCoordinator {
-    /// The coordinator.
-    pub host: HostId,
-    /// Revision of its routes.
-    pub revision: Revision,
-    /// Age of the last confirmation of its term, at the time of the report.
-    pub confirmed_age: Duration,
-    /// The previous term, while the coordinator waits for the expiry of its grants.
-    pub predecessor: Option<u64>,
-    /// When the coordinator made the report.
-    pub reported_at: Tick,
-    /// Number of the report, unless only earlier builds have passed on reports of the term.
-    pub number: Option<u64>,
-}
-
 /// Report of another failure domain's relays.
 #[derive(Debug, Clone, Copy)]
 struct Domain {
--- a/crates/gateway/src/peers/coordinators.rs
+++ b/crates/gateway/src/peers/coordinators.rs
@@ -5,8 +5,9 @@
 
 use trefoil_core::{HostId, ServiceName, Tick};
 
-use super::{KnownCoordinator, Peers, millis, whole_millis};
+use super::{Peers, millis, whole_millis};
 use crate::message::{Candidacy, TermItem};
+use crate::tables::Revision;
 
 /// Time for which a candidacy defers other candidates. The candidate announces it again for as long
 /// as its takeover lasts, so a few announcements may be lost.
@@ -16,6 +17,23 @@
 /// several times a second.
 const COORDINATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The last reported coordinator of a service.
+#[derive(Debug, Clone, Copy)]
+pub struct KnownCoordinator {
+    /// The coordinator.
+    pub host: HostId,
+    /// Revision of its routes.
+    pub revision: Revision,
+    /// Age of the last confirmation of its term, at the time of the report.
+    pub confirmed_age: Duration,
+    /// The previous term, while the coordinator waits for the expiry of its grants.
+    pub predecessor: Option<u64>,
+    /// When the coordinator made the report.
+    pub reported_at: Tick,
+    /// Number of the report, unless only earlier builds have passed on reports of the term.
+    pub number: Option<u64>,
+}
+
 /// Terms that a relay has reported.
 #[derive(Debug, Default)]
 pub(super) struct Listing {
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -19,6 +19,7 @@
 mod restored;
 mod silent;
 mod soak;
+mod takeovers;
 mod telemetry;
 
 use std::path::Path;
--- a/tests/all/platform/promises.rs
+++ b/tests/all/platform/promises.rs
@@ -8,7 +8,7 @@
 use nix::sys::signal::Signal;
 use trefoil_standin::{ResponseMode, StoreFault, UpstreamSpec, test_config};
 
-use trefoil_soak::{Fleet, Host, eventually, read_answer, upstream_spec};
+use trefoil_soak::{Fleet, eventually, read_answer, upstream_spec};
 
 /// One host in front of two plain upstreams.
 fn plain_fleet() -> Fleet {
@@ -22,7 +22,7 @@
 }
 
 /// One host in front of two upstreams that own keys.
-fn keyed_fleet() -> Fleet {
+pub(super) fn keyed_fleet() -> Fleet {
     let mut fleet = Fleet::new(
         super::program(),
         vec![upstream_spec("k1", "keys"), upstream_spec("k2", "keys")],
@@ -403,62 +403,6 @@
     assert_eq!(fleet.recorder.violations(), Vec::<String>::new());
 }
 
-/// Guards against hosts that depose each other repeatedly while the store is slow: a takeover needs
-/// three store calls, which then take longer than the wait of the next host.
-#[test]
-fn hosts_do_not_fence_each_other_while_the_store_is_slow() {
-    let mut fleet = keyed_fleet();
-    for domain in ["b", "b", "c"] {
-        fleet.start_host_in(domain);
-    }
-    fleet.hosts[0].wait_for_entry("event", "term begun");
-    for host in &fleet.hosts[1..] {
-        host.wait_for_entry("event", "steward heard");
-    }
-    // The users' store takes up to a hundred times its usual 4 ms.
-    fleet.store.set_fault(StoreFault::Slow(400));
-    fleet.hosts[0].signal(Signal::SIGTERM);
-    eventually("a term begins", || {
-        let begun = |host: &Host| !host.log_entries("event", "term begun").is_empty();
-        fleet.hosts[1..].iter().any(begun).then_some(())
-    });
-    for host in &fleet.hosts[1..] {
-        let failed = host.log_entries("event", "term not begun");
-        assert_eq!(failed, Vec::new(), "{}", host.log_lines().join("\n"));
-    }
-    assert_eq!(fleet.recorder.violations(), Vec::<String>::new());
-}
-
-/// Guards against candidates that fence each other because the takeover of the first one lasts
-/// longer than a candidacy holds: each takeover begins the wait for earlier grants anew.
-#[test]
-fn a_takeover_is_not_fenced_however_slow_the_store_is() {
-    let mut fleet = keyed_fleet();
-    for domain in ["b", "b", "c"] {
-        fleet.start_host_in(domain);
-    }
-    fleet.hosts[0].wait_for_entry("event", "term begun");
-    for host in &fleet.hosts[1..] {
-        host.wait_for_entry("event", "steward heard");
-    }
-    // Three calls take 2.25 s, and a candidacy holds for 1.8 s.
-    fleet.store.set_fault(StoreFault::Slow(750));
-    fleet.hosts[0].signal(Signal::SIGTERM);
-    let begun = || {
-        let begun = |host: &Host| host.log_entries("event", "term begun").len();
-        fleet.hosts[1..].iter().map(begun).sum::<usize>()
-    };
-    eventually("a term begins", || (begun() > 0).then_some(()));
-    std::thread::sleep(Duration::from_secs(3));
-    let lines = |host: &Host| host.log_lines().join("\n");
-    let all: Vec<String> = fleet.hosts[1..].iter().map(lines).collect();
-    assert_eq!(begun(), 1, "{}", all.join("\n"));
-    for host in &fleet.hosts[1..] {
-        let ended = host.log_entries("event", "term ended");
-        assert_eq!(ended, Vec::new(), "{}", lines(host));
-    }
-}
-
 /// Guards against a coordinator that takes an outage of the store for a loss of its own connection,
 /// because another host got an answer a moment before the outage. The grants of its keys would
 /// expire until the store is back. The outages begin at three points of the second between two
--- a/tests/all/platform/silent.rs
+++ b/tests/all/platform/silent.rs
@@ -23,9 +23,12 @@
     for (id, is_write) in [("w1", true), ("r1", false)] {
         let host = &fleet.hosts[0];
         let answer = thread::scope(|scope| {
-            let waiting = scope.spawn(|| match is_write {
-                true => host.post(id, "/write/x", "once"),
-                false => host.get(id, "/read/x", ""),
+            let waiting = scope.spawn(|| {
+                if is_write {
+                    host.post(id, "/write/x", "once")
+                } else {
+                    host.get(id, "/read/x", "")
+                }
             });
             thread::sleep(WORK / 3);
             for name in ["p1", "p2"] {
