--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,7 +18,6 @@
 use trefoil_core::{DomainName, HostId, HostName, Key, ServiceName, Tick};
 
 use crate::message::{HostInfo, Message, SyncStatus};
-use crate::tables::Revision;
 use reception::PARTS_SPAN;
 
 pub use coordinators::KnownCoordinator;
