Look at a large table once for many answers, in time linear in its size

One host coordinates about 1,800 upstreams that own keys. Each answer to an order made it look at the whole table, three times in time quadratic in it: owners that may not own any more, upstreams without keys, and silent ones (found by reading; the busiest host used 36 of its 50% of a core).

Change: sets in place of searches, and at most one tick in 20 us for each entry, 50 ms at most; answers that arrive meanwhile are handled by one tick.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -28,7 +28,7 @@
 pub use routes::Reassemblies;
 pub use routes::follow_tables;
 pub(crate) use routes::{on_routes_part, on_routes_revision, send_routes};
-pub use term::Term;
+pub use term::{Term, tick_pace};
 
 /// Time after its start in which a host does not campaign, so that it first receives the terms of
 /// running coordinators.
@@ -249,11 +249,14 @@
     queue: &Receiver<Event>,
 ) -> EndReason {
     loop {
-        let next = match with_term(host, service, |term| {
+        let began = host.now();
+        let ticked = with_term(host, service, |term| {
             term.tick(host, service, events)?;
-            Ok(term.next_wake())
-        }) {
-            Ok(next) => next,
+            let entries = term.coordinator.table().entries().len();
+            Ok((term.next_wake(), term::tick_pace(entries)))
+        });
+        let (next, pace) = match ticked {
+            Ok(ticked) => ticked,
             Err(end) => return end,
         };
         let now = host.now();
@@ -269,19 +272,38 @@
             Event::StateChanged
         };
         let incoming = async { queue.recv().await.unwrap_or(Event::StateChanged) };
-        let mut event = Some(incoming.or(directory_changed).or(timer).await);
-        while let Some(next) = event {
-            let now = host.now();
-            if let Err(end) = with_term(host, service, |term| {
-                term.handle_event(host, service, now, next)
-            }) {
+        let event = incoming.or(directory_changed).or(timer).await;
+        if let Err(end) = handle_events(host, service, event, queue) {
+            return end;
+        }
+        let next_tick = began.after(pace);
+        if host.now() < next_tick {
+            host.clock.sleep_until(next_tick).await;
+            if let Err(end) = handle_events(host, service, Event::StateChanged, queue) {
                 return end;
             }
-            event = queue.try_recv().ok();
         }
     }
 }
 
+/// Handles an event and those that have arrived since.
+fn handle_events(
+    host: &Host,
+    service: &ServiceName,
+    first: Event,
+    queue: &Receiver<Event>,
+) -> Result<(), EndReason> {
+    let mut event = Some(first);
+    while let Some(next) = event {
+        let now = host.now();
+        with_term(host, service, |term| {
+            term.handle_event(host, service, now, next)
+        })?;
+        event = queue.try_recv().ok();
+    }
+    Ok(())
+}
+
 /// Applies a function to a running term, which stays in the map so that its end is noticed.
 fn with_term<F, T>(host: &Host, service: &ServiceName, action: F) -> Result<T, EndReason>
 where
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -61,6 +61,12 @@
 /// Consecutive unanswered orders after which an upstream is suspected and gets no keys.
 const SILENT_ORDERS: u32 = 2;
 
+/// Time between two ticks of a term, for each entry of its table.
+const PACE_OF_ENTRY: Duration = Duration::from_micros(20);
+
+/// Longest time between two ticks for the sake of the pace. A move of keys takes several ticks.
+const PACE_MAX: Duration = Duration::from_millis(50);
+
 /// Time for which a suspected upstream gets no keys.
 const SUSPECT_TIME: Duration = Duration::from_secs(3);
 
@@ -501,10 +507,10 @@
             .by_service(service)
             .filter(|r| r.phase == Phase::Ready);
         let ready: Vec<&Rc<Registration>> = ready.collect();
+        let silent = self.coordinator.silent_owners(SILENT_ORDERS);
         for registration in &ready {
             let incarnation = &registration.incarnation;
-            let silent = self.coordinator.failures(incarnation) >= SILENT_ORDERS;
-            if silent || host.is_displaced(incarnation) {
+            if silent.contains(incarnation) || host.is_displaced(incarnation) {
                 let until = now.after(SUSPECT_TIME);
                 if self.suspects.insert(incarnation.clone(), until).is_none() {
                     warn!(host.log, "upstream does not answer orders"; "service" => %service,
@@ -615,6 +621,14 @@
     }
 }
 
+/// Shortest time between two ticks of a term whose table has this many entries. A tick looks at all
+/// of them, and each answer to an order is an event; the coordinator of thousands of upstreams gets
+/// hundreds of answers a second, of which one tick handles many.
+pub fn tick_pace(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    PACE_OF_ENTRY.saturating_mul(entries).min(PACE_MAX)
+}
+
 /// Rate of requests that an upstream can be assigned so that they are answered within the latency
 /// objective.
 ///
--- a/crates/ranges/src/coordinator.rs
+++ b/crates/ranges/src/coordinator.rs
@@ -26,7 +26,7 @@
 mod carry;
 mod outcomes;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use derive_more::{Display, From};
@@ -627,15 +627,13 @@
         self.table.entries().iter().zip(states)
     }
 
-    /// Highest number of consecutive failed orders over all entries of an upstream.
-    pub fn failures(&self, incarnation: &Incarnation) -> u32 {
+    /// Upstreams that have left at least this many consecutive orders for one of their entries
+    /// unanswered.
+    pub fn silent_owners(&self, orders: u32) -> HashSet<&Incarnation> {
         let pairs = self.table.entries().iter().zip(&self.progress);
-        let own = pairs.filter(|(e, _)| {
-            e.owner
-                .as_ref()
-                .is_some_and(|o| o.incarnation == *incarnation)
-        });
-        own.map(|(_, p)| p.failures).max().unwrap_or(0)
+        let silent = pairs.filter(|(_, progress)| progress.failures >= orders);
+        let owners = silent.filter_map(|(entry, _)| entry.owner.as_ref());
+        owners.map(|owner| &owner.incarnation).collect()
     }
 
     /// The upstream to which requests for each range are sent, in key order. A range has none while
--- a/crates/ranges/src/planner.rs
+++ b/crates/ranges/src/planner.rs
@@ -13,14 +13,14 @@
 //! Keys are moved from the ends of a range, so the number of ranges stays low. A single key with
 //! more requests than an upstream can serve stays where it is, and its neighbours move away.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use derive_more::Display;
 use trefoil_core::{Key, KeyRange};
 use trefoil_directory::Incarnation;
 
 use crate::demand::Demand;
-use crate::table::Table;
+use crate::table::{Entry, Table};
 
 /// Utilization of an upstream below which no key is moved away from it, because its queues are
 /// short.
@@ -96,24 +96,19 @@
         if candidates.is_empty() {
             return None;
         }
-        let orphans: Vec<KeyRange> = table
-            .entries()
-            .iter()
-            .filter(|e| {
-                let owner = e.owner.as_ref().map(|o| &o.incarnation);
-                !candidates.iter().any(|c| owner == Some(&c.incarnation))
-            })
-            .map(|e| e.range)
-            .collect();
+        let able: HashSet<&Incarnation> = candidates.iter().map(|c| &c.incarnation).collect();
+        let entries = table.entries().iter();
+        let orphans = entries.filter(|e| owner(e).is_none_or(|owner| !able.contains(owner)));
+        let orphans: Vec<KeyRange> = orphans.map(|e| e.range).collect();
         if !orphans.is_empty() {
             let mut changed = table.clone();
             distribute(&mut changed, &orphans, candidates, demand);
             return Some((changed, Reason::Needed));
         }
-        let joined: Vec<&Candidate> = candidates
-            .iter()
-            .filter(|c| !owns(table, &c.incarnation))
-            .collect();
+        let owners: HashSet<&Incarnation> = table.entries().iter().filter_map(owner).collect();
+        let joined = candidates.iter();
+        let joined = joined.filter(|c| !owners.contains(&c.incarnation));
+        let joined: Vec<&Candidate> = joined.collect();
         if joined.is_empty() {
             return None;
         }
@@ -154,11 +149,9 @@
     }
 }
 
-fn owns(table: &Table, incarnation: &Incarnation) -> bool {
-    let entries = table.entries().iter();
-    entries
-        .filter_map(|e| e.owner.as_ref())
-        .any(|o| o.incarnation == *incarnation)
+/// The upstream that is to own an entry.
+fn owner(entry: &Entry) -> Option<&Incarnation> {
+    entry.owner.as_ref().map(|owner| &owner.incarnation)
 }
 
 /// Load of one upstream.
--- a/tests/all/gateway/greetings.rs
+++ b/tests/all/gateway/greetings.rs
@@ -10,7 +10,7 @@
 use futures_lite::future::pending;
 use trefoil_core::{HostId, SystemClock, Tick};
 use trefoil_gateway::message::{Digest, HostInfo, Message, SyncStatus};
-use trefoil_gateway::{Host, HostConfig, discovery, peers, relay};
+use trefoil_gateway::{Host, HostConfig, coordinator, discovery, peers, relay};
 use trefoil_reactor::Async;
 use trefoil_store::{Append, KeyedRecord, MemoryStore, PartitionId, Store, Topic};
 
@@ -207,3 +207,19 @@
         );
     }
 }
+
+/// Guards against a coordinator that spends its processor time on its own ticks: a tick looks at the
+/// whole table. The keys of a large service still move soon.
+#[test]
+fn the_ticks_of_a_coordinator_do_not_grow_with_its_table() {
+    let looks = |entries: u32| {
+        let pace = coordinator::tick_pace(usize::try_from(entries).expect("a size"));
+        f64::from(entries) / pace.as_secs_f64()
+    };
+    for entries in [100, 500, 2_500] {
+        assert!(looks(entries) <= 50_001.0, "{entries} entries");
+    }
+    for entries in [1, 2_500, 65_536] {
+        assert!(coordinator::tick_pace(entries) <= Duration::from_millis(50));
+    }
+}
