Count a relay as heard that lists no term

Since digests carry the terms in one part only, a digest without any term was skipped, so a relay that knows no coordinator did not count as heard. After the store has come back from an older copy, a coordinator ends its wait for unlisted grants early once all relays that are heard list its term.

Change: the first part of each digest counts, with or without terms.

Result: gateway::greetings::a_relay_that_lists_no_term_is_heard fails before and passes; gateway:: 73 of 73.

--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -154,7 +154,8 @@
     if !digest.limits.is_empty() {
         host.apply_limits(now, &decode_items(now, &digest.limits));
     }
-    if !digest.terms.is_empty() {
+    // A relay that lists no term says that it knows none.
+    if received == Reception::New || !digest.terms.is_empty() {
         on_listing(host, from, digest.from, &digest.terms);
     }
     apply_change_items(host, now, digest.status, digest.changes);
--- a/tests/all/gateway/greetings.rs
+++ b/tests/all/gateway/greetings.rs
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use futures_lite::future::pending;
-use trefoil_core::{HostId, SystemClock, Tick};
-use trefoil_gateway::message::{Digest, HostInfo, Message, SyncStatus};
+use trefoil_core::{HostId, ServiceName, SystemClock, Tick};
+use trefoil_gateway::message::{Digest, HostInfo, Message, SyncStatus, TermItem};
+use trefoil_gateway::tables::Revision;
 use trefoil_gateway::{Host, HostConfig, coordinator, discovery, peers, relay};
 use trefoil_reactor::Async;
 use trefoil_store::{Append, KeyedRecord, MemoryStore, PartitionId, Store, Topic};
@@ -223,3 +224,61 @@
         assert!(coordinator::tick_pace(entries) <= Duration::from_millis(50));
     }
 }
+
+/// Guards against a coordinator that takes its term for known to all, although a relay that knows
+/// none is heard: it may have restarted and not have heard of a successor yet.
+#[test]
+fn a_relay_that_lists_no_term_is_heard() {
+    let socket = Async::<UdpSocket>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let address = socket.get_ref().local_addr().expect("bound");
+    let config = HostConfig {
+        peer: address,
+        ..support::settings(9)
+    };
+    let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
+    let host = support::host(config, store);
+    let service: ServiceName = "keys".parse().expect("a name");
+    let term = TermItem {
+        service: service.clone(),
+        host: HostId::random(),
+        revision: Revision {
+            term: 7,
+            ..Revision::default()
+        },
+        confirmed_ms: 0,
+        predecessor: None,
+        age_ms: 0,
+        number: Some(1),
+    };
+    let (lists, knows_none) = (Other::new(0, 0), Other::new(0, 1));
+    let send = async |other: &Other, message: Message| {
+        let bytes = message.encode().expect("encoded");
+        let sent = other.socket.send_to(&bytes, address).await;
+        sent.expect("sent");
+    };
+    let all_list = |host: &Host| {
+        let peers = host.peers.borrow();
+        peers.all_list_term(&service, 7, Tick::default(), Tick::default())
+    };
+    let test = async {
+        for other in [&lists, &knows_none] {
+            send(other, Message::Hello(other.info.clone(), false)).await;
+        }
+        let mut listing = digest(&lists.info);
+        if let Message::Digest(digest) = &mut listing {
+            digest.terms = vec![term];
+        }
+        send(&lists, listing).await;
+        smol::Timer::after(Duration::from_millis(200)).await;
+        assert!(
+            all_list(&host),
+            "only the relay that lists the term is heard"
+        );
+        send(&knows_none, digest(&knows_none.info)).await;
+        smol::Timer::after(Duration::from_millis(200)).await;
+        assert!(!all_list(&host), "the other one does not list it");
+    };
+    let receiving = host.spawn(relay::receive(Rc::clone(&host), Rc::new(socket)));
+    support::block_on(test.or(host.executor.run(pending::<()>())));
+    drop(receiving);
+}
