Report loads at least every 100 ms

Hosts that know of each other's requests later choose the same upstreams, and some of those never answer what they cannot queue.

Change: 100 ms in place of 150 ms in domains of 32 hosts and more.

--- a/crates/gateway/src/relay/schedule.rs
+++ b/crates/gateway/src/relay/schedule.rs
@@ -10,9 +10,9 @@
 /// Time between two reports or digests in a failure domain of up to [`TICK_HOSTS`] hosts.
 const TICK: Duration = Duration::from_millis(75);
 
-/// Longest time between two reports or digests. Reported loads are valid for 700 ms, and a host
-/// counts as silent after 1200 ms, so several datagrams in a row may be lost.
-const TICK_MAX: Duration = Duration::from_millis(150);
+/// Longest time between two reports or digests. Loads that are older let hosts choose the same
+/// upstreams at once, and some of those never answer what they cannot queue.
+const TICK_MAX: Duration = Duration::from_millis(100);
 
 /// Hosts of a failure domain for which its relay sends and receives datagrams at each [`TICK`]. In a
 /// larger domain the time between them grows with the number of hosts, so that a relay handles as
