Take back the wait in the test of odd entries

Cause: let the check wait for up to 20 s, on a diagnosis that was wrong: the second relay does not read late, it may never read. A wait is weaker than the check at once, and the fault is in the product.

--- a/tests/all/platform/odd_entries.rs
+++ b/tests/all/platform/odd_entries.rs
@@ -306,12 +306,9 @@
             let answer = fleet.hosts[host].get(&id, "/read/x", "");
             assert_eq!(answer.map(|a| a.status), Some(200), "{id}");
         }
-        // The second host copies the directory of the first one and reads the registry later.
-        eventually("the odd entries are rejected", || {
-            let rejected = fleet.hosts[host].log_entries("what", "registration");
-            let mut reasons = rejected.iter().map(|e| &e["reason"]);
-            reasons.any(|r| r.starts_with("odd-")).then_some(())
-        });
+        let rejected = fleet.hosts[host].log_entries("what", "registration");
+        let places = rejected.iter().filter(|e| e["reason"].starts_with("odd-"));
+        assert!(places.count() > 0, "{rejected:?}");
         let running = fleet.hosts[host].is_running();
         assert!(running, "the process has not ended");
     }
