--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -90,8 +90,8 @@
     let runs: Runs = Arc::default();
     let mut backends = Vec::new();
     for (id, service) in [
-        ("i-11a0c3e1", "issuing"), ("i-22b7d9f2", "issuing"), ("i-33c4e803", "issuing"),
-        ("i-44d1f714", "renewing"), ("i-55e8a625", "renewing"), ("i-66f5b536", "renewing"),
+        ("i-11a0c3e1", "issuing"), ("i-22b7d9f2", "issuing"), ("i-33c4e803", "issuing"), ("i-97e20d54", "issuing"),
+        ("i-44d1f714", "renewing"), ("i-55e8a625", "renewing"), ("i-66f5b536", "renewing"), ("i-a8c41b75", "renewing"),
     ] {
         backends.push(Backend::start(world, &store, &runs, spec(id, service, 0)));
     }
@@ -107,7 +107,7 @@
         load(world, &outcomes, &router, "/issue/", 20, begin + 14.0),
         load(world, &outcomes, &router, "/renew/", 20, begin + 14.0),
     ];
-    // One backend in four is new (`scale_out`, at most 0.3).
+    // A quarter more backends (`scale_out`, at most 0.3).
     world.sleep_until(begin + 3.0);
     backends.push(Backend::start(world, &store, &runs, spec("i-7c101c1d", "issuing", 3000)));
     world.sleep_until(begin + 5.0);
