Show two owners of a key while routers don't know each other

Cause: a router that the store has not introduced to the others campaigns, and a deposed coordinator that does not know a backend's restart sends it grants with old tokens.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -1,7 +1,7 @@
 //! Backends: they register, beat, hold keys, and run requests.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -21,6 +21,7 @@
     pub backend: String,
     pub service: String,
     pub path: String,
+    pub key: Option<u64>,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -44,14 +45,35 @@
     until: Instant,
 }
 
+/// A time in which a backend held keys.
+#[derive(Debug, Clone)]
+pub struct Hold {
+    pub backend: String,
+    pub from: u64,
+    pub to: u64,
+    pub fence: u64,
+    pub start: f64,
+    pub end: f64,
+    /// It was granted by this order.
+    pub order: String,
+}
+
+pub type Holds = Arc<Mutex<Vec<Hold>>>;
+
 pub struct Backend {
     world: Arc<World>,
     store: Arc<Store>,
     pub spec: Spec,
     pub address: SocketAddr,
     runs: Runs,
-    born: u64,
-    start: Instant,
+    holds: Holds,
+    born: AtomicU64,
+    /// Number of restarts. Connections of an earlier life end.
+    life: AtomicU64,
+    down: AtomicBool,
+    /// Connections of this life.
+    streams: Mutex<Vec<TcpStream>>,
+    start: Mutex<Instant>,
     sequence: AtomicU64,
     draining: AtomicBool,
     pub gone: AtomicBool,
@@ -63,6 +85,10 @@
 
 impl Backend {
     pub fn start(world: &Arc<World>, store: &Arc<Store>, runs: &Runs, spec: Spec) -> Arc<Self> {
+        Self::start_with(world, store, runs, &Holds::default(), spec)
+    }
+
+    pub fn start_with(world: &Arc<World>, store: &Arc<Store>, runs: &Runs, holds: &Holds, spec: Spec) -> Arc<Self> {
         let listener = TcpListener::bind((world.ip(), 0)).expect("bind a backend");
         let backend = Arc::new(Self {
             world: Arc::clone(world),
@@ -70,8 +96,12 @@
             address: listener.local_addr().expect("address of a backend"),
             spec,
             runs: Arc::clone(runs),
-            born: unix_ms(),
-            start: Instant::now(),
+            holds: Arc::clone(holds),
+            born: AtomicU64::new(unix_ms()),
+            life: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+            streams: Mutex::default(),
+            start: Mutex::new(Instant::now()),
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             gone: AtomicBool::new(false),
@@ -82,22 +112,45 @@
         world.note(&format!("backend {} of service {} starts at {}", backend.spec.id, backend.spec.service, backend.address));
         backend.beat();
         let shared = Arc::clone(&backend);
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if shared.gone.load(Ordering::SeqCst) {
-                    return;
-                }
-                let backend = Arc::clone(&shared);
-                std::thread::spawn(move || backend.serve(Connection::new(stream)));
-            }
-        });
+        std::thread::spawn(move || shared.listen(listener));
         let shared = Arc::clone(&backend);
         std::thread::spawn(move || shared.keep_beating());
         backend
     }
 
+    /// Accepts connections. While the process is down there is no listener.
+    fn listen(self: Arc<Self>, listener: TcpListener) {
+        let mut listener = Some(listener);
+        loop {
+            if self.gone.load(Ordering::SeqCst) {
+                return;
+            }
+            if self.down.load(Ordering::SeqCst) {
+                listener = None;
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            }
+            if listener.is_none() {
+                listener = TcpListener::bind(self.address).ok();
+            }
+            let Some(open) = &listener else {
+                std::thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            match open.accept() {
+                Ok((stream, _)) => {
+                    let _ = stream.set_nonblocking(false);
+                    let backend = Arc::clone(&self);
+                    std::thread::spawn(move || backend.serve(Connection::new(stream)));
+                }
+                Err(_) => std::thread::sleep(Duration::from_micros(500)),
+            }
+        }
+    }
+
     fn warmup_left(&self) -> Duration {
-        self.spec.warmup.saturating_sub(self.start.elapsed())
+        self.spec.warmup.saturating_sub(self.start.lock().unwrap().elapsed())
     }
 
     /// Writes the entry in the store.
@@ -107,7 +160,7 @@
         let s = &self.spec;
         let text = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"warmupLeftMs\":{},\"sequence\":{sequence},\"born\":{}}}",
-            s.service, self.address, s.zone, s.slots, self.warmup_left().as_millis(), self.born,
+            s.service, self.address, s.zone, s.slots, self.warmup_left().as_millis(), self.born.load(Ordering::SeqCst),
         );
         self.store.set("keyed.servers", &s.id, Some(&text));
     }
@@ -121,7 +174,42 @@
             if self.gone.load(Ordering::SeqCst) {
                 return;
             }
-            self.beat();
+            if !self.down.load(Ordering::SeqCst) {
+                self.beat();
+            }
+        }
+    }
+
+    /// Crashes and starts again under its id and address after `pause`, with nothing kept.
+    pub fn crash(&self, pause: Duration) {
+        self.world.note(&format!("backend {} crashes", self.spec.id));
+        self.down.store(true, Ordering::SeqCst);
+        self.life.fetch_add(1, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let now = self.world.now();
+        for held in self.held.lock().unwrap().drain(..) {
+            self.end_hold(&held, now);
+        }
+        self.fences.lock().unwrap().clear();
+        std::thread::sleep(pause);
+        self.born.store(unix_ms(), Ordering::SeqCst);
+        *self.start.lock().unwrap() = Instant::now();
+        self.sequence.store(0, Ordering::SeqCst);
+        self.down.store(false, Ordering::SeqCst);
+        self.world.note(&format!("backend {} starts again under its id", self.spec.id));
+        self.beat();
+    }
+
+    /// Records the end of a hold at `at`, or at its expiry if that was before.
+    fn end_hold(&self, held: &Held, at: f64) {
+        let now = self.world.now();
+        let expiry = if held.until > Instant::now() { f64::MAX } else { now - held.until.elapsed().as_secs_f64() };
+        let mut holds = self.holds.lock().unwrap();
+        let open = holds.iter_mut().rev();
+        for hold in open.filter(|h| h.backend == self.spec.id && h.end == f64::MAX && h.from <= held.to && held.from <= h.to) {
+            hold.end = at.min(expiry);
         }
     }
 
@@ -140,11 +228,19 @@
     }
 
     fn serve(&self, mut connection: Connection) {
+        let life = self.life.load(Ordering::SeqCst);
+        if let Ok(stream) = connection.stream.try_clone() {
+            self.streams.lock().unwrap().push(stream);
+        }
+        let ended = || self.down.load(Ordering::SeqCst) || self.life.load(Ordering::SeqCst) != life;
         while let Ok(Some(request)) = connection.read(false) {
-            if self.gone.load(Ordering::SeqCst) {
+            if self.gone.load(Ordering::SeqCst) || ended() {
                 return;
             }
             let answer = self.handle(&request);
+            if ended() {
+                return;
+            }
             if connection.write(&answer).is_err() {
                 return;
             }
@@ -166,8 +262,8 @@
         if id.is_empty() {
             return answer(400, &[("X-Not-Executed", "1"), ("X-Instance-Id", own)], b"");
         }
+        let key = request.header("x-shard-key").and_then(|v| v.parse::<u64>().ok());
         if self.spec.sharded {
-            let key = request.header("x-shard-key").and_then(|v| v.parse::<u64>().ok());
             if !key.is_some_and(|key| self.holds(key)) {
                 return answer(421, &[("X-Request-Id", &id), ("X-Instance-Id", own), ("X-Not-Executed", "1")], b"");
             }
@@ -185,6 +281,7 @@
             backend: own.to_owned(),
             service: self.spec.service.clone(),
             path: request.first.get(1).cloned().unwrap_or_default(),
+            key,
         };
         self.world.note(&format!("run      request {id} {} by backend {own} of service {}", run.path, run.service));
         self.runs.lock().unwrap().push(run);
@@ -220,16 +317,46 @@
             for key in from..=to {
                 fences.insert(key, fence);
             }
-            cut(&mut held, from, to);
+            self.close_holds(&mut held, from, to);
             let until = Instant::now() + Duration::from_millis(number("holdMs").unwrap_or(0));
             held.push(Held { from, to, fence, until });
+            let hold = Hold { backend: own.to_owned(), from, to, fence, start: self.world.now(), end: f64::MAX, order: id.to_owned() };
+            self.holds.lock().unwrap().push(hold);
+            self.world.note(&format!("granted  {from} to {to} to {own} with fence {fence} for {} ms", number("holdMs").unwrap_or(0)));
             return answer(200, &[("X-Request-Id", id), ("X-Instance-Id", own)], b"");
         }
-        cut(&mut held, from, to);
+        self.close_holds(&mut held, from, to);
+        self.world.note(&format!("released {from} to {to} by {own} with fence {fence}"));
         answer(200, &[("X-Request-Id", id), ("X-Instance-Id", own), ("X-Handover", "5c0e7a21d94b36f8")], b"")
     }
 }
 
+impl Backend {
+    /// Takes a range out of the held ones, and records the parts that stay as holds of their own.
+    fn close_holds(&self, held: &mut Vec<Held>, from: u64, to: u64) {
+        let now = self.world.now();
+        for h in held.iter().filter(|h| h.from <= to && from <= h.to) {
+            self.end_hold(h, now);
+        }
+        cut(held, from, to);
+        let mut holds = self.holds.lock().unwrap();
+        for h in held.iter().filter(|h| h.until > Instant::now()) {
+            let known = holds.iter().any(|o| o.backend == self.spec.id && o.end == f64::MAX && o.from == h.from && o.to == h.to);
+            if !known {
+                holds.push(Hold { backend: self.spec.id.clone(), from: h.from, to: h.to, fence: h.fence, start: now, end: f64::MAX, order: "rest".to_owned() });
+            }
+        }
+    }
+
+    /// Records the holds that have expired or still last.
+    pub fn finish_holds(&self) {
+        let held = self.held.lock().unwrap();
+        for h in held.iter() {
+            self.end_hold(h, self.world.now());
+        }
+    }
+}
+
 /// Takes a range out of the held ones.
 fn cut(held: &mut Vec<Held>, from: u64, to: u64) {
     let mut rest = Vec::new();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -30,6 +30,8 @@
     pub address: SocketAddr,
     parts: Mutex<HashMap<(String, u64), Part>>,
     changed: Condvar,
+    /// Topics that are down: every call gets 503 and is not carried out.
+    pub down: Mutex<Vec<String>>,
 }
 
 impl Store {
@@ -41,6 +43,7 @@
             address,
             parts: Mutex::default(),
             changed: Condvar::new(),
+            down: Mutex::default(),
         });
         let shared = Arc::clone(&store);
         std::thread::spawn(move || {
@@ -66,6 +69,9 @@
         let part = call.number("part").unwrap_or(0);
         // An answer of the store takes 4 ms.
         std::thread::sleep(Duration::from_millis(4));
+        if self.down.lock().unwrap().contains(&topic) {
+            return json(503, "{}");
+        }
         match call.path() {
             "/log-append" => self.append(call, topic, part),
             "/log-read" => self.read(call, &topic, part),
