--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -88,7 +88,13 @@
         Self::start_with(world, store, runs, &Holds::default(), spec)
     }
 
-    pub fn start_with(world: &Arc<World>, store: &Arc<Store>, runs: &Runs, holds: &Holds, spec: Spec) -> Arc<Self> {
+    pub fn start_with(
+        world: &Arc<World>,
+        store: &Arc<Store>,
+        runs: &Runs,
+        holds: &Holds,
+        spec: Spec,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind((world.ip(), 0)).expect("bind a backend");
         let backend = Arc::new(Self {
             world: Arc::clone(world),
@@ -109,7 +115,10 @@
             held: Mutex::default(),
             fences: Mutex::default(),
         });
-        world.note(&format!("backend {} of service {} starts at {}", backend.spec.id, backend.spec.service, backend.address));
+        world.note(&format!(
+            "backend {} of service {} starts at {}",
+            backend.spec.id, backend.spec.service, backend.address
+        ));
         backend.beat();
         let shared = Arc::clone(&backend);
         std::thread::spawn(move || shared.listen(listener));
@@ -150,13 +159,19 @@
     }
 
     fn warmup_left(&self) -> Duration {
-        self.spec.warmup.saturating_sub(self.start.lock().unwrap().elapsed())
+        self.spec
+            .warmup
+            .saturating_sub(self.start.lock().unwrap().elapsed())
     }
 
     /// Writes the entry in the store.
     pub fn beat(&self) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
-        let state = if self.draining.load(Ordering::SeqCst) { "draining" } else { "ready" };
+        let state = if self.draining.load(Ordering::SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         let s = &self.spec;
         let text = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\"state\":\"{state}\",\"warmupLeftMs\":{},\"sequence\":{sequence},\"born\":{}}}",
@@ -169,7 +184,11 @@
         loop {
             // The entry also changes at the moment at which the backend is warm.
             let left = self.warmup_left();
-            let pause = if left.is_zero() { HEARTBEAT } else { HEARTBEAT.min(left + Duration::from_millis(1)) };
+            let pause = if left.is_zero() {
+                HEARTBEAT
+            } else {
+                HEARTBEAT.min(left + Duration::from_millis(1))
+            };
             std::thread::sleep(pause);
             if self.gone.load(Ordering::SeqCst) {
                 return;
@@ -182,7 +201,8 @@
 
     /// Crashes and starts again under its id and address after `pause`, with nothing kept.
     pub fn crash(&self, pause: Duration) {
-        self.world.note(&format!("backend {} crashes", self.spec.id));
+        self.world
+            .note(&format!("backend {} crashes", self.spec.id));
         self.down.store(true, Ordering::SeqCst);
         self.life.fetch_add(1, Ordering::SeqCst);
         for stream in self.streams.lock().unwrap().drain(..) {
@@ -198,31 +218,42 @@
         *self.start.lock().unwrap() = Instant::now();
         self.sequence.store(0, Ordering::SeqCst);
         self.down.store(false, Ordering::SeqCst);
-        self.world.note(&format!("backend {} starts again under its id", self.spec.id));
+        self.world.note(&format!(
+            "backend {} starts again under its id",
+            self.spec.id
+        ));
         self.beat();
     }
 
     /// Records the end of a hold at `at`, or at its expiry if that was before.
     fn end_hold(&self, held: &Held, at: f64) {
         let now = self.world.now();
-        let expiry = if held.until > Instant::now() { f64::MAX } else { now - held.until.elapsed().as_secs_f64() };
+        let expiry = if held.until > Instant::now() {
+            f64::MAX
+        } else {
+            now - held.until.elapsed().as_secs_f64()
+        };
         let mut holds = self.holds.lock().unwrap();
         let open = holds.iter_mut().rev();
-        for hold in open.filter(|h| h.backend == self.spec.id && h.end == f64::MAX && h.from <= held.to && held.from <= h.to) {
+        for hold in open.filter(|h| {
+            h.backend == self.spec.id && h.end == f64::MAX && h.from <= held.to && held.from <= h.to
+        }) {
             hold.end = at.min(expiry);
         }
     }
 
     /// Reports that it leaves.
     pub fn drain(&self) {
-        self.world.note(&format!("backend {} reports draining", self.spec.id));
+        self.world
+            .note(&format!("backend {} reports draining", self.spec.id));
         self.draining.store(true, Ordering::SeqCst);
         self.beat();
     }
 
     /// Leaves: the entry is removed.
     pub fn leave(&self) {
-        self.world.note(&format!("backend {} is gone", self.spec.id));
+        self.world
+            .note(&format!("backend {} is gone", self.spec.id));
         self.gone.store(true, Ordering::SeqCst);
         self.store.set("keyed.servers", &self.spec.id, None);
     }
@@ -252,7 +283,15 @@
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let named = request.header("x-target-instance");
         if named.is_some_and(|named| named != own) {
-            return answer(421, &[("X-Request-Id", &id), ("X-Instance-Id", own), ("X-Not-Executed", "1")], b"");
+            return answer(
+                421,
+                &[
+                    ("X-Request-Id", &id),
+                    ("X-Instance-Id", own),
+                    ("X-Not-Executed", "1"),
+                ],
+                b"",
+            );
         }
         match request.path() {
             "/healthz" => return answer(200, &[("X-Instance-Id", own)], b""),
@@ -262,16 +301,34 @@
         if id.is_empty() {
             return answer(400, &[("X-Not-Executed", "1"), ("X-Instance-Id", own)], b"");
         }
-        let key = request.header("x-shard-key").and_then(|v| v.parse::<u64>().ok());
+        let key = request
+            .header("x-shard-key")
+            .and_then(|v| v.parse::<u64>().ok());
         if self.spec.sharded {
             if !key.is_some_and(|key| self.holds(key)) {
-                return answer(421, &[("X-Request-Id", &id), ("X-Instance-Id", own), ("X-Not-Executed", "1")], b"");
+                return answer(
+                    421,
+                    &[
+                        ("X-Request-Id", &id),
+                        ("X-Instance-Id", own),
+                        ("X-Not-Executed", "1"),
+                    ],
+                    b"",
+                );
             }
         }
         {
             let mut busy = self.busy.lock().unwrap();
             if *busy >= self.spec.slots * 5 {
-                return answer(503, &[("X-Request-Id", &id), ("X-Instance-Id", own), ("X-Not-Executed", "1")], b"");
+                return answer(
+                    503,
+                    &[
+                        ("X-Request-Id", &id),
+                        ("X-Instance-Id", own),
+                        ("X-Not-Executed", "1"),
+                    ],
+                    b"",
+                );
             }
             *busy += 1;
         }
@@ -283,29 +340,46 @@
             path: request.first.get(1).cloned().unwrap_or_default(),
             key,
         };
-        self.world.note(&format!("run      request {id} {} by backend {own} of service {}", run.path, run.service));
+        self.world.note(&format!(
+            "run      request {id} {} by backend {own} of service {}",
+            run.path, run.service
+        ));
         self.runs.lock().unwrap().push(run);
         std::thread::sleep(self.spec.work);
         *self.busy.lock().unwrap() -= 1;
         let body = format!("done by {own} for {id}");
         let seal = format!("{own}.{id}");
-        answer(200, &[("X-Request-Id", &id), ("X-Instance-Id", own), ("X-Response-Seal", &seal)], body.as_bytes())
+        answer(
+            200,
+            &[
+                ("X-Request-Id", &id),
+                ("X-Instance-Id", own),
+                ("X-Response-Seal", &seal),
+            ],
+            body.as_bytes(),
+        )
     }
 
     fn holds(&self, key: u64) -> bool {
         let held = self.held.lock().unwrap();
-        held.iter().any(|h| h.from <= key && key <= h.to && Instant::now() < h.until)
+        held.iter()
+            .any(|h| h.from <= key && key <= h.to && Instant::now() < h.until)
     }
 
     fn order(&self, order: &Message, id: &str) -> Vec<u8> {
         let body = String::from_utf8_lossy(&order.body).into_owned();
         let number = |name: &str| -> Option<u64> {
             let at = body.find(&format!("\"{name}\":"))? + name.len() + 3;
-            let digits: String = body[at..].chars().take_while(char::is_ascii_digit).collect();
+            let digits: String = body[at..]
+                .chars()
+                .take_while(char::is_ascii_digit)
+                .collect();
             digits.parse().ok()
         };
         let own = self.spec.id.as_str();
-        let (Some(from), Some(to), Some(fence)) = (number("from"), number("target"), number("fence")) else {
+        let (Some(from), Some(to), Some(fence)) =
+            (number("from"), number("target"), number("fence"))
+        else {
             return answer(400, &[("X-Request-Id", id), ("X-Instance-Id", own)], b"");
         };
         let mut held = self.held.lock().unwrap();
@@ -319,15 +393,41 @@
             }
             self.close_holds(&mut held, from, to);
             let until = Instant::now() + Duration::from_millis(number("holdMs").unwrap_or(0));
-            held.push(Held { from, to, fence, until });
-            let hold = Hold { backend: own.to_owned(), from, to, fence, start: self.world.now(), end: f64::MAX, order: id.to_owned() };
+            held.push(Held {
+                from,
+                to,
+                fence,
+                until,
+            });
+            let hold = Hold {
+                backend: own.to_owned(),
+                from,
+                to,
+                fence,
+                start: self.world.now(),
+                end: f64::MAX,
+                order: id.to_owned(),
+            };
             self.holds.lock().unwrap().push(hold);
-            self.world.note(&format!("granted  {from} to {to} to {own} with fence {fence} for {} ms", number("holdMs").unwrap_or(0)));
+            self.world.note(&format!(
+                "granted  {from} to {to} to {own} with fence {fence} for {} ms",
+                number("holdMs").unwrap_or(0)
+            ));
             return answer(200, &[("X-Request-Id", id), ("X-Instance-Id", own)], b"");
         }
         self.close_holds(&mut held, from, to);
-        self.world.note(&format!("released {from} to {to} by {own} with fence {fence}"));
-        answer(200, &[("X-Request-Id", id), ("X-Instance-Id", own), ("X-Handover", "5c0e7a21d94b36f8")], b"")
+        self.world.note(&format!(
+            "released {from} to {to} by {own} with fence {fence}"
+        ));
+        answer(
+            200,
+            &[
+                ("X-Request-Id", id),
+                ("X-Instance-Id", own),
+                ("X-Handover", "5c0e7a21d94b36f8"),
+            ],
+            b"",
+        )
     }
 }
 
@@ -341,9 +441,19 @@
         cut(held, from, to);
         let mut holds = self.holds.lock().unwrap();
         for h in held.iter().filter(|h| h.until > Instant::now()) {
-            let known = holds.iter().any(|o| o.backend == self.spec.id && o.end == f64::MAX && o.from == h.from && o.to == h.to);
+            let known = holds.iter().any(|o| {
+                o.backend == self.spec.id && o.end == f64::MAX && o.from == h.from && o.to == h.to
+            });
             if !known {
-                holds.push(Hold { backend: self.spec.id.clone(), from: h.from, to: h.to, fence: h.fence, start: now, end: f64::MAX, order: "rest".to_owned() });
+                holds.push(Hold {
+                    backend: self.spec.id.clone(),
+                    from: h.from,
+                    to: h.to,
+                    fence: h.fence,
+                    start: now,
+                    end: f64::MAX,
+                    order: "rest".to_owned(),
+                });
             }
         }
     }
@@ -366,10 +476,20 @@
             continue;
         }
         if h.from < from {
-            rest.push(Held { from: h.from, to: from - 1, fence: h.fence, until: h.until });
+            rest.push(Held {
+                from: h.from,
+                to: from - 1,
+                fence: h.fence,
+                until: h.until,
+            });
         }
         if to < h.to {
-            rest.push(Held { from: to + 1, to: h.to, fence: h.fence, until: h.until });
+            rest.push(Held {
+                from: to + 1,
+                to: h.to,
+                fence: h.fence,
+                until: h.until,
+            });
         }
     }
     *held = rest;
--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -57,7 +57,14 @@
 }
 
 /// Sends requests at a steady rate until `until`, each in a thread of its own.
-fn load(world: &Arc<World>, outcomes: &Arc<Mutex<Vec<Outcome>>>, router: &Router, path: &'static str, gap_ms: u64, until: f64) -> std::thread::JoinHandle<()> {
+fn load(
+    world: &Arc<World>,
+    outcomes: &Arc<Mutex<Vec<Outcome>>>,
+    router: &Router,
+    path: &'static str,
+    gap_ms: u64,
+    until: f64,
+) -> std::thread::JoinHandle<()> {
     let (world, outcomes, front) = (Arc::clone(world), Arc::clone(outcomes), router.front());
     std::thread::spawn(move || {
         let mut threads = Vec::new();
@@ -65,7 +72,16 @@
             let (shared, all) = (Arc::clone(&world), Arc::clone(&outcomes));
             threads.push(std::thread::spawn(move || {
                 let body = b"{\"amount\":1200}";
-                let outcome = send(&shared, front, "POST", path, "gate.example", None, 1500, body);
+                let outcome = send(
+                    &shared,
+                    front,
+                    "POST",
+                    path,
+                    "gate.example",
+                    None,
+                    1500,
+                    body,
+                );
                 all.lock().unwrap().push(outcome);
             }));
             std::thread::sleep(Duration::from_millis(gap_ms));
@@ -91,8 +107,14 @@
     let runs: Runs = Arc::default();
     let mut backends = Vec::new();
     for (id, service) in [
-        ("i-11a0c3e1", "issuing"), ("i-22b7d9f2", "issuing"), ("i-33c4e803", "issuing"), ("i-97e20d54", "issuing"),
-        ("i-44d1f714", "renewing"), ("i-55e8a625", "renewing"), ("i-66f5b536", "renewing"), ("i-a8c41b75", "renewing"),
+        ("i-11a0c3e1", "issuing"),
+        ("i-22b7d9f2", "issuing"),
+        ("i-33c4e803", "issuing"),
+        ("i-97e20d54", "issuing"),
+        ("i-44d1f714", "renewing"),
+        ("i-55e8a625", "renewing"),
+        ("i-66f5b536", "renewing"),
+        ("i-a8c41b75", "renewing"),
     ] {
         backends.push(Backend::start(world, &store, &runs, spec(id, service, 0)));
     }
@@ -110,10 +132,20 @@
     ];
     // A quarter more backends (`scale_out`, at most 0.3).
     world.sleep_until(begin + 3.0);
-    backends.push(Backend::start(world, &store, &runs, spec("i-7c101c1d", "issuing", 3000)));
+    backends.push(Backend::start(
+        world,
+        &store,
+        &runs,
+        spec("i-7c101c1d", "issuing", 3000),
+    ));
     world.sleep_until(begin + 5.0);
     let last = if trouble { "i-8149ffb2" } else { "i-8149ffb3" };
-    backends.push(Backend::start(world, &store, &runs, spec(last, "renewing", 3000)));
+    backends.push(Backend::start(
+        world,
+        &store,
+        &runs,
+        spec(last, "renewing", 3000),
+    ));
     for thread in threads {
         let _ = thread.join();
     }
@@ -128,11 +160,20 @@
     let mut by_backend: HashMap<String, usize> = HashMap::new();
     let mut foreign = 0;
     for run in runs.iter() {
-        *by_backend.entry(format!("{} {} {}", run.service, run.backend, run.path)).or_default() += 1;
-        let allowed = if run.path == "/issue/" { "issuing" } else { "renewing" };
+        *by_backend
+            .entry(format!("{} {} {}", run.service, run.backend, run.path))
+            .or_default() += 1;
+        let allowed = if run.path == "/issue/" {
+            "issuing"
+        } else {
+            "renewing"
+        };
         if run.service != allowed {
             foreign += 1;
-            world.note(&format!("broken   request {} {} was run by service {} (backend {})", run.id, run.path, run.service, run.backend));
+            world.note(&format!(
+                "broken   request {} {} was run by service {} (backend {})",
+                run.id, run.path, run.service, run.backend
+            ));
         }
     }
     let mut counts: Vec<_> = by_backend.into_iter().collect();
@@ -151,16 +192,32 @@
 }
 
 /// Sends requests with keys to a router until `until`.
-fn keyed_load(world: &Arc<World>, outcomes: &Arc<Mutex<Vec<Outcome>>>, router: &Router, gap_ms: u64, until: f64) -> std::thread::JoinHandle<()> {
+fn keyed_load(
+    world: &Arc<World>,
+    outcomes: &Arc<Mutex<Vec<Outcome>>>,
+    router: &Router,
+    gap_ms: u64,
+    until: f64,
+) -> std::thread::JoinHandle<()> {
     let (world, outcomes, front) = (Arc::clone(world), Arc::clone(outcomes), router.front());
     std::thread::spawn(move || {
-        let mut random = crate::world::Random(u64::from(front.port()) << 32 | u64::from(std::process::id()) | 1);
+        let mut random =
+            crate::world::Random(u64::from(front.port()) << 32 | u64::from(std::process::id()) | 1);
         let mut threads = Vec::new();
         while world.now() < until {
             let key = random.below(64) * 1024 + 512;
             let (shared, all) = (Arc::clone(&world), Arc::clone(&outcomes));
             threads.push(std::thread::spawn(move || {
-                let outcome = send(&shared, front, "GET", "/status/x", "gate.example", Some(key), 1200, b"");
+                let outcome = send(
+                    &shared,
+                    front,
+                    "GET",
+                    "/status/x",
+                    "gate.example",
+                    Some(key),
+                    1200,
+                    b"",
+                );
                 all.lock().unwrap().push(outcome);
             }));
             std::thread::sleep(Duration::from_millis(gap_ms));
@@ -181,15 +238,31 @@
     let store = Store::start(world);
     let config = "{\"version\":7,\"routes\":{\"r-status\":{\"host\":\"gate.example\",\"pathPrefix\":\"/status/\",\"routeType\":\"idempotent\",\"timeoutMs\":1200,\"targetLatencyMs\":500,\"priority\":2,\"service\":\"registry\",\"attempts\":2}},\"services\":{\"registry\":{\"healthCheckPath\":\"/healthz\",\"maxConnections\":130,\"protocol\":\"h1\",\"tls\":false,\"sharded\":true,\"warmS\":3.0,\"grants\":\"rpc\"}},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"baseVersion\":0}";
     let (runs, holds): (Runs, Holds) = Default::default();
-    let backends: Vec<_> = (0..11).map(|i| {
-        let spec = Spec { sharded: true, work: Duration::from_millis(20), ..spec(&format!("i-{:08x}", 0x51ab_33c7_u32.wrapping_mul(2 * i + 3)), "registry", 0) };
-        Backend::start_with(world, &store, &runs, &holds, spec)
-    }).collect();
+    let backends: Vec<_> = (0..11)
+        .map(|i| {
+            let spec = Spec {
+                sharded: true,
+                work: Duration::from_millis(20),
+                ..spec(
+                    &format!("i-{:08x}", 0x51ab_33c7_u32.wrapping_mul(2 * i + 3)),
+                    "registry",
+                    0,
+                )
+            };
+            Backend::start_with(world, &store, &runs, &holds, spec)
+        })
+        .collect();
     store.set("keyed.op", "config", Some(config));
     let mut names = 0;
     let mut start_router = || {
         names += 1;
-        Router::start(world, &format!("edge-{names}"), "zone-a", store.address, folder)
+        Router::start(
+            world,
+            &format!("edge-{names}"),
+            "zone-a",
+            store.address,
+            folder,
+        )
     };
     let mut first = start_router();
     let mut others = vec![start_router(), start_router(), start_router()];
@@ -210,7 +283,11 @@
         if trouble {
             // One partition of four is down for 8 s (`platform_down`, at most 0.3 of them, and 8 s).
             world.note("store    the topic that lists the routers is down");
-            store.down.lock().unwrap().push("keyed.trefoil-hosts".to_owned());
+            store
+                .down
+                .lock()
+                .unwrap()
+                .push("keyed.trefoil-hosts".to_owned());
         }
         world.sleep_until(start + 7.0);
         others = vec![start_router(), start_router(), start_router()];
@@ -219,7 +296,13 @@
             return NOT_RUN;
         }
         for router in &others {
-            threads.push(keyed_load(world, &outcomes, router, 45, (start + ROUND + 5.5).min(end)));
+            threads.push(keyed_load(
+                world,
+                &outcomes,
+                router,
+                45,
+                (start + ROUND + 5.5).min(end),
+            ));
         }
         let mut at = start + 8.0;
         while at < start + 13.3 {
@@ -227,7 +310,11 @@
             // Two of eleven backends crash (`srv_crash`, at most 0.195).
             let one = random.below(11) as usize;
             let pause = Duration::from_millis(150 + random.below(150));
-            let crashing: Vec<_> = [one, (one + 5) % 11].map(|i| Arc::clone(&backends[i])).into_iter().map(|b| std::thread::spawn(move || b.crash(pause))).collect();
+            let crashing: Vec<_> = [one, (one + 5) % 11]
+                .map(|i| Arc::clone(&backends[i]))
+                .into_iter()
+                .map(|b| std::thread::spawn(move || b.crash(pause)))
+                .collect();
             for thread in crashing {
                 let _ = thread.join();
             }
@@ -250,7 +337,11 @@
     for backend in &backends {
         backend.finish_holds();
     }
-    let (holds, runs, outcomes) = (holds.lock().unwrap(), runs.lock().unwrap(), outcomes.lock().unwrap());
+    let (holds, runs, outcomes) = (
+        holds.lock().unwrap(),
+        runs.lock().unwrap(),
+        outcomes.lock().unwrap(),
+    );
     let (mut both, mut low) = (0, 0);
     for (i, a) in holds.iter().enumerate() {
         for b in &holds[i + 1..] {
@@ -266,7 +357,16 @@
             if end <= start {
                 continue;
             }
-            let began = |name: &str| runs.iter().filter(|r| r.backend == name && start <= r.at && r.at < end && r.key.is_some_and(|k| from <= k && k <= to)).count();
+            let began = |name: &str| {
+                runs.iter()
+                    .filter(|r| {
+                        r.backend == name
+                            && start <= r.at
+                            && r.at < end
+                            && r.key.is_some_and(|k| from <= k && k <= to)
+                    })
+                    .count()
+            };
             let (by_a, by_b) = (began(&a.backend), began(&b.backend));
             if end - start > 0.02 {
                 world.note(&format!("overlap  {from} to {to}: {} (fence {}) and {} (fence {}) both hold them from {start:.3} to {end:.3}, and begin {by_a} and {by_b} requests", a.backend, a.fence, b.backend, b.fence));
@@ -294,7 +394,10 @@
     let mut count = 0;
     for key in (0..64).map(|n| n * 1024 + 512) {
         let mut spans: HashMap<&str, Vec<(f64, f64)>> = HashMap::new();
-        let mut of_key: Vec<&Hold> = holds.iter().filter(|h| h.from <= key && key <= h.to).collect();
+        let mut of_key: Vec<&Hold> = holds
+            .iter()
+            .filter(|h| h.from <= key && key <= h.to)
+            .collect();
         of_key.sort_by(|a, b| a.start.total_cmp(&b.start));
         for hold in of_key {
             let known = spans.entry(&hold.backend).or_default();
@@ -304,13 +407,19 @@
                 _ => known.push((hold.start, hold.end)),
             }
         }
-        let all: Vec<(&str, f64, f64)> = spans.iter().flat_map(|(b, s)| s.iter().map(|(x, y)| (*b, *x, *y))).collect();
+        let all: Vec<(&str, f64, f64)> = spans
+            .iter()
+            .flat_map(|(b, s)| s.iter().map(|(x, y)| (*b, *x, *y)))
+            .collect();
         for (i, a) in all.iter().enumerate() {
             for b in all[i + 1..].iter().filter(|b| b.0 != a.0) {
                 let (start, end) = (a.1.max(b.1), a.2.min(b.2));
                 if end - start > 0.5 {
                     count += 1;
-                    world.note(&format!("broken   key {key}: {} and {} both hold it from {start:.3} to {end:.3}", a.0, b.0));
+                    world.note(&format!(
+                        "broken   key {key}: {} and {} both hold it from {start:.3} to {end:.3}",
+                        a.0, b.0
+                    ));
                 }
             }
         }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -15,18 +15,26 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
 
     pub fn path(&self) -> &str {
-        self.first.get(1).map_or("", |t| t.split('?').next().unwrap_or(""))
+        self.first
+            .get(1)
+            .map_or("", |t| t.split('?').next().unwrap_or(""))
     }
 
     pub fn query(&self, key: &str) -> Option<String> {
         let (_, query) = self.first.get(1)?.split_once('?')?;
         let pairs = query.split('&').filter_map(|p| p.split_once('='));
-        pairs.into_iter().find(|(k, _)| *k == key).map(|(_, v)| decode(v))
+        pairs
+            .into_iter()
+            .find(|(k, _)| *k == key)
+            .map(|(_, v)| decode(v))
     }
 
     pub fn number(&self, key: &str) -> Option<u64> {
@@ -42,7 +50,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut i) = (Vec::new(), 0);
     while i < bytes.len() {
-        let hex = bytes.get(i + 1..i + 3).and_then(|h| std::str::from_utf8(h).ok());
+        let hex = bytes
+            .get(i + 1..i + 3)
+            .and_then(|h| std::str::from_utf8(h).ok());
         match (bytes[i], hex.and_then(|h| u8::from_str_radix(h, 16).ok())) {
             (b'%', Some(byte)) => {
                 out.push(byte);
@@ -65,7 +75,10 @@
 impl Connection {
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Self { stream, buffer: Vec::new() }
+        Self {
+            stream,
+            buffer: Vec::new(),
+        }
     }
 
     fn fill(&mut self) -> io::Result<usize> {
@@ -91,11 +104,24 @@
         let head = String::from_utf8_lossy(&self.buffer[..end]).into_owned();
         self.buffer.drain(..end + 4);
         let mut lines = head.split("\r\n");
-        let first = lines.next().unwrap_or("").splitn(3, ' ').map(str::to_owned).collect();
+        let first = lines
+            .next()
+            .unwrap_or("")
+            .splitn(3, ' ')
+            .map(str::to_owned)
+            .collect();
         let headers = lines.filter_map(|l| l.split_once(':'));
-        let headers = headers.map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned())).collect();
-        let mut message = Message { first, headers, ..Message::default() };
-        let length = message.header("content-length").and_then(|v| v.parse::<usize>().ok());
+        let headers = headers
+            .map(|(n, v)| (n.trim().to_owned(), v.trim().to_owned()))
+            .collect();
+        let mut message = Message {
+            first,
+            headers,
+            ..Message::default()
+        };
+        let length = message
+            .header("content-length")
+            .and_then(|v| v.parse::<usize>().ok());
         let chunked = message.header("transfer-encoding").is_some();
         match length {
             _ if chunked => message.body = self.read_chunks()?,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,7 +14,10 @@
 
 fn main() {
     let mut args = std::env::args().skip(1);
-    let (case, record) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    let (case, record) = (
+        args.next().unwrap_or_default(),
+        args.next().unwrap_or_default(),
+    );
     let trouble = std::env::var("TROUBLE").map_or(true, |v| v != "0");
     std::process::exit(cases::run(&case, &record, trouble));
 }
--- a/review/standin/router.rs
+++ b/review/standin/router.rs
@@ -28,7 +28,13 @@
 
 impl Router {
     /// Starts a process on an address of its own. Its files are in `folder`.
-    pub fn start(world: &Arc<World>, name: &str, zone: &str, store: SocketAddr, folder: &str) -> Self {
+    pub fn start(
+        world: &Arc<World>,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        folder: &str,
+    ) -> Self {
         let ip = world.ip();
         let fields = [
             ("nodeName", name.to_owned()),
@@ -59,14 +65,25 @@
         let settings = PathBuf::from(format!("{folder}/{name}.yaml"));
         std::fs::write(&settings, text).expect("settings");
         let log = PathBuf::from(format!("{folder}/{name}.log"));
-        let mut router = Self { world: Arc::clone(world), child: None, name: name.to_owned(), ip, settings, log };
+        let mut router = Self {
+            world: Arc::clone(world),
+            child: None,
+            name: name.to_owned(),
+            ip,
+            settings,
+            log,
+        };
         router.restart();
         router
     }
 
     /// Starts the process (again).
     pub fn restart(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("log");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("log");
         let child = Command::new("target/release/trefoild")
             .arg("serve")
             .env("TREFOILCART_NODE_FILE", &self.settings)
@@ -101,14 +118,24 @@
         };
         let _ = stream.set_read_timeout(Some(Duration::from_millis(500)));
         let mut connection = Connection::new(stream);
-        let sent = connection.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        sent.is_ok() && connection.read(true).ok().flatten().is_some_and(|a| a.status() == 200)
+        let sent =
+            connection.write(b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        sent.is_ok()
+            && connection
+                .read(true)
+                .ok()
+                .flatten()
+                .is_some_and(|a| a.status() == 200)
     }
 
     pub fn signal(&self, signal: &str) {
         if let Some(child) = &self.child {
-            self.world.note(&format!("router {} gets SIG{signal}", self.name));
-            let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+            self.world
+                .note(&format!("router {} gets SIG{signal}", self.name));
+            let _ = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(child.id().to_string())
+                .status();
         }
     }
 
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -101,7 +101,10 @@
                 return json(409, "{\"why\":\"fenced\"}");
             }
             if epoch > producer.epoch {
-                *producer = Producer { epoch, ..Producer::default() };
+                *producer = Producer {
+                    epoch,
+                    ..Producer::default()
+                };
             }
             if records.is_empty() {
                 return json(200, &format!("{{\"offset\":{end},\"end\":{end}}}"));
@@ -114,7 +117,9 @@
                 return json(409, &format!("{{\"why\":\"seq\",\"sequence\":{expected}}}"));
             }
             producer.sequence = Some(sequence);
-            producer.last.push((sequence, end, end + records.len() as u64));
+            producer
+                .last
+                .push((sequence, end, end + records.len() as u64));
             if producer.last.len() > 5 {
                 producer.last.remove(0);
             }
@@ -162,10 +167,14 @@
             let comma = if count > 0 { "," } else { "" };
             let key = String::from_utf8_lossy(key);
             let value = base64(value);
-            text += &format!("{comma}{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}");
+            text +=
+                &format!("{comma}{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}");
         }
         let end = state.records.len();
-        json(200, &format!("{{\"items\":[{text}],\"hasMore\":{more},\"end\":{end}}}"))
+        json(
+            200,
+            &format!("{{\"items\":[{text}],\"hasMore\":{more},\"end\":{end}}}"),
+        )
     }
 
     /// Writes a record as the operator or a backend. No value removes the key.
@@ -174,7 +183,11 @@
         record.extend(key.bytes());
         record.extend(value.unwrap_or("").bytes());
         let mut parts = self.parts.lock().unwrap();
-        put(parts.entry((topic.to_owned(), 0)).or_default(), topic, vec![record]);
+        put(
+            parts.entry((topic.to_owned(), 0)).or_default(),
+            topic,
+            vec![record],
+        );
         self.changed.notify_all();
     }
 
@@ -182,7 +195,9 @@
     pub fn size(&self, topic: &str, key: &str) -> usize {
         let parts = self.parts.lock().unwrap();
         let state = parts.get(&(topic.to_owned(), 0));
-        state.and_then(|s| s.newest.get(key.as_bytes())).map_or(0, |(v, _)| v.len())
+        state
+            .and_then(|s| s.newest.get(key.as_bytes()))
+            .map_or(0, |(v, _)| v.len())
     }
 }
 
@@ -216,18 +231,30 @@
 }
 
 fn json(status: u16, text: &str) -> Vec<u8> {
-    answer(status, &[("Content-Type", "application/json")], text.as_bytes())
+    answer(
+        status,
+        &[("Content-Type", "application/json")],
+        text.as_bytes(),
+    )
 }
 
 fn base64(bytes: &[u8]) -> String {
     const CHARS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in bytes.chunks(3) {
-        let b = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let b = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let n = u32::from_be_bytes([0, b[0], b[1], b[2]]);
         for i in 0..4 {
             let at = (n >> (18 - 6 * i)) & 63;
-            out.push(if i <= chunk.len() { CHARS[at as usize] as char } else { '=' });
+            out.push(if i <= chunk.len() {
+                CHARS[at as usize] as char
+            } else {
+                '='
+            });
         }
     }
     out
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -15,7 +15,12 @@
 
 impl World {
     pub fn new() -> Self {
-        Self { start: Instant::now(), lines: Mutex::default(), next_ip: AtomicU8::new(1), next_id: AtomicU64::new(1) }
+        Self {
+            start: Instant::now(),
+            lines: Mutex::default(),
+            next_ip: AtomicU8::new(1),
+            next_id: AtomicU64::new(1),
+        }
     }
 
     /// Seconds since the start.
@@ -50,7 +55,12 @@
     /// A loopback address that no other process of this run uses.
     pub fn ip(&self) -> Ipv4Addr {
         let [.., high, low] = std::process::id().to_be_bytes();
-        Ipv4Addr::new(127, high | 0x40, low, self.next_ip.fetch_add(1, Ordering::SeqCst))
+        Ipv4Addr::new(
+            127,
+            high | 0x40,
+            low,
+            self.next_ip.fetch_add(1, Ordering::SeqCst),
+        )
     }
 
     pub fn request_id(&self) -> String {
@@ -60,7 +70,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_millis() as u64
 }
 
 /// A pseudo-random sequence.
