--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -1,11 +1,14 @@
 //! Selects upstreams by predicted latency.
 
+use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use trefoil_core::{DomainName, ServiceName, Slots, Tick};
-use trefoil_directory::{Registration, Tag};
+use trefoil_directory::{Upstream, UpstreamId};
 
+use crate::Tag;
 use crate::estimate::Estimate;
 use crate::load::{Load, Outcome};
 
@@ -45,8 +48,8 @@
 /// An upstream of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Member {
-    /// Hash of the upstream's name.
-    pub tag: Tag,
+    /// The upstream.
+    pub id: UpstreamId,
     /// Set if the upstream is in the failure domain of this host.
     pub local: bool,
 }
@@ -55,7 +58,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Choice {
     /// The request goes to this upstream.
-    Upstream(Tag),
+    Upstream(UpstreamId),
     /// All upstreams are at capacity; there may be room after this time.
     Full(Duration),
     /// The service has no upstream that accepts requests.
@@ -65,13 +68,19 @@
 /// A scored upstream.
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
-    tag: Tag,
+    id: UpstreamId,
     /// Predicted latency plus the penalty for failures.
     cost: Duration,
     /// `cost` with a random part.
     jittered: Duration,
 }
 
+#[derive(Debug)]
+struct TaggedLoad {
+    tag: Tag,
+    load: Load,
+}
+
 #[derive(Debug, Default)]
 struct ServiceLoad {
     members: Vec<Member>,
@@ -82,9 +91,11 @@
 #[derive(Debug)]
 pub struct Balancer {
     domain: DomainName,
-    loads: HashMap<Tag, Load>,
+    loads: HashMap<UpstreamId, TaggedLoad>,
     services: BTreeMap<ServiceName, ServiceLoad>,
-    service_of: HashMap<Tag, ServiceName>,
+    service_of: HashMap<UpstreamId, ServiceName>,
+    /// Upstreams by their short identity in the reports of other hosts.
+    tagged: HashMap<Tag, SmallVec<[UpstreamId; 1]>>,
 }
 
 impl Balancer {
@@ -95,76 +106,102 @@
             loads: HashMap::new(),
             services: BTreeMap::new(),
             service_of: HashMap::new(),
+            tagged: HashMap::new(),
         }
     }
 
     /// Adds or updates an upstream. One that is not `ready` is no longer selected; its load is kept
     /// for its open requests.
-    pub fn register(&mut self, now: Tick, registration: &Registration, ready: bool) {
-        let tag = Tag::of(&registration.incarnation.name);
+    pub fn register(&mut self, now: Tick, upstream: &Upstream, ready: bool) {
+        let Upstream { id, registration } = upstream;
+        let id = *id;
         let cold_until = match registration.warmup {
             Duration::ZERO => Tick::default(),
             left => now.after(left),
         };
         let slots = Slots(registration.slots.0.max(1));
-        self.loads
-            .entry(tag)
-            .or_insert_with(|| Load::new(slots, cold_until))
-            .update(slots, cold_until);
-        self.remove_member(tag);
+        let tagged = self.loads.entry(id).or_insert_with(|| {
+            let tag = Tag::of(&registration.incarnation.name);
+            self.tagged.entry(tag).or_default().push(id);
+            let load = Load::new(slots, cold_until);
+            TaggedLoad { tag, load }
+        });
+        tagged.load.update(slots, cold_until);
+        self.remove_member(id);
         if ready {
             let member = Member {
-                tag,
+                id,
                 local: registration.domain == self.domain,
             };
             let service = registration.service.clone();
             let load = self.services.entry(service.clone()).or_default();
             load.members.push(member);
-            self.service_of.insert(tag, service);
-        }
-    }
-
-    /// Discards the load of an upstream that has restarted.
-    pub fn reset(&mut self, tag: Tag) {
-        if let Some(load) = self.loads.get_mut(&tag) {
-            *load = Load::new(load.slots(), Tick::default());
+            self.service_of.insert(id, service);
         }
     }
 
     /// Removes an upstream.
-    pub fn remove(&mut self, tag: Tag) {
-        self.remove_member(tag);
-        self.loads.remove(&tag);
+    pub fn remove(&mut self, id: UpstreamId) {
+        self.remove_member(id);
+        let Some(removed) = self.loads.remove(&id) else {
+            return;
+        };
+        if let Entry::Occupied(mut same) = self.tagged.entry(removed.tag) {
+            same.get_mut().retain(|other| *other != id);
+            if same.get().is_empty() {
+                same.remove();
+            }
+        }
     }
 
-    fn remove_member(&mut self, tag: Tag) {
-        if let Some(service) = self.service_of.remove(&tag)
+    fn remove_member(&mut self, id: UpstreamId) {
+        if let Some(service) = self.service_of.remove(&id)
             && let Some(load) = self.services.get_mut(&service)
         {
-            load.members.retain(|m| m.tag != tag);
+            load.members.retain(|m| m.id != id);
         }
     }
 
     /// Load of an upstream.
-    pub fn load(&self, tag: Tag) -> Option<&Load> {
-        self.loads.get(&tag)
+    pub fn load(&self, id: UpstreamId) -> Option<&Load> {
+        self.loads.get(&id).map(|tagged| &tagged.load)
     }
 
     /// All upstreams with their loads.
-    pub fn loads(&self) -> impl Iterator<Item = (Tag, &Load)> {
-        self.loads.iter().map(|(tag, load)| (*tag, load))
+    pub fn loads(&self) -> impl Iterator<Item = (UpstreamId, &Load)> {
+        self.loads.iter().map(|(id, tagged)| (*id, &tagged.load))
     }
 
-    /// Load of an upstream, to update it from the reports of other hosts.
-    pub fn load_mut(&mut self, tag: Tag) -> Option<&mut Load> {
-        self.loads.get_mut(&tag)
+    /// The loads of all upstreams with their short identities, for a report to other hosts.
+    pub fn tagged_loads(&self) -> impl Iterator<Item = (Tag, &Load)> {
+        self.loads.values().map(|tagged| (tagged.tag, &tagged.load))
+    }
+
+    /// The upstream with this short identity, if there is only one.
+    pub fn sole_tagged(&self, tag: Tag) -> Option<UpstreamId> {
+        match self.tagged.get(&tag).map(SmallVec::as_slice) {
+            Some([id]) => Some(*id),
+            _ => None,
+        }
+    }
+
+    /// Updates the loads of the upstreams that a report of another host may mean.
+    pub fn update_loads<F>(&mut self, tag: Tag, update: F)
+    where
+        F: Fn(&mut Load),
+    {
+        for id in self.tagged.get(&tag).into_iter().flatten() {
+            if let Some(tagged) = self.loads.get_mut(id) {
+                update(&mut tagged.load);
+            }
+        }
     }
 
     /// Expected service time at an upstream, without queueing.
-    pub fn service_time(&self, now: Tick, tag: Tag) -> Duration {
-        let service = self.service_of.get(&tag).and_then(|s| self.services.get(s));
+    pub fn service_time(&self, now: Tick, id: UpstreamId) -> Duration {
+        let service = self.service_of.get(&id).and_then(|s| self.services.get(s));
         let mean_time = service.and_then(|s| s.time.mean()).unwrap_or(DEFAULT_TIME);
-        let Some(load) = self.loads.get(&tag) else {
+        let Some(load) = self.load(id) else {
             return mean_time;
         };
         let prior = Estimate::from_mean(now, mean_time, PRIOR_WEIGHT);
@@ -177,9 +214,9 @@
     }
 
     /// Predicted latency of one more request at an upstream.
-    pub fn predict_latency(&self, now: Tick, tag: Tag) -> Duration {
-        let time = self.service_time(now, tag);
-        let Some(load) = self.loads.get(&tag) else {
+    pub fn predict_latency(&self, now: Tick, id: UpstreamId) -> Duration {
+        let time = self.service_time(now, id);
+        let Some(load) = self.load(id) else {
             return time;
         };
         let queued = f64::from(
@@ -191,9 +228,9 @@
     }
 
     /// Scores an upstream for selection.
-    fn score(&self, now: Tick, tag: Tag) -> Candidate {
-        let mut cost = self.predict_latency(now, tag);
-        if let Some(load) = self.loads.get(&tag) {
+    fn score(&self, now: Tick, id: UpstreamId) -> Candidate {
+        let mut cost = self.predict_latency(now, id);
+        if let Some(load) = self.load(id) {
             if load.is_backed_off(now) {
                 cost += FAILURE_COST;
             }
@@ -201,13 +238,9 @@
         }
         let jittered = cost
             + self
-                .service_time(now, tag)
+                .service_time(now, id)
                 .mul_f64(JITTER * rand::random::<f64>());
-        Candidate {
-            tag,
-            cost,
-            jittered,
-        }
+        Candidate { id, cost, jittered }
     }
 
     /// Checks that an upstream has room for one more request and is predicted to answer it in time.
@@ -215,19 +248,24 @@
     /// # Errors
     ///
     /// Fails with the time after which there may be room.
-    pub fn check_admission(&self, now: Tick, tag: Tag, need: Requirement) -> Result<(), Duration> {
-        let Some(load) = self.loads.get(&tag) else {
+    pub fn check_admission(
+        &self,
+        now: Tick,
+        id: UpstreamId,
+        need: Requirement,
+    ) -> Result<(), Duration> {
+        let Some(load) = self.load(id) else {
             return Ok(());
         };
         let slots = load.slots().0;
         let open = load.open(now);
         let free = open < slots;
-        let late = self.predict_latency(now, tag) > need.max_latency;
+        let late = self.predict_latency(now, id) > need.max_latency;
         if open < slots.saturating_mul(OPEN_MAX) && (free || !late) {
             return Ok(());
         }
         // Slots become free at a rate of one per service time divided by the number of slots.
-        Err(self.service_time(now, tag).div_f64(f64::from(slots)))
+        Err(self.service_time(now, id).div_f64(f64::from(slots)))
     }
 
     /// Selects an upstream of a service, except those in `tried` and those that `admit` rejects with
@@ -237,25 +275,25 @@
         now: Tick,
         service: &ServiceName,
         need: Requirement,
-        tried: &[Tag],
+        tried: &[UpstreamId],
         mut admit: F,
     ) -> Choice
     where
-        F: FnMut(Tag) -> Result<(), Duration>,
+        F: FnMut(UpstreamId) -> Result<(), Duration>,
     {
         let Some(service) = self.services.get(service) else {
             return Choice::NoCandidate;
         };
-        let members = service.members.iter().filter(|m| !tried.contains(&m.tag));
+        let members = service.members.iter().filter(|m| !tried.contains(&m.id));
         let (mut local, mut remote) = (None, None);
         let mut room: Option<Duration> = None;
         for member in members {
-            let admitted = self.check_admission(now, member.tag, need);
-            if let Err(wait) = admitted.and_then(|()| admit(member.tag)) {
+            let admitted = self.check_admission(now, member.id, need);
+            if let Err(wait) = admitted.and_then(|()| admit(member.id)) {
                 room = Some(room.map_or(wait, |r| r.min(wait)));
                 continue;
             }
-            let scored = self.score(now, member.tag);
+            let scored = self.score(now, member.id);
             let best = if member.local {
                 &mut local
             } else {
@@ -272,15 +310,15 @@
             (None, remote) => remote,
         };
         match (best, room) {
-            (Some(scored), _) => Choice::Upstream(scored.tag),
+            (Some(scored), _) => Choice::Upstream(scored.id),
             (None, Some(wait)) => Choice::Full(wait),
             (None, None) => Choice::NoCandidate,
         }
     }
 
     /// Counts a request as open at an upstream, and returns how many were open before.
-    pub fn begin(&mut self, now: Tick, tag: Tag) -> u32 {
-        let Some(load) = self.loads.get_mut(&tag) else {
+    pub fn begin(&mut self, now: Tick, id: UpstreamId) -> u32 {
+        let Some(TaggedLoad { load, .. }) = self.loads.get_mut(&id) else {
             return 0;
         };
         let open = load.open(now);
@@ -289,15 +327,15 @@
     }
 
     /// Records the end of a request; `open` is the result of [`begin`](Self::begin).
-    pub fn end(&mut self, now: Tick, tag: Tag, outcome: Outcome, open: u32, took: Duration) {
-        let Some(load) = self.loads.get_mut(&tag) else {
+    pub fn end(&mut self, now: Tick, id: UpstreamId, outcome: Outcome, open: u32, took: Duration) {
+        let Some(TaggedLoad { load, .. }) = self.loads.get_mut(&id) else {
             return;
         };
         load.end(now, outcome, open, took);
         if outcome == Outcome::Answered
             && let Some(service) = self
                 .service_of
-                .get(&tag)
+                .get(&id)
                 .and_then(|s| self.services.get_mut(s))
         {
             let queued = f64::from(open.saturating_add(1).saturating_sub(load.slots().0));
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod load;
 mod retry;
+mod tag;
 mod tally;
 
 pub use balancer::{Balancer, Choice, Member, Requirement};
@@ -25,4 +26,5 @@
 pub use limits::{Fleet, LimitReport, LimitTally, Limits, Statement, Usage, without_own};
 pub use load::{Load, Outcome};
 pub use retry::RetryBudget;
+pub use tag::Tag;
 pub use tally::Tally;
--- a/crates/balance/src/limits.rs
+++ b/crates/balance/src/limits.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use trefoil_core::{PerSecond, Tick};
-use trefoil_directory::Tag;
+use trefoil_directory::UpstreamId;
 
 /// Steps in which requests are counted.
 const STEP: Duration = Duration::from_millis(250);
@@ -192,7 +192,7 @@
 /// Limits of all upstreams that have stated one.
 #[derive(Debug, Default)]
 pub struct Limits {
-    limits: BTreeMap<Tag, Limit>,
+    limits: BTreeMap<UpstreamId, Limit>,
 }
 
 impl Limits {
@@ -203,8 +203,8 @@
     }
 
     /// The limit of an upstream.
-    pub fn rate(&self, tag: Tag) -> Option<PerSecond> {
-        self.limits.get(&tag)?.known.rate
+    pub fn rate(&self, id: UpstreamId) -> Option<PerSecond> {
+        self.limits.get(&id)?.known.rate
     }
 
     /// Records an answer to a request that was sent at `sent`, which states this limit or none.
@@ -215,12 +215,12 @@
     pub fn record_answer(
         &mut self,
         now: Tick,
-        tag: Tag,
+        id: UpstreamId,
         sent: Tick,
         rate: Option<PerSecond>,
     ) -> bool {
         let statement = Statement { rate, at: now };
-        match self.limits.get_mut(&tag) {
+        match self.limits.get_mut(&id) {
             None if rate.is_none() => false,
             None => {
                 let own = Some(statement);
@@ -228,7 +228,7 @@
                     own,
                     ..Limit::new(statement)
                 };
-                self.limits.insert(tag, limit);
+                self.limits.insert(id, limit);
                 true
             }
             Some(limit) if rate.is_none() && sent <= limit.known.at => false,
@@ -242,17 +242,17 @@
 
     /// Records what others report: their requests, and the newest statement in an answer to them.
     /// Returns whether the statement is news.
-    pub fn record_others(&mut self, now: Tick, tag: Tag, report: LimitReport) -> bool {
-        let news = report.stated.filter(|stated| match self.limits.get(&tag) {
+    pub fn record_others(&mut self, now: Tick, id: UpstreamId, report: LimitReport) -> bool {
+        let news = report.stated.filter(|stated| match self.limits.get(&id) {
             Some(limit) => limit.known.at < stated.at,
             None => stated.rate.is_some(),
         });
         if let Some(stated) = news {
-            let limit = self.limits.entry(tag);
+            let limit = self.limits.entry(id);
             let limit = limit.or_insert_with(|| Limit::new(stated));
             limit.known = stated;
         }
-        if let Some(limit) = self.limits.get_mut(&tag) {
+        if let Some(limit) = self.limits.get_mut(&id) {
             limit.others = (report.usage, now);
         }
         news.is_some()
@@ -263,8 +263,14 @@
     /// # Errors
     ///
     /// Fails with the time after which the upstream takes the next request.
-    pub fn admit(&mut self, now: Tick, tag: Tag, fleet: Fleet, draw: f64) -> Result<(), Duration> {
-        let Some(limit) = self.limits.get_mut(&tag) else {
+    pub fn admit(
+        &mut self,
+        now: Tick,
+        id: UpstreamId,
+        fleet: Fleet,
+        draw: f64,
+    ) -> Result<(), Duration> {
+        let Some(limit) = self.limits.get_mut(&id) else {
             return Ok(());
         };
         limit.wanted.add(now);
@@ -298,26 +304,26 @@
     }
 
     /// Records a request that is sent.
-    pub fn record_sent(&mut self, now: Tick, tag: Tag) {
-        if let Some(limit) = self.limits.get_mut(&tag) {
+    pub fn record_sent(&mut self, now: Tick, id: UpstreamId) {
+        if let Some(limit) = self.limits.get_mut(&id) {
             limit.sent.add(now);
         }
     }
 
     /// This host's report of each upstream with requests, or that has said something lately.
-    pub fn own_reports(&mut self, now: Tick) -> BTreeMap<Tag, LimitReport> {
-        let report = |(tag, limit): (&Tag, &mut Limit)| {
+    pub fn own_reports(&mut self, now: Tick) -> BTreeMap<UpstreamId, LimitReport> {
+        let report = |(id, limit): (&UpstreamId, &mut Limit)| {
             let usage = limit.own_usage(now);
             let stated = limit.own.filter(|own| now.since(own.at) < REPORTED_FOR);
             let has_news = usage != Usage::default() || stated.is_some();
-            has_news.then_some((*tag, LimitReport { usage, stated }))
+            has_news.then_some((*id, LimitReport { usage, stated }))
         };
         self.limits.iter_mut().filter_map(report).collect()
     }
 
     /// Drops an upstream that has ended or restarted.
-    pub fn remove(&mut self, tag: Tag) {
-        self.limits.remove(&tag);
+    pub fn remove(&mut self, id: UpstreamId) {
+        self.limits.remove(&id);
     }
 
     /// Drops the upstreams that have not limited their requests for a while.
@@ -331,7 +337,7 @@
 /// Joins the reports of several sources, each identified by a `K`.
 #[derive(Debug)]
 pub struct LimitTally<K> {
-    reports: BTreeMap<(K, Tag), (LimitReport, Tick)>,
+    reports: BTreeMap<(K, UpstreamId), (LimitReport, Tick)>,
 }
 
 impl<K> Default for LimitTally<K> {
@@ -347,8 +353,8 @@
     K: Ord,
 {
     /// Replaces the report of a source about an upstream.
-    pub fn set(&mut self, now: Tick, source: K, tag: Tag, report: LimitReport) {
-        self.reports.insert((source, tag), (report, now));
+    pub fn set(&mut self, now: Tick, source: K, id: UpstreamId, report: LimitReport) {
+        self.reports.insert((source, id), (report, now));
     }
 
     /// Removes the reports that were not repeated for a while.
@@ -358,10 +364,10 @@
     }
 
     /// The joined reports of all sources.
-    pub fn merged(&self) -> BTreeMap<Tag, LimitReport> {
-        let mut merged: BTreeMap<Tag, LimitReport> = BTreeMap::new();
-        for ((_, tag), (report, _)) in &self.reports {
-            let known = merged.entry(*tag).or_default();
+    pub fn merged(&self) -> BTreeMap<UpstreamId, LimitReport> {
+        let mut merged: BTreeMap<UpstreamId, LimitReport> = BTreeMap::new();
+        for ((_, id), (report, _)) in &self.reports {
+            let known = merged.entry(*id).or_default();
             *known = known.merge(*report);
         }
         merged
--- a/crates/balance/src/tally.rs
+++ b/crates/balance/src/tally.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use trefoil_core::Tick;
-use trefoil_directory::Tag;
 
+use crate::Tag;
 use crate::estimate::Estimate;
 
 /// Age at which the reports of a source expire. Sources report several times per second.
--- a/crates/directory/src/directory.rs
+++ b/crates/directory/src/directory.rs
@@ -6,7 +6,7 @@
 
 use trefoil_core::{ServiceName, Tick, UpstreamName};
 
-use crate::{Incarnation, Registration, Tag};
+use crate::{Incarnation, Registration, Upstream, UpstreamId};
 
 /// Grace period after an outage of the registry, in which live upstreams register again. An
 /// upstream that is still missing afterwards is removed.
@@ -19,17 +19,22 @@
 /// A change of the directory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Change {
-    /// An upstream was added, or has restarted.
-    Joined(Rc<Registration>),
+    /// An upstream was added, or has restarted, which ends its former run.
+    Joined {
+        /// The upstream.
+        upstream: Upstream,
+        /// Its former run.
+        former: Option<UpstreamId>,
+    },
     /// An upstream has changed its registration.
-    Updated(Rc<Registration>),
+    Updated(Upstream),
     /// An upstream was removed.
-    Removed(Rc<Registration>),
+    Removed(Upstream),
 }
 
 #[derive(Debug)]
 struct Entry {
-    registration: Rc<Registration>,
+    upstream: Upstream,
     digest: u64,
     /// Tick at which an upstream that is missing from the registry is removed.
     remove_at: Option<Tick>,
@@ -74,7 +79,10 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<UpstreamName, Entry>,
-    tags: HashMap<Tag, UpstreamName>,
+    /// Names of the listed upstreams.
+    names: HashMap<UpstreamId, UpstreamName>,
+    /// Number of runs that have got an identifier.
+    runs: u64,
     tombstones: HashMap<UpstreamName, Tombstone>,
     /// End of the registry's last outage.
     recovered_at: Option<Tick>,
@@ -130,33 +138,52 @@
         self.tombstones.remove(&name);
         let registration = Rc::new(registration);
         let Some(entry) = self.entries.get_mut(&name) else {
-            self.tags.insert(Tag::of(&name), name.clone());
+            let upstream = Upstream {
+                id: self.assign_id(&name),
+                registration,
+            };
             let entry = Entry {
-                digest: registration.digest(),
-                registration: Rc::clone(&registration),
+                digest: upstream.registration.digest(),
+                upstream: upstream.clone(),
                 remove_at: None,
             };
             self.digest ^= entry.digest;
             self.entries.insert(name, entry);
-            return Some(Change::Joined(registration));
+            return Some(Change::Joined {
+                upstream,
+                former: None,
+            });
         };
-        if order < entry.registration.order() {
+        if order < entry.upstream.registration.order() {
             return None;
         }
         entry.remove_at = None;
-        let earlier = std::mem::replace(&mut entry.registration, Rc::clone(&registration));
-        match () {
-            () if registration.is_renewal_of(&earlier) => None,
-            () => {
-                let before = std::mem::replace(&mut entry.digest, registration.digest());
-                self.digest ^= before ^ entry.digest;
-                Some(if earlier.incarnation == registration.incarnation {
-                    Change::Updated(registration)
-                } else {
-                    Change::Joined(registration)
-                })
-            }
+        let earlier = std::mem::replace(&mut entry.upstream.registration, registration);
+        let registration = &entry.upstream.registration;
+        if registration.is_renewal_of(&earlier) {
+            return None;
+        }
+        let before = std::mem::replace(&mut entry.digest, registration.digest());
+        self.digest ^= before ^ entry.digest;
+        if earlier.incarnation == registration.incarnation {
+            return Some(Change::Updated(entry.upstream.clone()));
         }
+        let former = entry.upstream.id;
+        self.names.remove(&former);
+        let id = self.assign_id(&name);
+        let entry = self.entries.get_mut(&name)?;
+        entry.upstream.id = id;
+        Some(Change::Joined {
+            upstream: entry.upstream.clone(),
+            former: Some(former),
+        })
+    }
+
+    fn assign_id(&mut self, name: &UpstreamName) -> UpstreamId {
+        self.runs += 1;
+        let id = UpstreamId(self.runs);
+        self.names.insert(id, name.clone());
+        id
     }
 
     /// Applies a registration that another host has reported. Unlike one that was read from the
@@ -164,7 +191,8 @@
     /// directory at most once, and hosts that pass reports on to each other come to an end.
     pub fn register_reported(&mut self, registration: Registration) -> Option<Change> {
         let name = &registration.incarnation.name;
-        let listed = self.entries.get(name).map(|e| e.registration.order());
+        let listed = self.entries.get(name);
+        let listed = listed.map(|e| e.upstream.registration.order());
         let removed = self.tombstones.get(name).map(|t| t.registration.order());
         if listed.max(removed) >= Some(registration.order()) {
             return None;
@@ -317,14 +345,14 @@
     fn remove(&mut self, now: Tick, name: &UpstreamName, evidence: Evidence) -> Option<Change> {
         let entry = self.entries.remove(name)?;
         self.digest ^= entry.digest;
-        self.tags.remove(&Tag::of(name));
+        self.names.remove(&entry.upstream.id);
         let tombstone = Tombstone {
-            registration: Rc::clone(&entry.registration),
+            registration: Rc::clone(&entry.upstream.registration),
             evidence,
             until: now.after(TOMBSTONE_TTL),
         };
         self.tombstones.insert(name.clone(), tombstone);
-        Some(Change::Removed(entry.registration))
+        Some(Change::Removed(entry.upstream))
     }
 
     /// Digest of all upstreams. Directories with equal digests differ at most in sequence numbers
@@ -342,7 +370,7 @@
 
     /// An upstream by its name.
     pub fn get(&self, name: &UpstreamName) -> Option<&Rc<Registration>> {
-        self.entries.get(name).map(|e| &e.registration)
+        self.entries.get(name).map(|e| &e.upstream.registration)
     }
 
     /// An upstream by its name, also for a while after its removal.
@@ -356,14 +384,25 @@
         self.entries.values().filter_map(|e| e.remove_at).min()
     }
 
-    /// An upstream by its tag.
-    pub fn by_tag(&self, tag: Tag) -> Option<&Rc<Registration>> {
-        self.get(self.tags.get(&tag)?)
+    /// An upstream by its name, with the identifier of its run.
+    pub fn upstream(&self, name: &UpstreamName) -> Option<&Upstream> {
+        self.entries.get(name).map(|e| &e.upstream)
+    }
+
+    /// An upstream by the identifier of its run, unless that has ended.
+    pub fn by_id(&self, id: UpstreamId) -> Option<&Upstream> {
+        self.upstream(self.names.get(&id)?)
+    }
+
+    /// The identifier of a run, unless it has ended.
+    pub fn id_of(&self, incarnation: &Incarnation) -> Option<UpstreamId> {
+        let upstream = self.upstream(&incarnation.name)?;
+        (upstream.registration.incarnation == *incarnation).then_some(upstream.id)
     }
 
     /// All upstreams, by name.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Registration>> {
-        self.entries.values().map(|e| &e.registration)
+        self.entries.values().map(|e| &e.upstream.registration)
     }
 
     /// The upstreams of a service, by name.
--- a/crates/directory/src/lib.rs
+++ b/crates/directory/src/lib.rs
@@ -12,6 +12,8 @@
 
 mod directory;
 mod registration;
+mod upstream;
 
 pub use directory::{Change, Directory, RECOVERY_GRACE};
-pub use registration::{Incarnation, Phase, Registration, Tag};
+pub use registration::{Incarnation, Phase, Registration};
+pub use upstream::{Upstream, UpstreamId};
--- a/crates/directory/src/registration.rs
+++ b/crates/directory/src/registration.rs
@@ -3,38 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use derive_more::{Display, From, Into};
+use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use trefoil_core::{DomainName, ServiceName, Slots, UnixMillis, UpstreamName};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Hash of an upstream's name, which identifies the upstream in datagrams between hosts. Names can
-/// collide, so only load estimates may rely on it.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Display,
-    From,
-    Into,
-    Serialize,
-    Deserialize,
-)]
-pub struct Tag(pub u32);
-
-impl Tag {
-    /// The tag of a name.
-    pub fn of(name: &UpstreamName) -> Self {
-        let hash = xxh3_64(name.as_str().as_bytes());
-        Self(u32::try_from(hash & u64::from(u32::MAX)).unwrap_or_default())
-    }
-}
-
 /// One run of an upstream, from its start to its end. It keeps no state of earlier runs under the
 /// same name.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Display, Serialize, Deserialize)]
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -8,7 +8,7 @@
 use derive_more::Display;
 use slog::{debug, info, warn};
 use trefoil_core::{Era, HostId, ServiceName, Slots, Tick};
-use trefoil_directory::{Incarnation, Phase, Registration, Tag};
+use trefoil_directory::{Incarnation, Phase, Registration};
 use trefoil_ranges::{
     Author, Candidate, Claim, Coordinator, Order, OrderId, OrderKind, OrderOutcome, Planner,
     Reason, RequestWindow, Table,
@@ -510,7 +510,10 @@
         let silent = self.coordinator.silent_owners(SILENT_ORDERS);
         for registration in &ready {
             let incarnation = &registration.incarnation;
-            if silent.contains(incarnation) || host.is_displaced(incarnation) {
+            let displaced = directory
+                .id_of(incarnation)
+                .is_some_and(|id| host.is_displaced(id));
+            if silent.contains(incarnation) || displaced {
                 let until = now.after(SUSPECT_TIME);
                 if self.suspects.insert(incarnation.clone(), until).is_none() {
                     warn!(host.log, "upstream does not answer orders"; "service" => %service,
@@ -531,15 +534,15 @@
         let objective = host.objective(service);
         let limits = host.limits.borrow();
         let candidate = |r: &&Rc<Registration>| {
-            let tag = Tag::of(&r.incarnation.name);
-            let capacity = capacity(r.slots, balancer.service_time(now, tag), objective);
-            let limit = limits.rate(tag).map_or(f64::INFINITY, |rate| rate.0);
-            Candidate {
+            let id = directory.id_of(&r.incarnation)?;
+            let capacity = capacity(r.slots, balancer.service_time(now, id), objective);
+            let limit = limits.rate(id).map_or(f64::INFINITY, |rate| rate.0);
+            Some(Candidate {
                 incarnation: r.incarnation.clone(),
                 capacity: capacity.min(limit).max(CAPACITY_MIN),
-            }
+            })
         };
-        Ok(eligible.map(candidate).collect())
+        Ok(eligible.filter_map(candidate).collect())
     }
 
     fn plan(&mut self, now: Tick, candidates: &[Candidate]) -> Option<(Table, Reason)> {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,7 +16,7 @@
 use smallvec::SmallVec;
 use trefoil_balance::{Choice, Requirement};
 use trefoil_core::{Key, ServiceName, Tick};
-use trefoil_directory::{Phase, Registration, Tag};
+use trefoil_directory::{Phase, Upstream, UpstreamId};
 use trefoil_http::h1::{Answer, Request, Response};
 use trefoil_route::{Idempotency, Route};
 
@@ -100,7 +100,7 @@
 
 /// Next step of a request.
 enum Target {
-    Send(Rc<Registration>),
+    Send(Upstream),
     /// Retry the selection after a change or this time.
     Wait(Duration, Cause),
     Refuse(Duration, Cause),
@@ -119,9 +119,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct Progress {
     /// Upstreams that received the request.
-    pub(crate) sent: SmallVec<[Tag; 4]>,
+    pub(crate) sent: SmallVec<[UpstreamId; 4]>,
     /// Upstreams that refused the request or could not be reached.
-    avoid: SmallVec<[Tag; 4]>,
+    avoid: SmallVec<[UpstreamId; 4]>,
     /// Number of attempts that reached an upstream.
     pub(crate) arrivals: u32,
     /// Number of attempts that may have run.
@@ -164,7 +164,7 @@
         let started = host.now();
         let attempt = attempt::attempt(host, job, &target, &mut progress).await;
         let (result, reason) = attempt.describe();
-        request_log::record_attempt(host, job, &target, result, &reason, started);
+        request_log::record_attempt(host, job, &target.registration, result, &reason, started);
         match attempt {
             Attempt::Answered(reply) => return complete(reply),
             Attempt::TimedOut => {
@@ -176,12 +176,12 @@
                 if job.key.is_some() {
                     wait_for_change(host, ROUTES_WAIT).await;
                 } else {
-                    progress.avoid.push(Tag::of(&target.incarnation.name));
+                    progress.avoid.push(target.id);
                 }
             }
             Attempt::Unsent(_) => {
                 progress.reason = reason;
-                progress.avoid.push(Tag::of(&target.incarnation.name));
+                progress.avoid.push(target.id);
                 if job.key.is_some() {
                     wait_for_change(host, ROUTES_WAIT).await;
                 }
@@ -193,7 +193,7 @@
                     return give_up(host, job, &progress, Cause::MayHaveRun);
                 }
                 if job.key.is_none() {
-                    progress.avoid.push(Tag::of(&target.incarnation.name));
+                    progress.avoid.push(target.id);
                 }
             }
         }
@@ -236,12 +236,14 @@
         &job.service,
         latency_need(job, now, left),
         &progress.avoid,
-        |tag| host.admit_limited(now, tag),
+        |id| host.admit_limited(now, id),
     );
     match choice {
-        Choice::Upstream(tag) => match host.directory.borrow().by_tag(tag) {
-            Some(registration) => Target::Send(Rc::clone(registration)),
-            None => Target::Wait(ROUTES_WAIT, Cause::NoUpstream),
+        Choice::Upstream(id) => match host.directory.borrow().by_id(id) {
+            Some(upstream) if upstream.registration.service == job.service => {
+                Target::Send(upstream.clone())
+            }
+            _ => Target::Wait(ROUTES_WAIT, Cause::NoUpstream),
         },
         Choice::Full(wait) => Target::Refuse(wait, Cause::Busy),
         Choice::NoCandidate if progress.avoid.is_empty() => {
@@ -260,23 +262,25 @@
     let Some(name) = routes.owner(key) else {
         return Target::Wait(RETRY_AFTER_MAX, Cause::NoOwner);
     };
-    let Some(registration) = directory.get(name) else {
+    // A restarted upstream may have another service than the owner of its name had.
+    let listed = directory.upstream(name);
+    let Some(upstream) = listed.filter(|u| u.registration.service == job.service) else {
         return Target::Wait(RETRY_AFTER_MAX, Cause::OwnerUnlisted);
     };
+    let registration = &upstream.registration;
     if registration.phase != Phase::Ready {
         return Target::Wait(RETRY_AFTER_MAX, Cause::OwnerDraining);
     }
-    if host.is_displaced(&registration.incarnation) {
+    if host.is_displaced(upstream.id) {
         return Target::Wait(RETRY_AFTER_MAX, Cause::OwnerReplaced);
     }
-    let tag = Tag::of(&registration.incarnation.name);
     match host
         .balancer
         .borrow()
-        .check_admission(now, tag, latency_need(job, now, left))
+        .check_admission(now, upstream.id, latency_need(job, now, left))
     {
-        Ok(()) => match host.admit_limited(now, tag) {
-            Ok(()) => Target::Send(Rc::clone(registration)),
+        Ok(()) => match host.admit_limited(now, upstream.id) {
+            Ok(()) => Target::Send(upstream.clone()),
             Err(wait) => Target::Refuse(wait, Cause::OwnerLimited),
         },
         Err(wait) => Target::Refuse(wait, Cause::OwnerBusy),
@@ -285,16 +289,9 @@
 
 /// Returns `true` if the attempt limits and the retry budget allow another attempt, which is then
 /// taken from the budget.
-fn may_retry(
-    host: &Host,
-    job: &Job,
-    progress: &Progress,
-    target: &Registration,
-    now: Tick,
-) -> bool {
-    let tag = Tag::of(&target.incarnation.name);
+fn may_retry(host: &Host, job: &Job, progress: &Progress, target: &Upstream, now: Tick) -> bool {
     let upstreams = u32::try_from(progress.sent.len()).unwrap_or(u32::MAX);
-    let fresh = !progress.sent.contains(&tag);
+    let fresh = !progress.sent.contains(&target.id);
     let hosts = host.peers.borrow().all_hosts(now);
     let mut budgets = host.budgets.borrow_mut();
     let budget = budgets.get_mut(&job.service);
@@ -309,7 +306,7 @@
     if allowed && let Some(budget) = budgets.get_mut(&job.service) {
         budget.spend(now);
     }
-    request_log::record_retry(host, job, progress, target, result, left);
+    request_log::record_retry(host, job, progress, &target.registration, result, left);
     allowed
 }
 
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -8,7 +8,7 @@
 use http::header::{CONTENT_ENCODING, HeaderValue};
 use trefoil_balance::{Outcome, RetryBudget};
 use trefoil_core::{ServiceName, Tick};
-use trefoil_directory::{Registration, Tag};
+use trefoil_directory::{Registration, Upstream, UpstreamId};
 use trefoil_http::h1::{EncodedMessage, ExchangeError, Response, Sent, encode_request};
 use trefoil_route::Idempotency;
 
@@ -20,18 +20,18 @@
 /// Counts one request as load of an upstream until it is dropped.
 struct LoadGuard<'a> {
     host: &'a Host,
-    tag: Tag,
+    id: UpstreamId,
     open: u32,
     started: Tick,
     outcome: Outcome,
 }
 
 impl<'a> LoadGuard<'a> {
-    fn new(host: &'a Host, tag: Tag, now: Tick) -> Self {
+    fn new(host: &'a Host, id: UpstreamId, now: Tick) -> Self {
         Self {
             host,
-            tag,
-            open: host.balancer.borrow_mut().begin(now, tag),
+            id,
+            open: host.balancer.borrow_mut().begin(now, id),
             started: now,
             outcome: Outcome::Abandoned,
         }
@@ -43,7 +43,7 @@
         let now = self.host.now();
         let took = now.since(self.started);
         let mut balancer = self.host.balancer.borrow_mut();
-        balancer.end(now, self.tag, self.outcome, self.open, took);
+        balancer.end(now, self.id, self.outcome, self.open, took);
         self.host.events.capacity.notify(usize::MAX);
     }
 }
@@ -52,12 +52,15 @@
 pub(super) async fn attempt(
     host: &Host,
     job: &Job,
-    target: &Registration,
+    upstream: &Upstream,
     progress: &mut Progress,
 ) -> Attempt {
     let now = host.now();
-    let tag = Tag::of(&target.incarnation.name);
-    let mut guard = LoadGuard::new(host, tag, now);
+    let Upstream {
+        id,
+        registration: target,
+    } = upstream;
+    let mut guard = LoadGuard::new(host, *id, now);
     let mut link = match open_link(host, job, target.address).await {
         Ok(link) => link,
         Err(reason) => {
@@ -66,7 +69,7 @@
         }
     };
     // The upstream may have begun to leave while the connection was opened.
-    if !host.accepts_requests(target) {
+    if !host.accepts_requests(upstream) {
         return Attempt::Unsent("the upstream leaves".to_owned());
     }
     let now = host.now();
@@ -80,7 +83,7 @@
     }
     let request = encode_attempt(host, job, target, now);
     let header_names = host.platform.header_names();
-    let id = CallId {
+    let call_id = CallId {
         name: &header_names.request_id,
         value: job.id.as_ref(),
     };
@@ -90,16 +93,16 @@
     };
     let method = &job.request.head.method;
     let limit = &host.memory.answer_limit;
-    let exchange = async { Some(link.exchange(method, request, id, limit).await) };
-    host.limits.borrow_mut().record_sent(now, tag);
+    let exchange = async { Some(link.exchange(method, request, call_id, limit).await) };
+    host.limits.borrow_mut().record_sent(now, *id);
     progress.arrivals += 1;
-    if !progress.sent.contains(&tag) {
-        progress.sent.push(tag);
+    if !progress.sent.contains(id) {
+        progress.sent.push(*id);
     }
     let result = exchange.or(timeout).await;
     if let Some(Ok(reply)) = &result {
         let source = Source {
-            upstream: &target.incarnation.name,
+            upstream: &target.incarnation,
             sent: now,
             carried_out: !is_refusal(host, reply),
         };
@@ -118,7 +121,7 @@
         let responder = reply.head.headers.get(&header_names.responder);
         let name = target.incarnation.name.as_str().as_bytes();
         if responder.is_some_and(|other| other.as_bytes() != name) {
-            host.displace(target);
+            host.displace(upstream);
         }
     }
     attempt
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -15,9 +15,9 @@
 use event_listener::Event;
 use slog::{Logger, info, warn};
 use smol::{LocalExecutor, Task};
-use trefoil_balance::{Balancer, LimitReport, LimitTally, Limits, RetryBudget, Tally};
+use trefoil_balance::{Balancer, LimitReport, LimitTally, Limits, RetryBudget, Tag, Tally};
 use trefoil_core::{Clock, DomainName, HostId, ServiceName, Tick};
-use trefoil_directory::{Directory, Incarnation, Tag};
+use trefoil_directory::{Directory, UpstreamId};
 use trefoil_http::h1::Shutdown;
 use trefoil_route::{Config, Router, Version};
 use trefoil_store::{Era, Store};
@@ -122,7 +122,7 @@
     /// Reports about limits by the other domains, while this host is a relay.
     pub(crate) remote_limits: RefCell<LimitTally<DomainName>>,
     /// This host's last report about limits.
-    pub(crate) reported_limits: RefCell<BTreeMap<Tag, LimitReport>>,
+    pub(crate) reported_limits: RefCell<BTreeMap<UpstreamId, LimitReport>>,
     /// Open requests in this host's last report.
     pub(crate) reported_open: RefCell<BTreeMap<Tag, u32>>,
     /// Recent changes of the directory, for digests.
@@ -164,7 +164,7 @@
     /// Requests that callers wait for.
     pub(crate) running: RefCell<RunningRequests>,
     /// Upstreams in the directory whose address now belongs to another one.
-    displaced: RefCell<HashSet<Incarnation>>,
+    displaced: RefCell<HashSet<UpstreamId>>,
     /// When the directory last changed.
     pub(crate) directory_changed: Cell<Tick>,
     /// How current the directory is.
--- a/crates/gateway/src/host/gauges.rs
+++ b/crates/gateway/src/host/gauges.rs
@@ -46,9 +46,10 @@
     fn update_open_gauges(&self) {
         let directory = self.directory.borrow();
         let mut open: BTreeMap<&ServiceName, i64> = BTreeMap::new();
-        for (tag, load) in self.balancer.borrow().loads() {
-            if let Some(registration) = directory.by_tag(tag) {
-                *open.entry(&registration.service).or_default() += i64::from(load.own_open());
+        for (id, load) in self.balancer.borrow().loads() {
+            if let Some(upstream) = directory.by_id(id) {
+                *open.entry(&upstream.registration.service).or_default() +=
+                    i64::from(load.own_open());
             }
         }
         let router = self.router();
--- a/crates/gateway/src/host/upstreams.rs
+++ b/crates/gateway/src/host/upstreams.rs
@@ -2,7 +2,7 @@
 
 use slog::info;
 use trefoil_core::Tick;
-use trefoil_directory::{Change, Incarnation, Phase, Registration, Tag};
+use trefoil_directory::{Change, Phase, Registration, Upstream, UpstreamId};
 
 use super::Host;
 use crate::freshness::Source;
@@ -20,10 +20,12 @@
         for change in changes {
             self.apply_change(now, &change, source);
             let item = match &change {
-                Change::Joined(r) | Change::Updated(r) => ChangeItem::Set(r.as_ref().clone()),
-                Change::Removed(r) => ChangeItem::Gone(Removal {
-                    incarnation: r.incarnation.clone(),
-                    sequence: Some(r.sequence),
+                Change::Joined { upstream, .. } | Change::Updated(upstream) => {
+                    ChangeItem::Set(upstream.registration.as_ref().clone())
+                }
+                Change::Removed(Upstream { registration, .. }) => ChangeItem::Gone(Removal {
+                    incarnation: registration.incarnation.clone(),
+                    sequence: Some(registration.sequence),
                 }),
             };
             // The first directory of a process is no news. It can be hundreds of datagrams for
@@ -41,33 +43,38 @@
     }
 
     fn apply_change(&self, now: Tick, change: &Change, source: Source) {
-        let mut balancer = self.balancer.borrow_mut();
         match change {
-            Change::Joined(r) => {
+            Change::Joined { upstream, former } => {
+                let r = &upstream.registration;
                 self.log_upstream("joined", r, source);
-                balancer.reset(Tag::of(&r.incarnation.name));
-                self.limits
-                    .borrow_mut()
-                    .remove(Tag::of(&r.incarnation.name));
-                balancer.register(now, r, r.phase == Phase::Ready);
+                if let Some(former) = former {
+                    self.forget_run(*former);
+                }
+                let ready = r.phase == Phase::Ready;
+                self.balancer.borrow_mut().register(now, upstream, ready);
             }
-            Change::Updated(r) => {
+            Change::Updated(upstream) => {
+                let r = &upstream.registration;
                 self.log_upstream("updated", r, source);
-                let ready = r.phase == Phase::Ready && !self.is_displaced(&r.incarnation);
-                balancer.register(now, r, ready);
+                let ready = r.phase == Phase::Ready && !self.is_displaced(upstream.id);
+                self.balancer.borrow_mut().register(now, upstream, ready);
             }
-            Change::Removed(r) => {
+            Change::Removed(upstream) => {
+                let r = &upstream.registration;
                 self.log_upstream("gone", r, source);
-                self.displaced.borrow_mut().remove(&r.incarnation);
-                balancer.remove(Tag::of(&r.incarnation.name));
-                self.limits
-                    .borrow_mut()
-                    .remove(Tag::of(&r.incarnation.name));
+                self.forget_run(upstream.id);
                 self.pool.borrow_mut().close(r.address);
             }
         }
     }
 
+    /// Drops all that is known of a run that has ended.
+    fn forget_run(&self, id: UpstreamId) {
+        self.displaced.borrow_mut().remove(&id);
+        self.balancer.borrow_mut().remove(id);
+        self.limits.borrow_mut().remove(id);
+    }
+
     /// Logs and counts a change of an upstream.
     fn log_upstream(&self, event: &'static str, r: &Registration, source: Source) {
         self.metrics.record_change(event, source);
@@ -79,31 +86,28 @@
 
     /// Records that another upstream answers at the address of this one. So it has ended, although
     /// the directory still lists it.
-    pub(crate) fn displace(&self, registration: &Registration) {
-        if self
-            .displaced
-            .borrow_mut()
-            .insert(registration.incarnation.clone())
-        {
-            self.log_upstream("displaced", registration, Source::Upstream);
+    pub(crate) fn displace(&self, upstream: &Upstream) {
+        let listed = self.directory.borrow().by_id(upstream.id).is_some();
+        if listed && self.displaced.borrow_mut().insert(upstream.id) {
+            self.log_upstream("displaced", &upstream.registration, Source::Upstream);
             let now = self.now();
-            self.balancer
-                .borrow_mut()
-                .register(now, registration, false);
+            self.balancer.borrow_mut().register(now, upstream, false);
             self.events.directory.notify(usize::MAX);
         }
     }
 
     /// Returns `true` if another upstream has taken the address of this one.
-    pub(crate) fn is_displaced(&self, incarnation: &Incarnation) -> bool {
-        self.displaced.borrow().contains(incarnation)
+    pub(crate) fn is_displaced(&self, id: UpstreamId) -> bool {
+        self.displaced.borrow().contains(&id)
     }
 
-    /// Returns `true` if the upstream is still listed as ready.
-    pub(crate) fn accepts_requests(&self, target: &Registration) -> bool {
+    /// Returns `true` if the upstream is still listed as ready, and in the service for which it was
+    /// selected.
+    pub(crate) fn accepts_requests(&self, target: &Upstream) -> bool {
         let directory = self.directory.borrow();
-        let known = directory.get(&target.incarnation.name);
-        known.is_some_and(|r| r.incarnation == target.incarnation && r.phase == Phase::Ready)
-            && !self.is_displaced(&target.incarnation)
+        let selected = &target.registration;
+        let known = directory.by_id(target.id).map(|u| &u.registration);
+        known.is_some_and(|r| r.phase == Phase::Ready && r.service == selected.service)
+            && !self.is_displaced(target.id)
     }
 }
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -8,14 +8,15 @@
 use std::time::Duration;
 
 use slog::info;
-use trefoil_balance::{Fleet, LimitReport, Statement, Usage, without_own};
-use trefoil_core::{HostId, PerSecond, Tick, UpstreamName};
-use trefoil_directory::Tag;
+use trefoil_balance::{Fleet, LimitReport, Statement, Tag, Usage, without_own};
+use trefoil_core::{HostId, PerSecond, Tick};
+use trefoil_directory::{Incarnation, UpstreamId};
 use trefoil_http::h1::ResponseHead;
 
 use crate::host::Host;
 use crate::message::{LimitItem, StatementItem};
 use crate::peers::whole_millis;
+use crate::request_log::NONE;
 
 /// Units of a rate in datagrams per request a second.
 const RATE_UNITS: f64 = 1000.0;
@@ -23,8 +24,8 @@
 /// An answer in which an upstream speaks of itself.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Source<'a> {
-    /// Name of the upstream.
-    pub(crate) upstream: &'a UpstreamName,
+    /// The upstream that the request was sent to.
+    pub(crate) upstream: &'a Incarnation,
     /// When the request was sent.
     pub(crate) sent: Tick,
     /// The upstream has carried out the request. Only such answers show that a limit has ended.
@@ -41,10 +42,12 @@
         if notice.limit.is_none() && !source.carried_out {
             return;
         }
-        let (now, tag) = (self.now(), Tag::of(source.upstream));
+        let Some(id) = self.directory.borrow().id_of(source.upstream) else {
+            return;
+        };
         let mut limits = self.limits.borrow_mut();
-        if limits.record_answer(now, tag, source.sent, notice.limit) {
-            self.log_limit(source.upstream.as_str(), notice.limit, "answer");
+        if limits.record_answer(self.now(), id, source.sent, notice.limit) {
+            self.log_limit(id, notice.limit, "answer");
         }
     }
 
@@ -53,9 +56,9 @@
     /// # Errors
     ///
     /// Fails with the time after which the upstream takes the next request.
-    pub(crate) fn admit_limited(&self, now: Tick, tag: Tag) -> Result<(), Duration> {
+    pub(crate) fn admit_limited(&self, now: Tick, id: UpstreamId) -> Result<(), Duration> {
         let mut limits = self.limits.borrow_mut();
-        if limits.rate(tag).is_none() {
+        if limits.rate(id).is_none() {
             return Ok(());
         }
         let peers = self.peers.borrow();
@@ -63,13 +66,13 @@
             hosts: peers.all_hosts(now),
             connected: peers.position(now) == 0 || peers.hears_relay(now),
         };
-        limits.admit(now, tag, fleet, rand::random())
+        limits.admit(now, id, fleet, rand::random())
     }
 
     /// This host's report about limits for its relays.
     pub(crate) fn report_limits(&self, now: Tick) -> Vec<LimitItem> {
         let own = self.limits.borrow_mut().own_reports(now);
-        let items = limit_items(now, &own);
+        let items = self.limit_items(now, &own);
         self.reported_limits.replace(own);
         items
     }
@@ -77,8 +80,8 @@
     /// Records the report of another host of this domain.
     pub(crate) fn record_limit_report(&self, now: Tick, from: HostId, items: &[LimitItem]) {
         let mut tally = self.local_limits.borrow_mut();
-        for item in items {
-            tally.set(now, from, item.tag, decode_item(now, item));
+        for (id, report) in self.decode_limits(now, items) {
+            tally.set(now, from, id, report);
         }
     }
 
@@ -87,7 +90,10 @@
     pub(crate) fn join_limits(
         &self,
         now: Tick,
-    ) -> (BTreeMap<Tag, LimitReport>, BTreeMap<Tag, LimitReport>) {
+    ) -> (
+        BTreeMap<UpstreamId, LimitReport>,
+        BTreeMap<UpstreamId, LimitReport>,
+    ) {
         let (mut local, mut remote) = (
             self.local_limits.borrow_mut(),
             self.remote_limits.borrow_mut(),
@@ -106,60 +112,83 @@
     }
 
     /// Applies joint reports of all hosts, this one included.
-    pub(crate) fn apply_limits(&self, now: Tick, all: &BTreeMap<Tag, LimitReport>) {
+    pub(crate) fn apply_limits(&self, now: Tick, all: &BTreeMap<UpstreamId, LimitReport>) {
         let reported = self.reported_limits.borrow();
         let mut limits = self.limits.borrow_mut();
-        for (tag, joint) in all {
-            let others = without_own(*joint, reported.get(tag));
-            let before = limits.rate(*tag);
-            let news = limits.record_others(now, *tag, others);
-            let rate = limits.rate(*tag);
+        for (id, joint) in all {
+            let others = without_own(*joint, reported.get(id));
+            let before = limits.rate(*id);
+            let news = limits.record_others(now, *id, others);
+            let rate = limits.rate(*id);
             if news && before != rate {
-                let directory = self.directory.borrow();
-                let name = directory.by_tag(*tag).map(|r| &r.incarnation.name);
-                self.log_limit(name.map_or("-", UpstreamName::as_str), rate, "report");
+                self.log_limit(*id, rate, "report");
             }
         }
     }
 
-    fn log_limit(&self, upstream: &str, rate: Option<PerSecond>, source: &'static str) {
+    fn log_limit(&self, id: UpstreamId, rate: Option<PerSecond>, source: &'static str) {
+        let directory = self.directory.borrow();
+        let name = directory
+            .by_id(id)
+            .map_or(NONE, |u| u.registration.incarnation.name.as_str());
         let rate = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
-        info!(self.log, "upstream limit"; "upstream" => upstream, "limit" => rate,
+        info!(self.log, "upstream limit"; "upstream" => name, "limit" => rate,
             "source" => source);
     }
+
+    /// Encodes reports for a datagram. Upstreams whose run has ended are left out.
+    pub(crate) fn limit_items(
+        &self,
+        now: Tick,
+        reports: &BTreeMap<UpstreamId, LimitReport>,
+    ) -> Vec<LimitItem> {
+        let directory = self.directory.borrow();
+        let item = |(id, report): (&UpstreamId, &LimitReport)| {
+            let upstream = &directory.by_id(*id)?.registration.incarnation;
+            Some(LimitItem {
+                tag: Tag::of(&upstream.name),
+                sent: report.usage.sent,
+                wanted: report.usage.wanted,
+                stated: report.stated.map(|stated| StatementItem {
+                    rate: stated.rate.map(encode_rate),
+                    age_ms: whole_millis(now.since(stated.at)),
+                }),
+                upstream: Some(upstream.clone()),
+            })
+        };
+        reports.iter().filter_map(item).collect()
+    }
+
+    /// Decodes reports of a datagram. Those about runs that this host does not know are dropped;
+    /// they are repeated several times per second.
+    pub(crate) fn decode_limits(
+        &self,
+        now: Tick,
+        items: &[LimitItem],
+    ) -> BTreeMap<UpstreamId, LimitReport> {
+        let directory = self.directory.borrow();
+        let id = |item: &LimitItem| match &item.upstream {
+            Some(upstream) => directory.id_of(upstream),
+            None => self.balancer.borrow().sole_tagged(item.tag),
+        };
+        let decoded = items
+            .iter()
+            .filter_map(|item| Some((id(item)?, decode_item(now, item))));
+        decoded.collect()
+    }
 }
 
 fn join(
-    mut first: BTreeMap<Tag, LimitReport>,
-    second: BTreeMap<Tag, LimitReport>,
-) -> BTreeMap<Tag, LimitReport> {
-    for (tag, report) in second {
-        let known = first.entry(tag).or_default();
+    mut first: BTreeMap<UpstreamId, LimitReport>,
+    second: BTreeMap<UpstreamId, LimitReport>,
+) -> BTreeMap<UpstreamId, LimitReport> {
+    for (id, report) in second {
+        let known = first.entry(id).or_default();
         *known = known.merge(report);
     }
     first
 }
 
-/// Encodes reports for a datagram.
-pub(crate) fn limit_items(now: Tick, reports: &BTreeMap<Tag, LimitReport>) -> Vec<LimitItem> {
-    let item = |(tag, report): (&Tag, &LimitReport)| LimitItem {
-        tag: *tag,
-        sent: report.usage.sent,
-        wanted: report.usage.wanted,
-        stated: report.stated.map(|stated| StatementItem {
-            rate: stated.rate.map(encode_rate),
-            age_ms: whole_millis(now.since(stated.at)),
-        }),
-    };
-    reports.iter().map(item).collect()
-}
-
-/// Decodes reports of a datagram.
-pub(crate) fn decode_items(now: Tick, items: &[LimitItem]) -> BTreeMap<Tag, LimitReport> {
-    let decoded = items.iter().map(|item| (item.tag, decode_item(now, item)));
-    decoded.collect()
-}
-
 fn decode_item(now: Tick, item: &LimitItem) -> LimitReport {
     let stated = item.stated.map(|stated| Statement {
         rate: stated
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -14,8 +14,9 @@
 
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
+use trefoil_balance::Tag;
 use trefoil_core::{DomainName, HostId, HostName, Key, KeyRange, ServiceName, UpstreamName};
-use trefoil_directory::{Incarnation, Registration, Tag};
+use trefoil_directory::{Incarnation, Registration};
 use trefoil_store::Era;
 
 use crate::tables::Revision;
@@ -26,6 +27,12 @@
 /// Largest datagram in bytes, below the size at which it would be fragmented.
 pub const DATAGRAM_MAX: usize = 1400;
 
+/// Bytes of the limits in one datagram.
+const LIMITS_BYTES: usize = 640;
+
+/// Most bytes of a limit without the name of its upstream.
+const LIMIT_BYTES: usize = 32;
+
 /// Why a datagram cannot be encoded or decoded.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum MessageError {
@@ -88,9 +95,9 @@
 }
 
 /// Requests to an upstream that limits them.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitItem {
-    /// The upstream.
+    /// Short identity of the upstream, for earlier builds.
     pub tag: Tag,
     /// Requests sent in the last 4 s.
     pub sent: u32,
@@ -98,6 +105,30 @@
     pub wanted: u32,
     /// The newest statement in an answer to the reporting hosts.
     pub stated: Option<StatementItem>,
+    /// The upstream. Encoded after all limits, where earlier builds ignore it.
+    #[serde(skip)]
+    pub upstream: Option<Incarnation>,
+}
+
+/// Divides limits so that each part fits into a datagram beside a few dozen other items.
+pub fn limit_chunks(limits: &[LimitItem]) -> Vec<&[LimitItem]> {
+    let size = |item: &LimitItem| {
+        let name = item.upstream.as_ref().map(|u| u.name.as_str().len());
+        LIMIT_BYTES + name.unwrap_or_default()
+    };
+    let mut chunks = Vec::new();
+    let (mut begin, mut bytes) = (0, 0);
+    for (index, item) in limits.iter().enumerate() {
+        if bytes + size(item) > LIMITS_BYTES && index > begin {
+            chunks.push(&limits[begin..index]);
+            (begin, bytes) = (index, 0);
+        }
+        bytes += size(item);
+    }
+    if begin < limits.len() {
+        chunks.push(&limits[begin..]);
+    }
+    chunks
 }
 
 /// A read of the registry.
--- a/crates/gateway/src/message/encoding.rs
+++ b/crates/gateway/src/message/encoding.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 use snafu::{ResultExt, ensure};
+use trefoil_directory::Incarnation;
 use trefoil_store::Era;
 
 use super::{
@@ -24,6 +25,20 @@
     reports: SmallVec<[Option<u64>; 8]>,
 }
 
+/// Decodes limits and, unless an earlier build has sent them, the upstreams that they belong to.
+fn decode_limits(bytes: &[u8]) -> Result<Vec<LimitItem>, MessageError> {
+    let (mut limits, rest): (Vec<LimitItem>, _) =
+        postcard::take_from_bytes(bytes).context(DecodeSnafu)?;
+    if !rest.is_empty() {
+        let upstreams: Vec<Option<Incarnation>> =
+            postcard::from_bytes(rest).context(DecodeSnafu)?;
+        for (item, upstream) in limits.iter_mut().zip(upstreams) {
+            item.upstream = upstream;
+        }
+    }
+    Ok(limits)
+}
+
 impl Message {
     /// Encodes a datagram.
     ///
@@ -56,7 +71,12 @@
         let bytes = postcard::to_extend(&config, bytes).context(DecodeSnafu)?;
         match self.limits() {
             [] => Ok(bytes),
-            limits => postcard::to_extend(limits, bytes).context(DecodeSnafu),
+            limits => {
+                let bytes = postcard::to_extend(limits, bytes).context(DecodeSnafu)?;
+                let upstreams = limits.iter().map(|item| &item.upstream);
+                let upstreams: SmallVec<[&Option<Incarnation>; 8]> = upstreams.collect();
+                postcard::to_extend(&upstreams, bytes).context(DecodeSnafu)
+            }
         }
     }
 
@@ -91,7 +111,7 @@
                 status.config_age_ms = Some(age_ms);
                 status.config_read = read;
                 if let (Some(limits), false) = (message.limits_mut(), rest.is_empty()) {
-                    *limits = postcard::from_bytes(rest).context(DecodeSnafu)?;
+                    *limits = decode_limits(rest)?;
                 }
             }
         }
--- a/crates/gateway/src/order.rs
+++ b/crates/gateway/src/order.rs
@@ -74,7 +74,7 @@
     match exchange.or(timeout).await {
         Some(Ok(reply)) => {
             let source = Source {
-                upstream: &order.incarnation.name,
+                upstream: &order.incarnation,
                 sent: decided_at,
                 carried_out: false,
             };
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,14 +23,12 @@
 
 use futures_lite::FutureExt;
 use slog::{debug, info, warn};
-use trefoil_balance::Estimate;
+use trefoil_balance::{Estimate, Tag};
 use trefoil_core::{HostId, Tick};
-use trefoil_directory::Tag;
 use trefoil_reactor::Async;
 
 use crate::freshness::Source;
 use crate::host::Host;
-use crate::limits::limit_items;
 use crate::message::{
     ChangeItem, DATAGRAM_MAX, Exchange, Message, OpenItem, Report, SyncStatus, TimeItem,
 };
@@ -43,11 +41,8 @@
 /// Most items in one datagram, so that it stays below [`DATAGRAM_MAX`].
 const ITEMS_MAX: usize = 110;
 
-/// Most limits of upstreams in one datagram.
-const LIMITS_MAX: usize = 50;
-
-/// Size of a limit in a datagram, in other items.
-const LIMIT_SIZE: usize = 2;
+/// Most items in a datagram that also has limits of upstreams.
+const ITEMS_BESIDE_LIMITS: usize = ITEMS_MAX / 2;
 
 /// Smallest weight of an estimate that is sent, in observations.
 const WEIGHT_MIN: f64 = 0.2;
@@ -157,14 +152,19 @@
 
 fn own_open(host: &Host) -> BTreeMap<Tag, u32> {
     let balancer = host.balancer.borrow();
-    let open = balancer.loads().filter(|(_, load)| load.own_open() > 0);
-    open.map(|(tag, load)| (tag, load.own_open())).collect()
+    let mut sums = BTreeMap::new();
+    for (tag, load) in balancer.tagged_loads() {
+        if load.own_open() > 0 {
+            *sums.entry(tag).or_default() += load.own_open();
+        }
+    }
+    sums
 }
 
 fn own_times(host: &Host, now: Tick) -> Vec<(Tag, Estimate)> {
     let balancer = host.balancer.borrow();
     let times = balancer
-        .loads()
+        .tagged_loads()
         .map(|(tag, load)| (tag, load.own_estimate(now)));
     times
         .filter(|(_, time)| time.weight() > WEIGHT_MIN)
@@ -235,14 +235,14 @@
         times,
         keys,
         terms: coordinator::term_items(host, now),
-        limits,
+        limits: Vec::new(),
     };
     // A report that exceeds one datagram drops estimates first.
-    report.limits.truncate(LIMITS_MAX);
-    let left = ITEMS_MAX - LIMIT_SIZE * report.limits.len();
-    report.open.truncate(left);
-    report.times.truncate(left - report.open.len());
-    peers.queue([first], &Message::Report(report.clone()));
+    report.open.truncate(ITEMS_MAX);
+    report.times.truncate(ITEMS_MAX - report.open.len());
+    for part in parts::report_parts(&report, &limits) {
+        peers.queue([first], &Message::Report(part));
+    }
     if slow && let Some(second) = relays.get(1) {
         // Each key must be counted once.
         report.keys.clear();
@@ -280,7 +280,7 @@
         Vec::new()
     };
     let (domain_limits, all_limits) = host.join_limits(now);
-    let limits = limit_items(now, &all_limits);
+    let limits = host.limit_items(now, &all_limits);
     let digests = parts::digests(host, now, &open_items(&local), &remote, &times, &limits);
     let mut peers = host.peers.borrow_mut();
     let to = peers.domain_addresses(now, rare);
@@ -298,7 +298,7 @@
             terms: peers.terms(now),
             part: 0,
             parts: 1,
-            limits: limit_items(now, &domain_limits),
+            limits: host.limit_items(now, &domain_limits),
         };
         let most = if slow { RELAYS } else { 1 };
         let to = peers.remote_relays(now, most, rare);
@@ -316,9 +316,8 @@
     let remote = host.remote_loads.borrow().times(now);
     let all = merge_estimates(now, domain.clone(), remote);
     for (tag, time) in &all {
-        if let Some(load) = host.balancer.borrow_mut().load_mut(*tag) {
-            load.set_shared(*time);
-        }
+        let mut balancer = host.balancer.borrow_mut();
+        balancer.update_loads(*tag, |load| load.set_shared(*time));
     }
     (time_items(domain), time_items(all))
 }
@@ -349,14 +348,10 @@
 ) {
     let mut balancer = host.balancer.borrow_mut();
     for (tag, open) in local {
-        if let Some(load) = balancer.load_mut(*tag) {
-            load.set_local(now, *open);
-        }
+        balancer.update_loads(*tag, |load| load.set_local(now, *open));
     }
     for (tag, open) in remote {
-        if let Some(load) = balancer.load_mut(*tag) {
-            load.set_remote(now, *open);
-        }
+        balancer.update_loads(*tag, |load| load.set_remote(now, *open));
     }
 }
 
--- a/crates/gateway/src/relay/handle.rs
+++ b/crates/gateway/src/relay/handle.rs
@@ -9,7 +9,6 @@
 use crate::coordinator;
 use crate::era::EraSource;
 use crate::host::Host;
-use crate::limits::decode_items;
 use crate::message::{Digest, Exchange, Message, Report, SyncStatus, TermItem};
 use crate::peers::Reception;
 
@@ -133,26 +132,21 @@
     let reported = host.reported_open.borrow();
     let mut balancer = host.balancer.borrow_mut();
     for item in &digest.local {
-        if let Some(load) = balancer.load_mut(item.tag) {
-            // The sum includes this host's own report.
-            let own = reported.get(&item.tag).copied().unwrap_or(0);
-            load.set_local(now, item.open.saturating_sub(own));
-        }
+        // The sum includes this host's own report.
+        let own = reported.get(&item.tag).copied().unwrap_or(0);
+        let others = item.open.saturating_sub(own);
+        balancer.update_loads(item.tag, |load| load.set_local(now, others));
     }
     for item in &digest.remote {
-        if let Some(load) = balancer.load_mut(item.tag) {
-            load.set_remote(now, item.open);
-        }
+        balancer.update_loads(item.tag, |load| load.set_remote(now, item.open));
     }
     for (tag, time) in decode_estimates(now, &digest.times) {
-        if let Some(load) = balancer.load_mut(tag) {
-            load.set_shared(time);
-        }
+        balancer.update_loads(tag, |load| load.set_shared(time));
     }
     drop(balancer);
     drop(reported);
     if !digest.limits.is_empty() {
-        host.apply_limits(now, &decode_items(now, &digest.limits));
+        host.apply_limits(now, &host.decode_limits(now, &digest.limits));
     }
     // A relay that lists no term says that it knows none.
     if received == Reception::New || !digest.terms.is_empty() {
@@ -176,8 +170,8 @@
         .record_domain(now, &domain, exchange.hosts);
     {
         let mut tally = host.remote_limits.borrow_mut();
-        for (tag, report) in decode_items(now, &exchange.limits) {
-            tally.set(now, domain.clone(), tag, report);
+        for (id, report) in host.decode_limits(now, &exchange.limits) {
+            tally.set(now, domain.clone(), id, report);
         }
     }
     {
--- a/crates/gateway/src/relay/parts.rs
+++ b/crates/gateway/src/relay/parts.rs
@@ -2,13 +2,42 @@
 
 use trefoil_core::Tick;
 
-use super::{ITEMS_MAX, LIMITS_MAX, sync_status};
+use super::{ITEMS_BESIDE_LIMITS, ITEMS_MAX, sync_status};
 use crate::host::Host;
-use crate::message::{ChangeItem, Digest, Exchange, LimitItem, OpenItem, TimeItem};
+use crate::message::{
+    ChangeItem, Digest, Exchange, LimitItem, OpenItem, Report, TimeItem, limit_chunks,
+};
 
 /// Most changes of the directory in one digest.
 const CHANGES_MAX: usize = 6;
 
+/// Divides a report with its limits. Each part replaces the open requests of the one before, so all
+/// repeat them. Requested keys must be counted once.
+pub(super) fn report_parts(report: &Report, limits: &[LimitItem]) -> Vec<Report> {
+    let chunks = limit_chunks(limits);
+    let has_room = report.open.len() + report.times.len() <= ITEMS_BESIDE_LIMITS;
+    let (first, rest): (&[LimitItem], _) = match chunks.split_first() {
+        Some((first, rest)) if has_room => (first, rest),
+        _ => (&[], chunks.as_slice()),
+    };
+    let first = Report {
+        limits: first.to_vec(),
+        ..report.clone()
+    };
+    let open = report.open.iter().take(ITEMS_BESIDE_LIMITS).copied();
+    let part = Report {
+        open: open.collect(),
+        times: Vec::new(),
+        keys: Vec::new(),
+        ..report.clone()
+    };
+    let rest = rest.iter().map(|chunk| Report {
+        limits: chunk.to_vec(),
+        ..part.clone()
+    });
+    std::iter::once(first).chain(rest).collect()
+}
+
 pub(super) fn digests(
     host: &Host,
     now: Tick,
@@ -53,7 +82,7 @@
         times: chunk.to_vec(),
         ..empty.clone()
     }));
-    digests.extend(limits.chunks(LIMITS_MAX).map(|chunk| Digest {
+    digests.extend(limit_chunks(limits).into_iter().map(|chunk| Digest {
         limits: chunk.to_vec(),
         ..empty.clone()
     }));
@@ -95,11 +124,10 @@
     // Earlier builds read such a part as one of open requests, so it repeats the first one, which
     // has room for limits only if it is short.
     let first: &[OpenItem] = chunks.first().copied().unwrap_or_default();
-    let limits = exchange
-        .limits
-        .chunks(LIMITS_MAX / 2)
+    let limits = limit_chunks(&exchange.limits)
+        .into_iter()
         .map(|chunk| Exchange {
-            open: first[..first.len().min(ITEMS_MAX / 2)].to_vec(),
+            open: first[..first.len().min(ITEMS_BESIDE_LIMITS)].to_vec(),
             limits: chunk.to_vec(),
             parts: count,
             ..empty.clone()
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -12,7 +12,7 @@
 use http::{HeaderValue, StatusCode};
 use slog::{debug, info, warn};
 use trefoil_core::Tick;
-use trefoil_directory::{Registration, Tag};
+use trefoil_directory::{Registration, UpstreamId};
 
 use crate::cause::{Cause, Ending};
 use crate::forward::{Job, Progress};
@@ -41,11 +41,13 @@
     )
 }
 
-/// The name of an upstream, or its tag if the directory no longer lists it.
-fn upstream_name(host: &Host, tag: Tag) -> String {
+/// The name of an upstream, or its identifier if its run has ended.
+fn upstream_name(host: &Host, id: UpstreamId) -> String {
     let directory = host.directory.borrow();
-    let registration = directory.by_tag(tag);
-    registration.map_or_else(|| tag.to_string(), |r| r.incarnation.name.to_string())
+    directory.by_id(id).map_or_else(
+        || id.to_string(),
+        |upstream| upstream.registration.incarnation.name.to_string(),
+    )
 }
 
 /// Revision of the routes that determined the owner of the job's key.
@@ -67,7 +69,7 @@
     let upstreams: Vec<String> = progress
         .sent
         .iter()
-        .map(|tag| upstream_name(host, *tag))
+        .map(|id| upstream_name(host, *id))
         .collect();
     info!(host.log, "request ended"; "id" => id_text(job.id.as_ref()), "route" => %job.route.name,
         "service" => %job.service, "status" => status.as_u16(), "cause" => %cause,
--- a/tests/all/gateway/balance.rs
+++ b/tests/all/gateway/balance.rs
@@ -1,10 +1,11 @@
 //! Selection of an upstream.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use trefoil_balance::{Balancer, Choice, Estimate, Requirement, Tally};
+use trefoil_balance::{Balancer, Choice, Estimate, Load, Outcome, Requirement, Tag, Tally};
 use trefoil_core::{Slots, Tick, UnixMillis};
-use trefoil_directory::{Incarnation, Phase, Registration, Tag};
+use trefoil_directory::{Incarnation, Phase, Registration, Upstream, UpstreamId};
 
 const SERVICE: &str = "orders";
 
@@ -34,12 +35,15 @@
 /// A balancer in domain `a` with the given service times.
 fn balancer(upstreams: &[(&str, &str, u64)]) -> Balancer {
     let mut balancer = Balancer::new("a".parse().expect("a name"));
-    for (name, domain, ms) in upstreams {
-        let registration = registration(name, domain);
-        balancer.register(at(0), &registration, true);
+    for (id, (name, domain, ms)) in (0..).zip(upstreams) {
+        let upstream = Upstream {
+            id: UpstreamId(id),
+            registration: Rc::new(registration(name, domain)),
+        };
+        balancer.register(at(0), &upstream, true);
         let time = Estimate::from_mean(at(0), Duration::from_millis(*ms), CERTAIN);
-        let load = balancer.load_mut(Tag::of(&registration.incarnation.name));
-        load.expect("it is registered").set_shared(time);
+        let name = &upstream.registration.incarnation.name;
+        balancer.update_loads(Tag::of(name), |load| load.set_shared(time));
     }
     balancer
 }
@@ -55,8 +59,41 @@
     )
 }
 
-fn upstream(name: &str) -> Choice {
-    Choice::Upstream(Tag::of(&name.parse().expect("a name")))
+/// The upstream with this position in the list.
+fn upstream(position: u64) -> Choice {
+    Choice::Upstream(UpstreamId(position))
+}
+
+/// Guards against an upstream that is never chosen, or that keeps the requests or the end of
+/// another one whose name has the same hash. Only the estimates of the two may be mixed up.
+#[test]
+fn upstreams_with_equal_hashes_share_estimates_only() {
+    let names = ["i-7c101c1d", "i-8149ffb2"];
+    let tags = names.map(|name| Tag::of(&name.parse().expect("a name")));
+    assert_eq!(tags[0], tags[1]);
+    let mut balancer = balancer(&[(names[0], "a", 300), (names[1], "a", 300)]);
+    let (first, second) = (UpstreamId(0), UpstreamId(1));
+    assert_eq!(balancer.sole_tagged(tags[0]), None);
+    let open = |balancer: &Balancer, id| balancer.load(id).map(Load::own_open);
+    balancer.begin(at(0), first);
+    assert_eq!(open(&balancer, first), Some(1));
+    assert_eq!(open(&balancer, second), Some(0));
+    let max_latency = Duration::from_secs(1);
+    let tried = |id| {
+        let service = SERVICE.parse().expect("a name");
+        let need = Requirement { max_latency };
+        balancer.choose(at(0), &service, need, &[id], |_| Ok(()))
+    };
+    assert_eq!(tried(first), Choice::Upstream(second));
+    assert_eq!(tried(second), Choice::Upstream(first));
+    balancer.remove(second);
+    assert_eq!(chosen(&balancer, max_latency), Choice::Upstream(first));
+    assert_eq!(open(&balancer, first), Some(1));
+    assert_eq!(balancer.sole_tagged(tags[0]), Some(first));
+    balancer.end(at(0), second, Outcome::Answered, 0, max_latency);
+    assert_eq!(open(&balancer, first), Some(1), "the other run has ended");
+    balancer.remove(first);
+    assert_eq!(balancer.sole_tagged(tags[0]), None);
 }
 
 /// Guards against traffic between failure domains for answers that are in time without it.
@@ -64,7 +101,7 @@
 fn a_local_upstream_is_preferred_if_it_answers_in_time() {
     let balancer = balancer(&[("near", "a", 300), ("far", "b", 200)]);
     let max_latency = Duration::from_secs(1);
-    assert_eq!(chosen(&balancer, max_latency), upstream("near"));
+    assert_eq!(chosen(&balancer, max_latency), upstream(0));
 }
 
 /// Guards against late answers because the request stays in its own failure domain.
@@ -72,11 +109,11 @@
 fn a_remote_upstream_is_chosen_if_the_local_one_is_likely_late() {
     let balancer = balancer(&[("near", "a", 700), ("far", "b", 200)]);
     let max_latency = Duration::from_secs(1);
-    assert_eq!(chosen(&balancer, max_latency), upstream("far"));
+    assert_eq!(chosen(&balancer, max_latency), upstream(1));
     // With less time left, a smaller difference decides.
     let balancer = self::balancer(&[("near", "a", 300), ("far", "b", 200)]);
     let max_latency = Duration::from_millis(350);
-    assert_eq!(chosen(&balancer, max_latency), upstream("far"));
+    assert_eq!(chosen(&balancer, max_latency), upstream(1));
 }
 
 /// Guards against a relay that keeps the estimates of all upstreams that were ever reported.
--- a/tests/all/gateway/directory.rs
+++ b/tests/all/gateway/directory.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use trefoil_core::{Slots, Tick, UnixMillis};
-use trefoil_directory::{Change, Directory, Incarnation, Phase, RECOVERY_GRACE, Registration};
+use trefoil_directory::{
+    Change, Directory, Incarnation, Phase, RECOVERY_GRACE, Registration, Upstream, UpstreamId,
+};
 
 fn at(ms: u64) -> Tick {
     Tick::default().after(Duration::from_millis(ms))
@@ -28,12 +30,55 @@
 fn text(change: Option<Change>) -> String {
     match change {
         None => "-".to_owned(),
-        Some(Change::Joined(r)) => format!("joined {} {}", r.incarnation, r.phase),
-        Some(Change::Updated(r)) => format!("updated {} {}", r.incarnation, r.phase),
-        Some(Change::Removed(r)) => format!("gone {}", r.incarnation),
+        Some(Change::Joined {
+            upstream: Upstream {
+                registration: r, ..
+            },
+            ..
+        }) => format!("joined {} {}", r.incarnation, r.phase),
+        Some(Change::Updated(Upstream {
+            registration: r, ..
+        })) => format!("updated {} {}", r.incarnation, r.phase),
+        Some(Change::Removed(Upstream {
+            registration: r, ..
+        })) => format!("gone {}", r.incarnation),
     }
 }
 
+/// Guards against work for one run of an upstream that is counted, limited or sent to another.
+#[test]
+fn each_run_of_an_upstream_has_an_identifier_of_its_own() {
+    let mut directory = Directory::default();
+    let mut seen = Vec::new();
+    for started in 1..4 {
+        for name in ["i-7c101c1d", "i-8149ffb2"] {
+            let Some(Change::Joined { upstream, former }) =
+                directory.register(entry(name, started, 1))
+            else {
+                panic!("{name}@{started} joins");
+            };
+            let earlier = |(other, id): &(&str, UpstreamId)| (*other == name).then_some(*id);
+            assert_eq!(former, seen.iter().rev().find_map(earlier));
+            assert!(seen.iter().all(|(_, id)| *id != upstream.id), "{seen:?}");
+            let found = directory.by_id(upstream.id).expect("it is listed");
+            assert_eq!(
+                found.registration.incarnation,
+                upstream.registration.incarnation
+            );
+            if let Some(former) = former {
+                assert_eq!(directory.by_id(former), None, "its run has ended");
+            }
+            seen.push((name, upstream.id));
+        }
+    }
+    let last = entry("i-8149ffb2", 3, 1).incarnation;
+    let id = directory.id_of(&last).expect("it is listed");
+    directory.mark_missing(at(0), &last.name);
+    assert_eq!((directory.by_id(id), directory.id_of(&last)), (None, None));
+    let other = entry("i-7c101c1d", 3, 1).incarnation;
+    assert!(directory.id_of(&other).is_some(), "it is still listed");
+}
+
 /// Guards against a late entry that overwrites a newer one or brings back an upstream that is gone.
 #[test]
 fn older_entries_change_nothing() {
--- a/tests/all/gateway/limits.rs
+++ b/tests/all/gateway/limits.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use trefoil_balance::{Fleet, LimitReport, Limits, Statement, Usage};
 use trefoil_core::{PerSecond, Tick};
-use trefoil_directory::Tag;
+use trefoil_directory::UpstreamId;
 
 /// Time of one step of the model.
 const STEP_MS: u64 = 25;
@@ -30,9 +30,7 @@
 /// Length of a run, in steps.
 const STEPS: usize = 1600;
 
-fn tag() -> Tag {
-    Tag::of(&"u1".parse().expect("a name"))
-}
+const UPSTREAM: UpstreamId = UpstreamId(1);
 
 fn at(step: usize) -> Tick {
     let ms = STEP_MS * u64::try_from(step).expect("in range");
@@ -60,11 +58,11 @@
         let mut sent = 0;
         for host in &mut all {
             if step == 0 {
-                host.record_answer(now, tag(), now, stated.rate);
+                host.record_answer(now, UPSTREAM, now, stated.rate);
             }
             let wants = random.random::<f64>() < wanted / f64::from(hosts);
-            if wants && host.admit(now, tag(), fleet, random.random()).is_ok() {
-                host.record_sent(now, tag());
+            if wants && host.admit(now, UPSTREAM, fleet, random.random()).is_ok() {
+                host.record_sent(now, UPSTREAM);
                 sent += 1;
             }
         }
@@ -74,7 +72,7 @@
         }
         let usage = |host: &mut Limits| {
             let own = host.own_reports(now);
-            own.get(&tag())
+            own.get(&UPSTREAM)
                 .map(|report| report.usage)
                 .unwrap_or_default()
         };
@@ -92,7 +90,7 @@
                 wanted: all_wanted - own.wanted,
             };
             let stated = None;
-            host.record_others(now, tag(), LimitReport { usage, stated });
+            host.record_others(now, UPSTREAM, LimitReport { usage, stated });
         }
     }
     arrivals
@@ -164,19 +162,19 @@
 fn a_limit_ends_with_answers_to_later_requests() {
     let mut limits = Limits::default();
     let rate = Some(PerSecond(2.0));
-    assert!(limits.record_answer(at(10), tag(), at(5), rate));
-    assert!(!limits.record_answer(at(12), tag(), at(9), None));
-    assert_eq!(limits.rate(tag()), rate);
-    assert!(limits.record_answer(at(20), tag(), at(11), None));
-    assert_eq!((limits.rate(tag()), limits.count()), (None, 0));
+    assert!(limits.record_answer(at(10), UPSTREAM, at(5), rate));
+    assert!(!limits.record_answer(at(12), UPSTREAM, at(9), None));
+    assert_eq!(limits.rate(UPSTREAM), rate);
+    assert!(limits.record_answer(at(20), UPSTREAM, at(11), None));
+    assert_eq!((limits.rate(UPSTREAM), limits.count()), (None, 0));
     let older = Statement { rate, at: at(15) };
     let report = LimitReport {
         stated: Some(older),
         ..LimitReport::default()
     };
-    assert!(!limits.record_others(at(21), tag(), report));
-    assert_eq!(limits.rate(tag()), None);
-    limits.record_answer(at(30), tag(), at(25), rate);
-    limits.remove(tag());
-    assert_eq!(limits.rate(tag()), None);
+    assert!(!limits.record_others(at(21), UPSTREAM, report));
+    assert_eq!(limits.rate(UPSTREAM), None);
+    limits.record_answer(at(30), UPSTREAM, at(25), rate);
+    limits.remove(UPSTREAM);
+    assert_eq!(limits.rate(UPSTREAM), None);
 }
--- a/tests/all/gateway/message.rs
+++ b/tests/all/gateway/message.rs
@@ -2,11 +2,12 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
+use trefoil_balance::Tag;
 use trefoil_core::{HostId, Key, KeyRange, UnixMillis, UpstreamName};
-use trefoil_directory::{Incarnation, Tag};
+use trefoil_directory::Incarnation;
 use trefoil_gateway::message::{
-    ChangeItem, Digest, LimitItem, Message, MessageError, ReadId, Removal, Report, StatementItem,
-    SyncStatus, TermItem,
+    ChangeItem, DATAGRAM_MAX, Digest, LimitItem, Message, MessageError, OpenItem, ReadId, Removal,
+    Report, StatementItem, SyncStatus, TermItem, limit_chunks,
 };
 use trefoil_gateway::tables::{Revision, Routes};
 use trefoil_ranges::Table;
@@ -118,13 +119,64 @@
         sent: 3,
         wanted: 5,
         stated: Some(stated),
+        upstream: Some(Incarnation {
+            name: "u1".parse().expect("a name"),
+            started: UnixMillis(5),
+        }),
     });
     let (with, without) = (Message::Report(with), Message::Report(without));
     let (bytes, prefix) = (with.encode(), without.encode());
     let (bytes, prefix) = (bytes.expect("encoded"), prefix.expect("encoded"));
     assert!(bytes.starts_with(&prefix) && bytes.len() > prefix.len());
-    assert_eq!(Message::decode(&bytes), Ok(with));
+    assert_eq!(Message::decode(&bytes), Ok(with.clone()));
     assert_eq!(Message::decode(&prefix), Ok(without));
+    // Earlier builds end after the limits and name no upstreams.
+    let Message::Report(mut unnamed) = with else {
+        panic!("a report");
+    };
+    let upstreams = vec![unnamed.limits[0].upstream.take()];
+    let names = postcard::to_allocvec(&upstreams).expect("encoded");
+    let earlier = &bytes[..bytes.len() - names.len()];
+    assert_eq!(bytes[earlier.len()..], names);
+    assert_eq!(Message::decode(earlier), Ok(Message::Report(unnamed)));
+}
+
+/// Guards against limits that a host reports in datagrams too large for the receive buffers of the
+/// others, which then keep to none of them.
+#[test]
+fn limits_of_upstreams_with_long_names_fit_into_datagrams() {
+    let stated = StatementItem {
+        rate: Some(u32::MAX),
+        age_ms: 3000,
+    };
+    let limit = |number: u32| LimitItem {
+        tag: Tag(u32::MAX),
+        sent: 10_000,
+        wanted: 10_000,
+        stated: Some(stated),
+        upstream: Some(Incarnation {
+            name: format!("{number:0>45}").parse().expect("a name"),
+            started: UnixMillis(1_700_000_000_000),
+        }),
+    };
+    let limits: Vec<LimitItem> = (0..500).map(limit).collect();
+    let chunks = limit_chunks(&limits);
+    assert_eq!(chunks.concat(), limits);
+    let open = OpenItem {
+        tag: Tag(u32::MAX),
+        open: 100,
+    };
+    let Message::Report(mut report) = report(Some(250)) else {
+        panic!("a report");
+    };
+    report.status.store_era = Some(Era(2));
+    report.status.config_age_ms = Some(1200);
+    report.open = vec![open; 55];
+    for chunk in chunks {
+        report.limits = chunk.to_vec();
+        let bytes = Message::Report(report.clone()).encode().expect("encoded");
+        assert!(bytes.len() <= DATAGRAM_MAX, "{} bytes", bytes.len());
+    }
 }
 
 fn digest(sequence: Option<u64>) -> Digest {
--- a/tests/all/platform/odd_entries.rs
+++ b/tests/all/platform/odd_entries.rs
@@ -1,13 +1,14 @@
 //! Entries of other writers: deep nesting, numbers out of range, odd keys, values that are no text.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 use serde_json::Value;
-use trefoil_balance::{Balancer, Outcome, Requirement, Tally};
+use trefoil_balance::{Balancer, Outcome, Requirement, Tag, Tally};
 use trefoil_core::{Key, KeyRange, Tick};
-use trefoil_directory::{Directory, Registration, Tag};
+use trefoil_directory::{Directory, Registration, Upstream, UpstreamId};
 use trefoil_gateway::Platform;
 use trefoil_platform::UsersPlatform;
 use trefoil_ranges::{Candidate, Planner, RequestWindow, Table};
@@ -125,17 +126,21 @@
     directory.mark_missing(now, &registration.incarnation.name);
     directory.expire(now, Some(now));
     let mut balancer = Balancer::new(registration.domain.clone());
-    balancer.register(now, registration, true);
+    let upstream = Upstream {
+        id: UpstreamId(1),
+        registration: Rc::new(registration.clone()),
+    };
+    balancer.register(now, &upstream, true);
     let need = Requirement {
         max_latency: Duration::from_secs(1),
     };
-    if let Some(load) = balancer.load_mut(tag) {
+    balancer.update_loads(tag, |load| {
         load.set_local(now, reported);
         load.set_remote(now, reported);
-    }
+    });
     balancer.choose(now, &registration.service, need, &[], |_| Ok(()));
-    let open = balancer.begin(now, tag);
-    balancer.end(now, tag, Outcome::Answered, open, need.max_latency);
+    let open = balancer.begin(now, upstream.id);
+    balancer.end(now, upstream.id, Outcome::Answered, open, need.max_latency);
     let candidates = [1.0, 0.001].map(|time| Candidate {
         incarnation: registration.incarnation.clone(),
         capacity: f64::from(registration.slots.0) / time,
