Take the memory of long heads from the share for answers

Another operator reported a machine that kept endless bytes of an upstream and ran out of memory. Here bodies were bounded together, heads only each (64 KiB, up to 128 KiB of buffer), so heads that stop before their end could add up beyond the memory of the process until the deadlines.

Change: unparsed input of more than 4 KiB is reserved in the share for answers, and an exchange that does not fit ends.

--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -19,13 +19,17 @@
 use super::encode::EncodedMessage;
 use super::framing::{Decoded, Decoder, Framing};
 use super::head::{ResponseHead, parse_response};
-use super::memory::{BodyBuffer, BodyLimit};
+use super::memory::{BodyBuffer, BodyLimit, NoMemory, Reservation};
 use super::progress::Progress;
 use super::stream::BufferedStream;
 
 /// Longest head of an answer, in bytes.
 const HEAD_MAX: usize = 64 * 1024;
 
+/// Largest unparsed input whose memory is not reserved, in bytes. The heads of ordinary answers are
+/// shorter, and the number of connections bounds what they take up.
+const SHORT_HEAD: usize = 4 * 1024;
+
 /// Most bytes of an exchange that are not part of the answer's body: heads, the framing of chunks,
 /// and answers to other requests.
 const EXTRA_MAX: usize = 1024 * 1024;
@@ -89,6 +93,8 @@
     decoder: Decoder,
     body: BodyBuffer,
     limit: &'a BodyLimit,
+    /// Memory of the input that is not parsed yet.
+    unparsed: Reservation,
     /// Bytes received in this exchange.
     received: usize,
 }
@@ -157,6 +163,7 @@
             decoder: Decoder::new(Framing::Empty),
             body: limit.start(),
             limit,
+            unparsed: limit.reservation(),
             received: 0,
         };
         let done = poll_fn(|cx| self.poll_exchange(cx, &mut exchange, &classify)).await;
@@ -200,6 +207,9 @@
                 Ok(None) => {}
                 Err(reason) => return Poll::Ready(Err(reason)),
             }
+            if let Err(error) = exchange.reserve_unparsed(&self.stream.input) {
+                return Poll::Ready(Err(format!("the head of the answer is too large: {error}")));
+            }
             if reads == READS_MAX {
                 cx.waker().wake_by_ref();
                 break;
@@ -249,6 +259,20 @@
         self.head.is_some()
     }
 
+    /// Reserves the memory of input that is not parsed yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is too little.
+    fn reserve_unparsed(&mut self, input: &BytesMut) -> Result<(), NoMemory> {
+        let size = if input.len() > SHORT_HEAD {
+            input.capacity()
+        } else {
+            0
+        };
+        self.unparsed.resize(size)
+    }
+
     /// Returns true if the answer that is being read belongs to the request.
     fn is_own(&self) -> bool {
         matches!(self.head, Some((_, Match::Own)))
--- a/crates/http/src/h1/memory.rs
+++ b/crates/http/src/h1/memory.rs
@@ -234,7 +234,8 @@
     }
 }
 
-/// Limit on the bodies of answers: the size of each, and the memory of all.
+/// Limit on the bodies of answers: the size of each, and the memory of all. Long heads take up the
+/// same memory while they are received.
 #[derive(Debug, Clone)]
 pub struct BodyLimit {
     each: usize,
@@ -257,8 +258,13 @@
 
     /// Creates an empty body.
     pub(super) fn start(&self) -> BodyBuffer {
+        BodyBuffer::new(self.reservation())
+    }
+
+    /// Creates a reservation of no bytes.
+    pub(super) fn reservation(&self) -> Reservation {
         let memory = self.share.as_ref().map(MemoryShare::reservation);
-        BodyBuffer::new(memory.unwrap_or_default())
+        memory.unwrap_or_default()
     }
 
     /// Appends a piece to a body, see [`BodyBuffer::append`].
--- a/tests/all/h1/client.rs
+++ b/tests/all/h1/client.rs
@@ -5,8 +5,8 @@
 use http::{HeaderMap, Method};
 use smol::LocalExecutor;
 use trefoil_http::h1::{
-    BodyLimit, ClientConnection, EncodedMessage, ExchangeError, Match, Response, ResponseHead,
-    Sent, encode_request,
+    BodyLimit, ClientConnection, EncodedMessage, ExchangeError, Match, MemoryShare, Response,
+    ResponseHead, Sent, encode_request,
 };
 
 use super::pipe::{Peer, Stream, connection, run_until_idle};
@@ -335,6 +335,32 @@
     }
 }
 
+/// Guards against heads without end that many upstreams send at once and that together fill the
+/// memory, which would end the requests of all other callers.
+#[test]
+fn heads_without_end_take_their_memory_from_the_share() {
+    const HEAD: usize = 48 * 1024;
+    let share = MemoryShare::new(4 * HEAD);
+    let limit = BodyLimit::of_share(MAX, &share);
+    let mut links: Vec<_> = (0..8).map(|_| open()).collect();
+    let executor = LocalExecutor::new();
+    let mut calls = Vec::new();
+    for (client, peer) in &mut links {
+        let call = client.exchange(&Method::GET, encode(&Method::GET, ""), &limit, classify);
+        calls.push(executor.spawn(call));
+        peer.send("HTTP/1.1 200 OK\r\nnoise: ");
+        peer.send("x".repeat(HEAD));
+        run_until_idle(&executor);
+    }
+    let ended = calls.iter().filter(|call| call.is_finished()).count();
+    assert!((4..8).contains(&ended), "{ended} of 8 calls ended");
+    let used = share.used();
+    assert!(used > HEAD && used <= share.limit(), "{used} bytes");
+    drop(calls);
+    drop(executor);
+    assert_eq!(share.used(), 0);
+}
+
 /// Answers of each framing, with the number of bytes of their head if the rest has no stated
 /// length.
 fn complete_answers() -> Vec<(Method, String, Option<usize>)> {
--- a/tests/all/platform/endless.rs
+++ b/tests/all/platform/endless.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// Guards against a host that runs out of memory because of heads that do not end.
+#[test]
+fn heads_without_end_do_not_fill_the_memory() {
+    for mode in [ResponseMode::EndlessHeads, ResponseMode::EndlessField] {
+        let (fleet, ..) = flood(mode);
+        let peak = fleet.hosts[0].peak_memory_kib();
+        assert!(peak < MEMORY_KIB, "{mode:?}: {peak} KiB");
+    }
+}
+
 /// Guards against a host that runs out of memory because one upstream sends long bodies in many
 /// answers at once.
 #[test]
