Move no key while earlier coordinators may send grants

Cause: the release of a restarted upstream was final at once, and a fence counted for ever although a restart loses it. Whatever an upstream confirms while an earlier coordinator may still send, it can forget before the grant arrives.

Only confirmations of grants sent later count as fences. A restarted upstream is then fenced like any other instead of waiting for the expiry of unanswered grants.

--- a/crates/ranges/src/coordinator.rs
+++ b/crates/ranges/src/coordinator.rs
@@ -264,6 +264,8 @@
     progress: Vec<Progress>,
     /// From this tick no grant of an earlier coordinator can be valid.
     earlier_until: Tick,
+    /// From this tick no grant of an earlier coordinator arrives at an upstream.
+    earlier_silent: Tick,
     /// Grants may be sent until this tick.
     term_until: Tick,
     /// Start of the newest registered incarnation of each upstream.
@@ -303,6 +305,9 @@
             timing,
             progress: Vec::new(),
             earlier_until: earlier,
+            earlier_silent: timing
+                .last_arrival(earlier)
+                .min(timing.earlier_arrival(now)),
             term_until: now.after(timing.term_ttl),
             incarnations: HashMap::new(),
             pending: BTreeMap::new(),
@@ -344,6 +349,7 @@
     /// than the known one changes nothing.
     pub fn limit_earlier(&mut self, until: Tick) {
         self.earlier_until = self.earlier_until.min(until);
+        self.earlier_silent = self.earlier_silent.min(self.timing.last_arrival(until));
     }
 
     /// The tick from which no grant of an earlier coordinator can be valid.
@@ -531,7 +537,7 @@
     ) {
         let incarnation = self.newest(&former.owner.incarnation);
         let restarted = incarnation != former.owner.incarnation;
-        let earlier = if former.grants.from_earlier {
+        let earlier = if restarted || former.grants.from_earlier {
             self.earlier_until
         } else {
             Tick::default()
@@ -551,13 +557,12 @@
         };
         let unfenced = now < former.grants.unanswered_until.max(earlier);
         match former.step {
-            // A restarted upstream is not sent a fencing grant: it has lost all fences, so a
-            // coordinator that has not yet learned that it is deposed would take the keys from
-            // their present owner. The expiry of the unanswered grant is awaited instead.
-            ClearStep::Ready(_) if restarted && now < former.grants.unanswered_until => {}
-            ClearStep::Ready(at) if now < at => {}
+            // An upstream that restarts loses all fences. While earlier coordinators may send
+            // grants, one could arrive after the restart, whatever the upstream has confirmed
+            // before.
+            ClearStep::Ready(at) if now < at.max(self.earlier_silent) => {}
             // A fencing grant needs a confirmed term, as any other grant.
-            ClearStep::Ready(_) if unfenced && !restarted && now < self.term_until => {
+            ClearStep::Ready(_) if unfenced && now < self.term_until => {
                 let kind = OrderKind::Grant {
                     ttl: self.timing.fencing_ttl,
                     handover: None,
@@ -566,7 +571,7 @@
                 former.step = ClearStep::Fencing(order.id);
                 orders.push(order);
             }
-            ClearStep::Ready(_) if unfenced && !restarted => {}
+            ClearStep::Ready(_) if unfenced => {}
             ClearStep::Ready(_) | ClearStep::GrantsFenced => {
                 let to = Owner {
                     incarnation,
@@ -662,7 +667,7 @@
         match (state.phase, &state.former) {
             (Phase::Clearing, _) if self.unlisted.is_some() => None,
             (Phase::Clearing, Some(former)) => Some(match former.step {
-                ClearStep::Ready(at) => at,
+                ClearStep::Ready(at) => at.max(self.earlier_silent),
                 _ => former.grants.valid_until.max(self.earlier_until),
             }),
             (Phase::Clearing, None) => Some(state.due_at),
--- a/crates/ranges/src/coordinator/outcomes.rs
+++ b/crates/ranges/src/coordinator/outcomes.rs
@@ -59,7 +59,9 @@
                     self.timing.renew_interval
                 };
                 state.due_at = pending.sent.after(next);
-                state.grants.from_earlier &= !state.own_fence;
+                // An upstream that restarts later gets no grant of an earlier coordinator any more.
+                let fences_earlier = state.own_fence && pending.sent >= self.earlier_silent;
+                state.grants.from_earlier &= !fences_earlier;
                 let valid = pending.sent.after(pending.ttl);
                 state.grants.serves_until = state.grants.serves_until.max(valid);
                 if state.phase == Phase::Granting {
--- a/crates/ranges/src/timing.rs
+++ b/crates/ranges/src/timing.rs
@@ -50,6 +50,19 @@
         self.grant_expiry(stopped, self.ttl.max(self.long_ttl))
     }
 
+    /// The tick from which no grant arrives, given the tick from which none can be valid. Assumes the
+    /// usual validity: with a longer one, the last grant arrived even earlier.
+    pub fn last_arrival(&self, expiry: Tick) -> Tick {
+        let validity = self.ttl.mul_f64(1.0 + DRIFT);
+        Tick(expiry.0.saturating_sub(validity))
+    }
+
+    /// The tick from which no grant arrives of an earlier coordinator whose term cannot have been
+    /// confirmed after `deposed`.
+    pub fn earlier_arrival(&self, deposed: Tick) -> Tick {
+        deposed.after(self.term_ttl).after(self.max_delay)
+    }
+
     /// The tick from which a coordinator whose term was last confirmed by a call sent at `confirmed`
     /// must not go on after the store has lost records. A successor that it does not know of may
     /// then have moved ranges whose owners it could not fence, see [`Self::earlier_expiry`].
