Let a candidate find the author of the table before it takes over

Change: a table names the address of its author, and whoever reads it greets an author that it has not found. A candidate reads the table first, and waits 0.4 s for an unknown author's report. A host that loses a service to another one postpones its next campaign by 0.5 s, which doubles up to 4 s, with jitter. Ruled out: no campaign without discovery, which would leave services without a coordinator for as long as the topic is down.

Price: one more read of the store a takeover.

--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -8,6 +8,7 @@
 //! bounded, see [`trefoil_ranges::Timing`]. One that notices announces its resignation, so that its
 //! successor need not wait for that bound.
 
+mod backoff;
 mod routes;
 mod table_store;
 mod term;
@@ -20,11 +21,14 @@
 use futures_lite::{FutureExt, future};
 use slog::{info, warn};
 use trefoil_core::{Era, HostId, Key, ServiceName, Tick};
+use trefoil_ranges::Author;
+use trefoil_store::StoreError;
 
 use crate::host::Host;
 use crate::message::{Candidacy, Message, Resigned, TermItem};
 use term::{EndReason, Event};
 
+pub use backoff::Backoff;
 pub use routes::Reassemblies;
 pub use routes::follow_tables;
 pub(crate) use routes::{on_routes_part, on_routes_revision, send_routes};
@@ -47,6 +51,9 @@
 /// Age of the store's last answer up to which a host campaigns.
 const STORE_ANSWER_MAX_AGE: Duration = Duration::from_secs(2);
 
+/// Time in which the author of a table answers a greeting and reports its term.
+const ANSWER_WAIT: Duration = Duration::from_millis(400);
+
 /// Wait after a term could not be started.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -135,6 +142,8 @@
 async fn campaign(host: Rc<Host>, service: ServiceName) {
     let mut not_before = host.now().after(STARTUP_WAIT);
     let mut vacant_since = None;
+    let mut backoff = Backoff::default();
+    let mut asked = None;
     loop {
         // Only relays campaign.
         let is_relay = host.peers.borrow().is_relay(host.now());
@@ -155,11 +164,79 @@
             continue;
         }
         vacant_since = None;
-        if let Some(end) = serve_term(&host, &service).await {
+        let looking = is_author_silent(&host, &service, &mut asked);
+        if !while_announced(&host, &service, looking).await {
+            announce_candidacy(&host, &service, true);
+            continue;
+        }
+        let began = host.now();
+        let end = serve_term(&host, &service).await;
+        if let Ok(end) = &end {
             info!(host.log, "term ended"; "service" => %service, "reason" => %end);
-            if end == EndReason::Isolated {
-                not_before = host.now().after(ISOLATED_WAIT);
+        }
+        let now = host.now();
+        not_before = match end {
+            Ok(EndReason::Isolated) => now.after(ISOLATED_WAIT),
+            Ok(EndReason::Superseded) | Err(StoreError::Fenced) => {
+                let term = end.map_or(Duration::ZERO, |_| now.since(began));
+                let wait = backoff.after_loss(term, rand::random());
+                info!(host.log, "campaign postponed"; "service" => %service,
+                    "wait_ms" => wait.as_millis());
+                now.after(wait)
             }
+            _ => now,
+        };
+    }
+}
+
+/// Returns `true` if the host that wrote the table last is known to this one, whose reports then
+/// show whether it is still the coordinator, or does not answer a greeting.
+///
+/// Hosts find each other through records in the store, and those may be unavailable while the table
+/// is not. `asked` is the author that was greeted last.
+async fn is_author_silent(host: &Host, service: &ServiceName, asked: &mut Option<HostId>) -> bool {
+    let author = match table_store::read_table(host, service).await {
+        Ok((table, _)) => table.and_then(|table| table.author),
+        Err(reason) => {
+            warn!(host.log, "table not read"; "service" => %service, "reason" => %reason);
+            host.clock.sleep(RETRY_DELAY).await;
+            return false;
+        }
+    };
+    match author {
+        Some(author) if !author.resigned && *asked != Some(author.host) => {
+            // Reading the table has greeted the author.
+            if !host.may_be_unheard(&author) {
+                return true;
+            }
+            *asked = Some(author.host);
+            info!(host.log, "author greeted"; "service" => %service, "host" => %author.host,
+                "term" => author.term);
+            host.clock.sleep(ANSWER_WAIT).await;
+            false
+        }
+        _ => true,
+    }
+}
+
+impl Host {
+    /// Returns `true` if the author of a table is a host that this one has not found, and that can
+    /// be greeted.
+    fn may_be_unheard(&self, author: &Author) -> bool {
+        let peers = self.peers.borrow();
+        author.host != self.id
+            && author.address.is_some()
+            && !peers.has_ended(author.host)
+            && peers.address(author.host).is_none()
+    }
+
+    /// Greets the author of a table if this host has not found it.
+    fn greet_author(&self, author: Author) {
+        if self.may_be_unheard(&author) {
+            let mut peers = self.peers.borrow_mut();
+            let hello = Message::Hello(peers.own().clone(), true);
+            peers.queue(author.address, &hello);
+            self.events.outbox.notify(usize::MAX);
         }
     }
 }
@@ -200,8 +277,21 @@
     host.events.outbox.notify(usize::MAX);
 }
 
-/// Announces the candidacy of this host while it takes over a service, so that no other one fences
-/// it however slow the store is. A takeover that takes too long even so is left to others as well.
+/// Runs a part of a takeover and announces the candidacy of this host meanwhile, so that no other one
+/// fences it however slow the store is.
+async fn while_announced<F>(host: &Host, service: &ServiceName, takeover: F) -> F::Output
+where
+    F: Future,
+{
+    let announcing = async {
+        announce_repeatedly(host, service).await;
+        future::pending().await
+    };
+    takeover.or(announcing).await
+}
+
+/// Announces the candidacy of this host repeatedly. A takeover that takes too long even so is left to
+/// others as well.
 async fn announce_repeatedly(host: &Host, service: &ServiceName) {
     let until = host.now().after(TAKEOVER_MAX);
     while host.now() < until {
@@ -210,16 +300,16 @@
     }
 }
 
-/// Takes over a service and runs the term to its end. Returns `None` if the takeover failed.
-async fn serve_term(host: &Rc<Host>, service: &ServiceName) -> Option<EndReason> {
+/// Takes over a service and runs the term to its end.
+///
+/// # Errors
+///
+/// Fails with the error of the store if the takeover does.
+async fn serve_term(host: &Rc<Host>, service: &ServiceName) -> Result<EndReason, StoreError> {
     let (events, queue) = async_channel::unbounded();
     info!(host.log, "takeover begun"; "service" => %service);
     let taking_over = table_store::take_over(host, service);
-    let announcing = async {
-        announce_repeatedly(host, service).await;
-        future::pending().await
-    };
-    match taking_over.or(announcing).await {
+    match while_announced(host, service, taking_over).await {
         Ok(term) => {
             info!(host.log, "term begun"; "service" => %service, "term" => term.number,
                 "table" => term.coordinator.table().version,
@@ -230,7 +320,7 @@
             warn!(host.log, "term not begun"; "service" => %service, "reason" => %error);
             announce_candidacy(host, service, true);
             host.clock.sleep(RETRY_DELAY).await;
-            return None;
+            return Err(error);
         }
     }
     let confirming =
@@ -239,7 +329,7 @@
     let end = run_term(host, service, &events, &queue).await;
     drop(confirming);
     resign(host, service, end).await;
-    Some(end)
+    Ok(end)
 }
 
 async fn run_term(
--- a/crates/gateway/src/coordinator/table_store.rs
+++ b/crates/gateway/src/coordinator/table_store.rs
@@ -79,6 +79,7 @@
         }
         let claim = Claim {
             host: host.id,
+            address: Some(host.config.peer),
             term: number,
             era,
         };
@@ -238,6 +239,7 @@
     }
     let claim = Claim {
         host: host.id,
+        address: Some(host.config.peer),
         term: number,
         era,
     };
@@ -350,10 +352,11 @@
         let page = host.store.newest(newest).await?;
         let mut items = page.items.iter();
         if let Some(item) = items.find(|item| item.key == service.as_str()) {
-            let table = Table::decode(&item.value);
-            return table
-                .map(|table| (Some(table), page.era))
-                .map_err(|e| rejected(&e));
+            let table = Table::decode(&item.value).map_err(|e| rejected(&e))?;
+            if let Some(author) = table.author {
+                host.greet_author(author);
+            }
+            return Ok((Some(table), page.era));
         }
         after = page.items.last().map(|item| item.key.clone());
         if !page.more || after.is_none() {
--- a/crates/gateway/src/coordinator/term.rs
+++ b/crates/gateway/src/coordinator/term.rs
@@ -400,6 +400,7 @@
     fn claim(&self, host: &Host) -> Claim {
         Claim {
             host: host.id,
+            address: Some(host.config.peer),
             term: self.number,
             era: self.era,
         }
--- a/crates/ranges/src/claim.rs
+++ b/crates/ranges/src/claim.rs
@@ -13,6 +13,8 @@
 //! In both cases nothing changes owner until every grant has expired that a coordinator of an
 //! earlier era can have sent. Then all entries get fences above those that were used.
 
+use std::net::SocketAddr;
+
 use trefoil_core::{Era, Fence, HostId, Tick};
 
 use crate::coordinator::Coordinator;
@@ -33,6 +35,8 @@
 pub struct Claim {
     /// Host of the coordinator.
     pub host: HostId,
+    /// Its address for datagrams, if others can reach it there.
+    pub address: Option<SocketAddr>,
     /// Number of the term.
     pub term: u64,
     /// Era of the store.
@@ -112,6 +116,7 @@
             earlier_grants: earlier.since(now),
             resigned: false,
             unlisted_grants: unlisted.since(now),
+            address: self.address,
         });
     }
 
--- a/crates/ranges/src/table.rs
+++ b/crates/ranges/src/table.rs
@@ -1,5 +1,6 @@
 //! The table that maps key ranges to owners.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -56,6 +57,10 @@
     /// has lost it. Encoded behind the table, where earlier builds ignore it.
     #[serde(skip)]
     pub unlisted_grants: Duration,
+    /// Address of its host for datagrams, so that a host that reads the table can reach it without
+    /// having found it otherwise. Encoded behind the other fields, where earlier builds ignore it.
+    #[serde(skip)]
+    pub address: Option<SocketAddr>,
 }
 
 /// Fields that earlier builds do not know, encoded behind the table.
@@ -258,7 +263,11 @@
             era: self.era,
             unlisted_ms: u32::try_from(unlisted_ms).unwrap_or(u32::MAX),
         };
-        postcard::to_extend(&appendix, bytes).context(DecodeSnafu)
+        let bytes = postcard::to_extend(&appendix, bytes).context(DecodeSnafu)?;
+        match self.author.and_then(|author| author.address) {
+            Some(address) => postcard::to_extend(&address, bytes).context(DecodeSnafu),
+            None => Ok(bytes),
+        }
     }
 
     /// Decodes a table.
@@ -270,13 +279,18 @@
         let (found, rest) = postcard::take_from_bytes::<u16>(bytes).context(DecodeSnafu)?;
         ensure!(found == FORMAT, FormatSnafu { found });
         let (mut table, rest): (Self, _) = postcard::take_from_bytes(rest).context(DecodeSnafu)?;
-        let appendix: Appendix = match rest {
-            [] => Appendix::default(),
-            _ => postcard::from_bytes(rest).context(DecodeSnafu)?,
+        let (appendix, rest): (Appendix, _) = match rest {
+            [] => (Appendix::default(), rest),
+            _ => postcard::take_from_bytes(rest).context(DecodeSnafu)?,
         };
         table.era = appendix.era;
+        let address = match rest {
+            [] => None,
+            _ => Some(postcard::from_bytes(rest).context(DecodeSnafu)?),
+        };
         if let Some(author) = &mut table.author {
             author.unlisted_grants = Duration::from_millis(appendix.unlisted_ms.into());
+            author.address = address;
         }
         let first = table.entries.first().map(|e| e.range.first());
         let last = table.entries.last().map(|e| e.range.last());
--- a/tests/all/gateway.rs
+++ b/tests/all/gateway.rs
@@ -1,6 +1,7 @@
 //! State and decisions of a gateway host, tested without a network.
 
 mod ages;
+mod backoff;
 mod balance;
 mod bounds;
 mod budget;
--- a/tests/all/gateway/successors.rs
+++ b/tests/all/gateway/successors.rs
@@ -43,6 +43,7 @@
             .0,
         resigned: false,
         unlisted_grants: Duration::ZERO,
+        address: None,
     });
     let value = Bytes::from(table.encode().expect("encoded"));
     let record = KeyedRecord::set("keys", value).expect("a key");
--- a/tests/all/platform/takeovers.rs
+++ b/tests/all/platform/takeovers.rs
@@ -49,6 +49,33 @@
     assert_eq!(fleet.recorder.violations(), Vec::<String>::new());
 }
 
+/// Guards against hosts that depose each other in turn because none can find the others: the store
+/// does not answer for the topic in which they register.
+#[test]
+fn hosts_that_cannot_find_each_other_agree_on_a_coordinator() {
+    let mut fleet = keyed_fleet();
+    let topic = "keyed.trefoil-hosts".parse().expect("a topic");
+    fleet.store.set_topic_fault(topic, StoreFault::Down);
+    fleet.hosts[0].wait_for_entry("event", "term begun");
+    for domain in ["a", "a", "b"] {
+        fleet.start_host_in(domain);
+    }
+    thread::sleep(Duration::from_secs(4));
+    let begun = |fleet: &Fleet| {
+        let of_host = |host: &Host| host.log_entries("event", "term begun").len();
+        fleet.hosts.iter().map(of_host).sum::<usize>()
+    };
+    let before = begun(&fleet);
+    thread::sleep(Duration::from_secs(4));
+    let after = begun(&fleet);
+    assert_eq!(after, before, "terms begun\n{}", log(&fleet));
+    assert!(before <= 4, "{before} terms begun\n{}", log(&fleet));
+    for host in 0..fleet.hosts.len() {
+        fleet.wait_until_served(host, "/keyed/x", "X-Shard-Key: 7\r\n");
+    }
+    assert_eq!(fleet.recorder.violations(), Vec::<String>::new());
+}
+
 /// Guards against candidates that fence each other because the takeover of the first one lasts
 /// longer than a candidacy holds: each takeover begins the wait for earlier grants anew.
 #[test]
--- a/tests/all/ranges/claim.rs
+++ b/tests/all/ranges/claim.rs
@@ -20,6 +20,7 @@
 
 fn claim(term: u64, era: u64) -> Claim {
     Claim {
+        address: None,
         host: HostId::random(),
         term,
         era: Era(era),
@@ -38,6 +39,7 @@
         earlier_grants: Duration::ZERO,
         resigned: true,
         unlisted_grants: Duration::ZERO,
+        address: None,
     });
     table
 }
--- a/tests/all/ranges/coordinator.rs
+++ b/tests/all/ranges/coordinator.rs
@@ -226,7 +226,7 @@
     // its fences before one arrives.
     coordinator.confirm_term(at(1000));
     let silent = Timing::default().earlier_arrival(START);
-    let before = Tick(silent.0 - Duration::from_millis(1));
+    let before = Tick(silent.0.saturating_sub(Duration::from_millis(1)));
     assert_eq!(describe(&coordinator.poll(before)), [""; 0]);
     assert_eq!(phase(&coordinator, 0), Some(Phase::Clearing));
     let serving = coordinator.routes(before).next();
@@ -277,7 +277,7 @@
     assign_part(&mut coordinator, at(100), KeyRange::ALL, "b");
     coordinator.confirm_term(at(1000));
     let silent = timing.earlier_arrival(START);
-    let before = Tick(silent.0 - Duration::from_millis(1));
+    let before = Tick(silent.0.saturating_sub(Duration::from_millis(1)));
     assert_eq!(describe(&coordinator.poll(before)), [""; 0]);
     let fencing = coordinator.poll(silent);
     assert_eq!(
--- a/tests/all/ranges/property.rs
+++ b/tests/all/ranges/property.rs
@@ -191,7 +191,7 @@
             lost,
             late,
             write_lost: lost,
-            lag: Duration::from_millis(3000),
+            lag: Duration::from_secs(3),
         };
         let runs = rival_seeds().map(|seed| (seed, run(seed, faults, Disturbance::Rivals)));
         let broken = runs.filter(|(_, simulation)| !simulation.violations.is_empty());
--- a/tests/all/ranges/simulation.rs
+++ b/tests/all/ranges/simulation.rs
@@ -321,6 +321,7 @@
         };
         let claim = Claim {
             host: HostId::random(),
+            address: None,
             term: self.epoch,
             era: self.era,
         };
--- a/tests/all/ranges/table.rs
+++ b/tests/all/ranges/table.rs
@@ -126,12 +126,22 @@
         earlier_grants: Duration::from_millis(1500),
         resigned: false,
         unlisted_grants: Duration::from_micros(2_000_300),
+        address: "192.0.2.7:7002".parse().ok(),
     });
     let bytes = table.encode().expect("encoded");
     let decoded = Table::decode(&bytes).expect("decoded");
     let unlisted = decoded.author.map(|a| a.unlisted_grants);
     assert_eq!(decoded.era, Era(3));
     assert_eq!(unlisted, Some(Duration::from_millis(2001)), "rounded up");
+    let address = decoded.author.and_then(|a| a.address);
+    assert_eq!(address, table.author.and_then(|a| a.address));
+    // The build before the address ends before it.
+    let encoded = postcard::to_allocvec(&address.expect("an address")).expect("encoded");
+    let earlier = Table::decode(&bytes[..bytes.len() - encoded.len()]).expect("decoded");
+    assert_eq!(
+        earlier.author.map(|a| (a.unlisted_grants, a.address)),
+        Some((Duration::from_millis(2001), None))
+    );
     // An earlier build ignores what follows the table.
     let (_, rest) = postcard::take_from_bytes::<u16>(&bytes).expect("a format");
     let (earlier, appendix) = postcard::take_from_bytes::<Table>(rest).expect("a table");
