Limit the head of a request by its size only

A request with more than 100 header fields was refused with 431 although its head was within the configured limit, which the users' pages allow. Fields beyond 128 are parsed with an allocation that the size of the head bounds; a number of fields that the header map cannot hold is refused rather than a panic. Test: h1::framing::the_number_of_fields_is_limited_by_the_size_of_the_head_only, TooLarge with 101 fields before; passes now.

--- a/crates/http/src/h1/head.rs
+++ b/crates/http/src/h1/head.rs
@@ -3,16 +3,33 @@
 use bytes::{Buf, BytesMut};
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
+use smallvec::SmallVec;
 use snafu::Snafu;
 
-/// Largest number of header fields in a head.
-const FIELDS_MAX: usize = 100;
+/// Number of header fields that are parsed without an allocation.
+const FIELDS: usize = 128;
+
+/// Least size of a header field, in bytes.
+const FIELD_MIN: usize = 4;
+
+/// Room for the fields of a head. The limit on the size of the head bounds their number.
+type Fields<'a> = SmallVec<[httparse::Header<'a>; FIELDS]>;
+
+fn fields_for<'a>(input: &[u8], max: usize) -> Fields<'a> {
+    let head = &input[..input.len().min(max)];
+    let count = if head.len() <= FIELDS * FIELD_MIN {
+        FIELDS
+    } else {
+        head.iter().filter(|byte| **byte == b'\n').count()
+    };
+    SmallVec::from_elem(httparse::EMPTY_HEADER, count.max(FIELDS))
+}
 
 /// Error of parsing a head.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub(super)))]
 pub enum HeadError {
-    /// The head is longer than allowed or has too many fields.
+    /// The head is longer than allowed.
     #[snafu(display("the head is too large"))]
     TooLarge,
     /// The bytes are not a valid HTTP/1.1 head.
@@ -63,7 +80,7 @@
 ///
 /// Fails if the head is longer than `max` bytes or invalid. The connection is then unusable.
 pub fn parse_request(input: &mut BytesMut, max: usize) -> Result<Option<RequestHead>, HeadError> {
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut fields = fields_for(input, max);
     let mut head = httparse::Request::new(&mut fields);
     let Some(size) = head_size(head.parse(input), input.len(), max)? else {
         return Ok(None);
@@ -76,6 +93,7 @@
         minor: head.version.unwrap_or_default(),
         headers: to_header_map(head.headers)?,
     };
+    drop(fields);
     input.advance(size);
     Ok(Some(parsed))
 }
@@ -87,7 +105,7 @@
 ///
 /// Fails if the head is longer than `max` bytes or invalid. The connection is then unusable.
 pub fn parse_response(input: &mut BytesMut, max: usize) -> Result<Option<ResponseHead>, HeadError> {
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut fields = fields_for(input, max);
     let mut head = httparse::Response::new(&mut fields);
     let Some(size) = head_size(head.parse(input), input.len(), max)? else {
         return Ok(None);
@@ -98,6 +116,7 @@
         minor: head.version.unwrap_or_default(),
         headers: to_header_map(head.headers)?,
     };
+    drop(fields);
     input.advance(size);
     Ok(Some(parsed))
 }
@@ -118,11 +137,13 @@
 }
 
 fn to_header_map(fields: &[httparse::Header<'_>]) -> Result<HeaderMap, HeadError> {
-    let mut headers = HeaderMap::with_capacity(fields.len());
+    let mut headers = HeaderMap::with_capacity(fields.len().min(FIELDS));
     for field in fields {
         let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|e| invalid_head(&e))?;
         let value = HeaderValue::from_bytes(field.value).map_err(|e| invalid_head(&e))?;
-        headers.append(name, value);
+        headers
+            .try_append(name, value)
+            .map_err(|_full| HeadError::TooLarge)?;
     }
     Ok(headers)
 }
--- a/tests/all/h1/framing.rs
+++ b/tests/all/h1/framing.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use proptest::prelude::*;
-use trefoil_http::h1::{Decoded, Decoder, Framing, parse_request};
+use trefoil_http::h1::{Decoded, Decoder, Framing, HeadError, parse_request};
 
 fn request_framing(fields: &str) -> Option<Framing> {
     let mut input = BytesMut::from(format!("POST / HTTP/1.1\r\n{fields}\r\n").as_bytes());
@@ -128,3 +128,24 @@
         prop_assert_eq!((found, left), (body, Vec::new()));
     }
 }
+
+/// Guards against a refusal of a request that is within the limit on its head, and against a process
+/// that ends because of a head with very many fields.
+#[test]
+fn the_number_of_fields_is_limited_by_the_size_of_the_head_only() {
+    let head = |count: usize| {
+        let fields: String = (0..count).map(|n| format!("f{n}: {n}\r\n")).collect();
+        BytesMut::from(format!("GET / HTTP/1.1\r\n{fields}\r\n").as_str())
+    };
+    for count in [1, 100, 101, 1000] {
+        let mut input = head(count);
+        let size = input.len();
+        let parsed = parse_request(&mut input, size).expect("valid");
+        assert_eq!(parsed.expect("complete").headers.len(), count);
+        let mut input = head(count);
+        let parsed = parse_request(&mut input, size - 1);
+        assert_eq!(parsed, Err(HeadError::TooLarge), "{count} fields");
+    }
+    let parsed = parse_request(&mut head(40_000), usize::MAX);
+    assert_eq!(parsed, Err(HeadError::TooLarge));
+}
