Wait for the owner of a key only a part of the time left

A request whose key had no owner waited up to 1 s whatever was left of its time, so with a short time-out of its route it was answered after that. The wait now ends with the third of the time left that it may take.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -150,7 +150,8 @@
         let target = match select_target(host, job, &progress, now, left) {
             Target::Send(target) => target,
             Target::Wait(span, _) if progress.waited < left / WAIT_DIVISOR => {
-                wait_for_change(host, span).await;
+                let rest = (left / WAIT_DIVISOR).saturating_sub(progress.waited);
+                wait_for_change(host, span.min(rest)).await;
                 progress.waited += host.now().since(now);
                 continue;
             }
--- a/tests/all/gateway/forward.rs
+++ b/tests/all/gateway/forward.rs
@@ -10,9 +10,10 @@
 
 use bytes::Bytes;
 use futures_lite::future::poll_once;
+use http::header::RETRY_AFTER;
 use http::{HeaderMap, Method, StatusCode};
 use serde_json::json;
-use trefoil_core::SystemClock;
+use trefoil_core::{Key, SystemClock};
 use trefoil_gateway::forward::{Job, forward};
 use trefoil_gateway::{Bounds, Host, HostConfig, follow};
 use trefoil_http::h1::{Request, RequestHead, Reservation};
@@ -59,6 +60,28 @@
     }
 }
 
+/// Guards against a request that waits for an owner of its key until it is too late to answer it, or
+/// for its caller to come back.
+#[test]
+fn the_wait_for_an_owner_is_a_part_of_the_time_left() {
+    let store = Arc::new(MemoryStore::new(Arc::new(SystemClock)));
+    let host = host(store);
+    let config = Bytes::from(test_config(1).to_string());
+    follow::load_config(&host, &config, Era::default());
+    let timeout = Duration::from_millis(600);
+    let job = Job {
+        service: "keys".parse().expect("a name"),
+        key: Some(Key(7)),
+        deadline: host.now().after(timeout),
+        ..job(&host)
+    };
+    let completion = support::block_on(host.executor.run(forward(&host, &job)));
+    assert_eq!(completion.answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(completion.answer.headers.contains_key(RETRY_AFTER));
+    let took = host.now().since(job.arrived);
+    assert!(took < timeout / 2, "refused after {took:?}");
+}
+
 /// Guards against a request to an upstream that was ready when it was chosen and has begun to leave
 /// while the connection was opened.
 #[test]
