Take signals before the settings are read

SIGHUP in the first milliseconds after the start ended the process, because the handlers were installed after the settings, the store client and the host had been set up. They are installed first now. Test: platform::signals::a_reload_during_the_start_does_not_end_the_process sends SIGHUP while the process waits for its settings: ended by signal 1 before, runs on now.

--- a/src/commands/serve.rs
+++ b/src/commands/serve.rs
@@ -42,6 +42,8 @@
 pub fn execute(matches: &ArgMatches) -> Result<ExitCode, Box<dyn Error>> {
     let path = matches.get_one::<PathBuf>("settings").cloned();
     let path = path.unwrap_or_default();
+    // Before anything else: a signal that arrives earlier ends the process.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
     let settings = load(&path)?;
     let level = settings::slog_level(settings.log_level);
     let (log, _flush, lost_lines) = logging::stdout(level, settings.log_lines);
@@ -65,7 +67,6 @@
     );
     let executor = Rc::clone(&host.executor);
     let serving = async {
-        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         let stop = wait_for_stop(Rc::clone(&host), path, signals);
         serve(host, stop).await?;
         Ok(ExitCode::SUCCESS)
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -18,6 +18,7 @@
 mod promises;
 mod repeats;
 mod restored;
+mod signals;
 mod silent;
 mod soak;
 mod takeovers;
