--- a/crates/http/src/h1/head.rs
+++ b/crates/http/src/h1/head.rs
@@ -20,7 +20,7 @@
     let count = if head.len() <= FIELDS * FIELD_MIN {
         FIELDS
     } else {
-        head.iter().filter(|byte| **byte == b'\n').count()
+        head.split(|byte| *byte == b'\n').count()
     };
     SmallVec::from_elem(httparse::EMPTY_HEADER, count.max(FIELDS))
 }
--- a/tests/all/h1/framing.rs
+++ b/tests/all/h1/framing.rs
@@ -134,7 +134,8 @@
 #[test]
 fn the_number_of_fields_is_limited_by_the_size_of_the_head_only() {
     let head = |count: usize| {
-        let fields: String = (0..count).map(|n| format!("f{n}: {n}\r\n")).collect();
+        let fields: Vec<String> = (0..count).map(|n| format!("f{n}: {n}\r\n")).collect();
+        let fields = fields.concat();
         BytesMut::from(format!("GET / HTTP/1.1\r\n{fields}\r\n").as_str())
     };
     for count in [1, 100, 101, 1000] {
