--- a/crates/http/src/h1/head.rs
+++ b/crates/http/src/h1/head.rs
@@ -3,26 +3,15 @@
 use bytes::{Buf, BytesMut};
 use http::header::{HeaderName, HeaderValue};
 use http::{HeaderMap, Method, StatusCode};
-use smallvec::SmallVec;
 use snafu::Snafu;
 
 /// Number of header fields that are parsed without an allocation.
-const FIELDS: usize = 128;
+const FIELDS: usize = 100;
 
-/// Least size of a header field, in bytes.
-const FIELD_MIN: usize = 4;
-
-/// Room for the fields of a head. The limit on the size of the head bounds their number.
-type Fields<'a> = SmallVec<[httparse::Header<'a>; FIELDS]>;
-
-fn fields_for<'a>(input: &[u8], max: usize) -> Fields<'a> {
+/// Most fields that a head of at most `max` bytes at the start of `input` has.
+fn count_lines(input: &[u8], max: usize) -> usize {
     let head = &input[..input.len().min(max)];
-    let count = if head.len() <= FIELDS * FIELD_MIN {
-        FIELDS
-    } else {
-        head.split(|byte| *byte == b'\n').count()
-    };
-    SmallVec::from_elem(httparse::EMPTY_HEADER, count.max(FIELDS))
+    head.split(|byte| *byte == b'\n').count()
 }
 
 /// Error of parsing a head.
@@ -80,9 +69,16 @@
 ///
 /// Fails if the head is longer than `max` bytes or invalid. The connection is then unusable.
 pub fn parse_request(input: &mut BytesMut, max: usize) -> Result<Option<RequestHead>, HeadError> {
-    let mut fields = fields_for(input, max);
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+    let mut more = Vec::new();
     let mut head = httparse::Request::new(&mut fields);
-    let Some(size) = head_size(head.parse(input), input.len(), max)? else {
+    let mut result = head.parse(input);
+    if result == Err(httparse::Error::TooManyHeaders) {
+        more.resize(count_lines(input, max), httparse::EMPTY_HEADER);
+        head = httparse::Request::new(&mut more);
+        result = head.parse(input);
+    }
+    let Some(size) = head_size(result, input.len(), max)? else {
         return Ok(None);
     };
     let method = Method::from_bytes(head.method.unwrap_or_default().as_bytes());
@@ -93,7 +89,6 @@
         minor: head.version.unwrap_or_default(),
         headers: to_header_map(head.headers)?,
     };
-    drop(fields);
     input.advance(size);
     Ok(Some(parsed))
 }
@@ -105,9 +100,16 @@
 ///
 /// Fails if the head is longer than `max` bytes or invalid. The connection is then unusable.
 pub fn parse_response(input: &mut BytesMut, max: usize) -> Result<Option<ResponseHead>, HeadError> {
-    let mut fields = fields_for(input, max);
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS];
+    let mut more = Vec::new();
     let mut head = httparse::Response::new(&mut fields);
-    let Some(size) = head_size(head.parse(input), input.len(), max)? else {
+    let mut result = head.parse(input);
+    if result == Err(httparse::Error::TooManyHeaders) {
+        more.resize(count_lines(input, max), httparse::EMPTY_HEADER);
+        head = httparse::Response::new(&mut more);
+        result = head.parse(input);
+    }
+    let Some(size) = head_size(result, input.len(), max)? else {
         return Ok(None);
     };
     let code = StatusCode::from_u16(head.code.unwrap_or_default()).map_err(|e| invalid_head(&e))?;
@@ -116,7 +118,6 @@
         minor: head.version.unwrap_or_default(),
         headers: to_header_map(head.headers)?,
     };
-    drop(fields);
     input.advance(size);
     Ok(Some(parsed))
 }
