--- a/crates/gateway/src/coordinator.rs
+++ b/crates/gateway/src/coordinator.rs
@@ -8,6 +8,7 @@
 //! bounded, see [`trefoil_ranges::Timing`]. One that notices announces its resignation, so that its
 //! successor need not wait for that bound.
 
+mod author;
 mod backoff;
 mod routes;
 mod table_store;
@@ -21,11 +22,11 @@
 use futures_lite::{FutureExt, future};
 use slog::{info, warn};
 use trefoil_core::{Era, HostId, Key, ServiceName, Tick};
-use trefoil_ranges::Author;
 use trefoil_store::StoreError;
 
 use crate::host::Host;
 use crate::message::{Candidacy, Message, Resigned, TermItem};
+use author::is_author_silent;
 use term::{EndReason, Event};
 
 pub use backoff::Backoff;
@@ -51,9 +52,6 @@
 /// Age of the store's last answer up to which a host campaigns.
 const STORE_ANSWER_MAX_AGE: Duration = Duration::from_secs(2);
 
-/// Time in which the author of a table answers a greeting and reports its term.
-const ANSWER_WAIT: Duration = Duration::from_millis(400);
-
 /// Wait after a term could not be started.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -189,58 +187,6 @@
     }
 }
 
-/// Returns `true` if the host that wrote the table last is known to this one, whose reports then
-/// show whether it is still the coordinator, or does not answer a greeting.
-///
-/// Hosts find each other through records in the store, and those may be unavailable while the table
-/// is not. `asked` is the author that was greeted last.
-async fn is_author_silent(host: &Host, service: &ServiceName, asked: &mut Option<HostId>) -> bool {
-    let author = match table_store::read_table(host, service).await {
-        Ok((table, _)) => table.and_then(|table| table.author),
-        Err(reason) => {
-            warn!(host.log, "table not read"; "service" => %service, "reason" => %reason);
-            host.clock.sleep(RETRY_DELAY).await;
-            return false;
-        }
-    };
-    match author {
-        Some(author) if !author.resigned && *asked != Some(author.host) => {
-            // Reading the table has greeted the author.
-            if !host.may_be_unheard(&author) {
-                return true;
-            }
-            *asked = Some(author.host);
-            info!(host.log, "author greeted"; "service" => %service, "host" => %author.host,
-                "term" => author.term);
-            host.clock.sleep(ANSWER_WAIT).await;
-            false
-        }
-        _ => true,
-    }
-}
-
-impl Host {
-    /// Returns `true` if the author of a table is a host that this one has not found, and that can
-    /// be greeted.
-    fn may_be_unheard(&self, author: &Author) -> bool {
-        let peers = self.peers.borrow();
-        author.host != self.id
-            && author.address.is_some()
-            && !peers.has_ended(author.host)
-            && peers.address(author.host).is_none()
-    }
-
-    /// Greets the author of a table if this host has not found it.
-    fn greet_author(&self, author: Author) {
-        if self.may_be_unheard(&author) {
-            let mut peers = self.peers.borrow_mut();
-            let hello = Message::Hello(peers.own().clone(), true);
-            peers.queue(author.address, &hello);
-            self.events.outbox.notify(usize::MAX);
-        }
-    }
-}
-
 fn may_campaign(host: &Host, service: &ServiceName, now: Tick) -> bool {
     let recent = |seen: Option<Tick>| seen.is_some_and(|at| now.since(at) < STORE_ANSWER_MAX_AGE);
     let coordinator = host.peers.borrow().coordinator(now, service);
