--- a/crates/ranges/src/coordinator.rs
+++ b/crates/ranges/src/coordinator.rs
@@ -20,6 +20,10 @@
 //! coordinator can be. The former owner is then first sent a fencing grant: a short grant with a
 //! higher fence, after which it refuses the older ones.
 //!
+//! An upstream that restarts forgets its fences. What it has confirmed before counts for nothing if a
+//! grant of an earlier coordinator can arrive after the restart, so no former owner is cleared until
+//! all of these have arrived.
+//!
 //! Until the release is sent, requests continue to go to the former owner, provided that its grant
 //! is known to be valid.
 
