--- /dev/null
+++ b/review/standin-2/host.rs
@@ -0,0 +1,117 @@
+//! Starts `trefoild serve` as the deploy file does, with settings of a small deployment.
+
+use std::fs::{self, File};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::Wire;
+
+/// A process of the deploy file. It is killed when it is dropped.
+pub struct Host {
+    child: Child,
+    pub caller: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+fn free_port() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+        let address = listener.local_addr().expect("address");
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+impl Host {
+    /// Starts a host whose settings and log lie in `folder`.
+    pub fn start(folder: &Path, name: &str, store: SocketAddr) -> Self {
+        let [caller, ready, peer, operator] = [(); 4].map(|()| free_port());
+        let template = fs::read_to_string("deploy/settings.yaml").expect("template of the settings");
+        let text = template
+            .replace("{{nodeName}}", name)
+            .replace("{{zone}}", "ub-east")
+            .replace("{{limits.cpuShare}}", "0.5")
+            .replace("{{bindAddrs.front}}", &caller.to_string())
+            .replace("{{bindAddrs.ready}}", &ready.to_string())
+            .replace("{{ip}}:{{internalPortRange.0}}", &peer.to_string())
+            .replace("{{ip}}:9464", &operator.to_string())
+            .replace("{{platform.address}}", &store.to_string())
+            .replace("{{limits.memoryMb}}", "512")
+            .replace("{{limits.maxFds}}", "8192")
+            .replace("{{bounds.drainMs}}", "2500")
+            .replace("{{bounds.configApplyMs}}", "2500")
+            .replace("{{bounds.graceS}}", "6")
+            .replace("{{bounds.retryBudgetRatio}}", "0.2")
+            .replace("{{bounds.retryBudgetMin}}", "162")
+            .replace("{{bounds.budgetWindowS}}", "10")
+            .replace("{{bounds.holdMaxMs}}", "10000")
+            .replace("{{bounds.evacuateMs}}", "")
+            .replace("{{bounds.warmupOverage}}", "")
+            .replace("{{bounds.warmupSlack}}", "");
+        let settings = folder.join(format!("{name}.yaml"));
+        fs::write(&settings, text).expect("write the settings");
+        let log = File::create(folder.join(format!("{name}.log"))).expect("log");
+        let child = Command::new("target/release/trefoild")
+            .arg("serve")
+            .env("TREFOILCART_NODE_FILE", &settings)
+            .stdout(log)
+            .spawn()
+            .expect("start trefoild");
+        Self { child, caller, ready }
+    }
+
+    /// Waits until the host says that it is ready.
+    pub fn wait_ready(&self, most: Duration) -> bool {
+        let until = Instant::now() + most;
+        while Instant::now() < until {
+            if let Ok(stream) = TcpStream::connect(self.ready) {
+                let mut wire = Wire::new(stream);
+                let asked = wire.send(b"GET /readyz HTTP/1.1\r\nHost: h\r\n\r\n");
+                if asked.is_ok() && wire.head().is_ok_and(|h| h.is_some_and(|h| h.status() == 200)) {
+                    return true;
+                }
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        false
+    }
+
+    /// Returns true while the process runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A folder of its own for the settings and the logs, which is removed when it is dropped.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Self {
+        let folder = std::env::temp_dir().join(format!("trefoil-review-{}", std::process::id()));
+        fs::create_dir_all(&folder).expect("folder");
+        Self(folder)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+}
