--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for case in cut_answer behind_stream; do
+for case in cut_answer behind_stream growing_table; do
   rustc --edition 2021 -O -A dead_code -o "target/review-2/$case" "review/standin-2/$case.rs"
 done
--- a/review/standin-2/behind_stream.rs
+++ b/review/standin-2/behind_stream.rs
@@ -221,7 +221,7 @@
         });
     }
     let folder = host::Folder::new();
-    let mut router = host::Host::start(&folder.0, "edge-ub-east-1", store_address);
+    let mut router = host::Host::start(&folder.0, &host::MPTSA, store_address);
     if !router.wait_ready(Duration::from_secs(15)) {
         eprintln!("the host did not become ready");
         drop((router, folder));
--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -1,6 +1,6 @@
 //! Starts `trefoild serve` as the deploy file does, with settings of a small deployment.
 
-use std::fs::{self, File};
+use std::fs::{self, OpenOptions};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
@@ -9,9 +9,25 @@
 
 use crate::http::Wire;
 
+/// Settings that differ between sites.
+pub struct Site {
+    pub zone: &'static str,
+    pub drain_ms: u32,
+    pub apply_ms: u32,
+    pub grace_s: u32,
+    pub budget_min: u32,
+}
+
+pub const MPTSA: Site =
+    Site { zone: "ub-east", drain_ms: 2500, apply_ms: 2500, grace_s: 6, budget_min: 162 };
+
+pub const SMAGM_LARGE: Site =
+    Site { zone: "noreste-mty", drain_ms: 3000, apply_ms: 3000, grace_s: 10, budget_min: 630 };
+
 /// A process of the deploy file. It is killed when it is dropped.
 pub struct Host {
     child: Child,
+    settings: PathBuf,
     pub caller: SocketAddr,
     pub ready: SocketAddr,
 }
@@ -26,14 +42,26 @@
     }
 }
 
+fn spawn(settings: &Path) -> Child {
+    let log = settings.with_extension("log");
+    let log = OpenOptions::new().create(true).append(true).open(log).expect("log");
+    Command::new("target/release/trefoild")
+        .arg("serve")
+        .env("TREFOILCART_NODE_FILE", settings)
+        .stdout(log)
+        .spawn()
+        .expect("start trefoild")
+}
+
 impl Host {
     /// Starts a host whose settings and log lie in `folder`.
-    pub fn start(folder: &Path, name: &str, store: SocketAddr) -> Self {
+    pub fn start(folder: &Path, site: &Site, store: SocketAddr) -> Self {
+        let name = format!("edge-{}-1", site.zone);
         let [caller, ready, peer, operator] = [(); 4].map(|()| free_port());
         let template = fs::read_to_string("deploy/settings.yaml").expect("template of the settings");
         let text = template
-            .replace("{{nodeName}}", name)
-            .replace("{{zone}}", "ub-east")
+            .replace("{{nodeName}}", &name)
+            .replace("{{zone}}", site.zone)
             .replace("{{limits.cpuShare}}", "0.5")
             .replace("{{bindAddrs.front}}", &caller.to_string())
             .replace("{{bindAddrs.ready}}", &ready.to_string())
@@ -42,11 +70,11 @@
             .replace("{{platform.address}}", &store.to_string())
             .replace("{{limits.memoryMb}}", "512")
             .replace("{{limits.maxFds}}", "8192")
-            .replace("{{bounds.drainMs}}", "2500")
-            .replace("{{bounds.configApplyMs}}", "2500")
-            .replace("{{bounds.graceS}}", "6")
+            .replace("{{bounds.drainMs}}", &site.drain_ms.to_string())
+            .replace("{{bounds.configApplyMs}}", &site.apply_ms.to_string())
+            .replace("{{bounds.graceS}}", &site.grace_s.to_string())
             .replace("{{bounds.retryBudgetRatio}}", "0.2")
-            .replace("{{bounds.retryBudgetMin}}", "162")
+            .replace("{{bounds.retryBudgetMin}}", &site.budget_min.to_string())
             .replace("{{bounds.budgetWindowS}}", "10")
             .replace("{{bounds.holdMaxMs}}", "10000")
             .replace("{{bounds.evacuateMs}}", "")
@@ -54,14 +82,8 @@
             .replace("{{bounds.warmupSlack}}", "");
         let settings = folder.join(format!("{name}.yaml"));
         fs::write(&settings, text).expect("write the settings");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("log");
-        let child = Command::new("target/release/trefoild")
-            .arg("serve")
-            .env("TREFOILCART_NODE_FILE", &settings)
-            .stdout(log)
-            .spawn()
-            .expect("start trefoild");
-        Self { child, caller, ready }
+        let child = spawn(&settings);
+        Self { child, settings, caller, ready }
     }
 
     /// Waits until the host says that it is ready.
@@ -88,6 +110,17 @@
     pub fn id(&self) -> u32 {
         self.child.id()
     }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.settings);
+    }
 }
 
 impl Drop for Host {
--- a/review/standin-2/registry.rs
+++ b/review/standin-2/registry.rs
@@ -52,18 +52,37 @@
     store.put("keyed.op", "config", &text);
 }
 
+/// A registration of a backend.
+pub struct Backend<'a> {
+    pub id: &'a str,
+    pub service: &'a str,
+    pub zone: &'a str,
+    pub address: SocketAddr,
+    pub born: u128,
+    pub sequence: u64,
+}
+
+/// Writes one registration of a backend.
+pub fn put_backend(store: &Store, backend: &Backend<'_>) {
+    let Backend { id, service, zone, address, born, sequence } = backend;
+    let text = format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
+         \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,\
+         \"sequence\":{sequence},\"born\":{born}}}"
+    );
+    store.put("keyed.servers", id, &text);
+}
+
 /// Registers a backend and repeats that with each heartbeat.
 pub fn register(store: &Arc<Store>, id: &str, service: &str, address: SocketAddr) {
     let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock").as_millis();
     let (store, id, service) = (Arc::clone(store), id.to_owned(), service.to_owned());
     thread::spawn(move || {
         for sequence in 1.. {
-            let text = format!(
-                "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"ub-east\",\
-                 \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"warmupLeftMs\":0,\
-                 \"sequence\":{sequence},\"born\":{born}}}"
-            );
-            store.put("keyed.servers", &id, &text);
+            let (id, service) = (id.as_str(), service.as_str());
+            let zone = "ub-east";
+            let backend = Backend { id, service, zone, address, born, sequence };
+            put_backend(&store, &backend);
             thread::sleep(HEARTBEAT);
         }
     });
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -5,12 +5,16 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::{Wire, answer};
 
+/// `platform.recordBytes` of the settings: the most bytes of a record.
+const RECORD_BYTES: usize = 262_144;
+
 #[derive(Default)]
 struct Producer {
     epoch: u64,
@@ -45,6 +49,8 @@
 pub struct Store {
     partitions: Mutex<HashMap<String, Partition>>,
     changed: Condvar,
+    /// Records that were too long.
+    refused: AtomicUsize,
 }
 
 impl Store {
@@ -72,6 +78,19 @@
         self.changed.notify_all();
     }
 
+    /// Number of records that were refused because they were too long.
+    pub fn refused(&self) -> usize {
+        self.refused.load(Relaxed)
+    }
+
+    /// Length of the newest record of a key.
+    pub fn size(&self, topic: &str, key: &str) -> usize {
+        let all = self.partitions.lock().expect("lock");
+        let part = all.get(&format!("{topic}/0"));
+        let newest = part.and_then(|part| part.newest.get(key.as_bytes()));
+        newest.map_or(0, |(value, _)| value.len() + key.len() + 1)
+    }
+
     fn serve(&self, mut wire: Wire) {
         while let Ok(Some(head)) = wire.head() {
             let Ok(body) = wire.body(&head) else { return };
@@ -103,6 +122,10 @@
             if tail.len() < length {
                 return (400, Vec::new());
             }
+            if length > RECORD_BYTES {
+                self.refused.fetch_add(1, Relaxed);
+                return (413, Vec::new());
+            }
             records.push(tail[..length].to_vec());
             rest = &tail[length..];
         }
