--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -32,14 +32,17 @@
     pub ready: SocketAddr,
 }
 
-fn free_port() -> SocketAddr {
-    loop {
+/// Different ports that are free for TCP and UDP. All are held until the last one is found.
+fn free_ports<const N: usize>() -> [SocketAddr; N] {
+    let mut held = Vec::new();
+    while held.len() < N {
         let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
         let address = listener.local_addr().expect("address");
-        if UdpSocket::bind(address).is_ok() {
-            return address;
+        if let Ok(socket) = UdpSocket::bind(address) {
+            held.push((listener, socket, address));
         }
     }
+    std::array::from_fn(|index| held[index].2)
 }
 
 fn spawn(settings: &Path) -> Child {
@@ -57,7 +60,7 @@
     /// Starts a host whose settings and log lie in `folder`.
     pub fn start(folder: &Path, site: &Site, store: SocketAddr) -> Self {
         let name = format!("edge-{}-1", site.zone);
-        let [caller, ready, peer, operator] = [(); 4].map(|()| free_port());
+        let [caller, ready, peer, operator] = free_ports();
         let template = fs::read_to_string("deploy/settings.yaml").expect("template of the settings");
         let text = template
             .replace("{{nodeName}}", &name)
