Fail an answer without a length if a write has found the reset

Callers of `trefoild serve` got part of an answer as a complete 200: the upstream had answered a long request before it had read it, without a length, and had reset the connection in the middle of the body.

Cause: a socket reports a reset once. The client wrote the rest of the request first, that write took the error, and the read after it returned what had arrived and then no bytes, as after a regular close. The decoder ends a body without a length there. The same holds for a download, whose rest is read after the exchange.

Change: a connection remembers its first failure, so its input no longer ends with a close. The client also reads what has arrived before it writes more of a request: an upstream may close its side regularly and then reset the connection with the unread rest of the request, and once a write has found that reset, nothing tells the answer from one that was cut off.

Why this works: no end of input after a failure of the connection counts as a close, whichever call found the failure, in the exchange or while a download is read. Answers whose end their framing shows are complete as before.

--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -73,7 +73,7 @@
 impl UpstreamLink {
     fn new(stream: Async<TcpStream>) -> Self {
         Self {
-            connection: ClientConnection::new(stream),
+            connection: ClientConnection::new(stream).with_recheck(Async::recheck_input),
             used: false,
             refused: SmallVec::new(),
         }
--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -9,7 +9,7 @@
 
 use std::future::poll_fn;
 use std::io;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
@@ -101,6 +101,8 @@
     /// The current exchange leaves the connection open for another one.
     keeps_connection: bool,
     keep_alive_timeout: Option<Duration>,
+    /// Lets the next read ask the socket.
+    recheck: fn(&S),
 }
 
 /// State of the current exchange.
@@ -155,9 +157,18 @@
             reusable: true,
             keeps_connection: true,
             keep_alive_timeout: None,
+            recheck: |_| {},
         }
     }
 
+    /// Calls `recheck` before input is read while a request is being written. It lets the next read
+    /// ask the socket, for one whose reads wait for an event of the event loop: input may have
+    /// arrived since the loop last looked.
+    #[must_use]
+    pub fn with_recheck(self, recheck: fn(&S)) -> Self {
+        Self { recheck, ..self }
+    }
+
     /// The connection.
     pub fn get_ref(&self) -> &S {
         self.stream.get_ref()
@@ -237,6 +248,9 @@
         !self.stream.is_closed() && self.stream.input.is_empty()
     }
 
+    /// Writes the request and reads the answer. What has arrived is read before more of the request
+    /// is written: if the upstream has ended its answer and then reset the connection, a write that
+    /// finds the reset leaves no trace of the regular end.
     fn poll_exchange<F>(
         &mut self,
         cx: &mut Context<'_>,
@@ -246,11 +260,40 @@
     where
         F: Fn(&ResponseHead) -> Match,
     {
-        let written = self.poll_write_request(cx, exchange);
-        let mut reads = 0;
+        let mut written = match exchange.sent {
+            Sent::Nothing => self.poll_write_request(cx, exchange),
+            Sent::Something => Poll::Ready(Ok(())),
+        };
         loop {
+            if exchange.request.has_remaining() {
+                (self.recheck)(self.stream.get_ref());
+            }
             // A complete answer is valid even if the request could not be written completely,
             // because an upstream may answer before it has read the whole body.
+            if let Poll::Ready(done) = self.poll_answer(cx, exchange, classify) {
+                return Poll::Ready(done);
+            }
+            match written {
+                Poll::Ready(Err(e)) => return Poll::Ready(Err(e.to_string())),
+                Poll::Ready(Ok(())) if exchange.writes_on() => {}
+                _ => return Poll::Pending,
+            }
+            written = self.poll_write_request(cx, exchange);
+        }
+    }
+
+    /// Reads the answer as far as it has arrived.
+    fn poll_answer<F>(
+        &mut self,
+        cx: &mut Context<'_>,
+        exchange: &mut Exchange<'_>,
+        classify: &F,
+    ) -> Poll<Result<Response, String>>
+    where
+        F: Fn(&ResponseHead) -> Match,
+    {
+        let mut reads = 0;
+        loop {
             match exchange.parse_input(&mut self.stream, classify) {
                 Ok(Some(response)) => return Poll::Ready(Ok(response)),
                 Ok(None) => {}
@@ -265,7 +308,7 @@
             }
             if reads == READS_MAX {
                 cx.waker().wake_by_ref();
-                break;
+                return Poll::Pending;
             }
             reads += 1;
             match self.stream.poll_fill(cx) {
@@ -281,35 +324,30 @@
                 Poll::Pending if exchange.is_begun(true) => {
                     return Poll::Ready(exchange.take_response().ok_or_else(String::new));
                 }
-                Poll::Pending => break,
+                Poll::Pending => return Poll::Pending,
             }
         }
-        match written {
-            Poll::Ready(Err(e)) => Poll::Ready(Err(e.to_string())),
-            _ => Poll::Pending,
-        }
     }
 
+    /// Writes the next part of the request, as much as the socket takes at once.
     fn poll_write_request(
         &mut self,
         cx: &mut Context<'_>,
         exchange: &mut Exchange<'_>,
     ) -> Poll<io::Result<()>> {
-        while exchange.request.has_remaining() && exchange.head.is_none() {
-            match self.stream.poll_write(cx, exchange.request.chunk()) {
-                Poll::Ready(Ok(n)) => {
-                    exchange.sent = Sent::Something;
-                    exchange.request.advance(n);
-                }
-                Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
-                Poll::Pending => return Poll::Pending,
-            }
-        }
+        let written = ready!(self.stream.poll_write(cx, exchange.request.chunk()))?;
+        exchange.sent = Sent::Something;
+        exchange.request.advance(written);
         Poll::Ready(Ok(()))
     }
 }
 
 impl Exchange<'_> {
+    /// Returns true if more of the request is to be written: nothing is once an answer has begun.
+    fn writes_on(&self) -> bool {
+        self.request.has_remaining() && self.head.is_none()
+    }
+
     /// Returns true if the answer may end with the connection. The decoder decides whether it does.
     fn may_end_with_close(&self) -> bool {
         self.head.is_some()
--- a/crates/http/src/h1/stream.rs
+++ b/crates/http/src/h1/stream.rs
@@ -26,6 +26,9 @@
     /// Input that has been read but not consumed.
     pub input: BytesMut,
     closed: bool,
+    /// First failure of the connection. A socket reports a reset once, to the next write or read;
+    /// later reads return what had arrived and then no bytes, as after a regular close.
+    failure: Option<io::ErrorKind>,
 }
 
 impl<S> BufferedStream<S>
@@ -38,6 +41,7 @@
             stream,
             input: BytesMut::new(),
             closed: false,
+            failure: None,
         }
     }
 
@@ -46,7 +50,8 @@
         &self.stream
     }
 
-    /// Returns true if the peer has closed its sending side.
+    /// Returns true if the peer has closed its sending side. A connection that failed earlier is not
+    /// closed: bytes may be missing at its end.
     pub fn is_closed(&self) -> bool {
         self.closed
     }
@@ -56,7 +61,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection does.
+    /// Fails if the connection does, or if it failed in an earlier read or write and no bytes are
+    /// left that had arrived before.
     pub fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         if self.closed {
             return Poll::Ready(Ok(0));
@@ -66,9 +72,19 @@
             self.input.extend_from_slice(&scratch[..n]);
             Poll::Ready(io::Result::Ok(n))
         });
-        let n = ready!(read)?;
-        self.closed = n == 0;
-        Poll::Ready(Ok(n))
+        Poll::Ready(match (ready!(read), self.failure) {
+            (Ok(0), Some(failure)) => Err(failure.into()),
+            (Ok(n), _) => {
+                self.closed = n == 0;
+                Ok(n)
+            }
+            (Err(error), _) => Err(self.record_failure(error)),
+        })
+    }
+
+    fn record_failure(&mut self, error: io::Error) -> io::Error {
+        self.failure.get_or_insert(error.kind());
+        error
     }
 
     /// Frees the buffer of the input if it is empty, unless it is small.
@@ -84,10 +100,13 @@
     ///
     /// Fails if the connection does, or if it accepts no byte.
     pub fn poll_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        match ready!(Pin::new(&mut self.stream).poll_write(cx, bytes))? {
-            0 => Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
-            n => Poll::Ready(Ok(n)),
-        }
+        Poll::Ready(
+            match ready!(Pin::new(&mut self.stream).poll_write(cx, bytes)) {
+                Ok(0) => Err(self.record_failure(io::ErrorKind::WriteZero.into())),
+                Ok(n) => Ok(n),
+                Err(error) => Err(self.record_failure(error)),
+            },
+        )
     }
 
     /// Closes the sending side.
@@ -99,10 +118,11 @@
         Pin::new(&mut self.stream).poll_close(cx)
     }
 
-    /// Returns true if there is no input and the peer has not closed. Polls the connection once to
-    /// find out.
+    /// Returns true if there is no input, and the connection is neither closed nor has failed. Polls
+    /// it once to find out.
     pub fn is_idle(&mut self) -> bool {
         let mut cx = Context::from_waker(std::task::Waker::noop());
-        self.input.is_empty() && !self.closed && self.poll_fill(&mut cx).is_pending()
+        let open = !self.closed && self.failure.is_none();
+        self.input.is_empty() && open && self.poll_fill(&mut cx).is_pending()
     }
 }
--- a/tests/all/h1.rs
+++ b/tests/all/h1.rs
@@ -2,6 +2,7 @@
 
 mod bodies;
 mod client;
+mod early;
 mod framing;
 mod memory;
 mod pipe;
--- a/tests/all/h1/pipe.rs
+++ b/tests/all/h1/pipe.rs
@@ -10,6 +10,15 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::LocalExecutor;
 
+/// Report of the reset of a socket, which is made once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Report {
+    /// The next call that finds the reset fails with this error.
+    Due(io::ErrorKind),
+    /// A call has failed with it.
+    Made,
+}
+
 /// Bytes in transit in one direction.
 #[derive(Debug, Default)]
 struct Channel {
@@ -17,6 +26,8 @@
     capacity: usize,
     closed: bool,
     reset: bool,
+    /// The connection was reset as a socket reports it.
+    socket_reset: Option<Report>,
     reader: Option<Waker>,
     writer: Option<Waker>,
 }
@@ -113,6 +124,22 @@
         }
     }
 
+    /// Resets the connection as a socket of Linux reports it: the input that has arrived can still be
+    /// read. The error is reported once, to the next write or to the read that finds no more input;
+    /// later writes find a broken pipe, and later reads find the end of the input. After a regular
+    /// [`close`](Self::close) reads find no error at all.
+    pub fn reset_socket(&self) {
+        let mut channel = self.output.borrow_mut();
+        let kind = if channel.closed {
+            io::ErrorKind::BrokenPipe
+        } else {
+            io::ErrorKind::ConnectionReset
+        };
+        channel.socket_reset = Some(Report::Due(kind));
+        channel.wake();
+        self.input.borrow_mut().wake();
+    }
+
     /// Returns true if the code under test has closed its sending direction or dropped the
     /// connection.
     pub fn is_closed(&self) -> bool {
@@ -136,8 +163,17 @@
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
         if channel.bytes.is_empty() && !channel.closed {
-            channel.reader = Some(cx.waker().clone());
-            return Poll::Pending;
+            match channel.socket_reset {
+                None => {
+                    channel.reader = Some(cx.waker().clone());
+                    return Poll::Pending;
+                }
+                Some(Report::Due(kind)) => {
+                    channel.socket_reset = Some(Report::Made);
+                    return Poll::Ready(Err(kind.into()));
+                }
+                Some(Report::Made) => return Poll::Ready(Ok(0)),
+            }
         }
         let count = buf.len().min(channel.bytes.len());
         for (slot, byte) in buf.iter_mut().zip(channel.bytes.drain(..count)) {
@@ -153,6 +189,12 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let report = &mut self.input.borrow_mut().socket_reset;
+        match report.replace(Report::Made) {
+            None => *report = None,
+            Some(Report::Due(kind)) => return Poll::Ready(Err(kind.into())),
+            Some(Report::Made) => return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into())),
+        }
         let mut channel = self.output.borrow_mut();
         if channel.reset || channel.closed {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod decoding;
 mod downloads;
+mod early_answers;
 mod endless;
 mod evacuations;
 mod failing;
--- a/tests/all/platform/fake.rs
+++ b/tests/all/platform/fake.rs
@@ -19,6 +19,13 @@
 /// Answers a request with this id on its connection. Returns true if the connection stays open.
 type Act = dyn Fn(&str, &mut TcpStream) -> bool + Send + Sync;
 
+/// Part of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Part {
+    Head,
+    Whole,
+}
+
 /// An upstream of the service `plain`.
 pub(super) struct FakeUpstream {
     address: SocketAddr,
@@ -26,8 +33,17 @@
 }
 
 impl FakeUpstream {
-    /// Starts an upstream whose connections answer with `act`.
+    /// Starts an upstream whose connections answer with `act` once they have read the request.
     pub(super) fn start<F>(act: F) -> Self
+    where
+        F: Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static,
+    {
+        Self::start_after(Part::Whole, act)
+    }
+
+    /// Starts an upstream whose connections answer with `act` once they have read this part of the
+    /// request.
+    pub(super) fn start_after<F>(part: Part, act: F) -> Self
     where
         F: Fn(&str, &mut TcpStream) -> bool + Send + Sync + 'static,
     {
@@ -41,7 +57,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 let (act, count) = (Arc::clone(&act), Arc::clone(&count));
-                thread::spawn(move || serve(stream, &*act, &count));
+                thread::spawn(move || serve(stream, part, &*act, &count));
             }
         });
         Self { address, received }
@@ -64,7 +80,7 @@
     }
 }
 
-fn serve(mut stream: TcpStream, act: &Act, received: &AtomicUsize) {
+fn serve(mut stream: TcpStream, part: Part, act: &Act, received: &AtomicUsize) {
     loop {
         let mut head = Vec::new();
         let mut byte = [0];
@@ -77,6 +93,7 @@
         let head = String::from_utf8_lossy(&head).to_lowercase();
         let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
         let length = field("content-length: ").and_then(|n| n.parse().ok());
+        let length = length.filter(|_| part == Part::Whole);
         let mut body = vec![0; length.unwrap_or_default()];
         let id = field("x-request-id: ").unwrap_or_default();
         received.fetch_add(usize::from(id != "probe"), Ordering::SeqCst);
@@ -113,12 +130,16 @@
 
 /// One host in front of these upstreams, with a route `/load/` for downloads.
 pub(super) fn fleet_of(upstreams: &[&FakeUpstream]) -> Fleet {
+    fleet_with(upstreams, &download_config())
+}
+
+/// One host in front of these upstreams, with version 2 of a configuration.
+pub(super) fn fleet_with(upstreams: &[&FakeUpstream], config: &Value) -> Fleet {
     let mut fleet = Fleet::new(super::program(), Vec::new());
     for (number, upstream) in upstreams.iter().enumerate() {
         upstream.register(&fleet, &format!("f{number}"));
     }
-    let config = download_config();
-    fleet.control_plane.write_config(&config).expect("written");
+    fleet.control_plane.write_config(config).expect("written");
     fleet.start_host();
     eventually("the configuration is in force", || {
         let version = fleet.hosts[0].sum_metric("trefoil_config_version", "");
