Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: hyper ends such an answer with the connection. When its body failed, the server closed its sending side regularly before it lingered, and that is how a whole answer of this kind ends as well.

Change: if a connection fails while an answer without a length is sent to a caller of HTTP/1.0, the server resets it.

Why this works: the caller reads what was sent and then an error, where a whole answer ends with a close. Answers with a length or in chunks show the missing end themselves and keep the close, so a caller loses nothing that was sent.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -4,26 +4,31 @@
 //! the service. [`Server`] replaces that answer with [`Service::refusal`]. If a socket is closed
 //! while it has unread input, the kernel resets the connection, and the client can lose an answer
 //! that it has not read yet; the server therefore reads and discards input for a short time before
-//! it closes a connection.
+//! it closes a connection. An answer without a length to a caller of HTTP/1.0 ends with its
+//! connection; if it breaks off, the server resets the connection, because a regular close would
+//! complete the answer.
 
 use std::convert::Infallible;
 use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use event_listener::Event;
 use futures_lite::future::Boxed;
 use futures_lite::{AsyncReadExt, FutureExt, future};
-use http::{Request, Response, StatusCode};
+use http::header::CONTENT_LENGTH;
+use http::{Request, Response, StatusCode, Version};
+use http_body::Body as _;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use socket2::SockRef;
 
 use crate::Body;
 use crate::refusal::{ExchangeState, RefusalStream};
@@ -80,7 +85,7 @@
 #[derive(Debug, Default)]
 struct State {
     stopping: Event,
-    stopped: std::sync::atomic::AtomicBool,
+    stopped: AtomicBool,
     open: AtomicUsize,
     closed: Event,
 }
@@ -178,10 +183,17 @@
     let exchange = Arc::new(ExchangeState::default());
     let (io, rest) = (stream.clone(), stream);
     let io = RefusalStream::new(io, Arc::clone(&service), Arc::clone(&exchange));
-    let handler = service_fn(move |request| {
+    let ends_with_close = AtomicBool::default();
+    let handler = service_fn(|request: Request<Incoming>| {
+        let version = request.version();
         let guard = exchange.begin();
         let answer = Arc::clone(&service).handle(peer, request);
-        async move { Ok::<_, Infallible>(answer.await.map(|body| guard.attach(body))) }
+        let ends_with_close = &ends_with_close;
+        async move {
+            let answer = answer.await;
+            ends_with_close.store(is_endless(version, &answer), Ordering::Relaxed);
+            Ok::<_, Infallible>(answer.map(|body| guard.attach(body)))
+        }
     });
     let connection = http1::Builder::new()
         .timer(SmolTimer::new())
@@ -194,20 +206,30 @@
     let mut connection = pin!(connection);
     let stopping = async {
         state.wait_for_stop().await;
-        true
-    };
-    let done = async {
-        // An error ends only this connection, and the client sees it close.
-        let _ = connection.as_mut().await;
-        false
+        None
     };
-    if future::or(done, stopping).await {
+    let done = async { Some(connection.as_mut().await) };
+    let result = if let Some(result) = future::or(done, stopping).await {
+        result
+    } else {
         connection.as_mut().graceful_shutdown();
-        let _ = connection.await;
+        connection.as_mut().await
+    };
+    // An error ends only this connection. Dropping the socket without a linger time resets it.
+    if result.is_err() && ends_with_close.load(Ordering::Relaxed) {
+        let _ = SockRef::from(&rest).set_linger(Some(Duration::ZERO));
+        return;
     }
     linger(rest).or(state.wait_for_stop()).await;
 }
 
+/// Returns true if an answer to a request of this version has no end but that of the connection.
+fn is_endless(version: Version, answer: &Response<Body>) -> bool {
+    version < Version::HTTP_11
+        && !answer.headers().contains_key(CONTENT_LENGTH)
+        && answer.body().size_hint().exact().is_none()
+}
+
 /// Closes the sending side, then reads and discards input until the client closes its side.
 async fn linger(mut stream: TcpStream) {
     let read = async {
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod copies;
+mod early_answers;
 mod grants;
 mod host;
 mod odd_status;
