Refuse an answer whose head ends with a stray line feed

Cause: httparse, which also reads heads for hyper, takes a line feed without CR for the end of a line. At the start of a line it is an empty line, so the head ends there; without the length that follows, the body lasts until the close.

Change: a head that ends with a line feed without CR although other lines of it end with CRLF is refused, in trefoil-http's own parser and, for hyper's client, by a stream that checks the heads that pass through it. Heads whose lines all end with a line feed are accepted as before.

Why this works: such a byte can no longer end a head early, and in any other place of a name it leaves a line without a colon, which was refused already.

Evidence, before and after the change: - h1::fields::a_name_with_an_invalid_byte_is_a_failure, every byte that no name has at every place of four names: failed with the line feed, passes.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -15,6 +15,7 @@
 use smol_hyper::rt::FuturesIo;
 use snafu::{ResultExt, Snafu};
 
+use crate::head_guard::{HeadGuard, HeadMark};
 use crate::{Body, full};
 
 /// Statuses of final answers (RFC 9110, section 15).
@@ -53,6 +54,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Body>,
+    /// Announces the head of the next answer to the stream.
+    mark: HeadMark,
     // Dropping the task closes the socket, even while an answer is outstanding.
     _driver: Task<()>,
 }
@@ -73,6 +76,8 @@
             .await
             .context(ConnectSnafu { address })?;
         let _ = stream.set_nodelay(true);
+        let mark = HeadMark::default();
+        let stream = HeadGuard::new(stream, mark.clone());
         let handshake = http1::handshake(FuturesIo::new(stream)).await;
         let (sender, connection) = handshake.context(BrokenSnafu)?;
         let driver = smol::spawn(async move {
@@ -80,6 +85,7 @@
         });
         Ok(Self {
             sender,
+            mark,
             _driver: driver,
         })
     }
@@ -103,6 +109,7 @@
             .ready()
             .await
             .or(Err(ConnectionError::NotWritten))?;
+        self.mark.set();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 let status = response.status();
--- a/crates/http/src/h1.rs
+++ b/crates/http/src/h1.rs
@@ -28,6 +28,7 @@
 };
 pub use encode::{EncodedMessage, encode_request, encode_response};
 pub use framing::{BodyError, Decoded, Decoder, Framing};
+pub(crate) use head::{EARLY_END, ends_early};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use memory::{BodyLimit, MemoryShare, NoMemory, Reservation};
 pub use progress::Progress;
--- a/crates/http/src/h1/head.rs
+++ b/crates/http/src/h1/head.rs
@@ -12,6 +12,16 @@
 /// on, so bytes with them are not taken for an answer.
 const STATUS_MAX: u16 = 599;
 
+/// Reason for which a head that [ends early](ends_early) is refused.
+pub(crate) const EARLY_END: &str = "a line feed without CR ends a head whose lines end with CRLF";
+
+/// Returns true if a complete head ends with a line feed without CR although other lines of it end
+/// with CRLF. The line feed may be the first byte of a damaged field name, and what follows it the
+/// rest of the head, not the body.
+pub(crate) fn ends_early(head: &[u8]) -> bool {
+    !head.ends_with(b"\r\n") && head.windows(2).any(|pair| pair == b"\r\n")
+}
+
 /// Most fields that a head of at most `max` bytes at the start of `input` has.
 fn count_lines(input: &[u8], max: usize) -> usize {
     let head = &input[..input.len().min(max)];
@@ -116,6 +126,9 @@
     let Some(size) = head_size(result, input.len(), max)? else {
         return Ok(None);
     };
+    if ends_early(&input[..size]) {
+        return Err(invalid_head(&EARLY_END));
+    }
     let code = StatusCode::from_u16(head.code.unwrap_or_default()).map_err(|e| invalid_head(&e))?;
     if code.as_u16() > STATUS_MAX {
         return Err(invalid_head(&"the status is not defined"));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod client;
 pub mod h1;
+mod head_guard;
 mod refusal;
 pub mod server;
 
--- a/tests/all/h1.rs
+++ b/tests/all/h1.rs
@@ -3,6 +3,7 @@
 mod bodies;
 mod client;
 mod early;
+mod fields;
 mod framing;
 mod memory;
 mod pipe;
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -7,7 +7,7 @@
 mod early_answers;
 mod grants;
 mod host;
-mod odd_status;
+mod odd_heads;
 mod operator;
 mod raw_http;
 mod streams;
--- a/tests/all/sessions/odd_status.rs
+++ b/tests/all/sessions/odd_heads.rs
@@ -1,4 +1,4 @@
-//! An upstream whose status lines are not those of a final answer.
+//! An upstream whose heads are not those of a final answer.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -27,21 +27,41 @@
     ),
 ];
 
+/// Lines that are no header fields because of a byte in the name, each with the last path segment
+/// of the requests that are answered with it.
+const FIELDS: [(&str, &str); 9] = [
+    ("blank", "X Odd: 1"),
+    ("blankend", "X-Odd : 1"),
+    ("blankstart", " X-Odd: 1"),
+    ("tab", "X\tOdd: 1"),
+    ("nul", "X-\0Odd: 1"),
+    ("control", "X-Odd\x01: 1"),
+    ("delete", "X-\x7fOdd: 1"),
+    ("return", "X-\rOdd: 1"),
+    ("newline", "\nX-Odd: 1"),
+];
+
+/// Lines with their path segments, and how an answer is made of a line and valid fields.
+type Odd = (
+    &'static [(&'static str, &'static str)],
+    fn(&str, &str) -> String,
+);
+
 /// Starts the upstream and counts its POST requests.
-fn start_upstream(posts: &Arc<AtomicUsize>) -> SocketAddr {
+fn start_upstream(posts: &Arc<AtomicUsize>, odd: Odd) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let posts = Arc::clone(posts);
     thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let posts = Arc::clone(&posts);
-            thread::spawn(move || answer(stream, &posts));
+            thread::spawn(move || answer(stream, &posts, odd));
         }
     });
     address
 }
 
-fn answer(mut stream: TcpStream, posts: &AtomicUsize) -> Option<()> {
+fn answer(mut stream: TcpStream, posts: &AtomicUsize, (lines, make): Odd) -> Option<()> {
     let mut head = Vec::new();
     let mut byte = [0];
     while !head.ends_with(b"\r\n\r\n") {
@@ -54,12 +74,13 @@
     stream.read_exact(&mut vec![0; length.unwrap_or(0)]).ok()?;
     posts.fetch_add(usize::from(head.starts_with("post")), Ordering::SeqCst);
     let kind = head.split(' ').nth(1)?.rsplit('/').next()?;
-    let line = LINES.into_iter().find(|(name, _)| *name == kind);
-    let line = line.map_or("HTTP/1.1 200 OK", |(_, line)| line);
     let number = field("trefoil-attempt: ").unwrap_or_default();
     // Without the announcement, a request could be written to the connection while it closes.
-    let fields = format!("trefoil-attempt: {number}\r\nconnection: close\r\ncontent-length: 3");
-    let answer = format!("{line}\r\n{fields}\r\n\r\nodd");
+    let fields = format!("trefoil-attempt: {number}\r\nconnection: close\r\n");
+    let answer = match lines.iter().find(|(name, _)| *name == kind) {
+        Some((_, line)) => make(line, &fields),
+        None => format!("HTTP/1.1 200 OK\r\n{fields}content-length: 3\r\n\r\nodd"),
+    };
     stream.write_all(answer.as_bytes()).ok()
 }
 
@@ -67,9 +88,24 @@
 /// a second run of a request that must not run twice (P5).
 #[test]
 fn an_odd_status_is_never_passed_on() {
+    check_never_passed_on((&LINES, |line, fields| {
+        format!("{line}\r\n{fields}content-length: 3\r\n\r\nodd")
+    }));
+}
+
+/// Guards against an answer with a damaged field that is passed on, with the field or with a body
+/// that the upstream has not sent (P3), and against a second run (P5).
+#[test]
+fn an_odd_field_is_never_passed_on() {
+    check_never_passed_on((&FIELDS, |line, fields| {
+        format!("HTTP/1.1 200 OK\r\n{fields}{line}\r\ncontent-length: 3\r\n\r\nodd")
+    }));
+}
+
+fn check_never_passed_on(odd: Odd) {
     let hosts = Hosts::start(&["a", "b"]);
     let posts = Arc::default();
-    let address = start_upstream(&posts);
+    let address = start_upstream(&posts, odd);
     let service = format!(
         "    - name: odd
       key: {{ path: 1 }}
@@ -100,20 +136,20 @@
         eventually("the upstream is served", || {
             (send(host, "GET", "fine").status() == 200).then_some(())
         });
-        for (kind, line) in LINES {
+        for (kind, line) in odd.0 {
             let before = posts.load(Ordering::SeqCst);
             for method in ["POST", "GET"] {
                 let answer = send(host, method, kind);
                 let seen = (answer.status(), answer.outcome());
-                assert_eq!(seen, (502, "unknown"), "{method}: {line}: {answer:?}");
-                assert_ne!(answer.body, b"odd", "{method}: {line}");
+                assert_eq!(seen, (502, "unknown"), "{method}: {line:?}: {answer:?}");
+                assert_ne!(answer.body, b"odd", "{method}: {line:?}");
                 // The slot of an unknown request is free again after its deadline. A request that
                 // waits for it longer than its own deadline is refused and reaches no upstream.
                 eventually("the upstream is served", || {
                     (send(host, "GET", "fine").status() == 200).then_some(())
                 });
             }
-            assert_eq!(posts.load(Ordering::SeqCst), before + 1, "{line}");
+            assert_eq!(posts.load(Ordering::SeqCst), before + 1, "{line:?}");
         }
     }
 }
