Refuse chunks whose line states no size

Callers of `trefoild serve` would get an answer in chunks as complete although its last chunk was missing: an empty line where the size of the next chunk is due counted as the last chunk.

Cause: httparse::parse_chunk_size returns 0 for a line without a digit. It also takes a line feed for a part of an extension, so a line could hide bytes of the body.

Change: the decoder refuses a size line that does not begin with a digit, or that contains a line feed before its end. It holds for the bodies of requests as well, as they share it.

Why this works: the last chunk is now the only thing that ends a body in chunks.

Evidence: h1::framing::a_chunk_without_a_size_is_invalid failed before (body "abc" without a last chunk was complete) and passes. `trefoild run` reads bodies with hyper, which refused all of them before: sessions::odd_bodies::a_body_that_is_not_in_chunks_is_incomplete.

--- a/crates/http/src/h1/framing.rs
+++ b/crates/http/src/h1/framing.rs
@@ -199,6 +199,9 @@
     fn decode_line(&mut self, input: &mut BytesMut) -> Result<bool, BodyError> {
         if self.state == State::Size {
             return match httparse::parse_chunk_size(input) {
+                Ok(httparse::Status::Complete((used, _))) if !is_size_line(&input[..used]) => {
+                    Err(BodyError::InvalidChunk)
+                }
                 Ok(httparse::Status::Complete((used, len))) => {
                     input.advance(used);
                     self.state = if len == 0 {
@@ -231,6 +234,13 @@
     }
 }
 
+/// Returns true if a line with the size of a chunk states a size and is one line. httparse takes a
+/// line without a size for that of the last chunk, and a line feed for a part of an extension.
+fn is_size_line(line: &[u8]) -> bool {
+    let end = line.len().saturating_sub(1);
+    line.first().is_some_and(u8::is_ascii_hexdigit) && !line[..end].contains(&b'\n')
+}
+
 fn take_up_to(input: &mut BytesMut, max: u64) -> Bytes {
     let max = usize::try_from(max).unwrap_or(usize::MAX);
     input.split_to(max.min(input.len())).freeze()
--- a/tests/all/h1/client.rs
+++ b/tests/all/h1/client.rs
@@ -206,6 +206,7 @@
         "HTTP/1.1 200 OK\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n",
         "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nx\r\n\r\n\r\n",
         long.as_str(),
     ];
     for answer in wrong {
--- a/tests/all/h1/framing.rs
+++ b/tests/all/h1/framing.rs
@@ -150,3 +150,19 @@
     let parsed = parse_request(&mut head(40_000), usize::MAX);
     assert_eq!(parsed, Err(HeadError::TooLarge));
 }
+
+/// Guards against a body in chunks that looks complete although the last chunk is missing, and
+/// against data that is skipped with an extension of a chunk.
+#[test]
+fn a_chunk_without_a_size_is_invalid() {
+    for line in ["", " ", "\t", ";x", " ;x", "5;\nhello", "0;\n", "0;x\ny"] {
+        let sent = format!("3\r\nabc\r\n{line}\r\n\r\n");
+        let decoded = decode(Framing::Chunked, &[sent.as_bytes()], true);
+        assert_eq!(decoded, None, "{line:?}");
+    }
+    for line in ["0", "00", "0 ", "0;x", "0 ; x=\"y\""] {
+        let sent = format!("3;x\r\nabc\r\n{line}\r\n\r\n");
+        let decoded = decode(Framing::Chunked, &[sent.as_bytes()], true);
+        assert_eq!(decoded, Some((b"abc".to_vec(), Vec::new())), "{line:?}");
+    }
+}
--- a/tests/all/sessions.rs
+++ b/tests/all/sessions.rs
@@ -7,6 +7,7 @@
 mod early_answers;
 mod grants;
 mod host;
+mod odd_bodies;
 mod odd_heads;
 mod operator;
 mod raw_http;
--- /dev/null
+++ b/tests/all/sessions/odd_bodies.rs
@@ -0,0 +1,66 @@
+//! Bodies of upstreams in chunks that are none, as `trefoild run` reads them.
+
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use trefoil_http::{CallError, call};
+
+/// Returns the body of the answer to a request if it is complete. The head declares chunks.
+fn read_body(chunks: &str) -> Option<Bytes> {
+    read_answer(format!(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{chunks}"
+    ))
+}
+
+fn read_answer(answer: String) -> Option<Bytes> {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let upstream = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accepted");
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).expect("a head");
+            head.push(byte[0]);
+        }
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    let timeout = Duration::from_secs(20);
+    let request = Request::new(Bytes::new());
+    let result = smol::block_on(call(address, request, 1000, timeout));
+    upstream.join().expect("no panic");
+    match result {
+        Ok((_, body)) => Some(body),
+        Err(CallError::TimedOut { .. }) => panic!("the answer has an end"),
+        Err(_) => None,
+    }
+}
+
+/// Guards against a body that looks complete although the last chunk is missing or its bytes are no
+/// chunks.
+#[test]
+fn a_body_that_is_not_in_chunks_is_incomplete() {
+    for chunks in [
+        "3\r\nabc\r\n",
+        "3\r\nabc\r\n\r\n\r\n",
+        "3\r\nabc\r\n \r\n\r\n",
+        "3\r\nabc\r\n;x\r\n\r\n",
+        "3\r\nabc\r\n5;\nhello\r\n0\r\n\r\n",
+        "3\r\nabcd\r\n0\r\n\r\n",
+        "3\r\nabc\r\n0\r\n",
+        "3\r\nabc\r\n0\r\nno field\r\n\r\n",
+        "3\r\nabc\r\n0\r\nx y: 1\r\n\r\n",
+        "3\r\nabc\r\n0\r\nx\0y: 1\r\n\r\n",
+        "3\r\nabc\r\n0\r\nHTTP/1.1 200 OK\r\nx: 1\r\n\r\n",
+    ] {
+        assert_eq!(read_body(chunks), None, "{chunks:?}");
+    }
+    for end in ["0\r\n\r\n", "0;x\r\nx: 1\r\ny:\r\n\r\n"] {
+        let body = read_body(&format!("3\r\nabc\r\n{end}"));
+        assert_eq!(body, Some(Bytes::from("abc")), "{end:?}");
+    }
+}
