Refuse trailers that are no header fields

`trefoild serve` passed on an answer in chunks whose trailer held bytes that are no field, for example the head of another answer, a blank or a control byte in a name.

Cause: the decoder skipped every line after the last chunk up to an empty one.

Change: each of these lines has to be a header field, as in a head.

Why this works: bytes that belong to no trailer no longer complete an answer, so what an upstream in trouble has sent there fails it.

Evidence: h1::framing::a_trailer_that_is_no_field_is_invalid failed before and passes. hyper, which reads for `trefoild run`, refused such trailers before (sessions::odd_bodies::a_body_that_is_not_in_chunks_is_incomplete).

--- a/crates/http/src/h1/framing.rs
+++ b/crates/http/src/h1/framing.rs
@@ -97,6 +97,9 @@
     /// A chunk violates the chunked encoding.
     #[snafu(display("a chunk is invalid"))]
     InvalidChunk,
+    /// The lines after the last chunk are not header fields.
+    #[snafu(display("a trailer field is invalid"))]
+    InvalidTrailer,
 }
 
 /// Result of [`Decoder::decode`].
@@ -227,7 +230,8 @@
             State::ChunkEnd => self.state = State::Size,
             // Trailer fields are discarded up to the empty line that ends them.
             _ if end == 0 => self.state = State::End,
-            _ => {}
+            _ if is_field(&input[..end + 2]) => {}
+            _ => return Err(BodyError::InvalidTrailer),
         }
         input.advance(end + 2);
         Ok(true)
@@ -241,6 +245,13 @@
     line.first().is_some_and(u8::is_ascii_hexdigit) && !line[..end].contains(&b'\n')
 }
 
+/// Returns true if a line is one header field.
+fn is_field(line: &[u8]) -> bool {
+    let mut fields = [httparse::EMPTY_HEADER; 1];
+    // The parser waits for the line after the field.
+    httparse::parse_headers(line, &mut fields) == Ok(httparse::Status::Partial)
+}
+
 fn take_up_to(input: &mut BytesMut, max: u64) -> Bytes {
     let max = usize::try_from(max).unwrap_or(usize::MAX);
     input.split_to(max.min(input.len())).freeze()
--- a/tests/all/h1/framing.rs
+++ b/tests/all/h1/framing.rs
@@ -166,3 +166,30 @@
         assert_eq!(decoded, Some((b"abc".to_vec(), Vec::new())), "{line:?}");
     }
 }
+
+/// Guards against bytes that are skipped as trailer fields although they are none, such as the head
+/// of another answer.
+#[test]
+fn a_trailer_that_is_no_field_is_invalid() {
+    for line in [
+        "HTTP/1.1 200 OK",
+        "no field",
+        "x y: 1",
+        "x : 1",
+        " x: 1",
+        "x\0y: 1",
+        "x\x7f: 1",
+        "x: a\0b",
+        "x: 1\ny",
+        "\nx: 1",
+        "\n",
+        ": 1",
+    ] {
+        let sent = format!("3\r\nabc\r\n0\r\nx: 1\r\n{line}\r\n\r\n");
+        let decoded = decode(Framing::Chunked, &[sent.as_bytes()], true);
+        assert_eq!(decoded, None, "{line:?}");
+    }
+    let sent = b"3\r\nabc\r\n0\r\nx: 1\r\ny:\r\nx-z:a b\t\r\n\r\nrest";
+    let decoded = decode(Framing::Chunked, &[sent], true);
+    assert_eq!(decoded, Some((b"abc".to_vec(), b"rest".to_vec())));
+}
