Fail an answer with an unknown transfer encoding on trefoild run

Callers of `trefoild run` got a 200 whose body was not the upstream's: the bytes of a transfer encoding such as gzip, without the field that names it.

Cause: hyper's client reads a body with an encoding that it does not know up to the close, and one whose last encoding is chunked as chunks, and leaves the rest to its user. The field applies to one connection and is not passed on.

Change: a connection fails such an answer with an error of its own. The attempt ends without an answer, so the outcome is unknown and a request that must not run twice is not repeated.

Why this works: no request asks for an encoding (`TE` is not passed on), so chunks are the only one that an upstream may use.

Evidence: sessions::odd_bodies::an_encoded_body_is_no_answer failed before (the chunks of a body came back as the body itself) and passes. The other tests of sessions pass.

--- a/crates/daemon/src/dispatcher/exchange.rs
+++ b/crates/daemon/src/dispatcher/exchange.rs
@@ -126,7 +126,9 @@
                 return end_attempt(slot, Cause::NothingWritten);
             }
             SendResult::Head(Err(
-                ConnectionError::Broken { .. } | ConnectionError::Status { .. },
+                ConnectionError::Broken { .. }
+                | ConnectionError::Status { .. }
+                | ConnectionError::Encoding,
             )) => {
                 return end_attempt(slot, Cause::NoAnswer);
             }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use futures_lite::FutureExt;
+use http::header::TRANSFER_ENCODING;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -48,6 +49,10 @@
         /// The status.
         status: StatusCode,
     },
+    /// The body has a transfer encoding other than `chunked`, which no request asks for. hyper does
+    /// not decode it, and does not fail.
+    #[snafu(display("the answer has a transfer encoding other than chunked"))]
+    Encoding,
 }
 
 /// Client connection that carries one request at a time.
@@ -99,8 +104,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection does, or if the status is not that of a final answer. The error
-    /// states whether any byte may have been written. The connection must then be dropped.
+    /// Fails if the connection does, if the status is not that of a final answer, or if the transfer
+    /// encoding is not `chunked`. The error states whether any byte may have been written. The connection must then be dropped.
     pub async fn send(
         &mut self,
         request: Request<Body>,
@@ -116,6 +121,10 @@
                 if !FINAL_STATUSES.contains(&status.as_u16()) {
                     return StatusSnafu { status }.fail();
                 }
+                let mut encodings = response.headers().get_all(TRANSFER_ENCODING).iter();
+                if encodings.any(|e| !e.as_bytes().eq_ignore_ascii_case(b"chunked")) {
+                    return EncodingSnafu.fail();
+                }
                 Ok(response)
             }
             // hyper returns the request only if it has not written any byte of it.
--- a/tests/all/sessions/odd_bodies.rs
+++ b/tests/all/sessions/odd_bodies.rs
@@ -1,4 +1,4 @@
-//! Bodies of upstreams in chunks that are none, as `trefoild run` reads them.
+//! Bodies of upstreams whose framing is wrong, as `trefoild run` reads them.
 
 use std::io::{Read, Write};
 use std::net::TcpListener;
@@ -64,3 +64,19 @@
         assert_eq!(body, Some(Bytes::from("abc")), "{end:?}");
     }
 }
+
+/// Guards against an encoded body that is passed on as the body itself, without the field that says
+/// how it is encoded.
+#[test]
+fn an_encoded_body_is_no_answer() {
+    for encoding in ["gzip", "gzip, chunked", "chunked, gzip", "identity", "x"] {
+        for length in ["", "content-length: 3\r\n"] {
+            let head = format!("HTTP/1.1 200 OK\r\ntransfer-encoding: {encoding}\r\n{length}\r\n");
+            let body = "3\r\nabc\r\n0\r\n\r\n";
+            assert_eq!(read_answer(head + body), None, "{encoding}, {length:?}");
+        }
+    }
+    let twice = "transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n";
+    let answer = format!("HTTP/1.1 200 OK\r\n{twice}\r\n3\r\nabc\r\n0\r\n\r\n");
+    assert_eq!(read_answer(answer), None, "{twice:?}");
+}
