--- a/tests/all/platform.rs
+++ b/tests/all/platform.rs
@@ -20,6 +20,7 @@
 mod odd_entries;
 mod odd_heads;
 mod odd_pages;
+mod odd_store;
 mod output;
 mod ownership;
 mod promises;
