Share the parts of tests that send raw bytes

The tests of broken answers had copies of the same lists of odd lines, of reading a head, and of reading an answer to the end of its connection. They are in one module now, and the hosts of the session tests publish further services themselves.

--- a/tests/all/h1/fields.rs
+++ b/tests/all/h1/fields.rs
@@ -1,11 +1,8 @@
 //! Header fields of upstreams whose names are no names.
 
 use bytes::Bytes;
-use futures_lite::future;
-use http::{HeaderMap, Method};
-use trefoil_http::h1::{BodyLimit, ClientConnection, Match, Sent, encode_request};
 
-use super::pipe::connection;
+use super::status::exchange;
 
 /// Names of fields that frame the body, and names whose length exceeds that of a machine word and
 /// of a vector register, which a parser may check in steps.
@@ -21,27 +18,10 @@
     byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
 }
 
-/// Returns the body of an answer, or `None` if the exchange fails. The connection has ended.
-fn exchange(answer: &[u8], streamed: bool) -> Option<Bytes> {
-    let (stream, peer) = connection(1 << 20);
-    let mut client = ClientConnection::new(stream);
-    peer.send(answer);
-    peer.close();
-    let request = encode_request(&Method::GET, "/p", &HeaderMap::new(), &Bytes::new());
-    let limit = BodyLimit::new(1 << 20);
-    let result = if streamed {
-        let call = client.exchange_streamed(&Method::GET, request, &limit, |_| Match::Own);
-        future::block_on(call).map(|(response, _)| response)
-    } else {
-        future::block_on(client.exchange(&Method::GET, request, &limit, |_| Match::Own))
-    };
-    match result {
-        Ok(response) => Some(response.body),
-        Err(error) => {
-            assert_eq!(error.sent, Sent::Something, "the upstream may have run it");
-            None
-        }
-    }
+/// Returns the body of an answer, or `None` if the exchange fails.
+fn read_body(answer: &[u8], streamed: bool) -> Option<Bytes> {
+    let (_, body) = exchange(answer, streamed).ok()?;
+    Some(body)
 }
 
 /// Calls `check` with lines whose name contains a byte that no name has, at any place.
@@ -74,7 +54,7 @@
             [&status[..], other, line, b"\r\nabc"].concat(),
         ] {
             for streamed in [false, true] {
-                let body = exchange(&answer, streamed);
+                let body = read_body(&answer, streamed);
                 assert_eq!(body, None, "{:?}", answer.escape_ascii().to_string());
             }
         }
@@ -89,7 +69,7 @@
         let interim = b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n";
         let last = b"\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
         let answer = [&interim[..], line, last].concat();
-        let body = exchange(&answer, false);
+        let body = read_body(&answer, false);
         assert_eq!(body, None, "{:?}", answer.escape_ascii().to_string());
     });
 }
@@ -98,12 +78,12 @@
 /// although all of their lines end with a line feed.
 #[test]
 fn valid_fields_are_accepted() {
-    let body = exchange(b"HTTP/1.1 200 OK\nx: 1\ncontent-length: 3\n\nabc", false);
+    let body = read_body(b"HTTP/1.1 200 OK\nx: 1\ncontent-length: 3\n\nabc", false);
     assert_eq!(body, Some(Bytes::from("abc")));
     let names = (0..=u8::MAX).filter(|b| is_name_byte(*b)).map(char::from);
     for name in names {
         let answer = format!("HTTP/1.1 200 OK\r\nx{name}y: 1\r\ncontent-length: 3\r\n\r\nabc");
-        let body = exchange(answer.as_bytes(), false);
+        let body = read_body(answer.as_bytes(), false);
         assert_eq!(body, Some(Bytes::from("abc")), "{name}");
     }
 }
--- a/tests/all/h1/status.rs
+++ b/tests/all/h1/status.rs
@@ -9,7 +9,10 @@
 
 /// Returns the status and body of an answer, or the reason of the failure, once the connection has
 /// ended.
-fn exchange(answer: &str, streamed: bool) -> Result<(u16, Bytes), String> {
+pub(super) fn exchange<B>(answer: B, streamed: bool) -> Result<(u16, Bytes), String>
+where
+    B: AsRef<[u8]>,
+{
     let (stream, peer) = connection(1 << 20);
     let mut client = ClientConnection::new(stream);
     peer.send(answer);
@@ -55,7 +58,7 @@
         for streamed in [false, true] {
             let result = exchange(&(answer.clone() + then), streamed);
             assert!(result.is_err(), "{line}: {result:?}");
-            let result = exchange(&format!("{line}\r\n\r\n{then}"), streamed);
+            let result = exchange(format!("{line}\r\n\r\n{then}"), streamed);
             assert!(result.is_err(), "{line}, without a body: {result:?}");
         }
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod platform;
 mod process;
 mod ranges;
+mod raw;
 mod reactor;
 mod sessions;
 mod wire;
--- a/tests/all/platform/downloads.rs
+++ b/tests/all/platform/downloads.rs
@@ -10,7 +10,8 @@
 use nix::sys::socket::{setsockopt, sockopt};
 use trefoil_soak::{Fleet, eventually};
 
-use super::fake::{FakeUpstream, fields, fleet_of, reset_on_close};
+use super::fake::{FakeUpstream, fields, fleet_of};
+use crate::raw::reset_on_close;
 
 const MIB: usize = 1024 * 1024;
 
--- a/tests/all/platform/early_answers.rs
+++ b/tests/all/platform/early_answers.rs
@@ -1,11 +1,12 @@
 //! Answers without a length that upstreams give before they have read a long request.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, TcpStream};
 use std::thread;
 use std::time::Duration;
 
-use super::fake::{FakeUpstream, Part, download_config, fields, fleet_with, reset_on_close};
+use super::fake::{FakeUpstream, Part, download_config, fields, fleet_with};
+use crate::raw::{LastAnswer, read_last_answer, reset_on_close};
 
 /// A request that does not fit into the buffers of a connection, in bytes.
 const REQUEST: usize = 8 * 1024 * 1024;
@@ -76,14 +77,14 @@
                 );
                 stream.write_all(head.as_bytes()).expect("sent");
                 stream.write_all(body.as_bytes()).expect("sent");
-                let (status, received) = read_answer(&mut stream);
+                let LastAnswer { status, size, .. } = read_last_answer(&mut stream);
                 let expected = if kind == "cut" {
                     // A download may have begun before it broke off.
-                    status != 200 || received.is_none()
+                    status != 200 || size.is_none()
                 } else {
-                    status == 200 && received == Some(ANSWER)
+                    status == 200 && size == Some(ANSWER)
                 };
-                assert!(expected, "{id}: {status}, {received:?} bytes");
+                assert!(expected, "{id}: {status}, {size:?} bytes");
                 if route == "write" {
                     assert_eq!(upstream.received(), before + 1, "{id}");
                 }
@@ -91,36 +92,3 @@
         }
     }
 }
-
-/// Reads the answer up to the end of the connection, and returns its status and the size of its
-/// body if that is complete.
-fn read_answer(stream: &mut TcpStream) -> (u16, Option<usize>) {
-    let mut bytes = Vec::new();
-    let _ = stream.read_to_end(&mut bytes);
-    let text = String::from_utf8(bytes).expect("text");
-    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
-    let head = head.to_lowercase();
-    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: "));
-    let size = match length.map(|n| n.parse().expect("a number")) {
-        Some(length) => (body.len() == length).then_some(length),
-        None => decode_chunks(body),
-    };
-    (status.expect("a status"), size)
-}
-
-/// Returns the size of a body in chunks if it is complete.
-fn decode_chunks(mut body: &str) -> Option<usize> {
-    let mut size = 0;
-    loop {
-        let (line, rest) = body.split_once("\r\n")?;
-        let length = usize::from_str_radix(line, 16).ok()?;
-        body = rest.get(length..)?.strip_prefix("\r\n")?;
-        size += length;
-        if length == 0 {
-            return Some(size);
-        }
-    }
-}
--- a/tests/all/platform/fake.rs
+++ b/tests/all/platform/fake.rs
@@ -7,12 +7,12 @@
 use std::thread;
 use std::time::Duration;
 
-use nix::libc::linger;
-use nix::sys::socket::{setsockopt, sockopt};
 use serde_json::{Value, json};
 use trefoil_soak::{Fleet, eventually};
 use trefoil_standin::test_config;
 
+use crate::raw::read_head;
+
 /// Longest time of a streamed answer.
 const STREAM_TIME: Duration = Duration::from_secs(12);
 
@@ -82,15 +82,10 @@
 
 fn serve(mut stream: TcpStream, part: Part, act: &Act, received: &AtomicUsize) {
     loop {
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            if !matches!(stream.read(&mut byte), Ok(1)) {
-                return;
-            }
-            head.push(byte[0]);
-        }
-        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let Some(head) = read_head(&mut stream) else {
+            return;
+        };
+        let head = head.to_lowercase();
         let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
         let length = field("content-length: ").and_then(|n| n.parse().ok());
         let length = length.filter(|_| part == Part::Whole);
@@ -108,15 +103,6 @@
     format!("X-Request-Id: {id}\r\nX-Response-Seal: sealed-{id}\r\n")
 }
 
-/// Lets the closing of a connection reset it.
-pub(super) fn reset_on_close(stream: &TcpStream) {
-    let now = linger {
-        l_onoff: 1,
-        l_linger: 0,
-    };
-    setsockopt(stream, sockopt::Linger, &now).expect("set");
-}
-
 /// Version 2 of the test configuration, with a route `/load/` for downloads.
 pub(super) fn download_config() -> Value {
     let mut config = test_config(2);
--- a/tests/all/platform/odd_heads.rs
+++ b/tests/all/platform/odd_heads.rs
@@ -3,41 +3,13 @@
 use std::io::Write;
 
 use super::fake::{FakeUpstream, fields, fleet_of};
-
-/// Status lines, each with the id of the requests that are answered with it.
-const LINES: [(&str, &str); 8] = [
-    ("zero", "HTTP/1.1 000 Zero"),
-    ("low", "HTTP/1.1 099 Low"),
-    ("high", "HTTP/1.1 600 High"),
-    ("highest", "HTTP/1.1 999 High"),
-    ("switch", "HTTP/1.1 101 Switching Protocols"),
-    ("text", "HTTP/1.1 abc Text"),
-    ("none", "HTTP/1.1 "),
-    (
-        "interim",
-        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing",
-    ),
-];
-
-/// Lines that are no header fields because of a byte in the name, each with the id of the requests
-/// that are answered with it.
-const FIELDS: [(&str, &str); 9] = [
-    ("blank", "X Odd: 1"),
-    ("blankend", "X-Odd : 1"),
-    ("blankstart", " X-Odd: 1"),
-    ("tab", "X\tOdd: 1"),
-    ("nul", "X-\0Odd: 1"),
-    ("control", "X-Odd\x01: 1"),
-    ("delete", "X-\x7fOdd: 1"),
-    ("return", "X-\rOdd: 1"),
-    ("newline", "\nX-Odd: 1"),
-];
+use crate::raw::{FIELD_LINES, STATUS_LINES};
 
 /// Guards against bytes of an upstream that are no answer being passed on as one, against a second
 /// run of a request that must not run twice, and against a refusal after a run.
 #[test]
 fn an_odd_status_is_never_passed_on() {
-    check_never_passed_on(&LINES, |line, fields| {
+    check_never_passed_on(&STATUS_LINES, |line, fields| {
         format!("{line}\r\n{fields}Content-Length: 3\r\n\r\nodd")
     });
 }
@@ -46,17 +18,17 @@
 /// that the upstream has not sent, and against a second run and a refusal as above.
 #[test]
 fn an_odd_field_is_never_passed_on() {
-    check_never_passed_on(&FIELDS, |line, fields| {
+    check_never_passed_on(&FIELD_LINES, |line, fields| {
         format!("HTTP/1.1 200 OK\r\n{fields}{line}\r\nContent-Length: 3\r\n\r\nodd")
     });
-    check_never_passed_on(&FIELDS, |line, fields| {
+    check_never_passed_on(&FIELD_LINES, |line, fields| {
         let interim = format!("HTTP/1.1 103 Early Hints\r\n{line}\r\n\r\n");
         format!("{interim}HTTP/1.1 200 OK\r\n{fields}Content-Length: 3\r\n\r\nodd")
     });
 }
 
-/// Sends requests to an upstream whose answers contain one of `lines`: `answer` creates them from
-/// the line and the fields of a valid answer.
+/// Sends requests to an upstream whose answers contain one of `lines`, whose name begins the id of the
+/// request: `answer` creates them from the line and the fields of a valid answer.
 fn check_never_passed_on<F>(lines: &'static [(&str, &str)], answer: F)
 where
     F: Fn(&str, &str) -> String + Send + Sync + 'static,
--- a/tests/all/platform/odd_store.rs
+++ b/tests/all/platform/odd_store.rs
@@ -11,7 +11,7 @@
 use trefoil_platform::StoreClient;
 use trefoil_store::{Append, Appended, PartitionId, Store, StoreError, Topic};
 
-use super::fake::reset_on_close;
+use crate::raw::{read_head, reset_on_close};
 
 /// A record that does not fit into the buffers of a connection, in bytes.
 const LONG_RECORD: usize = 8 * 1024 * 1024;
@@ -33,12 +33,7 @@
     let answer = answer.to_owned();
     let server = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("a call");
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).expect("a head");
-            head.push(byte[0]);
-        }
+        read_head(&mut stream).expect("a head");
         if call == Call::Read {
             // The length of a record and its bytes.
             stream.read_exact(&mut [0; 4 + 1]).expect("a record");
--- a/tests/all/sessions/host.rs
+++ b/tests/all/sessions/host.rs
@@ -111,6 +111,16 @@
         self
     }
 
+    /// Publishes further services, declared in YAML as in [`resource`](Self::resource).
+    pub fn add_services(&self, domains: &[&str], declared: &str) {
+        let resource = self.resource(domains) + declared;
+        let Verdict::Conflict { current } = smol::block_on(self.publish(0, &resource)) else {
+            panic!("the first resource has a revision");
+        };
+        let verdict = smol::block_on(self.publish(current.0, &resource));
+        assert!(matches!(verdict, Verdict::Accepted { .. }), "{verdict:?}");
+    }
+
     /// Returns the resource with both services as YAML.
     pub fn resource(&self, domains: &[&str]) -> String {
         let mut services = String::new();
--- a/tests/all/sessions/odd_bodies.rs
+++ b/tests/all/sessions/odd_bodies.rs
@@ -1,6 +1,6 @@
 //! Bodies of upstreams whose framing is wrong, as `trefoild run` reads them.
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
@@ -9,6 +9,8 @@
 use http::Request;
 use trefoil_http::{CallError, call};
 
+use crate::raw::read_head;
+
 /// Returns the body of the answer to a request if it is complete. The head declares chunks.
 fn read_body(chunks: &str) -> Option<Bytes> {
     read_answer(format!(
@@ -21,12 +23,7 @@
     let address = listener.local_addr().expect("bound");
     let upstream = thread::spawn(move || {
         let (mut stream, _) = listener.accept().expect("accepted");
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).expect("a head");
-            head.push(byte[0]);
-        }
+        read_head(&mut stream).expect("a head");
         let _ = stream.write_all(answer.as_bytes());
     });
     let timeout = Duration::from_secs(20);
--- a/tests/all/sessions/odd_heads.rs
+++ b/tests/all/sessions/odd_heads.rs
@@ -1,47 +1,17 @@
 //! An upstream whose heads are not those of a final answer.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread;
 
-use trefoil_log::Verdict;
 use trefoil_soak::eventually;
 
 use super::host::Hosts;
 use super::raw_http::Answer;
+use crate::raw::{FIELD_LINES, STATUS_LINES, listen, read_head};
 
-/// Status lines, each with the last path segment of the requests that are answered with it.
-const LINES: [(&str, &str); 8] = [
-    ("zero", "HTTP/1.1 000 Zero"),
-    ("low", "HTTP/1.1 099 Low"),
-    ("high", "HTTP/1.1 600 High"),
-    ("highest", "HTTP/1.1 999 High"),
-    ("switch", "HTTP/1.1 101 Switching Protocols"),
-    ("text", "HTTP/1.1 abc Text"),
-    ("none", "HTTP/1.1 "),
-    (
-        "interim",
-        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 102 Processing",
-    ),
-];
-
-/// Lines that are no header fields because of a byte in the name, each with the last path segment
-/// of the requests that are answered with it.
-const FIELDS: [(&str, &str); 9] = [
-    ("blank", "X Odd: 1"),
-    ("blankend", "X-Odd : 1"),
-    ("blankstart", " X-Odd: 1"),
-    ("tab", "X\tOdd: 1"),
-    ("nul", "X-\0Odd: 1"),
-    ("control", "X-Odd\x01: 1"),
-    ("delete", "X-\x7fOdd: 1"),
-    ("return", "X-\rOdd: 1"),
-    ("newline", "\nX-Odd: 1"),
-];
-
-/// Lines with their path segments, and how an answer is made of a line and valid fields.
+/// Lines whose names are the last path segment of the requests that are answered with them, and how an answer is made of a line and valid fields.
 type Odd = (
     &'static [(&'static str, &'static str)],
     fn(&str, &str) -> String,
@@ -49,26 +19,14 @@
 
 /// Starts the upstream and counts its POST requests.
 fn start_upstream(posts: &Arc<AtomicUsize>, odd: Odd) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
     let posts = Arc::clone(posts);
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let posts = Arc::clone(&posts);
-            thread::spawn(move || answer(stream, &posts, odd));
-        }
-    });
-    address
+    listen(move |stream| {
+        answer(stream, &posts, odd);
+    })
 }
 
 fn answer(mut stream: TcpStream, posts: &AtomicUsize, (lines, make): Odd) -> Option<()> {
-    let mut head = Vec::new();
-    let mut byte = [0];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8(head).ok()?.to_lowercase();
+    let head = read_head(&mut stream)?.to_lowercase();
     let field = |name: &str| head.lines().find_map(|line| line.strip_prefix(name));
     let length = field("content-length: ").and_then(|n| n.parse().ok());
     stream.read_exact(&mut vec![0; length.unwrap_or(0)]).ok()?;
@@ -88,7 +46,7 @@
 /// a second run of a request that must not run twice (P5).
 #[test]
 fn an_odd_status_is_never_passed_on() {
-    check_never_passed_on((&LINES, |line, fields| {
+    check_never_passed_on((&STATUS_LINES, |line, fields| {
         format!("{line}\r\n{fields}content-length: 3\r\n\r\nodd")
     }));
 }
@@ -97,7 +55,7 @@
 /// that the upstream has not sent (P3), and against a second run (P5).
 #[test]
 fn an_odd_field_is_never_passed_on() {
-    check_never_passed_on((&FIELDS, |line, fields| {
+    check_never_passed_on((&FIELD_LINES, |line, fields| {
         format!("HTTP/1.1 200 OK\r\n{fields}{line}\r\ncontent-length: 3\r\n\r\nodd")
     }));
 }
@@ -117,12 +75,7 @@
         - {{ name: odd-1, address: \"{address}\", domain: a }}
 "
     );
-    let resource = hosts.resource(&["a", "b"]) + &service;
-    let Verdict::Conflict { current } = smol::block_on(hosts.publish(0, &resource)) else {
-        panic!("the first resource has a revision");
-    };
-    let verdict = smol::block_on(hosts.publish(current.0, &resource));
-    assert!(matches!(verdict, Verdict::Accepted { .. }), "{verdict:?}");
+    hosts.add_services(&["a", "b"], &service);
     let send = |host: usize, method: &str, kind: &str| -> Answer {
         let mut caller = hosts.caller(host);
         let request = format!(
