--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -105,7 +105,8 @@
     /// # Errors
     ///
     /// Fails if the connection does, if the status is not that of a final answer, or if the transfer
-    /// encoding is not `chunked`. The error states whether any byte may have been written. The connection must then be dropped.
+    /// encoding is not `chunked`. The error states whether any byte may have been written. The
+    /// connection must then be dropped.
     pub async fn send(
         &mut self,
         request: Request<Body>,
--- a/crates/http/src/h1/stream.rs
+++ b/crates/http/src/h1/stream.rs
@@ -100,13 +100,12 @@
     ///
     /// Fails if the connection does, or if it accepts no byte.
     pub fn poll_write(&mut self, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        Poll::Ready(
-            match ready!(Pin::new(&mut self.stream).poll_write(cx, bytes)) {
-                Ok(0) => Err(self.record_failure(io::ErrorKind::WriteZero.into())),
-                Ok(n) => Ok(n),
-                Err(error) => Err(self.record_failure(error)),
-            },
-        )
+        let written = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        Poll::Ready(match written {
+            Ok(0) => Err(self.record_failure(io::ErrorKind::WriteZero.into())),
+            Ok(n) => Ok(n),
+            Err(error) => Err(self.record_failure(error)),
+        })
     }
 
     /// Closes the sending side.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -183,6 +183,7 @@
     let exchange = Arc::new(ExchangeState::default());
     let (io, rest) = (stream.clone(), stream);
     let io = RefusalStream::new(io, Arc::clone(&service), Arc::clone(&exchange));
+    // The answer that is sent lasts until the connection closes.
     let ends_with_close = AtomicBool::default();
     let handler = service_fn(|request: Request<Incoming>| {
         let version = request.version();
@@ -191,7 +192,7 @@
         let ends_with_close = &ends_with_close;
         async move {
             let answer = answer.await;
-            ends_with_close.store(is_endless(version, &answer), Ordering::Relaxed);
+            ends_with_close.store(lasts_until_close(version, &answer), Ordering::Relaxed);
             Ok::<_, Infallible>(answer.map(|body| guard.attach(body)))
         }
     });
@@ -224,7 +225,7 @@
 }
 
 /// Returns true if an answer to a request of this version has no end but that of the connection.
-fn is_endless(version: Version, answer: &Response<Body>) -> bool {
+fn lasts_until_close(version: Version, answer: &Response<Body>) -> bool {
     version < Version::HTTP_11
         && !answer.headers().contains_key(CONTENT_LENGTH)
         && answer.body().size_hint().exact().is_none()
--- a/tests/all/platform/odd_heads.rs
+++ b/tests/all/platform/odd_heads.rs
@@ -27,8 +27,8 @@
     });
 }
 
-/// Sends requests to an upstream whose answers contain one of `lines`, whose name begins the id of the
-/// request: `answer` creates them from the line and the fields of a valid answer.
+/// Sends requests to an upstream that answers with one of `lines`, by the name with which the id of
+/// the request begins. `answer` creates the answer from the line and the fields of a valid one.
 fn check_never_passed_on<F>(lines: &'static [(&str, &str)], answer: F)
 where
     F: Fn(&str, &str) -> String + Send + Sync + 'static,
--- a/tests/all/sessions/odd_heads.rs
+++ b/tests/all/sessions/odd_heads.rs
@@ -11,7 +11,8 @@
 use super::raw_http::Answer;
 use crate::raw::{FIELD_LINES, STATUS_LINES, listen, read_head};
 
-/// Lines whose names are the last path segment of the requests that are answered with them, and how an answer is made of a line and valid fields.
+/// Lines whose names are the last path segment of the requests that are answered with them, and how
+/// an answer is made of a line and valid fields.
 type Odd = (
     &'static [(&'static str, &'static str)],
     fn(&str, &str) -> String,
