Write the head and the body of a request without a read in between

For a body of more than 8 KiB, which is not copied behind its head, that was one read between the two on every request, before any answer can be expected.

Change: the two are written in turn as before; a read comes before a write only once the socket has taken less than it was given.

--- a/crates/http/src/h1/client.rs
+++ b/crates/http/src/h1/client.rs
@@ -329,16 +329,22 @@
         }
     }
 
-    /// Writes the next part of the request, as much as the socket takes at once.
+    /// Writes as much of the request as the socket takes at once, its head and its body in turn.
     fn poll_write_request(
         &mut self,
         cx: &mut Context<'_>,
         exchange: &mut Exchange<'_>,
     ) -> Poll<io::Result<()>> {
-        let written = ready!(self.stream.poll_write(cx, exchange.request.chunk()))?;
-        exchange.sent = Sent::Something;
-        exchange.request.advance(written);
-        Poll::Ready(Ok(()))
+        loop {
+            let piece = exchange.request.chunk();
+            let size = piece.len();
+            let written = ready!(self.stream.poll_write(cx, piece))?;
+            exchange.sent = Sent::Something;
+            exchange.request.advance(written);
+            if written < size || !exchange.request.has_remaining() {
+                return Poll::Ready(Ok(()));
+            }
+        }
     }
 }
 
