--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -1,9 +1,10 @@
 //! Processes of the system, started as the deploy file says.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use crate::net::call;
@@ -18,9 +19,21 @@
     child: Option<Child>,
 }
 
+/// First and number of the ports that are tried, below those of outgoing connections.
+const PORTS: (u32, u32) = (20_000, 12_000);
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An address that is free for TCP and UDP.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("address");
-    listener.local_addr().expect("address")
+    loop {
+        let number = NEXT_PORT.fetch_add(1, Ordering::Relaxed) + std::process::id() * 37;
+        let port = u16::try_from(PORTS.0 + number % PORTS.1).expect("port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Machine {
