--- a/review/standin-3/backend.rs
+++ b/review/standin-3/backend.rs
@@ -1,5 +1,6 @@
 //! A backend that holds keys under grants, as PROTOCOL.md describes it.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -22,33 +23,61 @@
     until: Option<Instant>,
 }
 
-/// Which backend had which key with which fencing token.
+/// Which backend had which key with which fencing token, and what they ran.
 #[derive(Default)]
 pub struct Ledger {
-    /// Highest fencing token of each key, by backend.
-    had: Vec<(String, Vec<u64>)>,
+    /// Highest fencing token and end of the grant of each key, by backend.
+    had: Vec<(String, Vec<(u64, Option<Instant>)>)>,
     /// Grants taken with a token that is not above those of other backends, and when.
     pub stale: Vec<(Instant, String)>,
+    /// Requests that a backend began on a key while another one held it too, by both.
+    pub shared_runs: BTreeMap<(String, String), u64>,
+    /// Grants of keys that another backend holds: when, and what was taken.
+    pub shared: Vec<(Instant, String)>,
 }
 
 impl Ledger {
-    fn take(&mut self, id: &str, range: (usize, usize), fence: u64) -> Option<String> {
+    /// Records a grant. Returns which backend had one of the keys with a token that is not lower.
+    fn take(&mut self, id: &str, range: (usize, usize), fence: u64, until: Instant) -> Option<String> {
+        let now = Instant::now();
         let mut worst = None;
-        for (other, fences) in self.had.iter().filter(|(other, _)| other != id) {
-            let highest = (range.0..=range.1).map(|k| (fences[k], k)).max();
+        for (other, had) in self.had.iter().filter(|(other, _)| other != id) {
+            let highest = (range.0..=range.1).map(|key| (had[key].0, key)).max();
             if let Some((highest, key)) = highest.filter(|(highest, _)| *highest >= fence) {
                 worst = Some(format!("{other} had key {key} with {highest}"));
             }
+            let held = |key: &usize| had[*key].1.is_some_and(|end| now < end);
+            let count = (range.0..=range.1).filter(held).count();
+            if count > 0 {
+                self.shared.push((now, format!("{id} takes {count} keys that {other} holds")));
+            }
         }
+        self.set(id, range, |key| *key = (key.0.max(fence), Some(until)));
+        worst
+    }
+
+    fn set<F>(&mut self, id: &str, range: (usize, usize), change: F)
+    where
+        F: Fn(&mut (u64, Option<Instant>)),
+    {
         if !self.had.iter().any(|(name, _)| name == id) {
-            self.had.push((id.to_owned(), vec![0; KEYS]));
+            self.had.push((id.to_owned(), vec![(0, None); KEYS]));
         }
-        if let Some((_, fences)) = self.had.iter_mut().find(|(name, _)| name == id) {
-            for key in &mut fences[range.0..=range.1] {
-                *key = (*key).max(fence);
+        if let Some((_, had)) = self.had.iter_mut().find(|(name, _)| name == id) {
+            had[range.0..=range.1].iter_mut().for_each(change);
+        }
+    }
+
+    /// Records that a backend begins a request.
+    fn begin(&mut self, id: &str, key: usize) {
+        let now = Instant::now();
+        let holds = |had: &[(u64, Option<Instant>)]| had[key].1.is_some_and(|end| now < end);
+        for (other, had) in &self.had {
+            if other != id && holds(had) {
+                let pair = (id.to_owned(), other.clone());
+                *self.shared_runs.entry(pair).or_default() += 1;
             }
         }
-        worst
     }
 }
 
@@ -60,6 +89,8 @@
     ledger: Arc<Mutex<Ledger>>,
     record: Record,
     work: Duration,
+    /// When the last grant was taken.
+    granted: Arc<Mutex<Option<Instant>>>,
 }
 
 impl Backend {
@@ -76,6 +107,7 @@
             ledger: Arc::clone(ledger),
             record: record.clone(),
             work: Duration::from_millis(20),
+            granted: Arc::default(),
         };
         let serving = backend.clone();
         serve(listener, move |request| serving.answer(&request));
@@ -120,15 +152,16 @@
 
     fn run(&self, request: &Message, fields: &[(&str, &str)]) -> Vec<u8> {
         let key = request.field("x-shard-key").and_then(|k| k.parse::<usize>().ok());
-        let held = key.is_some_and(|key| {
+        let held = key.filter(|key| {
             let keys = self.keys.lock().unwrap();
-            keys[key].until.is_some_and(|until| Instant::now() < until)
+            keys[*key].until.is_some_and(|until| Instant::now() < until)
         });
         let mut fields = fields.to_vec();
-        if !held {
+        let Some(key) = held else {
             fields.push(("x-not-executed", "1"));
             return response(421, &fields, b"");
-        }
+        };
+        self.ledger.lock().unwrap().begin(&self.id, key);
         self.record.count(&self.id, "runs");
         thread::sleep(self.work);
         fields.push(("x-response-seal", "3e1b.07.5a2.600.0.c9f2a4d1"));
@@ -157,8 +190,9 @@
             key.until = Some(arrived + hold);
         }
         drop(keys);
+        *self.granted.lock().unwrap() = Some(arrived);
         let mut ledger = self.ledger.lock().unwrap();
-        let worst = ledger.take(&self.id, (from, last), fence);
+        let worst = ledger.take(&self.id, (from, last), fence, arrived + hold);
         let hold = hold.as_millis();
         let text = format!("{} takes {from}-{last} fence {fence} for {hold} ms", self.id);
         self.record.write(&text);
@@ -181,6 +215,18 @@
                 key.until = None;
             }
         }
+        drop(keys);
+        let mut ledger = self.ledger.lock().unwrap();
+        ledger.set(&self.id, (from, last), |key| {
+            if key.0 <= fence {
+                key.1 = None;
+            }
+        });
+    }
+
+    /// Time since the last grant was taken.
+    pub fn since_grant(&self) -> Duration {
+        self.granted.lock().unwrap().map_or(Duration::ZERO, |at| at.elapsed())
     }
 
     /// Number of keys that the backend holds now.
--- a/review/standin-3/held_grant.rs
+++ b/review/standin-3/held_grant.rs
@@ -17,7 +17,10 @@
 const FREEZE_SLACK: Duration = Duration::from_millis(300);
 
 /// Length of the cut.
-const CUT: Duration = Duration::from_millis(5500);
+const CUT: Duration = Duration::from_secs(6);
+
+/// Time from the last grant before the cut to the cut. Grants are renewed each 1.2 s.
+const BEFORE: Duration = Duration::from_millis(800);
 
 /// Time that is watched after the cut.
 const AFTER: Duration = Duration::from_secs(12);
@@ -35,14 +38,14 @@
 
 /// Clients of a machine, which ask for all keys in turn.
 fn start_clients(front: SocketAddr, name: &str, record: &Record) {
-    for first in 0..4u64 {
+    for first in 0..8u64 {
         let (name, record) = (name.to_owned(), record.clone());
         thread::spawn(move || {
             for number in 0u64.. {
-                let key = (first * 16_384 + number * 977) % 65_536;
+                let key = (first * 8_192 + number * 977) % 65_536;
                 let status = request(front, key);
                 record.count(&name, &format!("status {status}"));
-                thread::sleep(Duration::from_millis(80));
+                thread::sleep(Duration::from_millis(40));
             }
         });
     }
@@ -88,6 +91,9 @@
     if keys == 0 {
         return Err("the backend holds no keys".to_owned());
     }
+    while trouble && !(BEFORE..BEFORE + BEFORE / 4).contains(&victim.since_grant()) {
+        thread::sleep(Duration::from_millis(5));
+    }
     if trouble {
         record.write(&format!("cut: {} from all machines", victim.id));
         link.cut();
@@ -99,12 +105,22 @@
         record.write(&format!("cut ends: {}", victim.id));
     }
     thread::sleep(AFTER);
-    let stale = std::mem::take(&mut ledger.lock().unwrap().stale);
+    let ledger = ledger.lock().unwrap();
     let counted = |at: Instant| at < healed || at > healed + FREEZE_SLACK;
-    let counted: Vec<_> = stale.into_iter().filter(|(at, _)| counted(*at)).collect();
-    for (at, text) in &counted {
-        let late = at.saturating_duration_since(healed).as_millis();
-        record.write(&format!("OWNER, {late} ms after the cut: {text}"));
+    let late = |at: Instant| at.saturating_duration_since(healed).as_millis();
+    let mut broken = false;
+    for (at, text) in ledger.stale.iter().filter(|(at, _)| counted(*at)) {
+        broken = true;
+        record.write(&format!("OWNER, {} ms after the cut: {text}", late(*at)));
+    }
+    for (at, text) in &ledger.shared {
+        record.write(&format!("{} ms after the cut: {text}", late(*at)));
+    }
+    for ((backend, other), count) in &ledger.shared_runs {
+        let back = ledger.shared_runs.contains_key(&(other.clone(), backend.clone()));
+        broken |= back;
+        let both = if back { "OWNER, both begin requests: " } else { "" };
+        record.write(&format!("{both}{backend} begins {count} requests on keys that {other} holds too"));
     }
-    Ok(!counted.is_empty())
+    Ok(broken)
 }
