--- a/review/standin-3/held_grant.rs
+++ b/review/standin-3/held_grant.rs
@@ -59,7 +59,7 @@
     store.set("keyed.op", "config", CONFIG);
     let ledger: Arc<Mutex<Ledger>> = Arc::default();
     let mut backends = Vec::new();
-    for number in 1..=4 {
+    for number in 1..=6 {
         let id = format!("i-{number}");
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
         let own = listener.local_addr().map_err(|e| e.to_string())?;
